Lay out the workspace, checks and first types

Cause: nothing stands yet; the path needs a workspace in which parts can grow side by side. Change: npm workspace of five packages, tsc -b, neostandard with typescript-eslint and two rules of our own (one export a file, verbs of docs/verbs.md), a test runner that closes with 'N passed, N failed', the peer protocol with generated code, resource schemas.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,53 @@
+import neostandard from 'neostandard'
+import tseslint from 'typescript-eslint'
+import { functionVerb } from './tools/eslint/functionVerb.js'
+import { oneExport } from './tools/eslint/oneExport.js'
+
+const DECISION_FILES = [
+  'packages/almondrelay/src/request/**/*.ts',
+  'packages/almondrelay/src/version/**/*.ts',
+  'packages/almondrelay/src/process/limits/**/*.ts',
+  'packages/almondrelay/src/process/membership/**/*.ts',
+  'packages/almondrelay/src/process/journal/**/*.ts'
+]
+
+const AMBIENT_TIME_AND_CHANCE = [
+  { object: 'Date', property: 'now', message: 'the present time is an argument of what decides' },
+  { object: 'performance', property: 'now', message: 'the present time is an argument of what decides' },
+  { object: 'Math', property: 'random', message: 'chance is an argument of what decides' }
+]
+
+const IO_MODULES = ['node:*', 'undici', 'hono', 'hono/*', '@hono/*', '@connectrpc/*', 'bunyan', 'hot-shots', '**/connection/**', '**/platform/**']
+
+export default [
+  { ignores: ['**/dist/**', '**/src/gen/**', 'node_modules/**'] },
+  ...neostandard({ ts: true }),
+  {
+    plugins: { almondrelay: { rules: { 'function-verb': functionVerb, 'one-export': oneExport } } }
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    languageOptions: { parser: tseslint.parser, parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      // The compiler checks redeclaration; a constant object and its type share a name on purpose.
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-redeclare': 'off',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      'almondrelay/function-verb': 'error',
+      'almondrelay/one-export': 'error',
+      'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }]
+    }
+  },
+  { files: ['packages/*/src/index.ts'], rules: { 'almondrelay/one-export': 'off' } },
+  {
+    files: DECISION_FILES,
+    ignores: ['**/__tests__/**', '**/__fixtures__/**'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ group: IO_MODULES, message: 'a decision module does no I/O' }] }],
+      'no-restricted-properties': ['error', ...AMBIENT_TIME_AND_CHANCE],
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'process']
+    }
+  }
+]
--- /dev/null
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -0,0 +1,34 @@
+/** Why a request was not run, or why its outcome is unknown. */
+const RefusalReason = {
+  unknownService: 'unknown-service',
+  invalidHeader: 'invalid-header',
+  missingId: 'missing-id',
+  missingHome: 'missing-home',
+  bodyTooLarge: 'body-too-large',
+  notReady: 'not-ready',
+  leaving: 'leaving',
+  queueFull: 'queue-full',
+  overFairShare: 'over-fair-share',
+  deadlineUnreachable: 'deadline-unreachable',
+  deadlinePassed: 'deadline-passed',
+  cancelled: 'cancelled',
+  noTarget: 'no-target',
+  noCredit: 'no-credit',
+  regionFull: 'region-full',
+  linkFull: 'link-full',
+  shiftCapFull: 'shift-cap-full',
+  journalFull: 'journal-full',
+  idExpired: 'id-expired',
+  homeGone: 'home-gone',
+  homeUnreachable: 'home-unreachable',
+  fenced: 'fenced',
+  targetRefused: 'target-refused',
+  targetUnreachable: 'target-unreachable',
+  answerBroken: 'answer-broken',
+  answerTooLarge: 'answer-too-large',
+  answerLost: 'answer-lost'
+} as const
+
+type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason]
+
+export { RefusalReason }
--- /dev/null
+++ b/packages/almondrelay/src/version/configuration.ts
@@ -0,0 +1,40 @@
+import type { Change } from './resources/change.js'
+import type { Resource } from './resources/resource.js'
+import type { ResourceKind } from './resources/resourceKind.js'
+
+type ResourceOf<Kind extends ResourceKind> = Extract<Resource, { kind: Kind }>
+
+/** What one revision of the configuration holds; immutable. */
+export class Configuration {
+  static readonly empty = new Configuration(0, new Map())
+
+  private constructor (readonly revision: number, private readonly resources: ReadonlyMap<string, Resource>) {}
+
+  /** The configuration of a snapshot. */
+  static restore (revision: number, resources: readonly Resource[]): Configuration {
+    return new Configuration(revision, new Map(resources.map((resource) => [makeKey(resource.kind, resource.name), resource])))
+  }
+
+  /** The next revision; undefined unless the change is the one right after this revision. */
+  apply (change: Change): Configuration | undefined {
+    if (change.revision !== this.revision + 1) return undefined
+    const resources = new Map(this.resources)
+    if (change.action === 'put') resources.set(makeKey(change.resource.kind, change.resource.name), { ...change.resource, revision: change.revision })
+    else resources.delete(makeKey(change.kind, change.name))
+    return new Configuration(change.revision, resources)
+  }
+
+  get<Kind extends ResourceKind> (kind: Kind, name: string): ResourceOf<Kind> | undefined {
+    return this.resources.get(makeKey(kind, name)) as ResourceOf<Kind> | undefined
+  }
+
+  list<Kind extends ResourceKind> (kind: Kind): ResourceOf<Kind>[] {
+    return [...this.resources.values()].filter((resource): resource is ResourceOf<Kind> => resource.kind === kind)
+  }
+
+  listAll (): Resource[] {
+    return [...this.resources.values()]
+  }
+}
+
+const makeKey = (kind: ResourceKind, name: string): string => `${kind}/${name}`
--- /dev/null
+++ b/tools/eslint/functionVerb.js
@@ -0,0 +1,36 @@
+import { loadVerbs } from './loadVerbs.js'
+
+const FIRST_WORD = /^[#_]?([a-z]+)/
+
+/** Function and method names begin with a verb of docs/verbs.md. */
+export const functionVerb = {
+  meta: {
+    type: 'suggestion',
+    schema: [],
+    messages: { verb: "'{{name}}' does not begin with a verb of docs/verbs.md: rename it, or add the verb with its meaning there" }
+  },
+  create (context) {
+    const verbs = loadVerbs()
+    const checkName = (node, name) => {
+      const word = FIRST_WORD.exec(name)?.[1]
+      if (word === undefined || verbs.has(word)) return
+      context.report({ node, messageId: 'verb', data: { name } })
+    }
+    return {
+      FunctionDeclaration (node) {
+        if (node.id) checkName(node.id, node.id.name)
+      },
+      MethodDefinition (node) {
+        if (node.kind !== 'method' || node.computed) return
+        if (node.key.type === 'Identifier' || node.key.type === 'PrivateIdentifier') checkName(node.key, node.key.name)
+      },
+      TSAbstractMethodDefinition (node) {
+        if (node.kind === 'method' && node.key.type === 'Identifier') checkName(node.key, node.key.name)
+      },
+      VariableDeclarator (node) {
+        const isFunction = node.init?.type === 'ArrowFunctionExpression' || node.init?.type === 'FunctionExpression'
+        if (isFunction && node.id.type === 'Identifier') checkName(node.id, node.id.name)
+      }
+    }
+  }
+}
