--- /dev/null
+++ b/packages/almondrelay/src/process/platform/index.ts
@@ -0,0 +1,5 @@
+export * from './platform.js'
+export * from './platformEntry.js'
+export * from './platformHost.js'
+export * from './platformPutResult.js'
+export * from './platformWatchResult.js'
--- /dev/null
+++ b/packages/almondrelay/src/process/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './hostSettings.js'
--- /dev/null
+++ b/packages/almondrelay/src/request/index.ts
@@ -0,0 +1,5 @@
+export * from './answer.js'
+export * from './createSeededRandom.js'
+export * from './outcome.js'
+export * from './random.js'
+export * from './refusalReason.js'
