--- /dev/null
+++ b/packages/almondrelay/src/process/settings/loadSettings.ts
@@ -0,0 +1,18 @@
+import { readFile } from 'node:fs/promises'
+import { AlmondrelayError } from '../errors/almondrelayError.js'
+import { ErrorKind } from '../errors/errorKind.js'
+import type { HostSettings } from './hostSettings.js'
+import { parseSettings } from './parseSettings.js'
+
+/**
+ * The settings of a host from its file.
+ *
+ * @throws AlmondrelayError of kind `settings-invalid` when the file can't be read or holds a
+ * wrong, unknown or missing setting.
+ */
+export async function loadSettings (file: string): Promise<HostSettings> {
+  const text = await readFile(file, 'utf8').catch((error: Error) => {
+    throw new AlmondrelayError({ kind: ErrorKind.settingsInvalid, message: `${file} can't be read (${error.message})`, remedy: 'name a readable file with --settings', cause: error })
+  })
+  return parseSettings(file, text)
+}
