--- /dev/null
+++ b/packages/almondrelay-cli/src/daemon/watchStopSignals.ts
@@ -0,0 +1,27 @@
+import type { EventEmitter } from 'node:events'
+import { ExitCode } from '../common/exitCode.js'
+
+interface StopHandlers {
+  log: (message: string) => void
+  /** Ends the process. */
+  exit: (code: ExitCode) => void
+}
+
+/**
+ * A signal that aborts at the first SIGTERM or SIGINT, which is the planned stop. A second
+ * one ends the process at once.
+ */
+export function watchStopSignals (source: EventEmitter, handlers: StopHandlers): AbortSignal {
+  const stop = new AbortController()
+  const handleSignal = (name: string): void => {
+    if (stop.signal.aborted) {
+      handlers.log(`second signal ${name}: ending at once, with work in flight cut off`)
+      handlers.exit(ExitCode.failed)
+      return
+    }
+    handlers.log(`signal ${name}: planned stop; a second signal ends at once`)
+    stop.abort()
+  }
+  for (const name of ['SIGTERM', 'SIGINT']) source.on(name, () => handleSignal(name))
+  return stop.signal
+}
--- a/packages/almondrelay-cli/src/index.ts
+++ b/packages/almondrelay-cli/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './common/exitCode.js'
