Add the operators' command line

Ruled out: trying the next host after any failure of a write. A write whose answer is lost may be stored; it is asked after by its write id, and 'absent' is not taken as a refusal, since a slow host may still store it. Change: check, get, apply, delete, watch, outcome, lookup and status on commander; resources are checked with line, path and remedy, written in the order of what they need and with a revision guard; exit codes stand in one constant and in the help. A commented example of every kind is checked by a test.

--- /dev/null
+++ b/packages/almondrelay-cli/src/__fixtures__/fakeOperator.ts
@@ -0,0 +1,119 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { serve, type HttpBindings } from '@hono/node-server'
+import { Hono } from 'hono'
+
+interface Stored {
+  kind: string
+  name: string
+  revision: number
+  spec: unknown
+  status?: Record<string, unknown>
+}
+
+/** An operator port that keeps resources in memory, with switches for what can go wrong. */
+export class FakeOperator {
+  revision = 0
+  readonly resources = new Map<string, Stored>()
+  readonly writes = new Map<string, number>()
+  /** Order of the writes that were stored. */
+  readonly stored: string[] = []
+  /** Takes the next write and closes the connection without an answer. */
+  loseNextAnswer = false
+  /** Lets a colleague write first: the next write is refused as a conflict. */
+  raceNextWrite = false
+  /** Answers every write with `unknown`, and knows nothing of it afterwards. */
+  platformDown = false
+  /** Problems with which the next write is rejected. */
+  problems: Array<{ path: string, found: string, remedy: string }> = []
+  /** Revision that the second availability zone has in force; the newest where undefined. */
+  laggingRevision: number | undefined
+  unreachable: string[] = []
+  pages: unknown = { pages: [] }
+  address = ''
+  private closeServer: () => Promise<void> = async () => {}
+
+  static async start (): Promise<FakeOperator> {
+    const fake = new FakeOperator()
+    await fake.listen()
+    return fake
+  }
+
+  async stop (): Promise<void> {
+    await this.closeServer()
+  }
+
+  private async listen (): Promise<void> {
+    const app = this.buildApp()
+    const server = await new Promise<ReturnType<typeof serve>>((resolve) => {
+      const started = serve({ fetch: app.fetch, hostname: '127.0.0.1', port: 0 }, () => resolve(started))
+    })
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    this.closeServer = () => new Promise((resolve) => {
+      server.close(() => resolve())
+      if ('closeAllConnections' in server) server.closeAllConnections()
+    })
+  }
+
+  private buildApp (): Hono<{ Bindings: HttpBindings }> {
+    const app = new Hono<{ Bindings: HttpBindings }>()
+    app.get('/v1/resources/:kind', (c) => c.json({ revision: this.revision, resources: [...this.resources.values()].filter((each) => each.kind === c.req.param('kind')) }))
+    app.get('/v1/resources/:kind/:name', (c) => {
+      const found = this.resources.get(`${c.req.param('kind')}/${c.req.param('name')}`)
+      return found === undefined ? c.json({ message: 'absent' }, 404) : c.json(found)
+    })
+    app.put('/v1/resources/:kind/:name', async (c) => this.handleWrite(c.req.raw, c.env.outgoing, c.req.param('kind'), c.req.param('name'), await c.req.json()))
+    app.delete('/v1/resources/:kind/:name', (c) => this.handleWrite(c.req.raw, c.env.outgoing, c.req.param('kind'), c.req.param('name'), undefined))
+    app.get('/v1/writes/:id', (c) => {
+      if (this.platformDown) return c.json({ outcome: 'unknown' })
+      const revision = this.writes.get(c.req.param('id'))
+      return c.json(revision === undefined ? { outcome: 'absent' } : { outcome: 'accepted', revision })
+    })
+    app.get('/v1/status', (c) => c.json(this.buildStatus()))
+    app.get('/v1/account', (c) => c.json(this.pages as object))
+    app.get('/v1/lookup', (c) => c.json({ revision: this.revision, ttlMs: 2000, hosts: [{ name: 'akl-a-1', incarnation: 1, address: '127.0.0.1:8080', region: 'akl', availabilityZone: 'akl-a', weight: 1 }] }))
+    return app
+  }
+
+  private handleWrite (request: Request, outgoing: HttpBindings['outgoing'], kind: string, name: string, spec: unknown): Response {
+    const writeId = request.headers.get('almondrelay-write-id') ?? ''
+    if (this.platformDown) return Response.json({ outcome: 'unknown', writeId }, { status: 503 })
+    if (this.problems.length > 0) return Response.json({ outcome: 'rejected', problems: this.problems.splice(0) }, { status: 400 })
+    if (this.raceNextWrite) this.storeRace(kind, name)
+    const key = `${kind}/${name}`
+    const present = this.resources.get(key)
+    const expected = present === undefined ? '*' : `"${present.revision}"`
+    const given = request.headers.get('if-match') ?? request.headers.get('if-none-match')
+    if (given !== expected) return Response.json({ outcome: 'conflict', revision: present?.revision ?? 0 }, { status: 412 })
+    this.revision += 1
+    if (spec === undefined) this.resources.delete(key)
+    else this.resources.set(key, { kind, name, revision: this.revision, spec })
+    this.writes.set(writeId, this.revision)
+    this.stored.push(key)
+    if (this.loseNextAnswer) {
+      this.loseNextAnswer = false
+      ;(outgoing as ServerResponse<IncomingMessage>).socket?.destroy()
+    }
+    return Response.json({ outcome: 'accepted', revision: this.revision, writeId })
+  }
+
+  private storeRace (kind: string, name: string): void {
+    this.raceNextWrite = false
+    this.revision += 1
+    this.resources.set(`${kind}/${name}`, { kind, name, revision: this.revision, spec: { by: 'a colleague' } })
+  }
+
+  private buildStatus (): unknown {
+    const behind = this.laggingRevision ?? this.revision
+    return {
+      host: { name: 'akl-a-1', region: 'akl', availabilityZone: 'akl-a', callerAddress: this.address },
+      revision: this.revision,
+      availabilityZones: [{ name: 'akl-a', region: 'akl', revision: this.revision }, { name: 'wlg-a', region: 'wlg', revision: behind }],
+      hosts: [{ name: 'akl-a-1', availabilityZone: 'akl-a', region: 'akl', revision: this.revision, state: 'live' }],
+      lagging: behind < this.revision ? ['wlg-a-1'] : [],
+      unreachable: this.unreachable,
+      drains: [{ name: 'maintenance', drained: false, remaining: 3, heldBackBy: 'shift cap akl-to-wlg' }],
+      caps: [{ name: 'akl-to-wlg', carried: 4, limit: 10 }]
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/__fixtures__/writeTemporary.ts
@@ -0,0 +1,15 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+
+const folder = mkdtempSync(path.join(tmpdir(), 'almondrelay-'))
+process.on('exit', () => rmSync(folder, { recursive: true }))
+let count = 0
+
+/** Writes a file for a test and returns its path; it goes when the test file ends. */
+export function writeTemporary (text: string): string {
+  count += 1
+  const file = path.join(folder, `${count}.jsonc`)
+  writeFileSync(file, text)
+  return file
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/client/computeReach.ts
@@ -0,0 +1,14 @@
+import type { HostStatus } from './hostStatus.js'
+import type { RevisionReach } from './revisionReach.js'
+
+/** Where a revision is in force, by the status of one host. */
+export function computeReach (status: HostStatus, revision: number): RevisionReach {
+  const reachable = status.availabilityZones.filter((zone) => !status.unreachable.includes(zone.name))
+  const lagging = reachable.filter((zone) => zone.revision < revision).map((zone) => zone.name)
+  return {
+    inForce: status.revision >= revision && lagging.length === 0,
+    zones: reachable.length,
+    lagging,
+    unreachable: status.unreachable
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/client/fetchResource.ts
@@ -0,0 +1,9 @@
+import type { OperatorClient } from './operatorClient.js'
+import { parseAnswer } from './parseAnswer.js'
+import { ShownResource } from './shownResource.js'
+
+/** The resource with its status; undefined where there is none. */
+export async function fetchResource (client: OperatorClient, kind: string, name: string): Promise<ShownResource | undefined> {
+  const answer = await client.ask({ method: 'GET', path: `/v1/resources/${kind}/${encodeURIComponent(name)}` })
+  return answer.status === 404 ? undefined : parseAnswer(answer, ShownResource, `${kind}/${name}`)
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/client/operatorClient.ts
@@ -0,0 +1,78 @@
+import { request } from 'undici'
+import { AlmondrelayError, ErrorKind } from 'almondrelay'
+import type { HttpAnswer } from './httpAnswer.js'
+import type { HttpCall } from './httpCall.js'
+
+const DEFAULT_TIMEOUT_MS = 5_000
+
+/** Errors after which no byte of the call can have reached the host. */
+const NOT_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Speaks to the operator port of the first given host that can be reached. */
+export class OperatorClient {
+  constructor (private readonly addresses: readonly string[], private readonly signal: AbortSignal) {}
+
+  /**
+   * Sends a call that may be sent twice, so the next host is tried after any failure.
+   *
+   * @throws AlmondrelayError of kind `peer-unavailable` when no host answered.
+   */
+  async ask (call: HttpCall): Promise<HttpAnswer> {
+    const failures: string[] = []
+    for (const address of this.addresses) {
+      try {
+        return await this.send(address, call)
+      } catch (error) {
+        this.signal.throwIfAborted()
+        failures.push(`${address}: ${describeFailure(error)}`)
+      }
+    }
+    throw makeUnreachable(failures)
+  }
+
+  /**
+   * Sends a write. The next host is tried only while the call can't have left.
+   *
+   * A write whose answer is lost may have been stored: the operator would see a failure, write
+   * again and so undo what a colleague wrote in between. So the failure is returned as
+   * undefined, and the writer has to ask by the write id.
+   */
+  async write (call: HttpCall): Promise<HttpAnswer | undefined> {
+    const failures: string[] = []
+    for (const address of this.addresses) {
+      try {
+        return await this.send(address, call)
+      } catch (error) {
+        this.signal.throwIfAborted()
+        if (!isNotSent(error)) return undefined
+        failures.push(`${address}: ${describeFailure(error)}`)
+      }
+    }
+    throw makeUnreachable(failures)
+  }
+
+  private async send (address: string, call: HttpCall): Promise<HttpAnswer> {
+    const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS
+    const response = await request(`http://${address}${call.path}`, {
+      method: call.method,
+      headers: { accept: 'application/json', 'content-type': 'application/json', ...call.headers },
+      ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+      signal: AbortSignal.any([this.signal, AbortSignal.timeout(timeoutMs)])
+    })
+    const text = await response.body.text()
+    return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text), address }
+  }
+}
+
+const isNotSent = (error: unknown): boolean => NOT_SENT.has((error as { code?: string }).code ?? '')
+
+const describeFailure = (error: unknown): string => {
+  const { code, message } = error as { code?: string, message: string }
+  return code ?? message
+}
+
+const makeUnreachable = (failures: readonly string[]): AlmondrelayError => new AlmondrelayError({
+  kind: ErrorKind.peerUnavailable,
+  message: `no host answered (${failures.join('; ')})`,
+  remedy: 'name operator ports that can be reached with --operator <ip:port>, once for each host, or in ALMONDRELAY_OPERATOR with commas'
+})
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/__tests__/almondrelay.test.ts
@@ -0,0 +1,154 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FakeOperator } from '../../__fixtures__/fakeOperator.js'
+import { runWith } from '../../__fixtures__/runWith.js'
+import { writeTemporary } from '../../__fixtures__/writeTemporary.js'
+import { createProgram } from '../createProgram.js'
+
+const CLOSED = '127.0.0.1:1'
+const EXAMPLE = new URL('../../../../../docs/examples/resources.jsonc', import.meta.url).pathname
+const LINK = { from: 'akl', to: 'wlg', latencyMs: 20, maxInFlight: 4 }
+const linkFile = writeTemporary(JSON.stringify([{ kind: 'Link', name: 'akl-wlg', spec: LINK }]))
+
+const withOperator = async (use: (fake: FakeOperator, ...operator: string[]) => Promise<void>): Promise<void> => {
+  const fake = await FakeOperator.start()
+  try {
+    await use(fake, '--operator', fake.address)
+  } finally {
+    await fake.stop()
+  }
+}
+
+test('apply writes what others need first, get shows it, a second apply changes nothing', () => withOperator(async (fake, ...operator) => {
+  const applied = await runWith(['apply', '-f', EXAMPLE, '--wait', '1000', ...operator])
+  assert.is(applied.code, 0, applied.stderr)
+  assert.equal(fake.stored.map((key) => key.split('/')[0]), ['Region', 'Region', 'Link', 'Link', 'Service', 'ShiftCap', 'SteeringPolicy', 'Drain'])
+  assert.match(applied.stdout, 'revision 8: in force in 2 availability zones')
+  const again = await runWith(['apply', '-f', EXAMPLE, ...operator])
+  assert.match(again.stdout, 'Region/akl: unchanged since revision 1')
+  assert.is(fake.stored.length, 8)
+  const shown = await runWith(['get', 'shiftcap', 'akl-to-wlg', '--output', 'json', ...operator])
+  assert.is((JSON.parse(shown.stdout) as { spec: { maxInFlight: number } }).spec.maxInFlight, 10)
+}))
+
+// The first host named is down. The operator sees the write done, since the connection was
+// refused before a byte left, and the next host takes it.
+test('a host that can not be reached is passed over', () => withOperator(async (fake) => {
+  const result = await runWith(['apply', '-f', linkFile, '--operator', CLOSED, fake.address])
+  assert.is(result.code, 0, result.stderr)
+  assert.is(fake.revision, 1)
+}))
+
+// The host stores the write and the answer is lost. Told "failed", the operator would write
+// again over a colleague's change; the write id says that it was stored.
+test('a lost answer is looked up by its write id', () => withOperator(async (fake, ...operator) => {
+  fake.loseNextAnswer = true
+  const result = await runWith(['apply', '-f', linkFile, ...operator])
+  assert.is(result.code, 0, result.stderr)
+  assert.match(result.stdout, 'Link/akl-wlg: accepted as revision 1')
+  assert.is(fake.stored.length, 1)
+}))
+
+// The platform is down while the write is under way. Neither "stored" nor "not stored" would
+// be true; the operator gets the id by which to ask later.
+test('an unknown outcome is told as unknown, with the id to ask by', () => withOperator(async (fake, ...operator) => {
+  fake.platformDown = true
+  const result = await runWith(['apply', '-f', linkFile, ...operator])
+  assert.is(result.code, 5)
+  const writeId = /almondrelay outcome (\S+),/.exec(result.stdout)?.[1] ?? ''
+  assert.match(writeId, /^[0-9a-f-]{36}$/)
+  assert.is((await runWith(['outcome', writeId, ...operator])).code, 5)
+  fake.platformDown = false
+  assert.is((await runWith(['outcome', writeId, ...operator])).code, 8)
+  fake.writes.set(writeId, 7)
+  assert.match((await runWith(['outcome', writeId, ...operator])).stdout, 'stored as revision 7')
+}))
+
+// Two operators write one resource. The second learns that the first came first and what to
+// look at; its own write is not stored, and nothing after it in the file is tried.
+test('a conflict names the revision that came first and ends the apply', () => withOperator(async (fake, ...operator) => {
+  fake.raceNextWrite = true
+  const result = await runWith(['apply', '-f', EXAMPLE, ...operator])
+  assert.is(result.code, 4)
+  assert.match(result.stdout, 'Region/akl: not stored, revision 1 came first')
+  assert.equal(fake.stored, [])
+}))
+
+test('a revision in the file guards against writing over a newer one', () => withOperator(async (fake, ...operator) => {
+  await runWith(['apply', '-f', linkFile, ...operator])
+  const stale = writeTemporary(JSON.stringify([{ kind: 'Link', name: 'akl-wlg', revision: 0, spec: { ...LINK, maxInFlight: 9 } }]))
+  assert.is((await runWith(['apply', '-f', stale, ...operator])).code, 4)
+}))
+
+test('a rejected resource tells path and remedy', () => withOperator(async (fake, ...operator) => {
+  fake.problems = [{ path: 'spec.to', found: 'wlg', remedy: 'declare the Region wlg first' }]
+  const result = await runWith(['apply', '-f', linkFile, ...operator])
+  assert.is(result.code, 3)
+  assert.match(result.stdout, 'spec.to: found wlg; declare the Region wlg first')
+}))
+
+test('waiting ends with its own code when a zone lags, and names what is unreachable', () => withOperator(async (fake, ...operator) => {
+  fake.laggingRevision = 0
+  fake.unreachable = ['chc-a']
+  const result = await runWith(['apply', '-f', linkFile, '--wait', '50', ...operator])
+  assert.is(result.code, 7)
+  assert.match(result.stdout, "behind: wlg-a; can't be reached, so not known: chc-a")
+}))
+
+test('watch ends when the drain is drained, and at the limit when it is not', () => withOperator(async (fake, ...operator) => {
+  fake.resources.set('Drain/m', { kind: 'Drain', name: 'm', revision: 0, spec: {}, status: { drained: false, remaining: 3 } })
+  const early = await runWith(['watch', 'Drain', 'm', '--until', 'drained', '--timeout', '10', ...operator])
+  assert.is(early.code, 7)
+  assert.match(early.stdout, 'draining, 3 requests left')
+  fake.resources.set('Drain/m', { kind: 'Drain', name: 'm', revision: 0, spec: {}, status: { drained: true, remaining: 0 } })
+  assert.is((await runWith(['watch', 'Drain', 'm', '--until', 'drained', ...operator])).code, 0)
+  assert.is((await runWith(['watch', 'Drain', 'other', ...operator])).code, 8)
+}))
+
+test('delete removes, and says so when there is nothing', () => withOperator(async (fake, ...operator) => {
+  await runWith(['apply', '-f', linkFile, ...operator])
+  assert.is((await runWith(['delete', 'Link', 'akl-wlg', '--wait', '1000', ...operator])).code, 0)
+  assert.is(fake.resources.size, 0)
+  assert.is((await runWith(['delete', 'Link', 'akl-wlg', ...operator])).code, 8)
+}))
+
+test('status and lookup print tables', () => withOperator(async (fake, ...operator) => {
+  const status = await runWith(['status'], { ALMONDRELAY_OPERATOR: `${CLOSED},${fake.address}` })
+  assert.is(status.code, 0, status.stderr)
+  assert.match(status.stdout, /akl-to-wlg\s+4\s+10/)
+  assert.match(status.stdout, /maintenance\s+no\s+3\s+shift cap akl-to-wlg/)
+  assert.match((await runWith(['lookup', '--service', 'balances', ...operator])).stdout, /akl-a-1\s+127.0.0.1:8080/)
+}))
+
+test('errors name the remedy and have their exit codes', async () => {
+  const unreachable = await runWith(['status', '--operator', CLOSED])
+  assert.is(unreachable.code, 6)
+  assert.match(unreachable.stderr, '127.0.0.1:1: ECONNREFUSED')
+  const unnamed = await runWith(['status'])
+  assert.is(unnamed.code, 2)
+  assert.match(unnamed.stderr, 'write --operator 10.1.1.11:8082')
+  const kind = await runWith(['get', 'Regoin', '--operator', CLOSED])
+  assert.is(kind.code, 2)
+  assert.match(kind.stderr, 'write Region')
+  assert.is((await runWith(['stauts'])).code, 2)
+  assert.is((await runWith(['check', '-f', writeTemporary('[1]')])).code, 3)
+})
+
+test('every command has help with an example, and the exit codes are listed', async () => {
+  const help = await runWith(['--help'])
+  assert.is(help.code, 0)
+  assert.match(help.stdout, 'no host could be reached')
+  const program = createProgram({ writeLine: () => {}, writeError: () => {}, setExitCode: () => {}, environment: {}, signal: new AbortController().signal })
+  for (const command of program.commands) {
+    const shown = await runWith([command.name(), '--help'])
+    assert.is(shown.code, 0)
+    assert.match(shown.stdout, /Examples?:\n {2}\$ almondrelay/, command.name())
+  }
+  const folder = new URL('../', import.meta.url)
+  const files = readdirSync(folder).filter((name) => /^create\w+Command\.js$/.test(name))
+  assert.is(files.length, program.commands.length, 'a command stands in its file but not in the program')
+  assert.ok(files.every((name) => readFileSync(new URL(name, folder), 'utf8').includes('formatExample(')))
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/createOutcomeCommand.ts
@@ -0,0 +1,38 @@
+import { Command } from 'commander'
+import { match } from 'ts-pattern'
+import { z } from 'zod'
+import { parseAnswer } from '../client/parseAnswer.js'
+import { ExitCode } from '../common/exitCode.js'
+import type { Terminal } from '../common/terminal.js'
+import { OutputFormat } from '../output/outputFormat.js'
+import { addOperatorOptions } from './addOperatorOptions.js'
+import { createClient } from './createClient.js'
+import { formatExample } from './formatExample.js'
+import type { OperatorOptions } from './operatorOptions.js'
+
+const WriteState = z.discriminatedUnion('outcome', [
+  z.looseObject({ outcome: z.literal('accepted'), revision: z.number() }),
+  z.looseObject({ outcome: z.literal('absent') }),
+  z.looseObject({ outcome: z.literal('unknown') })
+])
+
+/** `almondrelay outcome`: what became of a write whose answer was lost. */
+export function createOutcomeCommand (terminal: Terminal): Command {
+  return addOperatorOptions(new Command('outcome'))
+    .description('Tell what became of a write whose outcome was not known.')
+    .argument('<write id>', 'the id that apply or delete named')
+    .addHelpText('after', formatExample('almondrelay outcome 7d0f0a52-6a3c-4f0e-9b93-0d8f2a3f6f11 --operator 10.1.1.11:8082'))
+    .action(async (writeId: string, options: OperatorOptions) => {
+      const answer = await createClient(terminal, options.operator).ask({ method: 'GET', path: `/v1/writes/${encodeURIComponent(writeId)}` })
+      const state = parseAnswer(answer, WriteState, `write ${writeId}`)
+      if (options.output === OutputFormat.json) terminal.writeLine(JSON.stringify(state))
+      else terminal.writeLine(describeState(state))
+      terminal.setExitCode(match(state.outcome).with('accepted', () => ExitCode.ok).with('absent', () => ExitCode.absent).with('unknown', () => ExitCode.unknown).exhaustive())
+    })
+}
+
+const describeState = (state: z.output<typeof WriteState>): string => match(state)
+  .with({ outcome: 'accepted' }, ({ revision }) => `stored as revision ${revision}`)
+  .with({ outcome: 'absent' }, () => 'not stored as of now')
+  .with({ outcome: 'unknown' }, () => 'still not known; the platform can\'t be read now, ask again later')
+  .exhaustive()
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/createProgram.ts
@@ -0,0 +1,54 @@
+import { Command } from 'commander'
+import { ExitCode } from '../common/exitCode.js'
+import type { Terminal } from '../common/terminal.js'
+import { createApplyCommand } from './createApplyCommand.js'
+import { createCheckCommand } from './createCheckCommand.js'
+import { createDeleteCommand } from './createDeleteCommand.js'
+import { createGetCommand } from './createGetCommand.js'
+import { createLookupCommand } from './createLookupCommand.js'
+import { createOutcomeCommand } from './createOutcomeCommand.js'
+import { createStatusCommand } from './createStatusCommand.js'
+import { createWatchCommand } from './createWatchCommand.js'
+import { formatExample } from './formatExample.js'
+
+const COMMANDS = [
+  createCheckCommand,
+  createGetCommand,
+  createApplyCommand,
+  createDeleteCommand,
+  createWatchCommand,
+  createOutcomeCommand,
+  createLookupCommand,
+  createStatusCommand
+]
+
+const EXIT_CODES = `
+Exit codes:
+  ${ExitCode.ok}  done, or what was asked holds
+  ${ExitCode.failed}  any other error
+  ${ExitCode.usage}  wrong command line; nothing was sent
+  ${ExitCode.rejected}  a resource is invalid and was not stored
+  ${ExitCode.conflict}  another write came first
+  ${ExitCode.unknown}  not known whether a write was stored; its write id is named
+  ${ExitCode.unreachable}  no host could be reached
+  ${ExitCode.timeout}  the time limit passed first
+  ${ExitCode.absent}  what was asked for does not exist
+  ${ExitCode.different}  a replayed decision differs from the recorded one`
+
+/** The command line `almondrelay`, with all its commands. */
+export function createProgram (terminal: Terminal): Command {
+  const program = new Command('almondrelay')
+    .description('Operate almondrelay: declare what you want, watch what holds, read who got what.')
+    .addHelpText('after', `${formatExample('almondrelay apply -f shift.jsonc --wait 5000 --operator 10.1.1.11:8082', 'almondrelay help watch')}\n${EXIT_CODES}`)
+  for (const createCommand of COMMANDS) program.addCommand(createCommand(terminal))
+  applyToAll(program, terminal)
+  return program
+}
+
+const applyToAll = (command: Command, terminal: Terminal): void => {
+  command.exitOverride().showSuggestionAfterError().configureOutput({
+    writeOut: (text) => terminal.writeLine(text.trimEnd()),
+    writeErr: (text) => terminal.writeError(text.trimEnd())
+  })
+  for (const each of command.commands) applyToAll(each, terminal)
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/createStatusCommand.ts
@@ -0,0 +1,20 @@
+import { Command } from 'commander'
+import { fetchStatus } from '../client/fetchStatus.js'
+import type { Terminal } from '../common/terminal.js'
+import { formatStatus } from '../output/formatStatus.js'
+import { OutputFormat } from '../output/outputFormat.js'
+import { addOperatorOptions } from './addOperatorOptions.js'
+import { createClient } from './createClient.js'
+import { formatExample } from './formatExample.js'
+import type { OperatorOptions } from './operatorOptions.js'
+
+/** `almondrelay status`: hosts, revisions in force, drains and caps. */
+export function createStatusCommand (terminal: Terminal): Command {
+  return addOperatorOptions(new Command('status'))
+    .description('Show hosts, the revision in force by availability zone, drains with what is left, caps with what is carried, and who can\'t be reached.')
+    .addHelpText('after', formatExample('almondrelay status --operator 10.1.1.11:8082'))
+    .action(async (options: OperatorOptions) => {
+      const status = await fetchStatus(createClient(terminal, options.operator))
+      terminal.writeLine(options.output === OutputFormat.json ? JSON.stringify(status, undefined, 2) : formatStatus(status))
+    })
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/reportReach.ts
@@ -0,0 +1,13 @@
+import type { OperatorClient } from '../client/operatorClient.js'
+import { waitForReach } from '../client/waitForReach.js'
+import { ExitCode } from '../common/exitCode.js'
+import type { Terminal } from '../common/terminal.js'
+import { describeReach } from '../output/describeReach.js'
+import { OutputFormat } from '../output/outputFormat.js'
+
+/** Waits for a revision to be in force, and ends with ExitCode.timeout where it is not. */
+export async function reportReach (terminal: Terminal, client: OperatorClient, revision: number, waitMs: number, output: OutputFormat): Promise<void> {
+  const reach = await waitForReach(client, revision, waitMs, terminal.signal)
+  terminal.writeLine(output === OutputFormat.json ? JSON.stringify({ revision, ...reach }) : describeReach(revision, reach))
+  if (!reach.inForce) terminal.setExitCode(ExitCode.timeout)
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/commands/watchState.ts
@@ -0,0 +1,5 @@
+/** How far a watched resource is. */
+export interface WatchState {
+  reached: boolean
+  text: string
+}
--- /dev/null
+++ b/packages/almondrelay-cli/src/output/formatResources.ts
@@ -0,0 +1,18 @@
+import type { ShownResource } from '../client/shownResource.js'
+import { formatTable } from './formatTable.js'
+
+const MAX_CELL = 60
+
+/** Resources as a table; a single one with its whole spec and status below. */
+export function formatResources (resources: readonly ShownResource[], whole: boolean): string {
+  const table = formatTable(['kind', 'name', 'revision', 'status'], resources.map((each) => [each.kind, each.name, each.revision, limitLength(formatFields(each.status))]))
+  if (!whole) return table
+  const details = resources.map((each) => `spec: ${JSON.stringify(each.spec, undefined, 2)}\nstatus: ${JSON.stringify(each.status ?? {}, undefined, 2)}`)
+  return [table, ...details].join('\n\n')
+}
+
+const formatFields = (status: ShownResource['status']): string => Object.entries(status ?? {})
+  .map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
+  .join(' ')
+
+const limitLength = (text: string): string => text.length > MAX_CELL ? `${text.slice(0, MAX_CELL)}…` : text
