Count who got what by minute and keep it on the platform

Ruled out: skipping the pages of idle minutes; a gap could then be idleness or loss, and each host's write a minute has to be afforded anyway. Conclusion: ready to be called at the end of each request.

--- /dev/null
+++ b/packages/almondrelay/src/process/account/accountMinute.ts
@@ -0,0 +1,76 @@
+import type { AccountEntry } from './accountEntry.js'
+import { accountDimensions } from './accountDimensions.js'
+import type { AccountRow } from './accountRow.js'
+import { OTHER_CALLER } from './otherCaller.js'
+
+interface MinuteLimits {
+  maxRows: number
+  maxPageBytes: number
+}
+
+const MAX_NAME_LENGTH = 128
+
+/** The counts of one minute, bounded in rows and bytes. */
+export class AccountMinute {
+  /** Requests counted in the rows of OTHER_CALLER. */
+  folded = 0
+  /** Requests counted in all rows. */
+  requests = 0
+  private readonly rows = new Map<string, AccountRow>()
+  private bytes = 0
+
+  constructor (private readonly limits: MinuteLimits) {}
+
+  add (entry: AccountEntry): void {
+    const row = this.findRow(entry) ?? this.findOtherRow(entry)
+    row.count += 1
+    row.durationMs += entry.durationMs
+    row.maxDurationMs = Math.max(row.maxDurationMs, entry.durationMs)
+    this.requests += 1
+  }
+
+  listRows (): AccountRow[] {
+    return [...this.rows.values()]
+  }
+
+  // A caller that sends a new name with each request would fill the memory of the host, and its
+  // page would pass the platform's limit for a value and be refused whole. So rows are bounded.
+  private findRow (entry: AccountEntry): AccountRow | undefined {
+    const row = makeRow(entry)
+    const key = makeKey(row)
+    const present = this.rows.get(key)
+    if (present !== undefined) return present
+    const bytes = JSON.stringify(row).length
+    if (this.rows.size >= this.limits.maxRows || this.bytes + bytes > this.limits.maxPageBytes) return undefined
+    this.bytes += bytes
+    this.rows.set(key, row)
+    return row
+  }
+
+  // Outcome and reason stay, so there are at most outcomes times reasons of these rows.
+  private findOtherRow (entry: AccountEntry): AccountRow {
+    const row = { ...makeRow(entry), caller: OTHER_CALLER, service: '', target: '', region: '', availabilityZone: '', callerRegion: '' }
+    const key = makeKey(row)
+    const present = this.rows.get(key)
+    this.folded += 1
+    if (present !== undefined) return present
+    this.rows.set(key, row)
+    return row
+  }
+}
+
+const makeRow = (entry: AccountEntry): AccountRow => ({
+  caller: entry.caller.slice(0, MAX_NAME_LENGTH),
+  service: entry.service.slice(0, MAX_NAME_LENGTH),
+  target: entry.target ?? '',
+  region: entry.region,
+  availabilityZone: entry.availabilityZone,
+  callerRegion: entry.callerRegion,
+  outcome: entry.outcome,
+  reason: entry.reason ?? '',
+  count: 0,
+  durationMs: 0,
+  maxDurationMs: 0
+})
+
+const makeKey = (row: AccountRow): string => accountDimensions.map((dimension) => row[dimension]).join('\n')
--- /dev/null
+++ b/packages/almondrelay/src/process/account/accountReader.ts
@@ -0,0 +1,63 @@
+import type { Platform } from '../platform/platform.js'
+import type { PlatformEntry } from '../platform/platformEntry.js'
+import { AccountPage } from './accountPage.js'
+import type { AccountReport } from './accountReport.js'
+import { formatPageKey } from './formatPageKey.js'
+import { mergePages } from './mergePages.js'
+import { parsePageKey } from './parsePageKey.js'
+
+const PREFIX = 'account/'
+/** Pages of one list call: under 15 MB even when each is at its bound. */
+const LIST_LIMIT = 16
+const MINUTE_MS = 60_000
+/** Sorts after every minute of an incarnation. */
+const AFTER_MINUTES = '~'
+
+/** Reads the pages of all hosts from the platform and adds them up. */
+export class AccountReader {
+  constructor (private readonly platform: Platform) {}
+
+  /**
+   * The account of a span of wall time in milliseconds, both ends' minutes counted.
+   *
+   * @throws AlmondrelayError of kind `platform-unavailable`; no part of an account is returned as the whole.
+   */
+  async read (sinceMs: number, untilMs: number, signal: AbortSignal): Promise<AccountReport> {
+    const since = Math.floor(sinceMs / MINUTE_MS)
+    const until = Math.floor(untilMs / MINUTE_MS)
+    const pages: AccountPage[] = []
+    const unreadable: string[] = []
+    for await (const entry of this.listEntries(since, until, signal)) {
+      const page = parsePage(entry.value)
+      if (page === undefined) unreadable.push(entry.key)
+      else pages.push(page)
+    }
+    return { ...mergePages(pages, since, until), unreadable }
+  }
+
+  // Keys sort by host, incarnation and minute, so minutes outside the span are jumped over.
+  private async * listEntries (since: number, until: number, signal: AbortSignal): AsyncGenerator<PlatformEntry> {
+    let after = ''
+    for (;;) {
+      const entries = await this.platform.list(PREFIX, after, LIST_LIMIT, signal)
+      if (entries.length === 0) return
+      for (const entry of entries) {
+        after = entry.key
+        const key = parsePageKey(entry.key)
+        if (key === undefined) continue
+        if (key.minute < since) after = formatPageKey(key.host, key.incarnation, since - 1)
+        else if (key.minute > until) after = `${PREFIX}${key.host}/${key.incarnation}/${AFTER_MINUTES}`
+        else yield entry
+        if (after !== entry.key) break
+      }
+    }
+  }
+}
+
+const parsePage = (text: string): AccountPage | undefined => {
+  try {
+    return AccountPage.parse(JSON.parse(text))
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/account/accountWriter.ts
@@ -0,0 +1,81 @@
+import type { Random } from '../../request/random.js'
+import type { Platform } from '../platform/platform.js'
+import type { AccountLedger } from './accountLedger.js'
+import type { AccountPage } from './accountPage.js'
+import { formatPageKey } from './formatPageKey.js'
+
+interface WriterOptions {
+  wallNow: () => number
+  /** Resolves after the time, or when the signal aborts. */
+  sleep: (ms: number, signal: AbortSignal) => Promise<void>
+  random: Random
+  /** Told of each failed write. */
+  logFailure: (error: Error, waitMs: number) => void
+}
+
+const MINUTE_MS = 60_000
+const POLL_MS = 1_000
+const FIRST_BACKOFF_MS = 1_000
+const MAX_BACKOFF_MS = 30_000
+/** Hosts write at times spread over this much of a minute, so that 4,800 hosts make 160 writes a second for half of it, not all at once. */
+const WRITE_SPREAD_MS = 30_000
+/** Longest time that a planned stop spends on the last pages. */
+const LAST_WRITE_LIMIT_MS = 3_000
+
+/** Writes the ledger's pages to the platform, one at a time, oldest first. */
+export class AccountWriter {
+  private readonly delayMs: number
+  private backoffMs = FIRST_BACKOFF_MS
+
+  constructor (private readonly ledger: AccountLedger, private readonly platform: Platform, private readonly options: WriterOptions) {
+    this.delayMs = Math.floor(options.random() * WRITE_SPREAD_MS)
+  }
+
+  /** Writes until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const wallNow = this.options.wallNow()
+      this.ledger.closeMinutes(wallNow)
+      const due = this.ledger.listPages().filter((page) => (page.minute + 1) * MINUTE_MS + this.delayMs <= wallNow)
+      const written = await this.writePages(due, signal)
+      await this.options.sleep(written ? POLL_MS : this.widenBackoff(), signal)
+    }
+  }
+
+  /**
+   * Writes everything that is left, for a planned stop after the last request has ended.
+   * Returns how many pages could not be written.
+   */
+  async finish (): Promise<number> {
+    this.ledger.closeLast(this.options.wallNow())
+    await this.writePages([...this.ledger.listPages()], AbortSignal.timeout(LAST_WRITE_LIMIT_MS))
+    return this.ledger.listPages().length
+  }
+
+  private async writePages (pages: readonly AccountPage[], signal: AbortSignal): Promise<boolean> {
+    for (const page of pages) {
+      try {
+        await this.writePage(page, signal)
+      } catch (error) {
+        if (!signal.aborted) this.options.logFailure(error as Error, this.backoffMs)
+        return false
+      }
+      this.ledger.removePage(page.minute)
+      this.backoffMs = FIRST_BACKOFF_MS
+    }
+    return true
+  }
+
+  // A page whose answer was lost is written again: counted twice, a manager would see more
+  // requests than were made. The key holds host, incarnation and minute, and only an absent key
+  // is written, so the second write finds the first and changes nothing.
+  private async writePage (page: AccountPage, signal: AbortSignal): Promise<void> {
+    await this.platform.put(formatPageKey(page.host, page.incarnation, page.minute), JSON.stringify(page), 0, signal)
+  }
+
+  private widenBackoff (): number {
+    const waitMs = this.backoffMs * (0.5 + this.options.random() / 2)
+    this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
+    return waitMs
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/account/mergePages.ts
@@ -0,0 +1,62 @@
+import type { AccountPage } from './accountPage.js'
+import type { AccountReport } from './accountReport.js'
+import type { AccountRow } from './accountRow.js'
+import { formatPageKey } from './formatPageKey.js'
+import { mergeRows } from './mergeRows.js'
+
+/**
+ * Pages of many hosts as one report. A page that is given twice counts once.
+ *
+ * @param since First minute, counted.
+ * @param until Last minute, counted.
+ */
+export function mergePages (pages: Iterable<AccountPage>, since: number, until: number): Omit<AccountReport, 'unreadable'> {
+  const byKey = new Map([...pages].map((page) => [formatPageKey(page.host, page.incarnation, page.minute), page]))
+  const distinct = [...byKey.values()].filter((page) => page.minute >= since && page.minute <= until)
+  const incarnations = splitByIncarnation(distinct)
+  const lost = incarnations.map((each) => each.at(-1)?.lost ?? { minutes: 0, requests: 0 })
+  return {
+    since,
+    until,
+    minutes: sumMinutes(distinct),
+    pages: distinct.length,
+    missing: incarnations.flatMap((each) => findGap(each, until)),
+    folded: distinct.reduce((sum, page) => sum + page.folded, 0),
+    lost: { minutes: sum(lost.map((each) => each.minutes)), requests: sum(lost.map((each) => each.requests)) }
+  }
+}
+
+// Each incarnation's pages in order of time.
+const splitByIncarnation = (pages: readonly AccountPage[]): AccountPage[][] => {
+  const groups = new Map<string, AccountPage[]>()
+  for (const page of pages) {
+    const key = `${page.host}/${page.incarnation}`
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [page])
+    else group.push(page)
+  }
+  return [...groups.values()].map((each) => each.sort((left, right) => left.minute - right.minute))
+}
+
+const sumMinutes = (pages: readonly AccountPage[]): AccountReport['minutes'] => {
+  const rows = new Map<number, AccountRow[]>()
+  for (const page of pages) rows.set(page.minute, (rows.get(page.minute) ?? []).concat(page.rows))
+  return [...rows]
+    .filter(([, each]) => each.length > 0)
+    .sort(([left], [right]) => left - right)
+    .map(([minute, each]) => ({ minute, rows: mergeRows(each) }))
+}
+
+const findGap = (pages: readonly AccountPage[], until: number): AccountReport['missing'] => {
+  const first = pages[0]
+  const final = pages.at(-1)
+  if (first === undefined || final === undefined) return []
+  const present = new Set(pages.map((page) => page.minute))
+  const minutes: number[] = []
+  for (let minute = first.minute; minute < final.minute; minute += 1) if (!present.has(minute)) minutes.push(minute)
+  const isSilent = !final.last && final.minute < until
+  if (minutes.length === 0 && !isSilent) return []
+  return [{ host: first.host, incarnation: first.incarnation, minutes, ...(isSilent ? { silentSince: final.minute } : {}) }]
+}
+
+const sum = (numbers: readonly number[]): number => numbers.reduce((total, each) => total + each, 0)
--- /dev/null
+++ b/packages/almondrelay/src/process/account/parsePageKey.ts
@@ -0,0 +1,13 @@
+interface PageKey {
+  host: string
+  incarnation: number
+  minute: number
+}
+
+const PAGE_KEY = /^account\/([^/]+)\/(\d+)\/(\d{10})$/
+
+/** The parts of a page's platform key; undefined where it is none. */
+export function parsePageKey (key: string): PageKey | undefined {
+  const parts = PAGE_KEY.exec(key)
+  return parts?.[1] === undefined ? undefined : { host: parts[1], incarnation: Number(parts[2]), minute: Number(parts[3]) }
+}
