--- /dev/null
+++ b/packages/almondrelay/src/connection/splitAddress.ts
@@ -0,0 +1,10 @@
+interface AddressParts {
+  host: string
+  port: number
+}
+
+/** Splits `10.0.0.7:8080` or `[::1]:8080`. */
+export function splitAddress (address: string): AddressParts {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/target/targetConnections.ts
@@ -0,0 +1,129 @@
+import { Client, errors } from 'undici'
+import type { AnswerHeader } from '../../request/answerHeader.js'
+import { HeaderName } from '../../request/contract/headerName.js'
+import type { Clock } from '../../process/clock/clock.js'
+import type { TargetRequest } from './targetRequest.js'
+import type { TargetResult } from './targetResult.js'
+
+interface IdleConnection {
+  client: Client
+  /** Monotonic milliseconds at which bytes last came from the target. */
+  activeAt: number
+}
+
+/** Longer than the round trip between the farthest regions (110 ms) by a safe factor. */
+const CONNECT_TIMEOUT_MS = 1_000
+/** An idle connection counts as alive for this long after it last moved bytes. */
+const FRESH_MS = 1_000
+const MAX_IDLE_MS = 20_000
+const MAX_IDLE_CONNECTIONS = 64
+const NOT_RUN_STATUS = 503
+
+const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+const HOP_BY_HOP: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'content-length'])
+
+/**
+ * Connections to targets, one request at a time on each.
+ *
+ * Failure: an open connection goes silent for good while new ones work; a request sent on it is
+ * never answered, and nobody can tell whether it ran. A non-idempotent request therefore goes out
+ * only on a connection that moved bytes within FRESH_MS, or on a new one, at the cost of about 1 ms.
+ * A connection whose answer was given up on is destroyed, so no late answer can meet a later request.
+ */
+export class TargetConnections {
+  private readonly idle = new Map<string, IdleConnection[]>()
+
+  constructor (private readonly clock: Clock) {}
+
+  async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
+    const client = this.take(address, this.clock.now()) ?? this.open(address)
+    const result = await exchange(client, request, signal)
+    if (result.kind === 'answered' || result.kind === 'shed') this.keep(address, client)
+    else void client.destroy()
+    return result
+  }
+
+  async close (): Promise<void> {
+    const clients = [...this.idle.values()].flat().map((each) => each.client)
+    this.idle.clear()
+    await Promise.all(clients.map((client) => client.destroy()))
+  }
+
+  private open (address: string): Client {
+    return new Client(`http://${address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: MAX_IDLE_MS,
+      pipelining: 1
+    })
+  }
+
+  private take (address: string, now: number): Client | undefined {
+    const connections = this.idle.get(address)
+    const last = connections?.pop()
+    if (last === undefined) return undefined
+    if (now - last.activeAt <= FRESH_MS && !last.client.closed && !last.client.destroyed) return last.client
+    void last.client.destroy()
+    this.drop(address)
+    return undefined
+  }
+
+  private keep (address: string, client: Client): void {
+    const connections = this.idle.get(address) ?? []
+    if (connections.length >= MAX_IDLE_CONNECTIONS) {
+      void client.destroy()
+      return
+    }
+    connections.push({ client, activeAt: this.clock.now() })
+    this.idle.set(address, connections)
+  }
+
+  /** The newest idle connection is stale, so all are. */
+  private drop (address: string): void {
+    for (const each of this.idle.get(address) ?? []) void each.client.destroy()
+    this.idle.delete(address)
+  }
+}
+
+async function exchange (client: Client, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
+  let isAnswering = false
+  try {
+    const response = await client.request({
+      method: request.method as 'GET',
+      path: request.path,
+      headers: request.headers.flatMap((header) => HOP_BY_HOP.has(header.name.toLowerCase()) ? [] : [header.name, header.value]),
+      body: request.body.byteLength === 0 ? null : request.body,
+      signal
+    })
+    isAnswering = true
+    const headers = toHeaders(response.headers)
+    const chunks: Buffer[] = []
+    let bytes = 0
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+      bytes += chunk.byteLength
+      if (bytes > request.maxAnswerBytes) return { kind: 'too-large', bytes }
+      chunks.push(chunk)
+    }
+    const isShed = response.statusCode === NOT_RUN_STATUS && headers.some((header) => header.name === HeaderName.notRun && header.value === '1')
+    if (isShed) return { kind: 'shed', retryAfterMs: readRetryAfterMs(headers) }
+    return { kind: 'answered', status: response.statusCode, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) }
+  } catch (error) {
+    const isConnectError = error instanceof errors.ConnectTimeoutError || CONNECT_ERROR_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+    const message = error instanceof Error ? error.message : String(error)
+    if (isConnectError && !isAnswering) return { kind: 'not-sent', message }
+    return { kind: 'lost', message, broken: isAnswering && !signal.aborted }
+  }
+}
+
+function toHeaders (raw: Record<string, string | string[] | undefined>): AnswerHeader[] {
+  return Object.entries(raw).flatMap(([name, value]) => {
+    if (value === undefined || HOP_BY_HOP.has(name)) return []
+    return [value].flat().map((each) => ({ name, value: each }))
+  })
+}
+
+function readRetryAfterMs (headers: AnswerHeader[]): number | undefined {
+  const seconds = Number(headers.find((header) => header.name === HeaderName.retryAfter)?.value)
+  return Number.isFinite(seconds) ? seconds * 1_000 : undefined
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/target/targetRequest.ts
@@ -0,0 +1,11 @@
+import type { AnswerHeader } from '../../request/answerHeader.js'
+
+/** One request as it goes to a target. */
+export interface TargetRequest {
+  method: string
+  path: string
+  headers: AnswerHeader[]
+  body: Uint8Array
+  idempotent: boolean
+  maxAnswerBytes: number
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/target/targetResult.ts
@@ -0,0 +1,12 @@
+import type { AnswerHeader } from '../../request/answerHeader.js'
+
+/** What came of sending a request to a target. */
+export type TargetResult =
+  | { kind: 'answered', status: number, headers: AnswerHeader[], body: Uint8Array }
+  /** No byte of the request left this host. */
+  | { kind: 'not-sent', message: string }
+  /** The target promised that it didn't run it. */
+  | { kind: 'shed', retryAfterMs: number | undefined }
+  /** It may run; its answer is lost. */
+  | { kind: 'lost', message: string, broken: boolean }
+  | { kind: 'too-large', bytes: number }
--- a/packages/almondrelay/src/request/answer.ts
+++ b/packages/almondrelay/src/request/answer.ts
@@ -1,11 +1,7 @@
+import type { AnswerHeader } from './answerHeader.js'
 import type { Outcome } from './outcome.js'
 import type { RefusalReason } from './refusalReason.js'
 
-interface AnswerHeader {
-  name: string
-  value: string
-}
-
 /** The final answer to a request, held whole before its first byte goes to the caller. */
 export interface Answer {
   outcome: Outcome
--- /dev/null
+++ b/packages/almondrelay/src/request/answerHeader.ts
@@ -0,0 +1,5 @@
+/** One header line of a request or an answer. */
+export interface AnswerHeader {
+  name: string
+  value: string
+}
--- /dev/null
+++ b/packages/almondrelay/src/request/buildRefusal.ts
@@ -0,0 +1,33 @@
+import type { Answer } from './answer.js'
+import type { Outcome } from './outcome.js'
+import type { RefusalReason } from './refusalReason.js'
+import { refusalStatus } from './refusalStatus.js'
+
+interface RefusalParts {
+  outcome: Outcome
+  reason: RefusalReason
+  /** What is wrong and what to do instead. */
+  message: string
+  retryAfterMs?: number
+  target?: string
+}
+
+/** The answer that tells a caller why it doesn't get the target's. */
+export function buildRefusal (parts: RefusalParts): Answer {
+  const body = JSON.stringify({
+    outcome: parts.outcome,
+    reason: parts.reason,
+    message: parts.message,
+    retryAfterMs: parts.retryAfterMs
+  })
+  return {
+    outcome: parts.outcome,
+    status: refusalStatus[parts.reason],
+    headers: [{ name: 'content-type', value: 'application/json' }],
+    body: new TextEncoder().encode(body),
+    reason: parts.reason,
+    message: parts.message,
+    ...(parts.retryAfterMs === undefined ? {} : { retryAfterMs: parts.retryAfterMs }),
+    ...(parts.target === undefined ? {} : { target: parts.target })
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/request/contract/headerName.ts
@@ -0,0 +1,17 @@
+/** Headers of the caller contract, in lower case. */
+export const HeaderName = {
+  id: 'idempotency-key',
+  caller: 'almondrelay-caller',
+  key: 'almondrelay-key',
+  deadline: 'almondrelay-deadline',
+  home: 'almondrelay-home',
+  attempt: 'almondrelay-attempt',
+  outcome: 'almondrelay-outcome',
+  reason: 'almondrelay-reason',
+  target: 'almondrelay-target',
+  host: 'almondrelay-host',
+  retryAfter: 'retry-after',
+  retryAfterMs: 'almondrelay-retry-after-ms',
+  /** A target's promise that it didn't run the request. */
+  notRun: 'almondrelay-not-run'
+} as const
--- /dev/null
+++ b/packages/almondrelay/src/request/contract/homeReference.ts
@@ -0,0 +1,5 @@
+/** The host, and its life, that alone may start a non-idempotent request. */
+export interface HomeReference {
+  host: string
+  incarnation: number
+}
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -4,6 +4,7 @@
   invalidHeader: 'invalid-header',
   missingId: 'missing-id',
   missingHome: 'missing-home',
+  idReused: 'id-reused',
   bodyTooLarge: 'body-too-large',
   notReady: 'not-ready',
   leaving: 'leaving',
