--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,6 +32,8 @@
       // The compiler checks redeclaration; a constant object and its type share a name on purpose.
       '@typescript-eslint/no-redeclare': 'off',
       'no-redeclare': 'off',
+      // A promise that is left alone on purpose says so.
+      'no-void': ['error', { allowAsStatement: true }],
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
       '@typescript-eslint/consistent-type-imports': 'error',
--- a/packages/almondrelay/src/connection/target/targetConnections.ts
+++ b/packages/almondrelay/src/connection/target/targetConnections.ts
@@ -36,7 +36,7 @@
   constructor (private readonly clock: Clock) {}
 
   async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
-    const client = this.take(address, this.clock.now()) ?? this.open(address)
+    const client = this.take(address, this.clock.getNow()) ?? this.open(address)
     const result = await exchange(client, request, signal)
     if (result.kind === 'answered' || result.kind === 'shed') this.keep(address, client)
     else void client.destroy()
@@ -75,7 +75,7 @@
       void client.destroy()
       return
     }
-    connections.push({ client, activeAt: this.clock.now() })
+    connections.push({ client, activeAt: this.clock.getNow() })
     this.idle.set(address, connections)
   }
 
