Own target slots by host, with leases, credits and claims

Cause: the daemon needs to know which slots of a target a host may use at once, without an agreement among many hosts.

Change: HostSlots counts running work and credits for each target of the own zone. A target's slots stand in two parts, a floor and a rest; each is held by one host at a time (PartClaims), and the rest is granted to the owner on short leases.

The property-based model is not there yet, so the limit is argued in the comments and not proved.

--- /dev/null
+++ b/packages/almondrelay/src/process/limits/hostSlots.ts
@@ -0,0 +1,198 @@
+import type { TargetSpec } from '../../version/resources/targetSpec.js'
+import type { Credit } from './credit.js'
+import { CreditLedger } from './creditLedger.js'
+import { defaultLimitsOptions } from './defaultLimitsOptions.js'
+import type { HostSlotsIdentity } from './hostSlotsIdentity.js'
+import type { LeaseGrant } from './leaseGrant.js'
+import type { LeaseRequest } from './leaseRequest.js'
+import type { LimitsOptions } from './limitsOptions.js'
+import { PartClaims } from './partClaims.js'
+import type { Roster } from './roster.js'
+import type { RosterHost } from './rosterHost.js'
+import type { SlotLease } from './slotLease.js'
+import { TargetSlots } from './targetSlots.js'
+
+interface UsedCredit {
+  service: string
+  target: string
+}
+
+/**
+ * The target slots that one host may use, over all services of its availability zone: what it owns, what
+ * it has on lease, what it has granted as credits. Until a roster is adopted it owns nothing; alone in
+ * its roster it owns all. `now` is always this host's monotonic clock in milliseconds.
+ */
+export class HostSlots {
+  /** Who holds what in the zone; shared with the zone's parts of region limits. */
+  readonly claims: PartClaims
+  private readonly self: RosterHost
+  private readonly options: LimitsOptions
+  private readonly services = new Map<string, Map<string, TargetSlots>>()
+  private readonly holders = new Map<string, TargetSlots>()
+  private readonly ledger: CreditLedger
+
+  constructor (private readonly identity: HostSlotsIdentity, options: Partial<LimitsOptions> = {}) {
+    this.options = { ...defaultLimitsOptions, ...options }
+    this.self = { name: identity.host, incarnation: identity.incarnation }
+    this.claims = new PartClaims(this.self, this.options)
+    this.ledger = new CreditLedger(`${identity.host};${identity.incarnation}`, this.options.creditTermMs)
+  }
+
+  /** Rosters of other zones and older ones change nothing. */
+  adoptRoster (roster: Roster, now: number): void {
+    if (roster.availabilityZone !== this.identity.availabilityZone) return
+    this.claims.adoptRoster(roster, now)
+    this.claims.advance(now)
+  }
+
+  /**
+   * The service's targets of the own zone, replacing the former ones. `maxDeadlineMs` bounds every
+   * `runsUntil` and has to be the same on all hosts of a fleet: others wait that long for this host's work.
+   */
+  adoptTargets (service: string, targets: readonly TargetSpec[], maxDeadlineMs: number, now: number): void {
+    const known = this.getService(service)
+    for (const slots of known.values()) slots.configured = false
+    for (const target of targets.filter((each) => each.availabilityZone === this.identity.availabilityZone)) {
+      const size = { slots: target.slots, maxDeadlineMs }
+      const slots = known.get(target.name) ?? new TargetSlots(service, target.name, size, this.claims, this.options)
+      slots.configured = true
+      slots.adoptSize(size)
+      known.set(target.name, slots)
+    }
+    this.prune(now)
+    this.claims.advance(now)
+  }
+
+  /** Definitive evidence that a process is gone. Suspicion has no method here: it frees nothing. */
+  markGone (host: string, incarnation: number, now: number): void {
+    const gone = { name: host, incarnation }
+    this.claims.markGone(gone, now)
+    this.listAll().forEach((slots) => slots.reclaimGrant(gone, now))
+    this.claims.advance(now)
+  }
+
+  /** Slots by target that this host's own requests may take just now. */
+  getFree (service: string, now: number): Map<string, number> {
+    this.advance(now)
+    const free = new Map<string, number>()
+    for (const slots of this.getService(service).values()) {
+      if (slots.configured) free.set(slots.target, slots.computeFree(now))
+    }
+    return free
+  }
+
+  /** Requests of this host that run on the service's targets. */
+  countRunning (service: string): number {
+    return [...this.getService(service).values()].reduce((sum, slots) => sum + slots.running, 0)
+  }
+
+  /**
+   * Takes a slot for a request that ends by `runsUntil`. The caller checks `now < runsUntil` again after
+   * its last await before the first byte goes out: others count on nothing running past it.
+   */
+  acquire (service: string, target: string, holder: string, runsUntil: number, now: number): boolean {
+    this.advance(now)
+    const slots = this.services.get(service)?.get(target)
+    if (slots === undefined || slots.computeFree(now) < 1) return false
+    return this.begin(slots, holder, runsUntil, now)
+  }
+
+  /** The request's answer or refusal is known. Releasing twice, or what was never acquired, changes nothing. */
+  release (holder: string, now: number): void {
+    const slots = this.holders.get(holder)
+    if (slots === undefined) return
+    this.holders.delete(holder)
+    slots.running -= 1
+    this.advance(now)
+  }
+
+  /** Credits for a sender, at most `wanted`, from the targets with the most free slots, leaving a reserve for own callers. */
+  grantCredits (service: string, sender: string, wanted: number, now: number): Credit[] {
+    this.advance(now)
+    const owned = [...this.getService(service).values()].filter((slots) => slots.isOwner())
+    const capacity = owned.reduce((sum, slots) => sum + slots.computeCapacity(now), 0)
+    const free = owned.reduce((sum, slots) => sum + slots.computeFree(now), 0)
+    const count = Math.min(wanted, free - Math.ceil(capacity * this.options.creditReserve))
+    const credits: Credit[] = []
+    while (credits.length < count) {
+      const best = owned.reduce((left, right) => right.computeFree(now) > left.computeFree(now) ? right : left)
+      credits.push(this.ledger.grant(best, now))
+    }
+    return credits
+  }
+
+  /** Turns a credit into a running request; undefined, and nothing runs, when it lapsed, was used or the slot is no longer this host's. */
+  useCredit (creditId: string, holder: string, runsUntil: number, now: number): UsedCredit | undefined {
+    const slots = this.ledger.take(creditId, now)
+    if (slots === undefined || slots.running + slots.credits >= slots.computeCapacity(now)) return undefined
+    return this.begin(slots, holder, runsUntil, now) ? { service: slots.service, target: slots.target } : undefined
+  }
+
+  returnCredits (ids: readonly string[], now: number): void {
+    ids.forEach((id) => this.ledger.take(id, now))
+  }
+
+  /** Leases to ask for now, one request for each standby. Terms count from `now`: send at once. */
+  planRenewals (now: number): LeaseRequest[] {
+    this.advance(now)
+    const requests = new Map<string, LeaseRequest>()
+    for (const slots of this.listAll().filter((each) => each.isRenewalDue(now))) {
+      const standby = this.claims.getHolder(slots.restId)
+      if (standby === undefined || standby.name === this.self.name) continue
+      const request = requests.get(standby.name) ?? { standby: standby.name, sentAt: now, leases: [] }
+      request.leases.push(slots.makeLease(this.claims.rosterVersion))
+      requests.set(standby.name, request)
+    }
+    return [...requests.values()]
+  }
+
+  /** The standby's answer to this very request, however late or often it comes. */
+  acceptGrant (request: LeaseRequest, granted: readonly SlotLease[]): void {
+    for (const lease of granted) this.services.get(lease.service)?.get(lease.target)?.acceptLease(lease, request.sentAt)
+  }
+
+  /** As standby: grants what no work of its own and no other grant is on. */
+  grantLeases (sender: RosterHost, leases: readonly SlotLease[], now: number): LeaseGrant {
+    this.advance(now)
+    const answer: LeaseGrant = { granted: [], refused: [] }
+    for (const lease of leases) {
+      const granted = this.services.get(lease.service)?.get(lease.target)?.grantLease(sender, lease, now)
+      if (granted === undefined) answer.refused.push(lease)
+      else answer.granted.push(granted)
+    }
+    return answer
+  }
+
+  private advance (now: number): void {
+    this.ledger.expire(now)
+    this.claims.advance(now)
+  }
+
+  private begin (slots: TargetSlots, holder: string, runsUntil: number, now: number): boolean {
+    if (this.holders.has(holder) || runsUntil <= now || runsUntil - now > slots.maxDeadlineMs) return false
+    slots.running += 1
+    this.holders.set(holder, slots)
+    return true
+  }
+
+  private getService (service: string): Map<string, TargetSlots> {
+    const known = this.services.get(service) ?? new Map<string, TargetSlots>()
+    this.services.set(service, known)
+    return known
+  }
+
+  private listAll (): TargetSlots[] {
+    return [...this.services.values()].flatMap((targets) => [...targets.values()])
+  }
+
+  /** A target that left the configuration is forgotten only once nothing runs or is granted on it. */
+  private prune (now: number): void {
+    for (const targets of this.services.values()) {
+      for (const slots of [...targets.values()].filter((each) => !each.configured && each.isIdle(now))) {
+        targets.delete(slots.target)
+        this.claims.removePart(slots.floorId)
+        this.claims.removePart(slots.restId)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/roster.ts
@@ -0,0 +1,9 @@
+import type { RosterHost } from './rosterHost.js'
+
+/** The entry hosts of one availability zone, as the platform key `roster/<availabilityZone>` holds them. */
+export interface Roster {
+  /** Grows by one with each join or loss; 1 for the first roster of the zone. */
+  version: number
+  availabilityZone: string
+  hosts: RosterHost[]
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/zoneView.ts
@@ -0,0 +1,45 @@
+import { isSameHost } from './isSameHost.js'
+import { rankHosts } from './rankHosts.js'
+import type { Roster } from './roster.js'
+import type { RosterHost } from './rosterHost.js'
+
+/**
+ * What a host knows of who is in its zone: a roster and the members that are gone by definitive evidence.
+ * It only grows: a later roster, or one more gone. Two hosts with equal views agree on who holds what.
+ */
+export class ZoneView {
+  readonly key: string
+  readonly gone: RosterHost[]
+  readonly live: RosterHost[]
+  private readonly ranked = new Map<string, RosterHost[]>()
+
+  constructor (readonly roster: Roster, gone: readonly RosterHost[]) {
+    this.gone = roster.hosts.filter((host) => gone.some((each) => isSameHost(each, host)))
+    this.live = roster.hosts.filter((host) => !this.gone.includes(host))
+    const names = this.gone.map(formatHost).sort()
+    this.key = `${roster.version}|${names.join(',')}`
+  }
+
+  /** Whether the very process is a live member. */
+  has (host: RosterHost): boolean {
+    return this.live.some((each) => isSameHost(each, host))
+  }
+
+  /** The live member at a place in the ranking of a key. */
+  getHolder (key: string, rank: number): RosterHost | undefined {
+    let hosts = this.ranked.get(key)
+    if (hosts === undefined) {
+      hosts = rankHosts(key, this.live)
+      this.ranked.set(key, hosts)
+    }
+    return hosts[Math.min(rank, hosts.length - 1)]
+  }
+
+  /** This view with more members gone; itself where nothing is new. */
+  withGone (gone: readonly RosterHost[]): ZoneView {
+    const news = gone.filter((host) => this.has(host))
+    return news.length === 0 ? this : new ZoneView(this.roster, [...this.gone, ...news])
+  }
+}
+
+const formatHost = (host: RosterHost): string => `${host.name};${host.incarnation}`
