Add the decision modules: admission, choice, placement, retry, weights, pacing

Cause: the daemon needs decisions under load that can be read and tested without a network. Change: first working versions. Admission is start-time fair queueing in a short and a long lane; choice draws two targets and takes the lower expected wait, with ejection, trials and a cold ramp; placement orders zones; retries and hedges share a budget; look-up weights and shifts move in bounded steps. Conclusion: the shapes stand for wiring; figures in the comments other than arithmetic are design aims until the proof runs.

--- /dev/null
+++ b/packages/almondrelay/src/request/choice/index.ts
@@ -0,0 +1,5 @@
+export * from './choiceReason.js'
+export * from './targetChoice.js'
+export * from './targetChooser.js'
+export * from './targetReport.js'
+export * from './targetResult.js'
--- /dev/null
+++ b/packages/almondrelay/src/request/choice/targetChooser.ts
@@ -0,0 +1,157 @@
+import type { TargetSpec } from '../../version/resources/targetSpec.js'
+import type { Random } from '../random.js'
+import { ChoiceReason } from './choiceReason.js'
+import { LatencyNorm } from './latencyNorm.js'
+import { OpenTargets } from './openTargets.js'
+import type { TargetChoice } from './targetChoice.js'
+import type { TargetReport } from './targetReport.js'
+import type { TargetResult } from './targetResult.js'
+import { TargetState } from './targetState.js'
+
+/** Random draws before all open targets are looked through. */
+const MAX_DRAWS = 8
+
+/**
+ * Chooses, for one service at one host, the target that a request goes to.
+ *
+ * Load patterns answered: a target that turns slow, one that accepts and never answers,
+ * one whose load report lies, cold targets. Without it (round robin) each gets its full
+ * part of the requests, and a slow target's share of the slots fills until it holds most of
+ * what runs.
+ *
+ * - Own measurement first: the latency of own answers over the expected cost, failures and
+ *   overdue attempts; reported load second (`ReportTrust`).
+ * - A slow, failing or silent target loses its work and gets it back by one trial at a
+ *   time, then a ramp (`ColdRamp`).
+ * - Two candidates are drawn at random and the one with the lower expected wait is taken,
+ *   so that hosts which act on the same picture don't all pick the same target.
+ *
+ * `choose` changes no counts: `start` does, once the slot is really taken.
+ */
+export class TargetChooser {
+  private readonly states = new Map<string, TargetState>()
+  private readonly open = new OpenTargets()
+  private readonly norm = new LatencyNorm()
+  /** The last draw of chance, by which trials of several hosts are spread. */
+  private spread = 0
+
+  /** Replaces the targets; what is known of those that stay is kept. */
+  adoptTargets (targets: readonly TargetSpec[], now: number): void {
+    const names = new Set(targets.map((target) => target.name))
+    for (const [name, state] of this.states) {
+      if (names.has(name)) continue
+      this.open.remove(state)
+      this.states.delete(name)
+    }
+    for (const target of targets) {
+      const state = this.states.get(target.name) ?? new TargetState(target.name, target.slots, now)
+      this.states.set(target.name, state)
+      state.adopt(target)
+      this.open.reconcile(state)
+    }
+  }
+
+  /** Requests that may run at once on all targets, after ramps, trials and leaving. */
+  get capacity (): number {
+    return this.open.capacity
+  }
+
+  /** Requests that could start at once, by this host's own count. */
+  get headroom (): number {
+    return this.open.headroom
+  }
+
+  /**
+   * Chooses a target with a free slot; undefined where none may take work now.
+   *
+   * `free`: free slots that this host may use, by target. `exclude`: targets already tried.
+   */
+  choose (free: ReadonlyMap<string, number>, exclude: ReadonlySet<string>, now: number, random: Random): TargetChoice | undefined {
+    this.spread = random()
+    const trial = this.findTrial(free, exclude, now)
+    if (trial !== undefined) return this.describeChoice(trial, ChoiceReason.trial, now)
+    const one = this.pickOpen(free, exclude, undefined, now, random)
+    if (one === undefined) return undefined
+    const other = this.pickOpen(free, exclude, one, now, random)
+    if (other === undefined) return this.describeChoice(one, ChoiceReason.only, now)
+    const [best, rest] = this.estimateScore(one, now) <= this.estimateScore(other, now) ? [one, other] : [other, one]
+    return { ...this.describeChoice(best, ChoiceReason.leastExpectedWait, now), otherScore: this.estimateScore(rest, now) }
+  }
+
+  /** Counts a request as running. `expectedMs`: its expected latency, such as `AdmissionQueue.estimateCost` gives. */
+  start (target: string, now: number, expectedMs?: number): void {
+    const state = this.states.get(target)
+    if (state === undefined) return
+    state.start(expectedMs ?? this.norm.meanMs, this.norm.ratio, now)
+    this.open.reconcile(state)
+  }
+
+  finish (target: string, result: TargetResult, now: number): void {
+    const state = this.states.get(target)
+    if (state === undefined) return
+    state.trialSpread = this.spread
+    const ratio = state.finish(result, this.norm.ratio, now)
+    if (ratio !== undefined) this.norm.learn(result.latencyMs, ratio)
+    this.open.reconcile(state)
+  }
+
+  report (target: string, report: TargetReport, now: number): void {
+    const state = this.states.get(target)
+    if (state === undefined) return
+    state.reports.accept(report, now)
+    state.isReportedLeaving = report.leaving
+    if (state.reports.isUnhealthy && state.trialAt === undefined) state.eject(now)
+    this.open.reconcile(state)
+  }
+
+  /** By drain order or host list. */
+  markLeaving (target: string, leaving: boolean, _now: number): void {
+    const state = this.states.get(target)
+    if (state === undefined) return
+    state.isOrderedToLeave = leaving
+    this.open.reconcile(state)
+  }
+
+  /** What is known of one target; for status and log lines. */
+  describeTarget (target: string, now: number): TargetChoice | undefined {
+    const state = this.states.get(target)
+    return state === undefined ? undefined : this.describeChoice(state, ChoiceReason.only, now)
+  }
+
+  private findTrial (free: ReadonlyMap<string, number>, exclude: ReadonlySet<string>, now: number): TargetState | undefined {
+    const state = this.open.findTrialDue(now)
+    if (state === undefined || state.isLeaving || exclude.has(state.name) || (free.get(state.name) ?? 0) <= 0) return undefined
+    return state.isSilent(now) ? undefined : state
+  }
+
+  private pickOpen (free: ReadonlyMap<string, number>, exclude: ReadonlySet<string>, drawn: TargetState | undefined, now: number, random: Random): TargetState | undefined {
+    const allow = (state: TargetState): boolean =>
+      state !== drawn && !exclude.has(state.name) && (free.get(state.name) ?? 0) > 0 && this.check(state, now)
+    for (let draw = 0; draw < MAX_DRAWS; draw += 1) {
+      const state = this.open.pick(random)
+      if (state === undefined) return undefined
+      if (allow(state)) return state
+    }
+    return this.open.find(allow, random)
+  }
+
+  /** Notices, when a target is about to get work, that it is silent or has been idle. */
+  private check (state: TargetState, now: number): boolean {
+    if (state.checkIdle(now)) this.open.reconcile(state)
+    if (!state.isSilent(now)) return true
+    state.trialSpread = this.spread
+    state.eject(now)
+    this.open.reconcile(state)
+    return false
+  }
+
+  private estimateScore (state: TargetState, now: number): number {
+    const ownLoad = (state.running + 1) / state.slots
+    return (ownLoad + state.reports.estimateExtraLoad(ownLoad, now)) * state.slowness / this.norm.ratio
+  }
+
+  private describeChoice (state: TargetState, reason: ChoiceReason, now: number): TargetChoice {
+    const { name, slowness, running, allowed } = state
+    return { target: name, reason, score: this.estimateScore(state, now), slowness, running, allowed }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/request/choice/targetState.ts
@@ -0,0 +1,168 @@
+import type { TargetSpec } from '../../version/resources/targetSpec.js'
+import { ColdRamp } from './coldRamp.js'
+import { ReportTrust } from './reportTrust.js'
+import type { TargetResult } from './targetResult.js'
+
+/** Weight of one answer in the target's slowness: a target that turns 10 times slower passes `SLOW_RATIO` with its second answer. */
+const SLOWNESS_WEIGHT = 0.3
+/** Slowness, over the typical one of the service, at which a target loses its work. With
+ * exponential service times a healthy target passes it once in some 100,000 answers. */
+const SLOW_RATIO = 4
+const MAX_RATIO = 20
+/** A running request is overdue after this many times its expected latency, and at least the floor. */
+const OVERDUE_FACTOR = 10
+const OVERDUE_MIN_MS = 200
+const FAILURES_TO_EJECT = 2
+const SHEDS_TO_EJECT = 8
+const FIRST_BACKOFF_MS = 500
+const MAX_BACKOFF_MS = 8_000
+/** Part of the backoff by which trials of different hosts are spread. */
+const TRIAL_SPREAD = 0.5
+/** A target unused for this long is cold again; the time to live of a cache entry is usually above it. */
+const IDLE_MS = 60_000
+
+interface RunningAttempt {
+  startedAt: number
+  /** Silence after which the attempt is overdue, in milliseconds. */
+  patienceMs: number
+  expectedMs: number
+}
+
+/** What one host knows of one target of a service, from its own requests first. */
+export class TargetState {
+  isOrderedToLeave = false
+  isReportedLeaving = false
+  /** Own latency over the expected one, averaged over the last answers. */
+  slowness = 1
+  /** Set while the target gets trials only: the next one's time, or later. */
+  trialAt: number | undefined
+  /** Chance, 0 to 1, by which the next trial is put off. */
+  trialSpread = 0
+  readonly reports = new ReportTrust()
+  private ramp: ColdRamp
+  private attempts: RunningAttempt[] = []
+  private failures = 0
+  private sheds = 0
+  private backoffMs = FIRST_BACKOFF_MS
+  private lastGoodAt = -Infinity
+  private lastUsedAt: number
+
+  constructor (readonly name: string, public slots: number, now: number) {
+    this.ramp = ColdRamp.createCold(slots)
+    this.lastUsedAt = now
+  }
+
+  get running (): number {
+    return this.attempts.length
+  }
+
+  get isLeaving (): boolean {
+    return this.isOrderedToLeave || this.isReportedLeaving
+  }
+
+  /** Requests that it may run at once: none while leaving or between trials. */
+  get allowed (): number {
+    if (this.isLeaving || this.trialAt !== undefined) return 0
+    return this.ramp.allowed
+  }
+
+  get isWarm (): boolean {
+    return this.trialAt === undefined && this.ramp.isDone
+  }
+
+  adopt (spec: TargetSpec): void {
+    this.slots = spec.slots
+    this.ramp.setSlots(spec.slots)
+  }
+
+  start (expectedMs: number, typicalRatio: number, now: number): void {
+    const patienceMs = Math.max(OVERDUE_MIN_MS, OVERDUE_FACTOR * expectedMs * typicalRatio)
+    this.attempts.push({ startedAt: now, patienceMs, expectedMs })
+    this.lastUsedAt = now
+  }
+
+  /** Returns the attempt's latency over its expected one; undefined where it says nothing. */
+  finish (result: TargetResult, typicalRatio: number, now: number): number | undefined {
+    const attempt = this.takeAttempt(now - result.latencyMs)
+    this.lastUsedAt = now
+    if (attempt === undefined) return undefined
+    const isOverdue = result.latencyMs > attempt.patienceMs
+    if (result.cancelled === true && !isOverdue) return undefined
+    if (result.shed === true) return this.observeShed(now)
+    if (!result.ok) return this.observeFailure(now)
+    return this.observeAnswer(Math.min(MAX_RATIO, result.latencyMs / attempt.expectedMs), typicalRatio, now)
+  }
+
+  /**
+   * Whether it accepts requests and answers none. Noticed by what runs, because no answer
+   * will ever tell: some attempt has been overdue with nothing good heard since it began.
+   */
+  isSilent (now: number): boolean {
+    return this.attempts.some((attempt) => now - Math.max(attempt.startedAt, this.lastGoodAt) > attempt.patienceMs)
+  }
+
+  /** Takes its work away; one trial follows after a time that doubles with each failure. */
+  eject (now: number): void {
+    const isWaiting = this.trialAt !== undefined && this.trialAt > now
+    if (isWaiting) return
+    this.trialAt = now + this.backoffMs * (1 + TRIAL_SPREAD * this.trialSpread)
+    this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
+  }
+
+  /** A target that had no work for long has cold caches; its share grows anew. */
+  checkIdle (now: number): boolean {
+    if (this.running > 0 || now - this.lastUsedAt < IDLE_MS) return false
+    this.lastUsedAt = now
+    this.ramp = ColdRamp.createCold(this.slots)
+    return true
+  }
+
+  private takeAttempt (startedAt: number): RunningAttempt | undefined {
+    let nearest = 0
+    this.attempts.forEach((attempt, index) => {
+      const best = this.attempts[nearest] as RunningAttempt
+      if (Math.abs(attempt.startedAt - startedAt) < Math.abs(best.startedAt - startedAt)) nearest = index
+    })
+    return this.attempts.splice(nearest, 1)[0]
+  }
+
+  private observeShed (now: number): undefined {
+    this.sheds += 1
+    this.ramp.observeShed(this.running + 1)
+    if (this.trialAt !== undefined || this.sheds >= SHEDS_TO_EJECT) this.eject(now)
+    return undefined
+  }
+
+  private observeFailure (now: number): undefined {
+    this.failures += 1
+    if (this.trialAt !== undefined || this.failures >= FAILURES_TO_EJECT) this.eject(now)
+    return undefined
+  }
+
+  private observeAnswer (ratio: number, typicalRatio: number, now: number): number {
+    const relative = ratio / typicalRatio
+    this.failures = 0
+    this.sheds = 0
+    this.lastGoodAt = now
+    this.reports.observe(relative, now)
+    this.slowness = this.trialAt === undefined ? this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness) : ratio
+    if (this.trialAt !== undefined) this.finishTrial(relative, now)
+    else this.checkSlow(relative, typicalRatio, now)
+    return ratio
+  }
+
+  private finishTrial (relative: number, now: number): void {
+    if (relative > SLOW_RATIO) {
+      this.eject(now)
+      return
+    }
+    this.trialAt = undefined
+    this.ramp = ColdRamp.createTried(this.slots)
+  }
+
+  private checkSlow (relative: number, typicalRatio: number, now: number): void {
+    this.ramp.observe(relative)
+    if (this.ramp.isDone) this.backoffMs = FIRST_BACKOFF_MS
+    if (this.slowness > SLOW_RATIO * typicalRatio && !this.ramp.isForgiving) this.eject(now)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/request/placement/choosePlacement.ts
@@ -0,0 +1,116 @@
+import type { Random } from '../random.js'
+import { RefusalReason } from '../refusalReason.js'
+import type { CapView } from './capView.js'
+import type { Placement } from './placement.js'
+import type { PlacementInput } from './placementInput.js'
+import { PlacementReason } from './placementReason.js'
+import type { PlacementZone } from './placementZone.js'
+import type { ZoneView } from './zoneView.js'
+
+/** Time in which a report of another zone's free slots loses two thirds of its weight; zones report each second. */
+const REPORT_FADE_MS = 2_000
+/** A report older than this says nothing: the zone is tried last, and only with a credit. */
+const REPORT_LIMIT_MS = 10_000
+/** Part of the expected cost by which equal zones are shuffled, so that hosts with one picture don't all ask the same zone. */
+const SPREAD = 0.2
+/** Zones to try; each costs a round trip, and a request has not the time for more. */
+const MAX_ZONES = 4
+const RETRY_MS = 1_000
+
+interface RankedZone extends PlacementZone {
+  rank: number
+}
+
+/**
+ * Orders the availability zones in which a request may run.
+ *
+ * Answers the loss of a region and a zone that is full: without it the work of a lost
+ * region goes where the latency is lowest, fills the next region above what it carries
+ * and takes that down too. Order: the policy's region for the caller, drawn by weight;
+ * within it the own zone, then by cost (latency there and back, and expected wait); then
+ * the policy's other regions; then, where the policy lets work spill, the rest by cost.
+ * A zone other than the own one is only offered where its last report, faded with age,
+ * shows free slots, and may be used only with a credit that it grants; so a stale report
+ * costs a question and never an overload. A region whose limit, link or shift cap is used
+ * up is left out, and is the reason of the refusal when nothing else is left.
+ */
+export function choosePlacement (input: PlacementInput, _now: number, random: Random): Placement {
+  const candidates = input.zones.filter((zone) => zone.reachable && !zone.draining && zone.slots > 0)
+  if (candidates.length === 0) return refuse(RefusalReason.noTarget, random)
+  const inTime = candidates.filter((zone) => estimateCost(zone) + input.costMs <= input.remainingMs)
+  if (inTime.length === 0) return refuse(RefusalReason.deadlineUnreachable, random)
+  const blocking = inTime.map((zone) => findBlockingCap(input, zone))
+  const allowed = inTime.filter((zone, index) => blocking[index] === undefined && allowRegion(input, zone))
+  if (allowed.length === 0) return refuse(blocking.find((cap) => cap !== undefined)?.reason ?? RefusalReason.noTarget, random)
+  const usable = allowed.filter((zone) => zone.availabilityZone === input.ownZone || estimateFree(zone) >= 1)
+  if (usable.length === 0) return refuse(RefusalReason.noCredit, random)
+  const first = pickRegion(input, usable, random)
+  const ranked = usable.map((zone) => rankZone(input, zone, first, random))
+  ranked.sort((one, other) => one.rank - other.rank || one.costMs - other.costMs)
+  return { kind: 'zones', zones: ranked.slice(0, MAX_ZONES).map(({ rank, ...zone }) => zone) }
+}
+
+const getWeight = (input: PlacementInput, region: string): number => input.weights?.[region] ?? 0
+
+/** Free slots to believe in: a report fades with age and ends at its limit. */
+const estimateFree = (zone: ZoneView): number => {
+  if (zone.ageMs > REPORT_LIMIT_MS) return 0
+  return zone.freeSlots * Math.max(Math.exp(-zone.ageMs / REPORT_FADE_MS), Math.min(1, 1 / Math.max(1, zone.freeSlots)))
+}
+
+/** There and back, and the wait there. */
+const estimateCost = (zone: ZoneView): number => 2 * zone.latencyMs + (zone.waitMs ?? 0)
+
+const allowRegion = (input: PlacementInput, zone: ZoneView): boolean =>
+  input.spill || input.weights === undefined || getWeight(input, zone.region) > 0
+
+const findBlockingCap = (input: PlacementInput, zone: ZoneView): CapView | undefined =>
+  input.caps.find((cap) => cap.free < 1 && cap.toRegion === zone.region && allowCapSource(input, cap, zone))
+
+/** A limit of the region itself holds for all work; one of a link or shift for work that comes from its region. */
+const allowCapSource = (input: PlacementInput, cap: CapView, zone: ZoneView): boolean => {
+  if (cap.fromRegion === undefined) return true
+  if (cap.fromRegion === zone.region) return false
+  return cap.fromRegion === input.ownRegion || cap.fromRegion === input.callerRegion
+}
+
+/** Draws the region by the policy's weights; the own region where there is no policy. */
+function pickRegion (input: PlacementInput, zones: readonly ZoneView[], random: Random): string {
+  const regions = [...new Set(zones.map((zone) => zone.region))]
+  const total = regions.reduce((sum, region) => sum + getWeight(input, region), 0)
+  if (input.weights === undefined || total <= 0) return input.ownRegion
+  let drawn = random() * total
+  for (const region of regions) {
+    drawn -= getWeight(input, region)
+    if (drawn < 0) return region
+  }
+  return input.ownRegion
+}
+
+function rankZone (input: PlacementInput, zone: ZoneView, first: string, random: Random): RankedZone {
+  const isOwn = zone.availabilityZone === input.ownZone
+  const costMs = estimateCost(zone)
+  return {
+    availabilityZone: zone.availabilityZone,
+    region: zone.region,
+    reason: explainZone(input, zone, first),
+    costMs: costMs * (isOwn ? 1 : 1 + SPREAD * random()),
+    needsCredit: !isOwn,
+    rank: rankRegion(input, zone, first) + (isOwn ? 0 : 1)
+  }
+}
+
+function rankRegion (input: PlacementInput, zone: ZoneView, first: string): number {
+  if (zone.region === first) return 0
+  return getWeight(input, zone.region) > 0 ? 2 : 4
+}
+
+function explainZone (input: PlacementInput, zone: ZoneView, first: string): PlacementReason {
+  if (zone.region !== first) return getWeight(input, zone.region) > 0 ? PlacementReason.policy : PlacementReason.spill
+  if (zone.region !== input.ownRegion) return PlacementReason.policy
+  return zone.availabilityZone === input.ownZone ? PlacementReason.ownZone : PlacementReason.ownRegion
+}
+
+function refuse (reason: RefusalReason, random: Random): Placement {
+  return { kind: 'refuse', reason, retryAfterMs: Math.round(RETRY_MS * (1 + random())) }
+}
--- /dev/null
+++ b/packages/almondrelay/src/request/placement/index.ts
@@ -0,0 +1,7 @@
+export * from './capView.js'
+export * from './choosePlacement.js'
+export * from './placement.js'
+export * from './placementInput.js'
+export * from './placementReason.js'
+export * from './placementZone.js'
+export * from './zoneView.js'
--- /dev/null
+++ b/packages/almondrelay/src/version/pacing/index.ts
@@ -0,0 +1,6 @@
+export * from './computeShiftStep.js'
+export * from './drainPacer.js'
+export * from './pacingHold.js'
+export * from './pacingInput.js'
+export * from './pacingStatus.js'
+export * from './shiftStep.js'
--- /dev/null
+++ b/packages/almondrelay/src/version/weights/index.ts
@@ -0,0 +1,5 @@
+export * from './computeLookupAnswer.js'
+export * from './hostView.js'
+export * from './hostWeight.js'
+export * from './lookupAnswer.js'
+export * from './lookupInput.js'
