Keep the configuration as a log of changes in the platform

Cause: an operator's write whose answer is lost must not be told as refused, racing operators must not both win, and a revision must never go back. Ruled out: deleting old entries of the log, because a key that is absent again could be created a second time by a host that lags. Change: ChangeLog creates changes/<revision> by compare-and-swap and resolves a lost answer by the write id in the key; a refusal stands only on the newest configuration that can be had. Conclusion: a writer learns accepted, conflict, rejected, in-use, missing or unknown, and a repeat by write id takes effect once.

--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/changeKeys.ts
@@ -0,0 +1,14 @@
+const REVISION_DIGITS = 12
+
+/** Keys of the change log and of its snapshots in the platform. */
+export const changeKeys = {
+  prefix: 'changes/',
+  /** Names the newest complete snapshot. */
+  manifest: 'snapshots/latest',
+  makeChangeKey: (revision: number): string => `changes/${formatRevision(revision)}`,
+  makeChunkKey: (revision: number, chunk: number): string => `snapshots/${formatRevision(revision)}/${String(chunk).padStart(4, '0')}`
+}
+
+function formatRevision (revision: number): string {
+  return String(revision).padStart(REVISION_DIGITS, '0')
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/changeLog.ts
@@ -0,0 +1,171 @@
+import type { Change } from '../../version/resources/change.js'
+import { AlmondrelayError } from '../errors/almondrelayError.js'
+import { ErrorKind } from '../errors/errorKind.js'
+import type { Clock } from '../platform/clock.js'
+import type { Platform } from '../platform/platform.js'
+import { changeKeys } from './changeKeys.js'
+import type { ConfigurationStore } from './configurationStore.js'
+import { decideWrite } from './decideWrite.js'
+import { decodeChange } from './decodeChange.js'
+import { encodeChange } from './encodeChange.js'
+import { MAX_VALUE_BYTES } from './maxValueBytes.js'
+import { repairFromPlatform } from './repairFromPlatform.js'
+import type { Write } from './write.js'
+import type { WriteAnswer } from './writeAnswer.js'
+import type { WriteOutcome } from './writeOutcome.js'
+
+/** Time after which a write whose answer can't be had is told as unknown. */
+const RESOLVE_MS = 5_000
+const RETRY_MS = 200
+/** Writes of unknown outcome that this host remembers. */
+const MAX_UNRESOLVED = 1_000
+
+interface ChangeLogOptions {
+  platform: Platform
+  store: ConfigurationStore
+  clock: Clock
+}
+
+type Creation = { state: 'mine' } | { state: 'taken', change: Change, body: string } | { state: 'unknown' }
+
+/**
+ * Operators' writes as entries of the platform's change log.
+ *
+ * Guards against an answer that is lost after the write took effect: change n+1 is the creation of
+ * one key, which is never deleted, so whoever stands in that key made the change. The key is read
+ * until it names a writer; a write that lost its key can never take effect there later, even if
+ * its message is still on the way, and goes on to the next one. Where the key can't be read, the
+ * writer is told `unknown`, never that it was refused.
+ */
+export class ChangeLog {
+  /** Writes of unknown outcome, by the one revision that each can still become. */
+  private readonly unresolved = new Map<string, number>()
+  private readonly listeners = new Set<(revision: number) => void>()
+  private last: Promise<unknown> = Promise.resolve()
+
+  constructor (private readonly options: ChangeLogOptions) {}
+
+  /** Writes of one host go one after the other, so that they do not race each other. */
+  async submit (write: Write, signal: AbortSignal): Promise<WriteOutcome> {
+    const deadline = this.options.clock.getNow() + RESOLVE_MS
+    const begunAt = this.options.store.current.revision
+    const result = this.last.then(async () => await this.submitNext(write, begunAt, deadline, signal))
+    this.last = result.catch(() => {})
+    return await result
+  }
+
+  /** What became of a write, as far as the platform can tell now. */
+  async findWrite (writeId: string, signal: AbortSignal): Promise<WriteAnswer> {
+    const { store } = this.options
+    const known = store.findWrite(writeId)
+    if (known !== undefined) return { outcome: 'accepted', revision: known }
+    if (!await this.tryRepair(signal)) return { outcome: 'unknown' }
+    const revision = store.findWrite(writeId)
+    if (revision !== undefined) return { outcome: 'accepted', revision }
+    const open = this.unresolved.get(writeId)
+    if (open !== undefined && open > store.current.revision) return { outcome: 'unknown' }
+    return { outcome: 'absent', revision: store.current.revision }
+  }
+
+  /** Calls the listener with the revision of each change that this host made, until the signal aborts. */
+  subscribe (listener: (revision: number) => void, signal: AbortSignal): void {
+    if (signal.aborted) return
+    this.listeners.add(listener)
+    signal.addEventListener('abort', () => this.listeners.delete(listener), { once: true })
+  }
+
+  private async submitNext (write: Write, begunAt: number, deadline: number, signal: AbortSignal): Promise<WriteOutcome> {
+    const { store, clock } = this.options
+    const { writeId } = write
+    for (;;) {
+      const known = store.findWrite(writeId)
+      if (known !== undefined) return { outcome: 'accepted', writeId, revision: known }
+      const decision = decideWrite(store.current, write, this.findLostTo(write, begunAt), clock.getWallTime())
+      if ('refusal' in decision) {
+        if (await this.tryAdvance(signal)) continue
+        return decision.refusal
+      }
+      checkSize(decision.change)
+      const creation = await this.create(decision.change, deadline, signal)
+      if (creation.state === 'unknown') return this.keepUnresolved(writeId, decision.change.revision)
+      if (creation.state === 'mine') this.adoptOwn(decision.change)
+      else store.adoptChange(creation.change, creation.body)
+    }
+  }
+
+  private adoptOwn (change: Change): void {
+    this.options.store.adoptChange(change)
+    for (const listener of this.listeners) listener(change.revision)
+  }
+
+  /** The latest change to the same resource since the write began. */
+  private findLostTo (write: Write, begunAt: number): number | undefined {
+    const [kind, name] = write.action === 'put' ? [write.resource.kind, write.resource.name] : [write.kind, write.name]
+    const changes = this.options.store.listChanges(begunAt, Infinity) ?? []
+    return changes.findLast(({ change }) => {
+      const touched = change.action === 'put' ? change.resource : change
+      return touched.kind === kind && touched.name === name
+    })?.change.revision
+  }
+
+  /** A refusal stands only on the newest configuration that can be had; a host may lag. */
+  private async tryAdvance (signal: AbortSignal): Promise<boolean> {
+    const before = this.options.store.current.revision
+    await this.tryRepair(signal)
+    return this.options.store.current.revision > before
+  }
+
+  private async tryRepair (signal: AbortSignal): Promise<boolean> {
+    try {
+      await repairFromPlatform(this.options.platform, this.options.store, signal)
+      return true
+    } catch (error) {
+      if (isUnavailable(error)) return false
+      throw error
+    }
+  }
+
+  private async create (change: Change, deadline: number, signal: AbortSignal): Promise<Creation> {
+    const { clock } = this.options
+    while (!signal.aborted && clock.getNow() < deadline) {
+      const creation = await this.tryCreate(change, signal)
+      if (creation.state !== 'unknown') return creation
+      await clock.sleep(RETRY_MS, signal)
+    }
+    return { state: 'unknown' }
+  }
+
+  private async tryCreate (change: Change, signal: AbortSignal): Promise<Creation> {
+    const { platform } = this.options
+    const key = changeKeys.makeChangeKey(change.revision)
+    try {
+      const result = await platform.put(key, encodeChange(change), 0, signal)
+      if (result.stored) return { state: 'mine' }
+      const entry = await platform.get(key, signal)
+      if (entry === undefined) return { state: 'unknown' }
+      const holder = decodeChange(entry.value, change.revision)
+      return holder.writeId === change.writeId ? { state: 'mine' } : { state: 'taken', change: holder, body: entry.value }
+    } catch (error) {
+      if (isUnavailable(error)) return { state: 'unknown' }
+      throw error
+    }
+  }
+
+  private keepUnresolved (writeId: string, revision: number): WriteOutcome {
+    this.unresolved.set(writeId, revision)
+    const [oldest] = this.unresolved.keys()
+    if (this.unresolved.size > MAX_UNRESOLVED && oldest !== undefined) this.unresolved.delete(oldest)
+    return { outcome: 'unknown', writeId }
+  }
+}
+
+const isUnavailable = (error: unknown): boolean => error instanceof AlmondrelayError && error.kind === ErrorKind.platformUnavailable
+
+function checkSize (change: Change): void {
+  if (Buffer.byteLength(encodeChange(change)) <= MAX_VALUE_BYTES) return
+  throw new AlmondrelayError({
+    kind: ErrorKind.requestInvalid,
+    message: 'the resource is longer than a megabyte',
+    remedy: 'split it into several resources'
+  })
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/configurationStore.ts
@@ -0,0 +1,125 @@
+import { Configuration } from '../../version/configuration.js'
+import type { Change } from '../../version/resources/change.js'
+import type { ConfigurationSnapshot } from './configurationSnapshot.js'
+import { encodeChange } from './encodeChange.js'
+import type { KeptChange } from './keptChange.js'
+
+/** Changes kept for peers and watches: at 19,000 changes a day, over an hour of them. */
+const MAX_KEPT_CHANGES = 1_024
+/** Bound on their memory; one change may be as long as a megabyte. */
+const MAX_KEPT_BYTES = 16 * 1_048_576
+/** Write ids kept, so that a repeated write is known: half a day of them. */
+const MAX_KEPT_WRITES = 10_000
+/** Write ids passed on in a snapshot: about 60 KB. */
+const MAX_SNAPSHOT_WRITES = 1_000
+
+type Listener = (configuration: Configuration) => void
+
+/**
+ * The configuration in force on this host. It only goes up: change n+1 is adopted on n alone and a
+ * snapshot only where it is higher, so neither a late message nor a lagging peer can take a
+ * revision back.
+ */
+export class ConfigurationStore {
+  private configuration = Configuration.empty
+  private ready = false
+  private kept: KeptChange[] = []
+  private keptBytes = 0
+  private readonly writes = new Map<string, number>()
+  private readonly listeners = new Set<Listener>()
+
+  get current (): Configuration {
+    return this.configuration
+  }
+
+  /** False until the platform or a peer has answered with all that it has; see `loadFirstConfiguration`. */
+  get isReady (): boolean {
+    return this.ready
+  }
+
+  markReady (): void {
+    if (this.ready) return
+    this.ready = true
+    this.notifyListeners()
+  }
+
+  /** Takes the change if it is the one right after the revision in force. */
+  adoptChange (change: Change, body: string = encodeChange(change)): boolean {
+    const next = this.configuration.apply(change)
+    if (next === undefined) return false
+    this.configuration = next
+    this.keepChange({ change, body })
+    this.keepWrite(change.writeId, change.revision)
+    this.notifyListeners()
+    return true
+  }
+
+  /** Takes the snapshot if its revision is higher than the one in force. */
+  adoptSnapshot (snapshot: ConfigurationSnapshot): boolean {
+    if (snapshot.revision <= this.configuration.revision) return false
+    this.configuration = Configuration.restore(snapshot.revision, snapshot.resources)
+    this.kept = []
+    this.keptBytes = 0
+    for (const write of snapshot.writes) this.keepWrite(write.writeId, write.revision)
+    this.notifyListeners()
+    return true
+  }
+
+  buildSnapshot (): ConfigurationSnapshot {
+    const writes = [...this.writes].slice(-MAX_SNAPSHOT_WRITES).map(([writeId, revision]) => ({ writeId, revision }))
+    return { revision: this.configuration.revision, resources: this.configuration.listAll(), writes }
+  }
+
+  /** The changes after a revision, oldest first; undefined where they are no longer all kept. */
+  listChanges (after: number, max: number): KeptChange[] | undefined {
+    const oldest = this.configuration.revision - this.kept.length
+    if (after < oldest) return undefined
+    return this.kept.slice(after - oldest, after - oldest + max)
+  }
+
+  /** The revision that a write made; undefined where it isn't among the kept ones. */
+  findWrite (writeId: string): number | undefined {
+    return this.writes.get(writeId)
+  }
+
+  /** Calls the listener after each step up, until the signal aborts. */
+  subscribe (listener: Listener, signal: AbortSignal): void {
+    if (signal.aborted) return
+    this.listeners.add(listener)
+    signal.addEventListener('abort', () => this.listeners.delete(listener), { once: true })
+  }
+
+  /** Resolves once a revision above `after` is in force, or when the signal aborts. */
+  async waitAbove (after: number, signal: AbortSignal): Promise<void> {
+    if (signal.aborted || this.configuration.revision > after) return
+    const wait = new AbortController()
+    await new Promise<void>((resolve) => {
+      const finish = () => {
+        wait.abort()
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      signal.addEventListener('abort', finish, { once: true })
+      this.subscribe((configuration) => { if (configuration.revision > after) finish() }, wait.signal)
+    })
+  }
+
+  private keepChange (kept: KeptChange): void {
+    this.kept.push(kept)
+    this.keptBytes += kept.body.length
+    while (this.kept.length > MAX_KEPT_CHANGES || (this.keptBytes > MAX_KEPT_BYTES && this.kept.length > 1)) {
+      this.keptBytes -= this.kept.shift()?.body.length ?? 0
+    }
+  }
+
+  private keepWrite (writeId: string, revision: number): void {
+    this.writes.set(writeId, revision)
+    if (this.writes.size <= MAX_KEPT_WRITES) return
+    const [oldest] = this.writes.keys()
+    if (oldest !== undefined) this.writes.delete(oldest)
+  }
+
+  private notifyListeners (): void {
+    for (const listener of [...this.listeners]) listener(this.configuration)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/listBrokenReferences.ts
@@ -0,0 +1,26 @@
+import type { Configuration } from '../../version/configuration.js'
+import { listReferences } from './listReferences.js'
+import type { Problem } from './problem.js'
+import { ReferenceIndex } from './referenceIndex.js'
+
+const MAX_PROBLEMS = 20
+
+/** Fields of other resources that name what is there before a change and no longer after it. */
+export function listBrokenReferences (before: Configuration, after: Configuration): Problem[] {
+  const indexBefore = new ReferenceIndex(before)
+  const indexAfter = new ReferenceIndex(after)
+  const problems: Problem[] = []
+  for (const resource of after.listAll()) {
+    for (const reference of listReferences(resource)) {
+      if (reference.isLoose || indexAfter.has(reference) || !indexBefore.has(reference)) continue
+      const where = `${resource.kind}/${resource.name}`
+      problems.push({
+        path: `${where}: ${reference.path}`,
+        found: reference.name,
+        remedy: `change or delete ${where} first, which names ${reference.to} '${reference.name}'`
+      })
+      if (problems.length === MAX_PROBLEMS) return problems
+    }
+  }
+  return problems
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/maxValueBytes.ts
@@ -0,0 +1,2 @@
+/** Longest value that is written to the platform: a megabyte, counted the stricter way. */
+export const MAX_VALUE_BYTES = 1_000_000
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/repairFromPlatform.ts
@@ -0,0 +1,31 @@
+import type { Platform } from '../platform/platform.js'
+import { changeKeys } from './changeKeys.js'
+import type { ConfigurationStore } from './configurationStore.js'
+import { decodeChange } from './decodeChange.js'
+import { loadSnapshot } from './loadSnapshot.js'
+
+/** Changes read in one call; each may be as long as a megabyte. */
+const PAGE = 32
+
+/**
+ * Brings the store up to the end of the platform's change log. Rejects where the platform doesn't
+ * answer, or where a change can't be read; the store then stays at the revision before it.
+ */
+export async function repairFromPlatform (platform: Platform, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
+  if (store.current.revision === 0) await adoptLatestSnapshot(platform, store, signal)
+  for (;;) {
+    const before = store.current.revision
+    const entries = await platform.list(changeKeys.prefix, changeKeys.makeChangeKey(before), PAGE, signal)
+    for (const entry of entries) {
+      const revision = Number(entry.key.slice(changeKeys.prefix.length))
+      if (revision > store.current.revision) store.adoptChange(decodeChange(entry.value, revision), entry.value)
+    }
+    if (entries.length < PAGE) return
+    if (store.current.revision === before) return
+  }
+}
+
+async function adoptLatestSnapshot (platform: Platform, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
+  const snapshot = await loadSnapshot(platform, signal)
+  if (snapshot !== undefined) store.adoptSnapshot(snapshot)
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/resourceSchema.ts
@@ -0,0 +1,23 @@
+import { z } from 'zod'
+import { ResourceKind } from '../../version/resources/resourceKind.js'
+import { ResourceName } from '../../version/resources/resourceName.js'
+import { resourceSpecs } from '../../version/resources/resourceSpecs.js'
+
+const Revision = z.number().int().min(1).max(Number.MAX_SAFE_INTEGER)
+
+const makeSchema = <Kind extends ResourceKind>(kind: Kind) => z.object({
+  kind: z.literal(kind),
+  name: ResourceName,
+  spec: resourceSpecs[kind],
+  revision: Revision
+})
+
+/** A resource as changes and snapshots hold it. */
+export const resourceSchema = z.discriminatedUnion('kind', [
+  makeSchema(ResourceKind.service),
+  makeSchema(ResourceKind.region),
+  makeSchema(ResourceKind.link),
+  makeSchema(ResourceKind.steeringPolicy),
+  makeSchema(ResourceKind.drain),
+  makeSchema(ResourceKind.shiftCap)
+])
--- /dev/null
+++ b/packages/almondrelay/src/process/configuration/writeRecord.ts
@@ -0,0 +1,5 @@
+/** Which revision a write made. */
+export interface WriteRecord {
+  writeId: string
+  revision: number
+}
