--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './operator/index.js'
--- /dev/null
+++ b/packages/almondrelay/src/connection/operator/index.ts
@@ -0,0 +1,2 @@
+export * from './createOperatorApp.js'
+export * from './operatorAppOptions.js'
--- a/packages/almondrelay/src/process/configuration/changeLog.ts
+++ b/packages/almondrelay/src/process/configuration/changeLog.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import type { Change } from '../../version/resources/change.js'
 import { AlmondrelayError } from '../errors/almondrelayError.js'
 import { ErrorKind } from '../errors/errorKind.js'
@@ -32,10 +33,10 @@
  * Operators' writes as entries of the platform's change log.
  *
  * Guards against an answer that is lost after the write took effect: change n+1 is the creation of
- * one key, which is never deleted, so whoever stands in that key made the change. The key is read
- * until it names a writer; a write that lost its key can never take effect there later, even if
- * its message is still on the way, and goes on to the next one. Where the key can't be read, the
- * writer is told `unknown`, never that it was refused.
+ * one key, which is never deleted, so the write whose id stands in that key made the change. The
+ * key is read, and what stands there is adopted as it stands; a write that lost its key can never
+ * take effect there later, even if its message is still on the way, and goes on to the next one.
+ * Where the key can't be read, the writer is told `unknown`, never that it was refused.
  */
 export class ChangeLog {
   /** Writes of unknown outcome, by the one revision that each can still become. */
@@ -79,7 +80,7 @@
     const { writeId } = write
     for (;;) {
       const known = store.findWrite(writeId)
-      if (known !== undefined) return { outcome: 'accepted', writeId, revision: known }
+      if (known !== undefined) return this.resolveRepeat(write, known)
       const decision = decideWrite(store.current, write, this.findLostTo(write, begunAt), clock.getWallTime())
       if ('refusal' in decision) {
         if (await this.tryAdvance(signal)) continue
@@ -93,6 +94,15 @@
     }
   }
 
+  /** A write that is in the log already: this one, sent before, unless its id was used twice. */
+  private resolveRepeat (write: Write, revision: number): WriteOutcome {
+    const { writeId } = write
+    const made = this.options.store.listChanges(revision - 1, 1)?.[0]?.change
+    if (made === undefined || isSameWrite(made, write)) return { outcome: 'accepted', writeId, revision }
+    const remedy = `use a new UUID for a new write: this one made change ${revision}`
+    return { outcome: 'rejected', writeId, problems: [{ path: 'Almondrelay-Write-Id', found: writeId, remedy }] }
+  }
+
   private adoptOwn (change: Change): void {
     this.options.store.adoptChange(change)
     for (const listener of this.listeners) listener(change.revision)
@@ -143,8 +153,7 @@
       if (result.stored) return { state: 'mine' }
       const entry = await platform.get(key, signal)
       if (entry === undefined) return { state: 'unknown' }
-      const holder = decodeChange(entry.value, change.revision)
-      return holder.writeId === change.writeId ? { state: 'mine' } : { state: 'taken', change: holder, body: entry.value }
+      return { state: 'taken', change: decodeChange(entry.value, change.revision), body: entry.value }
     } catch (error) {
       if (isUnavailable(error)) return { state: 'unknown' }
       throw error
@@ -159,6 +168,12 @@
   }
 }
 
+function isSameWrite (made: Change, write: Write): boolean {
+  if (made.action === 'delete' || write.action === 'delete') return made.action === 'delete' && write.action === 'delete' && made.kind === write.kind && made.name === write.name
+  const { kind, name, spec } = made.resource
+  return kind === write.resource.kind && name === write.resource.name && isDeepStrictEqual(spec, write.resource.spec)
+}
+
 const isUnavailable = (error: unknown): boolean => error instanceof AlmondrelayError && error.kind === ErrorKind.platformUnavailable
 
 function checkSize (change: Change): void {
--- a/packages/almondrelay/src/process/membership/index.ts
+++ b/packages/almondrelay/src/process/membership/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './member.js'
+export * from './memberState.js'
