--- a/packages/almondrelay-stand-ins/src/index.ts
+++ b/packages/almondrelay-stand-ins/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+export * from './network/listenApp.js'
+export * from './platform/createPlatformApp.js'
+export * from './platform/platformFaults.js'
+export * from './platform/platformStore.js'
+export * from './target/buildTargetAnswer.js'
+export * from './target/target.js'
+export * from './target/targetFaults.js'
+export * from './target/targetReport.js'
+export * from './target/targetRuns.js'
+export * from './target/targetSettings.js'
