Match the command line to the operator port and repeat lost writes under their id

Cause: the operator port now stands; its status, write answers and 'not-ready' differ from what the command line assumed, and a repeat of one write id is safe there. Change: shapes of status and writes as the port gives them; a host that is not ready is passed over; a write that is absent after a lost answer is sent again under the same id instead of being told as unknown at once. Problem of a file renamed FileProblem, since the configuration has a Problem of its own. Conclusion: unknown is told only where no host can say what became of the write.

--- a/packages/almondrelay-cli/src/client/computeReach.ts
+++ b/packages/almondrelay-cli/src/client/computeReach.ts
@@ -3,12 +3,12 @@
 
 /** Where a revision is in force, by the status of one host. */
 export function computeReach (status: HostStatus, revision: number): RevisionReach {
-  const reachable = status.availabilityZones.filter((zone) => !status.unreachable.includes(zone.name))
-  const lagging = reachable.filter((zone) => zone.revision < revision).map((zone) => zone.name)
+  const reachable = status.availabilityZones.filter((zone) => zone.revision !== undefined)
+  const lagging = reachable.filter((zone) => (zone.revision ?? 0) < revision).map((zone) => zone.availabilityZone)
   return {
     inForce: status.revision >= revision && lagging.length === 0,
     zones: reachable.length,
     lagging,
-    unreachable: status.unreachable
+    unreachable: status.unreachableHosts
   }
 }
--- a/packages/almondrelay-cli/src/client/operatorClient.ts
+++ b/packages/almondrelay-cli/src/client/operatorClient.ts
@@ -21,7 +21,9 @@
     const failures: string[] = []
     for (const address of this.addresses) {
       try {
-        return await this.send(address, call)
+        const answer = await this.send(address, call)
+        if (!isNotReady(answer)) return answer
+        failures.push(`${address}: not ready`)
       } catch (error) {
         this.signal.throwIfAborted()
         failures.push(`${address}: ${describeFailure(error)}`)
@@ -31,7 +33,7 @@
   }
 
   /**
-   * Sends a write. The next host is tried only while the call can't have left.
+   * Sends a write. The next host is tried only while no host can have taken it.
    *
    * A write whose answer is lost may have been stored: the operator would see a failure, write
    * again and so undo what a colleague wrote in between. So the failure is returned as
@@ -41,7 +43,9 @@
     const failures: string[] = []
     for (const address of this.addresses) {
       try {
-        return await this.send(address, call)
+        const answer = await this.send(address, call)
+        if (!isNotReady(answer)) return answer
+        failures.push(`${address}: not ready`)
       } catch (error) {
         this.signal.throwIfAborted()
         if (!isNotSent(error)) return undefined
@@ -64,6 +68,9 @@
   }
 }
 
+// A host without a configuration says so, and has written nothing.
+const isNotReady = (answer: HttpAnswer): boolean => answer.status === 503 && (answer.body as { outcome?: string } | undefined)?.outcome === 'not-ready'
+
 const isNotSent = (error: unknown): boolean => NOT_SENT.has((error as { code?: string }).code ?? '')
 
 const describeFailure = (error: unknown): string => {
--- a/packages/almondrelay-cli/src/client/shownResource.ts
+++ b/packages/almondrelay-cli/src/client/shownResource.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { ResourceStatus } from './resourceStatus.js'
 
 /** A resource as the resource API shows it. */
 const ShownResource = z.looseObject({
@@ -6,7 +7,7 @@
   name: z.string(),
   revision: z.number(),
   spec: z.unknown(),
-  status: z.looseObject({ drained: z.boolean().optional(), remaining: z.number().optional(), heldBackBy: z.string().optional() }).optional()
+  status: ResourceStatus.optional()
 })
 
 type ShownResource = z.output<typeof ShownResource>
--- a/packages/almondrelay-cli/src/client/writeOutcome.ts
+++ b/packages/almondrelay-cli/src/client/writeOutcome.ts
@@ -7,4 +7,6 @@
   | { outcome: 'rejected', problems: WriteProblem[] }
   /** `revision` is the one that came first. */
   | { outcome: 'conflict', revision: number }
+  /** There was nothing to delete. */
+  | { outcome: 'missing' }
   | { outcome: 'unknown', writeId: string }
--- a/packages/almondrelay-cli/src/client/writeResource.ts
+++ b/packages/almondrelay-cli/src/client/writeResource.ts
@@ -1,12 +1,13 @@
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { match, P } from 'ts-pattern'
-import { z } from 'zod'
+import { match } from 'ts-pattern'
 import { AlmondrelayError, ErrorKind } from 'almondrelay'
 import type { HttpAnswer } from './httpAnswer.js'
+import type { HttpCall } from './httpCall.js'
 import type { OperatorClient } from './operatorClient.js'
+import { WriteAnswer } from './writeAnswer.js'
 import type { WriteOutcome } from './writeOutcome.js'
-import { WriteProblem } from './writeProblem.js'
+import { WriteState } from './writeState.js'
 
 interface ResourceWrite {
   method: 'PUT' | 'DELETE'
@@ -18,56 +19,66 @@
   author: string
 }
 
-/** How often, and how long apart, a lost write is asked after before it is told as unknown. */
+/** How often, and how long apart, a lost write is looked up before it is told as unknown. */
 const LOOK_UPS = 5
 const LOOK_UP_PAUSE_MS = 300
+/** Longer than the 5 s for which a host tries to find out what became of a write. */
+const WRITE_TIMEOUT_MS = 8_000
 
-const Accepted = z.looseObject({ outcome: z.literal('accepted'), revision: z.number() })
-const Rejected = z.looseObject({ problems: z.array(WriteProblem) })
-const Unknown = z.looseObject({ outcome: z.literal('unknown') })
-const Conflict = z.looseObject({ revision: z.number() })
-
-/** Writes or deletes a resource, and finds out what became of it when the answer is lost. */
+/**
+ * Writes or deletes a resource. Where the answer is lost, the write is looked up by its id, and
+ * sent again under the same id where it is absent.
+ *
+ * Guards against a lost answer: the operator would be told of a failure, while the change is in
+ * force. "Absent" is no refusal, since the first message may still be on the way; but the hosts
+ * store one id once, so the answer to the second message holds for both.
+ */
 export async function writeResource (client: OperatorClient, write: ResourceWrite, signal: AbortSignal): Promise<WriteOutcome> {
   const writeId = randomUUID()
-  const answer = await client.write({
-    method: write.method,
-    path: `/v1/resources/${write.kind}/${encodeURIComponent(write.name)}`,
-    headers: { ...makeCondition(write.revision), 'almondrelay-author': write.author, 'almondrelay-write-id': writeId },
-    ...(write.method === 'PUT' ? { body: write.spec } : {})
-  })
-  if (answer === undefined || Unknown.safeParse(answer.body).success) return findLostWrite(client, writeId, signal)
-  return match(answer.status)
-    .with(200, (): WriteOutcome => ({ outcome: 'accepted', revision: readBody(answer, Accepted).revision, writeId }))
-    .with(400, 413, (): WriteOutcome => ({ outcome: 'rejected', problems: readBody(answer, Rejected).problems }))
-    .with(409, 412, (): WriteOutcome => ({ outcome: 'conflict', revision: readBody(answer, Conflict).revision }))
-    .with(404, (): WriteOutcome => ({ outcome: 'conflict', revision: 0 }))
-    .with(P.number, () => { throw makeAnswerError(answer) })
-    .exhaustive()
-}
-
-// "absent" is no refusal: the host that took the write may be slow to store it, so a write that
-// is absent now can be in force a moment later. Only "accepted" is definitive.
-const findLostWrite = async (client: OperatorClient, writeId: string, signal: AbortSignal): Promise<WriteOutcome> => {
+  const call = buildCall(write, writeId)
   for (let look = 0; look < LOOK_UPS; look += 1) {
-    const answer = await client.ask({ method: 'GET', path: `/v1/writes/${writeId}` }).catch(() => undefined)
-    const accepted = Accepted.safeParse(answer?.body)
-    if (accepted.success) return { outcome: 'accepted', revision: accepted.data.revision, writeId }
+    const outcome = toOutcome(await client.write(call), writeId)
+    if (outcome !== undefined) return outcome
+    const state = await findWrite(client, writeId)
+    if (state?.outcome === 'accepted') return { outcome: 'accepted', revision: state.revision, writeId }
     await sleep(LOOK_UP_PAUSE_MS, undefined, { signal })
   }
   return { outcome: 'unknown', writeId }
 }
 
-const makeCondition = (revision: number | undefined): Record<string, string> => revision === undefined ? { 'if-none-match': '*' } : { 'if-match': `"${revision}"` }
+const buildCall = (write: ResourceWrite, writeId: string): HttpCall => ({
+  method: write.method,
+  path: `/v1/resources/${write.kind}/${encodeURIComponent(write.name)}`,
+  headers: {
+    ...(write.revision === undefined ? { 'if-none-match': '*' } : { 'if-match': `"${write.revision}"` }),
+    'almondrelay-author': write.author,
+    'almondrelay-write-id': writeId
+  },
+  timeoutMs: WRITE_TIMEOUT_MS,
+  ...(write.method === 'PUT' ? { body: write.spec } : {})
+})
+
+// Undefined where the answer does not say what became of the write.
+const toOutcome = (answer: HttpAnswer | undefined, writeId: string): WriteOutcome | undefined => {
+  if (answer === undefined) return undefined
+  const parsed = WriteAnswer.safeParse(answer.body)
+  if (!parsed.success) throw makeAnswerError(answer, writeId)
+  return match(parsed.data)
+    .with({ outcome: 'accepted' }, ({ revision }): WriteOutcome => ({ outcome: 'accepted', revision, writeId }))
+    .with({ outcome: 'conflict' }, ({ revision }): WriteOutcome => ({ outcome: 'conflict', revision }))
+    .with({ outcome: 'rejected' }, ({ problems }): WriteOutcome => ({ outcome: 'rejected', problems }))
+    .with({ outcome: 'missing' }, (): WriteOutcome => ({ outcome: 'missing' }))
+    .with({ outcome: 'unknown' }, () => undefined)
+    .exhaustive()
+}
 
-const readBody = <Schema extends z.ZodType>(answer: HttpAnswer, schema: Schema): z.output<Schema> => {
-  const parsed = schema.safeParse(answer.body)
-  if (!parsed.success) throw makeAnswerError(answer)
-  return parsed.data
+const findWrite = async (client: OperatorClient, writeId: string): Promise<WriteState | undefined> => {
+  const answer = await client.ask({ method: 'GET', path: `/v1/writes/${writeId}` }).catch(() => undefined)
+  return WriteState.safeParse(answer?.body).data
 }
 
-const makeAnswerError = (answer: HttpAnswer): AlmondrelayError => new AlmondrelayError({
-  kind: ErrorKind.notReady,
-  message: `${answer.address} answered ${answer.status} with an unknown body (${JSON.stringify(answer.body)})`,
-  remedy: 'use the almondrelay of the same version as the hosts'
+const makeAnswerError = (answer: HttpAnswer, writeId: string): AlmondrelayError => new AlmondrelayError({
+  kind: ErrorKind.writeUnknown,
+  message: `${answer.address} answered ${answer.status} with ${JSON.stringify(answer.body)}, which does not say whether the write was stored`,
+  remedy: `ask with almondrelay outcome ${writeId}, and use the almondrelay of the same version as the hosts`
 })
--- a/packages/almondrelay-cli/src/commands/createLookupCommand.ts
+++ b/packages/almondrelay-cli/src/commands/createLookupCommand.ts
@@ -43,8 +43,8 @@
 const findEntry = async (terminal: Terminal, options: LookupOptions): Promise<string> => {
   if (options.entry !== undefined) return options.entry
   const status = await fetchStatus(createClient(terminal, options.operator))
-  if (status.host.callerAddress !== undefined) return status.host.callerAddress
-  throw new AlmondrelayError({ kind: ErrorKind.requestInvalid, message: `${status.host.name} does not say where its caller port is`, remedy: 'name it with --entry <ip:port>' })
+  if (status.host.callerAddress !== '') return status.host.callerAddress
+  throw new AlmondrelayError({ kind: ErrorKind.requestInvalid, message: `${status.host.host} does not say where its caller port is`, remedy: 'name it with --entry <ip:port>' })
 }
 
 const formatAnswer = (answer: z.output<typeof LookupAnswer>): string => [
--- a/packages/almondrelay-cli/src/commands/createOutcomeCommand.ts
+++ b/packages/almondrelay-cli/src/commands/createOutcomeCommand.ts
@@ -1,7 +1,7 @@
 import { Command } from 'commander'
 import { match } from 'ts-pattern'
-import { z } from 'zod'
 import { parseAnswer } from '../client/parseAnswer.js'
+import { WriteState } from '../client/writeState.js'
 import { ExitCode } from '../common/exitCode.js'
 import type { Terminal } from '../common/terminal.js'
 import { OutputFormat } from '../output/outputFormat.js'
@@ -10,12 +10,6 @@
 import { formatExample } from './formatExample.js'
 import type { OperatorOptions } from './operatorOptions.js'
 
-const WriteState = z.discriminatedUnion('outcome', [
-  z.looseObject({ outcome: z.literal('accepted'), revision: z.number() }),
-  z.looseObject({ outcome: z.literal('absent') }),
-  z.looseObject({ outcome: z.literal('unknown') })
-])
-
 /** `almondrelay outcome`: what became of a write whose answer was lost. */
 export function createOutcomeCommand (terminal: Terminal): Command {
   return addOperatorOptions(new Command('outcome'))
@@ -31,7 +25,7 @@
     })
 }
 
-const describeState = (state: z.output<typeof WriteState>): string => match(state)
+const describeState = (state: WriteState): string => match(state)
   .with({ outcome: 'accepted' }, ({ revision }) => `stored as revision ${revision}`)
   .with({ outcome: 'absent' }, () => 'not stored as of now')
   .with({ outcome: 'unknown' }, () => 'still not known; the platform can\'t be read now, ask again later')
--- a/packages/almondrelay-cli/src/commands/decideWatch.ts
+++ b/packages/almondrelay-cli/src/commands/decideWatch.ts
@@ -11,12 +11,12 @@
   const reach = computeReach(status, resource.revision)
   return match(goal)
     .with(WatchGoal.inForce, () => ({ reached: reach.inForce, text: describeReach(resource.revision, reach) }))
-    .with(WatchGoal.drained, () => ({ reached: reach.inForce && resource.status?.drained === true, text: describeDrain(resource) }))
+    .with(WatchGoal.drained, () => ({ reached: reach.inForce && resource.status?.workLeft === 0, text: describeDrain(resource) }))
     .exhaustive()
 }
 
 const describeDrain = (resource: ShownResource): string => {
-  const { drained, remaining, heldBackBy } = resource.status ?? {}
-  const left = remaining === undefined ? 'what is left is not known' : `${remaining} requests left`
-  return `${drained === true ? 'drained' : 'draining'}, ${left}${heldBackBy === undefined ? '' : `, held back by ${heldBackBy}`}`
+  const { workLeft, message } = resource.status ?? {}
+  const left = workLeft === undefined ? 'what is left is not known' : `${workLeft} requests left`
+  return `${workLeft === 0 ? 'drained' : 'draining'}, ${left}${message === undefined ? '' : ` (${message})`}`
 }
--- a/packages/almondrelay-cli/src/commands/exitCodeByOutcome.ts
+++ b/packages/almondrelay-cli/src/commands/exitCodeByOutcome.ts
@@ -6,5 +6,6 @@
   unchanged: ExitCode.ok,
   rejected: ExitCode.rejected,
   conflict: ExitCode.conflict,
+  missing: ExitCode.absent,
   unknown: ExitCode.unknown
 } as const
--- a/packages/almondrelay-cli/src/resources/loadResources.ts
+++ b/packages/almondrelay-cli/src/resources/loadResources.ts
@@ -1,5 +1,5 @@
 import { readFile } from 'node:fs/promises'
-import { AlmondrelayError, ErrorKind, formatProblem } from 'almondrelay'
+import { AlmondrelayError, ErrorKind, formatFileProblem } from 'almondrelay'
 import type { DeclaredResource } from './declaredResource.js'
 import { parseResources } from './parseResources.js'
 
@@ -12,7 +12,7 @@
   const parsed = await Promise.all(files.map(async (file) => parseResources(file, await loadText(file))))
   const problems = parsed.flatMap((each) => each.problems)
   if (problems.length === 0) return parsed.flatMap((each) => each.resources)
-  const lines = problems.map((problem) => `\n  ${formatProblem(problem)}`)
+  const lines = problems.map((problem) => `\n  ${formatFileProblem(problem)}`)
   throw new AlmondrelayError({ kind: ErrorKind.resourceInvalid, message: `nothing was written${lines.join('')}\n`, remedy: 'mend the file and check it with almondrelay check -f <file>' })
 }
 
--- a/packages/almondrelay-cli/src/resources/parseResources.ts
+++ b/packages/almondrelay-cli/src/resources/parseResources.ts
@@ -1,10 +1,10 @@
 import { z } from 'zod'
-import { checkDocument, JsoncDocument, resourceSpecs, type Problem } from 'almondrelay'
+import { checkDocument, JsoncDocument, resourceSpecs, type FileProblem } from 'almondrelay'
 import { DeclaredResource } from './declaredResource.js'
 
 interface ParsedResources {
   resources: DeclaredResource[]
-  problems: Problem[]
+  problems: FileProblem[]
 }
 
 /** The resources in a text of JSON with comments, and what is wrong with it; needs no host. */
@@ -20,14 +20,14 @@
   return { resources, problems: findDoubles(document, resources) }
 }
 
-const checkEntry = (document: JsoncDocument, index: number): Problem[] => {
+const checkEntry = (document: JsoncDocument, index: number): FileProblem[] => {
   const problems = checkDocument(document, DeclaredResource, [index])
   if (problems.length > 0) return problems
   const entry = DeclaredResource.parse((document.value as unknown[])[index])
   return checkDocument(document, resourceSpecs[entry.kind], [index, 'spec'])
 }
 
-const findDoubles = (document: JsoncDocument, resources: readonly DeclaredResource[]): Problem[] => {
+const findDoubles = (document: JsoncDocument, resources: readonly DeclaredResource[]): FileProblem[] => {
   const seen = new Set<string>()
   return resources.flatMap((resource, index) => {
     const key = `${resource.kind}/${resource.name}`
--- a/packages/almondrelay/src/process/settings/checkDocument.ts
+++ b/packages/almondrelay/src/process/settings/checkDocument.ts
@@ -3,7 +3,7 @@
 import { findNearestName } from './findNearestName.js'
 import type { JsoncDocument } from './jsoncDocument.js'
 import { listKnownNames } from './listKnownNames.js'
-import type { Problem } from './problem.js'
+import type { FileProblem } from './fileProblem.js'
 
 const MAX_FOUND_LENGTH = 60
 
@@ -11,7 +11,7 @@
  * What is wrong with the value at `base` of a document, by a schema. A problem names the
  * value's whole path and line in the file.
  */
-export function checkDocument (document: JsoncDocument, schema: z.ZodType, base: ReadonlyArray<string | number> = []): Problem[] {
+export function checkDocument (document: JsoncDocument, schema: z.ZodType, base: ReadonlyArray<string | number> = []): FileProblem[] {
   const value = findValue(document.value, base)
   const result = schema.safeParse(value)
   if (result.success) return []
@@ -21,9 +21,9 @@
 type Issue = z.core.$ZodIssue
 type Path = ReadonlyArray<string | number>
 
-const describeIssue = (document: JsoncDocument, schema: z.ZodType, base: Path, issue: Issue): Problem[] => {
+const describeIssue = (document: JsoncDocument, schema: z.ZodType, base: Path, issue: Issue): FileProblem[] => {
   const path = [...base, ...issue.path.map((part) => typeof part === 'number' ? part : String(part))]
-  const makeProblem = (at: Path, found: string, remedy: string): Problem => ({ file: document.file, line: document.findLine(at), path: at.join('.'), found, remedy })
+  const makeProblem = (at: Path, found: string, remedy: string): FileProblem => ({ file: document.file, line: document.findLine(at), path: at.join('.'), found, remedy })
   if (issue.code === 'unrecognized_keys') {
     const known = listKnownNames(schema, issue.path)
     return issue.keys.map((key) => makeProblem([...path, key], `the unknown name '${key}'`, describeKnown(key, known)))
--- a/packages/almondrelay/src/process/settings/problem.ts
+++ b/packages/almondrelay/src/process/settings/fileProblem.ts
@@ -1,5 +1,5 @@
 /** One thing that is wrong in a file that people write, and what to write instead. */
-export interface Problem {
+export interface FileProblem {
   file: string
   /** Line in the file, from 1. */
   line: number
--- a/packages/almondrelay/src/process/settings/jsoncDocument.ts
+++ b/packages/almondrelay/src/process/settings/jsoncDocument.ts
@@ -1,5 +1,5 @@
 import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, type Node, type ParseError } from 'jsonc-parser'
-import type { Problem } from './problem.js'
+import type { FileProblem } from './fileProblem.js'
 
 const PARSE_OPTIONS = { allowTrailingComma: true, disallowComments: false }
 const SYNTAX_REMEDY = 'write JSON, in which comments and a last comma are allowed'
@@ -9,7 +9,7 @@
   /** What the text holds; undefined where it can't be parsed. */
   readonly value: unknown
   /** Errors of syntax and keys that stand twice in one object. */
-  readonly problems: Problem[]
+  readonly problems: FileProblem[]
   private readonly root: Node | undefined
 
   constructor (readonly file: string, private readonly text: string) {
@@ -30,7 +30,7 @@
     return this.root === undefined ? 1 : this.countLines(this.root.offset)
   }
 
-  private describeSyntaxError (error: ParseError): Problem {
+  private describeSyntaxError (error: ParseError): FileProblem {
     const found = error.length === 0 ? 'the end of the file' : JSON.stringify(this.text.slice(error.offset, error.offset + Math.min(error.length, 40)))
     return { file: this.file, line: this.countLines(error.offset), path: '', found: `${found} (${printParseErrorCode(error.error)})`, remedy: SYNTAX_REMEDY }
   }
--- a/packages/almondrelay/src/process/settings/parseSettings.ts
+++ b/packages/almondrelay/src/process/settings/parseSettings.ts
@@ -1,7 +1,7 @@
 import { AlmondrelayError } from '../errors/almondrelayError.js'
 import { ErrorKind } from '../errors/errorKind.js'
 import { checkDocument } from './checkDocument.js'
-import { formatProblem } from './formatProblem.js'
+import { formatFileProblem } from './formatFileProblem.js'
 import { HostSettings } from './hostSettings.js'
 import { JsoncDocument } from './jsoncDocument.js'
 
@@ -16,6 +16,6 @@
   const document = new JsoncDocument(file, text)
   const problems = document.problems.length > 0 ? document.problems : checkDocument(document, HostSettings)
   if (problems.length === 0) return HostSettings.parse(document.value)
-  const lines = problems.map((problem) => `\n  ${formatProblem(problem)}`)
+  const lines = problems.map((problem) => `\n  ${formatFileProblem(problem)}`)
   throw new AlmondrelayError({ kind: ErrorKind.settingsInvalid, message: `${file} can't be used as settings${lines.join('')}\n`, remedy: REMEDY })
 }
