Answer who got what from the command line

Change: readAccount answers the operator port's account call; almondrelay account adds up by chosen dimensions and prints a table, JSON or CSV with missing, folded, lost and unreadable parts named. A live host whose page isn't due yet is not called silent: the report says from which minute on pages may still come. CSV cells that a spreadsheet would run as a formula are quoted.

--- /dev/null
+++ b/packages/almondrelay-cli/src/account/__tests__/account.test.ts
@@ -0,0 +1,73 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { AccountLedger, mergePages, type AccountEntry, type AccountReport } from 'almondrelay'
+import { FakeOperator } from '../../__fixtures__/fakeOperator.js'
+import { runWith } from '../../__fixtures__/runWith.js'
+import { parseTime } from '../parseTime.js'
+
+const MINUTE = 60_000
+
+const makeReport = (): AccountReport => {
+  const ledger = new AccountLedger({ host: 'akl-a-1', incarnation: 1, maxRows: 4 })
+  const add = (parts: Partial<AccountEntry>): void => ledger.record({ at: 0, caller: 'kowhai', service: 'balances', target: 'b1', region: 'akl', availabilityZone: 'akl-a', callerRegion: 'akl', outcome: 'run', durationMs: 10, ...parts })
+  for (let index = 0; index < 5; index += 1) add({})
+  add({ durationMs: 40 })
+  add({ service: 'approvals', target: 'a1' })
+  add({ caller: '=cmd()', at: MINUTE })
+  add({ outcome: 'not-run', reason: 'queue-full', at: MINUTE })
+  for (let index = 0; index < 4; index += 1) add({ caller: `c${index}`, at: MINUTE })
+  ledger.closeMinutes(2 * MINUTE)
+  return { ...mergePages(ledger.listPages(), 0, 5, 4), unreadable: [] }
+}
+
+const withReport = async (args: readonly string[]) => {
+  const fake = await FakeOperator.start()
+  fake.pages = makeReport()
+  try {
+    return await runWith(['account', '--operator', fake.address, ...args])
+  } finally {
+    await fake.stop()
+  }
+}
+
+test('who got what, by caller and outcome', async () => {
+  const result = await withReport(['--by', 'caller,outcome'])
+  assert.is(result.code, 0, result.stderr)
+  assert.match(result.stdout, /kowhai\s+run\s+7\s+14.3\s+40/)
+  assert.match(result.stdout, /kowhai\s+not-run\s+1/)
+  assert.match(result.stdout, 'total 13, from 2 pages')
+})
+
+test('what is missing, folded or lost is told with the total', async () => {
+  const result = await withReport([])
+  assert.match(result.stdout, 'missing: akl-a-1 (incarnation 1): no page after 1970-01-01T00:01Z, and no planned stop')
+  assert.match(result.stdout, 'open: pages of minutes after 1970-01-01T00:04Z may still come')
+  assert.match(result.stdout, "folded: 2 requests are counted under the caller 'other'")
+})
+
+test('one caller, one service', async () => {
+  const result = await withReport(['--by', 'target', '--caller', 'kowhai', '--service', 'approvals', '--output', 'json'])
+  const shown = JSON.parse(result.stdout) as { total: number, rows: unknown[] }
+  assert.is(shown.total, 1)
+  assert.equal(shown.rows, [{ target: 'a1', requests: 1, meanMs: 10, maxMs: 10 }])
+})
+
+// A caller names itself `=cmd()`. The manager opens the account in a spreadsheet, which would
+// run the name as a formula.
+test('csv keeps a name from being read as a formula, and tells the gaps apart from the rows', async () => {
+  const result = await withReport(['--by', 'caller', '--output', 'csv'])
+  assert.match(result.stdout, "\r\n'=cmd(),1,")
+  assert.not.match(result.stdout, 'missing')
+  assert.match(result.stderr, 'missing')
+})
+
+test('times are ISO 8601 or how long ago; other words and unknown dimensions are refused', async () => {
+  assert.is(parseTime('90m', 100 * MINUTE), 10 * MINUTE)
+  assert.is(parseTime('1970-01-01T00:01Z', 0), MINUTE)
+  assert.is((await withReport(['--since', 'yesterday'])).code, 2)
+  const wrong = await withReport(['--by', 'callr'])
+  assert.is(wrong.code, 2)
+  assert.match(wrong.stderr, "'callr' is unknown: write caller")
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-cli/src/account/accountFormat.ts
@@ -0,0 +1,10 @@
+/** How an account is printed. */
+const AccountFormat = {
+  table: 'table',
+  json: 'json',
+  csv: 'csv'
+} as const
+
+type AccountFormat = (typeof AccountFormat)[keyof typeof AccountFormat]
+
+export { AccountFormat }
--- /dev/null
+++ b/packages/almondrelay-cli/src/account/describeGaps.ts
@@ -0,0 +1,22 @@
+import type { AccountReport } from 'almondrelay'
+
+const MAX_NAMED = 10
+const MINUTE_MS = 60_000
+
+/** What an account is known to lack, one line for each matter; none where nothing is. */
+export function describeGaps (report: AccountReport): string[] {
+  const gaps = report.missing.map((gap) => {
+    const named = gap.minutes.slice(0, MAX_NAMED).map(formatMinute).join(', ')
+    const more = gap.minutes.length > MAX_NAMED ? ` and ${gap.minutes.length - MAX_NAMED} more` : ''
+    const absent = gap.minutes.length === 0 ? [] : [`no page for ${named}${more}`]
+    const silent = gap.silentSince === undefined ? [] : [`no page after ${formatMinute(gap.silentSince)}, and no planned stop: what it counted later is not known`]
+    return `missing: ${gap.host} (incarnation ${gap.incarnation}): ${[...absent, ...silent].join('; ')}`
+  })
+  const folded = report.folded === 0 ? [] : [`folded: ${report.folded} requests are counted under the caller 'other', because a host's page was full`]
+  const lost = report.lost.minutes === 0 ? [] : [`lost: hosts dropped ${report.lost.requests} requests in ${report.lost.minutes} minutes, because the platform could not be written for over an hour`]
+  const unreadable = report.unreadable.map((key) => `unreadable: ${key}`)
+  const open = report.until <= report.settled ? [] : [`open: pages of minutes after ${formatMinute(report.settled)} may still come`]
+  return [...open, ...gaps, ...folded, ...lost, ...unreadable]
+}
+
+const formatMinute = (minute: number): string => new Date(minute * MINUTE_MS).toISOString().slice(0, 16) + 'Z'
--- a/packages/almondrelay-cli/src/commands/createProgram.ts
+++ b/packages/almondrelay-cli/src/commands/createProgram.ts
@@ -1,6 +1,7 @@
 import { Command } from 'commander'
 import { ExitCode } from '../common/exitCode.js'
 import type { Terminal } from '../common/terminal.js'
+import { createAccountCommand } from './createAccountCommand.js'
 import { createApplyCommand } from './createApplyCommand.js'
 import { createCheckCommand } from './createCheckCommand.js'
 import { createDeleteCommand } from './createDeleteCommand.js'
@@ -19,7 +20,8 @@
   createWatchCommand,
   createOutcomeCommand,
   createLookupCommand,
-  createStatusCommand
+  createStatusCommand,
+  createAccountCommand
 ]
 
 const EXIT_CODES = `
--- a/packages/almondrelay/src/process/account/accountReader.ts
+++ b/packages/almondrelay/src/process/account/accountReader.ts
@@ -10,6 +10,8 @@
 /** Pages of one list call: under 15 MB even when each is at its bound. */
 const LIST_LIMIT = 16
 const MINUTE_MS = 60_000
+/** The open minute, and one more in which a host writes the page of the last (see WRITE_SPREAD_MS of AccountWriter). */
+const SETTLING_MINUTES = 2
 /** Sorts after every minute of an incarnation. */
 const AFTER_MINUTES = '~'
 
@@ -22,7 +24,7 @@
    *
    * @throws AlmondrelayError of kind `platform-unavailable`; no part of an account is returned as the whole.
    */
-  async read (sinceMs: number, untilMs: number, signal: AbortSignal): Promise<AccountReport> {
+  async read (sinceMs: number, untilMs: number, wallNow: number, signal: AbortSignal): Promise<AccountReport> {
     const since = Math.floor(sinceMs / MINUTE_MS)
     const until = Math.floor(untilMs / MINUTE_MS)
     const pages: AccountPage[] = []
@@ -32,7 +34,7 @@
       if (page === undefined) unreadable.push(entry.key)
       else pages.push(page)
     }
-    return { ...mergePages(pages, since, until), unreadable }
+    return { ...mergePages(pages, since, until, Math.floor(wallNow / MINUTE_MS) - SETTLING_MINUTES), unreadable }
   }
 
   // Keys sort by host, incarnation and minute, so minutes outside the span are jumped over.
--- a/packages/almondrelay/src/process/account/accountReport.ts
+++ b/packages/almondrelay/src/process/account/accountReport.ts
@@ -17,6 +17,8 @@
   /** First and last minute since the Unix epoch, both counted. */
   since: z.number(),
   until: z.number(),
+  /** Pages of later minutes may still come. */
+  settled: z.number(),
   /** Sums over hosts and incarnations, in order of time; minutes without requests are left out. */
   minutes: z.array(CountedMinute),
   /** Pages read. */
--- a/packages/almondrelay/src/process/account/mergePages.ts
+++ b/packages/almondrelay/src/process/account/mergePages.ts
@@ -9,8 +9,9 @@
  *
  * @param since First minute, counted.
  * @param until Last minute, counted.
+ * @param settled Last minute of which every live host has had time to write its page.
  */
-export function mergePages (pages: Iterable<AccountPage>, since: number, until: number): Omit<AccountReport, 'unreadable'> {
+export function mergePages (pages: Iterable<AccountPage>, since: number, until: number, settled: number): Omit<AccountReport, 'unreadable'> {
   const byKey = new Map([...pages].map((page) => [formatPageKey(page.host, page.incarnation, page.minute), page]))
   const distinct = [...byKey.values()].filter((page) => page.minute >= since && page.minute <= until)
   const incarnations = splitByIncarnation(distinct)
@@ -18,9 +19,10 @@
   return {
     since,
     until,
+    settled,
     minutes: sumMinutes(distinct),
     pages: distinct.length,
-    missing: incarnations.flatMap((each) => findGap(each, until)),
+    missing: incarnations.flatMap((each) => findGap(each, Math.min(until, settled))),
     folded: distinct.reduce((sum, page) => sum + page.folded, 0),
     lost: { minutes: sum(lost.map((each) => each.minutes)), requests: sum(lost.map((each) => each.requests)) }
   }
