--- /dev/null
+++ b/packages/almondrelay/src/connection/caller/readBody.ts
@@ -0,0 +1,8 @@
+/** Reads a body whole; undefined as soon as it is longer than `maxBytes`. */
+export async function readBody (request: Request, maxBytes: number): Promise<Uint8Array | undefined> {
+  const stated = Number(request.headers.get('content-length') ?? 0)
+  if (stated > maxBytes) return undefined
+  if (request.body === null) return new Uint8Array(0)
+  const body = new Uint8Array(await request.arrayBuffer())
+  return body.byteLength > maxBytes ? undefined : body
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/listenForHttp.ts
@@ -0,0 +1,23 @@
+import { createServer, type Server } from 'node:http'
+import { getRequestListener } from '@hono/node-server'
+import type { Hono } from 'hono'
+import { openServer } from './openServer.js'
+
+/** A caller that sends half a request and stops is cut off after this long. */
+const REQUEST_TIMEOUT_MS = 15_000
+const HEADERS_TIMEOUT_MS = 5_000
+const TIMEOUT_CHECK_MS = 1_000
+const KEEP_ALIVE_MS = 20_000
+
+/** Serves an HTTP/1.1 port. The returned server is closed by whoever opened it. */
+export async function listenForHttp (address: string, app: Hono): Promise<Server> {
+  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false })
+  const server = createServer({
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS
+  }, (request, response) => { void listener(request, response) })
+  await openServer(server, address)
+  return server
+}
--- a/packages/almondrelay/src/connection/target/targetConnections.ts
+++ b/packages/almondrelay/src/connection/target/targetConnections.ts
@@ -1,9 +1,10 @@
 import { Client, errors } from 'undici'
 import type { AnswerHeader } from '../../request/answerHeader.js'
 import { HeaderName } from '../../request/contract/headerName.js'
-import type { Clock } from '../../process/clock/clock.js'
-import type { TargetRequest } from './targetRequest.js'
-import type { TargetResult } from './targetResult.js'
+import type { Clock } from '../../process/platform/clock.js'
+import { TargetSender } from '../../process/dispatch/targetSender.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
+import type { TargetResult } from '../../request/targetResult.js'
 
 interface IdleConnection {
   client: Client
@@ -30,12 +31,14 @@
  * only on a connection that moved bytes within FRESH_MS, or on a new one, at the cost of about 1 ms.
  * A connection whose answer was given up on is destroyed, so no late answer can meet a later request.
  */
-export class TargetConnections {
+export class TargetConnections extends TargetSender {
   private readonly idle = new Map<string, IdleConnection[]>()
 
-  constructor (private readonly clock: Clock) {}
+  constructor (private readonly clock: Clock) {
+    super()
+  }
 
-  async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
+  override async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
     const client = this.take(address, this.clock.getNow()) ?? this.open(address)
     const result = await exchange(client, request, signal)
     if (result.kind === 'answered' || result.kind === 'shed') this.keep(address, client)
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/createDeadlineSignal.ts
@@ -0,0 +1,26 @@
+import type { Clock } from '../platform/clock.js'
+
+interface DeadlineSignal {
+  signal: AbortSignal
+  /** Ends the timer; call it once the work is done. */
+  clear: () => void
+}
+
+/** A signal that aborts at a monotonic time, or with its parent. */
+export function createDeadlineSignal (clock: Clock, deadlineAt: number, parent?: AbortSignal): DeadlineSignal {
+  const deadline = new AbortController()
+  const timer = new AbortController()
+  const abortWithParent = (): void => { deadline.abort() }
+  if (parent?.aborted === true) deadline.abort()
+  parent?.addEventListener('abort', abortWithParent, { once: true })
+  void clock.sleep(Math.max(0, deadlineAt - clock.getNow()), timer.signal).then(() => {
+    if (!timer.signal.aborted) deadline.abort()
+  })
+  return {
+    signal: deadline.signal,
+    clear: () => {
+      timer.abort()
+      parent?.removeEventListener('abort', abortWithParent)
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/creditTask.ts
@@ -0,0 +1,105 @@
+import type { Sender } from 'almondrelay-protocol'
+import { RefusalReason } from '../../request/refusalReason.js'
+import type { Clock } from '../platform/clock.js'
+import type { HeldCredit } from './heldCredit.js'
+import type { HostDirectory } from './hostDirectory.js'
+import { isConnectionRefused } from './isConnectionRefused.js'
+import type { KnownHost } from './knownHost.js'
+import type { Lane } from './lane.js'
+import type { PeerLinks } from './peerLinks.js'
+
+interface CreditTaskParts {
+  clock: Clock
+  directory: HostDirectory
+  links: PeerLinks
+  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+  /** Peers to ask for a lane's credits, best first. */
+  rankPeers: (lane: Lane, now: number) => KnownHost[]
+  signal: AbortSignal
+}
+
+/** Longest wait for one answer about credits, in milliseconds: several round trips between the farthest regions. */
+const CREDIT_TIMEOUT_MS = 500
+const MAX_BATCH = 32
+/** Pause after every peer was asked in vain, in milliseconds; a fresh slot is worth a round trip, not a storm. */
+const MIN_PAUSE_MS = 20
+const MAX_PAUSE_MS = 500
+
+/** Fetches credits for a lane while requests wait in it; one task a lane. */
+export class CreditTask {
+  private wakeUp: (() => void) | undefined
+
+  constructor (private readonly lane: Lane, private readonly parts: CreditTaskParts) {}
+
+  wake (): void {
+    this.wakeUp?.()
+  }
+
+  async run (): Promise<void> {
+    const { signal } = this.parts
+    let pauseMs = MIN_PAUSE_MS
+    while (!signal.aborted) {
+      if (this.lane.countWanted() === 0) await this.waitForWake()
+      if (signal.aborted) return
+      const granted = await this.askPeers()
+      if (granted > 0) {
+        pauseMs = MIN_PAUSE_MS
+        continue
+      }
+      await this.parts.clock.sleep(pauseMs, signal)
+      pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS)
+      if (this.lane.countWanted() === 0) pauseMs = MIN_PAUSE_MS
+    }
+  }
+
+  async returnCredits (credits: HeldCredit[]): Promise<void> {
+    const { directory, links, sender, signal } = this.parts
+    for (const host of new Set(credits.map((credit) => credit.host))) {
+      const peer = directory.find(host)
+      const creditIds = credits.filter((credit) => credit.host === host).map((credit) => credit.id)
+      // A lost return is harmless: the credit lapses at its owner.
+      if (peer !== undefined) await links.get(peer.peerAddress).returnCredits({ sender, creditIds }, { signal, timeoutMs: CREDIT_TIMEOUT_MS }).catch(() => undefined)
+    }
+  }
+
+  private async askPeers (): Promise<number> {
+    const { rankPeers, clock, signal } = this.parts
+    let granted = 0
+    for (const peer of rankPeers(this.lane, clock.getNow())) {
+      const wanted = Math.min(MAX_BATCH, this.lane.countWanted())
+      if (wanted === 0 || signal.aborted) break
+      granted += await this.askPeer(peer, wanted)
+    }
+    return granted
+  }
+
+  private async askPeer (peer: KnownHost, wanted: number): Promise<number> {
+    const { clock, links, sender, directory, signal } = this.parts
+    // The validity counts from before the request left, so that a slow answer can't stretch it.
+    const sentAt = clock.getNow()
+    try {
+      const response = await links.get(peer.peerAddress).requestCredits({ sender, service: this.lane.service, wanted }, { signal, timeoutMs: CREDIT_TIMEOUT_MS })
+      const credits = response.credits.map((credit) => ({ id: credit.id, host: peer.name, target: credit.target, expiresAt: sentAt + response.validMs }))
+      if (credits.length === 0) this.lane.observeShortage((response.reason || RefusalReason.noCredit) as RefusalReason)
+      else this.lane.addCredits(credits)
+      return credits.length
+    } catch (error) {
+      if (isConnectionRefused(error)) directory.observeRefused(peer.name, peer.incarnation)
+      this.lane.observeShortage(RefusalReason.noCredit)
+      return 0
+    }
+  }
+
+  private waitForWake (): Promise<void> {
+    const { signal } = this.parts
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        this.wakeUp = undefined
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      this.wakeUp = finish
+      signal.addEventListener('abort', finish, { once: true })
+    })
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/homeRelay.ts
@@ -0,0 +1,86 @@
+import type { Sender } from 'almondrelay-protocol'
+import type { Answer } from '../../request/answer.js'
+import { buildRefusal } from '../../request/buildRefusal.js'
+import type { CallerRequest } from '../../request/contract/callerRequest.js'
+import type { HomeReference } from '../../request/contract/homeReference.js'
+import { Outcome } from '../../request/outcome.js'
+import { RefusalReason } from '../../request/refusalReason.js'
+import type { Clock } from '../platform/clock.js'
+import type { HostDirectory } from './hostDirectory.js'
+import { isConnectionRefused } from './isConnectionRefused.js'
+import type { KnownHost } from './knownHost.js'
+import { toAnswer } from './toAnswer.js'
+import type { PeerLinks } from './peerLinks.js'
+
+interface HomeRelayParts {
+  clock: Clock
+  directory: HostDirectory
+  links: PeerLinks
+  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+}
+
+const RELAY_PAUSE_MS = 100
+/** Longest wait for a home that doesn't answer, in milliseconds; then the caller is told `unknown` and may ask again. */
+const SILENT_HOME_MS = 3_000
+
+/**
+ * Passes a non-idempotent request on to its home, which alone may start it. Passing it twice is
+ * harmless: the home's journal joins the copies. Where the home has ended, or can't be asked, the
+ * outcome is `unknown` at once, and nothing is run here.
+ */
+export class HomeRelay {
+  constructor (private readonly parts: HomeRelayParts) {}
+
+  async relay (request: CallerRequest, home: HomeReference, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const { clock, directory, links } = this.parts
+    const giveUpAt = Math.min(deadlineAt, clock.getNow() + SILENT_HOME_MS)
+    while (!signal.aborted && clock.getNow() < giveUpAt) {
+      const peer = directory.find(home.host)
+      if (peer === undefined) return answerUnreachable(home)
+      if (peer.incarnation > home.incarnation || peer.gone) return answerGone(home)
+      try {
+        return await this.askHome(peer, request, home, deadlineAt, signal)
+      } catch (error) {
+        if (isConnectionRefused(error)) {
+          directory.observeRefused(peer.name, peer.incarnation)
+          return answerGone(home)
+        }
+        links.drop(peer.peerAddress)
+      }
+      await clock.sleep(RELAY_PAUSE_MS, signal)
+    }
+    return answerUnreachable(home)
+  }
+
+  private async askHome (peer: KnownHost, request: CallerRequest, home: HomeReference, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const leftMs = Math.max(1, Math.floor(deadlineAt - this.parts.clock.getNow()))
+    const response = await this.parts.links.get(peer.peerAddress).relay({
+      sender: this.parts.sender,
+      service: request.service,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      deadlineMs: leftMs,
+      homeIncarnation: BigInt(home.incarnation)
+    }, { signal, timeoutMs: leftMs })
+    return toAnswer(response)
+  }
+}
+
+function answerGone (home: HomeReference): Answer {
+  return buildRefusal({
+    outcome: Outcome.unknown,
+    reason: RefusalReason.homeGone,
+    message: `host ${home.host} has ended and its journal with it: ask the service whether the request ran`
+  })
+}
+
+function answerUnreachable (home: HomeReference): Answer {
+  return buildRefusal({
+    outcome: Outcome.unknown,
+    reason: RefusalReason.homeUnreachable,
+    message: `host ${home.host} can't be asked now: send the request again, unchanged`,
+    retryAfterMs: 1_000
+  })
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/laneRefusal.ts
@@ -0,0 +1,8 @@
+import type { RefusalReason } from '../../request/refusalReason.js'
+
+/** Why a request gets no slot. */
+export interface LaneRefusal {
+  kind: 'refused'
+  reason: RefusalReason
+  retryAfterMs: number
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -0,0 +1,104 @@
+import type { CallerRequest } from '../../request/contract/callerRequest.js'
+import { choosePlacement } from '../../request/placement/choosePlacement.js'
+import type { PlacementInput } from '../../request/placement/placementInput.js'
+import type { ZoneView } from '../../request/placement/zoneView.js'
+import type { Random } from '../../request/random.js'
+import { RefusalReason } from '../../request/refusalReason.js'
+import type { Configuration } from '../../version/configuration.js'
+import { findDrainedZones } from '../../version/findDrainedZones.js'
+import { findSteeringPolicy } from '../../version/findSteeringPolicy.js'
+import type { Clock } from '../platform/clock.js'
+import type { DecisionRecorder } from './decisionRecorder.js'
+import type { HostDirectory } from './hostDirectory.js'
+import type { HostIdentity } from './hostIdentity.js'
+import type { Lane } from './lane.js'
+import type { LaneRefusal } from './laneRefusal.js'
+import type { ServiceRuntime } from './serviceRuntime.js'
+import type { Services } from './services.js'
+import type { SlotPool } from './slotPool.js'
+
+interface PlacerParts {
+  identity: HostIdentity
+  clock: Clock
+  random: Random
+  services: Services
+  slots: SlotPool
+  directory: HostDirectory
+  recorder: DecisionRecorder
+}
+
+type PlacerResult = { kind: 'placed', lane: Lane } | LaneRefusal
+
+const UNKNOWN_LATENCY_MS = 200
+const ZONE_LATENCY_MS = 1
+/** Expected service time of one request, in milliseconds, for the comparison with its deadline. */
+const LEAST_COST_MS = 1
+
+/** Decides which region serves a request and gives the queue for it. */
+export class RequestPlacer {
+  constructor (private readonly parts: PlacerParts) {}
+
+  place (request: CallerRequest, runtime: ServiceRuntime, deadlineAt: number): PlacerResult {
+    const { clock, random, services, recorder } = this.parts
+    const now = clock.getNow()
+    const configuration = services.configuration
+    if (configuration === undefined) return { kind: 'refused', reason: RefusalReason.notReady, retryAfterMs: 1_000 }
+    const input = this.buildInput(runtime, configuration, deadlineAt, now)
+    const placement = choosePlacement(input, now, random)
+    recorder.record({ kind: 'placement', requestId: request.id, input: { ...input }, output: { ...placement } })
+    if (placement.kind === 'refuse') return { kind: 'refused', reason: placement.reason, retryAfterMs: placement.retryAfterMs }
+    const first = placement.zones[0]
+    if (first === undefined) return { kind: 'refused', reason: RefusalReason.noTarget, retryAfterMs: 1_000 }
+    return { kind: 'placed', lane: services.getLane(runtime, first.region) }
+  }
+
+  private buildInput (runtime: ServiceRuntime, configuration: Configuration, deadlineAt: number, now: number): PlacementInput {
+    const { identity } = this.parts
+    const policy = findSteeringPolicy(configuration, runtime.name, identity.region)
+    return {
+      service: runtime.name,
+      ownZone: identity.availabilityZone,
+      ownRegion: identity.region,
+      callerRegion: identity.region,
+      ...(policy === undefined ? {} : { weights: policy.weights }),
+      spill: policy?.spill ?? true,
+      zones: this.buildZones(runtime, configuration, now),
+      caps: [],
+      remainingMs: deadlineAt - now,
+      costMs: LEAST_COST_MS
+    }
+  }
+
+  private buildZones (runtime: ServiceRuntime, configuration: Configuration, now: number): ZoneView[] {
+    const drained = findDrainedZones(configuration)
+    return configuration.list('Region').flatMap((region) => region.spec.availabilityZones.map((availabilityZone) => {
+      const targets = runtime.spec.targets.filter((target) => target.availabilityZone === availabilityZone)
+      return {
+        availabilityZone,
+        region: region.name,
+        slots: targets.reduce((sum, target) => sum + target.slots, 0),
+        draining: drained.has(availabilityZone),
+        latencyMs: this.findLatencyMs(configuration, region.name),
+        ...this.summarizeHosts(runtime, availabilityZone, now)
+      }
+    }))
+  }
+
+  private summarizeHosts (runtime: ServiceRuntime, availabilityZone: string, now: number): Pick<ZoneView, 'freeSlots' | 'ageMs' | 'reachable'> {
+    const { identity, directory, slots } = this.parts
+    if (availabilityZone === identity.availabilityZone) {
+      const free = [...slots.getFree(runtime.name, now).values()].reduce((sum, each) => sum + each, 0)
+      return { freeSlots: free, ageMs: 0, reachable: true }
+    }
+    const hosts = directory.list().filter((host) => host.availabilityZone === availabilityZone && host.reachable && !host.gone && !host.leaving)
+    const freeSlots = hosts.reduce((sum, host) => sum + (host.freeSlots.get(runtime.name) ?? 0), 0)
+    return { freeSlots, ageMs: Math.min(...hosts.map((host) => host.ageMs), Number.MAX_SAFE_INTEGER), reachable: hosts.length > 0 }
+  }
+
+  private findLatencyMs (configuration: Configuration, region: string): number {
+    const { identity } = this.parts
+    if (region === identity.region) return ZONE_LATENCY_MS
+    const link = configuration.list('Link').find((each) => each.spec.from === identity.region && each.spec.to === region)
+    return link?.spec.latencyMs ?? UNKNOWN_LATENCY_MS
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -0,0 +1,120 @@
+import { AdmissionQueue } from '../../request/admission/admissionQueue.js'
+import type { Random } from '../../request/random.js'
+import type { Configuration } from '../../version/configuration.js'
+import { findDrainedTargets } from '../../version/findDrainedTargets.js'
+import type { Clock } from '../platform/clock.js'
+import { CreditTask } from './creditTask.js'
+import type { DecisionRecorder } from './decisionRecorder.js'
+import type { HostDirectory } from './hostDirectory.js'
+import type { HostIdentity } from './hostIdentity.js'
+import type { KnownHost } from './knownHost.js'
+import { Lane } from './lane.js'
+import type { PeerLinks } from './peerLinks.js'
+import { rankCreditPeers } from './rankCreditPeers.js'
+import { ServiceRuntime } from './serviceRuntime.js'
+import type { SlotPool } from './slotPool.js'
+import type { TargetAdopter } from './targetAdopter.js'
+
+interface ServicesParts {
+  identity: HostIdentity
+  clock: Clock
+  random: Random
+  recorder: DecisionRecorder
+  slots: SlotPool & TargetAdopter
+  directory: HostDirectory
+  links: PeerLinks
+  maxQueued: number
+  maxDeadlineMs: number
+  signal: AbortSignal
+}
+
+/** Protocol version that this build speaks with its peers. */
+const PROTOCOL_VERSION = 1
+
+/** The services of the configuration in force, with their queues. */
+export class Services {
+  private readonly runtimes = new Map<string, ServiceRuntime>()
+  private current: Configuration | undefined
+
+  constructor (private readonly parts: ServicesParts) {}
+
+  /** Undefined until this host has a configuration; no look-up or request is served before. */
+  get configuration (): Configuration | undefined {
+    return this.current
+  }
+
+  adoptConfiguration (configuration: Configuration, now: number): void {
+    const { identity, slots, maxDeadlineMs } = this.parts
+    this.current = configuration
+    for (const { name, spec } of configuration.list('Service')) {
+      const runtime = this.runtimes.get(name) ?? new ServiceRuntime(name, spec)
+      this.runtimes.set(name, runtime)
+      runtime.adoptSpec(spec, identity.availabilityZone, findDrainedTargets(configuration, name, spec), now)
+      slots.adoptTargets(name, spec.targets, maxDeadlineMs, now)
+    }
+    for (const name of this.runtimes.keys()) {
+      if (configuration.get('Service', name) === undefined) this.remove(name, now)
+    }
+    this.advance(now)
+  }
+
+  find (service: string): ServiceRuntime | undefined {
+    return this.runtimes.get(service)
+  }
+
+  list (): ServiceRuntime[] {
+    return [...this.runtimes.values()]
+  }
+
+  /** The queue for one service's work in one region, made at its first use. */
+  getLane (runtime: ServiceRuntime, region: string): Lane {
+    const known = runtime.lanes.get(region)
+    if (known !== undefined) return known
+    const lane = this.createLane(runtime, region)
+    runtime.lanes.set(region, lane)
+    return lane
+  }
+
+  /** Slots may have become free: lets every queue look. */
+  advance (now: number): void {
+    for (const runtime of this.runtimes.values()) {
+      for (const lane of runtime.lanes.values()) lane.advance(now)
+    }
+  }
+
+  private createLane (runtime: ServiceRuntime, region: string): Lane {
+    const { identity, clock, random, recorder, slots, directory, links, maxQueued, signal } = this.parts
+    const task = {} as { current?: CreditTask }
+    const rankPeers = (): KnownHost[] => rankCreditPeers({ service: runtime.name, region, identity, hosts: directory.list(), configuration: this.current, random })
+    const lane = new Lane({
+      service: runtime.name,
+      region,
+      queue: new AdmissionQueue({ maxQueued }, random),
+      chooser: runtime.chooser,
+      slots,
+      usesOwnSlots: region === identity.region,
+      clock,
+      random,
+      recorder,
+      estimateCredits: () => rankPeers().reduce((sum, peer) => sum + (peer.freeSlots.get(runtime.name) ?? 0), 0),
+      wakeCreditTask: () => { task.current?.wake() },
+      returnCredits: (credits) => { void task.current?.returnCredits(credits) },
+      signal
+    })
+    task.current = new CreditTask(lane, {
+      clock,
+      directory,
+      links,
+      sender: { ...identity, incarnation: BigInt(identity.incarnation), protocolVersion: PROTOCOL_VERSION },
+      rankPeers,
+      signal
+    })
+    void task.current.run()
+    return lane
+  }
+
+  private remove (name: string, now: number): void {
+    this.runtimes.delete(name)
+    this.parts.slots.adoptTargets(name, [], this.parts.maxDeadlineMs, now)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/targetRunner.ts
@@ -0,0 +1,108 @@
+import { match } from 'ts-pattern'
+import type { Attempt } from '../../request/attempt.js'
+import { HeaderName } from '../../request/contract/headerName.js'
+import { RefusalReason } from '../../request/refusalReason.js'
+import type { TargetResult } from '../../request/targetResult.js'
+import type { TargetChooser } from '../../request/choice/targetChooser.js'
+import type { TargetSpec } from '../../version/resources/targetSpec.js'
+import type { Clock } from '../platform/clock.js'
+import type { AttemptResult } from './attemptResult.js'
+import { createDeadlineSignal } from './createDeadlineSignal.js'
+import type { SlotPool } from './slotPool.js'
+import type { TargetSender } from './targetSender.js'
+
+/** Time that a target is given to stop work whose connection was closed. */
+const CANCEL_GRACE_MS = 500
+
+interface RunnerParts {
+  clock: Clock
+  slots: SlotPool
+  sender: TargetSender
+  /** Aborts when the process ends. */
+  signal: AbortSignal
+}
+
+/** Runs attempts on the targets that this host owns; the caller of `run` holds the slot already. */
+export class TargetRunner {
+  private running = 0
+
+  constructor (private readonly parts: RunnerParts) {}
+
+  countRunning (): number {
+    return this.running
+  }
+
+  /** Sends the attempt and releases its slot as soon as its end is known. */
+  async run (attempt: Attempt, target: TargetSpec, chooser: TargetChooser, maxAnswerBytes: number, signal?: AbortSignal): Promise<AttemptResult> {
+    const { clock, slots, sender } = this.parts
+    const startedAt = clock.getNow()
+    // Failure: the process was stopped between admission and here, and the target would run work
+    // that was refused or fenced meanwhile. The monotonic clock ran on, so the deadline shows it.
+    if (startedAt >= attempt.deadlineAt) {
+      slots.release(attempt.attemptId, startedAt)
+      return { kind: 'not-run', reason: RefusalReason.deadlinePassed, message: 'the deadline passed before the request was sent: allow more time', target: target.name }
+    }
+    chooser.start(target.name, startedAt)
+    this.running += 1
+    const deadline = createDeadlineSignal(clock, attempt.deadlineAt, signal)
+    const result = await sender.send(target.address, buildTargetRequest(attempt, maxAnswerBytes, startedAt), deadline.signal)
+    deadline.clear()
+    this.running -= 1
+    const now = clock.getNow()
+    chooser.finish(target.name, { latencyMs: now - startedAt, ok: result.kind === 'answered' && result.status < 500, shed: result.kind === 'shed' }, now)
+    this.releaseSlot(attempt, result, now)
+    return describeResult(result, target.name)
+  }
+
+  /**
+   * Failure: an answer is given up on and its slot reused while the target still works, so that
+   * the target runs more than its slots. The slot stays taken until the target has had time to take
+   * the closed connection as a cancellation, or until the deadline that it was sent has passed.
+   */
+  private releaseSlot (attempt: Attempt, result: TargetResult, now: number): void {
+    const { clock, slots, signal } = this.parts
+    if (result.kind !== 'lost') {
+      slots.release(attempt.attemptId, now)
+      return
+    }
+    const waitMs = Math.max(0, Math.min(attempt.deadlineAt - now, CANCEL_GRACE_MS))
+    void clock.sleep(waitMs, signal).then(() => { slots.release(attempt.attemptId, clock.getNow()) })
+  }
+}
+
+function buildTargetRequest (attempt: Attempt, maxAnswerBytes: number, now: number): Parameters<TargetSender['send']>[1] {
+  const passed = attempt.headers.filter((header) => !isReplaced(header.name))
+  return {
+    method: attempt.method,
+    path: attempt.path,
+    headers: [
+      ...passed,
+      { name: HeaderName.id, value: attempt.requestId },
+      { name: HeaderName.caller, value: attempt.caller },
+      { name: HeaderName.deadline, value: String(Math.max(1, Math.floor(attempt.deadlineAt - now))) }
+    ],
+    body: attempt.body,
+    idempotent: attempt.idempotent,
+    maxAnswerBytes
+  }
+}
+
+function isReplaced (name: string): boolean {
+  const lower = name.toLowerCase()
+  return lower === 'host' || lower === 'expect' || lower === HeaderName.id || lower === HeaderName.caller || lower === HeaderName.deadline || lower === HeaderName.home
+}
+
+function describeResult (result: TargetResult, target: string): AttemptResult {
+  return match<TargetResult, AttemptResult>(result)
+    .with({ kind: 'answered' }, ({ status, headers, body }) => ({ kind: 'answered', status, headers, body, target }))
+    .with({ kind: 'not-sent' }, ({ message }) => ({ kind: 'not-run', reason: RefusalReason.targetUnreachable, message: `no connection to the target (${message}): try again`, target }))
+    .with({ kind: 'shed' }, ({ retryAfterMs }) => ({ kind: 'not-run', reason: RefusalReason.targetRefused, message: 'the target refused the request: try again', target, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }))
+    .with({ kind: 'too-large' }, ({ bytes }) => ({ kind: 'unknown', reason: RefusalReason.answerTooLarge, message: `the answer has ${bytes} bytes or more: raise maxBodyBytes of the service, or ask for less`, target }))
+    .with({ kind: 'lost' }, ({ message, broken }) => ({
+      kind: 'unknown',
+      reason: broken ? RefusalReason.answerBroken : RefusalReason.answerLost,
+      message: `the target's answer was lost (${message}): ask the service whether it ran`,
+      target
+    }))
+    .exhaustive()
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/toForwardResponse.ts
@@ -0,0 +1,16 @@
+import { create } from '@bufbuild/protobuf'
+import { ForwardResponseSchema, type ForwardResponse } from 'almondrelay-protocol'
+import type { Answer } from '../../request/answer.js'
+
+/** An answer as it goes to a peer. */
+export function toForwardResponse (answer: Answer): ForwardResponse {
+  return create(ForwardResponseSchema, {
+    outcome: answer.outcome,
+    status: answer.status,
+    headers: answer.headers,
+    body: answer.body,
+    reason: answer.reason ?? '',
+    retryAfterMs: Math.round(answer.retryAfterMs ?? 0),
+    target: answer.target ?? ''
+  })
+}
--- a/packages/almondrelay/src/connection/target/targetRequest.ts
+++ b/packages/almondrelay/src/request/targetRequest.ts
@@ -1,4 +1,4 @@
-import type { AnswerHeader } from '../../request/answerHeader.js'
+import type { AnswerHeader } from './answerHeader.js'
 
 /** One request as it goes to a target. */
 export interface TargetRequest {
--- a/packages/almondrelay/src/connection/target/targetResult.ts
+++ b/packages/almondrelay/src/request/targetResult.ts
@@ -1,4 +1,4 @@
-import type { AnswerHeader } from '../../request/answerHeader.js'
+import type { AnswerHeader } from './answerHeader.js'
 
 /** What came of sending a request to a target. */
 export type TargetResult =
--- /dev/null
+++ b/packages/almondrelay/src/version/findDrainedTargets.ts
@@ -0,0 +1,12 @@
+import type { Configuration } from './configuration.js'
+import { findDrainedZones } from './findDrainedZones.js'
+import type { ServiceSpec } from './resources/serviceSpec.js'
+
+/** Names of a service's targets that a drain takes work away from: by name, availability zone or region. */
+export function findDrainedTargets (configuration: Configuration, service: string, spec: ServiceSpec): Set<string> {
+  const zones = findDrainedZones(configuration)
+  const drains = configuration.list('Drain').map((drain) => drain.spec)
+  const names = new Set(drains.filter((drain) => drain.scope === 'target' && drain.service === service).map((drain) => drain.name))
+  const drained = spec.targets.filter((target) => names.has(target.name) || zones.has(target.availabilityZone))
+  return new Set(drained.map((target) => target.name))
+}
--- /dev/null
+++ b/packages/almondrelay/src/version/findDrainedZones.ts
@@ -0,0 +1,9 @@
+import type { Configuration } from './configuration.js'
+
+/** Availability zones that a drain of the zone or of its region takes work away from. */
+export function findDrainedZones (configuration: Configuration): Set<string> {
+  const drains = configuration.list('Drain').map((drain) => drain.spec)
+  const zones = drains.filter((drain) => drain.scope === 'availabilityZone').map((drain) => drain.name)
+  const regions = drains.filter((drain) => drain.scope === 'region')
+  return new Set([...zones, ...regions.flatMap((drain) => configuration.get('Region', drain.name)?.spec.availabilityZones ?? [])])
+}
