--- a/packages/almondrelay/src/connection/operator/parseCondition.ts
+++ b/packages/almondrelay/src/connection/operator/parseCondition.ts
@@ -1,8 +1,8 @@
-import type { Problem } from '../../process/configuration/problem.js'
+import type { ResourceProblem } from '../../process/configuration/resourceProblem.js'
 
 const ENTITY_TAG = /^"(\d{1,15})"$/
 
-type Condition = { expectedRevision?: number } | { problem: Problem }
+type Condition = { expectedRevision?: number } | { problem: ResourceProblem }
 
 /** The revision that a write expects, out of `If-Match` or `If-None-Match`; 0 for an absent resource. */
 export function parseCondition (ifMatch: string | undefined, ifNoneMatch: string | undefined): Condition {
--- a/packages/almondrelay/src/connection/operator/parseWrite.ts
+++ b/packages/almondrelay/src/connection/operator/parseWrite.ts
@@ -1,5 +1,5 @@
 import type { Context } from 'hono'
-import type { Problem } from '../../process/configuration/problem.js'
+import type { ResourceProblem } from '../../process/configuration/resourceProblem.js'
 import { listSchemaProblems } from '../../process/configuration/listSchemaProblems.js'
 import type { Write } from '../../process/configuration/write.js'
 import type { Resource } from '../../version/resources/resource.js'
@@ -11,7 +11,7 @@
 const UUID = /^[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}$/i
 const MAX_AUTHOR = 200
 
-type Parsed = { write: Write } | { problems: Problem[] }
+type Parsed = { write: Write } | { problems: ResourceProblem[] }
 
 /** The write that a PUT or DELETE asks for, or everything that is wrong with its form. */
 export async function parseWrite (context: Context, kind: ResourceKind, makeWriteId: () => string): Promise<Parsed> {
@@ -28,7 +28,7 @@
   return { write: { ...common, action: 'put', resource: { kind, name, revision: 0, spec: spec.value } as Resource } }
 }
 
-function parseSpec (kind: ResourceKind, text: string): { value: unknown } | { problems: Problem[] } {
+function parseSpec (kind: ResourceKind, text: string): { value: unknown } | { problems: ResourceProblem[] } {
   let spec: unknown
   try {
     spec = JSON.parse(text)
@@ -39,11 +39,11 @@
   return parsed.success ? { value: parsed.data } : { problems: listSchemaProblems(parsed.error, spec) }
 }
 
-function checkName (name: string): Problem[] {
+function checkName (name: string): ResourceProblem[] {
   const parsed = ResourceName.safeParse(name)
   return parsed.success ? [] : [{ path: 'name', found: name.slice(0, 80), remedy: parsed.error.issues[0]?.message ?? '' }]
 }
 
-function checkWriteId (writeId: string): Problem[] {
+function checkWriteId (writeId: string): ResourceProblem[] {
   return UUID.test(writeId) ? [] : [{ path: 'Almondrelay-Write-Id', found: writeId.slice(0, 80), remedy: 'send a UUID, the same one on every repeat of one write' }]
 }
--- a/packages/almondrelay/src/process/configuration/checkResource.ts
+++ b/packages/almondrelay/src/process/configuration/checkResource.ts
@@ -3,7 +3,7 @@
 import type { Configuration } from '../../version/configuration.js'
 import type { Resource } from '../../version/resources/resource.js'
 import { listReferences } from './listReferences.js'
-import type { Problem } from './problem.js'
+import type { ResourceProblem } from './resourceProblem.js'
 import { ReferenceIndex } from './referenceIndex.js'
 
 type RegionResource = Extract<Resource, { kind: 'Region' }>
@@ -11,7 +11,7 @@
 const MAX_PROBLEMS = 20
 
 /** Problems of a resource in the configuration that would hold it; none where it fits. */
-export function checkResource (resource: Resource, after: Configuration): Problem[] {
+export function checkResource (resource: Resource, after: Configuration): ResourceProblem[] {
   const index = new ReferenceIndex(after)
   const missing = listReferences(resource)
     .filter((reference) => !index.has(reference))
@@ -27,19 +27,19 @@
   return [...missing, ...checkKind(resource, after)].slice(0, MAX_PROBLEMS)
 }
 
-function checkKind (resource: Resource, after: Configuration): Problem[] {
+function checkKind (resource: Resource, after: Configuration): ResourceProblem[] {
   return match(resource)
     .with({ kind: 'Region' }, (region) => [...checkZones(region, after), ...checkBlocks(region)])
     .with({ kind: 'Link' }, { kind: 'ShiftCap' }, ({ spec }) => checkEnds(spec))
     .otherwise(() => [])
 }
 
-function checkEnds (spec: { from: string, to: string }): Problem[] {
+function checkEnds (spec: { from: string, to: string }): ResourceProblem[] {
   if (spec.from !== spec.to) return []
   return [{ path: 'spec.to', found: spec.to, remedy: 'name another region than spec.from' }]
 }
 
-function checkZones (region: RegionResource, after: Configuration): Problem[] {
+function checkZones (region: RegionResource, after: Configuration): ResourceProblem[] {
   const others = after.list('Region').filter((other) => other.name !== region.name)
   return region.spec.availabilityZones.flatMap((zone, index) => {
     const owner = others.find((other) => other.spec.availabilityZones.includes(zone))
@@ -48,7 +48,7 @@
   })
 }
 
-function checkBlocks (region: RegionResource): Problem[] {
+function checkBlocks (region: RegionResource): ResourceProblem[] {
   return region.spec.clientBlocks.flatMap((block, index) => isBlock(block)
     ? []
     : [{ path: `spec.clientBlocks.${index}`, found: block.slice(0, 80), remedy: 'write a prefix such as 10.1.0.0/16 or 2001:db8::/32' }])
--- a/packages/almondrelay/src/process/configuration/listBrokenReferences.ts
+++ b/packages/almondrelay/src/process/configuration/listBrokenReferences.ts
@@ -1,15 +1,15 @@
 import type { Configuration } from '../../version/configuration.js'
 import { listReferences } from './listReferences.js'
-import type { Problem } from './problem.js'
+import type { ResourceProblem } from './resourceProblem.js'
 import { ReferenceIndex } from './referenceIndex.js'
 
 const MAX_PROBLEMS = 20
 
 /** Fields of other resources that name what is there before a change and no longer after it. */
-export function listBrokenReferences (before: Configuration, after: Configuration): Problem[] {
+export function listBrokenReferences (before: Configuration, after: Configuration): ResourceProblem[] {
   const indexBefore = new ReferenceIndex(before)
   const indexAfter = new ReferenceIndex(after)
-  const problems: Problem[] = []
+  const problems: ResourceProblem[] = []
   for (const resource of after.listAll()) {
     for (const reference of listReferences(resource)) {
       if (reference.isLoose || indexAfter.has(reference) || !indexBefore.has(reference)) continue
--- a/packages/almondrelay/src/process/configuration/problem.ts
+++ b/packages/almondrelay/src/process/configuration/resourceProblem.ts
@@ -1,5 +1,5 @@
 /** What is wrong with a resource that an operator wrote. */
-export interface Problem {
+export interface ResourceProblem {
   /** The field, such as `spec.weights.akl`. */
   path: string
   /** What stands there, shortened. */
