Prove target limits on a random model of one zone

Cause: that the owner's floor, the lease and the hand-over never sum to more than a target's slots was argued, not shown.

Ruled out: two hosts with a lease alone; a trial model with wider faults found a restarted host answering for its former incarnation, which let a joining host fill a target on which the dead one's requests still ran.

Change: an answer to a claim names its process and counts only when that is the very process of the view. The model drives owners, standbys and senders through pauses, cuts, kills, restarts, joins, platform outages and lost, late and repeated messages on drifting clocks, and counts what really runs.

--- /dev/null
+++ b/packages/almondrelay/src/process/limits/__fixtures__/modelHost.ts
@@ -0,0 +1,123 @@
+import type { Random } from '../../../request/random.js'
+import { HostSlots } from '../hostSlots.js'
+import type { Credit } from '../credit.js'
+import type { Roster } from '../roster.js'
+import type { RosterHost } from '../rosterHost.js'
+import type { TargetWork } from './targetWork.js'
+import type { WorldOptions } from './worldOptions.js'
+
+interface Running {
+  holder: string
+  endsAt: number
+}
+
+interface Unsent {
+  holder: string
+  target: string
+  runsUntil: number
+}
+
+const SERVICE = 's'
+const ZONE = 'akl-a'
+
+/** An entry host of the model: takes all the work that its slots allow, and sends some of it late. */
+export class ModelHost {
+  static readonly service = SERVICE
+  readonly slots: HostSlots
+  pausedUntil = -Infinity
+  alive = true
+  private running: Running[] = []
+  private unsent: Unsent[] = []
+  private credits: Credit[] = []
+  private sequence = 0
+  private readonly offset: number
+  private readonly rate: number
+
+  constructor (readonly self: RosterHost, private readonly options: WorldOptions, private readonly work: Map<string, TargetWork>, private readonly random: Random) {
+    this.offset = random() * 1_000_000
+    this.rate = 1 + (random() < 0.5 ? -1 : 1) * options.clockSpread
+    this.slots = new HostSlots({ host: self.name, incarnation: self.incarnation, availabilityZone: ZONE }, options.limits)
+    const targets = [...work.keys()].map((name) => ({ name, address: '127.0.0.1:9', availabilityZone: ZONE, slots: options.slots, connections: 10 }))
+    this.slots.adoptTargets(SERVICE, targets, options.maxDeadlineMs, this.offset)
+  }
+
+  /** This host's monotonic clock at a real time. */
+  computeNow (real: number): number {
+    return this.offset + real * this.rate
+  }
+
+  isAwake (real: number): boolean {
+    return this.alive && real >= this.pausedUntil
+  }
+
+  adoptRoster (roster: Roster, real: number): void {
+    this.slots.adoptRoster(roster, this.computeNow(real))
+  }
+
+  /** Slots that this host may have in use on a target, counting those in use. */
+  countUsable (target: string, real: number): number {
+    const now = this.computeNow(real)
+    const busy = [...this.running, ...this.unsent].filter((each) => each.holder.startsWith(`${target}/`)).length
+    return (this.slots.getFree(SERVICE, now).get(target) ?? 0) + busy + this.credits.filter((credit) => credit.target === target && credit.expiresAt > now).length
+  }
+
+  /** Hears of ended work, sends what it held back, and takes what is free. */
+  advance (real: number, takesWork: boolean): void {
+    const now = this.computeNow(real)
+    this.running.filter((each) => each.endsAt <= real).forEach((each) => this.slots.release(each.holder, now))
+    this.running = this.running.filter((each) => each.endsAt > real)
+    this.unsent.splice(0).forEach((each) => this.send(each, real))
+    this.useCredits(real)
+    if (takesWork) this.fill(real)
+  }
+
+  private fill (real: number): void {
+    const now = this.computeNow(real)
+    if (this.random() < 0.1) this.credits.push(...this.slots.grantCredits(SERVICE, 'elsewhere', 2, now))
+    for (const [target, free] of this.slots.getFree(SERVICE, now)) {
+      for (let count = 0; count < free && this.random() < 0.9; count += 1) {
+        const request = this.makeRequest(target, now)
+        if (this.slots.acquire(SERVICE, target, request.holder, request.runsUntil, now)) this.offer(request, real)
+      }
+    }
+  }
+
+  private useCredits (real: number): void {
+    const now = this.computeNow(real)
+    for (const credit of this.credits.splice(0)) {
+      if (this.random() < 0.5 && now < credit.expiresAt) {
+        this.credits.push(credit)
+        continue
+      }
+      const request = this.makeRequest(credit.target, now)
+      const used = this.slots.useCredit(credit.id, request.holder, request.runsUntil, now)
+      if (used !== undefined) this.offer(request, real)
+    }
+  }
+
+  private makeRequest (target: string, now: number): Unsent {
+    this.sequence += 1
+    const { maxDeadlineMs } = this.options
+    const deadlineMs = this.random() < 0.5 ? maxDeadlineMs : 1 + this.random() * (maxDeadlineMs - 1)
+    return { holder: `${target}/${this.self.name}/${this.sequence}`, target, runsUntil: now + deadlineMs }
+  }
+
+  /** Sends now, or after whatever comes before this host acts again, a pause included. */
+  private offer (request: Unsent, real: number): void {
+    if (this.random() < 0.8) this.send(request, real)
+    else this.unsent.push(request)
+  }
+
+  private send (request: Unsent, real: number): void {
+    const now = this.computeNow(real)
+    if (now >= request.runsUntil) {
+      this.slots.release(request.holder, now)
+      return
+    }
+    const targetRate = 1 + this.options.clockSpread * (this.random() < 0.5 ? -1 : 1)
+    const longest = (request.runsUntil - now) / targetRate
+    const endsAt = real + (this.random() < 0.5 ? longest : longest * this.random())
+    this.work.get(request.target)?.begin(endsAt)
+    this.running.push({ holder: request.holder, endsAt })
+  }
+}
--- a/packages/almondrelay/src/process/limits/__tests__/hostSlots.test.ts
+++ b/packages/almondrelay/src/process/limits/__tests__/hostSlots.test.ts
@@ -61,7 +61,7 @@
     slots.adoptRoster(roster, 0)
     peer.adoptRoster(roster, 0)
     const self = slots === holder ? owner! : standby!
-    for (const { host, claim } of slots.claims.planClaims(0)) slots.claims.acceptAnswer(host, claim, peer.claims.handleClaim(self, claim, 0), 0)
+    for (const { claim } of slots.claims.planClaims(0)) slots.claims.acceptAnswer(claim, peer.claims.handleClaim(self, claim, 0), 0)
   }
   assert.is(countFree(holder, 0), 3)
   const [request] = holder.planRenewals(0)
--- a/packages/almondrelay/src/process/limits/partClaimAnswer.ts
+++ b/packages/almondrelay/src/process/limits/partClaimAnswer.ts
@@ -3,7 +3,9 @@
 
 /** The answer to a claim. It binds only while its view is also the asker's. */
 export interface PartClaimAnswer {
-  /** Version of the answerer's roster; 0 before it has one. */
+  /** The process that answers. */
+  from: RosterHost
+  /** Version of the answerer's roster; 0 when it can't answer at the asker's view. */
   rosterVersion: number
   gone: RosterHost[]
   /** Parts among those asked for that the answerer holds. */
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -160,11 +160,12 @@
   handleClaim (sender: RosterHost, claim: PartClaim, now: number): PartClaimAnswer {
     if (this.rosterVersion === claim.rosterVersion) claim.gone.forEach((host) => this.markGone(host, now))
     const view = this.view
-    if (view === undefined) return { rosterVersion: 0, gone: [], held: [], handedOver: [] }
-    const asksAtView = view.has(sender) && new ZoneView(view.roster, claim.gone).key === view.key && claim.rosterVersion === view.roster.version
-    if (!asksAtView) return { rosterVersion: 0, gone: view.gone, held: [], handedOver: [] }
+    if (view === undefined) return { from: this.self, rosterVersion: 0, gone: [], held: [], handedOver: [] }
+    const asksAtView = view.has(this.self) && view.has(sender) && new ZoneView(view.roster, claim.gone).key === view.key && claim.rosterVersion === view.roster.version
+    if (!asksAtView) return { from: this.self, rosterVersion: 0, gone: view.gone, held: [], handedOver: [] }
     if (claim.ready) claim.parts.forEach((id) => this.passPart(id, sender, view, now))
     return {
+      from: this.self,
       rosterVersion: view.roster.version,
       gone: view.gone,
       held: claim.parts.filter((id) => this.isHeld(id)),
@@ -172,9 +173,14 @@
     }
   }
 
-  acceptAnswer (host: string, claim: PartClaim, answer: PartClaimAnswer, now: number): void {
+  /**
+   * Guards, besides the view, against an answer by a restarted host for its former incarnation, which
+   * knows nothing of the work that the former one began: the answerer must be the very process that the view names.
+   */
+  acceptAnswer (claim: PartClaim, answer: PartClaimAnswer, now: number): void {
     const view = this.view
-    if (view === undefined) return
+    if (view === undefined || !view.has(answer.from)) return
+    const host = answer.from.name
     answer.gone.forEach((each) => this.markGone(each, now))
     if (answer.rosterVersion !== view.roster.version || claim.rosterVersion !== view.roster.version) return
     if (this.view !== view || new ZoneView(view.roster, answer.gone).key !== view.key) return
