--- /dev/null
+++ b/packages/almondrelay-stand-ins/src/network/relayDirection.ts
@@ -0,0 +1,2 @@
+/** The way that bytes go through a relay. */
+export type RelayDirection = 'toTarget' | 'toClient' | 'both'
--- a/packages/almondrelay-stand-ins/src/target/targetReport.ts
+++ b/packages/almondrelay-stand-ins/src/target/targetReport.ts
@@ -2,7 +2,7 @@
 export interface TargetReport {
   healthy: boolean
   leaving: boolean
-  /** Requests that it runs. */
+  /** The share of its slots that are in use, from 0 to 1. */
   load: number
   slots: number
 }
--- a/packages/almondrelay-stand-ins/src/target/targetState.ts
+++ b/packages/almondrelay-stand-ins/src/target/targetState.ts
@@ -77,7 +77,7 @@
   }
 
   private buildReport (): TargetReport {
-    const load = this.faults.lieAboutLoad ?? this.counts.running
+    const load = this.faults.lieAboutLoad ?? this.counts.running / this.settings.slots
     return { healthy: this.faults.healthy, leaving: this.faults.leaving, load, slots: this.settings.slots }
   }
 
