Start real processes of a whole deployment for tests

Cause: tests of faults need processes that can be killed, frozen and cut off. Change: a library that starts the platform, the targets (a program for each zone) and the daemons with settings of their own, writes the resources and waits until they are in force; programs are ended by their process ids, also when the test is ended.

--- /dev/null
+++ b/packages/almondrelay-stand-ins/src/cluster/clusterOptions.ts
@@ -0,0 +1,15 @@
+import type { Deployment } from '../deployments/deployment.js'
+import type { TargetSettings } from '../target/targetSettings.js'
+
+/** How a cluster is started. */
+export interface ClusterOptions {
+  deployment: Deployment
+  /** Ends every program and removes the settings when it aborts. */
+  signal: AbortSignal
+  /** Puts relays between the zones, and between zones and platform, with the deployment's one-way times. */
+  relays?: boolean
+  /** Groups of daemon settings that replace the defaults. */
+  hostSettings?: Record<string, unknown>
+  /** Settings of all targets but name, service and slots. */
+  targetSettings?: Partial<Omit<TargetSettings, 'name' | 'service' | 'slots' | 'address'>>
+}
--- /dev/null
+++ b/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
@@ -0,0 +1,72 @@
+import { sendJson } from '../network/sendJson.js'
+import { ChildProgram } from './childProgram.js'
+import type { HostPlan } from './hostPlan.js'
+import { resolveProgram } from './resolveProgram.js'
+
+interface HostStatus {
+  /** The revision in force at this host. */
+  revision: number
+  [part: string]: unknown
+}
+
+const STEP_MS = 25
+const READY_LIMIT_MS = 20_000
+
+/** One entry host of a cluster: an `almondrelayd` that can be killed, frozen, stopped and started again. */
+export class HostHandle {
+  private running: ChildProgram
+
+  private constructor (readonly plan: HostPlan, private readonly settingsFile: string, private readonly signal: AbortSignal) {
+    this.running = this.startProgram()
+  }
+
+  /** Starts the daemon and waits until its operator port answers. */
+  static async start (plan: HostPlan, settingsFile: string, signal: AbortSignal): Promise<HostHandle> {
+    const host = new HostHandle(plan, settingsFile, signal)
+    await host.waitUntilAnswering()
+    return host
+  }
+
+  get name (): string {
+    return this.plan.name
+  }
+
+  get program (): ChildProgram {
+    return this.running
+  }
+
+  /** Starts it again, with a new incarnation, after it was killed or stopped. */
+  async restart (): Promise<void> {
+    if (this.running.isRunning()) throw new Error(`host ${this.name} runs: kill or stop it first`)
+    this.running = this.startProgram()
+    await this.waitUntilAnswering()
+  }
+
+  /** What the host says of itself and the deployment; rejects where it doesn't answer. */
+  async readStatus (): Promise<HostStatus> {
+    const reply = await sendJson({ method: 'GET', address: this.plan.operator, path: '/v1/status', signal: AbortSignal.timeout(2_000) })
+    return reply.body as HostStatus
+  }
+
+  /** Waits until a status satisfies; rejects with the last one. */
+  async waitForStatus (isWanted: (status: HostStatus) => boolean, limitMs = READY_LIMIT_MS): Promise<HostStatus> {
+    const until = performance.now() + limitMs
+    let last: HostStatus | undefined
+    while (performance.now() < until) {
+      this.signal.throwIfAborted()
+      last = await this.readStatus().catch(() => undefined)
+      if (last !== undefined && isWanted(last)) return last
+      if (!this.running.isRunning()) break
+      await new Promise((resolve) => setTimeout(resolve, STEP_MS))
+    }
+    throw new Error(`host ${this.name} ${this.running.isRunning() ? 'is late' : 'has ended'}; status ${JSON.stringify(last)}; it wrote:\n${this.running.lines.slice(-20).join('\n')}`)
+  }
+
+  private async waitUntilAnswering (): Promise<void> {
+    await this.waitForStatus(() => true)
+  }
+
+  private startProgram (): ChildProgram {
+    return ChildProgram.start({ name: `host ${this.plan.name}`, args: ['--enable-source-maps', resolveProgram('almondrelayd'), '--settings', this.settingsFile], signal: this.signal })
+  }
+}
--- a/packages/almondrelay-stand-ins/src/target/createTargetControlApp.ts
+++ b/packages/almondrelay-stand-ins/src/target/createTargetControlApp.ts
@@ -11,6 +11,10 @@
   app.get('/control/runs', (context) => {
     return context.json({ targets: Object.fromEntries(targets.map((target) => [target.state.settings.name, target.state.readRuns()])) })
   })
+  app.get('/control/targets/:name/runs', (context) => {
+    const target = find(context.req.param('name'))
+    return target === undefined ? context.json({ error: 'no such target' }, 404) : context.json(target.state.readRuns())
+  })
   app.put('/control/targets/:name/faults', async (context) => {
     const target = find(context.req.param('name'))
     if (target === undefined) return context.json({ error: 'no such target' }, 404)
