Serve the whole path as processes: daemon, caller port, peers, configuration, fault matrix

Cause: the parts stood side by side; a request now goes from a caller to a target and back through real processes (platform, six hosts, targets), in the own zone or through a peer. (2) a relay to a home whose answers are lost was answered after its deadline (found by the random interleavings); it now ends with the deadline.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,7 +42,7 @@
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }]
     }
   },
-  { files: ['packages/*/src/**/index.ts'], rules: { 'almondrelay/one-export': 'off' } },
+  { files: ['packages/*/src/**/index.ts', 'packages/*/src/testing.ts'], rules: { 'almondrelay/one-export': 'off' } },
   {
     files: DECISION_FILES,
     ignores: ['**/__tests__/**', '**/__fixtures__/**'],
--- /dev/null
+++ b/packages/almondrelay-faults/src/fleet/index.ts
@@ -0,0 +1,5 @@
+export * from './fakeFleet.js'
+export * from './fakeHost.js'
+export * from './fakeTargets.js'
+export * from './linkFault.js'
+export * from './targetFault.js'
--- /dev/null
+++ b/packages/almondrelay/src/caller/caller.ts
@@ -0,0 +1,137 @@
+import { Agent } from 'undici'
+import { createDeadlineSignal } from '../process/dispatch/createDeadlineSignal.js'
+import { AlmondrelayError } from '../process/errors/almondrelayError.js'
+import type { Answer } from '../request/answer.js'
+import { buildRefusal } from '../request/buildRefusal.js'
+import { Outcome } from '../request/outcome.js'
+import { RefusalReason } from '../request/refusalReason.js'
+import type { CallerCall } from './callerCall.js'
+import type { CallerHost } from './callerHost.js'
+import type { CallerOptions } from './callerOptions.js'
+import { createId } from './createId.js'
+import { LookupCache } from './lookupCache.js'
+import { sendToHost } from './sendToHost.js'
+
+interface CallState {
+  call: CallerCall
+  id: string
+  attempt: number
+  deadlineAt: number
+  /** Set once a byte of the present attempt may have reached the host. */
+  home: CallerHost | undefined
+  /** Hosts that could not be reached in this attempt. */
+  failed: Set<string>
+  last: Answer
+  signal: AbortSignal
+}
+
+const MAX_IDLE_MS = 10_000
+const LOST_PAUSE_MS = 100
+const DEFAULT_RETRY_MS = 500
+
+/**
+ * Keeps the caller contract: looks up hosts, sends with id, home, attempt and deadline, and asks
+ * again as the contract allows. A non-idempotent call keeps its id and home until the home said
+ * `not-run`; only then it goes on with a higher attempt, perhaps at another host.
+ */
+export class Caller {
+  private readonly agent = new Agent({ keepAliveTimeout: MAX_IDLE_MS, headersTimeout: 0, bodyTimeout: 0 })
+  private readonly lookups: LookupCache
+
+  constructor (private readonly options: CallerOptions) {
+    this.lookups = new LookupCache(options.hosts, options.clock, this.agent)
+  }
+
+  /** Always resolves, by the deadline, with what is known of the call then. */
+  async call (call: CallerCall, signal: AbortSignal): Promise<Answer & { id: string }> {
+    const { clock } = this.options
+    const deadlineAt = clock.getNow() + call.deadlineMs
+    const deadline = createDeadlineSignal(clock, deadlineAt, signal)
+    const state: CallState = {
+      call,
+      id: createId(clock.getWallTime()),
+      attempt: 0,
+      deadlineAt,
+      home: undefined,
+      failed: new Set(),
+      last: buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.notReady, message: 'no entry host could be reached: check their addresses' }),
+      signal: deadline.signal
+    }
+    try {
+      while (!deadline.signal.aborted && clock.getNow() < deadlineAt) {
+        if (await this.advance(state)) break
+      }
+      return { ...state.last, id: state.id }
+    } finally {
+      deadline.clear()
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  /** One exchange; true once the answer is final. */
+  private async advance (state: CallState): Promise<boolean> {
+    const host = await this.chooseHost(state)
+    if (host === undefined) {
+      await this.options.clock.sleep(LOST_PAUSE_MS, state.signal)
+      state.failed.clear()
+      return false
+    }
+    const home = state.home ?? host
+    const result = await sendToHost({ ...state, caller: this.options.caller, host, home, leftMs: state.deadlineAt - this.options.clock.getNow(), dispatcher: this.agent })
+    if (result.kind === 'not-sent') {
+      state.failed.add(host.name)
+      this.lookups.drop(state.call.service)
+      return false
+    }
+    state.home = home
+    if (result.kind === 'lost') return await this.acceptLoss(state, host)
+    state.last = result.answer
+    return await this.acceptAnswer(state, result.answer)
+  }
+
+  private async acceptAnswer (state: CallState, answer: Answer): Promise<boolean> {
+    if (answer.outcome === Outcome.run || answer.retryAfterMs === undefined) return true
+    const waitMs = answer.retryAfterMs + this.options.random() * DEFAULT_RETRY_MS
+    if (this.options.clock.getNow() + waitMs >= state.deadlineAt) return true
+    await this.options.clock.sleep(waitMs, state.signal)
+    if (answer.outcome === Outcome.notRun) {
+      this.renew(state, answer)
+      state.home = undefined
+      this.lookups.drop(state.call.service)
+    }
+    return false
+  }
+
+  /** A new attempt; under a new id where the home no longer tells this one's attempts apart. */
+  private renew (state: CallState, answer: Answer): void {
+    state.attempt += 1
+    if (answer.reason !== RefusalReason.fenced) return
+    state.id = createId(this.options.clock.getWallTime())
+    state.attempt = 0
+  }
+
+  /** The same request again, to its home through any host, until the deadline. */
+  private async acceptLoss (state: CallState, host: CallerHost): Promise<boolean> {
+    state.last = buildRefusal({ outcome: Outcome.unknown, reason: RefusalReason.answerLost, message: `the connection to host ${host.name} was lost: ask the service whether it ran` })
+    state.failed.add(host.name)
+    if (state.call.idempotent) state.home = undefined
+    await this.options.clock.sleep(LOST_PAUSE_MS, state.signal)
+    return false
+  }
+
+  /** The home first, then others by the look-up's order. */
+  private async chooseHost (state: CallState): Promise<CallerHost | undefined> {
+    const { home, failed } = state
+    if (home !== undefined && !failed.has(home.name)) return home
+    try {
+      const hosts = await this.lookups.find(state.call.service, state.signal)
+      return hosts.find((host) => !failed.has(host.name))
+    } catch (error) {
+      if (error instanceof AlmondrelayError) return undefined
+      throw error
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/caller/index.ts
@@ -0,0 +1,5 @@
+export * from './caller.js'
+export * from './callerCall.js'
+export * from './callerHost.js'
+export * from './callerOptions.js'
+export * from './createId.js'
--- /dev/null
+++ b/packages/almondrelay/src/caller/lookupCache.ts
@@ -0,0 +1,62 @@
+import { request, type Dispatcher } from 'undici'
+import { z } from 'zod'
+import { AlmondrelayError } from '../process/errors/almondrelayError.js'
+import { ErrorKind } from '../process/errors/errorKind.js'
+import type { Clock } from '../process/platform/clock.js'
+import type { CallerHost } from './callerHost.js'
+
+const LookupAnswer = z.object({
+  revision: z.number(),
+  ttlMs: z.number(),
+  hosts: z.array(z.object({ name: z.string(), incarnation: z.number(), address: z.string(), weight: z.number() })).min(1)
+})
+
+interface CachedLookup {
+  hosts: CallerHost[]
+  expiresAt: number
+}
+
+const LOOKUP_TIMEOUT_MS = 1_000
+
+/** Look-ups kept for their time to live. */
+export class LookupCache {
+  private readonly cached = new Map<string, CachedLookup>()
+  private known: string[]
+
+  constructor (hosts: readonly string[], private readonly clock: Clock, private readonly dispatcher: Dispatcher) {
+    this.known = [...hosts]
+  }
+
+  /** Hosts for a service, best first; rejects with `not-ready` where no host answers. */
+  async find (service: string, signal: AbortSignal): Promise<CallerHost[]> {
+    const cached = this.cached.get(service)
+    if (cached !== undefined && cached.expiresAt > this.clock.getNow()) return cached.hosts
+    for (const address of this.known) {
+      const answer = await this.ask(address, service, signal)
+      if (answer === undefined) continue
+      this.cached.set(service, { hosts: answer.hosts, expiresAt: this.clock.getNow() + answer.ttlMs })
+      this.known = [...new Set([...answer.hosts.map((host) => host.address), ...this.known])]
+      return answer.hosts
+    }
+    if (cached !== undefined) return cached.hosts
+    throw new AlmondrelayError({ kind: ErrorKind.notReady, message: `no entry host answered a look-up for ${service}`, remedy: 'check the addresses of the entry hosts, or try again' })
+  }
+
+  /** The next `find` asks again. */
+  drop (service: string): void {
+    this.cached.delete(service)
+  }
+
+  private async ask (address: string, service: string, signal: AbortSignal): Promise<z.infer<typeof LookupAnswer> | undefined> {
+    try {
+      const response = await request(`http://${address}/v1/lookup?service=${encodeURIComponent(service)}`, {
+        dispatcher: this.dispatcher,
+        signal: AbortSignal.any([signal, AbortSignal.timeout(LOOKUP_TIMEOUT_MS)])
+      })
+      const body = await response.body.text()
+      return response.statusCode === 200 ? LookupAnswer.parse(JSON.parse(body)) : undefined
+    } catch {
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/caller/sendToHost.ts
@@ -0,0 +1,75 @@
+import { errors, request, type Dispatcher } from 'undici'
+import type { Answer } from '../request/answer.js'
+import { HeaderName } from '../request/contract/headerName.js'
+import { Outcome } from '../request/outcome.js'
+import type { RefusalReason } from '../request/refusalReason.js'
+import type { CallerCall } from './callerCall.js'
+import type { CallerHost } from './callerHost.js'
+
+interface HostSend {
+  call: CallerCall
+  caller: string
+  id: string
+  attempt: number
+  host: CallerHost
+  home: CallerHost
+  /** Milliseconds until the deadline. */
+  leftMs: number
+  dispatcher: Dispatcher
+  signal: AbortSignal
+}
+
+type SendResult =
+  | { kind: 'answered', answer: Answer }
+  /** No byte left for the host. */
+  | { kind: 'not-sent' }
+  | { kind: 'lost' }
+
+const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** One exchange with an entry host. */
+export async function sendToHost (send: HostSend): Promise<SendResult> {
+  const { call, host, dispatcher, signal } = send
+  try {
+    const response = await request(`http://${host.address}/s/${call.service}${call.path}`, {
+      method: call.method as 'GET',
+      headers: buildHeaders(send),
+      body: call.body === undefined || call.body.byteLength === 0 ? null : call.body,
+      dispatcher,
+      signal
+    })
+    const body = new Uint8Array(await response.body.arrayBuffer())
+    return { kind: 'answered', answer: readAnswer(response.statusCode, response.headers, body) }
+  } catch (error) {
+    const isConnectError = error instanceof errors.ConnectTimeoutError || NOT_SENT_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+    return { kind: isConnectError ? 'not-sent' : 'lost' }
+  }
+}
+
+function buildHeaders ({ call, caller, id, attempt, home, leftMs }: HostSend): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const header of call.headers ?? []) headers[header.name] = header.value
+  headers[HeaderName.id] = id
+  headers[HeaderName.caller] = caller
+  headers[HeaderName.attempt] = String(attempt)
+  headers[HeaderName.deadline] = String(Math.max(1, Math.floor(leftMs)))
+  headers[HeaderName.home] = `${home.name};${home.incarnation}`
+  if (call.key !== undefined) headers[HeaderName.key] = call.key
+  return headers
+}
+
+function readAnswer (status: number, headers: Record<string, string | string[] | undefined>, body: Uint8Array): Answer {
+  const retryAfterMs = Number(headers[HeaderName.retryAfterMs])
+  const reason = headers[HeaderName.reason]
+  const target = headers[HeaderName.target]
+  return {
+    // An answer without an outcome is not this system's word; nothing is known of the request.
+    outcome: (headers[HeaderName.outcome] ?? Outcome.unknown) as Outcome,
+    status,
+    headers: Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().map((each) => ({ name, value: each }))),
+    body,
+    ...(typeof reason === 'string' ? { reason: reason as RefusalReason } : {}),
+    ...(typeof target === 'string' ? { target } : {}),
+    ...(Number.isFinite(retryAfterMs) ? { retryAfterMs } : {})
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/peer/createPeerHandlers.ts
@@ -0,0 +1,33 @@
+import type { ServiceImpl } from '@connectrpc/connect'
+import type { PeerService } from 'almondrelay-protocol'
+import type { Host } from '../../process/daemon/host.js'
+import { toForwardResponse } from '../../process/dispatch/toForwardResponse.js'
+import { checkSender } from './checkSender.js'
+
+/** What this host answers to its peers about requests; heartbeats and changes are the exchange's. */
+export function createPeerHandlers (host: Pick<Host, 'peerRequests' | 'slots' | 'clock'>): Partial<ServiceImpl<typeof PeerService>> {
+  const { peerRequests, slots, clock } = host
+  return {
+    requestCredits: (request) => {
+      checkSender(request.sender)
+      return peerRequests.grantCredits(request)
+    },
+    returnCredits: (request) => {
+      slots.returnCredits(request.creditIds, clock.getNow())
+      return {}
+    },
+    forward: async (request) => {
+      checkSender(request.sender)
+      return toForwardResponse(await peerRequests.forward(request))
+    },
+    relay: async (request, context) => {
+      checkSender(request.sender)
+      return toForwardResponse(await peerRequests.relay(request, context.signal))
+    },
+    fence: async (request, context) => {
+      checkSender(request.sender)
+      const { state, answer } = await peerRequests.fence(request, context.signal)
+      return answer === undefined ? { state } : { state, answer: toForwardResponse(answer) }
+    }
+  }
+}
--- a/packages/almondrelay/src/connection/peer/listenForPeers.ts
+++ b/packages/almondrelay/src/connection/peer/listenForPeers.ts
@@ -7,7 +7,7 @@
 const MAX_MESSAGE_BYTES = 20_000_000
 
 /** Serves the peer port until the signal aborts. */
-export async function listenForPeers (address: string, handlers: ServiceImpl<typeof PeerService>, signal: AbortSignal): Promise<Http2Server> {
+export async function listenForPeers (address: string, handlers: Partial<ServiceImpl<typeof PeerService>>, signal: AbortSignal): Promise<Http2Server> {
   const sessions = new Set<ServerHttp2Session>()
   const server = createServer(connectNodeAdapter({
     readMaxBytes: MAX_MESSAGE_BYTES,
--- a/packages/almondrelay/src/connection/target/targetConnections.ts
+++ b/packages/almondrelay/src/connection/target/targetConnections.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../process/platform/clock.js'
 import { TargetSender } from '../../process/dispatch/targetSender.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
-import type { TargetResult } from '../../request/targetResult.js'
+import type { TargetReply } from '../../request/targetReply.js'
 
 interface IdleConnection {
   client: Client
@@ -38,7 +38,7 @@
     super()
   }
 
-  override async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
+  override async send (address: string, request: TargetRequest, signal: AbortSignal): Promise<TargetReply> {
     const client = this.take(address, this.clock.getNow()) ?? this.open(address)
     const result = await exchange(client, request, signal)
     if (result.kind === 'answered' || result.kind === 'shed') this.keep(address, client)
@@ -89,7 +89,7 @@
   }
 }
 
-async function exchange (client: Client, request: TargetRequest, signal: AbortSignal): Promise<TargetResult> {
+async function exchange (client: Client, request: TargetRequest, signal: AbortSignal): Promise<TargetReply> {
   let isAnswering = false
   try {
     const response = await client.request({
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/buildRequestPath.ts
@@ -0,0 +1,75 @@
+import type { Random } from '../../request/random.js'
+import type { DecisionRecorder } from '../dispatch/decisionRecorder.js'
+import type { HostDirectory } from '../dispatch/hostDirectory.js'
+import type { HostIdentity } from '../dispatch/hostIdentity.js'
+import { HomeRelay } from '../dispatch/homeRelay.js'
+import { PeerForwarder } from '../dispatch/peerForwarder.js'
+import type { PeerLinks } from '../dispatch/peerLinks.js'
+import { PeerRequests } from '../dispatch/peerRequests.js'
+import { PROTOCOL_VERSION } from '../dispatch/protocolVersion.js'
+import { RequestExecutor } from '../dispatch/requestExecutor.js'
+import { RequestHandler } from '../dispatch/requestHandler.js'
+import { RequestPlacer } from '../dispatch/requestPlacer.js'
+import { Services } from '../dispatch/services.js'
+import type { SlotPool } from '../dispatch/slotPool.js'
+import type { TargetAdopter } from '../dispatch/targetAdopter.js'
+import type { TargetSender } from '../dispatch/targetSender.js'
+import { TargetRunner } from '../dispatch/targetRunner.js'
+import { AttemptTable } from '../journal/attemptTable.js'
+import { Journal } from '../journal/journal.js'
+import type { Clock } from '../platform/clock.js'
+import type { HostSettings } from '../settings/hostSettings.js'
+
+interface PathBase {
+  requests: HostSettings['requests']
+  identity: HostIdentity
+  clock: Clock
+  random: Random
+  recorder: DecisionRecorder
+  slots: SlotPool & TargetAdopter
+  directory: HostDirectory
+  links: PeerLinks
+  targets: TargetSender
+}
+
+interface RequestPath {
+  services: Services
+  journal: Journal
+  runner: TargetRunner
+  handler: RequestHandler
+  peerRequests: PeerRequests
+}
+
+/** Bytes of answers that the journal keeps; a quarter of what a host may use for control. */
+const MAX_JOURNAL_BYTES = 64 * 1_048_576
+/** Callers' clocks may run ahead by this much. */
+const MAX_SKEW_MS = 5_000
+/** Longer than any credit is valid, and long enough for a peer that lost its connection to ask. */
+const KEEP_ATTEMPT_MS = 30_000
+
+/** Makes what a request passes through, from admission to its answer. */
+export function buildRequestPath (base: PathBase, signal: AbortSignal): RequestPath {
+  const { identity, clock, random, recorder, slots, directory, links, targets } = base
+  const { maxQueued, maxDeadlineMs, maxJournalEntries, journalRetentionMs } = base.requests
+  const sender = { ...identity, incarnation: BigInt(identity.incarnation), protocolVersion: PROTOCOL_VERSION }
+  const services = new Services({ identity, clock, random, recorder, slots, directory, links, maxQueued, maxDeadlineMs, signal })
+  const journal = new Journal({ maxEntries: maxJournalEntries, maxRefused: maxJournalEntries, maxBytes: MAX_JOURNAL_BYTES, retentionMs: journalRetentionMs, maxSkewMs: MAX_SKEW_MS })
+  const runner = new TargetRunner({ clock, slots, sender: targets, signal })
+  const executor = new RequestExecutor({
+    identity,
+    clock,
+    recorder,
+    runner,
+    placer: new RequestPlacer({ identity, clock, random, services, slots, directory, recorder }),
+    forwarder: new PeerForwarder({ clock, directory, links, sender })
+  })
+  const relay = new HomeRelay({ clock, directory, links, sender })
+  const handler = new RequestHandler({ identity, clock, journal, executor, relay, signal })
+  return {
+    services,
+    journal,
+    runner,
+    handler,
+    peerRequests: new PeerRequests({ identity, clock, services, slots, attempts: new AttemptTable(KEEP_ATTEMPT_MS), runner, handler, maxDeadlineMs })
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/followHostList.ts
@@ -0,0 +1,40 @@
+import { LeavingSource } from '../membership/leavingSource.js'
+import type { PlatformHost } from '../platform/platformHost.js'
+import type { Host } from './host.js'
+
+const POLL_MS = 1_000
+const TARGET_ROLE = 'target'
+
+/**
+ * Reads the platform's lagging list of hosts and targets: entry hosts to get to know, and targets that
+ * leave. Only the zone's watchers read it, so the platform sees two calls a second and zone.
+ */
+export async function followHostList (host: Host, signal: AbortSignal): Promise<void> {
+  const { platform, clock, log } = host
+  const source = new LeavingSource(host.leavingTargets)
+  while (!signal.aborted) {
+    try {
+      for (const listed of await platform.listHosts(signal)) observeListed(host, source, listed)
+    } catch (error) {
+      if (!signal.aborted) log.debug({ err: error }, 'host list not read; the last one holds')
+    }
+    await clock.sleep(POLL_MS, signal)
+  }
+}
+
+function observeListed ({ membership, services, clock }: Host, source: LeavingSource, listed: PlatformHost): void {
+  const now = clock.getNow()
+  if (listed.role === TARGET_ROLE) {
+    const owners = services.list().filter((runtime) => runtime.findTarget(listed.name) !== undefined)
+    for (const runtime of owners) source.observe(runtime.name, listed.name, listed.leaving, now)
+    return
+  }
+  membership.observeListed({
+    host: listed.name,
+    availabilityZone: listed.availabilityZone,
+    region: listed.region,
+    callerAddress: listed.callerAddress ?? '',
+    peerAddress: listed.peerAddress ?? '',
+    isLeaving: listed.leaving
+  }, now)
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/host.ts
@@ -0,0 +1,54 @@
+import type Logger from 'bunyan'
+import type { ExchangeHub } from '../../connection/exchange/exchangeHub.js'
+import type { OperatorAppOptions } from '../../connection/operator/operatorAppOptions.js'
+import type { PeerConnections } from '../../connection/peer/peerConnections.js'
+import type { TargetConnections } from '../../connection/target/targetConnections.js'
+import type { AccountLedger } from '../account/accountLedger.js'
+import type { AccountWriter } from '../account/accountWriter.js'
+import type { ChangeLog } from '../configuration/changeLog.js'
+import type { ConfigurationStore } from '../configuration/configurationStore.js'
+import type { AnswerRecorder } from '../dispatch/answerRecorder.js'
+import type { HostIdentity } from '../dispatch/hostIdentity.js'
+import type { PeerRequests } from '../dispatch/peerRequests.js'
+import type { RequestHandler } from '../dispatch/requestHandler.js'
+import type { Services } from '../dispatch/services.js'
+import type { TargetRunner } from '../dispatch/targetRunner.js'
+import type { Journal } from '../journal/journal.js'
+import type { HostSlots } from '../limits/hostSlots.js'
+import type { LookupAnswerer } from '../lookup/lookupAnswerer.js'
+import type { LeavingTargets } from '../membership/leavingTargets.js'
+import type { Membership } from '../membership/membership.js'
+import type { Clock } from '../platform/clock.js'
+import type { Platform } from '../platform/platform.js'
+import type { Random } from '../../request/random.js'
+import type { HostSettings } from '../settings/hostSettings.js'
+import type { Metrics } from './metrics.js'
+
+/** The objects that live as long as the process. */
+export interface Host {
+  settings: HostSettings
+  identity: HostIdentity
+  log: Logger
+  clock: Clock
+  random: Random
+  platform: Platform
+  store: ConfigurationStore
+  changeLog: ChangeLog
+  membership: Membership
+  leavingTargets: LeavingTargets
+  hub: ExchangeHub
+  slots: HostSlots
+  services: Services
+  journal: Journal
+  runner: TargetRunner
+  handler: RequestHandler
+  peerRequests: PeerRequests
+  lookups: LookupAnswerer
+  answers: AnswerRecorder
+  ledger: AccountLedger
+  accountWriter: AccountWriter
+  metrics: Metrics
+  peers: PeerConnections
+  targets: TargetConnections
+  operatorOptions: OperatorAppOptions
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/index.ts
@@ -0,0 +1,1 @@
+export * from './buildRequestPath.js'
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/probeTargets.ts
@@ -0,0 +1,38 @@
+import { z } from 'zod'
+import type { TargetSpec } from '../../version/resources/targetSpec.js'
+import { LeavingSource } from '../membership/leavingSource.js'
+import type { ServiceRuntime } from '../dispatch/serviceRuntime.js'
+import type { Host } from './host.js'
+
+const TargetHealth = z.object({ healthy: z.boolean(), leaving: z.boolean(), load: z.number() })
+
+const PROBE_MS = 1_000
+const PROBE_TIMEOUT_MS = 1_000
+const MAX_HEALTH_BYTES = 4_096
+
+/** Asks the targets that this host owns, each second, for their health, load and whether they are leaving. */
+export async function probeTargets (host: Host, signal: AbortSignal): Promise<void> {
+  const { clock, services, slots } = host
+  const source = new LeavingSource(host.leavingTargets)
+  while (!signal.aborted) {
+    const probes = services.list().flatMap((runtime) => {
+      const owned = slots.getFree(runtime.name, clock.getNow())
+      return runtime.listTargets().filter((target) => owned.has(target.name)).map((target) => probeTarget(host, source, runtime, target, signal))
+    })
+    await Promise.all([...probes, clock.sleep(PROBE_MS, signal)])
+  }
+}
+
+async function probeTarget (host: Host, source: LeavingSource, runtime: ServiceRuntime, target: TargetSpec, signal: AbortSignal): Promise<void> {
+  const { targets, clock, log } = host
+  const timeout = AbortSignal.any([signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)])
+  const result = await targets.send(target.address, { method: 'GET', path: runtime.spec.healthPath, headers: [], body: new Uint8Array(0), idempotent: true, maxAnswerBytes: MAX_HEALTH_BYTES }, timeout)
+  if (result.kind !== 'answered') return
+  try {
+    const health = TargetHealth.parse(JSON.parse(Buffer.from(result.body).toString()))
+    runtime.observeReport(target.name, health, clock.getNow())
+    source.observe(runtime.name, target.name, health.leaving, clock.getNow())
+  } catch (error) {
+    log.debug({ err: error, target: target.name }, 'health answer not understood; what is measured here holds')
+  }
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/reportLoad.ts
@@ -0,0 +1,26 @@
+import type { Host } from './host.js'
+
+/** Loads travel on heartbeats; no need to count them more often. */
+const REPORT_MS = 100
+
+/**
+ * Keeps pace with what changes by time alone: targets that are said to be leaving, slots that became
+ * free, and the load that heartbeats tell the peers.
+ */
+export async function reportLoad (host: Host, signal: AbortSignal): Promise<void> {
+  const { clock, membership, leavingTargets, services, slots, metrics } = host
+  while (!signal.aborted) {
+    const now = clock.getNow()
+    for (const runtime of services.list()) runtime.observeLeaving((target) => leavingTargets.isLeaving(runtime.name, target), now)
+    const loads = services.list().map((runtime) => {
+      const free = [...slots.getFree(runtime.name, now).values()].reduce((sum, each) => sum + each, 0)
+      const waiting = [...runtime.lanes.values()].reduce((sum, lane) => sum + lane.countWaiting(), 0)
+      const running = slots.countRunning(runtime.name)
+      metrics.observeLoad(runtime.name, waiting, running)
+      return { service: runtime.name, freeSlots: Math.max(0, free - waiting), running }
+    })
+    membership.updateSelf({ loads })
+    services.advance(now)
+    await clock.sleep(REPORT_MS, signal)
+  }
+}
--- a/packages/almondrelay/src/process/dispatch/decisionRecorder.ts
+++ b/packages/almondrelay/src/process/dispatch/decisionRecorder.ts
@@ -1,12 +1,15 @@
-/** One decision: what was known, and what came of it. Both sides are plain JSON. */
+import type { DecisionKind } from '../account/decisionKind.js'
+
 interface RecordedDecision {
-  kind: string
+  decision: DecisionKind
   requestId: string
-  input: Record<string, unknown>
-  output: Record<string, unknown>
+  /** What was known; plain data. */
+  input: object
+  /** What came of it; plain data. */
+  output: object
 }
 
-/** Writes a log line for each routing or placement decision. */
+/** Takes note of each routing or placement decision. */
 export abstract class DecisionRecorder {
   abstract record (decision: RecordedDecision): void
 }
--- a/packages/almondrelay/src/process/dispatch/homeRelay.ts
+++ b/packages/almondrelay/src/process/dispatch/homeRelay.ts
@@ -6,6 +6,7 @@
 import { Outcome } from '../../request/outcome.js'
 import { RefusalReason } from '../../request/refusalReason.js'
 import type { Clock } from '../platform/clock.js'
+import { createDeadlineSignal } from './createDeadlineSignal.js'
 import type { HostDirectory } from './hostDirectory.js'
 import { isConnectionRefused } from './isConnectionRefused.js'
 import type { KnownHost } from './knownHost.js'
@@ -32,8 +33,17 @@
   constructor (private readonly parts: HomeRelayParts) {}
 
   async relay (request: CallerRequest, home: HomeReference, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
+    const deadline = createDeadlineSignal(this.parts.clock, deadlineAt, signal)
+    try {
+      return await this.tryHome(request, home, deadlineAt, deadline.signal)
+    } finally {
+      deadline.clear()
+    }
+  }
+
+  private async tryHome (request: CallerRequest, home: HomeReference, deadlineAt: number, signal: AbortSignal): Promise<Answer> {
     const { clock, directory, links } = this.parts
-    const giveUpAt = Math.min(deadlineAt, clock.getNow() + SILENT_HOME_MS)
+    const giveUpAt = clock.getNow() + SILENT_HOME_MS
     while (!signal.aborted && clock.getNow() < giveUpAt) {
       const peer = directory.find(home.host)
       if (peer === undefined) return answerUnreachable(home)
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -75,7 +75,7 @@
     const free = this.countFree(now)
     const capacity = this.computeCapacity(free)
     const decision = queue.offer(request, free, capacity, now)
-    recorder.record({ kind: 'admission', requestId: request.id, input: { service: this.service, region: this.region, caller: request.caller, key: request.key, route: request.route, deadlineMs: Math.round(request.deadlineAt - now), free, capacity, waiting: queue.waiting }, output: { ...decision } })
+    recorder.record({ decision: 'admission', requestId: request.id, input: { service: this.service, region: this.region, caller: request.caller, key: request.key, route: request.route, deadlineMs: Math.round(request.deadlineAt - now), free, capacity, waiting: queue.waiting }, output: { ...decision } })
     if (decision.kind === 'refuse') return Promise.resolve(this.explainRefusal(decision.reason, decision.retryAfterMs))
     const result = new Promise<SlotGrant | LaneRefusal>((resolve) => {
       this.waiting.set(request.id, { request, attemptId, excluded, resolve })
@@ -137,7 +137,7 @@
     const free = slots.getFree(service, now)
     const choice = chooser.choose(free, waiting.excluded, now, random) ?? chooser.choose(free, new Set(), now, random)
     if (choice === undefined) return undefined
-    recorder.record({ kind: 'choice', requestId: waiting.request.id, input: { service, free: Object.fromEntries(free), excluded: [...waiting.excluded] }, output: { ...choice } })
+    recorder.record({ decision: 'choice', requestId: waiting.request.id, input: { service, free: Object.fromEntries(free), excluded: [...waiting.excluded] }, output: { ...choice } })
     const isTaken = slots.acquire(service, choice.target, waiting.attemptId, waiting.request.deadlineAt, now)
     return isTaken ? { kind: 'own', target: choice.target } : undefined
   }
@@ -182,7 +182,7 @@
     if (!this.parts.usesOwnSlots) return credits
     const free = this.parts.slots.getFree(this.service, now)
     const slots = [...free.values()].reduce((sum, each) => sum + each, 0)
-    return credits + Math.min(slots, this.parts.chooser.headroom)
+    return credits + Math.min(slots, this.parts.chooser.countReady(now))
   }
 
   /** Slots that this queue's work may hold at once, as far as is known; peers count only where this host has none. */
--- a/packages/almondrelay/src/process/dispatch/peerRequests.ts
+++ b/packages/almondrelay/src/process/dispatch/peerRequests.ts
@@ -52,7 +52,8 @@
     // Own callers that wait come first; a sender that gets nothing asks elsewhere.
     const isBusy = [...runtime.lanes.values()].some((lane) => lane.region === this.parts.identity.region && lane.countWaiting() > 0)
     const sender = request.sender?.host ?? ''
-    const credits = isBusy ? [] : slots.grantCredits(request.service, sender, request.wanted, now)
+    const isUsable = (target: string): boolean => runtime.chooser.allow(target, now)
+    const credits = isBusy ? [] : slots.grantCredits(request.service, sender, request.wanted, now, isUsable)
     const validMs = Math.max(0, Math.floor(Math.min(...credits.map((credit) => credit.expiresAt - now))))
     return { credits, validMs: credits.length === 0 ? 0 : validMs, reason: credits.length === 0 ? RefusalReason.noCredit : '' }
   }
--- a/packages/almondrelay/src/process/dispatch/requestExecutor.ts
+++ b/packages/almondrelay/src/process/dispatch/requestExecutor.ts
@@ -123,7 +123,7 @@
       costMs: 1
     }
     const decision = decideRetry(input, execution.runtime.retryBudget, this.parts.clock.getNow())
-    this.parts.recorder.record({ kind: 'retry', requestId: execution.request.id, input: { ...input, failure: result.reason, target: result.target ?? '' }, output: { ...decision } })
+    this.parts.recorder.record({ decision: 'retry', requestId: execution.request.id, input: { ...input, failure: result.reason, target: result.target ?? '' }, output: { ...decision } })
     return decision.kind === 'retry'
   }
 
--- a/packages/almondrelay/src/process/dispatch/requestHandler.ts
+++ b/packages/almondrelay/src/process/dispatch/requestHandler.ts
@@ -106,17 +106,20 @@
 /** Longest wait for the answer of a request that is fenced while it runs, in milliseconds. */
 const FENCE_JOIN_MS = 5_000
 
+/** A new id may be sent at once. */
+const NEW_ID_RETRY_MS: Partial<Record<RefusalReason, number>> = { [RefusalReason.fenced]: 1 }
+
 const journalMessages: Partial<Record<RefusalReason, string>> = {
   [RefusalReason.invalidHeader]: 'Idempotency-Key carries a time ahead of this host\'s clock: set the caller\'s clock',
   [RefusalReason.missingHome]: 'the request is not idempotent: send Idempotency-Key and Almondrelay-Home',
   [RefusalReason.idReused]: 'Idempotency-Key was used for a different request: make a new one',
   [RefusalReason.idExpired]: 'Idempotency-Key is older than what the journal keeps: ask the service whether the request ran',
-  [RefusalReason.fenced]: 'it was told not-run before: send Almondrelay-Attempt one higher, or a new Idempotency-Key',
+  [RefusalReason.fenced]: 'it was told not-run before, or fenced: make a new Idempotency-Key',
   [RefusalReason.journalFull]: 'the journal is full: try again later'
 }
 
 /** An id past retention may have run before it was forgotten. */
-function answerJournalRefusal ({ reason, retryAfterMs }: RefusedDecision): Answer {
+function answerJournalRefusal ({ reason, retryAfterMs = NEW_ID_RETRY_MS[reason] }: RefusedDecision): Answer {
   return buildRefusal({
     outcome: reason === RefusalReason.idExpired ? Outcome.unknown : Outcome.notRun,
     reason,
--- a/packages/almondrelay/src/process/dispatch/requestPlacer.ts
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -45,7 +45,7 @@
     if (configuration === undefined) return { kind: 'refused', reason: RefusalReason.notReady, retryAfterMs: 1_000 }
     const input = this.buildInput(runtime, configuration, deadlineAt, now)
     const placement = choosePlacement(input, now, random)
-    recorder.record({ kind: 'placement', requestId: request.id, input: { ...input }, output: { ...placement } })
+    recorder.record({ decision: 'placement', requestId: request.id, input: { ...input }, output: { ...placement } })
     if (placement.kind === 'refuse') return { kind: 'refused', reason: placement.reason, retryAfterMs: placement.retryAfterMs }
     const first = placement.zones[0]
     if (first === undefined) return { kind: 'refused', reason: RefusalReason.noTarget, retryAfterMs: 1_000 }
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -1,4 +1,5 @@
 import { TargetChooser } from '../../request/choice/targetChooser.js'
+import type { TargetReport } from '../../request/choice/targetReport.js'
 import { RetryBudget } from '../../request/retry/retryBudget.js'
 import type { ServiceSpec } from '../../version/resources/serviceSpec.js'
 import type { TargetSpec } from '../../version/resources/targetSpec.js'
@@ -10,6 +11,7 @@
   readonly retryBudget = new RetryBudget()
   readonly lanes = new Map<string, Lane>()
   private targets = new Map<string, TargetSpec>()
+  private drained: ReadonlySet<string> = new Set()
 
   constructor (readonly name: string, private currentSpec: ServiceSpec) {}
 
@@ -23,7 +25,18 @@
     const own = spec.targets.filter((target) => target.availabilityZone === availabilityZone)
     this.targets = new Map(own.map((target) => [target.name, target]))
     this.chooser.adoptTargets(own, now)
-    for (const target of own) this.chooser.markLeaving(target.name, leaving.has(target.name), now)
+    this.drained = leaving
+    for (const target of leaving) this.chooser.markLeaving(target, true, now)
+  }
+
+  /** The host list, the target itself or a peer says which targets are leaving. */
+  observeLeaving (isLeaving: (target: string) => boolean, now: number): void {
+    for (const target of this.targets.keys()) this.chooser.markLeaving(target, this.drained.has(target) || isLeaving(target), now)
+  }
+
+  /** The target's own word. */
+  observeReport (target: string, report: TargetReport, now: number): void {
+    this.chooser.report(target, report, now)
   }
 
   /** A target of this host's availability zone. */
--- a/packages/almondrelay/src/process/dispatch/services.ts
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -10,6 +10,7 @@
 import type { KnownHost } from './knownHost.js'
 import { Lane } from './lane.js'
 import type { PeerLinks } from './peerLinks.js'
+import { PROTOCOL_VERSION } from './protocolVersion.js'
 import { rankCreditPeers } from './rankCreditPeers.js'
 import { ServiceRuntime } from './serviceRuntime.js'
 import type { SlotPool } from './slotPool.js'
@@ -28,9 +29,6 @@
   signal: AbortSignal
 }
 
-/** Protocol version that this build speaks with its peers. */
-const PROTOCOL_VERSION = 1
-
 /** The services of the configuration in force, with their queues. */
 export class Services {
   private readonly runtimes = new Map<string, ServiceRuntime>()
--- a/packages/almondrelay/src/process/dispatch/slotPool.ts
+++ b/packages/almondrelay/src/process/dispatch/slotPool.ts
@@ -8,7 +8,8 @@
   abstract acquire (service: string, target: string, holder: string, runsUntil: number, now: number): boolean
   /** The attempt's end is known. */
   abstract release (holder: string, now: number): void
-  abstract grantCredits (service: string, sender: string, wanted: number, now: number): Credit[]
+  /** Credits on targets that `isUsable` lets through. */
+  abstract grantCredits (service: string, sender: string, wanted: number, now: number, isUsable: (target: string) => boolean): Credit[]
   /** Turns a credit into a slot; undefined where it lapsed or was used. */
   abstract useCredit (creditId: string, holder: string, runsUntil: number, now: number): { service: string, target: string } | undefined
   abstract returnCredits (ids: readonly string[], now: number): void
--- a/packages/almondrelay/src/process/dispatch/targetRunner.ts
+++ b/packages/almondrelay/src/process/dispatch/targetRunner.ts
@@ -2,7 +2,7 @@
 import type { Attempt } from '../../request/attempt.js'
 import { HeaderName } from '../../request/contract/headerName.js'
 import { RefusalReason } from '../../request/refusalReason.js'
-import type { TargetResult } from '../../request/targetResult.js'
+import type { TargetReply } from '../../request/targetReply.js'
 import type { TargetChooser } from '../../request/choice/targetChooser.js'
 import type { TargetSpec } from '../../version/resources/targetSpec.js'
 import type { Clock } from '../platform/clock.js'
@@ -59,7 +59,7 @@
    * the target runs more than its slots. The slot stays taken until the target has had time to take
    * the closed connection as a cancellation, or until the deadline that it was sent has passed.
    */
-  private releaseSlot (attempt: Attempt, result: TargetResult, now: number): void {
+  private releaseSlot (attempt: Attempt, result: TargetReply, now: number): void {
     const { clock, slots, signal } = this.parts
     if (result.kind !== 'lost') {
       slots.release(attempt.attemptId, now)
@@ -92,8 +92,8 @@
   return lower === 'host' || lower === 'expect' || lower === HeaderName.id || lower === HeaderName.caller || lower === HeaderName.deadline || lower === HeaderName.home
 }
 
-function describeResult (result: TargetResult, target: string): AttemptResult {
-  return match<TargetResult, AttemptResult>(result)
+function describeResult (result: TargetReply, target: string): AttemptResult {
+  return match<TargetReply, AttemptResult>(result)
     .with({ kind: 'answered' }, ({ status, headers, body }) => ({ kind: 'answered', status, headers, body, target }))
     .with({ kind: 'not-sent' }, ({ message }) => ({ kind: 'not-run', reason: RefusalReason.targetUnreachable, message: `no connection to the target (${message}): try again`, target }))
     .with({ kind: 'shed' }, ({ retryAfterMs }) => ({ kind: 'not-run', reason: RefusalReason.targetRefused, message: 'the target refused the request: try again', target, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }))
--- a/packages/almondrelay/src/process/limits/hostSlots.ts
+++ b/packages/almondrelay/src/process/limits/hostSlots.ts
@@ -106,10 +106,13 @@
     this.advance(now)
   }
 
-  /** Credits for a sender, at most `wanted`, from the targets with the most free slots, leaving a reserve for own callers. */
-  grantCredits (service: string, sender: string, wanted: number, now: number): Credit[] {
+  /**
+   * Credits for a sender, at most `wanted`, from the targets with the most free slots, leaving a reserve
+   * for own callers. `isUsable` leaves out targets that take no new work: leaving, slow or silent ones.
+   */
+  grantCredits (service: string, sender: string, wanted: number, now: number, isUsable: (target: string) => boolean = () => true): Credit[] {
     this.advance(now)
-    const owned = [...this.getService(service).values()].filter((slots) => slots.isOwner())
+    const owned = [...this.getService(service).values()].filter((slots) => slots.isOwner() && isUsable(slots.target))
     const capacity = owned.reduce((sum, slots) => sum + slots.computeCapacity(now), 0)
     const free = owned.reduce((sum, slots) => sum + slots.computeFree(now), 0)
     const count = Math.min(wanted, free - Math.ceil(capacity * this.options.creditReserve))
--- a/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
+++ b/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
@@ -41,6 +41,11 @@
 export class LookupAnswerer {
   constructor (private readonly parts: LookupParts) {}
 
+  /** Longest time for which a caller may keep an answer, in milliseconds. */
+  get maxTtlMs (): number {
+    return this.parts.ttlMs
+  }
+
   answer (service: string, _from: string | undefined): LookupResult {
     const { services, directory, random, ttlMs } = this.parts
     const configuration = services.configuration
--- /dev/null
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -0,0 +1,67 @@
+import { setMaxListeners } from 'node:events'
+import type { Server } from 'node:http'
+import bunyan from 'bunyan'
+import { handleExchange } from '../connection/exchange/handleExchange.js'
+import { handleFetchChanges } from '../connection/exchange/handleFetchChanges.js'
+import { listenForHttp } from '../connection/listenForHttp.js'
+import { createOperatorApp } from '../connection/operator/createOperatorApp.js'
+import { createCallerApp } from '../connection/caller/createCallerApp.js'
+import { createPeerHandlers } from '../connection/peer/createPeerHandlers.js'
+import { listenForPeers } from '../connection/peer/listenForPeers.js'
+import { buildHost } from './daemon/buildHost.js'
+import type { Host } from './daemon/host.js'
+import { closeHost } from './daemon/closeHost.js'
+import { runTasks } from './daemon/runTasks.js'
+import { stopHost } from './daemon/stopHost.js'
+import type { HostSettings } from './settings/hostSettings.js'
+
+/**
+ * Serves as an entry host until the signal aborts, then makes a planned stop. Resolves with the exit
+ * code: 0 where every request was finished, 1 where the limit of the stop ended some or a peer
+ * refused this process.
+ *
+ * @throws AlmondrelayError of kind `settings-invalid` where a port can't be had.
+ */
+export async function runDaemon (settings: HostSettings, signal: AbortSignal): Promise<number> {
+  const log = bunyan.createLogger({ name: 'almondrelayd', host: settings.host.name, level: settings.log.level })
+  const process = new AbortController()
+  const failure = new AbortController()
+  setMaxListeners(0, process.signal)
+  const host = buildHost(settings, log, process.signal, () => { failure.abort() })
+  const servers = await openPorts(host, process.signal)
+  const tasks = runTasks(host, process.signal)
+  log.info({ incarnation: host.identity.incarnation, listen: settings.listen }, 'host started')
+  await waitForAbort(AbortSignal.any([signal, failure.signal]))
+  const unfinished = await stopHost(host, servers)
+  process.abort()
+  await tasks
+  await closeHost(host)
+  log.info({ unfinished }, 'host stopped')
+  return unfinished === 0 && !failure.signal.aborted ? 0 : 1
+}
+
+async function openPorts (host: Host, signal: AbortSignal): Promise<Server[]> {
+  const { settings } = host
+  await listenForPeers(settings.listen.peer, {
+    ...createPeerHandlers(host),
+    exchange: (request) => handleExchange(request, host.hub),
+    fetchChanges: (request) => handleFetchChanges(request, host.hub)
+  }, signal)
+  const operator = await listenForHttp(settings.listen.operator, createOperatorApp(host.operatorOptions, signal))
+  const caller = await listenForHttp(settings.listen.caller, createCallerApp({
+    host: settings.host.name,
+    services: host.services,
+    handler: host.handler,
+    lookups: host.lookups,
+    recorder: host.answers,
+    maxDeadlineMs: settings.requests.maxDeadlineMs
+  }))
+  return [caller, operator]
+}
+
+function waitForAbort (signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) resolve()
+    signal.addEventListener('abort', () => { resolve() }, { once: true })
+  })
+}
--- a/packages/almondrelay/src/request/choice/targetChooser.ts
+++ b/packages/almondrelay/src/request/choice/targetChooser.ts
@@ -61,6 +61,17 @@
     return this.open.headroom
   }
 
+  /** Requests that `choose` would place now: the headroom, or one trial of a target that lost its work. */
+  countReady (now: number): number {
+    return this.open.headroom > 0 ? this.open.headroom : Number(this.open.findTrialDue(now) !== undefined)
+  }
+
+  /** Whether a target may take one more request, such as one from a peer. */
+  allow (target: string, now: number): boolean {
+    const state = this.states.get(target)
+    return state !== undefined && state.allowed > state.running && this.check(state, now)
+  }
+
   /**
    * Chooses a target with a free slot; undefined where none may take work now.
    *
--- a/packages/almondrelay/src/request/targetResult.ts
+++ b/packages/almondrelay/src/request/targetReply.ts
@@ -1,7 +1,7 @@
 import type { AnswerHeader } from './answerHeader.js'
 
 /** What came of sending a request to a target. */
-export type TargetResult =
+export type TargetReply =
   | { kind: 'answered', status: number, headers: AnswerHeader[], body: Uint8Array }
   /** No byte of the request left this host. */
   | { kind: 'not-sent', message: string }
