--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
@@ -0,0 +1,152 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeWrite } from '../../../process/configuration/__fixtures__/makeWrite.js'
+import { FakeFleet } from '../__fixtures__/fakeFleet.js'
+
+const never = new AbortController().signal
+const ZONES = ['akl-a', 'akl-b', 'wlg-a']
+
+async function startFleet (zones: readonly string[], hostsAZone: number): Promise<FakeFleet> {
+  const fleet = new FakeFleet()
+  fleet.startZones(zones, hostsAZone)
+  await fleet.clock.advance(5_000)
+  return fleet
+}
+
+const listBelow = (fleet: FakeFleet, revision: number): string[] => [...fleet.hosts.values()].filter((host) => host.store.current.revision !== revision).map((host) => host.host)
+
+test('hosts find each other, become ready and carry a change to every host within a second', async () => {
+  const fleet = await startFleet(ZONES, 3)
+  assert.ok([...fleet.hosts.values()].every((host) => host.store.isReady))
+  await fleet.getHost('wlg-a-03').changeLog.submit(makeWrite('w1', 'akl'), never)
+  await fleet.clock.advance(1_000)
+  assert.equal(listBelow(fleet, 1), [])
+  for (const viewer of fleet.hosts.keys()) for (const host of fleet.hosts.keys()) assert.is(fleet.getState(viewer, host), 'live', `${viewer} sees ${host}`)
+  fleet.stopAll()
+})
+
+// A host's process dies. Its callers wait until its neighbours know; its address refuses
+// connections, so they must know for sure within a second, and so must every other host.
+test('a dead process is known as gone within a second of virtual time', async () => {
+  const fleet = await startFleet(ZONES, 3)
+  fleet.killHost('akl-a-02')
+  await fleet.clock.advance(1_000)
+  for (const viewer of ['akl-a-01', 'akl-a-03', 'akl-b-01', 'wlg-a-03']) assert.is(fleet.getState(viewer, 'akl-a-02'), 'gone', viewer)
+  fleet.stopAll()
+})
+
+// A process is paused for a minute and wakes. While it sleeps its kernel takes connections. If the
+// others held it for dead they would free what it holds, and it would wake still holding it.
+test('a frozen process is only suspected, and live again after it wakes', async () => {
+  const fleet = await startFleet(ZONES, 3)
+  fleet.getHost('akl-a-02').endpoint.isFrozen = true
+  fleet.network.isCut = (from) => from === 'akl-a-02'
+  await fleet.clock.advance(60_000)
+  for (const viewer of ['akl-a-01', 'akl-a-03', 'akl-b-01', 'wlg-a-01']) assert.is(fleet.getState(viewer, 'akl-a-02'), 'suspected', viewer)
+  fleet.getHost('akl-a-02').endpoint.isFrozen = false
+  fleet.network.isCut = () => false
+  await fleet.clock.advance(5_000)
+  for (const viewer of ['akl-a-01', 'akl-b-01', 'wlg-a-01']) assert.is(fleet.getState(viewer, 'akl-a-02'), 'live', viewer)
+  const gone = [...fleet.hosts.values()].flatMap((host) => host.events).filter((event) => event.kind === 'gone')
+  assert.equal(gone, [])
+  fleet.stopAll()
+})
+
+// Both watchers of a zone die one after the other. Changes must go on arriving in the zone: the
+// next hosts by rank watch in their place.
+test('watchers that die are replaced', async () => {
+  const fleet = await startFleet(['akl-a'], 4)
+  const getWatchers = () => fleet.getHost('akl-a-04').membership.chooseWatchers('akl-a', fleet.clock.getNow())
+  assert.equal(getWatchers(), ['akl-a-01', 'akl-a-02'])
+  fleet.killHost('akl-a-01')
+  await fleet.clock.advance(1_000)
+  fleet.killHost('akl-a-02')
+  await fleet.clock.advance(1_000)
+  assert.equal(getWatchers(), ['akl-a-03', 'akl-a-04'])
+  await fleet.getHost('akl-a-04').changeLog.submit(makeWrite('w1', 'akl'), never)
+  await fleet.clock.advance(1_000)
+  assert.is(fleet.getHost('akl-a-03').store.current.revision, 1)
+  fleet.stopAll()
+})
+
+// The platform is down for an hour. Hosts serve on, and one of them is replaced: the new process
+// must not serve before it has the configuration, and gets it from a peer of its zone.
+test('a host that restarts during an outage takes the configuration from a peer', async () => {
+  const fleet = await startFleet(ZONES, 2)
+  await fleet.getHost('akl-a-01').changeLog.submit(makeWrite('w1', 'akl'), never)
+  await fleet.clock.advance(2_000)
+  fleet.platform.faults.outage = true
+  await fleet.clock.advance(60_000)
+  fleet.killHost('akl-a-02')
+  await fleet.clock.advance(1_000)
+  const restarted = fleet.startHost('akl-a-02', ['akl-a-01'])
+  assert.is(restarted.store.isReady, false)
+  await fleet.clock.advance(5_000)
+  assert.is(restarted.store.isReady, true)
+  assert.is(restarted.store.current.revision, 1)
+  assert.is(fleet.getState('wlg-a-01', 'akl-a-02'), 'live')
+  fleet.platform.faults.outage = false
+  await fleet.clock.advance(10_000)
+  await restarted.changeLog.submit(makeWrite('w2', 'wlg'), never)
+  await fleet.clock.advance(1_000)
+  assert.equal(listBelow(fleet, 2), [])
+  fleet.stopAll()
+})
+
+test('a host alone in an outage is not ready until the platform answers', async () => {
+  const fleet = new FakeFleet()
+  fleet.platform.faults.outage = true
+  const { store } = fleet.startHost('akl-a-01', [])
+  await fleet.clock.advance(60_000)
+  assert.is(store.isReady, false)
+  fleet.platform.faults.outage = false
+  await fleet.clock.advance(10_000)
+  assert.is(store.isReady, true)
+  fleet.stopAll()
+})
+
+// A zone can't reach the platform, and its watches report nothing. Its hosts would serve an old
+// configuration for good, if heartbeats did not name the revision and changes came from peers.
+test('a zone that is cut from the platform gets changes from the other zones', async () => {
+  const fleet = await startFleet(ZONES, 2)
+  fleet.cutFromPlatform.add('akl-b-01').add('akl-b-02')
+  for (let index = 1; index <= 5; index++) await fleet.getHost('wlg-a-01').changeLog.submit(makeWrite(`w${index}`, `r${index}`), never)
+  await fleet.clock.advance(2_500)
+  assert.equal(listBelow(fleet, 5), [])
+  fleet.stopAll()
+})
+
+// A zone is cut off from everything, misses changes, and comes back. It must serve on meanwhile,
+// be named as unreachable by the others, never step back, and catch up afterwards.
+test('a zone that is cut off whole serves on and catches up', async () => {
+  const fleet = await startFleet(ZONES, 2)
+  await fleet.getHost('akl-a-01').changeLog.submit(makeWrite('w1', 'akl'), never)
+  await fleet.clock.advance(2_000)
+  const isInside = (host: string) => host.startsWith('akl-b')
+  fleet.network.isCut = (from, to) => isInside(from) !== isInside(to)
+  fleet.cutFromPlatform.add('akl-b-01').add('akl-b-02')
+  await fleet.getHost('akl-a-01').changeLog.submit(makeWrite('w2', 'wlg'), never)
+  await fleet.clock.advance(20_000)
+  assert.is(fleet.getHost('akl-b-01').store.current.revision, 1)
+  assert.is(fleet.getState('akl-b-01', 'akl-b-02'), 'live')
+  assert.is(fleet.getState('wlg-a-02', 'akl-b-01'), 'suspected')
+  fleet.network.isCut = () => false
+  fleet.cutFromPlatform.clear()
+  await fleet.clock.advance(10_000)
+  assert.equal(listBelow(fleet, 2), [])
+  for (const host of fleet.hosts.values()) assert.equal(host.revisions, [...host.revisions].sort((a, b) => a - b))
+  fleet.stopAll()
+})
+
+// A target says that it is leaving to the one host that probes it. Every host must stop sending
+// it work within 3 s.
+test('word of a leaving target reaches every host within 3 s', async () => {
+  const fleet = await startFleet(ZONES, 3)
+  fleet.getHost('akl-a-03').leavingTargets.observe({ service: 'balances', target: 't1', isLeaving: true, ageMs: 0 }, fleet.clock.getNow())
+  fleet.getHost('akl-a-03').hub.wakePeers()
+  await fleet.clock.advance(3_000)
+  for (const host of fleet.hosts.values()) assert.ok(host.leavingTargets.isLeaving('balances', 't1'), host.host)
+  fleet.stopAll()
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/exchangeHub.ts
@@ -0,0 +1,190 @@
+import { create } from '@bufbuild/protobuf'
+import { LeavingTargetSchema, SenderSchema } from 'almondrelay-protocol'
+import type { ExchangeRequest, ExchangeResponse, LeavingTarget, Sender } from 'almondrelay-protocol'
+import { HeartbeatVerdict } from '../../process/membership/heartbeatVerdict.js'
+import type { HeartbeatSender } from '../../process/membership/heartbeatSender.js'
+import type { Neighbour } from '../../process/membership/neighbour.js'
+import type { Summary } from '../../process/membership/summary.js'
+import { decodeSender } from './decodeSender.js'
+import { decodeSummary } from './decodeSummary.js'
+import { encodeSummary } from './encodeSummary.js'
+import type { ExchangeOptions } from './exchangeOptions.js'
+import { makeRefusal } from './makeRefusal.js'
+import type { OutgoingWord } from './outgoingWord.js'
+import { PeerRefusal } from './peerRefusal.js'
+import type { PeerProgress } from './peerProgress.js'
+import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { RefreshRotation } from './refreshRotation.js'
+
+/** News in one message: at about 90 bytes each, under 750 bytes. */
+const MAX_NEWS = 8
+/** Summaries or targets that a message may bring. */
+const MAX_RECEIVED = 256
+/** What is kept of a peer that no longer speaks, so that it isn't told everything anew. */
+const KEEP_PEER_MS = 600_000
+/** Time for which a host that came with a newer revision is kept as a neighbour, to fetch it. */
+const VISIT_MS = 2_000
+/** A repair that takes longer no longer keeps others from fetching, as its peer may be paused. */
+const REPAIR_ALONE_MS = 500
+/** A peer hears this often of a host that has no news, so that what was missed is repaired. */
+const REFRESH_MS = 1_000
+
+const refusals: Record<Exclude<HeartbeatVerdict, 'accepted'>, PeerRefusal> = {
+  [HeartbeatVerdict.staleIncarnation]: PeerRefusal.staleIncarnation,
+  [HeartbeatVerdict.nameTaken]: PeerRefusal.nameTaken,
+  [HeartbeatVerdict.declaredGone]: PeerRefusal.declaredGone
+}
+
+/**
+ * What goes to each peer and what comes from it. A message brings the news that the peer doesn't
+ * have yet and, each second, this host's own summary and two others in turn; so its length depends
+ * on what changes and not on how many hosts there are.
+ */
+export class ExchangeHub {
+  private readonly peers = new Map<string, PeerProgress>()
+  private readonly wakers = new Map<string, () => void>()
+  private readonly rotation: RefreshRotation
+  private repairBegunAt = -Infinity
+
+  constructor (readonly options: ExchangeOptions, signal: AbortSignal) {
+    const { membership, store } = options
+    this.rotation = new RefreshRotation(membership)
+    const unsubscribe = membership.subscribe((event) => { if (event.kind === 'news') this.wakePeers() })
+    signal.addEventListener('abort', unsubscribe, { once: true })
+    membership.updateSelf({ revision: store.current.revision })
+    store.subscribe((configuration) => {
+      membership.updateSelf({ revision: configuration.revision })
+      this.wakePeers()
+    }, signal)
+  }
+
+  getProgress (host: string): PeerProgress {
+    const known = this.peers.get(host)
+    if (known !== undefined) return known
+    const progress = makeProgress(0)
+    this.peers.set(host, progress)
+    return progress
+  }
+
+  prunePeers (now: number): void {
+    for (const [host, progress] of this.peers) {
+      if (progress.incarnation > 0 && now - progress.contactAt > KEEP_PEER_MS) this.peers.delete(host)
+    }
+  }
+
+  /** Hosts that lately came with a newer revision, whether or not they are planned neighbours. */
+  listVisitors (now: number): Neighbour[] {
+    const { membership, store, heartbeatMs } = this.options
+    return [...this.peers]
+      .filter(([, progress]) => progress.revision > store.current.revision && now - progress.contactAt < VISIT_MS)
+      .map(([host]) => ({ host, peerAddress: membership.getMember(host, now)?.peerAddress ?? '', intervalMs: heartbeatMs }))
+      .filter((neighbour) => neighbour.peerAddress !== '')
+  }
+
+  /** Whether to fetch changes from a peer now: it has some, and no other fetch is under way. */
+  allowRepair (host: string, now: number): boolean {
+    const progress = this.getProgress(host)
+    return progress.revision > this.options.store.current.revision && now >= progress.distrustedUntil && now - this.repairBegunAt > REPAIR_ALONE_MS
+  }
+
+  beginRepair (now: number): void {
+    this.repairBegunAt = now
+  }
+
+  finishRepair (): void {
+    this.repairBegunAt = -Infinity
+    this.wakePeers()
+  }
+
+  /** Calls `wake` whenever there is something to tell the peer, until the returned function is called. */
+  registerWaker (host: string, wake: () => void): () => void {
+    this.wakers.set(host, wake)
+    return () => { if (this.wakers.get(host) === wake) this.wakers.delete(host) }
+  }
+
+  wakePeers (): void {
+    for (const wake of [...this.wakers.values()]) wake()
+  }
+
+  /** Whether to tell the peer before its next heartbeat. A long backlog, as of a new peer, goes with the heartbeats. */
+  hasNews (host: string): boolean {
+    const progress = this.getProgress(host)
+    const { membership, leavingTargets, store } = this.options
+    if (store.isReady && store.current.revision > Math.max(progress.toldRevision, progress.revision)) return true
+    const backlog = membership.news.latest - progress.confirmed
+    return (backlog > 0 && backlog <= MAX_NEWS) || leavingTargets.news.latest > progress.confirmedTargets
+  }
+
+  makeSender (): Sender {
+    const { host, incarnation, availabilityZone, region } = this.options.self
+    return create(SenderSchema, { host, incarnation: BigInt(incarnation), availabilityZone, region, protocolVersion: PROTOCOL_VERSION })
+  }
+
+  buildWord (peer: string, now: number): OutgoingWord {
+    const { membership, leavingTargets, store, self } = this.options
+    const progress = this.getProgress(peer)
+    const news = membership.news.listAfter(progress.confirmed, MAX_NEWS)
+    const targetNews = leavingTargets.news.listAfter(progress.confirmedTargets, MAX_NEWS)
+    const names = new Set(news.keys)
+    if (progress.isBroken) names.add(self.host)
+    if (now - progress.refreshedAt >= REFRESH_MS) {
+      progress.refreshedAt = now
+      for (const name of [self.host, ...this.rotation.takeNext(peer)]) names.add(name)
+    }
+    names.delete(peer)
+    const hosts = [...names].map((name) => membership.getSummary(name, now)).filter((summary): summary is Summary => summary !== undefined)
+    const targets = targetNews.keys.map((key) => leavingTargets.getWord(key, now)).filter((each) => each !== undefined)
+    return {
+      word: {
+        sender: this.makeSender(),
+        revision: BigInt(store.isReady ? store.current.revision : 0),
+        hosts: hosts.map(encodeSummary),
+        leavingTargets: targets.map(({ service, target, isLeaving, ageMs }) => create(LeavingTargetSchema, { service, target, leaving: isLeaving, ageMs }))
+      },
+      revision: store.isReady ? store.current.revision : 0,
+      upTo: news.upTo,
+      upToTargets: targetNews.upTo
+    }
+  }
+
+  /**
+   * Checks a message whole, then takes what it says. Throws the refusal otherwise. `confirm` notes
+   * what the message proves that the peer has.
+   */
+  receiveWord (message: ExchangeRequest | ExchangeResponse, now: number, confirm: (progress: PeerProgress, told: Summary | undefined) => void): HeartbeatSender {
+    const { membership, leavingTargets } = this.options
+    const sender = decodeSender(message.sender, message.revision)
+    if (message.hosts.length > MAX_RECEIVED || message.leavingTargets.length > MAX_RECEIVED) throw makeRefusal(PeerRefusal.malformed, `the message brings more than ${MAX_RECEIVED} summaries`)
+    const summaries = message.hosts.map(decodeSummary)
+    const told = summaries.find((summary) => summary.host === sender.host && summary.incarnation === sender.incarnation)
+    const before = { news: membership.news.latest, targets: leavingTargets.news.latest }
+    const verdict = membership.observeHeartbeat(sender, told, now)
+    if (verdict !== HeartbeatVerdict.accepted) throw makeRefusal(refusals[verdict], `${sender.host}, incarnation ${sender.incarnation}, is refused`)
+    const progress = this.touchPeer(sender, now)
+    confirm(progress, told)
+    for (const summary of summaries) if (summary.host !== sender.host) membership.observeSummary(summary, now)
+    for (const each of message.leavingTargets) this.observeTarget(each, now)
+    // What the peer has just told needs no telling back, unless older news is still on its way to it.
+    if (progress.confirmed >= before.news) progress.confirmed = membership.news.latest
+    if (progress.confirmedTargets >= before.targets) progress.confirmedTargets = leavingTargets.news.latest
+    return sender
+  }
+
+  private touchPeer (sender: HeartbeatSender, now: number): PeerProgress {
+    const known = this.getProgress(sender.host)
+    const progress = known.incarnation === sender.incarnation ? known : { ...makeProgress(sender.incarnation), ...(known.incarnation === 0 ? { refreshedAt: known.refreshedAt } : {}) }
+    this.peers.set(sender.host, progress)
+    progress.contactAt = now
+    progress.revision = sender.revision
+    return progress
+  }
+
+  private observeTarget (word: LeavingTarget, now: number): void {
+    const { leavingTargets } = this.options
+    if (leavingTargets.observe({ service: word.service, target: word.target, isLeaving: word.leaving, ageMs: word.ageMs }, now)) this.wakePeers()
+  }
+}
+
+function makeProgress (incarnation: number): PeerProgress {
+  return { incarnation, confirmed: 0, confirmedTargets: 0, offered: 0, offeredTargets: 0, contactAt: -Infinity, refreshedAt: -Infinity, isBroken: true, revision: 0, toldRevision: 0, distrustedUntil: -Infinity }
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/handleExchange.ts
@@ -0,0 +1,25 @@
+import { create } from '@bufbuild/protobuf'
+import { ExchangeResponseSchema } from 'almondrelay-protocol'
+import type { ExchangeRequest, ExchangeResponse } from 'almondrelay-protocol'
+import type { ExchangeHub } from './exchangeHub.js'
+
+/**
+ * Answers a peer's heartbeat; throws a typed refusal.
+ *
+ * Whether an answer arrives isn't told, so its news counts as known only once the peer's next
+ * message comes without the peer's own summary, which it repeats after an exchange that failed.
+ */
+export function handleExchange (request: ExchangeRequest, hub: ExchangeHub): ExchangeResponse {
+  const now = hub.options.clock.getNow()
+  const sender = hub.receiveWord(request, now, (progress, told) => {
+    if (told !== undefined) return
+    progress.confirmed = Math.max(progress.confirmed, progress.offered)
+    progress.confirmedTargets = Math.max(progress.confirmedTargets, progress.offeredTargets)
+  })
+  const answer = hub.buildWord(sender.host, now)
+  const progress = hub.getProgress(sender.host)
+  Object.assign(progress, { offered: answer.upTo, offeredTargets: answer.upToTargets, toldRevision: answer.revision, isBroken: false })
+  hub.options.log.trace({ peer: sender.host, revision: sender.revision }, 'heartbeat received')
+  if (sender.revision > hub.options.store.current.revision) hub.wakePeers()
+  return create(ExchangeResponseSchema, answer.word)
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/handleFetchChanges.ts
@@ -0,0 +1,36 @@
+import { create } from '@bufbuild/protobuf'
+import { ChangeSchema, FetchChangesResponseSchema } from 'almondrelay-protocol'
+import type { FetchChangesRequest, FetchChangesResponse } from 'almondrelay-protocol'
+import type { KeptChange } from '../../process/configuration/keptChange.js'
+import { decodeCount } from './decodeCount.js'
+import { decodeSender } from './decodeSender.js'
+import type { ExchangeHub } from './exchangeHub.js'
+import { makeRefusal } from './makeRefusal.js'
+import { PeerRefusal } from './peerRefusal.js'
+
+const MAX_CHANGES = 64
+/** Changes in one answer, but always one; a change may be as long as a megabyte. */
+const MAX_BYTES = 2 * 1_048_576
+
+/** Answers with the changes after a revision, or with a snapshot where they are no longer kept. */
+export function handleFetchChanges (request: FetchChangesRequest, hub: ExchangeHub): FetchChangesResponse {
+  decodeSender(request.sender, 0n)
+  const { store } = hub.options
+  if (!store.isReady) throw makeRefusal(PeerRefusal.notReady, 'changes were asked for')
+  const latestRevision = BigInt(store.current.revision)
+  const kept = store.listChanges(decodeCount(request.afterRevision), Math.min(request.maxChanges, MAX_CHANGES))
+  if (kept !== undefined) {
+    const changes = limitBytes(kept).map(({ change, body }) => create(ChangeSchema, { revision: BigInt(change.revision), writeId: change.writeId, body }))
+    return create(FetchChangesResponseSchema, { changes, latestRevision })
+  }
+  const snapshot = store.buildSnapshot()
+  return create(FetchChangesResponseSchema, { snapshot: JSON.stringify(snapshot), snapshotRevision: BigInt(snapshot.revision), latestRevision })
+}
+
+function limitBytes (kept: readonly KeptChange[]): KeptChange[] {
+  let bytes = 0
+  return kept.filter(({ body }, index) => {
+    bytes += body.length
+    return index === 0 || bytes <= MAX_BYTES
+  })
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/repairFromPeer.ts
@@ -0,0 +1,62 @@
+import type { Client } from '@connectrpc/connect'
+import type { FetchChangesResponse, PeerService } from 'almondrelay-protocol'
+import { z } from 'zod'
+import type { ConfigurationSnapshot } from '../../process/configuration/configurationSnapshot.js'
+import type { ConfigurationStore } from '../../process/configuration/configurationStore.js'
+import { decodeChange } from '../../process/configuration/decodeChange.js'
+import { resourceSchema } from '../../process/configuration/resourceSchema.js'
+import { AlmondrelayError } from '../../process/errors/almondrelayError.js'
+import { ErrorKind } from '../../process/errors/errorKind.js'
+import type { ExchangeHub } from './exchangeHub.js'
+
+const CHANGES_A_CALL = 64
+const FETCH_TIMEOUT_MS = 5_000
+
+const SnapshotSchema = z.object({
+  revision: z.number().int().min(1),
+  resources: z.array(resourceSchema),
+  writes: z.array(z.object({ writeId: z.string(), revision: z.number().int() }))
+})
+
+/**
+ * Brings the store up to what a peer has. A revision that a peer names is not believed: each
+ * change after the own one is fetched, checked and adopted in its place, so a peer that claims a
+ * revision which it can't show changes nothing. Rejects where the peer doesn't answer, refuses, or
+ * shows less than it claims.
+ */
+export async function repairFromPeer (client: Client<typeof PeerService>, hub: ExchangeHub, signal: AbortSignal): Promise<void> {
+  const { store } = hub.options
+  for (;;) {
+    const before = store.current.revision
+    const request = { sender: hub.makeSender(), afterRevision: BigInt(before), maxChanges: CHANGES_A_CALL }
+    const response = await client.fetchChanges(request, { signal, timeoutMs: FETCH_TIMEOUT_MS })
+    adoptResponse(response, store)
+    if (BigInt(store.current.revision) >= response.latestRevision) return
+    if (store.current.revision === before) throw makeUnshown(response.latestRevision, before)
+  }
+}
+
+function adoptResponse (response: FetchChangesResponse, store: ConfigurationStore): void {
+  if (response.snapshot !== '') store.adoptSnapshot(decodeSnapshot(response))
+  for (const { revision, writeId, body } of response.changes) {
+    // The store may have moved on through the platform or another peer meanwhile.
+    if (revision !== BigInt(store.current.revision + 1)) continue
+    const change = decodeChange(body, Number(revision))
+    if (change.writeId !== writeId) throw makeUnshown(revision, store.current.revision)
+    store.adoptChange(change, body)
+  }
+}
+
+function decodeSnapshot (response: FetchChangesResponse): ConfigurationSnapshot {
+  const snapshot = SnapshotSchema.parse(JSON.parse(response.snapshot)) as ConfigurationSnapshot
+  if (BigInt(snapshot.revision) !== response.snapshotRevision) throw makeUnshown(response.snapshotRevision, snapshot.revision)
+  return snapshot
+}
+
+function makeUnshown (claimed: bigint, shown: number): AlmondrelayError {
+  return new AlmondrelayError({
+    kind: ErrorKind.peerRefused,
+    message: `a peer claims revision ${claimed} and shows no more than ${shown}`,
+    remedy: 'look at the log of that host; nothing of the claim was taken'
+  })
+}
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/runExchanges.ts
@@ -0,0 +1,51 @@
+import type { Neighbour } from '../../process/membership/neighbour.js'
+import type { ExchangeHub } from './exchangeHub.js'
+import { runPeerExchange } from './runPeerExchange.js'
+
+interface RunningExchange {
+  neighbour: Neighbour
+  owner: AbortController
+  task: Promise<void>
+}
+
+/** Keeps one task for each neighbour that the membership plans, and none for the others. */
+export async function runExchanges (hub: ExchangeHub, signal: AbortSignal): Promise<void> {
+  const { membership, leavingTargets, clock, heartbeatMs } = hub.options
+  const running = new Map<string, RunningExchange>()
+  while (!signal.aborted) {
+    const now = clock.getNow()
+    membership.advance(now)
+    leavingTargets.expire(now)
+    hub.prunePeers(now)
+    // A visitor comes first, so that the plan's own interval holds where a host is both.
+    applyPlan([...hub.listVisitors(now), ...membership.planNeighbours(now)], running, hub)
+    await clock.sleep(heartbeatMs, signal)
+  }
+  await Promise.all([...running.values()].map(stopExchange))
+}
+
+function applyPlan (plan: readonly Neighbour[], running: Map<string, RunningExchange>, hub: ExchangeHub): void {
+  const planned = new Map(plan.map((neighbour) => [neighbour.host, neighbour]))
+  for (const [host, exchange] of running) {
+    const next = planned.get(host)
+    if (next?.peerAddress === exchange.neighbour.peerAddress) {
+      exchange.neighbour.intervalMs = next.intervalMs
+      planned.delete(host)
+      continue
+    }
+    running.delete(host)
+    stopExchange(exchange).catch((error: unknown) => { hub.options.log.error({ err: error, peer: host }, 'exchange ended badly') })
+  }
+  for (const [host, neighbour] of planned) running.set(host, startExchange({ ...neighbour }, hub))
+}
+
+function startExchange (neighbour: Neighbour, hub: ExchangeHub): RunningExchange {
+  const owner = new AbortController()
+  const task = runPeerExchange(neighbour, hub, owner.signal)
+  return { neighbour, owner, task }
+}
+
+async function stopExchange (exchange: RunningExchange): Promise<void> {
+  exchange.owner.abort()
+  await exchange.task
+}
--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,1 +1,2 @@
+export * from './exchange/index.js'
 export * from './operator/index.js'
--- a/packages/almondrelay/src/connection/operator/__tests__/createOperatorApp.test.ts
+++ b/packages/almondrelay/src/connection/operator/__tests__/createOperatorApp.test.ts
@@ -11,7 +11,7 @@
 const WRITE_ID = '01900000-0000-7000-8000-000000000001'
 
 const makeMember = (host: string, state: Member['state'], revision: number): Member => ({
-  host, incarnation: 1, availabilityZone: 'akl-a', region: 'akl', callerAddress: '', peerAddress: '', revision, state, heardAgeMs: 5
+  host, incarnation: 1, availabilityZone: 'akl-a', region: 'akl', callerAddress: '', peerAddress: '', revision, loads: [], state, heardAgeMs: 5
 })
 
 function createTestApp (members: Member[] = []) {
--- /dev/null
+++ b/packages/almondrelay/src/process/membership/checkSender.ts
@@ -0,0 +1,15 @@
+import type { HeartbeatSender } from './heartbeatSender.js'
+import { HeartbeatVerdict } from './heartbeatVerdict.js'
+import type { MemberEntry } from './memberEntry.js'
+import type { Summary } from './summary.js'
+
+/** Whether a sender is who it says, by what is known under its name and what it tells of itself. */
+export function checkSender (sender: HeartbeatSender, told: Summary | undefined, entry: MemberEntry | undefined, ownName: string): HeartbeatVerdict {
+  if (sender.host === ownName) return HeartbeatVerdict.nameTaken
+  if (entry === undefined || sender.incarnation > entry.incarnation) return HeartbeatVerdict.accepted
+  if (sender.incarnation < entry.incarnation) return HeartbeatVerdict.staleIncarnation
+  const isElsewhere = sender.availabilityZone !== entry.availabilityZone || sender.region !== entry.region
+  const isOtherAddress = told !== undefined && entry.peerAddress !== '' && told.peerAddress !== entry.peerAddress
+  if (isElsewhere || isOtherAddress) return HeartbeatVerdict.nameTaken
+  return entry.isGone ? HeartbeatVerdict.declaredGone : HeartbeatVerdict.accepted
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/membership/makeMemberEntry.ts
@@ -0,0 +1,26 @@
+import type { ListedHost } from './listedHost.js'
+import type { MemberEntry } from './memberEntry.js'
+
+/** An entry of a host that was never heard. */
+export function makeMemberEntry (listed: ListedHost): MemberEntry {
+  const { host, availabilityZone, region, callerAddress, peerAddress } = listed
+  return {
+    host,
+    availabilityZone,
+    region,
+    callerAddress,
+    peerAddress,
+    incarnation: 0,
+    revision: 0,
+    isLeaving: false,
+    isGone: false,
+    loads: [],
+    heardAt: -Infinity,
+    directAt: -Infinity,
+    isReportedSilent: false,
+    isSilenceTold: false,
+    triedAt: -Infinity,
+    listedAt: -Infinity,
+    isListedLeaving: listed.isLeaving
+  }
+}
--- a/packages/almondrelay/src/process/membership/member.ts
+++ b/packages/almondrelay/src/process/membership/member.ts
@@ -1,4 +1,5 @@
 import type { MemberState } from './memberState.js'
+import type { ServiceLoad } from './serviceLoad.js'
 
 /** What is known of one entry host at one moment. */
 export interface Member {
@@ -13,6 +14,8 @@
   peerAddress: string
   /** The revision in force there, as last heard. */
   revision: number
+  /** Free slots and running work by service, as last heard. */
+  loads: ServiceLoad[]
   state: MemberState
   /** Time since it was last heard, by this host or by one that told it, in milliseconds. */
   heardAgeMs: number
--- /dev/null
+++ b/packages/almondrelay/src/process/membership/planNeighbours.ts
@@ -0,0 +1,103 @@
+import { chooseRing } from './chooseRing.js'
+import type { Member } from './member.js'
+import { MemberState } from './memberState.js'
+import type { Neighbour } from './neighbour.js'
+
+/** Interval to watchers of other zones of the region, and of other regions. */
+const REGION_INTERVAL_MS = 1_000
+const FAR_INTERVAL_MS = 2_000
+/** A zone's watcher hears the hosts of its zone that aren't its neighbours six times a second in all. */
+const WATCHER_INTERVAL_A_HOST_MS = 170
+/** Suspected hosts that are kept under watch beside the live neighbours. */
+const MAX_SUSPECTS = 4
+/** Hosts that were never heard, or had gone, that are tried at a time. */
+const MAX_TRIES = 4
+
+interface PlanInput {
+  self: Member
+  members: readonly Member[]
+  heartbeatMs: number
+  /** Hosts to try, those whose last try is longest ago first. */
+  tries: readonly Member[]
+  chooseWatchers: (availabilityZone: string) => string[]
+}
+
+/**
+ * The peers to keep an exchange with: four by rank in the zone, a watcher of the zone, and, for a
+ * watcher, watchers of four zones and four regions at most. No number here grows with the fleet.
+ */
+export function planNeighbours (input: PlanInput): Neighbour[] {
+  const planned = new Map<string, Neighbour>()
+  const add = (member: Member | undefined, intervalMs: number): void => {
+    if (member === undefined || member.host === input.self.host || member.peerAddress === '') return
+    const known = planned.get(member.host)
+    if (known === undefined || known.intervalMs > intervalMs) planned.set(member.host, { host: member.host, peerAddress: member.peerAddress, intervalMs })
+  }
+  const zone = input.members.filter((member) => member.availabilityZone === input.self.availabilityZone)
+  for (const member of chooseZoneNeighbours(input.self, zone)) add(member, input.heartbeatMs)
+  for (const member of input.tries.slice(0, MAX_TRIES)) add(member, REGION_INTERVAL_MS)
+
+  const watchers = input.chooseWatchers(input.self.availabilityZone)
+  const index = watchers.indexOf(input.self.host)
+  if (index < 0) {
+    const rank = zone.filter((member) => member.host < input.self.host).length
+    const watcher = watchers[rank % Math.max(1, watchers.length)]
+    add(zone.find((member) => member.host === watcher), Math.max(FAR_INTERVAL_MS, zone.length * WATCHER_INTERVAL_A_HOST_MS))
+    return [...planned.values()]
+  }
+  const findWatcher = (availabilityZone: string): Member | undefined => {
+    const names = input.chooseWatchers(availabilityZone)
+    return input.members.find((member) => member.host === (names[index] ?? names[0]))
+  }
+  for (const name of chooseRegionZones(input)) add(findWatcher(name), Math.max(input.heartbeatMs, REGION_INTERVAL_MS))
+  for (const name of chooseFarZones(input)) add(findWatcher(name), Math.max(input.heartbeatMs, FAR_INTERVAL_MS))
+  return [...planned.values()]
+}
+
+/** In each direction of the ring the first live host, and the suspected ones passed on the way. */
+function chooseZoneNeighbours (self: Member, zone: readonly Member[]): Member[] {
+  const ring = zone.filter((member) => isHeard(member) || member.host === self.host).sort((a, b) => (a.host < b.host ? -1 : 1))
+  const own = ring.findIndex((member) => member.host === self.host)
+  const getAt = (index: number): Member | undefined => ring[((index % ring.length) + ring.length) % ring.length]
+  const chosen = new Set<Member>()
+  const suspects = new Set<Member>()
+  for (const offset of chooseRing(ring.length)) {
+    const step = offset > 0 ? 1 : -1
+    for (let walked = 0; walked < ring.length; walked++) {
+      const member = getAt(own + offset + step * walked)
+      if (member === undefined || member.host === self.host) break
+      if (member.state !== MemberState.suspected) {
+        chosen.add(member)
+        break
+      }
+      if (suspects.size < MAX_SUSPECTS) suspects.add(member)
+    }
+  }
+  return [...chosen, ...suspects]
+}
+
+function chooseRegionZones (input: PlanInput): string[] {
+  return chooseOthers(listZones(input, input.self.region), input.self.availabilityZone)
+}
+
+/** One zone of each neighbouring region, of the rank that the own zone has in its region. */
+function chooseFarZones (input: PlanInput): string[] {
+  const rank = listZones(input, input.self.region).indexOf(input.self.availabilityZone)
+  const regions = [...new Set(input.members.map((member) => member.region))].sort()
+  return chooseOthers(regions, input.self.region).flatMap((region) => {
+    const zone = listZones(input, region)[rank]
+    return zone === undefined ? [] : [zone]
+  })
+}
+
+function listZones (input: PlanInput, region: string): string[] {
+  return [...new Set(input.members.filter((member) => member.region === region).map((member) => member.availabilityZone))].sort()
+}
+
+function chooseOthers (ring: readonly string[], self: string): string[] {
+  const own = ring.indexOf(self)
+  const chosen = chooseRing(ring.length).map((offset) => ring[(((own + offset) % ring.length) + ring.length) % ring.length])
+  return [...new Set(chosen)].filter((name): name is string => name !== undefined && name !== self)
+}
+
+const isHeard = (member: Member): boolean => member.state !== MemberState.unheard && member.state !== MemberState.gone
--- /dev/null
+++ b/packages/almondrelay/src/process/membership/silenceRule.ts
@@ -0,0 +1,59 @@
+import type { MemberEntry } from './memberEntry.js'
+import type { Neighbour } from './neighbour.js'
+
+/** Heartbeats that a peer may miss before it is suspected. */
+const MISSED_HEARTBEATS = 3
+/** A zone is heard again once one of its hosts spoke this much later than the silent ones. */
+const ZONE_MARGIN_MS = 2_000
+/** Silent hosts of a zone from which the rest of it, that nobody here speaks with, is suspected too. */
+const ZONE_WITNESSES = 2
+
+/**
+ * Whose silence counts as suspicion. A neighbour's own silence does, after three missed heartbeats
+ * and not before `suspectAfterMs`; of the others what their neighbours tell does; and where the
+ * hosts of a zone that others speak with have all gone silent, the zone as a whole is cut off.
+ */
+export class SilenceRule {
+  private watched = new Map<string, { intervalMs: number, since: number }>()
+
+  constructor (private readonly suspectAfterMs: number, private readonly heartbeatMs: number) {}
+
+  /** The neighbours of this moment; only their silence is judged by this host's own clock. */
+  setIntervals (neighbours: readonly Neighbour[], now: number): void {
+    this.watched = new Map(neighbours.map(({ host, intervalMs }) => [host, { intervalMs, since: this.watched.get(host)?.since ?? now }]))
+  }
+
+  isNeighbour (host: string): boolean {
+    return this.watched.has(host)
+  }
+
+  listSilent (entries: Iterable<MemberEntry>, self: { host: string, availabilityZone: string }, now: number): ReadonlySet<string> {
+    const heard = [...entries].filter((entry) => entry.host !== self.host && !entry.isGone && entry.heardAt > -Infinity)
+    const silent = new Set<string>()
+    const zones = new Map<string, MemberEntry[]>()
+    for (const entry of heard) {
+      if (this.isSilent(entry, now)) silent.add(entry.host)
+      const zone = zones.get(entry.availabilityZone)
+      if (zone === undefined) zones.set(entry.availabilityZone, [entry])
+      else zone.push(entry)
+    }
+    for (const [name, zone] of zones) {
+      if (name !== self.availabilityZone && isZoneSilent(zone, silent)) for (const entry of zone) silent.add(entry.host)
+    }
+    return silent
+  }
+
+  private isSilent (entry: MemberEntry, now: number): boolean {
+    const watched = this.watched.get(entry.host)
+    if (watched === undefined) return entry.isReportedSilent
+    const slowest = watched.intervalMs > this.heartbeatMs ? watched.intervalMs * MISSED_HEARTBEATS : 0
+    return now - Math.max(entry.directAt, watched.since) > Math.max(this.suspectAfterMs, slowest)
+  }
+}
+
+function isZoneSilent (zone: readonly MemberEntry[], silent: ReadonlySet<string>): boolean {
+  const witnesses = zone.filter((entry) => silent.has(entry.host))
+  if (witnesses.length === 0 || witnesses.length < Math.min(ZONE_WITNESSES, zone.length)) return false
+  const lastHeard = Math.max(...witnesses.map((entry) => entry.heardAt))
+  return zone.every((entry) => entry.heardAt <= lastHeard + ZONE_MARGIN_MS)
+}
