--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,4 +1,3 @@
-export * from './caller/createCallerApp.js'
-export * from './listenForHttp.js'
+export * from './exchange/index.js'
 export * from './operator/index.js'
 export * from './peer/createPeerHandlers.js'
