--- a/packages/almondrelay/src/connection/exchange/decodeSender.ts
+++ b/packages/almondrelay/src/connection/exchange/decodeSender.ts
@@ -4,7 +4,7 @@
 import { decodeCount } from './decodeCount.js'
 import { makeRefusal } from './makeRefusal.js'
 import { PeerRefusal } from './peerRefusal.js'
-import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { PROTOCOL_VERSION } from '../../process/dispatch/protocolVersion.js'
 
 /** Who sent a message; a missing or malformed sender, or one of another protocol version, is refused. */
 export function decodeSender (sender: Sender | undefined, revision: bigint): HeartbeatSender {
--- a/packages/almondrelay/src/connection/exchange/exchangeHub.ts
+++ b/packages/almondrelay/src/connection/exchange/exchangeHub.ts
@@ -13,7 +13,7 @@
 import type { OutgoingWord } from './outgoingWord.js'
 import { PeerRefusal } from './peerRefusal.js'
 import type { PeerProgress } from './peerProgress.js'
-import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { PROTOCOL_VERSION } from '../../process/dispatch/protocolVersion.js'
 import { RefreshRotation } from './refreshRotation.js'
 
 /** News in one message: at about 90 bytes each, under 750 bytes. */
--- a/packages/almondrelay/src/connection/exchange/makeRefusal.ts
+++ b/packages/almondrelay/src/connection/exchange/makeRefusal.ts
@@ -1,6 +1,6 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { PeerRefusal } from './peerRefusal.js'
-import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { PROTOCOL_VERSION } from '../../process/dispatch/protocolVersion.js'
 import { REFUSAL_HEADER } from './refusalHeader.js'
 
 const codes: Record<PeerRefusal, Code> = {
--- a/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
+++ b/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
@@ -5,7 +5,7 @@
 import type { Neighbour } from '../../process/membership/neighbour.js'
 import type { ExchangeHub } from './exchangeHub.js'
 import { findRefusal } from './findRefusal.js'
-import { isConnectionRefused } from './isConnectionRefused.js'
+import { isConnectionRefused } from '../../process/dispatch/isConnectionRefused.js'
 import { repairFromPeer } from './repairFromPeer.js'
 
 /** Shortest time between two exchanges with one peer, however much news there is. */
--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,3 +1,5 @@
+export * from './caller/createCallerApp.js'
 export * from './exchange/index.js'
+export * from './listenForHttp.js'
 export * from './operator/index.js'
 export * from './peer/createPeerHandlers.js'
--- a/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
+++ b/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
@@ -49,7 +49,7 @@
   const { write } = parsed
   // The process's own signal, not the operator's connection: a write goes on to its end.
   const outcome = await options.changeLog.submit(write, signal)
-  options.log.info({ ...outcome, author: write.author, action: write.action, kind, name: context.req.param('name') }, 'resource written')
+  options.log.info({ ...outcome, author: write.author, action: write.action, kind, resource: context.req.param('name') }, 'resource written')
   return sendWriteOutcome(context, outcome, write.expectedRevision !== undefined)
 }
 
--- a/packages/almondrelay/src/process/dispatch/isConnectionRefused.ts
+++ b/packages/almondrelay/src/process/dispatch/isConnectionRefused.ts
@@ -1,11 +1,14 @@
-import { ConnectError } from '@connectrpc/connect'
+const MAX_DEPTH = 8
 
-const REFUSED = 'ECONNREFUSED'
-
-/** Whether nothing listens on the peer's address: its process has ended, and no byte of the call left this host. */
+/**
+ * Whether an error, or a cause under it, says that the address refused the connection. A reset, a
+ * time-out or a closed session doesn't say so: a live process may be behind each of them.
+ */
 export function isConnectionRefused (error: unknown): boolean {
-  if (!(error instanceof ConnectError)) return false
-  const cause = error.cause
-  if (cause instanceof Error && (cause as NodeJS.ErrnoException).code === REFUSED) return true
-  return error.rawMessage.includes(REFUSED)
+  let cause = error
+  for (let depth = 0; depth < MAX_DEPTH && typeof cause === 'object' && cause !== null; depth++) {
+    if ('code' in cause && cause.code === 'ECONNREFUSED') return true
+    cause = 'cause' in cause ? cause.cause : undefined
+  }
+  return false
 }
