Let a part that is handed over carry several grants

Cause: a zone's share of a region's limit has grants to several hosts, and a hand-over could name one only.

Change: a hand-over lists its grants, each with an amount and what is left of its times.

--- a/packages/almondrelay/src/process/limits/__tests__/partClaims.test.ts
+++ b/packages/almondrelay/src/process/limits/__tests__/partClaims.test.ts
@@ -14,8 +14,8 @@
 class FakeUser extends PartUser {
   busy = false
 
-  tryGiveUp (): { busyMs: number, grantee: undefined } | undefined {
-    return this.busy ? undefined : { busyMs: 0, grantee: undefined }
+  tryGiveUp (): [] | undefined {
+    return this.busy ? undefined : []
   }
 
   isOnlyGrantee (): boolean {
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -3,6 +3,7 @@
 import type { Part } from './part.js'
 import type { PartClaim } from './partClaim.js'
 import type { PartClaimAnswer } from './partClaimAnswer.js'
+import type { PartGrant } from './partGrant.js'
 import type { PartHandOver } from './partHandOver.js'
 import type { PartUser } from './partUser.js'
 import type { Roster } from './roster.js'
@@ -28,8 +29,8 @@
 interface Given {
   to: RosterHost
   viewKey: string
-  busyUntil: number
-  grantee: RosterHost | undefined
+  at: number
+  grants: PartGrant[]
 }
 
 /** Evidence kept for hosts that the roster may still name; what is dropped here is learnt again from its next report. */
@@ -120,7 +121,8 @@
 
   /** Whether a grant from a part that this host gave up may still bind; the next holder has to be told of it. */
   hasObligation (id: string, now: number): boolean {
-    return (this.parts.get(id)?.given?.busyUntil ?? -Infinity) > now
+    const given = this.parts.get(id)?.given
+    return given !== undefined && listBinding(given, now).length > 0
   }
 
   /** The live member that is to hold the part, as far as this host knows. */
@@ -223,7 +225,7 @@
     state.held = true
     state.giving = false
     state.given = undefined
-    const grants = state.handOvers
+    const grants = state.handOvers.flatMap((handOver) => handOver.grants)
     state.handOvers = []
     state.cleared.clear()
     state.user.acceptPart(state.part.id, grants, now)
@@ -234,21 +236,21 @@
     if (state === undefined || !state.held) return
     if (view.getHolder(state.part.key, state.part.rank)?.name !== sender.name) return
     state.giving = true
-    const grant = state.user.tryGiveUp(id, now)
-    if (grant === undefined) return
+    const grants = state.user.tryGiveUp(id, now)
+    if (grants === undefined) return
     this.wanted = undefined
     state.held = false
     state.giving = false
     state.lostAt = now
-    state.given = { to: sender, viewKey: view.key, busyUntil: now + grant.busyMs, grantee: grant.grantee }
+    state.given = { to: sender, viewKey: view.key, at: now, grants }
   }
 
   private describeGiven (id: string, sender: RosterHost, view: ZoneView, now: number): PartHandOver[] {
     const given = this.parts.get(id)?.given
     if (given === undefined) return []
     const toAsker = given.viewKey === view.key && isSameHost(given.to, sender)
-    if (!toAsker && given.busyUntil <= now) return []
-    return [{ part: id, busyMs: Math.max(0, given.busyUntil - now), grantee: given.grantee, toAsker }]
+    const grants = listBinding(given, now)
+    return toAsker || grants.length > 0 ? [{ part: id, grants, toAsker }] : []
   }
 
   /** `undefined` stands for hosts that this one never heard of. */
@@ -272,3 +274,11 @@
     }
   }
 }
+
+/** The grants of a part that was given up, as far as they still bind, with what is left of their times. */
+function listBinding (given: Given, now: number): PartGrant[] {
+  const passed = now - given.at
+  return given.grants
+    .map((grant) => ({ ...grant, termMs: Math.max(0, grant.termMs - passed), busyMs: grant.busyMs - passed }))
+    .filter((grant) => grant.busyMs > 0)
+}
--- a/packages/almondrelay/src/process/limits/targetSlots.ts
+++ b/packages/almondrelay/src/process/limits/targetSlots.ts
@@ -2,7 +2,7 @@
 import { isSameHost } from './isSameHost.js'
 import type { LimitsOptions } from './limitsOptions.js'
 import type { PartClaims } from './partClaims.js'
-import type { PartHandOver } from './partHandOver.js'
+import type { PartGrant } from './partGrant.js'
 import { PartUser } from './partUser.js'
 import type { RosterHost } from './rosterHost.js'
 import type { SlotGrant } from './slotGrant.js'
@@ -112,17 +112,18 @@
   }
 
   /** The grant that goes along when the part is given up; undefined while this host's work needs it. */
-  tryGiveUp (part: string, now: number): { busyMs: number, grantee: RosterHost | undefined } | undefined {
+  tryGiveUp (part: string, now: number): PartGrant[] | undefined {
     if (this.running + this.credits > this.computeCapacity(now)) return undefined
-    if (part === this.floorId || this.grant === undefined) return { busyMs: 0, grantee: undefined }
-    return { busyMs: Math.max(0, this.grant.busyUntil - now), grantee: this.grant.to }
+    if (part === this.floorId || this.grant === undefined) return []
+    const busyMs = Math.max(0, this.grant.busyUntil - now)
+    return [{ id: '', to: this.grant.to, amount: Math.floor(this.size.slots / 2), limit: this.size.slots, termMs: busyMs, busyMs }]
   }
 
   isOnlyGrantee (part: string, now: number): boolean {
     return part === this.restId && this.isOwner() && now < this.leaseUntil
   }
 
-  acceptPart (part: string, grants: readonly PartHandOver[], now: number): void {
+  acceptPart (part: string, grants: readonly PartGrant[], now: number): void {
     if (part !== this.restId) return
     this.ownerAskedAt = now
     this.grant = grants.reduce<SlotGrant | undefined>((merged, grant) => mergeGrants(merged, this.toGrant(grant, now)), undefined)
@@ -152,15 +153,14 @@
     return this.running + this.credits <= this.computeFloor()
   }
 
-  private toGrant (handOver: PartHandOver, now: number): SlotGrant | undefined {
-    if (handOver.grantee === undefined || handOver.busyMs === 0) return undefined
-    return { to: handOver.grantee, busyUntil: now + computeGrantorWait(handOver.busyMs, this.options) }
+  private toGrant (grant: PartGrant, now: number): SlotGrant {
+    return { to: grant.to, busyUntil: now + computeGrantorWait(grant.busyMs, this.options) }
   }
 }
 
 /** Two grants to different hosts bind nobody to renew: neither may be taken for the other's. */
-function mergeGrants (left: SlotGrant | undefined, right: SlotGrant | undefined): SlotGrant | undefined {
-  if (left === undefined || right === undefined) return left ?? right
+function mergeGrants (left: SlotGrant | undefined, right: SlotGrant): SlotGrant {
+  if (left === undefined) return right
   const busyUntil = Math.max(left.busyUntil, right.busyUntil)
   return isSameHost(left.to, right.to) ? { to: left.to, busyUntil } : { to: { name: '', incarnation: 0 }, busyUntil }
 }
