Renew slot leases, claim parts and keep the roster as tasks

Cause: target slots were shared between hosts only in the model; nothing carried leases, claims and rosters between processes.

Change: SlotLeaseTask asks peers through LimitPeers, RosterKeeper keeps roster/<zone> by compare-and-swap with a write for each join and each loss on definitive evidence, decideRoster decides. A claim's answer says whether it binds, and tells a host that its roster is behind, so that only a zone's two watchers wait on the platform.

Over the fake platform: all 24 slots are usable again within (3 s + longest deadline) x 1.0201 + 1.25 s of a host's death, platform up or down; no roster write in a quiet minute.

Conclusion: ready to be put on the peer protocol; a call for claims is missing there.

--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,1 +1,2 @@
+export * from './limits/index.js'
 export * from './operator/index.js'
--- /dev/null
+++ b/packages/almondrelay/src/connection/limits/__tests__/limitsTasks.test.ts
@@ -0,0 +1,98 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { LimitsZone } from '../__fixtures__/limitsZone.js'
+
+const MAX_DEADLINE_MS = 5_000
+const ALL_SLOTS = 24
+const SETTLED_MS = 2_000
+/** Lease term of 3 s and the longest deadline, with drift and slack, and a second for news and rounds. */
+const RECOVERY_MS = (3_000 + MAX_DEADLINE_MS) * 1.0201 + 250 + 1_000
+
+async function startZone (...names: string[]): Promise<LimitsZone> {
+  const zone = new LimitsZone(MAX_DEADLINE_MS)
+  names.forEach((name) => zone.addHost(name))
+  await zone.clock.advance(SETTLED_MS)
+  return zone
+}
+
+function stopZone (zone: LimitsZone): void {
+  [...zone.hosts.keys()].forEach((name) => zone.kill(name))
+}
+
+test('hosts that start together join by compare-and-swap and share every slot once', async () => {
+  const zone = await startZone('a', 'b', 'c')
+  assert.equal(await zone.readRoster(), ['a;1', 'b;1', 'c;1'])
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  const writes = zone.platform.calls.get('put')
+  await zone.clock.advance(60_000)
+  assert.is(zone.platform.calls.get('put'), writes, 'no write without a join or a loss')
+  stopZone(zone)
+})
+
+test('the slots of a host that died are usable again after the longest deadline', async () => {
+  // A host's process dies. Its peer finds the address refusing connections and takes the targets over, but
+  // the dead host's requests may run on until their deadline: used at once, the target would get them twice.
+  const zone = await startZone('a', 'b')
+  zone.kill('b')
+  zone.hosts.get('a')!.slots.markGone('b', 1, zone.clock.getNow())
+  assert.ok(zone.countAllFree() < ALL_SLOTS)
+  await zone.clock.advance(RECOVERY_MS)
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  assert.equal(await zone.readRoster(), ['a;1'])
+  stopZone(zone)
+})
+
+test('the same with the platform down, and the roster follows later', async () => {
+  const zone = await startZone('a', 'b')
+  zone.platform.faults.outage = true
+  zone.kill('b')
+  zone.hosts.get('a')!.slots.markGone('b', 1, zone.clock.getNow())
+  await zone.clock.advance(RECOVERY_MS)
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  zone.platform.faults.outage = false
+  await zone.clock.advance(15_000)
+  assert.equal(await zone.readRoster(), ['a;1'])
+  stopZone(zone)
+})
+
+test('hosts cut off from each other keep their floors, the standby fills in, and all comes back', async () => {
+  // Two hosts of a zone lose sight of each other; both live. Neither may take what the other may still use:
+  // the owner keeps its floor, and its standby uses the rest once the last lease and its requests are over.
+  const zone = await startZone('a', 'b')
+  zone.cut.add('b')
+  await zone.clock.advance(3_500)
+  assert.is(zone.countAllFree(), ALL_SLOTS / 2, 'floors only')
+  await zone.clock.advance(RECOVERY_MS)
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  zone.cut.clear()
+  await zone.clock.advance(SETTLED_MS)
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  stopZone(zone)
+})
+
+test('a restarted host takes the place of its former incarnation', async () => {
+  const zone = await startZone('a', 'b')
+  zone.kill('b')
+  zone.addHost('b', 2)
+  await zone.clock.advance(RECOVERY_MS + SETTLED_MS)
+  assert.equal(await zone.readRoster(), ['a;1', 'b;2'])
+  assert.is(zone.countAllFree(), ALL_SLOTS)
+  stopZone(zone)
+})
+
+test('a write whose answer was lost is found by reading, and a leaving host takes itself out', async () => {
+  const zone = new LimitsZone(MAX_DEADLINE_MS)
+  zone.platform.faults.lostAnswers = 1
+  zone.addHost('a')
+  await zone.clock.advance(5_000)
+  assert.equal(await zone.readRoster(), ['a;1'])
+  assert.is(zone.countFree('a'), ALL_SLOTS)
+  const left = zone.hosts.get('a')!.keeper.removeSelf(new AbortController().signal)
+  await zone.clock.advance(1_000)
+  await left
+  assert.equal(await zone.readRoster(), [])
+  assert.is(zone.countFree('a'), 0)
+  stopZone(zone)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay/src/connection/limits/index.ts
@@ -0,0 +1,6 @@
+export * from './handleSlotLeases.js'
+export * from './limitPeers.js'
+export * from './parseRoster.js'
+export * from './rosterKeeper.js'
+export * from './slotLeaseTask.js'
+export * from './toRosterHost.js'
--- /dev/null
+++ b/packages/almondrelay/src/connection/limits/parseRoster.ts
@@ -0,0 +1,18 @@
+import { z } from 'zod'
+import type { Roster } from '../../process/limits/roster.js'
+import { ResourceName } from '../../version/resources/resourceName.js'
+
+const RosterValue = z.object({
+  version: z.number().int().min(1),
+  availabilityZone: ResourceName,
+  hosts: z.array(z.object({ name: ResourceName, incarnation: z.number().int().min(0) })).max(1_000)
+})
+
+/** The roster in a platform value; undefined when the value is none. */
+export function parseRoster (value: string): Roster | undefined {
+  try {
+    return RosterValue.parse(JSON.parse(value))
+  } catch {
+    return undefined
+  }
+}
--- a/packages/almondrelay/src/process/limits/__fixtures__/slotWorld.ts
+++ b/packages/almondrelay/src/process/limits/__fixtures__/slotWorld.ts
@@ -124,7 +124,7 @@
       const other = this.find(name)
       if (other === undefined) continue
       if (this.options.guardOff === 'claims') {
-        host.slots.claims.acceptAnswer(claim, { ...claim, from: other.self, held: [], handedOver: [] }, host.computeNow(this.real))
+        host.slots.claims.acceptAnswer(claim, { ...claim, from: other.self, binding: true, held: [], handedOver: [] }, host.computeNow(this.real))
         continue
       }
       this.send(host, other, () => {
--- a/packages/almondrelay/src/process/limits/index.ts
+++ b/packages/almondrelay/src/process/limits/index.ts
@@ -1,5 +1,6 @@
 export * from './chooseOwners.js'
 export * from './credit.js'
+export * from './decideRoster.js'
 export * from './defaultLimitsOptions.js'
 export * from './hostSlots.js'
 export * from './hostSlotsIdentity.js'
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -67,9 +67,25 @@
   /** Parts that fall to this host and that it doesn't hold; rebuilt when that may have changed, so that a request costs nothing here. */
   private wanted: PartState[] | undefined
   private lostAt = -Infinity
+  private newestVersion = 0
 
   constructor (private readonly self: RosterHost, private readonly options: LimitsOptions) {}
 
+  /** Whether a peer has a later roster than this host. */
+  get isBehind (): boolean {
+    return this.newestVersion > this.rosterVersion
+  }
+
+  /** Members of the roster that are gone by definitive evidence. */
+  get gone (): RosterHost[] {
+    return this.view?.gone ?? []
+  }
+
+  /** Whether the roster that this host has names this very process. */
+  get isMember (): boolean {
+    return this.view?.has(this.self) ?? false
+  }
+
   get rosterVersion (): number {
     return this.view?.roster.version ?? 0
   }
@@ -160,16 +176,15 @@
 
   /** Answers another member's claim, giving up what falls to it once no work of this host needs it. */
   handleClaim (sender: RosterHost, claim: PartClaim, now: number): PartClaimAnswer {
+    this.newestVersion = Math.max(this.newestVersion, claim.rosterVersion)
     if (this.rosterVersion === claim.rosterVersion) claim.gone.forEach((host) => this.markGone(host, now))
     const view = this.view
-    if (view === undefined) return { from: this.self, rosterVersion: 0, gone: [], held: [], handedOver: [] }
-    const asksAtView = view.has(this.self) && view.has(sender) && new ZoneView(view.roster, claim.gone).key === view.key && claim.rosterVersion === view.roster.version
-    if (!asksAtView) return { from: this.self, rosterVersion: 0, gone: view.gone, held: [], handedOver: [] }
+    const answer = { from: this.self, rosterVersion: this.rosterVersion, gone: view?.gone ?? [] }
+    if (view === undefined || !this.isAtView(view, sender, claim)) return { ...answer, binding: false, held: [], handedOver: [] }
     if (claim.ready) claim.parts.forEach((id) => this.passPart(id, sender, view, now))
     return {
-      from: this.self,
-      rosterVersion: view.roster.version,
-      gone: view.gone,
+      ...answer,
+      binding: true,
       held: claim.parts.filter((id) => this.isHeld(id)),
       handedOver: claim.parts.flatMap((id) => this.describeGiven(id, sender, view, now))
     }
@@ -180,11 +195,12 @@
    * knows nothing of the work that the former one began: the answerer must be the very process that the view names.
    */
   acceptAnswer (claim: PartClaim, answer: PartClaimAnswer, now: number): void {
+    this.newestVersion = Math.max(this.newestVersion, answer.rosterVersion)
     const view = this.view
     if (view === undefined || !view.has(answer.from)) return
     const host = answer.from.name
     answer.gone.forEach((each) => this.markGone(each, now))
-    if (answer.rosterVersion !== view.roster.version || claim.rosterVersion !== view.roster.version) return
+    if (!answer.binding || answer.rosterVersion !== view.roster.version || claim.rosterVersion !== view.roster.version) return
     if (this.view !== view || new ZoneView(view.roster, answer.gone).key !== view.key) return
     for (const id of claim.parts) {
       const state = this.parts.get(id)
@@ -195,6 +211,11 @@
     this.advance(now)
   }
 
+  private isAtView (view: ZoneView, sender: RosterHost, claim: PartClaim): boolean {
+    if (claim.rosterVersion !== view.roster.version || !view.has(this.self) || !view.has(sender)) return false
+    return new ZoneView(view.roster, claim.gone).key === view.key
+  }
+
   private listOthers (view: ZoneView): RosterHost[] {
     return view.live.filter((host) => host.name !== this.self.name)
   }
