--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -3,6 +3,7 @@
 import type { Part } from './part.js'
 import type { PartClaim } from './partClaim.js'
 import type { PartClaimAnswer } from './partClaimAnswer.js'
+import type { PartGrant } from './partGrant.js'
 import type { PartHandOver } from './partHandOver.js'
 import type { PartUser } from './partUser.js'
 import type { Roster } from './roster.js'
@@ -28,8 +29,8 @@
 interface Given {
   to: RosterHost
   viewKey: string
-  busyUntil: number
-  grantee: RosterHost | undefined
+  at: number
+  grants: PartGrant[]
 }
 
 /** Evidence kept for hosts that the roster may still name; what is dropped here is learnt again from its next report. */
@@ -66,9 +67,25 @@
   /** Parts that fall to this host and that it doesn't hold; rebuilt when that may have changed, so that a request costs nothing here. */
   private wanted: PartState[] | undefined
   private lostAt = -Infinity
+  private newestVersion = 0
 
   constructor (private readonly self: RosterHost, private readonly options: LimitsOptions) {}
 
+  /** Whether a peer has a later roster than this host. */
+  get isBehind (): boolean {
+    return this.newestVersion > this.rosterVersion
+  }
+
+  /** Members of the roster that are gone by definitive evidence. */
+  get gone (): RosterHost[] {
+    return this.view?.gone ?? []
+  }
+
+  /** Whether the roster that this host has names this very process. */
+  get isMember (): boolean {
+    return this.view?.has(this.self) ?? false
+  }
+
   get rosterVersion (): number {
     return this.view?.roster.version ?? 0
   }
@@ -120,7 +137,8 @@
 
   /** Whether a grant from a part that this host gave up may still bind; the next holder has to be told of it. */
   hasObligation (id: string, now: number): boolean {
-    return (this.parts.get(id)?.given?.busyUntil ?? -Infinity) > now
+    const given = this.parts.get(id)?.given
+    return given !== undefined && listBinding(given, now).length > 0
   }
 
   /** The live member that is to hold the part, as far as this host knows. */
@@ -158,16 +176,15 @@
 
   /** Answers another member's claim, giving up what falls to it once no work of this host needs it. */
   handleClaim (sender: RosterHost, claim: PartClaim, now: number): PartClaimAnswer {
+    this.newestVersion = Math.max(this.newestVersion, claim.rosterVersion)
     if (this.rosterVersion === claim.rosterVersion) claim.gone.forEach((host) => this.markGone(host, now))
     const view = this.view
-    if (view === undefined) return { from: this.self, rosterVersion: 0, gone: [], held: [], handedOver: [] }
-    const asksAtView = view.has(this.self) && view.has(sender) && new ZoneView(view.roster, claim.gone).key === view.key && claim.rosterVersion === view.roster.version
-    if (!asksAtView) return { from: this.self, rosterVersion: 0, gone: view.gone, held: [], handedOver: [] }
+    const answer = { from: this.self, rosterVersion: this.rosterVersion, gone: view?.gone ?? [] }
+    if (view === undefined || !this.isAtView(view, sender, claim)) return { ...answer, binding: false, held: [], handedOver: [] }
     if (claim.ready) claim.parts.forEach((id) => this.passPart(id, sender, view, now))
     return {
-      from: this.self,
-      rosterVersion: view.roster.version,
-      gone: view.gone,
+      ...answer,
+      binding: true,
       held: claim.parts.filter((id) => this.isHeld(id)),
       handedOver: claim.parts.flatMap((id) => this.describeGiven(id, sender, view, now))
     }
@@ -178,11 +195,12 @@
    * knows nothing of the work that the former one began: the answerer must be the very process that the view names.
    */
   acceptAnswer (claim: PartClaim, answer: PartClaimAnswer, now: number): void {
+    this.newestVersion = Math.max(this.newestVersion, answer.rosterVersion)
     const view = this.view
     if (view === undefined || !view.has(answer.from)) return
     const host = answer.from.name
     answer.gone.forEach((each) => this.markGone(each, now))
-    if (answer.rosterVersion !== view.roster.version || claim.rosterVersion !== view.roster.version) return
+    if (!answer.binding || answer.rosterVersion !== view.roster.version || claim.rosterVersion !== view.roster.version) return
     if (this.view !== view || new ZoneView(view.roster, answer.gone).key !== view.key) return
     for (const id of claim.parts) {
       const state = this.parts.get(id)
@@ -193,6 +211,11 @@
     this.advance(now)
   }
 
+  private isAtView (view: ZoneView, sender: RosterHost, claim: PartClaim): boolean {
+    if (claim.rosterVersion !== view.roster.version || !view.has(this.self) || !view.has(sender)) return false
+    return new ZoneView(view.roster, claim.gone).key === view.key
+  }
+
   private listOthers (view: ZoneView): RosterHost[] {
     return view.live.filter((host) => host.name !== this.self.name)
   }
@@ -223,7 +246,7 @@
     state.held = true
     state.giving = false
     state.given = undefined
-    const grants = state.handOvers
+    const grants = state.handOvers.flatMap((handOver) => handOver.grants)
     state.handOvers = []
     state.cleared.clear()
     state.user.acceptPart(state.part.id, grants, now)
@@ -234,21 +257,21 @@
     if (state === undefined || !state.held) return
     if (view.getHolder(state.part.key, state.part.rank)?.name !== sender.name) return
     state.giving = true
-    const grant = state.user.tryGiveUp(id, now)
-    if (grant === undefined) return
+    const grants = state.user.tryGiveUp(id, now)
+    if (grants === undefined) return
     this.wanted = undefined
     state.held = false
     state.giving = false
     state.lostAt = now
-    state.given = { to: sender, viewKey: view.key, busyUntil: now + grant.busyMs, grantee: grant.grantee }
+    state.given = { to: sender, viewKey: view.key, at: now, grants }
   }
 
   private describeGiven (id: string, sender: RosterHost, view: ZoneView, now: number): PartHandOver[] {
     const given = this.parts.get(id)?.given
     if (given === undefined) return []
     const toAsker = given.viewKey === view.key && isSameHost(given.to, sender)
-    if (!toAsker && given.busyUntil <= now) return []
-    return [{ part: id, busyMs: Math.max(0, given.busyUntil - now), grantee: given.grantee, toAsker }]
+    const grants = listBinding(given, now)
+    return toAsker || grants.length > 0 ? [{ part: id, grants, toAsker }] : []
   }
 
   /** `undefined` stands for hosts that this one never heard of. */
@@ -272,3 +295,11 @@
     }
   }
 }
+
+/** The grants of a part that was given up, as far as they still bind, with what is left of their times. */
+function listBinding (given: Given, now: number): PartGrant[] {
+  const passed = now - given.at
+  return given.grants
+    .map((grant) => ({ ...grant, termMs: Math.max(0, grant.termMs - passed), busyMs: grant.busyMs - passed }))
+    .filter((grant) => grant.busyMs > 0)
+}
