Find a caller's region by the longest of 710,000 client blocks

Change: ClientBlocks keeps chunks by the first 8 bits of IPv4 and 16 of IPv6; each chunk holds its blocks in typed arrays and nested prefixes flattened to ranges, found by one binary search. Only chunks that a change touches are built anew. Equal prefixes of two regions go to the first by name, so that hosts with different histories agree.

--- /dev/null
+++ b/packages/almondrelay/src/version/clientBlocks/addressFamily.ts
@@ -0,0 +1,9 @@
+/** Families of IP numbers. */
+const AddressFamily = {
+  v4: 4,
+  v6: 6
+} as const
+
+type AddressFamily = (typeof AddressFamily)[keyof typeof AddressFamily]
+
+export { AddressFamily }
--- /dev/null
+++ b/packages/almondrelay/src/version/clientBlocks/blockChunk.ts
@@ -0,0 +1,101 @@
+type Keys = Uint32Array | Float64Array
+
+interface ChunkBlock {
+  /** First key. */
+  key: number
+  /** Keys that it holds, a power of two. */
+  size: number
+  site: number
+}
+
+const NO_SITE = 0
+
+/**
+ * The blocks of one chunk of the address space, with nested prefixes flattened to ranges that
+ * don't overlap, so that the longest prefix is found by one binary search. Immutable, so that
+ * revisions share the chunks which did not change.
+ */
+export class BlockChunk {
+  private constructor (
+    /** What the chunk was built from: 7 bytes a block of IPv4, 11 of IPv6. */
+    private readonly blockKeys: Keys,
+    private readonly blockBits: Uint8Array,
+    private readonly blockSites: Uint16Array,
+    /** First key of each range, and its site: 6 bytes a range of IPv4, 10 of IPv6. */
+    private readonly rangeKeys: Keys,
+    private readonly rangeSites: Uint16Array
+  ) {}
+
+  /**
+   * @param blocks In any order.
+   * @param keyCount Keys of a chunk.
+   * @param compareSites Decides which of two sites holds a prefix that both claim: the lesser.
+   */
+  static build (blocks: readonly ChunkBlock[], keyCount: number, compareSites: (left: number, right: number) => number): BlockChunk {
+    const sorted = [...blocks].sort((left, right) => left.key - right.key || right.size - left.size || compareSites(right.site, left.site))
+    const ranges = buildRanges(sorted, keyCount)
+    const makeKeys = (keys: readonly number[]): Keys => keyCount <= 2 ** 32 ? Uint32Array.from(keys) : Float64Array.from(keys)
+    return new BlockChunk(
+      makeKeys(sorted.map((block) => block.key)),
+      Uint8Array.from(sorted, (block) => Math.log2(block.size)),
+      Uint16Array.from(sorted, (block) => block.site),
+      makeKeys(ranges.keys),
+      Uint16Array.from(ranges.sites)
+    )
+  }
+
+  /** Bytes of the typed arrays. */
+  get bytes (): number {
+    return this.blockKeys.byteLength + this.blockBits.byteLength + this.blockSites.byteLength + this.rangeKeys.byteLength + this.rangeSites.byteLength
+  }
+
+  listBlocks (): ChunkBlock[] {
+    return Array.from(this.blockKeys, (key, index) => ({ key, size: 2 ** (this.blockBits[index] ?? 0), site: this.blockSites[index] ?? NO_SITE }))
+  }
+
+  /** The site of the longest prefix that holds the key; 0 where there is none. */
+  findSite (key: number): number {
+    let low = 0
+    let high = this.rangeKeys.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if ((this.rangeKeys[middle] as number) <= key) low = middle + 1
+      else high = middle
+    }
+    return low === 0 ? NO_SITE : this.rangeSites[low - 1] as number
+  }
+}
+
+interface Ranges {
+  keys: number[]
+  sites: number[]
+}
+
+// Sweeps over the blocks in order, with the blocks around the present key on a stack.
+const buildRanges = (sorted: readonly ChunkBlock[], keyCount: number): Ranges => {
+  const ranges: Ranges = { keys: [], sites: [] }
+  const around: ChunkBlock[] = []
+  const closeUntil = (key: number): void => {
+    for (let top = around.at(-1); top !== undefined && top.key + top.size <= key; top = around.at(-1)) {
+      around.pop()
+      if (top.key + top.size < keyCount) addRange(ranges, top.key + top.size, around.at(-1)?.site ?? NO_SITE)
+    }
+  }
+  for (const block of sorted) {
+    closeUntil(block.key)
+    addRange(ranges, block.key, block.site)
+    around.push(block)
+  }
+  closeUntil(Infinity)
+  return ranges
+}
+
+const addRange = (ranges: Ranges, key: number, site: number): void => {
+  if (ranges.keys.at(-1) === key) {
+    ranges.keys.pop()
+    ranges.sites.pop()
+  }
+  if ((ranges.sites.at(-1) ?? NO_SITE) === site) return
+  ranges.keys.push(key)
+  ranges.sites.push(site)
+}
--- /dev/null
+++ b/packages/almondrelay/src/version/clientBlocks/index.ts
@@ -0,0 +1,3 @@
+export * from './clientBlocks.js'
+export * from './parseIp.js'
+export * from './parsePrefix.js'
--- a/packages/almondrelay/src/version/index.ts
+++ b/packages/almondrelay/src/version/index.ts
@@ -1,3 +1,4 @@
+export * from './clientBlocks/index.js'
 export * from './configuration.js'
 export * from './pacing/index.js'
 export * from './resources/change.js'
