--- a/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
+++ b/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
@@ -13,7 +13,7 @@
 /** Get, list, put and delete of resources. */
 export function addResourceRoutes (app: Hono, options: OperatorAppOptions, signal: AbortSignal): void {
   const { store, statusHooks } = options
-  const listZones = () => computeZoneStatuses(options.listMembers())
+  const listZones = () => computeZoneStatuses(options.listMembers(), store.current.revision)
 
   app.get('/v1/resources/:kind', (context) => {
     const kind = findKind(context)
--- a/packages/almondrelay/src/connection/operator/describeStatus.ts
+++ b/packages/almondrelay/src/connection/operator/describeStatus.ts
@@ -6,7 +6,7 @@
 export function describeStatus (options: OperatorAppOptions): object {
   const { store, statusHooks } = options
   const members = options.listMembers()
-  const zones = computeZoneStatuses(members)
+  const zones = computeZoneStatuses(members, store.current.revision)
   const listKind = (kind: 'Drain' | 'ShiftCap') => store.current.list(kind)
     .map(({ name, spec, revision }) => ({ name, spec, revision }))
     .map((resource) => ({ ...resource, status: computeResourceStatus({ kind, ...resource } as Parameters<typeof computeResourceStatus>[0], zones, statusHooks) }))
--- a/packages/almondrelay/src/process/configuration/status/computeZoneStatuses.ts
+++ b/packages/almondrelay/src/process/configuration/status/computeZoneStatuses.ts
@@ -2,9 +2,12 @@
 import { MemberState } from '../../membership/memberState.js'
 import type { ZoneStatus } from './zoneStatus.js'
 
-/** Sums up by availability zone which revision is in force, and which hosts lag or can't be reached. */
-export function computeZoneStatuses (members: readonly Member[]): ZoneStatus[] {
-  const newest = Math.max(0, ...members.map((member) => member.revision))
+/**
+ * Sums up by availability zone which revision is in force, and which hosts lag or can't be reached.
+ *
+ * @param newest the revision in force here; what others claim beyond it isn't believed before it is fetched
+ */
+export function computeZoneStatuses (members: readonly Member[], newest: number): ZoneStatus[] {
   const zones = new Map<string, Member[]>()
   for (const member of members) {
     if (member.state === MemberState.gone) continue
--- a/packages/almondrelay/src/process/configuration/status/zoneStatus.ts
+++ b/packages/almondrelay/src/process/configuration/status/zoneStatus.ts
@@ -10,7 +10,7 @@
   /** The lowest revision in force on a host that can be reached; absent where none can be. */
   revision?: number
   reachableHosts: number
-  /** Hosts below the newest revision that this host knows. */
+  /** Hosts below the revision in force on the host that tells this. */
   laggingHosts: LaggingHost[]
   unreachableHosts: string[]
   /** Age of the oldest word that this is built on, in milliseconds. */
