--- a/packages/almondrelay/src/process/membership/__tests__/membership.test.ts
+++ b/packages/almondrelay/src/process/membership/__tests__/membership.test.ts
@@ -8,7 +8,7 @@
 
 const { INCARNATION, makeSummary, createMembership } = testMembership
 
-const hear = (membership: Membership, summary: Summary, now: number): string => membership.observeHeartbeat(summary, summary, now)
+const receiveHeartbeat = (membership: Membership, summary: Summary, now: number): string => membership.observeHeartbeat(summary, summary, now)
 
 function collectGone (membership: Membership): MembershipEvent[] {
   const gone: MembershipEvent[] = []
@@ -18,12 +18,12 @@
 
 test('silence suspects a neighbour after a second, and word of it lifts the suspicion', () => {
   const membership = createMembership('akl-a-1')
-  hear(membership, makeSummary('akl-a-2'), 0)
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 0)
   membership.planNeighbours(0)
   assert.is(membership.getMember('akl-a-2', 1_000)?.state, 'live')
   assert.is(membership.getMember('akl-a-2', 1_100)?.state, 'suspected')
   assert.equal(membership.chooseWatchers('akl-a', 1_100), ['akl-a-1'])
-  hear(membership, makeSummary('akl-a-2'), 1_200)
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 1_200)
   assert.is(membership.getMember('akl-a-2', 1_200)?.state, 'live')
 })
 
@@ -31,7 +31,7 @@
   const membership = createMembership('akl-a-1')
   const gone = collectGone(membership)
   const summary = makeSummary('akl-a-2')
-  hear(membership, summary, 0)
+  receiveHeartbeat(membership, summary, 0)
   membership.observeRefused('akl-a-2', INCARNATION, '10.0.0.9:1', 10)
   membership.observeRefused('akl-a-2', INCARNATION - 1, summary.peerAddress, 10)
   assert.equal(gone, [])
@@ -44,9 +44,9 @@
 // spoken. The refusal is of the old one; taking it for the new one would free what it holds.
 test('a refusal that arrives after the next incarnation spoke does not end that one', () => {
   const membership = createMembership('akl-a-1')
-  hear(membership, makeSummary('akl-a-2'), 0)
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 0)
   const gone = collectGone(membership)
-  hear(membership, makeSummary('akl-a-2', { incarnation: INCARNATION + 1 }), 100)
+  receiveHeartbeat(membership, makeSummary('akl-a-2', { incarnation: INCARNATION + 1 }), 100)
   membership.observeRefused('akl-a-2', INCARNATION, makeSummary('akl-a-2').peerAddress, 110)
   assert.equal(gone, [{ kind: 'gone', host: 'akl-a-2', incarnation: INCARNATION, evidence: 'newer-incarnation' }])
   assert.is(membership.getMember('akl-a-2', 110)?.state, 'live')
@@ -55,9 +55,9 @@
 test('an incarnation that announced that it left is gone, and one that leaves takes no new work', () => {
   const membership = createMembership('akl-a-1')
   const gone = collectGone(membership)
-  hear(membership, makeSummary('akl-a-2', { isLeaving: true }), 0)
+  receiveHeartbeat(membership, makeSummary('akl-a-2', { isLeaving: true }), 0)
   assert.is(membership.getMember('akl-a-2', 0)?.state, 'leaving')
-  hear(membership, makeSummary('akl-a-2', { isGone: true }), 10)
+  receiveHeartbeat(membership, makeSummary('akl-a-2', { isGone: true }), 10)
   assert.is(gone.length, 1)
 })
 
@@ -65,19 +65,19 @@
 // Callers would be sent to one and answered by the other; so only the newest is taken in.
 test('a host that is not what it says is refused', () => {
   const membership = createMembership('akl-a-1')
-  hear(membership, makeSummary('akl-a-2'), 0)
-  assert.is(hear(membership, makeSummary('akl-a-2', { peerAddress: '10.0.0.9:1' }), 10), 'name-taken')
-  assert.is(hear(membership, makeSummary('akl-a-2', { availabilityZone: 'akl-b' }), 10), 'name-taken')
-  assert.is(hear(membership, makeSummary('akl-a-1', { incarnation: INCARNATION + 1 }), 10), 'name-taken')
-  assert.is(hear(membership, makeSummary('akl-a-2', { incarnation: INCARNATION - 1 }), 10), 'stale-incarnation')
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 0)
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-2', { peerAddress: '10.0.0.9:1' }), 10), 'name-taken')
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-2', { availabilityZone: 'akl-b' }), 10), 'name-taken')
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-1', { incarnation: INCARNATION + 1 }), 10), 'name-taken')
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-2', { incarnation: INCARNATION - 1 }), 10), 'stale-incarnation')
   membership.observeRefused('akl-a-2', INCARNATION, makeSummary('akl-a-2').peerAddress, 20)
-  assert.is(hear(membership, makeSummary('akl-a-2'), 30), 'declared-gone')
-  assert.is(hear(membership, makeSummary('akl-a-2', { incarnation: INCARNATION + 1 }), 40), 'accepted')
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-2'), 30), 'declared-gone')
+  assert.is(receiveHeartbeat(membership, makeSummary('akl-a-2', { incarnation: INCARNATION + 1 }), 40), 'accepted')
 })
 
 test('the host list adds hosts and stops new work, and takes none away', () => {
   const membership = createMembership('akl-a-1')
-  hear(membership, makeSummary('akl-a-2'), 0)
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 0)
   membership.observeListed({ ...makeSummary('akl-a-3'), isLeaving: false }, 0)
   membership.observeListed({ ...makeSummary('akl-a-2'), isLeaving: true }, 0)
   assert.is(membership.getMember('akl-a-2', 0)?.state, 'leaving')
@@ -109,7 +109,7 @@
     let now = 0
     for (const { kind, host, ageMs, isSilent, waitMs } of steps) {
       now += waitMs
-      if (kind === 'heartbeat') assert.is(hear(membership, makeSummary(host), now), 'accepted')
+      if (kind === 'heartbeat') assert.is(receiveHeartbeat(membership, makeSummary(host), now), 'accepted')
       if (kind === 'silence') membership.observeSilence(host, now)
       if (kind === 'summary') membership.observeSummary(makeSummary(host, { ageMs, isSilent }), now)
       if (kind === 'advance') membership.advance(now)
