Join the zone's roster and renew slot leases in the daemon; a host's end takes no other with it

Cause: ten real hosts under load: a planned stop of one ended all. An answer from a host that had announced its end was refused here, and that refusal was taken for the peer's refusal of this process. Ruled out: the roster change (written once, correctly) and the peers' evidence (announced, correct). Change: only a rejected call is a peer's refusal; a bad answer is silence of that peer. The daemon keeps the roster, renews leases, claims parts and frees on definitive evidence. The longest deadline is 10 s by default: after a host has ended its targets' slots wait that long. Measured: the new test fails before (three refusals) and passes after.

--- a/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
+++ b/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
@@ -52,6 +52,21 @@
   fleet.stopAll()
 })
 
+// One host makes a planned stop and says that it is gone, and goes on answering heartbeats until it
+// ends. The others took their own judgement of it for a refusal of themselves and stopped too, one
+// after the other, through the whole fleet (seen with ten real processes).
+test('a host that announces its end takes no other with it', async () => {
+  const fleet = await startFleet(ZONES, 2)
+  fleet.getHost('akl-a-01').membership.updateSelf({ isGone: true })
+  await fleet.clock.advance(5_000)
+  for (const host of fleet.hosts.values()) {
+    if (host.host === 'akl-a-01') continue
+    assert.equal(host.refusals, [], host.host)
+    assert.is(fleet.getState(host.host, 'akl-a-01'), 'gone')
+  }
+  fleet.stopAll()
+})
+
 // Both watchers of a zone die one after the other. Changes must go on arriving in the zone: the
 // next hosts by rank watch in their place.
 test('watchers that die are replaced', async () => {
--- a/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
+++ b/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
@@ -1,7 +1,7 @@
 import type { Client } from '@connectrpc/connect'
 import { create } from '@bufbuild/protobuf'
 import { ExchangeRequestSchema } from 'almondrelay-protocol'
-import type { PeerService } from 'almondrelay-protocol'
+import type { ExchangeResponse, PeerService } from 'almondrelay-protocol'
 import type { Neighbour } from '../../process/membership/neighbour.js'
 import type { ExchangeHub } from './exchangeHub.js'
 import { findRefusal } from './findRefusal.js'
@@ -48,8 +48,14 @@
   const { membership, clock, suspectAfterMs } = hub.options
   const incarnation = membership.getMember(peer.host, clock.getNow())?.incarnation ?? 0
   const sent = hub.buildWord(peer.host, clock.getNow())
+  let response: ExchangeResponse
+  try {
+    response = await client.exchange(create(ExchangeRequestSchema, sent.word), { signal, timeoutMs: suspectAfterMs })
+  } catch (error) {
+    if (!signal.aborted) observeFailure(error, incarnation, peer, hub)
+    return false
+  }
   try {
-    const response = await client.exchange(create(ExchangeRequestSchema, sent.word), { signal, timeoutMs: suspectAfterMs })
     const sender = hub.receiveWord(response, clock.getNow(), (progress) => {
       // A process that came after the one that was written to has none of what was told.
       if (incarnation !== 0 && progress.incarnation !== incarnation) return
@@ -61,11 +67,22 @@
     if (sender.host !== peer.host) membership.observeSilence(peer.host, clock.getNow())
     return true
   } catch (error) {
-    if (!signal.aborted) observeFailure(error, incarnation, peer, hub)
+    observeBadAnswer(error, peer, hub)
     return false
   }
 }
 
+/**
+ * Failure: a peer's answer is refused here, as that peer has announced its end, and the refusal is taken
+ * for the peer's of this process, which then stops for no reason. It counts as silence of the peer alone.
+ */
+function observeBadAnswer (error: unknown, peer: Neighbour, hub: ExchangeHub): void {
+  const { membership, clock, log } = hub.options
+  hub.getProgress(peer.host).isBroken = true
+  membership.observeSilence(peer.host, clock.getNow())
+  log.debug({ err: error, peer: peer.host }, 'answer to a heartbeat not taken')
+}
+
 /** Tells apart what a failed exchange shows: an ended process, a refusal, or only silence. */
 function observeFailure (error: unknown, incarnation: number, peer: Neighbour, hub: ExchangeHub): void {
   const { membership, clock, log, handleRefusal } = hub.options
--- a/packages/almondrelay/src/connection/peer/createPeerHandlers.ts
+++ b/packages/almondrelay/src/connection/peer/createPeerHandlers.ts
@@ -2,9 +2,11 @@
 import type { PeerService } from 'almondrelay-protocol'
 import type { Host } from '../../process/daemon/host.js'
 import { toForwardResponse } from '../../process/dispatch/toForwardResponse.js'
+import { handlePartClaim } from '../limits/handlePartClaim.js'
+import { handleSlotLeases } from '../limits/handleSlotLeases.js'
 import { checkSender } from './checkSender.js'
 
-/** What this host answers to its peers about requests; heartbeats and changes are the exchange's. */
+/** What this host answers to its peers about requests and limits; heartbeats and changes are the exchange's. */
 export function createPeerHandlers (host: Pick<Host, 'peerRequests' | 'slots' | 'clock'>): Partial<ServiceImpl<typeof PeerService>> {
   const { peerRequests, slots, clock } = host
   return {
@@ -16,6 +18,14 @@
       slots.returnCredits(request.creditIds, clock.getNow())
       return {}
     },
+    renewSlotLease: (request) => {
+      checkSender(request.sender)
+      return handleSlotLeases(slots, request, clock.getNow())
+    },
+    claimParts: (request) => {
+      checkSender(request.sender)
+      return handlePartClaim(slots, request, clock.getNow())
+    },
     forward: async (request) => {
       checkSender(request.sender)
       return toForwardResponse(await peerRequests.forward(request))
--- a/packages/almondrelay/src/process/daemon/buildHost.ts
+++ b/packages/almondrelay/src/process/daemon/buildHost.ts
@@ -2,6 +2,9 @@
 import type Logger from 'bunyan'
 import { ExchangeHub } from '../../connection/exchange/exchangeHub.js'
 import { PeerRefusal } from '../../connection/exchange/peerRefusal.js'
+import { LinkedLimitPeers } from '../../connection/limits/linkedLimitPeers.js'
+import { RosterKeeper } from '../../connection/limits/rosterKeeper.js'
+import { SlotLeaseTask } from '../../connection/limits/slotLeaseTask.js'
 import { PeerConnection } from '../../connection/peer/peerConnection.js'
 import { PeerConnections } from '../../connection/peer/peerConnections.js'
 import { TargetConnections } from '../../connection/target/targetConnections.js'
@@ -13,6 +16,7 @@
 import { ChangeLog } from '../configuration/changeLog.js'
 import { ConfigurationStore } from '../configuration/configurationStore.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
+import { makeSender } from '../dispatch/makeSender.js'
 import { HostSlots } from '../limits/hostSlots.js'
 import { LookupAnswerer } from '../lookup/lookupAnswerer.js'
 import { LeavingTargets } from '../membership/leavingTargets.js'
@@ -88,11 +92,15 @@
     createClient: createLinkedClient,
     handleRefusal: (refusal, peer) => { handleRefusal(refusal, peer, log, fail) }
   }, signal)
+  const isWatcher = (): boolean => membership.chooseWatchers(identity.availabilityZone, clock.getNow()).includes(identity.host)
   return {
     ...base,
     ...path,
     hub,
     leavingTargets,
+    isWatcher,
+    rosterKeeper: new RosterKeeper({ platform, slots: base.slots, self: { name: identity.host, incarnation: identity.incarnation }, availabilityZone: identity.availabilityZone, isWatcher, clock, random, log }),
+    slotLeases: new SlotLeaseTask({ slots: base.slots, clock, peers: new LinkedLimitPeers({ links: base.peers, directory, sender: makeSender(identity) }) }),
     lookups: new LookupAnswerer({ identity, clock, random, services, directory, ttlMs: settings.lookups.ttlMs }),
     answers: new AccountRecorder({ identity, clock, ledger, recorder, metrics, getConfiguration: () => services.configuration }),
     accountWriter: new AccountWriter(ledger, platform, {
--- a/packages/almondrelay/src/process/daemon/buildRequestPath.ts
+++ b/packages/almondrelay/src/process/daemon/buildRequestPath.ts
@@ -6,7 +6,7 @@
 import { PeerForwarder } from '../dispatch/peerForwarder.js'
 import type { PeerLinks } from '../dispatch/peerLinks.js'
 import { PeerRequests } from '../dispatch/peerRequests.js'
-import { PROTOCOL_VERSION } from '../dispatch/protocolVersion.js'
+import { makeSender } from '../dispatch/makeSender.js'
 import { RequestExecutor } from '../dispatch/requestExecutor.js'
 import { RequestHandler } from '../dispatch/requestHandler.js'
 import { RequestPlacer } from '../dispatch/requestPlacer.js'
@@ -51,7 +51,7 @@
 export function buildRequestPath (base: PathBase, signal: AbortSignal): RequestPath {
   const { identity, clock, random, recorder, slots, directory, links, targets } = base
   const { maxQueued, maxDeadlineMs, maxJournalEntries, journalRetentionMs } = base.requests
-  const sender = { ...identity, incarnation: BigInt(identity.incarnation), protocolVersion: PROTOCOL_VERSION }
+  const sender = makeSender(identity)
   const services = new Services({ identity, clock, random, recorder, slots, directory, links, maxQueued, maxDeadlineMs, signal })
   const journal = new Journal({ maxEntries: maxJournalEntries, maxRefused: maxJournalEntries, maxBytes: MAX_JOURNAL_BYTES, retentionMs: journalRetentionMs, maxSkewMs: MAX_SKEW_MS })
   const runner = new TargetRunner({ clock, slots, sender: targets, signal })
--- a/packages/almondrelay/src/process/daemon/closeHost.ts
+++ b/packages/almondrelay/src/process/daemon/closeHost.ts
@@ -2,10 +2,9 @@
 
 /** Writes the last pages of the account and closes what is open; the tasks have ended before. */
 export async function closeHost (host: Host): Promise<void> {
-  const { accountWriter, targets, metrics, membership, log } = host
+  const { accountWriter, targets, metrics, log } = host
   const unwritten = await accountWriter.finish()
   if (unwritten > 0) log.error({ pages: unwritten }, 'account pages could not be written and are lost with this host: the platform did not answer')
-  membership.updateSelf({ isGone: true })
   await targets.close()
   await metrics.close()
 }
--- a/packages/almondrelay/src/process/daemon/host.ts
+++ b/packages/almondrelay/src/process/daemon/host.ts
@@ -1,5 +1,7 @@
 import type Logger from 'bunyan'
 import type { ExchangeHub } from '../../connection/exchange/exchangeHub.js'
+import type { RosterKeeper } from '../../connection/limits/rosterKeeper.js'
+import type { SlotLeaseTask } from '../../connection/limits/slotLeaseTask.js'
 import type { OperatorAppOptions } from '../../connection/operator/operatorAppOptions.js'
 import type { PeerConnections } from '../../connection/peer/peerConnections.js'
 import type { TargetConnections } from '../../connection/target/targetConnections.js'
@@ -35,10 +37,14 @@
   store: ConfigurationStore
   changeLog: ChangeLog
   membership: Membership
+  /** Whether this host is one of the two of its zone that watch the platform. */
+  isWatcher: () => boolean
   leavingTargets: LeavingTargets
   hub: ExchangeHub
   slots: HostSlots
   services: Services
+  rosterKeeper: RosterKeeper
+  slotLeases: SlotLeaseTask
   journal: Journal
   runner: TargetRunner
   handler: RequestHandler
--- a/packages/almondrelay/src/process/daemon/runTasks.ts
+++ b/packages/almondrelay/src/process/daemon/runTasks.ts
@@ -12,11 +12,13 @@
 /** Runs everything that a host does all the time; resolves after the signal has aborted and each has ended. */
 export async function runTasks (host: Host, signal: AbortSignal): Promise<void> {
   followConfiguration(host, signal)
-  adoptRoster(host)
+  followMembership(host, signal)
   await Promise.all([
     takeConfiguration(host, signal),
     runSnapshotWriter(host, signal),
     runExchanges(host.hub, signal),
+    host.rosterKeeper.run(signal),
+    host.slotLeases.run(signal),
     host.accountWriter.run(signal),
     followHostList(host, signal),
     reportLoad(host, signal),
@@ -35,20 +37,22 @@
 }
 
 async function takeConfiguration (host: Host, signal: AbortSignal): Promise<void> {
-  const { store, platform, membership, hub, clock, random, log, identity } = host
+  const { store, platform, hub, clock, random, log } = host
   const askPlatform = async (callSignal: AbortSignal): Promise<boolean> => {
     await repairFromPlatform(platform, store, callSignal)
     return true
   }
   await loadFirstConfiguration({ store, clock, random, log, listSources: () => [askPlatform, ...createPeerSources(hub)] }, signal)
-  const isWatcher = (): boolean => membership.chooseWatchers(identity.availabilityZone, clock.getNow()).includes(identity.host)
-  await followPlatformChanges({ platform, store, clock, random, log, isWatcher }, signal)
+  await followPlatformChanges({ platform, store, clock, random, log, isWatcher: host.isWatcher }, signal)
 }
 
-/** A host that is alone in its zone owns all of the zone's targets. */
-function adoptRoster ({ settings, identity, slots, clock }: Host): void {
-  const isAlone = settings.peers.every((peer) => peer.availabilityZone !== identity.availabilityZone)
-  if (!isAlone) return
-  const hosts = [{ name: identity.host, incarnation: identity.incarnation }]
-  slots.adoptRoster({ version: 1, availabilityZone: identity.availabilityZone, hosts }, clock.getNow())
+/** Definitive evidence, and nothing less, frees what a host held. */
+function followMembership ({ membership, slots, services, clock, log }: Host, signal: AbortSignal): void {
+  const unsubscribe = membership.subscribe((event) => {
+    if (event.kind !== 'gone') return
+    log.info({ gone: event.host, incarnation: event.incarnation, evidence: event.evidence }, 'a host has ended')
+    slots.markGone(event.host, event.incarnation, clock.getNow())
+    services.advance(clock.getNow())
+  })
+  signal.addEventListener('abort', unsubscribe, { once: true })
 }
--- a/packages/almondrelay/src/process/dispatch/services.ts
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -10,7 +10,7 @@
 import type { KnownHost } from './knownHost.js'
 import { Lane } from './lane.js'
 import type { PeerLinks } from './peerLinks.js'
-import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { makeSender } from './makeSender.js'
 import { rankCreditPeers } from './rankCreditPeers.js'
 import { ServiceRuntime } from './serviceRuntime.js'
 import type { SlotPool } from './slotPool.js'
@@ -103,7 +103,7 @@
       clock,
       directory,
       links,
-      sender: { ...identity, incarnation: BigInt(identity.incarnation), protocolVersion: PROTOCOL_VERSION },
+      sender: makeSender(identity),
       rankPeers,
       signal
     })
--- a/packages/almondrelay/src/process/runDaemon.ts
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -11,6 +11,7 @@
 import { buildHost } from './daemon/buildHost.js'
 import type { Host } from './daemon/host.js'
 import { closeHost } from './daemon/closeHost.js'
+import { leaveZone } from './daemon/leaveZone.js'
 import { runTasks } from './daemon/runTasks.js'
 import { stopHost } from './daemon/stopHost.js'
 import type { HostSettings } from './settings/hostSettings.js'
@@ -33,6 +34,7 @@
   log.info({ incarnation: host.identity.incarnation, listen: settings.listen }, 'host started')
   await waitForAbort(AbortSignal.any([signal, failure.signal]))
   const unfinished = await stopHost(host, servers)
+  await leaveZone(host)
   process.abort()
   await tasks
   await closeHost(host)
--- a/packages/almondrelay/src/process/settings/hostSettings.ts
+++ b/packages/almondrelay/src/process/settings/hostSettings.ts
@@ -39,7 +39,11 @@
     maxJournalEntries: z.number().int().min(1).max(5_000_000).default(50_000),
     /** How long the journal keeps an answer. */
     journalRetentionMs: Milliseconds.default(120_000),
-    maxDeadlineMs: Milliseconds.default(60_000)
+    /**
+     * Longest deadline of a request; the same on every host. After a host has ended, its targets' slots
+     * stay unused for so long, as its last work may still run on them.
+     */
+    maxDeadlineMs: Milliseconds.default(10_000)
   }).prefault({}),
   lookups: z.strictObject({ ttlMs: Milliseconds.default(2_000) }).prefault({}),
   shutdown: z.strictObject({
