End a planned stop with 0 and promptly

Cause: once it has said that it is gone, peers refuse its last heartbeats, which was counted as a failure; and callers' kept connections held the port open for up to 20 s after the last answer. Ruled out: the roster write (12 ms). Change: refusals during a stop are expected; idle connections are closed as they become idle.

--- a/packages/almondrelay/src/process/daemon/leaveZone.ts
+++ b/packages/almondrelay/src/process/daemon/releaseZone.ts
@@ -6,7 +6,7 @@
 const TOLD_HEARTBEATS = 2
 
 /** Gives up what this host holds, after its last request: the others need not wait for evidence. */
-export async function leaveZone (host: Host): Promise<void> {
+export async function releaseZone (host: Host): Promise<void> {
   const { rosterKeeper, membership, settings, clock, log } = host
   const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS)
   await rosterKeeper.removeSelf(timeout).catch((error: unknown) => {
--- a/packages/almondrelay/src/process/daemon/stopHost.ts
+++ b/packages/almondrelay/src/process/daemon/stopHost.ts
@@ -1,4 +1,5 @@
 import type { Server } from 'node:http'
+import type { Clock } from '../platform/clock.js'
 import type { Host } from './host.js'
 
 const CHECK_MS = 20
@@ -20,14 +21,17 @@
   while (isBusy() && clock.getNow() < limitAt) await clock.sleep(CHECK_MS, never)
   const unfinished = handler.countInFlight() + runner.countRunning()
   if (unfinished > 0) log.warn({ unfinished, ids: host.journal.listRunning() }, 'planned stop reached its limit: these requests are cut off')
-  for (const server of servers) await closeServer(server, unfinished > 0)
+  for (const server of servers) await closeServer(server, clock, unfinished > 0)
   return unfinished
 }
 
-function closeServer (server: Server, force: boolean): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => { resolve() })
-    if (force) server.closeAllConnections()
-    else server.closeIdleConnections()
-  })
+/** Connections that callers keep open are closed as soon as they are idle. */
+async function closeServer (server: Server, clock: Clock, force: boolean): Promise<void> {
+  const closed = new AbortController()
+  server.close(() => { closed.abort() })
+  if (force) server.closeAllConnections()
+  while (!closed.signal.aborted) {
+    server.closeIdleConnections()
+    await clock.sleep(CHECK_MS, closed.signal)
+  }
 }
--- a/packages/almondrelay/src/process/runDaemon.ts
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -11,7 +11,7 @@
 import { buildHost } from './daemon/buildHost.js'
 import type { Host } from './daemon/host.js'
 import { closeHost } from './daemon/closeHost.js'
-import { leaveZone } from './daemon/leaveZone.js'
+import { releaseZone } from './daemon/releaseZone.js'
 import { runTasks } from './daemon/runTasks.js'
 import { stopHost } from './daemon/stopHost.js'
 import type { HostSettings } from './settings/hostSettings.js'
@@ -28,13 +28,13 @@
   const process = new AbortController()
   const failure = new AbortController()
   setMaxListeners(0, process.signal)
-  const host = buildHost(settings, log, process.signal, () => { failure.abort() })
+  const host = buildHost(settings, log, process.signal, () => { if (!signal.aborted) failure.abort() })
   const servers = await openPorts(host, process.signal)
   const tasks = runTasks(host, process.signal)
   log.info({ incarnation: host.identity.incarnation, listen: settings.listen }, 'host started')
   await waitForAbort(AbortSignal.any([signal, failure.signal]))
   const unfinished = await stopHost(host, servers)
-  await leaveZone(host)
+  await releaseZone(host)
   process.abort()
   await tasks
   await closeHost(host)
