Share a region's capacity, links and shift caps between zones and hosts

Cause: no host could tell whether a region, a link or a shift cap had room without asking all others.

Ruled out: scaling loans down with a lowered limit (rounding passes the limit by up to one a loan); a loan granted under a larger limit is void instead. A holder that lends to whoever comes first starved the zone's other hosts in the model, so a fair share binds while some host lacks capacity.

Change: half of a limit stands as floors of the region's zones, the rest is lent by the region's lender; a zone's share is held by one of its hosts, which lends to the others. A host that hands a part over and takes it back keeps its own former grants. The models share one base.

Not covered: a change of a region's zones while a zone is cut off (old floors may still stand there).

--- a/packages/almondrelay/src/process/limits/__fixtures__/modelHost.ts
+++ b/packages/almondrelay/src/process/limits/__fixtures__/modelHost.ts
@@ -1,8 +1,7 @@
 import type { Random } from '../../../request/random.js'
-import { HostSlots } from '../hostSlots.js'
 import type { Credit } from '../credit.js'
-import type { Roster } from '../roster.js'
 import type { RosterHost } from '../rosterHost.js'
+import { ModelProcess } from './modelProcess.js'
 import type { TargetWork } from './targetWork.js'
 import type { WorldOptions } from './worldOptions.js'
 
@@ -18,40 +17,19 @@
 }
 
 const SERVICE = 's'
-const ZONE = 'akl-a'
 
 /** An entry host of the model: takes all the work that its slots allow, and sends some of it late. */
-export class ModelHost {
+export class ModelHost extends ModelProcess {
   static readonly service = SERVICE
-  readonly slots: HostSlots
-  pausedUntil = -Infinity
-  alive = true
   private running: Running[] = []
   private unsent: Unsent[] = []
   private credits: Credit[] = []
   private sequence = 0
-  private readonly offset: number
-  private readonly rate: number
 
-  constructor (readonly self: RosterHost, private readonly options: WorldOptions, private readonly work: Map<string, TargetWork>, private readonly random: Random) {
-    this.offset = random() * 1_000_000
-    this.rate = 1 + (random() < 0.5 ? -1 : 1) * options.clockSpread
-    this.slots = new HostSlots({ host: self.name, incarnation: self.incarnation, availabilityZone: ZONE }, options.limits)
-    const targets = [...work.keys()].map((name) => ({ name, address: '127.0.0.1:9', availabilityZone: ZONE, slots: options.slots, connections: 10 }))
-    this.slots.adoptTargets(SERVICE, targets, options.maxDeadlineMs, this.offset)
-  }
-
-  /** This host's monotonic clock at a real time. */
-  computeNow (real: number): number {
-    return this.offset + real * this.rate
-  }
-
-  isAwake (real: number): boolean {
-    return this.alive && real >= this.pausedUntil
-  }
-
-  adoptRoster (roster: Roster, real: number): void {
-    this.slots.adoptRoster(roster, this.computeNow(real))
+  constructor (self: RosterHost, availabilityZone: string, options: WorldOptions, random: Random, private readonly work: Map<string, TargetWork>) {
+    super(self, availabilityZone, options, random)
+    const targets = [...work.keys()].map((name) => ({ name, address: '127.0.0.1:9', availabilityZone, slots: options.slots, connections: 10 }))
+    this.slots.adoptTargets(SERVICE, targets, options.maxDeadlineMs, this.computeNow(0))
   }
 
   /** Slots that this host may have in use on a target, counting those in use. */
@@ -62,13 +40,13 @@
   }
 
   /** Hears of ended work, sends what it held back, and takes what is free. */
-  advance (real: number, takesWork: boolean): void {
+  advance (real: number): void {
     const now = this.computeNow(real)
     this.running.filter((each) => each.endsAt <= real).forEach((each) => this.slots.release(each.holder, now))
     this.running = this.running.filter((each) => each.endsAt > real)
     this.unsent.splice(0).forEach((each) => this.send(each, real))
     this.useCredits(real)
-    if (takesWork) this.fill(real)
+    this.fill(real)
   }
 
   private fill (real: number): void {
@@ -97,9 +75,7 @@
 
   private makeRequest (target: string, now: number): Unsent {
     this.sequence += 1
-    const { maxDeadlineMs } = this.options
-    const deadlineMs = this.random() < 0.5 ? maxDeadlineMs : 1 + this.random() * (maxDeadlineMs - 1)
-    return { holder: `${target}/${this.self.name}/${this.sequence}`, target, runsUntil: now + deadlineMs }
+    return { holder: `${target}/${this.self.name}/${this.sequence}`, target, runsUntil: now + this.computeDeadline() }
   }
 
   /** Sends now, or after whatever comes before this host acts again, a pause included. */
@@ -114,10 +90,9 @@
       this.slots.release(request.holder, now)
       return
     }
-    const targetRate = 1 + this.options.clockSpread * (this.random() < 0.5 ? -1 : 1)
-    const longest = (request.runsUntil - now) / targetRate
+    const longest = this.computeLongest(request.runsUntil, real)
     const endsAt = real + (this.random() < 0.5 ? longest : longest * this.random())
-    this.work.get(request.target)?.begin(endsAt)
+    this.work.get(request.target)?.begin(real, endsAt)
     this.running.push({ holder: request.holder, endsAt })
   }
 }
--- a/packages/almondrelay/src/process/limits/__fixtures__/targetWork.ts
+++ b/packages/almondrelay/src/process/limits/__fixtures__/targetWork.ts
@@ -1,13 +1,19 @@
-/** Requests as they really run on a target, whatever any host believes. */
+interface Work {
+  begunAt: number
+  endsAt: number
+}
+
+/** Requests as they really run, whatever any host believes. */
 export class TargetWork {
-  private ends: number[] = []
+  private running: Work[] = []
 
-  begin (endsAt: number): void {
-    this.ends.push(endsAt)
+  begin (begunAt: number, endsAt: number): void {
+    this.running.push({ begunAt, endsAt })
   }
 
-  count (real: number): number {
-    this.ends = this.ends.filter((end) => end > real)
-    return this.ends.length
+  /** Requests that run at a time, of those begun after another. */
+  count (real: number, begunAfter = -Infinity): number {
+    this.running = this.running.filter((work) => work.endsAt > real)
+    return this.running.filter((work) => work.begunAt > begunAfter).length
   }
 }
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/__fixtures__/worldStepArbitrary.ts
@@ -0,0 +1,13 @@
+import fc from 'fast-check'
+import type { WorldStep } from './worldStep.js'
+
+const kinds = ['none', 'none', 'pause', 'pause', 'cut', 'cut', 'kill', 'join', 'platformDown', 'platformUp', 'platformUp', 'mend'] as const
+
+/** Any step of a model run. */
+export const worldStep: fc.Arbitrary<WorldStep> = fc.record({
+  kind: fc.constantFrom(...kinds),
+  host: fc.nat(9),
+  other: fc.nat(9),
+  faultMs: fc.integer({ min: 100, max: 6_000 }),
+  ms: fc.integer({ min: 20, max: 2_500 })
+})
--- a/packages/almondrelay/src/process/limits/__tests__/hostSlotsModel.test.ts
+++ b/packages/almondrelay/src/process/limits/__tests__/hostSlotsModel.test.ts
@@ -5,6 +5,7 @@
 import { computeGrantorWait } from '../computeGrantorWait.js'
 import { SlotWorld } from '../__fixtures__/slotWorld.js'
 import type { WorldOptions } from '../__fixtures__/worldOptions.js'
+import { worldStep } from '../__fixtures__/worldStepArbitrary.js'
 import type { WorldStep } from '../__fixtures__/worldStep.js'
 
 // What a user would see without the guards: a target gets more requests at once than it can run, and
@@ -27,17 +28,7 @@
   faultChance: 0.1
 }
 
-const kinds = ['none', 'none', 'pause', 'pause', 'cut', 'cut', 'kill', 'join', 'platformDown', 'platformUp', 'platformUp', 'mend'] as const
-
-const step: fc.Arbitrary<WorldStep> = fc.record({
-  kind: fc.constantFrom(...kinds),
-  host: fc.nat(9),
-  other: fc.nat(9),
-  faultMs: fc.integer({ min: 100, max: 6_000 }),
-  ms: fc.integer({ min: 20, max: 2_500 })
-})
-
-const run = fc.tuple(fc.integer(), fc.integer({ min: 1, max: 4 }), fc.array(step, { minLength: 5, maxLength: 25 }))
+const run = fc.tuple(fc.integer(), fc.integer({ min: 1, max: 4 }), fc.array(worldStep, { minLength: 5, maxLength: 25 }))
 
 function runWorld (seed: number, steps: readonly WorldStep[], given: WorldOptions): SlotWorld {
   const world = new SlotWorld(seed, given)
@@ -66,7 +57,7 @@
 })
 
 test('an owner has its floor at every step, through pauses, cuts, lost messages and platform outages', () => {
-  const calm = fc.array(step.map((each) => each.kind === 'kill' || each.kind === 'join' ? { ...each, kind: 'cut' as const } : each), { minLength: 5, maxLength: 25 })
+  const calm = fc.array(worldStep.map((each) => each.kind === 'kill' || each.kind === 'join' ? { ...each, kind: 'cut' as const } : each), { minLength: 5, maxLength: 25 })
   fc.assert(fc.property(fc.integer(), fc.integer({ min: 2, max: 4 }), calm, (seed, hosts, steps) => {
     const world = new SlotWorld(seed, { ...options, hosts })
     world.run(8_000)
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/limitLender.ts
@@ -0,0 +1,141 @@
+import { computeGrantorWait } from './computeGrantorWait.js'
+import { isSameHost } from './isSameHost.js'
+import type { LimitsOptions } from './limitsOptions.js'
+import type { Loan } from './loan.js'
+import type { LoanAnswer } from './loanAnswer.js'
+import type { LoanRequest } from './loanRequest.js'
+import type { RosterHost } from './rosterHost.js'
+
+interface LenderTerms {
+  /** The limit's present size. */
+  limit: number
+  /** Capacity that may be lent and not be back at a time to come, at most. */
+  computePool: (at: number) => number
+  /** Longest time for which work begun on a loan may run after the loan's end. */
+  maxDeadlineMs: number
+  /** What a borrower may hold while others lack capacity. */
+  fairShare: number
+}
+
+interface Shortage {
+  amount: number
+  until: number
+}
+
+/**
+ * Lends capacity out of a pool that it alone holds. A loan counts against the pool until it is returned,
+ * or until its term, counted on the lender's clock from the answer and with the drift margin, and then
+ * the longest deadline have passed. A repeated request gets its first answer; an older one gets nothing.
+ *
+ * Guards against a borrower that froze or was cut off and whose requests still run, while its capacity
+ * has gone to another: a region or link would carry both. The borrower counts the term from the sending
+ * of its request, which is before the lender counts it from.
+ *
+ * While some borrower lacks capacity, none gets or keeps more than its fair share beyond the present
+ * term. Without that whoever came first would hold everything for as long as it is busy.
+ */
+export class LimitLender {
+  private readonly loans = new Map<string, Loan>()
+  private readonly answered = new Map<string, { sequence: number, answer: LoanAnswer, until: number }>()
+  private readonly short = new Map<string, Shortage>()
+  private created = 0
+
+  /** `prefix` keeps the ids of one lender apart from those of all others. */
+  constructor (private readonly prefix: string, private readonly termMs: number, private readonly options: LimitsOptions) {}
+
+  lend (borrower: RosterHost, request: LoanRequest, terms: LenderTerms, now: number): LoanAnswer {
+    this.expire(now)
+    const key = `${borrower.name};${borrower.incarnation}`
+    const last = this.answered.get(key)
+    if (last !== undefined && request.sequence <= last.sequence) return request.sequence === last.sequence ? last.answer : { termMs: this.termMs, loans: [] }
+    const own = [...this.loans.values()].filter((loan) => isSameHost(loan.to, borrower))
+    own.filter((loan) => request.returned.includes(loan.id)).forEach((loan) => this.loans.delete(loan.id))
+    const room = terms.computePool(now + computeGrantorWait(this.termMs, this.options)) - this.countLent(now)
+    const most = this.isShort(now, key) ? terms.fairShare : Infinity
+    const renewed = room < 0 ? [] : pickUpTo(most, own.filter((loan) => this.loans.has(loan.id) && request.renewed.includes(loan.id) && loan.limit <= terms.limit))
+    renewed.forEach((loan) => this.renew(loan, terms, now))
+    const amount = Math.max(0, Math.min(request.wanted, room, most - this.countOf(borrower)))
+    this.short.set(key, { amount: request.wanted - amount, until: now + this.termMs })
+    const created = amount > 0 ? [this.create(borrower, amount, terms, now)] : []
+    const answer = { termMs: this.termMs, loans: [...renewed, ...created].map(({ id, amount, limit }) => ({ id, amount, limit })) }
+    this.answered.set(key, { sequence: request.sequence, answer, until: now + this.computeBusyMs(terms) })
+    return answer
+  }
+
+  /** Capacity that is out, lapsed loans whose work may still run included. */
+  countLent (now: number): number {
+    this.expire(now)
+    return [...this.loans.values()].reduce((sum, loan) => sum + loan.amount, 0)
+  }
+
+  /** Whether a borrower, other than the one with the key, lately got less than it wanted. */
+  isShort (now: number, except?: string): boolean {
+    return [...this.short].some(([key, shortage]) => key !== except && shortage.amount > 0 && now < shortage.until)
+  }
+
+  /** What borrowers lately wanted and didn't get. */
+  countShort (now: number): number {
+    return [...this.short.values()].reduce((sum, shortage) => sum + (now < shortage.until ? shortage.amount : 0), 0)
+  }
+
+  listLoans (now: number): Loan[] {
+    this.expire(now)
+    return [...this.loans.values()]
+  }
+
+  /** Loans of a former lender, which bind this one. */
+  acceptLoan (loan: Loan): void {
+    const known = this.loans.get(loan.id)
+    this.loans.set(loan.id, { ...loan, busyUntil: Math.max(loan.busyUntil, known?.busyUntil ?? -Infinity) })
+  }
+
+  /** Forgets loans that another lender has taken over. */
+  clear (): void {
+    this.loans.clear()
+    this.answered.clear()
+    this.short.clear()
+  }
+
+  /** A borrower's process is gone: nothing new can begin on its loans. */
+  reclaim (host: RosterHost, maxDeadlineMs: number, now: number): void {
+    const busyUntil = now + computeGrantorWait(maxDeadlineMs, this.options)
+    for (const loan of this.loans.values()) if (isSameHost(loan.to, host)) loan.busyUntil = Math.min(loan.busyUntil, busyUntil)
+  }
+
+  private countOf (borrower: RosterHost): number {
+    return [...this.loans.values()].reduce((sum, loan) => sum + (isSameHost(loan.to, borrower) ? loan.amount : 0), 0)
+  }
+
+  private renew (loan: Loan, terms: LenderTerms, now: number): void {
+    loan.lapsesAt = Math.max(loan.lapsesAt, now + computeGrantorWait(this.termMs, this.options))
+    loan.busyUntil = Math.max(loan.busyUntil, now + this.computeBusyMs(terms))
+  }
+
+  private create (borrower: RosterHost, amount: number, terms: LenderTerms, now: number): Loan {
+    this.created += 1
+    const loan = { id: `${this.prefix};${this.created}`, to: borrower, amount, limit: terms.limit, lapsesAt: -Infinity, busyUntil: -Infinity }
+    this.renew(loan, terms, now)
+    this.loans.set(loan.id, loan)
+    return loan
+  }
+
+  private computeBusyMs (terms: LenderTerms): number {
+    return computeGrantorWait(this.termMs + terms.maxDeadlineMs, this.options)
+  }
+
+  private expire (now: number): void {
+    for (const [id, loan] of this.loans) if (now >= loan.busyUntil) this.loans.delete(id)
+    for (const [key, last] of this.answered) if (now >= last.until) this.answered.delete(key)
+    for (const [key, shortage] of this.short) if (now >= shortage.until) this.short.delete(key)
+  }
+}
+
+/** Loans that together stay within an amount, larger ones first. */
+function pickUpTo (most: number, loans: readonly Loan[]): Loan[] {
+  let left = most
+  return [...loans].sort((a, b) => b.amount - a.amount).filter((loan) => {
+    if (loan.amount > left) return false
+    left -= loan.amount
+    return true
+  })
+}
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/limitShare.ts
@@ -0,0 +1,174 @@
+import { computeGrantorWait } from './computeGrantorWait.js'
+import { computeZoneFloor } from './computeZoneFloor.js'
+import { isSameHost } from './isSameHost.js'
+import { LimitBorrower } from './limitBorrower.js'
+import { LimitLender } from './limitLender.js'
+import type { LimitSpec } from './limitSpec.js'
+import type { LimitsOptions } from './limitsOptions.js'
+import type { LoanAnswer } from './loanAnswer.js'
+import type { LoanRequest } from './loanRequest.js'
+import type { PartClaims } from './partClaims.js'
+import type { PartGrant } from './partGrant.js'
+import { PartUser } from './partUser.js'
+import type { RosterHost } from './rosterHost.js'
+
+interface ShareSize {
+  spec: LimitSpec
+  /** Availability zones of the region that takes the work. */
+  zones: readonly string[]
+  maxDeadlineMs: number
+}
+
+/** Fraction by which a loan exceeds the demand that it is for, so that a rising demand finds some capacity. */
+const HEADROOM = 1.25
+/** What is left of a past peak of demand after one round of planning, four of which make a second. */
+const DECAY = 0.9
+/** A single request's peak falls below this after 7 rounds, so that one refused request brings a loan before it is forgotten. */
+const NO_DEMAND = 0.5
+/** Terms of a zone's loan in one of a host's: a host's loan must be over before the zone's that it comes from. */
+const HOST_TERMS = 3
+
+/**
+ * One limit as one host may use it. The zone's share (a floor, and loans from the lender of the region)
+ * is a part that one host of the zone holds; that host uses what it hasn't lent to the zone's others,
+ * and they use what they have on loan.
+ *
+ * The sum holds at each level: floors and pool make up the limit; the holder's own work and its loans
+ * make up the zone's share, since a host's loan, drift included, ends before the zone's loan does.
+ */
+export class LimitShare extends PartUser {
+  readonly partId: string
+  running = 0
+  /** False once the configuration no longer declares the limit. */
+  declared = true
+  private peak = 0
+  private readonly hostTermMs: number
+  /** From the lender of the region, while this host holds the zone's share. */
+  private readonly zoneLoans: LimitBorrower
+  /** From the holder of the zone's share, while another host is that. */
+  private readonly hostLoans: LimitBorrower
+  private readonly lender: LimitLender
+
+  constructor (private readonly self: RosterHost, private readonly availabilityZone: string, private size: ShareSize, private readonly claims: PartClaims, private readonly options: LimitsOptions) {
+    super()
+    this.partId = `share/${size.spec.name}`
+    this.hostTermMs = options.loanTermMs / HOST_TERMS
+    this.zoneLoans = new LimitBorrower(size.spec.name, options.loanTermMs)
+    this.hostLoans = new LimitBorrower(size.spec.name, this.hostTermMs)
+    this.lender = new LimitLender(`${self.name};${self.incarnation}`, this.hostTermMs, options)
+    this.adoptSize(size)
+  }
+
+  get spec (): LimitSpec {
+    return this.size.spec
+  }
+
+  /** A lowered limit holds for the next piece of work: floors shrink, and loans under the larger limit are void. */
+  adoptSize (size: ShareSize): void {
+    this.size = size
+    this.claims.addPart({ id: this.partId, key: size.spec.name, rank: 0, waitMs: this.hostTermMs + size.maxDeadlineMs }, this)
+  }
+
+  /** Room for more work of this host; also counts as a wish for it. */
+  computeFree (now: number): number {
+    const capacity = this.claims.isHeld(this.partId)
+      ? this.computeOwnCapacity(now)
+      : this.hostLoans.countUsable(this.size.spec.maxInFlight, now)
+    return Math.max(0, capacity - this.running)
+  }
+
+  /** Takes note that one more request wanted to run, whether or not it could. */
+  observeDemand (): void {
+    this.peak = Math.max(this.peak, this.running + 1)
+  }
+
+  /** The next request for a loan, and the host to ask; no host stands for the lender of the region. */
+  planLoan (now: number): { host: string | undefined, request: LoanRequest } | undefined {
+    this.peak = Math.max(this.running, this.peak * DECAY)
+    const limit = this.size.spec.maxInFlight
+    const demand = this.peak < NO_DEMAND ? 0 : Math.ceil(this.peak * HEADROOM)
+    if (this.claims.isUsable(this.partId)) {
+      const lent = this.lender.countLent(now)
+      const floor = this.computeFloor()
+      const wanted = Math.max(0, demand + lent + this.lender.countShort(now) - floor)
+      const request = this.zoneLoans.plan({ wanted, used: Math.max(0, this.running + lent - floor), limit }, now)
+      return request && { host: undefined, request }
+    }
+    const holder = this.claims.getHolder(this.partId)
+    if (this.claims.isHeld(this.partId) || holder === undefined || isSameHost(holder, this.self)) return undefined
+    const request = this.hostLoans.plan({ wanted: demand, used: this.running, limit }, now)
+    return request && { host: holder.name, request }
+  }
+
+  acceptLoan (host: string | undefined, request: LoanRequest, answer: LoanAnswer): void {
+    if (host === undefined) this.zoneLoans.accept(request, answer)
+    else this.hostLoans.accept(request, answer)
+  }
+
+  /** As holder of the zone's share; undefined when this host isn't that. */
+  lend (borrower: RosterHost, request: LoanRequest, now: number): LoanAnswer | undefined {
+    if (!this.claims.isUsable(this.partId)) return undefined
+    return this.lender.lend(borrower, request, {
+      limit: this.size.spec.maxInFlight,
+      computePool: (at) => Math.min(this.computeZoneCapacity(now), this.computeZoneCapacity(at)) - this.running,
+      maxDeadlineMs: this.size.maxDeadlineMs,
+      fairShare: this.computeFairShare(now)
+    }, now)
+  }
+
+  reclaim (host: RosterHost, now: number): void {
+    this.lender.reclaim(host, this.size.maxDeadlineMs, now)
+  }
+
+  /** The zone's loans go back, the hosts' loans go along, and this host keeps what is left of the floor as a loan of its own. */
+  tryGiveUp (_part: string, now: number): PartGrant[] | undefined {
+    const floor = this.computeFloor()
+    const lent = this.lender.countLent(now)
+    if (lent + this.running > floor) return undefined
+    const limit = this.size.spec.maxInFlight
+    const grants = this.lender.listLoans(now).map(({ id, to, amount, limit, lapsesAt, busyUntil }) => ({ id, to, amount, limit, termMs: Math.max(0, lapsesAt - now), busyMs: busyUntil - now }))
+    this.zoneLoans.returnAll()
+    this.lender.clear()
+    if (lent === floor) return grants
+    const own = { id: `${this.self.name};${this.self.incarnation};kept;${now}`, amount: floor - lent, limit }
+    this.hostLoans.acceptLoan(own.id, own.amount, limit, now + this.hostTermMs)
+    const busyMs = computeGrantorWait(this.hostTermMs + this.size.maxDeadlineMs, this.options)
+    return [...grants, { ...own, to: this.self, termMs: this.hostTermMs, busyMs }]
+  }
+
+  isOnlyGrantee (): boolean {
+    return false
+  }
+
+  /** A loan to this host itself is void from here: its running work counts as the holder's own. */
+  acceptPart (_part: string, grants: readonly PartGrant[], now: number): void {
+    this.hostLoans.returnAll()
+    for (const { id, to, amount, limit, termMs, busyMs } of grants.filter((grant) => !isSameHost(grant.to, this.self))) {
+      this.lender.acceptLoan({ id, to, amount, limit, lapsesAt: now + termMs, busyUntil: now + computeGrantorWait(busyMs, this.options) })
+    }
+  }
+
+  isIdle (now: number): boolean {
+    const out = this.lender.countLent(now) + this.zoneLoans.countUsable(Infinity, now) + this.hostLoans.countUsable(Infinity, now)
+    return this.running + out === 0 && !this.claims.hasObligation(this.partId, now)
+  }
+
+  /** As holder of the share: what isn't lent, and no more than a fair share while other hosts lack capacity. */
+  private computeOwnCapacity (now: number): number {
+    const left = this.computeZoneCapacity(now) - this.lender.countLent(now)
+    return this.lender.isShort(now) ? Math.min(left, this.computeFairShare(now)) : left
+  }
+
+  private computeFairShare (now: number): number {
+    return Math.ceil(this.computeZoneCapacity(now) / Math.max(1, this.claims.countLive()))
+  }
+
+  private computeFloor (): number {
+    return computeZoneFloor(this.size.spec.maxInFlight, this.size.zones, this.availabilityZone)
+  }
+
+  private computeZoneCapacity (at: number): number {
+    const loans = this.claims.isUsable(this.partId) ? this.zoneLoans.countUsable(this.size.spec.maxInFlight, at) : 0
+    return this.computeFloor() + loans
+  }
+}
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -76,6 +76,11 @@
     return this.newestVersion > this.rosterVersion
   }
 
+  /** Live members of the roster, this host included. */
+  countLive (): number {
+    return this.view?.live.length ?? 0
+  }
+
   /** Members of the roster that are gone by definitive evidence. */
   get gone (): RosterHost[] {
     return this.view?.gone ?? []
@@ -245,9 +250,11 @@
     this.wanted = undefined
     state.held = true
     state.giving = false
-    state.given = undefined
-    const grants = state.handOvers.flatMap((handOver) => handOver.grants)
+    // What this host granted when it gave the part up binds it too, if the next holder never took it.
+    const own = state.given === undefined ? [] : listBinding(state.given, now)
+    const grants = [...own, ...state.handOvers.flatMap((handOver) => handOver.grants)]
     state.handOvers = []
+    state.given = undefined
     state.cleared.clear()
     state.user.acceptPart(state.part.id, grants, now)
   }
