--- a/packages/almondrelay-cli/src/commands/createProgram.ts
+++ b/packages/almondrelay-cli/src/commands/createProgram.ts
@@ -1,12 +1,15 @@
 import { Command } from 'commander'
 import { ExitCode } from '../common/exitCode.js'
 import type { Terminal } from '../common/terminal.js'
+import { createAccountCommand } from './createAccountCommand.js'
 import { createApplyCommand } from './createApplyCommand.js'
 import { createCheckCommand } from './createCheckCommand.js'
 import { createDeleteCommand } from './createDeleteCommand.js'
+import { createExplainCommand } from './createExplainCommand.js'
 import { createGetCommand } from './createGetCommand.js'
 import { createLookupCommand } from './createLookupCommand.js'
 import { createOutcomeCommand } from './createOutcomeCommand.js'
+import { createReplayCommand } from './createReplayCommand.js'
 import { createStatusCommand } from './createStatusCommand.js'
 import { createWatchCommand } from './createWatchCommand.js'
 import { formatExample } from './formatExample.js'
@@ -19,7 +22,10 @@
   createWatchCommand,
   createOutcomeCommand,
   createLookupCommand,
-  createStatusCommand
+  createStatusCommand,
+  createAccountCommand,
+  createExplainCommand,
+  createReplayCommand
 ]
 
 const EXIT_CODES = `
