Run the library's daemon from almondrelayd

Cause: the library exports runDaemon now. Change: the placeholder goes; almondrelayd calls runDaemon.

--- a/packages/almondrelay-cli/src/bin/almondrelayd.ts
+++ b/packages/almondrelay-cli/src/bin/almondrelayd.ts
@@ -1,20 +1,19 @@
 #!/usr/bin/env node
 import bunyan from 'bunyan'
-import { AlmondrelayError, ErrorKind, type HostSettings } from 'almondrelay'
+import { AlmondrelayError, ErrorKind, runDaemon, type HostSettings } from 'almondrelay'
 import { ExitCode } from '../common/exitCode.js'
 import { parseArguments } from '../common/parseArguments.js'
 import { createDaemonCommand } from '../daemon/createDaemonCommand.js'
-import { findRunDaemon } from '../daemon/findRunDaemon.js'
 import { watchStopSignals } from '../daemon/watchStopSignals.js'
 
-const runDaemon = async (settings: HostSettings): Promise<number> => {
+const runUntilStopped = async (settings: HostSettings): Promise<number> => {
   const log = bunyan.createLogger({ name: 'almondrelayd', host: settings.host.name, level: settings.log.level })
   const signal = watchStopSignals(process, { log: (message) => log.warn(message), exit: (code) => process.exit(code) })
-  return findRunDaemon()(settings, signal)
+  return runDaemon(settings, signal)
 }
 
 const command = createDaemonCommand({
-  runDaemon,
+  runDaemon: runUntilStopped,
   writeLine: (text) => console.log(text),
   setExitCode: (code) => { process.exitCode = code }
 })
