Bound the bytes of heartbeats at the target size

Ruled out: fewer neighbours, since word must cross a zone in few steps. Change: refreshes are divided over the neighbours (five a second in all, one host in turn beside the own summary); chords of the ring beat once a second; a backlog goes out beside the news, own zone first.

--- a/packages/almondrelay/src/connection/exchange/exchangeHub.ts
+++ b/packages/almondrelay/src/connection/exchange/exchangeHub.ts
@@ -5,6 +5,7 @@
 import type { HeartbeatSender } from '../../process/membership/heartbeatSender.js'
 import type { Neighbour } from '../../process/membership/neighbour.js'
 import type { Summary } from '../../process/membership/summary.js'
+import { computeRefreshMs } from './computeRefreshMs.js'
 import { decodeSender } from './decodeSender.js'
 import { decodeSummary } from './decodeSummary.js'
 import { encodeSummary } from './encodeSummary.js'
@@ -26,8 +27,6 @@
 const VISIT_MS = 2_000
 /** A repair that takes longer no longer keeps others from fetching, as its peer may be paused. */
 const REPAIR_ALONE_MS = 500
-/** A peer hears this often of a host that has no news, so that what was missed is repaired. */
-const REFRESH_MS = 1_000
 
 const refusals: Record<Exclude<HeartbeatVerdict, 'accepted'>, PeerRefusal> = {
   [HeartbeatVerdict.staleIncarnation]: PeerRefusal.staleIncarnation,
@@ -37,18 +36,19 @@
 
 /**
  * What goes to each peer and what comes from it. A message brings the news that the peer doesn't
- * have yet and, each second, this host's own summary and two others in turn; so its length depends
- * on what changes and not on how many hosts there are.
+ * have yet and, every second or two, this host's own summary and another one in turn; so its length
+ * depends on what changes and not on how many hosts there are.
  */
 export class ExchangeHub {
   private readonly peers = new Map<string, PeerProgress>()
   private readonly wakers = new Map<string, () => void>()
   private readonly rotation: RefreshRotation
   private repairBegunAt = -Infinity
+  private peerCount = 0
 
   constructor (readonly options: ExchangeOptions, signal: AbortSignal) {
     const { membership, store } = options
-    this.rotation = new RefreshRotation(membership)
+    this.rotation = new RefreshRotation(membership, options.self.availabilityZone)
     const unsubscribe = membership.subscribe((event) => { if (event.kind === 'news') this.wakePeers() })
     signal.addEventListener('abort', unsubscribe, { once: true })
     membership.updateSelf({ revision: store.current.revision })
@@ -66,6 +66,11 @@
     return progress
   }
 
+  /** How many neighbours there are, over which refreshes are divided. */
+  setPeerCount (count: number): void {
+    this.peerCount = count
+  }
+
   prunePeers (now: number): void {
     for (const [host, progress] of this.peers) {
       if (progress.incarnation > 0 && now - progress.contactAt > KEEP_PEER_MS) this.peers.delete(host)
@@ -125,11 +130,12 @@
     const progress = this.getProgress(peer)
     const news = membership.news.listAfter(progress.confirmed, MAX_NEWS)
     const targetNews = leavingTargets.news.listAfter(progress.confirmedTargets, MAX_NEWS)
-    const names = new Set(news.keys)
+    const fill = progress.backlog.slice(-Math.max(1, MAX_NEWS - news.keys.length))
+    const names = new Set([...news.keys, ...fill])
     if (progress.isBroken) names.add(self.host)
-    if (now - progress.refreshedAt >= REFRESH_MS) {
+    if (now - progress.refreshedAt >= computeRefreshMs(this.peerCount)) {
       progress.refreshedAt = now
-      for (const name of [self.host, ...this.rotation.takeNext(peer)]) names.add(name)
+      for (const name of [self.host, ...this.rotation.takeNext()]) names.add(name)
     }
     names.delete(peer)
     const hosts = [...names].map((name) => membership.getSummary(name, now)).filter((summary): summary is Summary => summary !== undefined)
@@ -143,6 +149,7 @@
       },
       revision: store.isReady ? store.current.revision : 0,
       upTo: news.upTo,
+      backlogLeft: progress.backlog.length - fill.length,
       upToTargets: targetNews.upTo
     }
   }
@@ -172,13 +179,23 @@
 
   private touchPeer (sender: HeartbeatSender, now: number): PeerProgress {
     const known = this.getProgress(sender.host)
-    const progress = known.incarnation === sender.incarnation ? known : { ...makeProgress(sender.incarnation), ...(known.incarnation === 0 ? { refreshedAt: known.refreshedAt } : {}) }
+    const progress = known.incarnation === sender.incarnation ? known : this.beginProgress(sender)
     this.peers.set(sender.host, progress)
     progress.contactAt = now
     progress.revision = sender.revision
     return progress
   }
 
+  /**
+   * A new peer gets the news from now on as it comes, and what was known before as room is left,
+   * its own zone first: were it one queue, news would wait behind thousands of hosts.
+   */
+  private beginProgress (peer: HeartbeatSender): PeerProgress {
+    const hosts = this.options.membership.listHosts()
+    const [own, others] = [true, false].map((isOwn) => hosts.filter((each) => (each.availabilityZone === peer.availabilityZone) === isOwn).map((each) => each.host))
+    return { ...makeProgress(peer.incarnation), confirmed: this.options.membership.news.latest, backlog: [...others ?? [], ...own ?? []] }
+  }
+
   private observeTarget (word: LeavingTarget, now: number): void {
     const { leavingTargets } = this.options
     if (leavingTargets.observe({ service: word.service, target: word.target, isLeaving: word.leaving, ageMs: word.ageMs }, now)) this.wakePeers()
@@ -186,5 +203,5 @@
 }
 
 function makeProgress (incarnation: number): PeerProgress {
-  return { incarnation, confirmed: 0, confirmedTargets: 0, offered: 0, offeredTargets: 0, contactAt: -Infinity, refreshedAt: -Infinity, isBroken: true, revision: 0, toldRevision: 0, distrustedUntil: -Infinity }
+  return { incarnation, confirmed: 0, backlog: [], offeredBacklogLeft: Infinity, confirmedTargets: 0, offered: 0, offeredTargets: 0, contactAt: -Infinity, refreshedAt: -Infinity, isBroken: true, revision: 0, toldRevision: 0, distrustedUntil: -Infinity }
 }
--- a/packages/almondrelay/src/connection/exchange/handleExchange.ts
+++ b/packages/almondrelay/src/connection/exchange/handleExchange.ts
@@ -14,11 +14,12 @@
   const sender = hub.receiveWord(request, now, (progress, told) => {
     if (told !== undefined) return
     progress.confirmed = Math.max(progress.confirmed, progress.offered)
+    progress.backlog.length = Math.min(progress.backlog.length, progress.offeredBacklogLeft)
     progress.confirmedTargets = Math.max(progress.confirmedTargets, progress.offeredTargets)
   })
   const answer = hub.buildWord(sender.host, now)
   const progress = hub.getProgress(sender.host)
-  Object.assign(progress, { offered: answer.upTo, offeredTargets: answer.upToTargets, toldRevision: answer.revision, isBroken: false })
+  Object.assign(progress, { offered: answer.upTo, offeredBacklogLeft: answer.backlogLeft, offeredTargets: answer.upToTargets, toldRevision: answer.revision, isBroken: false })
   hub.options.log.trace({ peer: sender.host, revision: sender.revision }, 'heartbeat received')
   if (sender.revision > hub.options.store.current.revision) hub.wakePeers()
   return create(ExchangeResponseSchema, answer.word)
--- a/packages/almondrelay/src/connection/exchange/outgoingWord.ts
+++ b/packages/almondrelay/src/connection/exchange/outgoingWord.ts
@@ -5,5 +5,7 @@
   word: { sender: Sender, revision: bigint, hosts: HostSummary[], leavingTargets: LeavingTarget[] }
   revision: number
   upTo: number
+  /** Hosts of the backlog that are left once this has arrived. */
+  backlogLeft: number
   upToTargets: number
 }
--- a/packages/almondrelay/src/connection/exchange/peerProgress.ts
+++ b/packages/almondrelay/src/connection/exchange/peerProgress.ts
@@ -5,6 +5,10 @@
   /** News that it has for sure. */
   confirmed: number
   confirmedTargets: number
+  /** Hosts known before it was, still to be told, the last one first. */
+  backlog: string[]
+  /** How many of these are left once the last answer to it has arrived. */
+  offeredBacklogLeft: number
   /** News in the last answer to it, which it may have. */
   offered: number
   offeredTargets: number
--- a/packages/almondrelay/src/connection/exchange/runExchanges.ts
+++ b/packages/almondrelay/src/connection/exchange/runExchanges.ts
@@ -19,6 +19,7 @@
     hub.prunePeers(now)
     // A visitor comes first, so that the plan's own interval holds where a host is both.
     applyPlan([...hub.listVisitors(now), ...membership.planNeighbours(now)], running, hub)
+    hub.setPeerCount(running.size)
     await clock.sleep(heartbeatMs, signal)
   }
   await Promise.all([...running.values()].map(stopExchange))
--- a/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
+++ b/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
@@ -54,6 +54,7 @@
       // A process that came after the one that was written to has none of what was told.
       if (incarnation !== 0 && progress.incarnation !== incarnation) return
       progress.confirmed = Math.max(progress.confirmed, sent.upTo)
+      progress.backlog.length = Math.min(progress.backlog.length, incarnation === 0 ? Infinity : sent.backlogLeft)
       progress.confirmedTargets = Math.max(progress.confirmedTargets, sent.upToTargets)
       progress.toldRevision = sent.revision
       progress.isBroken = false
--- a/packages/almondrelay/src/process/membership/membership.ts
+++ b/packages/almondrelay/src/process/membership/membership.ts
@@ -180,11 +180,11 @@
     return { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent: entry.isSilenceTold || entry.isReportedSilent, ageMs, loads }
   }
 
-  /** Names of the hosts of which there is word to pass on, in the order of first word. */
-  listHosts (): Array<{ host: string, isOwnZone: boolean }> {
+  /** The hosts of which there is word to pass on, gone ones among them, so that older word doesn't bring them back. */
+  listHosts (): Array<{ host: string, availabilityZone: string }> {
     return [...this.entries.values()]
-      .filter((entry) => entry.incarnation > 0 && !entry.isGone && entry.host !== this.options.self.host)
-      .map((entry) => ({ host: entry.host, isOwnZone: entry.availabilityZone === this.options.self.availabilityZone }))
+      .filter((entry) => entry.incarnation > 0 && entry.host !== this.options.self.host)
+      .map(({ host, availabilityZone }) => ({ host, availabilityZone }))
   }
 
   /** A first or newer incarnation: the one before has ended, as two can't have one address. */
--- a/packages/almondrelay/src/process/membership/planNeighbours.ts
+++ b/packages/almondrelay/src/process/membership/planNeighbours.ts
@@ -3,11 +3,17 @@
 import { MemberState } from './memberState.js'
 import type { Neighbour } from './neighbour.js'
 
+/**
+ * Interval on the chords of the zone's ring. The next on either side hear a host's end soonest, and
+ * news goes over a chord at once anyway, so heartbeats on it can be few: one costs about a
+ * millisecond of processor time at either end.
+ */
+const CHORD_INTERVAL_MS = 1_000
 /** Interval to watchers of other zones of the region, and of other regions. */
 const REGION_INTERVAL_MS = 1_000
 const FAR_INTERVAL_MS = 2_000
-/** A zone's watcher hears the hosts of its zone that aren't its neighbours six times a second in all. */
-const WATCHER_INTERVAL_A_HOST_MS = 170
+/** The hosts of a zone that aren't neighbours of a watcher call on the two watchers three times a second in all. */
+const WATCHER_INTERVAL_A_HOST_MS = 340
 /** Suspected hosts that are kept under watch beside the live neighbours. */
 const MAX_SUSPECTS = 4
 /** Hosts that were never heard, or had gone, that are tried at a time. */
@@ -23,7 +29,7 @@
 }
 
 /**
- * The peers to keep an exchange with: four by rank in the zone, a watcher of the zone, and, for a
+ * The peers to keep an exchange with: two beside it and two farther by rank in the zone, a watcher of the zone, and, for a
  * watcher, watchers of four zones and four regions at most. No number here grows with the fleet.
  */
 export function planNeighbours (input: PlanInput): Neighbour[] {
@@ -34,7 +40,9 @@
     if (known === undefined || known.intervalMs > intervalMs) planned.set(member.host, { host: member.host, peerAddress: member.peerAddress, intervalMs })
   }
   const zone = input.members.filter((member) => member.availabilityZone === input.self.availabilityZone)
-  for (const member of chooseZoneNeighbours(input.self, zone)) add(member, input.heartbeatMs)
+  const { near, far } = chooseRing(zone.filter((member) => isHeard(member) || member.host === input.self.host).length)
+  for (const member of chooseZoneNeighbours(input.self, zone, near)) add(member, input.heartbeatMs)
+  for (const member of chooseZoneNeighbours(input.self, zone, far)) add(member, Math.max(input.heartbeatMs, CHORD_INTERVAL_MS))
   for (const member of input.tries.slice(0, MAX_TRIES)) add(member, REGION_INTERVAL_MS)
 
   const watchers = input.chooseWatchers(input.self.availabilityZone)
@@ -55,13 +63,13 @@
 }
 
 /** In each direction of the ring the first live host, and the suspected ones passed on the way. */
-function chooseZoneNeighbours (self: Member, zone: readonly Member[]): Member[] {
+function chooseZoneNeighbours (self: Member, zone: readonly Member[], offsets: readonly number[]): Member[] {
   const ring = zone.filter((member) => isHeard(member) || member.host === self.host).sort((a, b) => (a.host < b.host ? -1 : 1))
   const own = ring.findIndex((member) => member.host === self.host)
   const getAt = (index: number): Member | undefined => ring[((index % ring.length) + ring.length) % ring.length]
   const chosen = new Set<Member>()
   const suspects = new Set<Member>()
-  for (const offset of chooseRing(ring.length)) {
+  for (const offset of offsets) {
     const step = offset > 0 ? 1 : -1
     for (let walked = 0; walked < ring.length; walked++) {
       const member = getAt(own + offset + step * walked)
@@ -96,7 +104,8 @@
 
 function chooseOthers (ring: readonly string[], self: string): string[] {
   const own = ring.indexOf(self)
-  const chosen = chooseRing(ring.length).map((offset) => ring[(((own + offset) % ring.length) + ring.length) % ring.length])
+  const { near, far } = chooseRing(ring.length)
+  const chosen = [...near, ...far].map((offset) => ring[(((own + offset) % ring.length) + ring.length) % ring.length])
   return [...new Set(chosen)].filter((name): name is string => name !== undefined && name !== self)
 }
 
