--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/runTasks.ts
@@ -0,0 +1,58 @@
+import { createPeerSources } from '../../connection/exchange/createPeerSources.js'
+import { runExchanges } from '../../connection/exchange/runExchanges.js'
+import { followPlatformChanges } from '../configuration/followPlatformChanges.js'
+import { loadFirstConfiguration } from '../configuration/loadFirstConfiguration.js'
+import { repairFromPlatform } from '../configuration/repairFromPlatform.js'
+import { runSnapshotWriter } from '../configuration/runSnapshotWriter.js'
+import type { Host } from './host.js'
+import { followHostList } from './followHostList.js'
+import { probeTargets } from './probeTargets.js'
+import { reportLoad } from './reportLoad.js'
+
+/** Runs everything that a host does all the time; resolves after the signal has aborted and each has ended. */
+export async function runTasks (host: Host, signal: AbortSignal): Promise<void> {
+  followConfiguration(host, signal)
+  followMembership(host, signal)
+  await Promise.all([
+    takeConfiguration(host, signal),
+    runSnapshotWriter(host, signal),
+    runExchanges(host.hub, signal),
+    host.rosterKeeper.run(signal),
+    host.slotLeases.run(signal),
+    host.accountWriter.run(signal),
+    followHostList(host, signal),
+    reportLoad(host, signal),
+    probeTargets(host, signal)
+  ])
+}
+
+/** Every revision that the store takes is put in force at once. */
+function followConfiguration (host: Host, signal: AbortSignal): void {
+  const { store, services, clock, log } = host
+  store.subscribe((configuration) => {
+    if (!store.isReady) return
+    services.adoptConfiguration(configuration, clock.getNow())
+    log.info({ revision: configuration.revision }, 'configuration in force')
+  }, signal)
+}
+
+async function takeConfiguration (host: Host, signal: AbortSignal): Promise<void> {
+  const { store, platform, hub, clock, random, log } = host
+  const askPlatform = async (callSignal: AbortSignal): Promise<boolean> => {
+    await repairFromPlatform(platform, store, callSignal)
+    return true
+  }
+  await loadFirstConfiguration({ store, clock, random, log, listSources: () => [askPlatform, ...createPeerSources(hub)] }, signal)
+  await followPlatformChanges({ platform, store, clock, random, log, isWatcher: host.isWatcher }, signal)
+}
+
+/** Definitive evidence, and nothing less, frees what a host held. */
+function followMembership ({ membership, slots, services, clock, log }: Host, signal: AbortSignal): void {
+  const unsubscribe = membership.subscribe((event) => {
+    if (event.kind !== 'gone') return
+    log.info({ gone: event.host, incarnation: event.incarnation, evidence: event.evidence }, 'a host has ended')
+    slots.markGone(event.host, event.incarnation, clock.getNow())
+    services.advance(clock.getNow())
+  })
+  signal.addEventListener('abort', unsubscribe, { once: true })
+}
