--- a/packages/almondrelay/src/connection/exchange/measureExchangeBytes.ts
+++ b/packages/almondrelay/src/connection/exchange/measureExchangeBytes.ts
@@ -4,7 +4,7 @@
 import type { Summary } from '../../process/membership/summary.js'
 import { computeRefreshMs } from './computeRefreshMs.js'
 import { encodeSummary } from './encodeSummary.js'
-import { PROTOCOL_VERSION } from './protocolVersion.js'
+import { PROTOCOL_VERSION } from '../../process/dispatch/protocolVersion.js'
 
 /** HTTP/2 and connect framing of one exchange, both ways, as counted at a socket; see docs/design/membership.md. */
 const FRAMING_BYTES = 102
