--- a/packages/almondrelay/src/process/daemon/readAccount.ts
+++ b/packages/almondrelay/src/process/daemon/readAccount.ts
@@ -14,7 +14,7 @@
 export function readAccount (reader: AccountReader, query: AccountQuery, wallNow: number, signal: AbortSignal): Promise<AccountReport> {
   const until = query.until === undefined ? wallNow : parseTime('until', query.until)
   const since = query.since === undefined ? until - DEFAULT_SPAN_MS : parseTime('since', query.since)
-  return reader.read(since, until, signal, wallNow)
+  return reader.read(since, until, wallNow, signal)
 }
 
 function parseTime (name: string, text: string): number {
