Compare the limits with plain ways, and list only targets held

Cause: getFree walked every target of the zone for each request, and the daemon probed what it listed, so both grew with the zone.

Change: getFree lists the targets of which this host holds a part, from a list that is kept until a part changes. Tests compare owners with an equal split and with correction after the fact.

Conclusion: the cost follows the targets held, not the zone.

--- /dev/null
+++ b/packages/almondrelay/src/process/limits/__tests__/limitWays.test.ts
@@ -0,0 +1,32 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CorrectedWay } from '../__fixtures__/correctedWay.js'
+import { EqualSplitWay } from '../__fixtures__/equalSplitWay.js'
+import { measureWay } from '../__fixtures__/measureWay.js'
+import { OwnersWay } from '../__fixtures__/ownersWay.js'
+
+const SEED = 20_261_202
+
+/** A zone of today (two hosts), and one of the target size (sixty), each with a host that gets most of the work. */
+const zones = [
+  { name: 'today', hosts: 2, targets: 9, slots: 4, runMs: 20_000 },
+  { name: 'target size', hosts: 60, targets: 180, slots: 4, runMs: 1_000 }
+]
+
+for (const zone of zones) {
+  for (const load of [0.9, 1.5]) {
+    test(`${zone.name}, load ${load}: owners use more than an equal split and never pass the limit, which correction does`, () => {
+      const targets = Array.from({ length: zone.targets }, (_, index) => `t${index}`)
+      const setting = { targets, slots: zone.slots, hosts: zone.hosts, load, hotPart: 0.6, seed: SEED, runMs: zone.runMs }
+      const owners = measureWay(new OwnersWay(targets, zone.slots, zone.hosts), setting)
+      const equal = measureWay(new EqualSplitWay(targets, Math.floor(zone.slots / zone.hosts)), setting)
+      const corrected = measureWay(new CorrectedWay(targets, zone.slots), setting)
+      console.log(zone.name, load, JSON.stringify({ owners, equal, corrected }))
+      assert.is(owners.timeAbove, 0)
+      assert.ok(owners.utilisation > equal.utilisation)
+      assert.ok(corrected.worst > 1)
+    })
+  }
+}
+
+test.run()
--- a/packages/almondrelay/src/process/limits/hostSlots.ts
+++ b/packages/almondrelay/src/process/limits/hostSlots.ts
@@ -12,6 +12,11 @@
 import type { SlotLease } from './slotLease.js'
 import { TargetSlots } from './targetSlots.js'
 
+interface HeldTargets {
+  epoch: number
+  slots: TargetSlots[]
+}
+
 interface UsedCredit {
   service: string
   target: string
@@ -29,6 +34,7 @@
   private readonly options: LimitsOptions
   private readonly services = new Map<string, Map<string, TargetSlots>>()
   private readonly holders = new Map<string, TargetSlots>()
+  private readonly held = new Map<string, HeldTargets>()
   private readonly ledger: CreditLedger
 
   constructor (private readonly identity: HostSlotsIdentity, options: Partial<LimitsOptions> = {}) {
@@ -60,6 +66,7 @@
       known.set(target.name, slots)
     }
     this.prune(now)
+    this.held.clear()
     this.claims.advance(now)
   }
 
@@ -71,13 +78,11 @@
     this.claims.advance(now)
   }
 
-  /** Slots by target that this host's own requests may take just now. */
+  /** Slots that this host's own requests may take just now, by target, for the targets that it is owner or standby of. */
   getFree (service: string, now: number): Map<string, number> {
     this.advance(now)
     const free = new Map<string, number>()
-    for (const slots of this.getService(service).values()) {
-      if (slots.configured) free.set(slots.target, slots.computeFree(now))
-    }
+    for (const slots of this.listHeld(service)) free.set(slots.target, slots.computeFree(now))
     return free
   }
 
@@ -112,7 +117,7 @@
    */
   grantCredits (service: string, sender: string, wanted: number, now: number, isUsable: (target: string) => boolean = () => true): Credit[] {
     this.advance(now)
-    const owned = [...this.getService(service).values()].filter((slots) => slots.isOwner() && isUsable(slots.target))
+    const owned = this.listHeld(service).filter((slots) => slots.isOwner() && isUsable(slots.target))
     const capacity = owned.reduce((sum, slots) => sum + slots.computeCapacity(now), 0)
     const free = owned.reduce((sum, slots) => sum + slots.computeFree(now), 0)
     const count = Math.min(wanted, free - Math.ceil(capacity * this.options.creditReserve))
@@ -178,6 +183,15 @@
     return true
   }
 
+  /** Configured targets of which this host holds a part; kept until a part or the configuration changes, so that a request's cost doesn't grow with the zone. */
+  private listHeld (service: string): TargetSlots[] {
+    const kept = this.held.get(service)
+    if (kept !== undefined && kept.epoch === this.claims.epoch) return kept.slots
+    const slots = [...this.getService(service).values()].filter((each) => each.configured && each.isHeld())
+    this.held.set(service, { epoch: this.claims.epoch, slots })
+    return slots
+  }
+
   private getService (service: string): Map<string, TargetSlots> {
     const known = this.services.get(service) ?? new Map<string, TargetSlots>()
     this.services.set(service, known)
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -6,6 +6,7 @@
 import type { PartGrant } from './partGrant.js'
 import type { PartHandOver } from './partHandOver.js'
 import type { PartUser } from './partUser.js'
+import type { PartStatus } from './partStatus.js'
 import type { Roster } from './roster.js'
 import type { RosterHost } from './rosterHost.js'
 import { isSameHost } from './isSameHost.js'
@@ -15,8 +16,8 @@
   part: Part
   user: PartUser
   held: boolean
-  /** A ready claim came for it: no new use. */
-  giving: boolean
+  /** False, too, from when a ready claim came for it. */
+  usable: boolean
   /** Members that said, at the present view, that they don't hold it. */
   cleared: Set<string>
   handOvers: PartHandOver[]
@@ -68,9 +69,15 @@
   private wanted: PartState[] | undefined
   private lostAt = -Infinity
   private newestVersion = 0
+  private changes = 0
 
   constructor (private readonly self: RosterHost, private readonly options: LimitsOptions) {}
 
+  /** Changes whenever this host takes or gives up a part. */
+  get epoch (): number {
+    return this.changes
+  }
+
   /** Whether a peer has a later roster than this host. */
   get isBehind (): boolean {
     return this.newestVersion > this.rosterVersion
@@ -96,11 +103,12 @@
   }
 
   /** Begins to claim the part where it falls to this host; a known part's figures are replaced. */
-  addPart (part: Part, user: PartUser): void {
-    const state = this.parts.get(part.id)
+  addPart (part: Part, user: PartUser): PartStatus {
+    const state = this.parts.get(part.id) ?? { part, user, held: false, usable: false, cleared: new Set(), handOvers: [], lostAt: this.lostAt, given: undefined }
+    state.part = part
+    this.parts.set(part.id, state)
     this.wanted = undefined
-    if (state !== undefined) state.part = part
-    else this.parts.set(part.id, { part, user, held: false, giving: false, cleared: new Set(), handOvers: [], lostAt: this.lostAt, given: undefined })
+    return state
   }
 
   removePart (id: string): void {
@@ -132,8 +140,7 @@
 
   /** Whether new work may use the part. */
   isUsable (id: string): boolean {
-    const state = this.parts.get(id)
-    return state !== undefined && state.held && !state.giving
+    return this.parts.get(id)?.usable ?? false
   }
 
   isHeld (id: string): boolean {
@@ -249,7 +256,8 @@
   private take (state: PartState, now: number): void {
     this.wanted = undefined
     state.held = true
-    state.giving = false
+    state.usable = true
+    this.changes += 1
     // What this host granted when it gave the part up binds it too, if the next holder never took it.
     const own = state.given === undefined ? [] : listBinding(state.given, now)
     const grants = [...own, ...state.handOvers.flatMap((handOver) => handOver.grants)]
@@ -263,12 +271,12 @@
     const state = this.parts.get(id)
     if (state === undefined || !state.held) return
     if (view.getHolder(state.part.key, state.part.rank)?.name !== sender.name) return
-    state.giving = true
+    state.usable = false
     const grants = state.user.tryGiveUp(id, now)
     if (grants === undefined) return
     this.wanted = undefined
     state.held = false
-    state.giving = false
+    this.changes += 1
     state.lostAt = now
     state.given = { to: sender, viewKey: view.key, at: now, grants }
   }
@@ -293,12 +301,13 @@
   private setView (view: ZoneView): void {
     this.view = view
     this.wanted = undefined
+    this.changes += 1
     const isMember = view.has(this.self)
     for (const state of this.parts.values()) {
-      state.giving = false
+      if (!isMember) state.held = false
+      state.usable = state.held
       state.cleared.clear()
       state.handOvers = []
-      if (!isMember) state.held = false
     }
   }
 }
--- a/packages/almondrelay/src/process/limits/targetSlots.ts
+++ b/packages/almondrelay/src/process/limits/targetSlots.ts
@@ -3,6 +3,7 @@
 import type { LimitsOptions } from './limitsOptions.js'
 import type { PartClaims } from './partClaims.js'
 import type { PartGrant } from './partGrant.js'
+import type { PartStatus } from './partStatus.js'
 import { PartUser } from './partUser.js'
 import type { RosterHost } from './rosterHost.js'
 import type { SlotGrant } from './slotGrant.js'
@@ -38,6 +39,8 @@
   credits = 0
   /** False once the configuration no longer names the target. */
   configured = true
+  private floor!: PartStatus
+  private rest!: PartStatus
   private leaseUntil = -Infinity
   private grant: SlotGrant | undefined
   private ownerAskedAt = -Infinity
@@ -58,8 +61,8 @@
   adoptSize (size: TargetSize): void {
     this.size = size
     const key = `${this.service}/${this.target}`
-    this.claims.addPart({ id: this.floorId, key, rank: 0, waitMs: size.maxDeadlineMs }, this)
-    this.claims.addPart({ id: this.restId, key, rank: 1, waitMs: this.options.leaseTermMs + size.maxDeadlineMs }, this)
+    this.floor = this.claims.addPart({ id: this.floorId, key, rank: 0, waitMs: size.maxDeadlineMs }, this)
+    this.rest = this.claims.addPart({ id: this.restId, key, rank: 1, waitMs: this.options.leaseTermMs + size.maxDeadlineMs }, this)
   }
 
   /** Requests that this host may have on the target at once. */
@@ -73,12 +76,16 @@
   }
 
   isOwner (): boolean {
-    return this.claims.isUsable(this.floorId)
+    return this.floor.usable
+  }
+
+  isHeld (): boolean {
+    return this.floor.held || this.rest.held
   }
 
   /** Whether the owner's lease is worth renewing now. */
   isRenewalDue (now: number): boolean {
-    if (!this.configured || !this.isOwner() || this.claims.isHeld(this.restId)) return false
+    if (!this.configured || !this.isOwner() || this.rest.held) return false
     return now >= this.leaseUntil - this.options.leaseTermMs * (1 - RENEW_AFTER)
   }
 
@@ -96,7 +103,7 @@
     const holder = this.claims.getHolder(this.floorId)
     if (holder === undefined || !isSameHost(holder, sender)) return undefined
     this.ownerAskedAt = now
-    if (!this.claims.isUsable(this.restId) || !this.isRestIdle()) return undefined
+    if (!this.rest.usable || !this.isRestIdle()) return undefined
     if (this.grant !== undefined && !isSameHost(this.grant.to, sender) && now < this.grant.busyUntil) return undefined
     const termMs = Math.min(lease.termMs, this.options.leaseTermMs)
     const longestDeadlineMs = Math.max(lease.longestDeadlineMs, this.size.maxDeadlineMs)
@@ -144,7 +151,7 @@
   }
 
   private isRestUsable (now: number): boolean {
-    if (!this.claims.isUsable(this.restId)) return now < this.leaseUntil && !this.claims.isHeld(this.restId)
+    if (!this.rest.usable) return now < this.leaseUntil && !this.rest.held
     if (this.grant !== undefined && now < this.grant.busyUntil) return false
     return this.isOwner() || now >= this.ownerAskedAt + this.options.leaseTermMs * PATIENCE_TERMS
   }
