--- a/packages/almondrelay-stand-ins/src/cluster/cluster.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/cluster.ts
@@ -1,4 +1,5 @@
 import type { PlatformHost } from 'almondrelay'
+import { setMaxListeners } from 'node:events'
 import { rmSync } from 'node:fs'
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
@@ -45,11 +46,13 @@
   /** Starts everything, writes the deployment's resources and waits until every host has them in force. */
   static async start (options: ClusterOptions): Promise<Cluster> {
     const { deployment, signal } = options
+    // A listener for each program and relay.
+    setMaxListeners(0, signal)
     const folder = await mkdtemp(path.join(tmpdir(), 'almondrelay-cluster-'))
     signal.addEventListener('abort', () => { rmSync(folder, { recursive: true, force: true }) }, { once: true })
     const [platform, targets, plans] = await Promise.all([
       PlatformHandle.start(signal),
-      startTargets(deployment, options.targetSettings ?? {}, signal),
+      startTargets(deployment, options.targetSettings ?? {}, signal, options.targetProgramsAZone),
       planHosts(deployment)
     ])
     const relays = options.relays === true ? await ClusterRelays.start(deployment, plans, platform.address, signal) : undefined
@@ -59,6 +62,7 @@
       return await HostHandle.start(host, settingsFile, signal)
     }))
     const cluster = new Cluster({ deployment, platform, targets, hosts, relays })
+    await Promise.all(hosts.map(async (host) => await host.waitForStatus((status) => status.isReady)))
     const addresses = new Map(targets.map((target) => [target.name, target.address]))
     await cluster.waitForRevision(await cluster.putResources(buildResources(deployment, addresses)))
     return cluster
--- a/packages/almondrelay-stand-ins/src/cluster/clusterOptions.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/clusterOptions.ts
@@ -12,4 +12,6 @@
   hostSettings?: Record<string, unknown>
   /** Settings of all targets but name, service and slots. */
   targetSettings?: Partial<Omit<TargetSettings, 'name' | 'service' | 'slots' | 'address'>>
+  /** Programs that share the targets of an availability zone; 1 where absent. */
+  targetProgramsAZone?: number
 }
--- a/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
@@ -6,6 +6,8 @@
 interface HostStatus {
   /** The revision in force at this host. */
   revision: number
+  /** Whether it has a configuration, the empty one of a new deployment included. */
+  isReady: boolean
   [part: string]: unknown
 }
 
--- a/packages/almondrelay-stand-ins/src/cluster/startTargets.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/startTargets.ts
@@ -13,17 +13,17 @@
 
 type TargetOptions = Partial<Omit<TargetSettings, 'name' | 'service' | 'slots' | 'address'>>
 
-/** Starts the targets of a deployment, with one program for each availability zone. */
-export async function startTargets (deployment: Deployment, options: TargetOptions, signal: AbortSignal): Promise<TargetHandle[]> {
+/** Starts the targets of a deployment, with one program or a few for each availability zone. */
+export async function startTargets (deployment: Deployment, options: TargetOptions, signal: AbortSignal, programsAZone = 1): Promise<TargetHandle[]> {
   const plans = planTargets(deployment)
   const zones = [...new Set(plans.map((plan) => plan.availabilityZone))]
-  const started = await Promise.all(zones.map(async (zone) => {
-    return await startZone(zone, plans.filter((plan) => plan.availabilityZone === zone), options, signal)
-  }))
+  const groups = zones.flatMap((zone) => splitEvenly(plans.filter((plan) => plan.availabilityZone === zone), programsAZone))
+  const started = await Promise.all(groups.map(async (group) => await startProgram(group, options, signal)))
   return started.flat()
 }
 
-async function startZone (zone: string, plans: PlannedTarget[], options: TargetOptions, signal: AbortSignal): Promise<TargetHandle[]> {
+async function startProgram (plans: PlannedTarget[], options: TargetOptions, signal: AbortSignal): Promise<TargetHandle[]> {
+  const zone = plans[0]?.availabilityZone ?? ''
   const settings = plans.map((plan, index) => ({
     name: plan.name,
     service: plan.service.name,
@@ -40,3 +40,8 @@
     return new TargetHandle({ plan, address, control: line.control, program })
   })
 }
+
+function splitEvenly (plans: PlannedTarget[], parts: number): PlannedTarget[][] {
+  const groups = Array.from({ length: parts }, (_, part) => plans.filter((_plan, index) => index % parts === part))
+  return groups.filter((group) => group.length > 0)
+}
--- /dev/null
+++ b/packages/almondrelay-stand-ins/src/load/loadProblem.ts
@@ -0,0 +1,5 @@
+/** A count that doesn't add up. */
+export interface LoadProblem {
+  operation: number
+  message: string
+}
--- a/packages/almondrelay-stand-ins/src/target/__tests__/targetState.test.ts
+++ b/packages/almondrelay-stand-ins/src/target/__tests__/targetState.test.ts
@@ -26,16 +26,16 @@
 test('a lagging report stays as it was', () => {
   const state = createState({ healthLagMs: 100 })
   assert.is(state.readReport(0).load, 0)
-  state.begin('a', TargetFaults.parse({}), 1)
+  state.begin({ requestId: 'a' }, TargetFaults.parse({}), 1)
   assert.is(state.readReport(99).load, 0)
   assert.is(state.readReport(100).load, 0.5)
 })
 
 test('runs that begin while the target is leaving are counted', () => {
   const state = createState({})
-  state.begin('a', TargetFaults.parse({}), 0)
+  state.begin({ requestId: 'a' }, TargetFaults.parse({}), 0)
   state.setFaults(TargetFaults.parse({ leaving: true }), 100)
-  state.begin('b', state.takeFaults(), 350)
+  state.begin({ requestId: 'b' }, state.takeFaults(), 350)
   const runs = state.readRuns()
   assert.equal([runs.total, runs.whileLeaving, runs.lastAfterLeavingMs], [2, 1, 250])
 })
--- a/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
+++ b/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
@@ -45,7 +45,7 @@
     const body = new Uint8Array(await context.req.arrayBuffer())
     const deadlineMs = Number(context.req.header('almondrelay-deadline') ?? NO_DEADLINE_MS)
     const requestId = context.req.header('idempotency-key')
-    if (deadlineMs <= 0 || !state.begin(requestId, faults, readNow())) return refuse(context)
+    if (deadlineMs <= 0 || !state.begin({ requestId, operation: context.req.query('operation') }, faults, readNow())) return refuse(context)
 
     const workMs = context.req.query('workMs')
     const serviceMs = faults.slowFactor * state.sampleServiceMs(workMs === undefined ? undefined : Number(workMs), readNow())
@@ -73,6 +73,7 @@
 
 /** Works for so long; stops when the caller gives up. */
 async function runWork (context: Context<Env>, workMs: number, resetAfterMs: number | undefined): Promise<'done' | 'cancelled'> {
+  if (workMs === 0) return 'done'
   const { outgoing, incoming } = context.env
   const gone = new AbortController()
   const cancel = (): void => { gone.abort() }
--- a/packages/almondrelay-stand-ins/src/target/targetRuns.ts
+++ b/packages/almondrelay-stand-ins/src/target/targetRuns.ts
@@ -2,6 +2,8 @@
 export interface TargetRuns {
   /** Runs by request id; requests without one are only in `total`. */
   runs: Record<string, number>
+  /** Runs by the query parameter `operation`, by which a load counts over ids. */
+  operations: Record<string, number>
   total: number
   /** Runs that ended by themselves. */
   done: number
--- a/packages/almondrelay-stand-ins/src/target/targetState.ts
+++ b/packages/almondrelay-stand-ins/src/target/targetState.ts
@@ -6,10 +6,17 @@
 
 type RunEnd = 'done' | 'cancelled' | 'expired'
 
+/** What a run is counted by. */
+interface RunMarks {
+  requestId?: string | undefined
+  operation?: string | undefined
+}
+
 /** Slots, counts, warmth and fault switches of one target. Times are milliseconds of one clock. */
 export class TargetState {
   private faults = TargetFaults.parse({})
   private readonly runs = new Map<string, number>()
+  private readonly operations = new Map<string, number>()
   private readonly counts = { total: 0, done: 0, cancelled: 0, expired: 0, shed: 0, running: 0, maxRunning: 0, whileLeaving: 0, lastAfterLeavingMs: 0 }
   private sinceCold = 0
   private lastBegunAt = -Infinity
@@ -37,7 +44,7 @@
   }
 
   /** Takes a slot and counts the run; false when the request is shed. */
-  begin (requestId: string | undefined, faults: TargetFaults, now: number): boolean {
+  begin ({ requestId, operation }: RunMarks, faults: TargetFaults, now: number): boolean {
     if (faults.shed || this.counts.running >= this.settings.slots) {
       this.counts.shed += 1
       return false
@@ -45,7 +52,8 @@
     this.counts.total += 1
     this.counts.running += 1
     this.counts.maxRunning = Math.max(this.counts.maxRunning, this.counts.running)
-    if (requestId !== undefined) this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1)
+    addCount(this.runs, requestId)
+    addCount(this.operations, operation)
     if (this.leavingSince !== undefined) {
       this.counts.whileLeaving += 1
       this.counts.lastAfterLeavingMs = now - this.leavingSince
@@ -73,7 +81,7 @@
   }
 
   readRuns (): TargetRuns {
-    return { runs: Object.fromEntries(this.runs), ...this.counts }
+    return { runs: Object.fromEntries(this.runs), operations: Object.fromEntries(this.operations), ...this.counts }
   }
 
   private buildReport (): TargetReport {
@@ -97,3 +105,7 @@
     return Math.sqrt(-2 * Math.log(1 - this.random())) * Math.cos(2 * Math.PI * this.random())
   }
 }
+
+function addCount (counts: Map<string, number>, name: string | undefined): void {
+  if (name !== undefined) counts.set(name, (counts.get(name) ?? 0) + 1)
+}
