--- a/packages/almondrelay-stand-ins/src/network/findFreeAddresses.ts
+++ b/packages/almondrelay-stand-ins/src/network/findFreeAddresses.ts
@@ -1,35 +1,43 @@
-import { createServer } from 'node:net'
+import { once } from 'node:events'
+import { createServer, type Server } from 'node:net'
 
-const LANES = 85
-const LANE_PORTS = 200
-const FIRST_PORT = 15_000
+/** Below the range from which the kernel takes the local ports of outgoing connections (32768 upwards by default). */
+const FIRST_PORT = 12_000
+const LAST_PORT = 32_000
 
-let next = 0
+let nextPort = FIRST_PORT + (process.pid * 97) % (LAST_PORT - FIRST_PORT)
 
 /**
- * Free addresses on 127.0.0.1 for programs that need their ports before they start.
+ * Free addresses on 127.0.0.1, all different; each was open for a moment and is closed again.
  *
- * Failure: a port that was got by listening on 0 and closed again is handed to the next one who
- * listens on 0, and the program then can't start. These ports lie below the range that the system
- * hands out (32768 and up), in a lane by process id, so that neither other listeners nor other test
- * processes get them in between; each is tried by listening.
+ * Failure: between that moment and its use an outgoing connection takes the port, and a host can't
+ * listen (seen once with ten hosts and a load). Ports that the kernel gives to nobody can't be taken so.
  */
 export async function findFreeAddresses (count: number): Promise<string[]> {
-  const addresses: string[] = []
-  const lane = FIRST_PORT + process.pid % LANES * LANE_PORTS
-  for (let tries = 0; addresses.length < count && tries < LANE_PORTS; tries++) {
-    const port = lane + next
-    next = (next + 1) % LANE_PORTS
-    if (await isFree(port)) addresses.push(`127.0.0.1:${port}`)
+  const servers: Server[] = []
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = takeNextPort()
+    const server = await tryListen(port)
+    if (server === undefined) continue
+    servers.push(server)
+    ports.push(port)
   }
-  if (addresses.length < count) throw new Error(`too few free ports from ${lane}: end the programs that hold them`)
-  return addresses
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  return ports.map((port) => `127.0.0.1:${port}`)
 }
 
-async function isFree (port: number): Promise<boolean> {
-  const server = createServer()
-  return await new Promise((resolve) => {
-    server.once('error', () => { resolve(false) })
-    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
-  })
+function takeNextPort (): number {
+  nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1
+  return nextPort
+}
+
+async function tryListen (port: number): Promise<Server | undefined> {
+  const server = createServer().listen(port, '127.0.0.1')
+  try {
+    await once(server, 'listening')
+    return server
+  } catch {
+    return undefined
+  }
 }
