Hold region, link and shift limits together with target slots in the daemon

Cause: the limits of regions, links and shifts stood beside the path and bound nothing. Change: HostCapacity takes a slot and room in every limit together; credits hold room; loans and the region's lender run as tasks; the status of caps, links and drains counts what this host carries.

--- a/packages/almondrelay-faults/src/fleet/fakeFleet.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeFleet.ts
@@ -83,7 +83,7 @@
     this.hosts.splice(index, 1)
     const host = this.addHost(zone, old.identity.incarnation + 1, old.identity.incarnation + 100)
     host.slots.markGone(name, old.identity.incarnation, this.clock.getNow())
-    host.path.services.adoptConfiguration(this.configuration, this.clock.getNow())
+    host.adoptConfiguration(this.configuration)
     return host
   }
 
@@ -92,7 +92,7 @@
     const revision = this.configuration.revision + 1
     const change: Change = { revision, writeId: `w${revision}`, author: 'test', writtenAt: 0, action: 'put', resource }
     this.configuration = this.configuration.apply(change) ?? this.configuration
-    for (const host of this.hosts) host.path.services.adoptConfiguration(this.configuration, this.clock.getNow())
+    for (const host of this.hosts) host.adoptConfiguration(this.configuration)
   }
 
   /** Sends a request as a caller does; the answer is the one that the host would give on its connection. */
--- a/packages/almondrelay-faults/src/fleet/fakeHost.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeHost.ts
@@ -1,5 +1,5 @@
 import { Code, ConnectError } from '@connectrpc/connect'
-import { buildRequestPath, createPeerHandlers, createSeededRandom, DecisionRecorder, HostDirectory, HostSlots, type Clock, type HostIdentity, type KnownHost } from 'almondrelay'
+import { buildRequestPath, createPeerHandlers, createSeededRandom, DecisionRecorder, HostCapacity, HostDirectory, HostSlots, RegionLender, RegionLimits, type Clock, type Configuration, type HostIdentity, type KnownHost } from 'almondrelay'
 import type { FakeFleet } from './fakeFleet.js'
 import { FakeLinks } from './fakeLinks.js'
 import { HostClock } from './hostClock.js'
@@ -46,6 +46,9 @@
   readonly clock: HostClock
   readonly links: FakeLinks
   readonly slots: HostSlots
+  readonly capacity: HostCapacity
+  readonly limits: RegionLimits
+  private readonly lender: RegionLender
   readonly recorder = new MemoryRecorder()
   readonly directory: FleetDirectory
   readonly path: ReturnType<typeof buildRequestPath>
@@ -59,24 +62,32 @@
     this.links = new FakeLinks(this, (address) => fleet.findByAddress(address), clock)
     this.directory = new FleetDirectory(fleet)
     this.slots = new HostSlots(identity)
+    this.limits = new RegionLimits(identity, this.slots.claims)
+    this.lender = new RegionLender({ name: identity.host, incarnation: identity.incarnation })
+    this.capacity = new HostCapacity({ region: identity.region, slots: this.slots, limits: this.limits })
     this.path = buildRequestPath({
       requests: REQUESTS,
       identity,
       clock: this.clock,
       random: createSeededRandom(seed),
       recorder: this.recorder,
-      slots: this.slots,
+      slots: this.capacity,
       directory: this.directory,
       links: this.links,
       targets: fleet.targets
     }, this.process.signal)
-    this.handlers = createPeerHandlers({ peerRequests: this.path.peerRequests, slots: this.slots, clock: this.clock })
+    this.handlers = createPeerHandlers({ peerRequests: this.path.peerRequests, slots: this.slots, capacity: this.capacity, limits: this.limits, lender: this.lender, clock: this.clock })
   }
 
   get address (): string {
     return this.identity.host
   }
 
+  adoptConfiguration (configuration: Configuration): void {
+    this.limits.adoptConfiguration(configuration, REQUESTS.maxDeadlineMs, this.clock.getNow())
+    this.path.services.adoptConfiguration(configuration, this.clock.getNow())
+  }
+
   /** Ends the process: its tasks stop and its connections break. */
   kill (): void {
     this.killed = true
@@ -96,8 +107,7 @@
   describe (gone: boolean): KnownHost {
     const now = this.clock.getNow()
     const loads = this.path.services.list().map((runtime) => {
-      const free = [...this.slots.getFree(runtime.name, now).values()].reduce((sum, each) => sum + each, 0)
-      return [runtime.name, free] as const
+      return [runtime.name, this.capacity.countFree(runtime.name, now)] as const
     })
     return {
       name: this.identity.host,
--- a/packages/almondrelay/src/connection/limits/linkedLimitPeers.ts
+++ b/packages/almondrelay/src/connection/limits/linkedLimitPeers.ts
@@ -5,9 +5,13 @@
 import type { PeerLinks } from '../../process/dispatch/peerLinks.js'
 import type { LeaseGrant } from '../../process/limits/leaseGrant.js'
 import type { LeaseRequest } from '../../process/limits/leaseRequest.js'
+import type { LoanAnswer } from '../../process/limits/loanAnswer.js'
+import type { LoanRequest } from '../../process/limits/loanRequest.js'
 import type { PartClaim } from '../../process/limits/partClaim.js'
 import type { PartClaimAnswer } from '../../process/limits/partClaimAnswer.js'
+import type { LenderKind } from './lenderKind.js'
 import { LimitPeers } from './limitPeers.js'
+import type { LoanPeers } from './loanPeers.js'
 import { toPartClaimAnswer } from './toPartClaimAnswer.js'
 
 interface LinkedPeersParts {
@@ -22,7 +26,7 @@
 const CALL_TIMEOUT_MS = 1_000
 
 /** Calls about limits over the connections to peers. */
-export class LinkedLimitPeers extends LimitPeers {
+export class LinkedLimitPeers extends LimitPeers implements LoanPeers {
   constructor (private readonly parts: LinkedPeersParts) {
     super()
   }
@@ -39,6 +43,12 @@
     return response === undefined ? undefined : toPartClaimAnswer(response)
   }
 
+  async tryBorrowCapacity (host: string, lender: LenderKind, request: LoanRequest, signal: AbortSignal): Promise<LoanAnswer | undefined> {
+    const message = { ...request, sender: this.parts.sender, lender, sequence: BigInt(request.sequence) }
+    const response = await this.tryCall(host, async (client) => await client.borrowCapacity(message, { signal, timeoutMs: CALL_TIMEOUT_MS }))
+    return response?.isLender === true ? { termMs: response.termMs, loans: response.loans } : undefined
+  }
+
   private async tryCall<Response> (host: string, call: (client: PeerClient) => Promise<Response>): Promise<Response | undefined> {
     const peer = this.parts.directory.find(host)
     if (peer === undefined || peer.peerAddress === '') return undefined
--- a/packages/almondrelay/src/connection/peer/createPeerHandlers.ts
+++ b/packages/almondrelay/src/connection/peer/createPeerHandlers.ts
@@ -2,20 +2,21 @@
 import type { PeerService } from 'almondrelay-protocol'
 import type { Host } from '../../process/daemon/host.js'
 import { toForwardResponse } from '../../process/dispatch/toForwardResponse.js'
+import { handleBorrowing } from '../limits/handleBorrowing.js'
 import { handlePartClaim } from '../limits/handlePartClaim.js'
 import { handleSlotLeases } from '../limits/handleSlotLeases.js'
 import { checkSender } from './checkSender.js'
 
 /** What this host answers to its peers about requests and limits; heartbeats and changes are the exchange's. */
-export function createPeerHandlers (host: Pick<Host, 'peerRequests' | 'slots' | 'clock'>): Partial<ServiceImpl<typeof PeerService>> {
-  const { peerRequests, slots, clock } = host
+export function createPeerHandlers (host: Pick<Host, 'peerRequests' | 'slots' | 'capacity' | 'limits' | 'lender' | 'clock'>): Partial<ServiceImpl<typeof PeerService>> {
+  const { peerRequests, slots, capacity, clock } = host
   return {
     requestCredits: (request) => {
       checkSender(request.sender)
       return peerRequests.grantCredits(request)
     },
     returnCredits: (request) => {
-      slots.returnCredits(request.creditIds, clock.getNow())
+      capacity.returnCredits(request.creditIds, clock.getNow())
       return {}
     },
     renewSlotLease: (request) => {
@@ -26,6 +27,10 @@
       checkSender(request.sender)
       return handlePartClaim(slots, request, clock.getNow())
     },
+    borrowCapacity: (request) => {
+      checkSender(request.sender)
+      return handleBorrowing(host, request, clock.getNow())
+    },
     forward: async (request) => {
       checkSender(request.sender)
       return toForwardResponse(await peerRequests.forward(request))
--- a/packages/almondrelay/src/process/daemon/buildHost.ts
+++ b/packages/almondrelay/src/process/daemon/buildHost.ts
@@ -2,9 +2,6 @@
 import type Logger from 'bunyan'
 import { ExchangeHub } from '../../connection/exchange/exchangeHub.js'
 import { PeerRefusal } from '../../connection/exchange/peerRefusal.js'
-import { LinkedLimitPeers } from '../../connection/limits/linkedLimitPeers.js'
-import { RosterKeeper } from '../../connection/limits/rosterKeeper.js'
-import { SlotLeaseTask } from '../../connection/limits/slotLeaseTask.js'
 import { PeerConnection } from '../../connection/peer/peerConnection.js'
 import { PeerConnections } from '../../connection/peer/peerConnections.js'
 import { TargetConnections } from '../../connection/target/targetConnections.js'
@@ -16,8 +13,6 @@
 import { ChangeLog } from '../configuration/changeLog.js'
 import { ConfigurationStore } from '../configuration/configurationStore.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
-import { makeSender } from '../dispatch/makeSender.js'
-import { HostSlots } from '../limits/hostSlots.js'
 import { LookupAnswerer } from '../lookup/lookupAnswerer.js'
 import { LeavingTargets } from '../membership/leavingTargets.js'
 import { Membership } from '../membership/membership.js'
@@ -26,6 +21,7 @@
 import { SystemClock } from '../platform/systemClock.js'
 import type { HostSettings } from '../settings/hostSettings.js'
 import { AccountRecorder } from './accountRecorder.js'
+import { buildLimits } from './buildLimits.js'
 import { buildRequestPath } from './buildRequestPath.js'
 import { buildStatusHooks } from './buildStatusHooks.js'
 import { DecisionLogRecorder } from './decisionLogRecorder.js'
@@ -74,13 +70,14 @@
     membership,
     ledger,
     metrics,
-    slots: new HostSlots(identity),
     peers: new PeerConnections(signal),
     targets: new TargetConnections(clock)
   }
   const recorder = new DecisionLogRecorder(new DecisionLog(log))
   const directory = new MemberDirectory(membership, clock)
-  const path = buildRequestPath({ ...base, requests: settings.requests, recorder, directory, links: base.peers }, signal)
+  const isWatcher = (): boolean => membership.chooseWatchers(identity.availabilityZone, clock.getNow()).includes(identity.host)
+  const limits = buildLimits({ ...base, directory, links: base.peers, isWatcher })
+  const path = buildRequestPath({ ...base, slots: limits.capacity, requests: settings.requests, recorder, directory, links: base.peers }, signal)
   const { services } = path
   const hub = new ExchangeHub({
     ...membershipOptions,
@@ -92,15 +89,13 @@
     createClient: createLinkedClient,
     handleRefusal: (refusal, peer) => { handleRefusal(refusal, peer, log, fail) }
   }, signal)
-  const isWatcher = (): boolean => membership.chooseWatchers(identity.availabilityZone, clock.getNow()).includes(identity.host)
   return {
     ...base,
+    ...limits,
     ...path,
     hub,
     leavingTargets,
     isWatcher,
-    rosterKeeper: new RosterKeeper({ platform, slots: base.slots, self: { name: identity.host, incarnation: identity.incarnation }, availabilityZone: identity.availabilityZone, isWatcher, clock, random, log }),
-    slotLeases: new SlotLeaseTask({ slots: base.slots, clock, peers: new LinkedLimitPeers({ links: base.peers, directory, sender: makeSender(identity) }) }),
     lookups: new LookupAnswerer({ identity, clock, random, services, directory, ttlMs: settings.lookups.ttlMs }),
     answers: new AccountRecorder({ identity, clock, ledger, recorder, metrics, getConfiguration: () => services.configuration }),
     accountWriter: new AccountWriter(ledger, platform, {
@@ -114,7 +109,7 @@
       store,
       changeLog,
       listMembers: () => membership.listMembers(clock.getNow()),
-      statusHooks: buildStatusHooks(services, base.slots),
+      statusHooks: buildStatusHooks(services, limits.limits),
       fetchAccount: (query, callSignal) => readAccount(accountReader, query, clock.getWallTime(), callSignal),
       makeWriteId: randomUUID,
       log
--- /dev/null
+++ b/packages/almondrelay/src/process/daemon/buildLimits.ts
@@ -0,0 +1,53 @@
+import type Logger from 'bunyan'
+import { LenderKeeper } from '../../connection/limits/lenderKeeper.js'
+import { LinkedLimitPeers } from '../../connection/limits/linkedLimitPeers.js'
+import { LoanTask } from '../../connection/limits/loanTask.js'
+import { RosterKeeper } from '../../connection/limits/rosterKeeper.js'
+import { SlotLeaseTask } from '../../connection/limits/slotLeaseTask.js'
+import type { Random } from '../../request/random.js'
+import { HostCapacity } from '../dispatch/hostCapacity.js'
+import type { HostDirectory } from '../dispatch/hostDirectory.js'
+import type { HostIdentity } from '../dispatch/hostIdentity.js'
+import { makeSender } from '../dispatch/makeSender.js'
+import type { PeerLinks } from '../dispatch/peerLinks.js'
+import { defaultLimitsOptions } from '../limits/defaultLimitsOptions.js'
+import { HostSlots } from '../limits/hostSlots.js'
+import { RegionLender } from '../limits/regionLender.js'
+import { RegionLimits } from '../limits/regionLimits.js'
+import type { Clock } from '../platform/clock.js'
+import type { Platform } from '../platform/platform.js'
+import type { Host } from './host.js'
+
+interface LimitsBase {
+  identity: HostIdentity
+  platform: Platform
+  clock: Clock
+  random: Random
+  log: Logger
+  directory: HostDirectory
+  links: PeerLinks
+  isWatcher: () => boolean
+}
+
+type Limits = Pick<Host, 'slots' | 'limits' | 'lender' | 'capacity' | 'rosterKeeper' | 'slotLeases' | 'lenderKeeper' | 'loans'>
+
+/** Makes what keeps this host within the limits of targets, regions, links and shifts, and the tasks that carry it between hosts. */
+export function buildLimits (base: LimitsBase): Limits {
+  const { identity, platform, clock, random, log, directory, links, isWatcher } = base
+  const self = { name: identity.host, incarnation: identity.incarnation }
+  const slots = new HostSlots(identity)
+  const limits = new RegionLimits(identity, slots.claims)
+  const lender = new RegionLender(self)
+  const peers = new LinkedLimitPeers({ links, directory, sender: makeSender(identity) })
+  const lenderKeeper = new LenderKeeper({ platform, lender, self, region: identity.region, isWatcher, drift: defaultLimitsOptions.drift, clock, random, log })
+  return {
+    slots,
+    limits,
+    lender,
+    lenderKeeper,
+    capacity: new HostCapacity({ region: identity.region, slots, limits }),
+    rosterKeeper: new RosterKeeper({ platform, slots, self, availabilityZone: identity.availabilityZone, isWatcher, clock, random, log }),
+    slotLeases: new SlotLeaseTask({ slots, clock, peers }),
+    loans: new LoanTask({ limits, peers, clock, findRegionLender: () => lenderKeeper.current })
+  }
+}
--- a/packages/almondrelay/src/process/daemon/buildRequestPath.ts
+++ b/packages/almondrelay/src/process/daemon/buildRequestPath.ts
@@ -12,7 +12,6 @@
 import { RequestPlacer } from '../dispatch/requestPlacer.js'
 import { Services } from '../dispatch/services.js'
 import type { SlotPool } from '../dispatch/slotPool.js'
-import type { TargetAdopter } from '../dispatch/targetAdopter.js'
 import type { TargetSender } from '../dispatch/targetSender.js'
 import { TargetRunner } from '../dispatch/targetRunner.js'
 import { AttemptTable } from '../journal/attemptTable.js'
@@ -26,7 +25,7 @@
   clock: Clock
   random: Random
   recorder: DecisionRecorder
-  slots: SlotPool & TargetAdopter
+  slots: SlotPool
   directory: HostDirectory
   links: PeerLinks
   targets: TargetSender
--- a/packages/almondrelay/src/process/daemon/buildStatusHooks.ts
+++ b/packages/almondrelay/src/process/daemon/buildStatusHooks.ts
@@ -1,14 +1,27 @@
+import { match } from 'ts-pattern'
 import type { StatusHooks } from '../configuration/status/statusHooks.js'
+import type { ServiceRuntime } from '../dispatch/serviceRuntime.js'
 import type { Services } from '../dispatch/services.js'
-import type { HostSlots } from '../limits/hostSlots.js'
+import { LimitKind } from '../limits/limitKind.js'
+import type { RegionLimits } from '../limits/regionLimits.js'
 
-/** Figures of this host for the status of resources. */
-export function buildStatusHooks (services: Services, slots: HostSlots): StatusHooks {
+/** Figures for the status of resources, as this host counts them. */
+export function buildStatusHooks (services: Services, limits: RegionLimits): StatusHooks {
   return {
     countWorkLeft: (drain) => {
-      if (drain.spec.scope !== 'target' || drain.spec.service === undefined) return services.list().reduce((sum, runtime) => sum + slots.countRunning(runtime.name), 0)
-      return services.find(drain.spec.service)?.findTarget(drain.name) === undefined ? undefined : 0
+      const drained = services.list().filter((runtime) => drain.spec.service === undefined || runtime.name === drain.spec.service)
+      return drained.reduce((sum, runtime) => sum + countRunning(runtime, drain.spec.scope === 'target' ? drain.spec.name : undefined), 0)
     },
-    countCarried: () => undefined
+    countCarried: (resource) => match(resource)
+      .with({ kind: 'Region' }, ({ name }) => limits.countRunning(`${LimitKind.region}/${name}`))
+      .with({ kind: 'Link' }, ({ name }) => limits.countRunning(`${LimitKind.link}/${name}`))
+      .with({ kind: 'ShiftCap' }, ({ name }) => limits.countRunning(`${LimitKind.shift}/${name}`))
+      .exhaustive()
   }
 }
+
+/** Requests that run on the drained target, or on every drained target of this host's zone. */
+function countRunning (runtime: ServiceRuntime, target: string | undefined): number {
+  const targets = runtime.listTargets().filter((each) => target === undefined ? runtime.isDrained(each.name) : each.name === target)
+  return targets.reduce((sum, each) => sum + runtime.chooser.countRunning(each.name), 0)
+}
--- a/packages/almondrelay/src/process/daemon/host.ts
+++ b/packages/almondrelay/src/process/daemon/host.ts
@@ -1,5 +1,7 @@
 import type Logger from 'bunyan'
 import type { ExchangeHub } from '../../connection/exchange/exchangeHub.js'
+import type { LenderKeeper } from '../../connection/limits/lenderKeeper.js'
+import type { LoanTask } from '../../connection/limits/loanTask.js'
 import type { RosterKeeper } from '../../connection/limits/rosterKeeper.js'
 import type { SlotLeaseTask } from '../../connection/limits/slotLeaseTask.js'
 import type { OperatorAppOptions } from '../../connection/operator/operatorAppOptions.js'
@@ -10,6 +12,7 @@
 import type { ChangeLog } from '../configuration/changeLog.js'
 import type { ConfigurationStore } from '../configuration/configurationStore.js'
 import type { AnswerRecorder } from '../dispatch/answerRecorder.js'
+import type { HostCapacity } from '../dispatch/hostCapacity.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
 import type { PeerRequests } from '../dispatch/peerRequests.js'
 import type { RequestHandler } from '../dispatch/requestHandler.js'
@@ -17,6 +20,8 @@
 import type { TargetRunner } from '../dispatch/targetRunner.js'
 import type { Journal } from '../journal/journal.js'
 import type { HostSlots } from '../limits/hostSlots.js'
+import type { RegionLender } from '../limits/regionLender.js'
+import type { RegionLimits } from '../limits/regionLimits.js'
 import type { LookupAnswerer } from '../lookup/lookupAnswerer.js'
 import type { LeavingTargets } from '../membership/leavingTargets.js'
 import type { Membership } from '../membership/membership.js'
@@ -42,9 +47,15 @@
   leavingTargets: LeavingTargets
   hub: ExchangeHub
   slots: HostSlots
+  limits: RegionLimits
+  lender: RegionLender
+  /** Slots and limits together. */
+  capacity: HostCapacity
   services: Services
   rosterKeeper: RosterKeeper
   slotLeases: SlotLeaseTask
+  lenderKeeper: LenderKeeper
+  loans: LoanTask
   journal: Journal
   runner: TargetRunner
   handler: RequestHandler
--- a/packages/almondrelay/src/process/daemon/reportLoad.ts
+++ b/packages/almondrelay/src/process/daemon/reportLoad.ts
@@ -8,12 +8,12 @@
  * free, and the load that heartbeats tell the peers.
  */
 export async function reportLoad (host: Host, signal: AbortSignal): Promise<void> {
-  const { clock, membership, leavingTargets, services, slots, metrics } = host
+  const { clock, membership, leavingTargets, services, slots, capacity, metrics } = host
   while (!signal.aborted) {
     const now = clock.getNow()
     for (const runtime of services.list()) runtime.observeLeaving((target) => leavingTargets.isLeaving(runtime.name, target), now)
     const loads = services.list().map((runtime) => {
-      const free = [...slots.getFree(runtime.name, now).values()].reduce((sum, each) => sum + each, 0)
+      const free = capacity.countFree(runtime.name, now)
       const waiting = [...runtime.lanes.values()].reduce((sum, lane) => sum + lane.countWaiting(), 0)
       const running = slots.countRunning(runtime.name)
       metrics.observeLoad(runtime.name, waiting, running)
--- a/packages/almondrelay/src/process/daemon/runTasks.ts
+++ b/packages/almondrelay/src/process/daemon/runTasks.ts
@@ -4,6 +4,8 @@
 import { loadFirstConfiguration } from '../configuration/loadFirstConfiguration.js'
 import { repairFromPlatform } from '../configuration/repairFromPlatform.js'
 import { runSnapshotWriter } from '../configuration/runSnapshotWriter.js'
+import { listLimits } from '../limits/listLimits.js'
+import type { Configuration } from '../../version/configuration.js'
 import type { Host } from './host.js'
 import { followHostList } from './followHostList.js'
 import { probeTargets } from './probeTargets.js'
@@ -19,6 +21,8 @@
     runExchanges(host.hub, signal),
     host.rosterKeeper.run(signal),
     host.slotLeases.run(signal),
+    host.lenderKeeper.run(signal),
+    host.loans.run(signal),
     host.accountWriter.run(signal),
     followHostList(host, signal),
     reportLoad(host, signal),
@@ -31,6 +35,7 @@
   const { store, services, clock, log } = host
   store.subscribe((configuration) => {
     if (!store.isReady) return
+    adoptLimits(host, configuration)
     services.adoptConfiguration(configuration, clock.getNow())
     log.info({ revision: configuration.revision }, 'configuration in force')
   }, signal)
@@ -46,12 +51,21 @@
   await followPlatformChanges({ platform, store, clock, random, log, isWatcher: host.isWatcher }, signal)
 }
 
+function adoptLimits ({ limits, lender, identity, settings, clock }: Host, configuration: Configuration): void {
+  const { maxDeadlineMs } = settings.requests
+  const zones = configuration.get('Region', identity.region)?.spec.availabilityZones.length ?? 1
+  limits.adoptConfiguration(configuration, maxDeadlineMs, clock.getNow())
+  lender.adoptLimits(listLimits(configuration, identity.region), zones, maxDeadlineMs)
+}
+
 /** Definitive evidence, and nothing less, frees what a host held. */
-function followMembership ({ membership, slots, services, clock, log }: Host, signal: AbortSignal): void {
+function followMembership ({ membership, slots, limits, lender, services, clock, log }: Host, signal: AbortSignal): void {
   const unsubscribe = membership.subscribe((event) => {
     if (event.kind !== 'gone') return
     log.info({ gone: event.host, incarnation: event.incarnation, evidence: event.evidence }, 'a host has ended')
     slots.markGone(event.host, event.incarnation, clock.getNow())
+    limits.markGone(event.host, event.incarnation, clock.getNow())
+    lender.markGone({ name: event.host, incarnation: event.incarnation }, clock.getNow())
     services.advance(clock.getNow())
   })
   signal.addEventListener('abort', unsubscribe, { once: true })
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -39,6 +39,9 @@
   resolve: (result: SlotGrant | LaneRefusal) => void
 }
 
+/** Retry-After, in milliseconds, of a request whose slot was lost to another at the last moment. */
+const MIN_RETRY_MS = 100
+const RETRY_SPREAD_MS = 400
 /** Least time between two looks at the queue, in milliseconds. */
 const MIN_CHECK_MS = 1
 
@@ -151,7 +154,8 @@
   /** The queue let it start on a slot that is gone by now; the caller is told at once. */
   private refuseForSlot (request: QueuedRequest, now: number): LaneRefusal {
     this.parts.queue.finish(request, undefined, now)
-    return { kind: 'refused', reason: RefusalReason.noTarget, retryAfterMs: Math.round(100 + this.parts.random() * 400) }
+    const reason = this.parts.slots.shortage ?? RefusalReason.noTarget
+    return { kind: 'refused', reason, retryAfterMs: Math.round(MIN_RETRY_MS + this.parts.random() * RETRY_SPREAD_MS) }
   }
 
   private refuse (refusals: AdmissionRefusal[]): void {
@@ -165,7 +169,12 @@
   /** Names the shortage of credits where this host has no slot of its own to wait for. */
   private explainRefusal (reason: RefusalReason, retryAfterMs: number): LaneRefusal {
     const isStarved = this.parts.queue.running === 0 && this.countFree(this.parts.clock.getNow()) === 0
-    return { kind: 'refused', reason: isStarved ? this.lastShortage : reason, retryAfterMs }
+    return { kind: 'refused', reason: isStarved ? this.findShortage() : reason, retryAfterMs }
+  }
+
+  /** What kept this queue from a slot: a limit of the own region, or what the peers said last. */
+  private findShortage (): RefusalReason {
+    return (this.parts.usesOwnSlots ? this.parts.slots.shortage : undefined) ?? this.lastShortage
   }
 
   private cancel (request: QueuedRequest): void {
@@ -180,9 +189,7 @@
   private countFree (now: number): number {
     const credits = this.credits.filter((credit) => credit.expiresAt > now).length
     if (!this.parts.usesOwnSlots) return credits
-    const free = this.parts.slots.getFree(this.service, now)
-    const slots = [...free.values()].reduce((sum, each) => sum + each, 0)
-    return credits + Math.min(slots, this.parts.chooser.countReady(now))
+    return credits + Math.min(this.parts.slots.countFree(this.service, now), this.parts.chooser.countReady(now))
   }
 
   /** Slots that this queue's work may hold at once, as far as is known; peers count only where this host has none. */
--- a/packages/almondrelay/src/process/dispatch/peerRequests.ts
+++ b/packages/almondrelay/src/process/dispatch/peerRequests.ts
@@ -51,11 +51,12 @@
     if (runtime === undefined) return { credits: [], validMs: 0, reason: RefusalReason.unknownService }
     // Own callers that wait come first; a sender that gets nothing asks elsewhere.
     const isBusy = [...runtime.lanes.values()].some((lane) => lane.region === this.parts.identity.region && lane.countWaiting() > 0)
-    const sender = request.sender?.host ?? ''
+    const sender = { host: request.sender?.host ?? '', region: request.sender?.region ?? '' }
     const isUsable = (target: string): boolean => runtime.chooser.allow(target, now)
-    const credits = isBusy ? [] : slots.grantCredits(request.service, sender, request.wanted, now, isUsable)
+    const grant = isBusy ? { credits: [] } : slots.grantCredits(request.service, sender, request.wanted, now, isUsable)
+    const { credits, reason = RefusalReason.noCredit } = grant
     const validMs = Math.max(0, Math.floor(Math.min(...credits.map((credit) => credit.expiresAt - now))))
-    return { credits, validMs: credits.length === 0 ? 0 : validMs, reason: credits.length === 0 ? RefusalReason.noCredit : '' }
+    return { credits, validMs: credits.length === 0 ? 0 : validMs, reason: credits.length === 0 ? reason : '' }
   }
 
   async forward (request: ForwardRequest): Promise<Answer> {
--- a/packages/almondrelay/src/process/dispatch/requestPlacer.ts
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -87,8 +87,7 @@
   private summarizeHosts (runtime: ServiceRuntime, availabilityZone: string, now: number): Pick<ZoneView, 'freeSlots' | 'ageMs' | 'reachable'> {
     const { identity, directory, slots } = this.parts
     if (availabilityZone === identity.availabilityZone) {
-      const free = [...slots.getFree(runtime.name, now).values()].reduce((sum, each) => sum + each, 0)
-      return { freeSlots: free, ageMs: 0, reachable: true }
+      return { freeSlots: slots.countFree(runtime.name, now), ageMs: 0, reachable: true }
     }
     const hosts = directory.list().filter((host) => host.availabilityZone === availabilityZone && host.reachable && !host.gone && !host.leaving)
     const freeSlots = hosts.reduce((sum, host) => sum + (host.freeSlots.get(runtime.name) ?? 0), 0)
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -44,6 +44,10 @@
     return this.targets.get(name)
   }
 
+  isDrained (target: string): boolean {
+    return this.drained.has(target)
+  }
+
   listTargets (): TargetSpec[] {
     return [...this.targets.values()]
   }
--- a/packages/almondrelay/src/process/dispatch/services.ts
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -14,14 +14,13 @@
 import { rankCreditPeers } from './rankCreditPeers.js'
 import { ServiceRuntime } from './serviceRuntime.js'
 import type { SlotPool } from './slotPool.js'
-import type { TargetAdopter } from './targetAdopter.js'
 
 interface ServicesParts {
   identity: HostIdentity
   clock: Clock
   random: Random
   recorder: DecisionRecorder
-  slots: SlotPool & TargetAdopter
+  slots: SlotPool
   directory: HostDirectory
   links: PeerLinks
   maxQueued: number
--- a/packages/almondrelay/src/request/choice/targetChooser.ts
+++ b/packages/almondrelay/src/request/choice/targetChooser.ts
@@ -66,6 +66,10 @@
     return this.open.headroom > 0 ? this.open.headroom : Number(this.open.findTrialDue(now) !== undefined)
   }
 
+  countRunning (target: string): number {
+    return this.states.get(target)?.running ?? 0
+  }
+
   /** Whether a target may take one more request, such as one from a peer. */
   allow (target: string, now: number): boolean {
     const state = this.states.get(target)
