Borrow capacity for requests that wait

Cause: a share's demand was learnt only from requests that tried to start; the queue holds them back while there is no room, so a full share never asked for a loan. Ruled out: the lender's first wait of 11 s (it explains the first seconds only). Change: the queue and peers' wishes for credits count as demand and wake the loan task.

--- a/packages/almondrelay-faults/src/fleet/fakeHost.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeHost.ts
@@ -64,7 +64,7 @@
     this.slots = new HostSlots(identity)
     this.limits = new RegionLimits(identity, this.slots.claims)
     this.lender = new RegionLender({ name: identity.host, incarnation: identity.incarnation })
-    this.capacity = new HostCapacity({ region: identity.region, slots: this.slots, limits: this.limits })
+    this.capacity = new HostCapacity({ region: identity.region, slots: this.slots, limits: this.limits, wakeLoans: () => undefined })
     this.path = buildRequestPath({
       requests: REQUESTS,
       identity,
--- a/packages/almondrelay/src/connection/limits/loanTask.ts
+++ b/packages/almondrelay/src/connection/limits/loanTask.ts
@@ -14,20 +14,37 @@
 
 /** A host's loan lasts 1 s: a quarter of it, so that two renewals may be lost. */
 const ROUND_MS = 250
+/** Least time between two rounds, however many requests wait. */
+const SHORTEST_ROUND_MS = 25
 
 /** Borrows and returns capacity of the region's limits. Each limit has at most one request under way, by its own count. */
 export class LoanTask {
+  private wakeUp: (() => void) | undefined
+
   constructor (private readonly parts: LoanTaskParts) {}
 
+  /** Requests wait for room: borrows now instead of at the next round. */
+  wake (): void {
+    this.wakeUp?.()
+  }
+
   /** Runs until the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     const { limits, clock } = this.parts
     while (!signal.aborted) {
       for (const planned of limits.planLoans(clock.getNow())) this.borrow(planned, signal).catch(() => undefined)
-      await clock.sleep(ROUND_MS, signal)
+      await clock.sleep(SHORTEST_ROUND_MS, signal)
+      await this.waitForRound(signal)
     }
   }
 
+  private async waitForRound (signal: AbortSignal): Promise<void> {
+    const woken = new AbortController()
+    this.wakeUp = () => { woken.abort() }
+    await this.parts.clock.sleep(ROUND_MS - SHORTEST_ROUND_MS, AbortSignal.any([signal, woken.signal]))
+    this.wakeUp = undefined
+  }
+
   private async borrow (planned: PlannedLoan, signal: AbortSignal): Promise<void> {
     const { limits, peers, findRegionLender } = this.parts
     const host = planned.host ?? findRegionLender()
--- a/packages/almondrelay/src/process/daemon/buildLimits.ts
+++ b/packages/almondrelay/src/process/daemon/buildLimits.ts
@@ -40,14 +40,15 @@
   const lender = new RegionLender(self)
   const peers = new LinkedLimitPeers({ links, directory, sender: makeSender(identity) })
   const lenderKeeper = new LenderKeeper({ platform, lender, self, region: identity.region, isWatcher, drift: defaultLimitsOptions.drift, clock, random, log })
+  const loans = new LoanTask({ limits, peers, clock, findRegionLender: () => lenderKeeper.current })
   return {
     slots,
     limits,
     lender,
     lenderKeeper,
-    capacity: new HostCapacity({ region: identity.region, slots, limits }),
+    capacity: new HostCapacity({ region: identity.region, slots, limits, wakeLoans: () => { loans.wake() } }),
     rosterKeeper: new RosterKeeper({ platform, slots, self, availabilityZone: identity.availabilityZone, isWatcher, clock, random, log }),
     slotLeases: new SlotLeaseTask({ slots, clock, peers }),
-    loans: new LoanTask({ limits, peers, clock, findRegionLender: () => lenderKeeper.current })
+    loans
   }
 }
--- a/packages/almondrelay/src/process/dispatch/hostCapacity.ts
+++ b/packages/almondrelay/src/process/dispatch/hostCapacity.ts
@@ -10,6 +10,8 @@
   region: string
   slots: HostSlots
   limits: RegionLimits
+  /** Called when requests wait for room. */
+  wakeLoans: () => void
 }
 
 /**
@@ -38,6 +40,10 @@
     return Math.max(0, Math.min(slots, room))
   }
 
+  override observeWaiting (service: string, waiting: number): void {
+    this.requireRoom(this.makeRoute(service, this.parts.region), waiting)
+  }
+
   override adoptTargets (service: string, targets: readonly TargetSpec[], maxDeadlineMs: number, now: number): void {
     this.parts.slots.adoptTargets(service, targets, maxDeadlineMs, now)
   }
@@ -60,6 +66,7 @@
   override grantCredits (service: string, sender: { host: string, region: string }, wanted: number, now: number, isUsable: (target: string) => boolean): CreditGrant {
     const { slots, limits } = this.parts
     const route = this.makeRoute(service, sender.region)
+    this.requireRoom(route, wanted)
     const credits = slots.grantCredits(service, sender.host, wanted, now, isUsable)
     const kept = []
     let reason: RefusalReason | undefined
@@ -92,6 +99,11 @@
     for (const id of ids) this.parts.limits.release(id, now)
   }
 
+  private requireRoom (route: LimitRoute, wanted: number): void {
+    this.parts.limits.observeDemand(route, wanted)
+    this.parts.wakeLoans()
+  }
+
   private makeRoute (service: string, fromRegion: string): LimitRoute {
     return { service, fromRegion, toRegion: this.parts.region }
   }
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -204,7 +204,10 @@
   }
 
   private requestCredits (): void {
-    if (this.countWanted() > 0) this.parts.wakeCreditTask()
+    const wanted = this.countWanted()
+    if (wanted === 0) return
+    if (this.parts.usesOwnSlots) this.parts.slots.observeWaiting(this.service, wanted)
+    this.parts.wakeCreditTask()
   }
 
   private scheduleCheck (now: number): void {
--- a/packages/almondrelay/src/process/dispatch/slotPool.ts
+++ b/packages/almondrelay/src/process/dispatch/slotPool.ts
@@ -12,6 +12,8 @@
   abstract getFree (service: string, now: number): Map<string, number>
   /** Requests of the own region that may start now. */
   abstract countFree (service: string, now: number): number
+  /** Takes note of requests of the own region that wait, so that capacity is borrowed for them. */
+  abstract observeWaiting (service: string, waiting: number): void
   /** Takes a slot for an attempt; false where none is left. */
   abstract acquire (service: string, target: string, holder: string, runsUntil: number, now: number): boolean
   /** The attempt's end is known. */
--- a/packages/almondrelay/src/process/limits/limitShare.ts
+++ b/packages/almondrelay/src/process/limits/limitShare.ts
@@ -77,9 +77,9 @@
     return Math.max(0, capacity - this.running)
   }
 
-  /** Takes note that one more request wanted to run, whether or not it could. */
-  observeDemand (): void {
-    this.peak = Math.max(this.peak, this.running + 1)
+  /** Takes note that so many more requests wanted to run, whether or not they could. */
+  observeDemand (wanted: number): void {
+    this.peak = Math.max(this.peak, this.running + wanted)
   }
 
   /** The next request for a loan, and the host to ask; no host stands for the lender of the region. */
--- a/packages/almondrelay/src/process/limits/regionLimits.ts
+++ b/packages/almondrelay/src/process/limits/regionLimits.ts
@@ -55,7 +55,7 @@
     this.expire(now)
     this.claims.advance(now)
     const shares = this.listShares(route)
-    shares.forEach((share) => share.observeDemand())
+    shares.forEach((share) => share.observeDemand(1))
     const full = shares.find((share) => share.computeFree(now) < 1)
     if (full !== undefined) return { allowed: false, reason: getReason(full.spec.kind), limit: full.spec.name }
     if (runsUntil <= now || this.holders.has(holder)) return { allowed: false, reason: RefusalReason.deadlinePassed, limit: '' }
@@ -64,6 +64,11 @@
     return { allowed: true }
   }
 
+  /** Takes note of requests that wait for room, so that it is borrowed for them; without it a full share never grows. */
+  observeDemand (route: LimitRoute, wanted: number): void {
+    this.listShares(route).forEach((share) => share.observeDemand(wanted))
+  }
+
   /** The same for a credit, whose room comes back when it expires unused. */
   acquireForCredit (route: LimitRoute, creditId: string, expiresAt: number, now: number): LimitDecision {
     const decision = this.acquire(route, creditId, expiresAt, now)
