--- a/packages/almondrelay/src/connection/limits/loanTask.ts
+++ b/packages/almondrelay/src/connection/limits/loanTask.ts
@@ -12,7 +12,7 @@
   findRegionLender: () => string | undefined
 }
 
-/** A host's loan lasts 1 s: a quarter of it, so that two renewals may be lost. */
+/** A small part of the 3 s that a host's loan lasts: a renewal that is due waits little, and an idle round costs no call. */
 const ROUND_MS = 250
 /** Least time between two rounds, however many requests wait. */
 const SHORTEST_ROUND_MS = 25
