--- /dev/null
+++ b/packages/almondrelay-stand-ins/src/capacity/point.ts
@@ -0,0 +1,5 @@
+/** One measured value. */
+export interface Point {
+  x: number
+  y: number
+}
--- a/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
+++ b/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
@@ -51,7 +51,7 @@
 }
 
 const sumReport = async (platform: FakePlatform, since = 0, until = 1_000 * MINUTE, wallNow = until) => {
-  const report = await new AccountReader(platform).read(since, until, wallNow, never)
+  const report = await new AccountReader(platform).read(since, until, never, wallNow)
   const total = report.minutes.flatMap((each) => each.rows).reduce((sum, row) => sum + row.count, 0)
   return { ...report, total }
 }
--- a/packages/almondrelay/src/process/account/accountReader.ts
+++ b/packages/almondrelay/src/process/account/accountReader.ts
@@ -25,7 +25,7 @@
    *
    * @throws AlmondrelayError of kind `platform-unavailable`; no part of an account is returned as the whole.
    */
-  async read (sinceMs: number, untilMs: number, wallNow: number, signal: AbortSignal): Promise<AccountReport> {
+  async read (sinceMs: number, untilMs: number, signal: AbortSignal, wallNow: number = untilMs): Promise<AccountReport> {
     const since = Math.floor(sinceMs / MINUTE_MS)
     const until = Math.floor(untilMs / MINUTE_MS)
     const pages: AccountPage[] = []
