Write the account as one page with pictures

Ruled out: drawing SVG by hand, and d3-shape alone: axes, legends and stacks would be ours. Lists of resources show figures only, weights three digits.

--- a/packages/almondrelay-cli/src/commands/createLookupCommand.ts
+++ b/packages/almondrelay-cli/src/commands/createLookupCommand.ts
@@ -49,5 +49,5 @@
 
 const formatAnswer = (answer: z.output<typeof LookupAnswer>): string => [
   `revision ${answer.revision}, to be kept for ${answer.ttlMs} ms`,
-  formatTable(['host', 'address', 'region', 'availability zone', 'weight'], answer.hosts.map((host) => [host.name, host.address, host.region, host.availabilityZone, host.weight]))
+  formatTable(['host', 'address', 'region', 'availability zone', 'weight'], answer.hosts.map((host) => [host.name, host.address, host.region, host.availabilityZone, host.weight.toFixed(3)]))
 ].join('\n')
--- a/packages/almondrelay-cli/src/commands/createProgram.ts
+++ b/packages/almondrelay-cli/src/commands/createProgram.ts
@@ -10,6 +10,7 @@
 import { createLookupCommand } from './createLookupCommand.js'
 import { createOutcomeCommand } from './createOutcomeCommand.js'
 import { createReplayCommand } from './createReplayCommand.js'
+import { createReportCommand } from './createReportCommand.js'
 import { createStatusCommand } from './createStatusCommand.js'
 import { createWatchCommand } from './createWatchCommand.js'
 import { formatExample } from './formatExample.js'
@@ -25,7 +26,8 @@
   createStatusCommand,
   createAccountCommand,
   createExplainCommand,
-  createReplayCommand
+  createReplayCommand,
+  createReportCommand
 ]
 
 const EXIT_CODES = `
--- a/packages/almondrelay-cli/src/output/formatResources.ts
+++ b/packages/almondrelay-cli/src/output/formatResources.ts
@@ -12,7 +12,8 @@
 }
 
 const formatFields = (status: ShownResource['status']): string => Object.entries(status ?? {})
-  .map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
+  .filter(([, value]) => typeof value !== 'object')
+  .map(([name, value]) => `${name}=${String(value)}`)
   .join(' ')
 
 const limitLength = (text: string): string => text.length > MAX_CELL ? `${text.slice(0, MAX_CELL)}…` : text
--- /dev/null
+++ b/packages/almondrelay-cli/src/report/timePoint.ts
@@ -0,0 +1,7 @@
+/** One value of one series in one minute. */
+export interface TimePoint {
+  /** Milliseconds since the Unix epoch. */
+  time: number
+  series: string
+  value: number
+}
