--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/__tests__/realPeers.test.ts
@@ -0,0 +1,84 @@
+import type { AddressInfo } from 'node:net'
+import Logger from 'bunyan'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ConfigurationStore } from '../../../process/configuration/configurationStore.js'
+import { LeavingTargets } from '../../../process/membership/leavingTargets.js'
+import { Membership } from '../../../process/membership/membership.js'
+import { SystemClock } from '../../../process/platform/systemClock.js'
+import { listenForPeers } from '../../peer/listenForPeers.js'
+import { PeerConnection } from '../../peer/peerConnection.js'
+import { ExchangeHub } from '../exchangeHub.js'
+import { handleExchange } from '../handleExchange.js'
+import { handleFetchChanges } from '../handleFetchChanges.js'
+import { runExchanges } from '../runExchanges.js'
+
+const clock = new SystemClock()
+
+/** Starts a peer that knows the address of `seed`, if any, and makes itself known to it. */
+async function startPeer (host: string, seed?: { host: string, peerAddress: string }) {
+  const owner = new AbortController()
+  const paused = new AbortController()
+  const waitForEver = async (): Promise<never> => await new Promise(() => {})
+  const server = await listenForPeers('127.0.0.1:0', {
+    exchange: async (request) => paused.signal.aborted ? await waitForEver() : handleExchange(request, hub),
+    fetchChanges: (request) => handleFetchChanges(request, hub)
+  }, owner.signal)
+  const peerAddress = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const place = { availabilityZone: 'akl-a', region: 'akl', callerAddress: '' }
+  const settings = { self: { host, incarnation: 1_790_000_000_000, peerAddress, ...place }, heartbeatMs: 50, suspectAfterMs: 300 }
+  const membership = new Membership(settings)
+  if (seed !== undefined) membership.addSeed({ ...seed, isLeaving: false, ...place })
+  const hub = new ExchangeHub({
+    ...settings,
+    membership,
+    leavingTargets: new LeavingTargets(),
+    store: new ConfigurationStore(),
+    clock,
+    log: new Logger({ name: 'test', streams: [] }),
+    createClient: (address, signal) => {
+      const connection = new PeerConnection(address)
+      signal.addEventListener('abort', () => { connection.close() }, { once: true })
+      return connection.client
+    },
+    handleRefusal: () => {}
+  }, owner.signal)
+  const task = runExchanges(hub, paused.signal)
+  const stop = async () => {
+    paused.abort()
+    owner.abort()
+    await task
+  }
+  /** Takes connections and requests from now on, and neither answers nor speaks. */
+  const stopAnswering = () => { paused.abort() }
+  return { host, peerAddress, membership, stop, stopAnswering }
+}
+
+async function waitForState (membership: Membership, host: string, state: string): Promise<void> {
+  while (membership.getMember(host, clock.getNow())?.state !== state) await clock.sleep(10, new AbortController().signal)
+}
+
+// A host's process ends: its sockets are closed and its port refuses connections. Over HTTP/2 and
+// connect the refusal arrives wrapped in other errors; taken for mere silence, what the host held
+// would stay held until every lease has run out.
+test('the end of a peer on real sockets is found as gone, and one that takes connections and is silent as suspected', async () => {
+  const first = await startPeer('akl-a-1')
+  const second = await startPeer('akl-a-2', first)
+  const third = await startPeer('akl-a-3', first)
+  for (const host of ['akl-a-2', 'akl-a-3']) await waitForState(first.membership, host, 'live')
+  const gone: string[] = []
+  first.membership.subscribe((event) => { if (event.kind === 'gone') gone.push(event.host) })
+
+  third.stopAnswering()
+  await waitForState(first.membership, 'akl-a-3', 'suspected')
+  assert.equal(gone, [])
+  await second.stop()
+  await waitForState(first.membership, 'akl-a-2', 'gone')
+  assert.equal(gone, ['akl-a-2'])
+  assert.is(first.membership.getMember('akl-a-3', clock.getNow())?.state, 'suspected')
+  await third.stop()
+  await waitForState(first.membership, 'akl-a-3', 'gone')
+  await first.stop()
+})
+
+test.run()
