Tell peers of more hosts in a small fleet, and of each once a round

Cause: status named hosts as behind for longer than 5 s after a change was in force on all 12 hosts of a fleet, as word of hosts without a direct exchange came by turns that were spent twice on the own zone. Change: a round for each peer, with each host once; up to three summaries a refresh where neighbours are few.

--- a/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
+++ b/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
@@ -25,6 +25,19 @@
   fleet.stopAll()
 })
 
+// An operator applies a change and waits for status to say that it is in force everywhere. It is,
+// but the host that was asked would wait for word of hosts that it has no exchange with.
+test('a host of a fleet of twelve knows within 5 s that every host has a change', async () => {
+  const fleet = await startFleet([...ZONES, 'wlg-b', 'chc-a', 'chc-b'], 2)
+  await fleet.getHost('wlg-a-02').changeLog.submit(makeWrite('w1', 'akl'), never)
+  await fleet.clock.advance(5_000)
+  for (const viewer of fleet.hosts.values()) {
+    const behind = viewer.membership.listMembers(fleet.clock.getNow()).filter((member) => member.revision < 1).map((member) => member.host)
+    assert.equal(behind, [], viewer.host)
+  }
+  fleet.stopAll()
+})
+
 // A host's process dies. Its callers wait until its neighbours know; its address refuses
 // connections, so they must know for sure within a second, and so must every other host.
 test('a dead process is known as gone within a second of virtual time', async () => {
--- /dev/null
+++ b/packages/almondrelay/src/connection/exchange/computeRefreshLength.ts
@@ -0,0 +1,11 @@
+/** Summaries of other hosts that go out with one refresh to each neighbour, over all neighbours. */
+const SUMMARIES_A_ROUND = 12
+const MOST = 3
+
+/**
+ * Summaries of other hosts in one refresh. With few neighbours there is room for more, and a fleet
+ * of a dozen hosts knows every host's revision within about three seconds.
+ */
+export function computeRefreshLength (peers: number): number {
+  return Math.max(1, Math.min(MOST, Math.floor(SUMMARIES_A_ROUND / Math.max(1, peers))))
+}
--- a/packages/almondrelay/src/connection/exchange/exchangeHub.ts
+++ b/packages/almondrelay/src/connection/exchange/exchangeHub.ts
@@ -5,6 +5,7 @@
 import type { HeartbeatSender } from '../../process/membership/heartbeatSender.js'
 import type { Neighbour } from '../../process/membership/neighbour.js'
 import type { Summary } from '../../process/membership/summary.js'
+import { computeRefreshLength } from './computeRefreshLength.js'
 import { computeRefreshMs } from './computeRefreshMs.js'
 import { decodeSender } from './decodeSender.js'
 import { decodeSummary } from './decodeSummary.js'
@@ -36,19 +37,17 @@
 
 /**
  * What goes to each peer and what comes from it. A message brings the news that the peer doesn't
- * have yet and, every second or two, this host's own summary and another one in turn; so its length
- * depends on what changes and not on how many hosts there are.
+ * have yet and, every second or two, this host's own summary and up to three others in turn; so its
+ * length depends on what changes and not on how many hosts there are.
  */
 export class ExchangeHub {
   private readonly peers = new Map<string, PeerProgress>()
   private readonly wakers = new Map<string, () => void>()
-  private readonly rotation: RefreshRotation
   private repairBegunAt = -Infinity
   private peerCount = 0
 
   constructor (readonly options: ExchangeOptions, signal: AbortSignal) {
     const { membership, store } = options
-    this.rotation = new RefreshRotation(membership, options.self.availabilityZone)
     const unsubscribe = membership.subscribe((event) => { if (event.kind === 'news') this.wakePeers() })
     signal.addEventListener('abort', unsubscribe, { once: true })
     membership.updateSelf({ revision: store.current.revision })
@@ -61,7 +60,7 @@
   getProgress (host: string): PeerProgress {
     const known = this.peers.get(host)
     if (known !== undefined) return known
-    const progress = makeProgress(0)
+    const progress = this.makeProgress(0)
     this.peers.set(host, progress)
     return progress
   }
@@ -135,7 +134,7 @@
     if (progress.isBroken) names.add(self.host)
     if (now - progress.refreshedAt >= computeRefreshMs(this.peerCount)) {
       progress.refreshedAt = now
-      for (const name of [self.host, ...this.rotation.takeNext()]) names.add(name)
+      for (const name of [self.host, ...progress.rotation.takeNext(peer, computeRefreshLength(this.peerCount))]) names.add(name)
     }
     names.delete(peer)
     const hosts = [...names].map((name) => membership.getSummary(name, now)).filter((summary): summary is Summary => summary !== undefined)
@@ -193,15 +192,31 @@
   private beginProgress (peer: HeartbeatSender): PeerProgress {
     const hosts = this.options.membership.listHosts()
     const [own, others] = [true, false].map((isOwn) => hosts.filter((each) => (each.availabilityZone === peer.availabilityZone) === isOwn).map((each) => each.host))
-    return { ...makeProgress(peer.incarnation), confirmed: this.options.membership.news.latest, backlog: [...others ?? [], ...own ?? []] }
+    return { ...this.makeProgress(peer.incarnation), confirmed: this.options.membership.news.latest, backlog: [...others ?? [], ...own ?? []] }
   }
 
   private observeTarget (word: LeavingTarget, now: number): void {
     const { leavingTargets } = this.options
     if (leavingTargets.observe({ service: word.service, target: word.target, isLeaving: word.leaving, ageMs: word.ageMs }, now)) this.wakePeers()
   }
-}
 
-function makeProgress (incarnation: number): PeerProgress {
-  return { incarnation, confirmed: 0, backlog: [], offeredBacklogLeft: Infinity, confirmedTargets: 0, offered: 0, offeredTargets: 0, contactAt: -Infinity, refreshedAt: -Infinity, isBroken: true, revision: 0, toldRevision: 0, distrustedUntil: -Infinity }
+  private makeProgress (incarnation: number): PeerProgress {
+    const { membership, self } = this.options
+    return {
+      incarnation,
+      confirmed: 0,
+      backlog: [],
+      offeredBacklogLeft: Infinity,
+      confirmedTargets: 0,
+      offered: 0,
+      offeredTargets: 0,
+      contactAt: -Infinity,
+      refreshedAt: -Infinity,
+      rotation: new RefreshRotation(membership, self.availabilityZone),
+      isBroken: true,
+      revision: 0,
+      toldRevision: 0,
+      distrustedUntil: -Infinity
+    }
+  }
 }
--- a/packages/almondrelay/src/connection/exchange/measureExchangeBytes.ts
+++ b/packages/almondrelay/src/connection/exchange/measureExchangeBytes.ts
@@ -2,14 +2,13 @@
 import { ExchangeRequestSchema, SenderSchema } from 'almondrelay-protocol'
 import { Membership } from '../../process/membership/membership.js'
 import type { Summary } from '../../process/membership/summary.js'
+import { computeRefreshLength } from './computeRefreshLength.js'
 import { computeRefreshMs } from './computeRefreshMs.js'
 import { encodeSummary } from './encodeSummary.js'
 import { PROTOCOL_VERSION } from '../../process/dispatch/protocolVersion.js'
 
 /** HTTP/2 and connect framing of one exchange, both ways, as counted at a socket; see docs/design/membership.md. */
 const FRAMING_BYTES = 102
-/** This host's own summary and one other. */
-const SUMMARIES_A_REFRESH = 2
 /** Time between two calls of a host on a watcher that isn't its neighbour, for each host of the zone. */
 const VISIT_INTERVAL_A_HOST_MS = 340
 const INCARNATION = 1_790_000_000_000
@@ -45,7 +44,7 @@
   const visitIntervalMs = Math.max(2_000, size.hostsAZone * VISIT_INTERVAL_A_HOST_MS)
   const rates = [...plan.map((neighbour) => 1_000 / neighbour.intervalMs), ...Array.from({ length: Math.ceil(visitors / 2) }, () => 1_000 / visitIntervalMs)]
   const heartbeatBytes = encodeMessage(self, 0)
-  const refreshBytes = encodeMessage(self, SUMMARIES_A_REFRESH) - heartbeatBytes
+  const refreshBytes = encodeMessage(self, 1 + computeRefreshLength(plan.length)) - heartbeatBytes
   const exchangesASecond = sumUp(rates)
   const refreshes = sumUp(rates.map((rate) => Math.min(rate, 1_000 / computeRefreshMs(plan.length))))
   const bytesASecond = exchangesASecond * (2 * heartbeatBytes + FRAMING_BYTES) + refreshes * 2 * refreshBytes
--- a/packages/almondrelay/src/connection/exchange/peerProgress.ts
+++ b/packages/almondrelay/src/connection/exchange/peerProgress.ts
@@ -1,3 +1,5 @@
+import type { RefreshRotation } from './refreshRotation.js'
+
 /** How far a peer has this host's news. */
 export interface PeerProgress {
   /** Incarnation of the peer that this holds for; 0 before it was heard. */
@@ -15,6 +17,8 @@
   /** Last message from it, asked or answered. */
   contactAt: number
   refreshedAt: number
+  /** The hosts that it hears of in turn. */
+  rotation: RefreshRotation
   /** The last exchange with it failed, or there was none. */
   isBroken: boolean
   /** The revision that it last named. */
--- a/packages/almondrelay/src/connection/exchange/refreshRotation.ts
+++ b/packages/almondrelay/src/connection/exchange/refreshRotation.ts
@@ -1,23 +1,35 @@
 import type { Membership } from '../../process/membership/membership.js'
 
-/** Hosts whose summary goes to peers in turn: by turns one of the own zone and one of the others. */
+/** Hosts of other zones in one round, at least; in a small fleet that is all of them. */
+const FEWEST_OTHERS = 20
+
+/**
+ * Hosts whose summary goes to one peer in turn. A round has each host of the own zone once and as
+ * many of the others, where the round before left off; so the own zone is heard of soon in a fleet
+ * of any size.
+ */
 export class RefreshRotation {
-  private own: string[] = []
+  private round: string[] = []
   private others: string[] = []
-  private isOwnNext = false
 
   constructor (private readonly membership: Membership, private readonly ownZone: string) {}
 
-  takeNext (): string[] {
-    if (this.own.length === 0 || this.others.length === 0) this.fill()
-    this.isOwnNext = !this.isOwnNext
-    const next = this.isOwnNext ? this.own.pop() ?? this.others.pop() : this.others.pop() ?? this.own.pop()
-    return next === undefined ? [] : [next]
+  takeNext (peer: string, count: number): string[] {
+    const taken: string[] = []
+    while (taken.length < count) {
+      if (this.round.length === 0) this.fillRound(peer)
+      const next = this.round.pop()
+      if (next === undefined) return taken
+      taken.push(next)
+    }
+    return taken
   }
 
-  private fill (): void {
-    const hosts = this.membership.listHosts()
-    if (this.own.length === 0) this.own = hosts.filter((each) => each.availabilityZone === this.ownZone).map((each) => each.host)
+  private fillRound (peer: string): void {
+    const hosts = this.membership.listHosts().filter((each) => each.host !== peer)
+    const own = hosts.filter((each) => each.availabilityZone === this.ownZone).map((each) => each.host)
     if (this.others.length === 0) this.others = hosts.filter((each) => each.availabilityZone !== this.ownZone).map((each) => each.host)
+    const others = this.others.splice(-Math.max(FEWEST_OTHERS, own.length))
+    this.round = [...own, ...others]
   }
 }
