Tell a host's silence only while nobody hears it, and speak again with a zone that was cut off

A first mend showed a second fault that flapping had hidden: once a whole zone is suspected it has no watcher, so neither side of a cut tried the other again after it was mended. Ruled out: telling a neighbour's own finding whatever others heard, since a host that only one can't reach would look silent to all. Change: silence is kept with the word that it is of and lifted by newer word; of a zone where nobody is live, the suspected host tried longest ago is tried.

--- a/packages/almondrelay/src/process/membership/__tests__/membership.test.ts
+++ b/packages/almondrelay/src/process/membership/__tests__/membership.test.ts
@@ -93,6 +93,22 @@
   assert.is(membership.getMember('akl-a-2', 1_000)?.state, 'gone')
 })
 
+// One host can't reach another, which everybody else can; or it once could not, and is no neighbour
+// of it any more. It went on telling that the host is silent, beside the others' newest word of it,
+// and a live host stayed suspected for good (found by fleetFaults.test.ts, seed 15).
+test('a host that others hear is not told as silent', () => {
+  const membership = createMembership('akl-a-1')
+  receiveHeartbeat(membership, makeSummary('akl-a-2'), 0)
+  membership.planNeighbours(0)
+  membership.advance(1_200)
+  assert.is(membership.getSummary('akl-a-2', 1_200)?.isSilent, true)
+  membership.observeSummary(makeSummary('akl-a-2', { ageMs: 100 }), 1_500)
+  assert.is(membership.getMember('akl-a-2', 1_500)?.state, 'suspected')
+  assert.is(membership.getSummary('akl-a-2', 1_500)?.isSilent, false)
+  membership.advance(1_600)
+  assert.is(membership.getSummary('akl-a-2', 1_600)?.isSilent, false)
+})
+
 // A process is slow: its heartbeats come late, out of order, or are told by others with any age,
 // and calls to it time out. Whatever the order, without evidence it must never be declared gone.
 test('no order of late, lost and repeated word makes a host gone without evidence (seed 11)', () => {
--- a/packages/almondrelay/src/process/membership/makeMemberEntry.ts
+++ b/packages/almondrelay/src/process/membership/makeMemberEntry.ts
@@ -17,8 +17,7 @@
     loads: [],
     heardAt: -Infinity,
     directAt: -Infinity,
-    isReportedSilent: false,
-    isSilenceTold: false,
+    isSilent: false,
     triedAt: -Infinity,
     listedAt: -Infinity,
     isListedLeaving: listed.isLeaving
--- a/packages/almondrelay/src/process/membership/memberEntry.ts
+++ b/packages/almondrelay/src/process/membership/memberEntry.ts
@@ -6,10 +6,8 @@
   heardAt: number
   /** When it last spoke to this host. */
   directAt: number
-  /** Others, who speak with it, say that it is silent. */
-  isReportedSilent: boolean
-  /** This host, whose neighbour it is, finds it silent and has told so. */
-  isSilenceTold: boolean
+  /** A neighbour of it, perhaps this host, has found it silent since `heardAt`. */
+  isSilent: boolean
   /** When this host last tried it in vain. */
   triedAt: number
   /** When the host list last named it; Infinity where the settings do, -Infinity where nothing does. */
--- a/packages/almondrelay/src/process/membership/membership.ts
+++ b/packages/almondrelay/src/process/membership/membership.ts
@@ -24,6 +24,10 @@
  */
 const FORGET_AFTER_MS = 3_600_000
 
+/** A host of which others have word that is newer than this one's by more is one that they hear and this one doesn't. */
+const OTHERS_HEAR_MS = 3_000
+/** Word of such a host comes with refreshes; only when it has long ceased do the others not hear it either. */
+const OTHERS_SILENT_MS = 10_000
 /** Silence is judged anew this often, so that asking of one member for each request costs little. */
 const JUDGE_EVERY_MS = 50
 
@@ -116,9 +120,9 @@
     if (heardAt < known.heardAt - SAME_WORD_MS) return
     const isNewer = heardAt > known.heardAt + SAME_WORD_MS
     if (isNewer) Object.assign(known, { heardAt, loads: summary.loads })
-    const isReportedSilent = summary.isSilent || (known.isReportedSilent && !isNewer)
-    if (known.isReportedSilent === isReportedSilent) return
-    known.isReportedSilent = isReportedSilent
+    const isSilent = summary.isSilent || (known.isSilent && !isNewer)
+    if (known.isSilent === isSilent) return
+    known.isSilent = isSilent
     this.announce(known)
   }
 
@@ -153,7 +157,7 @@
       .filter((entry) => entry.heardAt === -Infinity || (entry.isGone && entry.listedAt > -Infinity))
       .sort((a, b) => a.triedAt - b.triedAt || (a.host < b.host ? -1 : 1))
       .map((entry) => this.describeMember(entry, new Set(), now))
-    const plan = planNeighbours({ self, members, heartbeatMs: this.options.heartbeatMs, tries, chooseWatchers: (zone) => chooseWatchers(members, zone) })
+    const plan = planNeighbours({ self, members, heartbeatMs: this.options.heartbeatMs, tries, getTriedAt: (host) => this.entries.get(host)?.triedAt ?? -Infinity, chooseWatchers: (zone) => chooseWatchers(members, zone) })
     this.silence.setIntervals(plan, now)
     return plan
   }
@@ -163,11 +167,13 @@
     const silent = this.listSilent(now)
     for (const entry of [...this.entries.values()]) {
       if (entry.host === this.options.self.host) continue
-      if (now - Math.max(entry.heardAt, entry.listedAt) > FORGET_AFTER_MS) this.remove(entry)
-      else if (!entry.isGone && !entry.isSilenceTold && silent.has(entry.host) && this.silence.isNeighbour(entry.host)) {
-        entry.isSilenceTold = true
-        this.announce(entry)
+      if (now - Math.max(entry.heardAt, entry.listedAt) > FORGET_AFTER_MS) {
+        this.remove(entry)
+        continue
       }
+      if (entry.isGone || entry.isSilent || !silent.has(entry.host) || !this.isWitness(entry, now)) continue
+      entry.isSilent = true
+      this.announce(entry)
     }
   }
 
@@ -177,7 +183,7 @@
     if (entry === undefined || entry.incarnation === 0) return undefined
     const { incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, loads } = entry
     const ageMs = host === this.options.self.host ? 0 : Math.round(Math.max(0, now - entry.heardAt))
-    return { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent: entry.isSilenceTold || entry.isReportedSilent, ageMs, loads }
+    return { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent: entry.isSilent, ageMs, loads }
   }
 
   /** The hosts of which there is word to pass on, gone ones among them, so that older word doesn't bring them back. */
@@ -213,8 +219,8 @@
   }
 
   private touchDirect (entry: MemberEntry, now: number): void {
-    const isNews = entry.directAt === -Infinity || entry.isSilenceTold || entry.isReportedSilent
-    Object.assign(entry, { heardAt: now, directAt: now, isReportedSilent: false, isSilenceTold: false })
+    const isNews = entry.directAt === -Infinity || entry.isSilent
+    Object.assign(entry, { heardAt: now, directAt: now, isSilent: false })
     if (isNews) this.announce(entry)
   }
 
@@ -225,6 +231,17 @@
     this.emit({ kind: 'gone', host: entry.host, incarnation: entry.incarnation, evidence })
   }
 
+  /**
+   * Whether this host's own finding of silence is worth telling: it is a neighbour, and nobody has
+   * heard the host lately. Told with the others' newer word of it, the finding would make a host
+   * that only this one can't reach look silent to all.
+   */
+  private isWitness (entry: MemberEntry, now: number): boolean {
+    if (!this.silence.isNeighbour(entry.host)) return false
+    const doOthersHear = entry.heardAt - entry.directAt > OTHERS_HEAR_MS
+    return now - entry.heardAt > (doOthersHear ? OTHERS_SILENT_MS : this.options.suspectAfterMs)
+  }
+
   private describeMember (entry: MemberEntry, silent: ReadonlySet<string>, now: number): Member {
     return entry.host === this.options.self.host ? describeSelf(entry) : describeMember(entry, silent.has(entry.host), now)
   }
--- a/packages/almondrelay/src/process/membership/planNeighbours.ts
+++ b/packages/almondrelay/src/process/membership/planNeighbours.ts
@@ -26,6 +26,8 @@
   /** Hosts to try, those whose last try is longest ago first. */
   tries: readonly Member[]
   chooseWatchers: (availabilityZone: string) => string[]
+  /** When this host last tried another in vain. */
+  getTriedAt: (host: string) => number
 }
 
 /**
@@ -55,7 +57,8 @@
   }
   const findWatcher = (availabilityZone: string): Member | undefined => {
     const names = input.chooseWatchers(availabilityZone)
-    return input.members.find((member) => member.host === (names[index] ?? names[0]))
+    const name = names[index] ?? names[0]
+    return name === undefined ? chooseSuspect(input, availabilityZone) : input.members.find((member) => member.host === name)
   }
   for (const name of chooseRegionZones(input)) add(findWatcher(name), Math.max(input.heartbeatMs, REGION_INTERVAL_MS))
   for (const name of chooseFarZones(input)) add(findWatcher(name), Math.max(input.heartbeatMs, FAR_INTERVAL_MS))
@@ -84,6 +87,16 @@
   return [...chosen, ...suspects]
 }
 
+/**
+ * Of a zone where nobody is live, the suspected host that was tried longest ago. Without it two
+ * sides of a cut, each of which suspects the other whole, would never speak again once it is mended.
+ */
+function chooseSuspect (input: PlanInput, availabilityZone: string): Member | undefined {
+  return input.members
+    .filter((member) => member.availabilityZone === availabilityZone && member.state === MemberState.suspected)
+    .sort((a, b) => input.getTriedAt(a.host) - input.getTriedAt(b.host) || (a.host < b.host ? -1 : 1))[0]
+}
+
 function chooseRegionZones (input: PlanInput): string[] {
   return chooseOthers(listZones(input, input.self.region), input.self.availabilityZone)
 }
--- a/packages/almondrelay/src/process/membership/silenceRule.ts
+++ b/packages/almondrelay/src/process/membership/silenceRule.ts
@@ -45,7 +45,7 @@
 
   private isSilent (entry: MemberEntry, now: number): boolean {
     const watched = this.watched.get(entry.host)
-    if (watched === undefined || entry.isReportedSilent) return entry.isReportedSilent
+    if (watched === undefined || entry.isSilent) return entry.isSilent
     const slowest = watched.intervalMs > this.heartbeatMs ? watched.intervalMs * MISSED_HEARTBEATS : 0
     return now - Math.max(entry.directAt, watched.since) > Math.max(this.suspectAfterMs, slowest)
   }
