Plan neighbours when something changed, and judge silence in one pass

Cause: planning on each of four ticks a second looked at every known host and took 1.33% of a core at 4,800 hosts. Change: a plan where there is news, and every 2 s otherwise; listSilent groups by zone only where somebody is silent.

--- a/packages/almondrelay/src/connection/exchange/runExchanges.ts
+++ b/packages/almondrelay/src/connection/exchange/runExchanges.ts
@@ -2,6 +2,12 @@
 import type { ExchangeHub } from './exchangeHub.js'
 import { runPeerExchange } from './runPeerExchange.js'
 
+/**
+ * Neighbours are planned anew where something changed, and this often otherwise, to try other hosts
+ * that are silent or were never heard: a plan looks at every known host, 3 ms of work at 4,800.
+ */
+const REPLAN_MS = 2_000
+
 interface RunningExchange {
   neighbour: Neighbour
   owner: AbortController
@@ -12,13 +18,21 @@
 export async function runExchanges (hub: ExchangeHub, signal: AbortSignal): Promise<void> {
   const { membership, leavingTargets, clock, heartbeatMs } = hub.options
   const running = new Map<string, RunningExchange>()
+  let plan: readonly Neighbour[] = []
+  let plannedAt = -Infinity
+  let plannedNews = -1
   while (!signal.aborted) {
     const now = clock.getNow()
     membership.advance(now)
     leavingTargets.expire(now)
     hub.prunePeers(now)
     // A visitor comes first, so that the plan's own interval holds where a host is both.
-    applyPlan([...hub.listVisitors(now), ...membership.planNeighbours(now)], running, hub)
+    if (membership.news.latest !== plannedNews || now - plannedAt >= REPLAN_MS) {
+      plan = membership.planNeighbours(now)
+      plannedAt = now
+      plannedNews = membership.news.latest
+    }
+    applyPlan([...hub.listVisitors(now), ...plan], running, hub)
     hub.setPeerCount(running.size)
     await clock.sleep(heartbeatMs, signal)
   }
--- a/packages/almondrelay/src/process/membership/silenceRule.ts
+++ b/packages/almondrelay/src/process/membership/silenceRule.ts
@@ -28,17 +28,19 @@
   }
 
   listSilent (entries: Iterable<MemberEntry>, self: { host: string, availabilityZone: string }, now: number): ReadonlySet<string> {
-    const heard = [...entries].filter((entry) => entry.host !== self.host && !entry.isGone && entry.heardAt > -Infinity)
+    const heard: MemberEntry[] = []
     const silent = new Set<string>()
-    const zones = new Map<string, MemberEntry[]>()
-    for (const entry of heard) {
-      if (this.isSilent(entry, now)) silent.add(entry.host)
-      const zone = zones.get(entry.availabilityZone)
-      if (zone === undefined) zones.set(entry.availabilityZone, [entry])
-      else zone.push(entry)
+    const zones = new Set<string>()
+    for (const entry of entries) {
+      if (entry.isGone || entry.heardAt === -Infinity || entry.host === self.host) continue
+      heard.push(entry)
+      if (!this.isSilent(entry, now)) continue
+      silent.add(entry.host)
+      if (entry.availabilityZone !== self.availabilityZone) zones.add(entry.availabilityZone)
     }
-    for (const [name, zone] of zones) {
-      if (name !== self.availabilityZone && isZoneSilent(zone, silent)) for (const entry of zone) silent.add(entry.host)
+    for (const name of zones) {
+      const zone = heard.filter((entry) => entry.availabilityZone === name)
+      if (isZoneSilent(zone, silent)) for (const entry of zone) silent.add(entry.host)
     }
     return silent
   }
