Keep a listener on every peer session, so that its last error can't end the host

The session manager takes its listeners off a session that it closes; a ping that had just timed out then reported to nobody. Ruled out: the ping's length (the machine was busy, the peer lived); an error in our own tasks. Change: GuardedSessionManager keeps a listener for the session's whole life.

--- a/packages/almondrelay/src/connection/peer/peerConnection.ts
+++ b/packages/almondrelay/src/connection/peer/peerConnection.ts
@@ -1,6 +1,7 @@
 import { createClient, type Client } from '@connectrpc/connect'
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import { PeerService } from 'almondrelay-protocol'
+import { GuardedSessionManager } from './guardedSessionManager.js'
 
 const PING_INTERVAL_MS = 500
 const PING_TIMEOUT_MS = 1_000
@@ -18,11 +19,11 @@
  */
 export class PeerConnection {
   readonly client: Client<typeof PeerService>
-  private readonly sessions: Http2SessionManager
+  private readonly sessions: GuardedSessionManager
 
   constructor (readonly address: string) {
     const baseUrl = `http://${address}`
-    this.sessions = new Http2SessionManager(baseUrl, {
+    this.sessions = new GuardedSessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS,
       pingTimeoutMs: PING_TIMEOUT_MS
     })
