Answer look-ups by weight in the caller's region

Ruled out: sending callers to another region by policy: the shift cap could not count them there. Change: weights from the slots that hosts own, moved in bounded steps and logged each 100 ms at most; each look-up draws an order from them; the caller's region is found by its block; Caller draws by weight.

--- a/packages/almondrelay-faults/src/fleet/fakeHost.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeHost.ts
@@ -120,6 +120,7 @@
       reachable: !gone,
       gone,
       freeSlots: new Map(loads),
+      slots: new Map(loads),
       ageMs: 0
     }
   }
--- a/packages/almondrelay/src/caller/caller.ts
+++ b/packages/almondrelay/src/caller/caller.ts
@@ -5,6 +5,7 @@
 import { buildRefusal } from '../request/buildRefusal.js'
 import { Outcome } from '../request/outcome.js'
 import { RefusalReason } from '../request/refusalReason.js'
+import { sortByDraw } from '../version/weights/sortByDraw.js'
 import type { CallerCall } from './callerCall.js'
 import type { CallerHost } from './callerHost.js'
 import type { CallerOptions } from './callerOptions.js'
@@ -122,13 +123,15 @@
     return false
   }
 
-  /** The home first, then others by the look-up's order. */
+  /** The home first, then others by the look-up's weights. */
   private async chooseHost (state: CallState): Promise<CallerHost | undefined> {
     const { home, failed } = state
     if (home !== undefined && !failed.has(home.name)) return home
     try {
       const hosts = await this.lookups.find(state.call.service, state.signal)
-      return hosts.find((host) => !failed.has(host.name))
+      const usable = hosts.filter((host) => !failed.has(host.name))
+      const [first] = sortByDraw(usable.map(({ name, weight }) => ({ host: name, weight })), this.options.random)
+      return usable.find((host) => host.name === first?.host)
     } catch (error) {
       if (error instanceof AlmondrelayError) return undefined
       throw error
--- a/packages/almondrelay/src/process/daemon/buildHost.ts
+++ b/packages/almondrelay/src/process/daemon/buildHost.ts
@@ -96,7 +96,7 @@
     hub,
     leavingTargets,
     isWatcher,
-    lookups: new LookupAnswerer({ identity, clock, random, services, directory, ttlMs: settings.lookups.ttlMs }),
+    lookups: new LookupAnswerer({ identity, clock, random, services, directory, recorder, ttlMs: settings.lookups.ttlMs }),
     answers: new AccountRecorder({ identity, clock, ledger, recorder, metrics, getConfiguration: () => services.configuration }),
     accountWriter: new AccountWriter(ledger, platform, {
       wallNow: () => clock.getWallTime(),
--- a/packages/almondrelay/src/process/daemon/memberDirectory.ts
+++ b/packages/almondrelay/src/process/daemon/memberDirectory.ts
@@ -55,6 +55,7 @@
     reachable: member.state === MemberState.live || member.state === MemberState.leaving,
     gone: member.state === MemberState.gone,
     freeSlots: new Map(member.loads.map((load) => [load.service, load.freeSlots])),
+    slots: new Map(member.loads.map((load) => [load.service, load.freeSlots + load.running])),
     ageMs: member.heardAgeMs
   }
 }
--- a/packages/almondrelay/src/process/dispatch/knownHost.ts
+++ b/packages/almondrelay/src/process/dispatch/knownHost.ts
@@ -14,6 +14,8 @@
   gone: boolean
   /** Free slots by service, as it last counted them. */
   freeSlots: ReadonlyMap<string, number>
+  /** Slots that it may use by service, free or not. */
+  slots: ReadonlyMap<string, number>
   /** Age of what it last told, in milliseconds. */
   ageMs: number
 }
--- a/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
+++ b/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
@@ -1,29 +1,17 @@
 import type { Random } from '../../request/random.js'
-import type { Clock } from '../platform/clock.js'
+import { ClientBlocks } from '../../version/clientBlocks/clientBlocks.js'
+import type { Configuration } from '../../version/configuration.js'
+import { computeLookupAnswer } from '../../version/weights/computeLookupAnswer.js'
+import type { HostView } from '../../version/weights/hostView.js'
+import type { LookupAnswer } from '../../version/weights/lookupAnswer.js'
+import { sortByDraw } from '../../version/weights/sortByDraw.js'
+import type { DecisionRecorder } from '../dispatch/decisionRecorder.js'
 import type { HostDirectory } from '../dispatch/hostDirectory.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
 import type { KnownHost } from '../dispatch/knownHost.js'
 import type { Services } from '../dispatch/services.js'
-
-interface LookupHost {
-  name: string
-  incarnation: number
-  address: string
-  region: string
-  availabilityZone: string
-  weight: number
-}
-
-interface LookupAnswer {
-  revision: number
-  ttlMs: number
-  hosts: LookupHost[]
-}
-
-type LookupResult =
-  | { kind: 'answer', answer: LookupAnswer }
-  | { kind: 'unknown-service' }
-  | { kind: 'not-ready' }
+import type { Clock } from '../platform/clock.js'
+import type { LookupResult } from './lookupResult.js'
 
 interface LookupParts {
   identity: HostIdentity
@@ -31,52 +19,114 @@
   random: Random
   services: Services
   directory: HostDirectory
+  recorder: DecisionRecorder
   ttlMs: number
 }
 
+/** Hosts named in one answer; each costs 150 bytes, and a caller tries no more. */
 const MAX_HOSTS = 6
-const TTL_SPREAD = 0.5
+/** Age at which weights are computed anew, in milliseconds; look-ups in between draw from the same ones. */
+const WEIGHTS_MS = 100
+/** `computeLookupAnswer` spreads times to live up to this factor of the mean. */
+const LONGEST_TTL = 1.25
 
-/** Answers callers' look-ups: the entry hosts to use for a service, best first. */
+/**
+ * Answers callers' look-ups: the entry hosts of the caller's region, in an order drawn by weight, or
+ * of other regions where none of them can be reached. Work is shifted between regions by the hosts, with
+ * credits and under the caps, not by sending callers there.
+ */
 export class LookupAnswerer {
+  private readonly weights = new Map<string, LookupAnswer>()
+  private blocks = ClientBlocks.empty
+  private indexed: Configuration | undefined
+
   constructor (private readonly parts: LookupParts) {}
 
   /** Longest time for which a caller may keep an answer, in milliseconds. */
   get maxTtlMs (): number {
-    return this.parts.ttlMs
+    return this.parts.ttlMs * LONGEST_TTL
   }
 
-  answer (service: string, _from: string | undefined): LookupResult {
-    const { services, directory, random, ttlMs } = this.parts
-    const configuration = services.configuration
+  /** `from`: the client's IP number, where the caller asks for one. */
+  answer (service: string, from: string | undefined): LookupResult {
+    const { services, directory, random } = this.parts
+    const { configuration } = services
     if (configuration === undefined) return { kind: 'not-ready' }
     if (services.find(service) === undefined) return { kind: 'unknown-service' }
-    const hosts = directory.list().filter((host) => host.reachable && !host.gone && !host.leaving)
+    const weights = this.findWeights(service, this.findRegion(configuration, from))
+    const hosts = sortByDraw(weights.hosts, random).slice(0, MAX_HOSTS).flatMap(({ host, weight }) => {
+      const known = directory.find(host)
+      return known === undefined || known.callerAddress === '' ? [] : [describeHost(known, weight)]
+    })
     if (hosts.length === 0) return { kind: 'not-ready' }
-    const ranked = hosts
-      .map((host) => ({ host, distance: this.computeDistance(host), draw: random() }))
-      .sort((one, other) => one.distance - other.distance || other.draw - one.draw)
-      .slice(0, MAX_HOSTS)
-    return {
-      kind: 'answer',
-      answer: {
-        revision: configuration.revision,
-        ttlMs: Math.round(ttlMs * (1 - TTL_SPREAD * random())),
-        hosts: ranked.map(({ host }) => ({
-          name: host.name,
-          incarnation: host.incarnation,
-          address: host.callerAddress,
-          region: host.region,
-          availabilityZone: host.availabilityZone,
-          weight: 1 / ranked.length
-        }))
-      }
+    return { kind: 'answer', answer: { revision: configuration.revision, ttlMs: this.sampleTtlMs(), hosts } }
+  }
+
+  private findRegion (configuration: Configuration, from: string | undefined): string {
+    if (from === undefined) return this.parts.identity.region
+    if (this.indexed !== configuration) {
+      this.blocks = this.blocks.withRegions(new Map(configuration.list('Region').map((region) => [region.name, region.spec.clientBlocks])))
+      this.indexed = configuration
     }
+    return this.blocks.findRegion(from) ?? this.parts.identity.region
+  }
+
+  private findWeights (service: string, region: string): LookupAnswer {
+    const { clock, random, ttlMs, recorder } = this.parts
+    const now = clock.getNow()
+    const key = `${service}/${region}`
+    const previous = this.weights.get(key)
+    if (previous !== undefined && now - previous.computedAt < WEIGHTS_MS && this.isEveryHostUsable(previous)) return previous
+    const input = { hosts: this.listViews(service, region), ttlMs }
+    const weights = computeLookupAnswer(input, previous, now, random)
+    recorder.record({ decision: 'lookup', requestId: '', input: { service, region, ...input }, output: weights })
+    this.weights.set(key, weights)
+    return weights
   }
 
-  private computeDistance (host: KnownHost): number {
-    const { identity } = this.parts
-    if (host.availabilityZone === identity.availabilityZone) return 0
-    return host.region === identity.region ? 1 : 2
+  /** A host that leaves or can't be reached is out at once, not with the next weights. */
+  private isEveryHostUsable (weights: LookupAnswer): boolean {
+    return weights.hosts.every(({ host }) => isUsable(this.parts.directory.find(host)))
+  }
+
+  private listViews (service: string, region: string): HostView[] {
+    const usable = this.parts.directory.list().filter(isUsable)
+    const near = usable.filter((host) => host.region === region)
+    const hosts = near.length > 0 ? near : usable
+    const hasSlots = hosts.some((host) => (host.slots.get(service) ?? 0) > 0)
+    return hosts.map((host) => describeView(host, service, hasSlots))
+  }
+
+  private sampleTtlMs (): number {
+    const { random, ttlMs } = this.parts
+    return Math.round(ttlMs * (LONGEST_TTL - 2 * (LONGEST_TTL - 1) * random()))
+  }
+}
+
+function isUsable (host: KnownHost | undefined): host is KnownHost {
+  return host !== undefined && host.reachable && !host.gone && !host.leaving
+}
+
+/** Where no host has told of slots yet, all count alike. */
+function describeView (host: KnownHost, service: string, hasSlots: boolean): HostView {
+  return {
+    name: host.name,
+    region: host.region,
+    freeSlots: hasSlots ? host.freeSlots.get(service) ?? 0 : 1,
+    slots: hasSlots ? host.slots.get(service) ?? 0 : 1,
+    ageMs: Math.round(host.ageMs),
+    leaving: host.leaving,
+    reachable: host.reachable
+  }
+}
+
+function describeHost (host: KnownHost, weight: number) {
+  return {
+    name: host.name,
+    incarnation: host.incarnation,
+    address: host.callerAddress,
+    region: host.region,
+    availabilityZone: host.availabilityZone,
+    weight: Math.round(weight * 1_000) / 1_000
   }
 }
--- a/packages/almondrelay/src/version/weights/computeLookupAnswer.ts
+++ b/packages/almondrelay/src/version/weights/computeLookupAnswer.ts
@@ -3,6 +3,7 @@
 import type { HostWeight } from './hostWeight.js'
 import type { LookupAnswer } from './lookupAnswer.js'
 import type { LookupInput } from './lookupInput.js'
+import { sortByDraw } from './sortByDraw.js'
 
 /** Part of a host's weight, and at least of an equal share, by which it may move in one time to live. */
 const STEP = 0.25
@@ -75,10 +76,3 @@
   if (total <= 0) return weights.map(({ host }) => ({ host, weight: 1 / weights.length }))
   return weights.map(({ host, weight }) => ({ host, weight: weight / total }))
 }
-
-/** A weighted random order: callers that only ever use the first host are spread by weight too. */
-function sortByDraw (weights: readonly HostWeight[], random: Random): HostWeight[] {
-  const drawn = weights.map((entry) => ({ entry, key: entry.weight <= 0 ? Infinity : -Math.log(1 - random()) / entry.weight }))
-  drawn.sort((one, other) => one.key - other.key)
-  return drawn.map(({ entry }) => entry)
-}
