Don't count a caller's going away against its target

Cause: p50 of 1.5 s at a third of the capacity: an attempt that its caller gave up was told to the chooser as a failure; after two the zone's only target lost its work and got one trial at a time. Change: a cancelled attempt says so; the expected cost of its route goes with each attempt.

--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -71,6 +71,11 @@
     return Math.max(0, this.parts.queue.waiting - this.credits.length)
   }
 
+  /** Expected service time of a route, in milliseconds, as learnt here. */
+  estimateCost (route: string): number {
+    return this.parts.queue.estimateCost(route)
+  }
+
   /** Waits for a slot; a refusal is final for this attempt. */
   admit (request: QueuedRequest, attemptId: string, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotGrant | LaneRefusal> {
     const { queue, clock, recorder } = this.parts
--- a/packages/almondrelay/src/process/dispatch/peerRequests.ts
+++ b/packages/almondrelay/src/process/dispatch/peerRequests.ts
@@ -111,7 +111,7 @@
       slots.release(request.attemptId, now)
       return buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.noTarget, message: `target ${used.target} was removed: ask for another credit` })
     }
-    const result = await runner.run(buildAttempt(request, deadlineAt), target, runtime.chooser, runtime.spec.maxBodyBytes)
+    const result = await runner.run(buildAttempt(request, deadlineAt), target, runtime)
     services.advance(clock.getNow())
     return buildAnswer(result)
   }
--- a/packages/almondrelay/src/process/dispatch/requestExecutor.ts
+++ b/packages/almondrelay/src/process/dispatch/requestExecutor.ts
@@ -91,7 +91,7 @@
     const { runtime } = execution
     const target = runtime.findTarget(grant.target)
     if (target === undefined) return { kind: 'not-run', reason: RefusalReason.noTarget, message: `target ${grant.target} was removed: try again` }
-    return await this.parts.runner.run(attempt, target, runtime.chooser, runtime.spec.maxBodyBytes, execution.signal)
+    return await this.parts.runner.run(attempt, target, runtime, execution.signal)
   }
 
   private buildAttempt ({ request, deadlineAt }: Execution): Attempt {
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -39,6 +39,12 @@
     this.chooser.report(target, report, now)
   }
 
+  /** Expected service time of a route, in milliseconds; undefined before any queue has seen the service. */
+  estimateCost (route: string): number | undefined {
+    const [lane] = this.lanes.values()
+    return lane?.estimateCost(route)
+  }
+
   /** A target of this host's availability zone. */
   findTarget (name: string): TargetSpec | undefined {
     return this.targets.get(name)
--- a/packages/almondrelay/src/process/dispatch/targetRunner.ts
+++ b/packages/almondrelay/src/process/dispatch/targetRunner.ts
@@ -3,11 +3,11 @@
 import { HeaderName } from '../../request/contract/headerName.js'
 import { RefusalReason } from '../../request/refusalReason.js'
 import type { TargetReply } from '../../request/targetReply.js'
-import type { TargetChooser } from '../../request/choice/targetChooser.js'
 import type { TargetSpec } from '../../version/resources/targetSpec.js'
 import type { Clock } from '../platform/clock.js'
 import type { AttemptResult } from './attemptResult.js'
 import { createDeadlineSignal } from './createDeadlineSignal.js'
+import type { ServiceRuntime } from './serviceRuntime.js'
 import type { SlotPool } from './slotPool.js'
 import type { TargetSender } from './targetSender.js'
 
@@ -33,7 +33,7 @@
   }
 
   /** Sends the attempt and releases its slot as soon as its end is known. */
-  async run (attempt: Attempt, target: TargetSpec, chooser: TargetChooser, maxAnswerBytes: number, signal?: AbortSignal): Promise<AttemptResult> {
+  async run (attempt: Attempt, target: TargetSpec, runtime: ServiceRuntime, signal?: AbortSignal): Promise<AttemptResult> {
     const { clock, slots, sender } = this.parts
     const startedAt = clock.getNow()
     // Failure: the process was stopped between admission and here, and the target would run work
@@ -42,14 +42,20 @@
       slots.release(attempt.attemptId, startedAt)
       return { kind: 'not-run', reason: RefusalReason.deadlinePassed, message: 'the deadline passed before the request was sent: allow more time', target: target.name }
     }
-    chooser.start(target.name, startedAt)
+    const { chooser } = runtime
+    chooser.start(target.name, startedAt, runtime.estimateCost(attempt.route))
     this.running += 1
     const deadline = createDeadlineSignal(clock, attempt.deadlineAt, signal)
-    const result = await sender.send(target.address, buildTargetRequest(attempt, maxAnswerBytes, startedAt), deadline.signal)
+    const result = await sender.send(target.address, buildTargetRequest(attempt, runtime.spec.maxBodyBytes, startedAt), deadline.signal)
     deadline.clear()
     this.running -= 1
     const now = clock.getNow()
-    chooser.finish(target.name, { latencyMs: now - startedAt, ok: result.kind === 'answered' && result.status < 500, shed: result.kind === 'shed' }, now)
+    chooser.finish(target.name, {
+      latencyMs: now - startedAt,
+      ok: result.kind === 'answered' && result.status < 500,
+      shed: result.kind === 'shed',
+      cancelled: result.kind === 'lost' && deadline.signal.aborted
+    }, now)
     this.releaseSlot(attempt, result, now)
     return describeResult(result, target.name)
   }
