Lead daemons' connections through relays; describe the stand-ins

Cause: hosts tell one another their addresses, so relays named in settings were gone around: a zone that was cut off stayed live to all its peers for 8 s. Ruled out: other addresses in the settings of each host, as membership keeps one address a host.

--- a/packages/almondrelay-stand-ins/src/bench/compareSides.ts
+++ b/packages/almondrelay-stand-ins/src/bench/compareSides.ts
@@ -36,14 +36,16 @@
 
 const ROUNDS = 3
 const BUSY = { programs: 2, connections: 24, seconds: 3 }
-const WARM_UP = { programs: 2, connections: 24, seconds: 2 }
+/** A side is warm once its rate no longer grows by more than this part; new targets get their work by steps. */
+const STEADY_GROWTH = 0.1
+const MAX_WARM_UPS = 6
 const SINGLE = { programs: 1, connections: 1, seconds: 1.5 }
 const PAUSE_MS = 200
 
 /** Measures both sides in turn for some rounds and gives the medians. */
 export async function compareSides ({ title, bare, ours, aim }: Comparison, signal: AbortSignal): Promise<ComparisonRow> {
   const rounds: Round[] = []
-  for (const side of [bare, ours]) await measureSide(side, WARM_UP, signal)
+  for (const side of [bare, ours]) await prepareSide(side, signal)
   for (let round = 0; round < ROUNDS; round++) {
     const first = await measureSide(bare, BUSY, signal)
     await sleepFor(PAUSE_MS, undefined, { signal })
@@ -67,3 +69,12 @@
     failures: sumFailures(rounds.map((round) => round.failures))
   }
 }
+
+async function prepareSide (side: BenchSide, signal: AbortSignal): Promise<void> {
+  let last = 0
+  for (let count = 0; count < MAX_WARM_UPS; count++) {
+    const { perSecond } = await measureSide(side, BUSY, signal)
+    if (perSecond < last * (1 + STEADY_GROWTH)) return
+    last = perSecond
+  }
+}
--- a/packages/almondrelay-stand-ins/src/bin/bench.ts
+++ b/packages/almondrelay-stand-ins/src/bin/bench.ts
@@ -24,6 +24,7 @@
 const cluster = await Cluster.start({
   deployment: benchDeployment,
   signal,
+  isSilent: true,
   targetProgramsAZone: 3,
   targetSettings: { sigma: 0 },
   hostSettings: { requests: { maxJournalEntries: JOURNAL_ENTRIES } }
--- a/packages/almondrelay-stand-ins/src/bin/demo.ts
+++ b/packages/almondrelay-stand-ins/src/bin/demo.ts
@@ -107,4 +107,5 @@
 await rm(folder, { recursive: true, force: true })
 for (const problem of problems.slice(0, 30)) console.log(`PROBLEM ${problem}`)
 console.log(`\n${results.length} requests, ${runs.reduce((sum, each) => sum + each.total, 0)} runs at targets, ${problems.length} counts that do not add up`)
-process.exitCode = problems.length === 0 ? 0 : 1
+// On a machine with a load average near 30 two demos did not end by themselves after this line; the cause is not known.
+process.exit(problems.length === 0 ? 0 : 1)
--- a/packages/almondrelay-stand-ins/src/cluster/childProgram.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/childProgram.ts
@@ -8,6 +8,10 @@
   name: string
   /** The program and its arguments; run by this Node.js. */
   args: string[]
+  /** Added to the environment of this process. */
+  environment?: Record<string, string>
+  /** Drops what it writes, where a reader that is late would hold it up; `lines` stays empty. */
+  isSilent?: boolean
   signal: AbortSignal
 }
 
@@ -37,10 +41,10 @@
   }
 
   /** Starts the program; it is killed when the signal aborts or this process ends. */
-  static start ({ name, args, signal }: ChildProgramOptions): ChildProgram {
+  static start ({ name, args, environment = {}, isSilent = false, signal }: ChildProgramOptions): ChildProgram {
     signal.throwIfAborted()
     killWithThisProcess()
-    const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, args, { stdio: ['ignore', isSilent ? 'ignore' : 'pipe', 'pipe'], env: { ...process.env, ...environment } })
     living.add(child)
     const kill = (): void => { child.kill('SIGKILL') }
     signal.addEventListener('abort', kill, { once: true })
--- a/packages/almondrelay-stand-ins/src/cluster/cluster.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/cluster.ts
@@ -55,11 +55,11 @@
       startTargets(deployment, options.targetSettings ?? {}, signal, options.targetProgramsAZone),
       planHosts(deployment)
     ])
-    const relays = options.relays === true ? await ClusterRelays.start(deployment, plans, platform.address, signal) : undefined
+    const relays = options.relays === true ? await ClusterRelays.start({ deployment, hosts: plans, targets, platformAddress: platform.address, signal }) : undefined
     await platform.putHosts([...plans.map((plan) => describeEntryHost(plan)), ...targets.map((target) => describeTarget(target))])
     const hosts = await Promise.all(plans.map(async (host) => {
       const settingsFile = await writeHostSettings({ folder, host, hosts: plans, platformAddress: platform.address, relays, overrides: options.hostSettings ?? {} })
-      return await HostHandle.start(host, settingsFile, signal)
+      return await HostHandle.start({ plan: host, settingsFile, redirects: relays?.listRedirects(host.availabilityZone) ?? {}, isSilent: options.isSilent ?? false, signal })
     }))
     const cluster = new Cluster({ deployment, platform, targets, hosts, relays })
     await Promise.all(hosts.map(async (host) => await host.waitForStatus((status) => status.isReady)))
--- a/packages/almondrelay-stand-ins/src/cluster/clusterOptions.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/clusterOptions.ts
@@ -6,7 +6,7 @@
   deployment: Deployment
   /** Ends every program and removes the settings when it aborts. */
   signal: AbortSignal
-  /** Puts relays between the zones, and between zones and platform, with the deployment's one-way times. */
+  /** Puts relays between the zones, with the deployment's one-way times, and before the platform and the targets. */
   relays?: boolean
   /** Groups of daemon settings that replace the defaults. */
   hostSettings?: Record<string, unknown>
@@ -14,4 +14,6 @@
   targetSettings?: Partial<Omit<TargetSettings, 'name' | 'service' | 'slots' | 'address'>>
   /** Programs that share the targets of an availability zone; 1 where absent. */
   targetProgramsAZone?: number
+  /** Drops the daemons' logs, for measurements. */
+  isSilent?: boolean
 }
--- a/packages/almondrelay-stand-ins/src/cluster/clusterRelays.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/clusterRelays.ts
@@ -1,6 +1,8 @@
 import { TcpRelay } from '../network/tcpRelay.js'
 import type { Deployment } from '../deployments/deployment.js'
 import type { HostPlan } from './hostPlan.js'
+import type { NetworkFault } from './networkFault.js'
+import type { TargetHandle } from './targetHandle.js'
 
 interface PeerRelay {
   fromZone: string
@@ -8,17 +10,27 @@
   relay: TcpRelay
 }
 
-/** What a network fault does to the connections between two places. */
-type NetworkFault = 'cut' | 'silence' | 'partition' | 'pass'
+interface ClusterRelayParts {
+  deployment: Deployment
+  hosts: HostPlan[]
+  targets: TargetHandle[]
+  platformAddress: string
+  signal: AbortSignal
+}
 
 /**
- * Relays between availability zones: one from each zone to each host of another zone, with the
- * deployment's one-way time, and one from each zone to the platform. Hosts of one zone speak directly.
+ * Relays between the parts of a cluster: one from each availability zone to each host of another
+ * zone, with the deployment's one-way time; one from each zone to the platform; one before each
+ * target. Hosts of one zone speak directly.
  */
 export class ClusterRelays {
-  private constructor (private readonly peers: PeerRelay[], private readonly platform: Map<string, TcpRelay>) {}
+  private constructor (
+    private readonly peers: readonly PeerRelay[],
+    private readonly platform: ReadonlyMap<string, TcpRelay>,
+    private readonly targets: ReadonlyMap<string, { address: string, relay: TcpRelay }>
+  ) {}
 
-  static async start (deployment: Deployment, hosts: HostPlan[], platformAddress: string, signal: AbortSignal): Promise<ClusterRelays> {
+  static async start ({ deployment, hosts, targets, platformAddress, signal }: ClusterRelayParts): Promise<ClusterRelays> {
     const zones = deployment.regions.flatMap((region) => region.availabilityZones.map((zone) => ({ name: zone.name, region: region.name })))
     const { betweenAvailabilityZones, betweenRegions } = deployment.latencyMs
     const pairs = zones.flatMap((zone) => hosts.filter((host) => host.availabilityZone !== zone.name).map((host) => ({ zone, host })))
@@ -26,42 +38,55 @@
       const delayMs = zone.region === host.region ? betweenAvailabilityZones : betweenRegions
       return { fromZone: zone.name, toHost: host, relay: await TcpRelay.start({ target: host.peer, delayMs, signal }) }
     }))
-    const platform = new Map<string, TcpRelay>()
-    for (const zone of zones) platform.set(zone.name, await TcpRelay.start({ target: platformAddress, signal }))
-    return new ClusterRelays(peers, platform)
+    const platform = await Promise.all(zones.map(async (zone) => [zone.name, await TcpRelay.start({ target: platformAddress, signal })] as const))
+    const before = await Promise.all(targets.map(async (target) => {
+      return [target.name, { address: target.address, relay: await TcpRelay.start({ target: target.address, signal }) }] as const
+    }))
+    return new ClusterRelays(peers, new Map(platform), new Map(before))
   }
 
-  /** Where a host of a zone reaches a peer. */
-  findPeerAddress (fromZone: string, host: HostPlan): string {
-    return this.peers.find((each) => each.fromZone === fromZone && each.toHost.name === host.name)?.relay.getAddress() ?? host.peer
+  /** The relay for each address that a host of a zone connects to. */
+  listRedirects (zone: string): Record<string, string> {
+    const peers = this.peers.filter((each) => each.fromZone === zone).map((each) => [each.toHost.peer, each.relay.getAddress()])
+    const targets = [...this.targets.values()].map((each) => [each.address, each.relay.getAddress()])
+    return Object.fromEntries([...peers, ...targets])
   }
 
   /** Where a host of a zone reaches the platform. */
   findPlatformAddress (zone: string): string {
-    const relay = this.platform.get(zone)
-    if (relay === undefined) throw new Error(`no availability zone ${zone}: name one of the deployment`)
-    return relay.getAddress()
+    return requireRelay(this.platform.get(zone), zone).getAddress()
   }
 
-  /** Faults the way from zone to zone, both ways. */
+  /** Faults the way between two zones, both ways. */
   async injectBetweenZones (one: string, other: string, fault: NetworkFault): Promise<void> {
-    const hit = this.peers.filter((each) => {
-      return (each.fromZone === one && each.toHost.availabilityZone === other) || (each.fromZone === other && each.toHost.availabilityZone === one)
+    await this.injectToPeers(fault, ({ fromZone, toHost }) => {
+      return (fromZone === one && toHost.availabilityZone === other) || (fromZone === other && toHost.availabilityZone === one)
     })
-    await Promise.all(hit.map(async (each) => { await applyFault(each.relay, fault) }))
   }
 
   /** Faults the ways between a zone and all others. */
   async injectAroundZone (zone: string, fault: NetworkFault): Promise<void> {
-    const hit = this.peers.filter((each) => each.fromZone === zone || each.toHost.availabilityZone === zone)
-    await Promise.all(hit.map(async (each) => { await applyFault(each.relay, fault) }))
+    await this.injectToPeers(fault, ({ fromZone, toHost }) => fromZone === zone || toHost.availabilityZone === zone)
   }
 
   /** Faults the way from a zone to the platform. */
   async injectToPlatform (zone: string, fault: NetworkFault): Promise<void> {
-    const relay = this.platform.get(zone)
-    if (relay !== undefined) await applyFault(relay, fault)
+    await applyFault(requireRelay(this.platform.get(zone), zone), fault)
+  }
+
+  /** Faults the way from every host to a target. */
+  async injectToTarget (name: string, fault: NetworkFault): Promise<void> {
+    await applyFault(requireRelay(this.targets.get(name)?.relay, name), fault)
   }
+
+  private async injectToPeers (fault: NetworkFault, isHit: (relay: PeerRelay) => boolean): Promise<void> {
+    await Promise.all(this.peers.filter(isHit).map(async (each) => { await applyFault(each.relay, fault) }))
+  }
+}
+
+function requireRelay (relay: TcpRelay | undefined, name: string): TcpRelay {
+  if (relay === undefined) throw new Error(`no relay for ${name}: name a zone or a target of the deployment`)
+  return relay
 }
 
 async function applyFault (relay: TcpRelay, fault: NetworkFault): Promise<void> {
--- a/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
@@ -11,6 +11,17 @@
   [part: string]: unknown
 }
 
+interface HostHandleParts {
+  plan: HostPlan
+  settingsFile: string
+  /** The relay for each address that the host connects to; empty without relays. */
+  redirects: Record<string, string>
+  /** Drops the daemon's log. */
+  isSilent: boolean
+  signal: AbortSignal
+}
+
+const REDIRECTS = new URL('redirectConnections.js', import.meta.url).href
 const STEP_MS = 25
 const READY_LIMIT_MS = 20_000
 
@@ -18,17 +29,21 @@
 export class HostHandle {
   private running: ChildProgram
 
-  private constructor (readonly plan: HostPlan, private readonly settingsFile: string, private readonly signal: AbortSignal) {
+  private constructor (private readonly parts: HostHandleParts) {
     this.running = this.startProgram()
   }
 
   /** Starts the daemon and waits until its operator port answers. */
-  static async start (plan: HostPlan, settingsFile: string, signal: AbortSignal): Promise<HostHandle> {
-    const host = new HostHandle(plan, settingsFile, signal)
+  static async start (parts: HostHandleParts): Promise<HostHandle> {
+    const host = new HostHandle(parts)
     await host.waitUntilAnswering()
     return host
   }
 
+  get plan (): HostPlan {
+    return this.parts.plan
+  }
+
   get name (): string {
     return this.plan.name
   }
@@ -55,7 +70,7 @@
     const until = performance.now() + limitMs
     let last: HostStatus | undefined
     while (performance.now() < until) {
-      this.signal.throwIfAborted()
+      this.parts.signal.throwIfAborted()
       last = await this.readStatus().catch(() => undefined)
       if (last !== undefined && isWanted(last)) return last
       if (!this.running.isRunning()) break
@@ -69,6 +84,14 @@
   }
 
   private startProgram (): ChildProgram {
-    return ChildProgram.start({ name: `host ${this.plan.name}`, args: ['--enable-source-maps', resolveProgram('almondrelayd'), '--settings', this.settingsFile], signal: this.signal })
+    const { plan, settingsFile, redirects, isSilent, signal } = this.parts
+    const isRedirected = Object.keys(redirects).length > 0
+    return ChildProgram.start({
+      name: `host ${plan.name}`,
+      args: ['--enable-source-maps', ...(isRedirected ? ['--import', REDIRECTS] : []), resolveProgram('almondrelayd'), '--settings', settingsFile],
+      environment: { ALMONDRELAY_TEST_RELAYS: JSON.stringify(redirects) },
+      isSilent,
+      signal
+    })
   }
 }
--- a/packages/almondrelay-stand-ins/src/cluster/writeHostSettings.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/writeHostSettings.ts
@@ -23,7 +23,7 @@
       name: each.name,
       region: each.region,
       availabilityZone: each.availabilityZone,
-      peer: relays?.findPeerAddress(host.availabilityZone, each) ?? each.peer
+      peer: each.peer
     })),
     ...overrides
   }
