--- a/packages/almondrelay-cli/src/commands/createApplyCommand.ts
+++ b/packages/almondrelay-cli/src/commands/createApplyCommand.ts
@@ -31,7 +31,7 @@
   return addOperatorOptions(new Command('apply'))
     .description('Write files of resources, in the order of what they need. Ends at the first that is not accepted; what stands is left out.')
     .requiredOption('-f, --file <file...>', 'file of resources: a list of {kind, name, spec}, JSON with comments')
-    .option('--wait <ms>', 'wait up to this long until they are in force everywhere that can be reached', parseWhole)
+    .option('--wait <ms>', 'wait up to this long until they are in force everywhere that can be reached; a host hears of other regions every 2 s, so give 5000 or more', parseWhole)
     .option('--author <name>', 'who writes, for the change log (or ALMONDRELAY_AUTHOR, or the user of this machine)')
     .addHelpText('after', formatExample('almondrelay apply -f shift.jsonc --wait 5000 --operator 10.1.1.11:8082 --operator 10.2.1.11:8082'))
     .action(async (options: ApplyOptions) => {
