Give up a lender's key that no lease holds

Cause: a write of lenders/<region> that takes effect after its lease has lapsed stays for good; its host has no lease to renew and no other may take the key.

Change: the host that finds itself named without a lease deletes the key by compare-and-swap and stops lending until it has taken it again.

Conclusion: the key comes free while its host lives.

--- a/packages/almondrelay/src/connection/limits/__tests__/loanTasks.test.ts
+++ b/packages/almondrelay/src/connection/limits/__tests__/loanTasks.test.ts
@@ -31,6 +31,16 @@
   stopRegion(region)
 })
 
+test('a lender’s key that no lease holds is given up and taken again', async () => {
+  // The write of the key is held up on its way until its lease has lapsed, and takes effect then. The host finds
+  // itself named as lender, has no lease to renew, and no other host may take the key: nobody ever lends again.
+  const region = new LoanRegion(LIMIT)
+  await region.platform.put('lenders/wlg', JSON.stringify({ name: NAMES[0], incarnation: 1 }), 0, new AbortController().signal)
+  await region.advance(LENDING_MS)
+  assert.is(NAMES.reduce((sum, name) => sum + region.countUsable(name), 0), LIMIT)
+  stopRegion(region)
+})
+
 test('in a platform outage loans lapse and floors stay, and loans come back after it', async () => {
   // The platform is down for a minute. The region's lender can't renew its right to lend, and another zone
   // might take it the moment the platform is back; lending on would give the same capacity out twice.
--- a/packages/almondrelay/src/connection/limits/lenderKeeper.ts
+++ b/packages/almondrelay/src/connection/limits/lenderKeeper.ts
@@ -72,9 +72,22 @@
       await this.take(version, signal)
       return
     }
-    if (holder.name !== self.name || holder.incarnation !== self.incarnation || this.leaseId === undefined) return
+    if (holder.name !== self.name || holder.incarnation !== self.incarnation) return
     const sentAt = clock.getNow()
-    if (await platform.renewLease(this.leaseId, signal)) this.acceptAuthority(sentAt, false)
+    if (this.leaseId !== undefined && await platform.renewLease(this.leaseId, signal)) this.acceptAuthority(sentAt, false)
+    else await this.release(version, signal)
+  }
+
+  /**
+   * Guards against a key of this host that no lease of it holds: a write that took effect late, after its
+   * lease had lapsed. It would stay for good, and nobody would lend for the region.
+   */
+  private async release (version: number, signal: AbortSignal): Promise<void> {
+    const { platform, lender } = this.parts
+    lender.dropAuthority()
+    this.leaseId = undefined
+    this.current = undefined
+    await platform.delete(this.key, version, signal)
   }
 
   private async read (signal: AbortSignal): Promise<{ holder: RosterHost | undefined, version: number }> {
--- a/packages/almondrelay/src/process/limits/regionLender.ts
+++ b/packages/almondrelay/src/process/limits/regionLender.ts
@@ -45,6 +45,11 @@
     this.authorityUntil = Math.max(this.authorityUntil, sentAt + termMs)
   }
 
+  /** The platform says that the lease is over. */
+  dropAuthority (): void {
+    this.authorityUntil = -Infinity
+  }
+
   /** Undefined when this host may not lend now. */
   lend (borrower: RosterHost, request: LoanRequest, now: number): LoanAnswer | undefined {
     const spec = this.limits.get(request.limit)
