Suspect a host that speaks and can't be reached, and tell sooner of revisions

Cause: where packets are lost in one direction, the end that isn't reached still speaks and looked live to the one that can't reach it. Trying each other more often shifted the turns by which word of other hosts goes out, and status of a fleet of 12 was more than 5 s behind. Refreshes bring the hosts of the highest revision first, up to five where neighbours are few. Conclusion: a cut in either direction is seen within some seconds, and no host is blamed by others for it.

--- a/packages/almondrelay/src/connection/exchange/__fixtures__/fakeNetwork.ts
+++ b/packages/almondrelay/src/connection/exchange/__fixtures__/fakeNetwork.ts
@@ -31,6 +31,8 @@
   readonly exchanges = new Map<string, number>()
   /** Whether messages between two hosts are dropped. */
   isCut: (from: string, to: string) => boolean = () => false
+  /** Whether calls that one host begins to another are lost, though those the other way succeed. */
+  isCutForCalls: (from: string, to: string) => boolean = () => false
   /** Share of calls whose answer is lost. */
   lossShare = 0
 
@@ -66,7 +68,7 @@
     await this.clock.sleep(LATENCY_MS, signal)
     if (endpoint === undefined || endpoint.isDead) throw new ConnectError('connect', Code.Unavailable, undefined, undefined, Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
     const sent = this.countBytes(from, endpoint.host, toBinary(requestSchema, request))
-    if (endpoint.isFrozen || this.isCut(from, endpoint.host)) await this.waitUntilTimeout(options, signal)
+    if (endpoint.isFrozen || this.isCut(from, endpoint.host) || this.isCutForCalls(from, endpoint.host)) await this.waitUntilTimeout(options, signal)
     const answer = this.countBytes(from, endpoint.host, toBinary(responseSchema, handle(fromBinary(requestSchema, sent), endpoint.hub)))
     if (this.random() < this.lossShare || this.isCut(endpoint.host, from)) await this.waitUntilTimeout(options, signal)
     await this.clock.sleep(LATENCY_MS, signal)
--- a/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
+++ b/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
@@ -80,6 +80,22 @@
   fleet.stopAll()
 })
 
+// Packets from one host to another are lost, and those the other way arrive. The one whose packets
+// are lost would go on sending work into the cut, as the other still speaks to it.
+test('a host that can not be reached is suspected by the one that can not, though it speaks', async () => {
+  for (const [from, to] of [['akl-a-01', 'akl-a-02'], ['akl-a-02', 'akl-a-01']] as const) {
+    const fleet = await startFleet(ZONES, 3)
+    fleet.network.isCutForCalls = (caller, callee) => caller === from && callee === to
+    await fleet.clock.advance(8_000)
+    assert.is(fleet.getState(from, to), 'suspected', `${from} to ${to}`)
+    for (const viewer of ['akl-a-03', 'akl-b-01', 'wlg-a-01']) assert.is(fleet.getState(viewer, to), 'live', viewer)
+    fleet.network.isCutForCalls = () => false
+    await fleet.clock.advance(5_000)
+    assert.is(fleet.getState(from, to), 'live')
+    fleet.stopAll()
+  }
+})
+
 // Both watchers of a zone die one after the other. Changes must go on arriving in the zone: the
 // next hosts by rank watch in their place.
 test('watchers that die are replaced', async () => {
--- a/packages/almondrelay/src/connection/exchange/exchangeHub.ts
+++ b/packages/almondrelay/src/connection/exchange/exchangeHub.ts
@@ -37,7 +37,7 @@
 
 /**
  * What goes to each peer and what comes from it. A message brings the news that the peer doesn't
- * have yet and, every second or two, this host's own summary and up to three others in turn; so its
+ * have yet and, every second or two, this host's own summary and up to five others in turn; so its
  * length depends on what changes and not on how many hosts there are.
  */
 export class ExchangeHub {
--- a/packages/almondrelay/src/connection/exchange/refreshRotation.ts
+++ b/packages/almondrelay/src/connection/exchange/refreshRotation.ts
@@ -16,6 +16,8 @@
 
   takeNext (peer: string, count: number): string[] {
     const taken: string[] = []
+    // The hosts that have come furthest go first, so that status soon tells of a change that is in force.
+    this.round.sort((a, b) => this.membership.getRevision(a) - this.membership.getRevision(b))
     while (taken.length < count) {
       if (this.round.length === 0) this.fillRound(peer)
       const next = this.round.pop()
--- a/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
+++ b/packages/almondrelay/src/connection/exchange/runPeerExchange.ts
@@ -12,6 +12,9 @@
 const SHORTEST_GAP_MS = 50
 /** The host that is later by name waits this much longer, so that one exchange serves both. */
 const SECOND_FACTOR = 1.5
+/** Longest time without a try of one's own, however often the peer calls. */
+const OWN_TRY_MS = 2_000
+const OWN_TRY_FACTOR = 4
 /** A peer whose claim of a revision could not be shown, or that didn't answer, isn't asked for changes before. */
 const DISTRUST_MS = 5_000
 
@@ -33,7 +36,7 @@
       connection.close()
       connection = openConnection(peer, hub)
     } else if (hub.allowRepair(peer.host, lastAt)) await tryRepair(connection.client, peer, hub, signal)
-    if (!signal.aborted) await waitForTurn(peer, hub, lastAt, signal)
+    if (!signal.aborted) await waitForTurn(peer, hub, { at: lastAt, isAnswered }, signal)
   }
   connection.close()
   signal.removeEventListener('abort', close)
@@ -65,7 +68,8 @@
       progress.toldRevision = sent.revision
       progress.isBroken = false
     })
-    if (sender.host !== peer.host) membership.observeSilence(peer.host, clock.getNow())
+    if (sender.host === peer.host) membership.observeAnswered(peer.host)
+    else membership.observeSilence(peer.host, clock.getNow())
     return true
   } catch (error) {
     observeBadAnswer(error, peer, hub)
@@ -110,22 +114,37 @@
   }
 }
 
+interface LastTry {
+  at: number
+  isAnswered: boolean
+}
+
 /**
  * Waits until the next heartbeat is due, counted from the last message either way, or until there
  * is something to tell the peer or to fetch from it.
  */
-async function waitForTurn (peer: Neighbour, hub: ExchangeHub, lastAt: number, signal: AbortSignal): Promise<void> {
-  const { clock, self } = hub.options
+async function waitForTurn (peer: Neighbour, hub: ExchangeHub, last: LastTry, signal: AbortSignal): Promise<void> {
+  const { clock } = hub.options
   for (;;) {
-    const intervalMs = self.host < peer.host ? peer.intervalMs : peer.intervalMs * SECOND_FACTOR
-    const contactAt = Math.max(lastAt, hub.getProgress(peer.host).contactAt)
-    const dueAt = isUrgent(peer, hub) ? lastAt + SHORTEST_GAP_MS : contactAt + intervalMs
+    const dueAt = isUrgent(peer, hub) ? last.at + SHORTEST_GAP_MS : computeDueAt(peer, hub, last)
     const now = clock.getNow()
     if (signal.aborted || now >= dueAt) return
     await sleepUntilWoken(peer, hub, dueAt - now, signal)
   }
 }
 
+/**
+ * Guards against a cut in one direction: a peer that reaches this host and can't be reached from it
+ * would look live, so its own messages put off a try of this host only for so long.
+ */
+function computeDueAt (peer: Neighbour, hub: ExchangeHub, last: LastTry): number {
+  const { intervalMs } = peer
+  if (!last.isAnswered) return last.at + intervalMs
+  const waitMs = hub.options.self.host < peer.host ? intervalMs : intervalMs * SECOND_FACTOR
+  const contactAt = Math.max(last.at, hub.getProgress(peer.host).contactAt)
+  return Math.min(contactAt + waitMs, last.at + Math.max(OWN_TRY_MS, intervalMs * OWN_TRY_FACTOR))
+}
+
 /** A peer that doesn't answer gets its news with the next heartbeat, not sooner. */
 function isUrgent (peer: Neighbour, hub: ExchangeHub): boolean {
   if (hub.getProgress(peer.host).isBroken) return false
--- a/packages/almondrelay/src/process/membership/makeMemberEntry.ts
+++ b/packages/almondrelay/src/process/membership/makeMemberEntry.ts
@@ -18,6 +18,8 @@
     heardAt: -Infinity,
     directAt: -Infinity,
     isSilent: false,
+    failures: 0,
+    failedSince: Infinity,
     triedAt: -Infinity,
     listedAt: -Infinity,
     isListedLeaving: listed.isLeaving
--- a/packages/almondrelay/src/process/membership/memberEntry.ts
+++ b/packages/almondrelay/src/process/membership/memberEntry.ts
@@ -8,6 +8,9 @@
   directAt: number
   /** A neighbour of it, perhaps this host, has found it silent since `heardAt`. */
   isSilent: boolean
+  /** Tries of this host in a row that were not answered, and when the first of them failed. */
+  failures: number
+  failedSince: number
   /** When this host last tried it in vain. */
   triedAt: number
   /** When the host list last named it; Infinity where the settings do, -Infinity where nothing does. */
--- a/packages/almondrelay/src/process/membership/membership.ts
+++ b/packages/almondrelay/src/process/membership/membership.ts
@@ -24,10 +24,6 @@
  */
 const FORGET_AFTER_MS = 3_600_000
 
-/** A host of which others have word that is newer than this one's by more is one that they hear and this one doesn't. */
-const OTHERS_HEAR_MS = 3_000
-/** Word of such a host comes with refreshes; only when it has long ceased do the others not hear it either. */
-const OTHERS_SILENT_MS = 10_000
 /** Silence is judged anew this often, so that asking of one member for each request costs little. */
 const JUDGE_EVERY_MS = 50
 
@@ -93,7 +89,16 @@
   /** A heartbeat to the host was not answered. A hint, no more: see `listMembers`. */
   observeSilence (host: string, now: number): void {
     const entry = this.entries.get(host)
-    if (entry !== undefined) entry.triedAt = now
+    if (entry === undefined) return
+    entry.triedAt = now
+    entry.failures += 1
+    entry.failedSince = Math.min(entry.failedSince, now)
+  }
+
+  /** A heartbeat that this host sent was answered. */
+  observeAnswered (host: string): void {
+    const entry = this.entries.get(host)
+    if (entry !== undefined) Object.assign(entry, { failures: 0, failedSince: Infinity })
   }
 
   /**
@@ -145,6 +150,11 @@
     return entry === undefined ? undefined : this.describeMember(entry, this.listSilent(now), now)
   }
 
+  /** The revision of a host as last heard; 0 where it isn't known. */
+  getRevision (host: string): number {
+    return this.entries.get(host)?.revision ?? 0
+  }
+
   /** The two hosts of a zone that watch the platform: the first by name among the live. */
   chooseWatchers (availabilityZone: string, now: number): string[] {
     return chooseWatchers(this.listMembers(now), availabilityZone)
@@ -171,7 +181,7 @@
         this.remove(entry)
         continue
       }
-      if (entry.isGone || entry.isSilent || !silent.has(entry.host) || !this.isWitness(entry, now)) continue
+      if (entry.isGone || entry.isSilent || !silent.has(entry.host) || !this.silence.isWitness(entry, now)) continue
       entry.isSilent = true
       this.announce(entry)
     }
@@ -231,17 +241,6 @@
     this.emit({ kind: 'gone', host: entry.host, incarnation: entry.incarnation, evidence })
   }
 
-  /**
-   * Whether this host's own finding of silence is worth telling: it is a neighbour, and nobody has
-   * heard the host lately. Told with the others' newer word of it, the finding would make a host
-   * that only this one can't reach look silent to all.
-   */
-  private isWitness (entry: MemberEntry, now: number): boolean {
-    if (!this.silence.isNeighbour(entry.host)) return false
-    const doOthersHear = entry.heardAt - entry.directAt > OTHERS_HEAR_MS
-    return now - entry.heardAt > (doOthersHear ? OTHERS_SILENT_MS : this.options.suspectAfterMs)
-  }
-
   private describeMember (entry: MemberEntry, silent: ReadonlySet<string>, now: number): Member {
     return entry.host === this.options.self.host ? describeSelf(entry) : describeMember(entry, silent.has(entry.host), now)
   }
