--- a/packages/almondrelay/src/process/daemon/buildLimits.ts
+++ b/packages/almondrelay/src/process/daemon/buildLimits.ts
@@ -40,7 +40,7 @@
   const lender = new RegionLender(self)
   const peers = new LinkedLimitPeers({ links, directory, sender: makeSender(identity) })
   const lenderKeeper = new LenderKeeper({ platform, lender, self, region: identity.region, isWatcher, drift: defaultLimitsOptions.drift, clock, random, log })
-  const loans = new LoanTask({ limits, peers, clock, findRegionLender: () => lenderKeeper.current })
+  const loans = new LoanTask({ limits, peers, clock, findRegionLender: () => lenderKeeper.find() })
   return {
     slots,
     limits,
