--- /dev/null
+++ b/packages/almondrelay/scripts/measureDecisions.js
@@ -0,0 +1,69 @@
+// Measures, against dist, the cost of one admission plus choice by number of targets and callers,
+// and the memory of a queued request and of a known caller. Run with --expose-gc for the memory.
+import { AdmissionQueue, createSeededRandom, TargetChooser } from '../dist/index.js'
+
+const ROUNDS = 200_000
+const WARM_ROUNDS = 20_000
+const SERVICE_MS = 20
+const SLOTS = 6
+const NONE = new Set()
+
+/** One round: a request arrives and starts or waits, another ends, the next one is taken. Time is virtual. */
+function measureRound (targetCount, callerCount) {
+  const random = createSeededRandom(7)
+  const queue = new AdmissionQueue({ maxQueued: 100_000, maxWaitMs: 60_000 }, random)
+  const chooser = new TargetChooser()
+  const names = Array.from({ length: targetCount }, (_, index) => `t${index}`)
+  chooser.adoptTargets(names.map((name) => ({ name, slots: SLOTS, address: '127.0.0.1:1', availabilityZone: 'z', connections: 360 })), 0)
+  const free = new Map(names.map((name) => [name, SLOTS]))
+  const running = []
+  const gapMs = SERVICE_MS / (targetCount * SLOTS)
+  let now = 0
+  const begin = (request, target) => {
+    chooser.start(target, now, queue.findCost(request.route))
+    free.set(target, free.get(target) - 1)
+    running.push({ request, target, startedAt: now })
+  }
+  const runRound = (index) => {
+    now += gapMs
+    const request = { id: `r${index}`, caller: `c${Math.floor(random() * callerCount)}`, key: '', route: 'GET /x', deadlineAt: now + 100_000, arrivedAt: now }
+    const choice = chooser.choose(free, NONE, now, random)
+    const decision = queue.offer(request, choice === undefined ? 0 : 1, chooser.capacity, now)
+    if (decision.kind === 'start') begin(request, choice.target)
+    if (running.length < targetCount * SLOTS * 0.95) return
+    const ended = running.shift()
+    const latencyMs = now - ended.startedAt
+    free.set(ended.target, free.get(ended.target) + 1)
+    chooser.finish(ended.target, { latencyMs, ok: true }, now)
+    queue.finish(ended.request, latencyMs, now)
+    const next = chooser.choose(free, NONE, now, random)
+    if (next === undefined) return
+    const batch = queue.take(1, chooser.capacity, now)
+    for (const started of batch.start) begin(started, next.target)
+  }
+  for (let index = 0; index < WARM_ROUNDS; index += 1) runRound(index)
+  const began = process.hrtime.bigint()
+  for (let index = 0; index < ROUNDS; index += 1) runRound(WARM_ROUNDS + index)
+  const microseconds = Number(process.hrtime.bigint() - began) / 1_000 / ROUNDS
+  return { targets: targetCount, callers: callerCount, microseconds: Number(microseconds.toFixed(2)), waiting: queue.waiting, knownCallers: queue.describe().knownCallers }
+}
+
+function measureMemory (requests, callers) {
+  const queue = new AdmissionQueue({ maxQueued: requests + 1, maxWaitMs: 1e9 }, createSeededRandom(1))
+  globalThis.gc()
+  const before = process.memoryUsage().heapUsed
+  for (let index = 0; index < requests; index += 1) {
+    queue.offer({ id: `r${index}`, caller: `c${index % callers}`, key: '', route: 'GET /x', deadlineAt: 1e9, arrivedAt: 0 }, 0, 96, 0)
+  }
+  globalThis.gc()
+  const bytes = process.memoryUsage().heapUsed - before
+  return { waiting: queue.waiting, callers, bytesPerRequest: Math.round(bytes / queue.waiting) }
+}
+
+for (const targets of [4, 16, 64, 256, 1_024]) {
+  for (const callers of [10, 100, 1_000, 10_000]) console.log(JSON.stringify(measureRound(targets, callers)))
+}
+if (globalThis.gc) {
+  console.log(JSON.stringify(measureMemory(10_000, 10)))
+  console.log(JSON.stringify(measureMemory(10_000, 10_000)))
+}
--- a/packages/almondrelay/src/request/choice/targetState.ts
+++ b/packages/almondrelay/src/request/choice/targetState.ts
@@ -5,8 +5,10 @@
 
 /** Weight of one answer in the target's slowness: a target that turns 10 times slower passes `SLOW_RATIO` with its second answer. */
 const SLOWNESS_WEIGHT = 0.2
-/** Slowness, over the typical one of the service, at which a target loses its work. With
- * exponential service times a healthy target passes it once in some 100,000 answers. */
+/**
+ * Slowness, over the typical one of the service, at which a target loses its work. Far from
+ * what healthy targets with exponential service times reach by chance; see docs/design/target-choice.md.
+ */
 const SLOW_RATIO = 4
 const MAX_RATIO = 20
 /** A running request is overdue after this many times its expected latency, and at least the floor. */
