Keep estimateCost beside findCost

Cause: the daemon's lanes ask the queue for estimateCost; findCost had taken its place. Change: both stand; findCost is undefined until a route is known well enough to judge a target by.

--- a/packages/almondrelay/src/request/admission/admissionQueue.ts
+++ b/packages/almondrelay/src/request/admission/admissionQueue.ts
@@ -65,7 +65,12 @@
     return this.started.size
   }
 
-  /** Expected cost of a request of the route, in milliseconds of one slot; undefined until it is known well enough to judge a target by. */
+  /** Expected cost of a request of the route, in milliseconds of one slot; that of a typical request while the route is new. */
+  estimateCost (route: string): number {
+    return this.costs.estimate(route)
+  }
+
+  /** The same; undefined until it is known well enough to judge a target by. */
   findCost (route: string): number | undefined {
     return this.costs.find(route)
   }
