--- a/packages/almondrelay/src/request/admission/admissionQueue.ts
+++ b/packages/almondrelay/src/request/admission/admissionQueue.ts
@@ -6,18 +6,19 @@
 import type { AdmissionOptions } from './admissionOptions.js'
 import type { AdmissionRefusal } from './admissionRefusal.js'
 import type { AdmissionStatus } from './admissionStatus.js'
-import { FairLane } from './fairLane.js'
+import { Backlog } from './backlog.js'
 import { IndexedHeap } from './indexedHeap.js'
 import type { QueuedRequest } from './queuedRequest.js'
 import { RetryAfterSpreader } from './retryAfterSpreader.js'
 import { RouteCosts } from './routeCosts.js'
-import { ShortDemand } from './shortDemand.js'
 import type { WaitingRequest } from './waitingRequest.js'
 
 /** What waits is shed once the capacity has fallen so far that the backlog is this many times its bound. */
 const SHED_FACTOR = 2
-/** The bound on the backlog of long work, in long jobs for each slot. */
-const LONG_BACKLOG_JOBS = 4
+/** A request is refused when it has waited this many times the time that the backlog was to last. */
+const PATIENCE_FACTOR = 1.5
+/** Time after which a request in its turn is looked at again, in its own expected costs. */
+const PASSED_BY_CHECK_JOBS = 2
 
 /**
  * Decides for one service at one host who is served, who waits and who is refused.
@@ -41,19 +42,19 @@
 export class AdmissionQueue {
   private readonly options: AdmissionOptions
   private readonly costs: RouteCosts
-  private readonly demand = new ShortDemand()
   private readonly retryAfter = new RetryAfterSpreader()
-  private readonly short = new FairLane()
-  private readonly long = new FairLane()
   private readonly entries = new Map<string, WaitingRequest>()
   /** By the latest time at which a request can start and still be answered in time. */
   private readonly latestStarts = new IndexedHeap<WaitingRequest>()
+  /** What waits, by the time at which it may go before all others. */
+  private readonly passedBy = new IndexedHeap<WaitingRequest>()
   private readonly started = new Map<string, WaitingRequest>()
-  private runningLong = 0
+  private readonly backlog: Backlog
 
   constructor (options: Partial<AdmissionOptions>, private readonly random: Random) {
     this.options = { ...admissionDefaults, ...options }
     this.costs = new RouteCosts(this.options.initialCostMs)
+    this.backlog = new Backlog(this.options)
   }
 
   get waiting (): number {
@@ -64,11 +65,16 @@
     return this.started.size
   }
 
-  /** Expected cost of a request of the route, in milliseconds of one slot. */
+  /** Expected cost of a request of the route, in milliseconds of one slot; that of a typical request while the route is new. */
   estimateCost (route: string): number {
     return this.costs.estimate(route)
   }
 
+  /** The same; undefined until it is known well enough to judge a target by. */
+  findCost (route: string): number | undefined {
+    return this.costs.find(route)
+  }
+
   /**
    * Decides about a request that has just arrived.
    *
@@ -77,17 +83,17 @@
    */
   offer (request: QueuedRequest, freeSlots: number, capacity: number, now: number): AdmissionDecision {
     const entry = this.buildEntry(request)
-    if (!entry.isLong) this.demand.add(entry.costMs, now)
+    this.backlog.observe(entry, capacity, now)
     if (now >= request.deadlineAt) return this.refuse(entry, RefusalReason.deadlinePassed, capacity, now)
     if (capacity <= 0 && freeSlots <= 0) return this.refuse(entry, RefusalReason.noTarget, capacity, now)
     if (now + entry.costMs > request.deadlineAt) return this.refuse(entry, RefusalReason.deadlineUnreachable, capacity, now)
-    if (freeSlots > 0 && this.isNext(entry, capacity, now)) {
-      this.getLane(entry).touch(request.caller, entry.costMs)
+    if (freeSlots > 0 && this.backlog.isNext(entry, capacity, now)) {
+      this.backlog.getLane(entry).touch(request.caller, entry.costMs)
       this.begin(entry)
       return { kind: 'start' }
     }
     const usable = Math.max(capacity, 1)
-    if (now + this.estimateWait(entry, usable, now) + entry.costMs > request.deadlineAt) return this.refuse(entry, RefusalReason.deadlineUnreachable, capacity, now)
+    if (now + this.backlog.estimateWait(entry, usable, now) + entry.tailMs > request.deadlineAt) return this.refuse(entry, RefusalReason.deadlineUnreachable, capacity, now)
     return this.wait(entry, usable, now)
   }
 
@@ -108,7 +114,7 @@
   cancel (id: string, _now: number): boolean {
     const entry = this.entries.get(id)
     if (entry === undefined) return false
-    this.getLane(entry).remove(entry)
+    this.backlog.getLane(entry).remove(entry)
     this.removeWaiting(entry)
     return true
   }
@@ -118,9 +124,9 @@
     const entry = this.started.get(request.id)
     if (entry === undefined) return
     this.started.delete(request.id)
-    if (entry.isLong) this.runningLong -= 1
+    if (entry.isLong) this.backlog.runningLong -= 1
     if (serviceTimeMs === undefined) return
-    this.getLane(entry).update(request.caller, serviceTimeMs - entry.costMs)
+    this.backlog.getLane(entry).update(request.caller, serviceTimeMs - entry.costMs)
     this.costs.learn(request.route, serviceTimeMs)
   }
 
@@ -134,98 +140,78 @@
     return {
       waiting: this.waiting,
       running: this.running,
-      runningLong: this.runningLong,
-      waitingCostMs: this.short.waitingCostMs + this.long.waitingCostMs,
-      knownCallers: this.short.knownCallers + this.long.knownCallers,
+      runningLong: this.backlog.runningLong,
+      waitingCostMs: this.backlog.short.waitingCostMs + this.backlog.long.waitingCostMs,
+      knownCallers: this.backlog.short.knownCallers + this.backlog.long.knownCallers,
       typicalCostMs: this.costs.estimateTypical()
     }
   }
 
   private buildEntry (request: QueuedRequest): WaitingRequest {
-    return { request, costMs: this.costs.estimate(request.route), isLong: this.costs.isLong(request.route) }
-  }
-
-  private getLane (entry: WaitingRequest): FairLane {
-    return entry.isLong ? this.long : this.short
-  }
-
-  private isNext (entry: WaitingRequest, capacity: number, now: number): boolean {
-    if (this.getLane(entry).count > 0) return false
-    const longMayStart = this.runningLong < this.demand.limitLong(capacity, now)
-    if (entry.isLong) return longMayStart && this.short.count === 0
-    return this.long.count === 0 || !longMayStart
-  }
-
-  /** Milliseconds until the entry would start, were it to wait. */
-  private estimateWait (entry: WaitingRequest, capacity: number, now: number): number {
-    const lane = this.getLane(entry)
-    const own = lane.estimateWaiting(entry.request.caller) + entry.costMs
-    const callers = lane.waitingCallers + (own > entry.costMs ? 0 : 1)
-    const aheadMs = Math.min(lane.waitingCostMs + entry.costMs, own * callers)
-    return aheadMs / this.countLaneSlots(entry.isLong, capacity, now)
-  }
-
-  private countLaneSlots (isLong: boolean, capacity: number, now: number): number {
-    if (isLong) return Math.min(capacity, this.demand.limitLong(capacity, now))
-    return Math.max(1, capacity - this.runningLong)
+    const { route } = request
+    return { request, costMs: this.costs.estimate(route), tailMs: this.costs.estimateTail(route), isLong: this.costs.isLong(route) }
   }
 
+  /** Who has given up its place is never forgotten: the newcomer then takes it, full or not. */
   private wait (entry: WaitingRequest, capacity: number, now: number): AdmissionDecision {
-    const lane = this.getLane(entry)
+    const lane = this.backlog.getLane(entry)
     const displaced: AdmissionRefusal[] = []
-    while (this.isFull(entry, capacity, now)) {
-      const victim = this.dropHottest(entry, lane)
-      if (victim === undefined) return this.refuse(entry, this.explainFull(entry, lane), capacity, now)
+    for (;;) {
+      const isOverPart = this.backlog.isOverPart(entry, capacity, now)
+      if (!isOverPart && !this.backlog.isFull(entry, capacity, now)) break
+      const victim = this.backlog.dropHottest(entry, isOverPart)
+      if (victim === undefined && displaced.length > 0) break
+      if (victim === undefined) return this.refuse(entry, isOverPart ? RefusalReason.overFairShare : this.backlog.explainFull(entry), capacity, now)
+      this.removeWaiting(victim)
       displaced.push(this.buildRefusal(victim, RefusalReason.overFairShare, capacity, now))
     }
+    this.passedBy.set(entry, now + entry.costMs)
     lane.push(entry)
     this.entries.set(entry.request.id, entry)
-    this.latestStarts.set(entry, entry.request.deadlineAt - entry.costMs)
+    this.latestStarts.set(entry, this.computeLatestStart(entry, now))
     return { kind: 'wait', displaced }
   }
 
-  private isFull (entry: WaitingRequest, capacity: number, now: number): boolean {
-    if (this.entries.size >= this.options.maxQueued) return true
-    const slots = this.countLaneSlots(entry.isLong, capacity, now)
-    const lane = this.getLane(entry)
-    return lane.count > 0 && (lane.waitingCostMs + entry.costMs) / slots > this.limitBacklog(entry.isLong, entry.costMs)
-  }
-
-  private limitBacklog (isLong: boolean, costMs: number): number {
-    return isLong ? Math.max(this.options.maxWaitMs, LONG_BACKLOG_JOBS * costMs) : this.options.maxWaitMs
-  }
-
-  /** Takes the latest request of the caller with the most waiting, if it has more than the newcomer's caller would have. */
-  private dropHottest (entry: WaitingRequest, lane: FairLane): WaitingRequest | undefined {
-    const other = lane === this.short ? this.long : this.short
-    const from = lane.count > 0 ? lane : other
-    const hottest = from.findHottest()
-    if (hottest === undefined || hottest.caller === entry.request.caller) return undefined
-    const own = from.estimateWaiting(entry.request.caller) + entry.costMs
-    if (hottest.waitingCostMs - entry.costMs < own) return undefined
-    const victim = from.dropLatestOfHottest()
-    if (victim !== undefined) this.removeWaiting(victim)
-    return victim
-  }
-
-  private explainFull (entry: WaitingRequest, lane: FairLane): RefusalReason {
-    const fairPart = lane.waitingCostMs / Math.max(1, lane.waitingCallers)
-    const own = lane.estimateWaiting(entry.request.caller)
-    return lane.waitingCallers > 1 && own >= fairPart ? RefusalReason.overFairShare : RefusalReason.queueFull
+  /** A request is answered late if it starts later; and one that others passed by for long is better told so than held. */
+  private computeLatestStart (entry: WaitingRequest, now: number): number {
+    const bound = entry.isLong ? this.backlog.limitBacklog(true, entry.costMs, now) : this.options.maxWaitMs
+    const patienceMs = PATIENCE_FACTOR * bound
+    return Math.max(now, Math.min(entry.request.deadlineAt - entry.tailMs, now + patienceMs))
   }
 
   private takeNext (capacity: number, now: number): WaitingRequest | undefined {
-    const longMayStart = this.runningLong < this.demand.limitLong(capacity, now)
-    const entry = (longMayStart ? this.long.take() : undefined) ?? this.short.take()
+    const longMayStart = this.backlog.allowLong(capacity, now)
+    const entry = this.takePassedBy(longMayStart, capacity, now) ?? (longMayStart ? this.backlog.long.take() : undefined) ?? this.backlog.short.take()
     if (entry === undefined) return undefined
     this.removeWaiting(entry)
     this.begin(entry)
     return entry
   }
 
+  /**
+   * Takes the oldest request that has waited for the length of one, of those whose caller
+   * and key are within their part. Without it a caller that was just served is passed by in
+   * every round by callers that come anew: in a busy moment two dozen of them went before
+   * it. A caller with more than its part stays in its turn, or its backlog would go before
+   * the requests of the others.
+   */
+  private takePassedBy (longMayStart: boolean, capacity: number, now: number): WaitingRequest | undefined {
+    while ((this.passedBy.findPriority() ?? Infinity) <= now) {
+      const entry = this.passedBy.find() as WaitingRequest
+      const mayStart = !entry.isLong || longMayStart
+      if (!mayStart || !this.backlog.isWithinPart(entry, capacity, now)) {
+        this.passedBy.set(entry, now + PASSED_BY_CHECK_JOBS * entry.costMs)
+        continue
+      }
+      this.backlog.getLane(entry).takeEntry(entry)
+      return entry
+    }
+    return undefined
+  }
+
   private begin (entry: WaitingRequest): void {
     this.started.set(entry.request.id, entry)
-    if (entry.isLong) this.runningLong += 1
+    if (entry.isLong) this.backlog.runningLong += 1
   }
 
   private dropLate (capacity: number, now: number): AdmissionRefusal[] {
@@ -233,9 +219,11 @@
     while ((this.latestStarts.findPriority() ?? Infinity) < now) {
       const entry = this.latestStarts.take()
       if (entry === undefined) break
-      this.getLane(entry).remove(entry)
+      this.backlog.getLane(entry).remove(entry)
       this.removeWaiting(entry)
-      dropped.push(this.buildRefusal(entry, RefusalReason.deadlineUnreachable, capacity, now))
+      const isTooLate = now > entry.request.deadlineAt - entry.tailMs
+      const reason = isTooLate ? RefusalReason.deadlineUnreachable : RefusalReason.overFairShare
+      dropped.push(this.buildRefusal(entry, reason, capacity, now))
     }
     return dropped
   }
@@ -243,13 +231,14 @@
   /** Slots were lost: what now waits too long is refused at once, the hottest caller's first. */
   private dropExcess (capacity: number, now: number): AdmissionRefusal[] {
     const dropped: AdmissionRefusal[] = []
-    for (const lane of [this.short, this.long]) {
-      const isLong = lane === this.long
-      const slots = this.countLaneSlots(isLong, Math.max(capacity, 1), now)
+    for (const lane of [this.backlog.short, this.backlog.long]) {
+      const isLong = lane === this.backlog.long
+      const slots = this.backlog.countLaneSlots(isLong, Math.max(capacity, 1), now)
       const mean = lane.count === 0 ? 0 : lane.waitingCostMs / lane.count
-      const bound = SHED_FACTOR * this.limitBacklog(isLong, mean) * slots
+      const bound = SHED_FACTOR * this.backlog.limitBacklog(isLong, mean, now) * slots
       while (lane.count > 1 && lane.waitingCostMs > bound) {
-        const entry = lane.dropLatestOfHottest()
+        const flow = lane.findHottest()
+        const entry = flow === undefined ? undefined : lane.dropLatest(flow)
         if (entry === undefined) break
         this.removeWaiting(entry)
         dropped.push(this.buildRefusal(entry, RefusalReason.queueFull, capacity, now))
@@ -261,6 +250,7 @@
   private removeWaiting (entry: WaitingRequest): void {
     this.entries.delete(entry.request.id)
     this.latestStarts.remove(entry)
+    this.passedBy.remove(entry)
   }
 
   private refuse (entry: WaitingRequest, reason: RefusalReason, capacity: number, now: number): AdmissionDecision {
@@ -269,7 +259,7 @@
   }
 
   private buildRefusal (entry: WaitingRequest, reason: RefusalReason, capacity: number, now: number): AdmissionRefusal {
-    const backlogMs = this.getLane(entry).waitingCostMs / this.countLaneSlots(entry.isLong, Math.max(capacity, 1), now)
+    const backlogMs = this.backlog.getLane(entry).waitingCostMs / this.backlog.countLaneSlots(entry.isLong, Math.max(capacity, 1), now)
     const retryAfterMs = this.retryAfter.compute(entry.costMs, backlogMs, capacity, now, this.random)
     return { request: entry.request, reason, retryAfterMs }
   }
