--- a/packages/almondrelay/src/connection/limits/lenderKeeper.ts
+++ b/packages/almondrelay/src/connection/limits/lenderKeeper.ts
@@ -72,7 +72,10 @@
       await this.take(version, signal)
       return
     }
-    if (holder.name !== self.name || holder.incarnation !== self.incarnation) return
+    if (holder.name !== self.name || holder.incarnation !== self.incarnation) {
+      this.parts.lender.dropAuthority()
+      return
+    }
     const sentAt = clock.getNow()
     if (this.leaseId !== undefined && await platform.renewLease(this.leaseId, signal)) this.acceptAuthority(sentAt, false)
     else await this.release(version, signal)
--- /dev/null
+++ b/packages/almondrelay/src/process/limits/listBindingGrants.ts
@@ -0,0 +1,10 @@
+import type { GivenPart } from './givenPart.js'
+import type { PartGrant } from './partGrant.js'
+
+/** The grants of a part that was given up, as far as they still bind, with what is left of their times. */
+export function listBindingGrants (given: GivenPart, now: number): PartGrant[] {
+  const passed = now - given.at
+  return given.grants
+    .map((grant) => ({ ...grant, termMs: Math.max(0, grant.termMs - passed), busyMs: grant.busyMs - passed }))
+    .filter((grant) => grant.busyMs > 0)
+}
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -1,39 +1,18 @@
 import { computeGrantorWait } from './computeGrantorWait.js'
+import { isSameHost } from './isSameHost.js'
 import type { LimitsOptions } from './limitsOptions.js'
+import { listBindingGrants } from './listBindingGrants.js'
 import type { Part } from './part.js'
 import type { PartClaim } from './partClaim.js'
 import type { PartClaimAnswer } from './partClaimAnswer.js'
-import type { PartGrant } from './partGrant.js'
 import type { PartHandOver } from './partHandOver.js'
-import type { PartUser } from './partUser.js'
+import type { PartState } from './partState.js'
 import type { PartStatus } from './partStatus.js'
+import type { PartUser } from './partUser.js'
 import type { Roster } from './roster.js'
 import type { RosterHost } from './rosterHost.js'
-import { isSameHost } from './isSameHost.js'
 import { ZoneView } from './zoneView.js'
 
-interface PartState {
-  part: Part
-  user: PartUser
-  held: boolean
-  /** False, too, from when a ready claim came for it. */
-  usable: boolean
-  /** Members that said, at the present view, that they don't hold it. */
-  cleared: Set<string>
-  handOvers: PartHandOver[]
-  /** When the last host that may have held it was lost. */
-  lostAt: number
-  /** What this host said when it gave the part up. */
-  given: Given | undefined
-}
-
-interface Given {
-  to: RosterHost
-  viewKey: string
-  at: number
-  grants: PartGrant[]
-}
-
 /** Evidence kept for hosts that the roster may still name; what is dropped here is learnt again from its next report. */
 const MAX_KNOWN_GONE = 256
 
@@ -149,7 +128,7 @@
   /** Whether a grant from a part that this host gave up may still bind; the next holder has to be told of it. */
   hasObligation (id: string, now: number): boolean {
     const given = this.parts.get(id)?.given
-    return given !== undefined && listBinding(given, now).length > 0
+    return given !== undefined && listBindingGrants(given, now).length > 0
   }
 
   /** The live member that is to hold the part, as far as this host knows. */
@@ -258,7 +237,7 @@
     state.usable = true
     this.changes += 1
     // What this host granted when it gave the part up binds it too, if the next holder never took it.
-    const own = state.given === undefined ? [] : listBinding(state.given, now)
+    const own = state.given === undefined ? [] : listBindingGrants(state.given, now)
     const grants = [...own, ...state.handOvers.flatMap((handOver) => handOver.grants)]
     state.handOvers = []
     state.given = undefined
@@ -284,7 +263,7 @@
     const given = this.parts.get(id)?.given
     if (given === undefined) return []
     const toAsker = given.viewKey === view.key && isSameHost(given.to, sender)
-    const grants = listBinding(given, now)
+    const grants = listBindingGrants(given, now)
     return toAsker || grants.length > 0 ? [{ part: id, grants, toAsker }] : []
   }
 
@@ -310,11 +289,3 @@
     }
   }
 }
-
-/** The grants of a part that was given up, as far as they still bind, with what is left of their times. */
-function listBinding (given: Given, now: number): PartGrant[] {
-  const passed = now - given.at
-  return given.grants
-    .map((grant) => ({ ...grant, termMs: Math.max(0, grant.termMs - passed), busyMs: grant.busyMs - passed }))
-    .filter((grant) => grant.busyMs > 0)
-}
