Refuse an answer that is longer than it states; log decisions under the caller's id; read the host list on watchers only

Cause: (1) a target stated a shorter length than it sent and its first part went out as the whole answer, found by the process scenarios; (2) admission and choice stood in the log under the attempt's id, so explain missed them; (3) every host read the host list each second, 4,800 reads/s at the target size. Ruled out: comparing lengths (the stated one is the answer's by RFC 9112); waiting in time for a rest. Change: two turns of the event loop after the last byte tell whether more came along. Measured: the scenario fails before (14 answers) and passes after.

--- a/packages/almondrelay/src/connection/target/targetConnections.ts
+++ b/packages/almondrelay/src/connection/target/targetConnections.ts
@@ -21,6 +21,10 @@
 const NOT_RUN_STATUS = 503
 
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+/** What the client says of bytes that no request waits for. */
+const EXCESS_MESSAGE = 'bad response'
+/** Turns of the event loop until the client has said it. */
+const EXCESS_TURNS = 2
 const HOP_BY_HOP: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'content-length'])
 
 /**
@@ -91,6 +95,7 @@
 
 async function exchange (client: Client, request: TargetRequest, signal: AbortSignal): Promise<TargetReply> {
   let isAnswering = false
+  observeExcess(client)
   try {
     const response = await client.request({
       method: request.method as 'GET',
@@ -108,6 +113,7 @@
       if (bytes > request.maxAnswerBytes) return { kind: 'too-large', bytes }
       chunks.push(chunk)
     }
+    if (await isFollowedByMore(client)) return { kind: 'lost', message: 'the target sent more than the length that it stated', broken: true }
     const isShed = response.statusCode === NOT_RUN_STATUS && headers.some((header) => header.name === HeaderName.notRun && header.value === '1')
     if (isShed) return { kind: 'shed', retryAfterMs: readRetryAfterMs(headers) }
     return { kind: 'answered', status: response.statusCode, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) }
@@ -119,6 +125,27 @@
   }
 }
 
+/** Connections on which bytes came that belong to no answer. */
+const excessive = new WeakSet<Client>()
+
+function observeExcess (client: Client): void {
+  if (client.listenerCount('disconnect') > 0) return
+  client.on('disconnect', (_origin, _targets, error) => {
+    if (error.message === EXCESS_MESSAGE) excessive.add(client)
+  })
+}
+
+/**
+ * Failure: a target states a shorter length than it sends, and the caller gets the first part of its answer as
+ * the whole. The bytes that follow are no answer, so the client ends the connection, within
+ * EXCESS_TURNS where they came along with the stated ones. A rest that comes later can't be told from a
+ * stray byte: by RFC 9112, section 6.3, the stated length is the answer's.
+ */
+async function isFollowedByMore (client: Client): Promise<boolean> {
+  for (let turn = 0; turn < EXCESS_TURNS; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
+  return excessive.has(client)
+}
+
 function toHeaders (raw: Record<string, string | string[] | undefined>): AnswerHeader[] {
   return Object.entries(raw).flatMap(([name, value]) => {
     if (value === undefined || HOP_BY_HOP.has(name)) return []
--- a/packages/almondrelay/src/process/daemon/followHostList.ts
+++ b/packages/almondrelay/src/process/daemon/followHostList.ts
@@ -10,18 +10,22 @@
  * leave. Only the zone's watchers read it, so the platform sees two calls a second and zone.
  */
 export async function followHostList (host: Host, signal: AbortSignal): Promise<void> {
-  const { platform, clock, log } = host
+  const { clock } = host
   const source = new LeavingSource(host.leavingTargets)
   while (!signal.aborted) {
-    try {
-      for (const listed of await platform.listHosts(signal)) observeListed(host, source, listed)
-    } catch (error) {
-      if (!signal.aborted) log.debug({ err: error }, 'host list not read; the last one holds')
-    }
+    if (host.isWatcher()) await readHostList(host, source, signal)
     await clock.sleep(POLL_MS, signal)
   }
 }
 
+async function readHostList (host: Host, source: LeavingSource, signal: AbortSignal): Promise<void> {
+  try {
+    for (const listed of await host.platform.listHosts(signal)) observeListed(host, source, listed)
+  } catch (error) {
+    if (!signal.aborted) host.log.debug({ err: error }, 'host list not read; the last one holds')
+  }
+}
+
 function observeListed ({ membership, services, clock }: Host, source: LeavingSource, listed: PlatformHost): void {
   const now = clock.getNow()
   if (listed.role === TARGET_ROLE) {
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -34,7 +34,8 @@
 
 interface WaitingRequest {
   request: QueuedRequest
-  attemptId: string
+  /** The caller's id of the request; `request.id` names the attempt. */
+  requestId: string
   excluded: ReadonlySet<string>
   resolve: (result: SlotGrant | LaneRefusal) => void
 }
@@ -71,22 +72,22 @@
     return Math.max(0, this.parts.queue.waiting - this.credits.length)
   }
 
-  /** Expected service time of a route, in milliseconds, as learnt here. */
-  estimateCost (route: string): number {
-    return this.parts.queue.estimateCost(route)
+  /** Expected service time of a route, in milliseconds; undefined before one was learnt. */
+  findCost (route: string): number | undefined {
+    return this.parts.queue.findCost(route)
   }
 
   /** Waits for a slot; a refusal is final for this attempt. */
-  admit (request: QueuedRequest, attemptId: string, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotGrant | LaneRefusal> {
+  admit (request: QueuedRequest, requestId: string, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotGrant | LaneRefusal> {
     const { queue, clock, recorder } = this.parts
     const now = clock.getNow()
     const free = this.countFree(now)
     const capacity = this.computeCapacity(free)
     const decision = queue.offer(request, free, capacity, now)
-    recorder.record({ decision: 'admission', requestId: request.id, input: { service: this.service, region: this.region, caller: request.caller, key: request.key, route: request.route, deadlineMs: Math.round(request.deadlineAt - now), free, capacity, waiting: queue.waiting }, output: { ...decision } })
+    recorder.record({ decision: 'admission', requestId, input: { service: this.service, region: this.region, caller: request.caller, key: request.key, route: request.route, deadlineMs: Math.round(request.deadlineAt - now), free, capacity, waiting: queue.waiting }, output: { ...decision } })
     if (decision.kind === 'refuse') return Promise.resolve(this.explainRefusal(decision.reason, decision.retryAfterMs))
     const result = new Promise<SlotGrant | LaneRefusal>((resolve) => {
-      this.waiting.set(request.id, { request, attemptId, excluded, resolve })
+      this.waiting.set(request.id, { request, requestId, excluded, resolve })
     })
     signal.addEventListener('abort', () => { this.cancel(request) }, { once: true })
     if (decision.kind === 'start') this.start(request, now)
@@ -145,8 +146,8 @@
     const free = slots.getFree(service, now)
     const choice = chooser.choose(free, waiting.excluded, now, random) ?? chooser.choose(free, new Set(), now, random)
     if (choice === undefined) return undefined
-    recorder.record({ decision: 'choice', requestId: waiting.request.id, input: { service, free: Object.fromEntries(free), excluded: [...waiting.excluded] }, output: { ...choice } })
-    const isTaken = slots.acquire(service, choice.target, waiting.attemptId, waiting.request.deadlineAt, now)
+    recorder.record({ decision: 'choice', requestId: waiting.requestId, input: { service, free: Object.fromEntries(free), excluded: [...waiting.excluded] }, output: { ...choice } })
+    const isTaken = slots.acquire(service, choice.target, waiting.request.id, waiting.request.deadlineAt, now)
     return isTaken ? { kind: 'own', target: choice.target } : undefined
   }
 
--- a/packages/almondrelay/src/process/dispatch/requestExecutor.ts
+++ b/packages/almondrelay/src/process/dispatch/requestExecutor.ts
@@ -74,7 +74,7 @@
     const { clock } = this.parts
     const attempt = this.buildAttempt(execution)
     const queued = { id: attempt.attemptId, caller: attempt.caller, key: execution.request.key, route: attempt.route, deadlineAt: execution.deadlineAt, arrivedAt: clock.getNow() }
-    const grant = await lane.admit(queued, attempt.attemptId, execution.tried, execution.signal)
+    const grant = await lane.admit(queued, attempt.requestId, execution.tried, execution.signal)
     if (grant.kind === 'refused') return grant
     execution.attempts += 1
     const startedAt = clock.getNow()
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -39,10 +39,10 @@
     this.chooser.report(target, report, now)
   }
 
-  /** Expected service time of a route, in milliseconds; undefined before any queue has seen the service. */
-  estimateCost (route: string): number | undefined {
+  /** Expected service time of a route, in milliseconds; undefined before one was learnt. */
+  findCost (route: string): number | undefined {
     const [lane] = this.lanes.values()
-    return lane?.estimateCost(route)
+    return lane?.findCost(route)
   }
 
   /** A target of this host's availability zone. */
--- a/packages/almondrelay/src/process/dispatch/targetRunner.ts
+++ b/packages/almondrelay/src/process/dispatch/targetRunner.ts
@@ -43,7 +43,7 @@
       return { kind: 'not-run', reason: RefusalReason.deadlinePassed, message: 'the deadline passed before the request was sent: allow more time', target: target.name }
     }
     const { chooser } = runtime
-    chooser.start(target.name, startedAt, runtime.estimateCost(attempt.route))
+    chooser.start(target.name, startedAt, runtime.findCost(attempt.route))
     this.running += 1
     const deadline = createDeadlineSignal(clock, attempt.deadlineAt, signal)
     const result = await sender.send(target.address, buildTargetRequest(attempt, runtime.spec.maxBodyBytes, startedAt), deadline.signal)
