Drop a peer connection on which credits go unanswered

Cause: since the queue gives up on a request after 750 ms, a silent connection to a peer, found by pings after 1.5 s, cost every request on it its answer (matrix cell 'peer hop x silent connection'). Ruled out: a longer wait in the queue (it would hold back refusals); narrower pings (all connections pay). Change: an answer about credits that doesn't come within 300 ms drops the connection. Measured: the cell fails before and passes after; 400 interleavings pass.

--- a/packages/almondrelay-faults/src/fleet/fakeLinks.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeLinks.ts
@@ -30,7 +30,11 @@
     return { client: this.createClient(address, true), close: () => undefined }
   }
 
-  override drop (): void {}
+  override drop (address: string): void {
+    const host = this.findByAddress(address)?.identity.host ?? ''
+    if (this.faults.get(host) === LinkFault.silentConnection) this.faults.delete(host)
+    this.cancelCalls()
+  }
 
   /** Makes the connection in use to a peer silent for good; the daemon's pings find it, and a new one works. */
   injectSilence (host: string): void {
--- a/packages/almondrelay/src/process/dispatch/creditTask.ts
+++ b/packages/almondrelay/src/process/dispatch/creditTask.ts
@@ -1,3 +1,4 @@
+import { Code, ConnectError } from '@connectrpc/connect'
 import type { Sender } from 'almondrelay-protocol'
 import { RefusalReason } from '../../request/refusalReason.js'
 import type { Clock } from '../platform/clock.js'
@@ -18,8 +19,8 @@
   signal: AbortSignal
 }
 
-/** Longest wait for one answer about credits, in milliseconds: several round trips between the farthest regions. */
-const CREDIT_TIMEOUT_MS = 500
+/** Longest wait for one answer about credits, in milliseconds: nearly three round trips between the farthest regions (110 ms). */
+const CREDIT_TIMEOUT_MS = 300
 const MAX_BATCH = 32
 /** Pause after every peer was asked in vain, in milliseconds; a fresh slot is worth a round trip, not a storm. */
 const MIN_PAUSE_MS = 20
@@ -74,7 +75,7 @@
   }
 
   private async askPeer (peer: KnownHost, wanted: number): Promise<number> {
-    const { clock, links, sender, directory, signal } = this.parts
+    const { clock, links, sender, signal } = this.parts
     // The validity counts from before the request left, so that a slow answer can't stretch it.
     const sentAt = clock.getNow()
     try {
@@ -84,12 +85,22 @@
       else this.lane.addCredits(credits)
       return credits.length
     } catch (error) {
-      if (isConnectionRefused(error)) directory.observeRefused(peer.name, peer.incarnation)
+      this.observeError(peer, error)
       this.lane.observeShortage(RefusalReason.noCredit)
       return 0
     }
   }
 
+  /**
+   * Failure: the connection is silent for good, and every request here waits for credits until pings find it,
+   * longer than a request may wait in the queue. An answer about credits needs no target, so one that
+   * doesn't come is taken for that: the connection is dropped. Attempts that were on it are fenced.
+   */
+  private observeError (peer: KnownHost, error: unknown): void {
+    if (isConnectionRefused(error)) this.parts.directory.observeRefused(peer.name, peer.incarnation)
+    else if (error instanceof ConnectError && error.code === Code.DeadlineExceeded) this.parts.links.drop(peer.peerAddress)
+  }
+
   private waitForWake (): Promise<void> {
     const { signal } = this.parts
     return new Promise((resolve) => {
