--- a/packages/almondrelay/src/connection/listenForHttp.ts
+++ b/packages/almondrelay/src/connection/listenForHttp.ts
@@ -11,7 +11,7 @@
 
 /** Serves an HTTP/1.1 port. The returned server is closed by whoever opened it. */
 export async function listenForHttp (address: string, app: Hono): Promise<Server> {
-  const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false })
+  const listener = getRequestListener(app.fetch)
   const server = createServer({
     requestTimeout: REQUEST_TIMEOUT_MS,
     headersTimeout: HEADERS_TIMEOUT_MS,
--- a/packages/almondrelay/src/process/dispatch/requestPlacer.ts
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -11,6 +11,7 @@
 import type { DecisionRecorder } from './decisionRecorder.js'
 import type { HostDirectory } from './hostDirectory.js'
 import type { HostIdentity } from './hostIdentity.js'
+import type { KnownHost } from './knownHost.js'
 import type { Lane } from './lane.js'
 import type { LaneRefusal } from './laneRefusal.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
@@ -27,6 +28,12 @@
   recorder: DecisionRecorder
 }
 
+interface KnownZones {
+  hosts: KnownHost[]
+  configuration: Configuration
+  zones: ZoneView[]
+}
+
 type PlacerResult = { kind: 'placed', lane: Lane } | LaneRefusal
 
 const UNKNOWN_LATENCY_MS = 200
@@ -36,6 +43,8 @@
 
 /** Decides which region serves a request and gives the queue for it. */
 export class RequestPlacer {
+  private readonly views = new Map<string, KnownZones>()
+
   constructor (private readonly parts: PlacerParts) {}
 
   place (request: CallerRequest, runtime: ServiceRuntime, deadlineAt: number): PlacerResult {
@@ -69,7 +78,20 @@
     }
   }
 
+  /** The own zone is exact; what is known of the others changes with the directory's list. */
   private buildZones (runtime: ServiceRuntime, configuration: Configuration, now: number): ZoneView[] {
+    const { identity, slots, directory } = this.parts
+    const hosts = directory.list()
+    const known = this.views.get(runtime.name)
+    const isCurrent = known !== undefined && known.hosts === hosts && known.configuration === configuration
+    const zones = isCurrent ? known.zones : this.describeZones(runtime, configuration, hosts)
+    if (!isCurrent) this.views.set(runtime.name, { hosts, configuration, zones })
+    return zones.map((zone) => zone.availabilityZone === identity.availabilityZone
+      ? { ...zone, freeSlots: slots.countFree(runtime.name, now), ageMs: 0, reachable: true }
+      : zone)
+  }
+
+  private describeZones (runtime: ServiceRuntime, configuration: Configuration, hosts: KnownHost[]): ZoneView[] {
     const drained = findDrainedZones(configuration)
     return configuration.list('Region').flatMap((region) => region.spec.availabilityZones.map((availabilityZone) => {
       const targets = runtime.spec.targets.filter((target) => target.availabilityZone === availabilityZone)
@@ -79,21 +101,11 @@
         slots: targets.reduce((sum, target) => sum + target.slots, 0),
         draining: drained.has(availabilityZone),
         latencyMs: this.findLatencyMs(configuration, region.name),
-        ...this.summarizeHosts(runtime, availabilityZone, now)
+        ...summarizeHosts(hosts.filter((host) => host.availabilityZone === availabilityZone), runtime.name)
       }
     }))
   }
 
-  private summarizeHosts (runtime: ServiceRuntime, availabilityZone: string, now: number): Pick<ZoneView, 'freeSlots' | 'ageMs' | 'reachable'> {
-    const { identity, directory, slots } = this.parts
-    if (availabilityZone === identity.availabilityZone) {
-      return { freeSlots: slots.countFree(runtime.name, now), ageMs: 0, reachable: true }
-    }
-    const hosts = directory.list().filter((host) => host.availabilityZone === availabilityZone && host.reachable && !host.gone && !host.leaving)
-    const freeSlots = hosts.reduce((sum, host) => sum + (host.freeSlots.get(runtime.name) ?? 0), 0)
-    return { freeSlots, ageMs: Math.min(...hosts.map((host) => host.ageMs), Number.MAX_SAFE_INTEGER), reachable: hosts.length > 0 }
-  }
-
   private findLatencyMs (configuration: Configuration, region: string): number {
     const { identity } = this.parts
     if (region === identity.region) return ZONE_LATENCY_MS
@@ -101,3 +113,9 @@
     return link?.spec.latencyMs ?? UNKNOWN_LATENCY_MS
   }
 }
+
+function summarizeHosts (hosts: KnownHost[], service: string): Pick<ZoneView, 'freeSlots' | 'ageMs' | 'reachable'> {
+  const usable = hosts.filter((host) => host.reachable && !host.gone && !host.leaving)
+  const freeSlots = usable.reduce((sum, host) => sum + (host.freeSlots.get(service) ?? 0), 0)
+  return { freeSlots, ageMs: Math.min(...usable.map((host) => host.ageMs), Number.MAX_SAFE_INTEGER), reachable: usable.length > 0 }
+}
--- a/packages/almondrelay/src/process/runDaemon.ts
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -8,6 +8,7 @@
 import { createCallerApp } from '../connection/caller/createCallerApp.js'
 import { createPeerHandlers } from '../connection/peer/createPeerHandlers.js'
 import { listenForPeers } from '../connection/peer/listenForPeers.js'
+import { BatchedOutput } from './daemon/batchedOutput.js'
 import { buildHost } from './daemon/buildHost.js'
 import type { Host } from './daemon/host.js'
 import { closeHost } from './daemon/closeHost.js'
@@ -24,21 +25,24 @@
  * @throws AlmondrelayError of kind `settings-invalid` where a port can't be had.
  */
 export async function runDaemon (settings: HostSettings, signal: AbortSignal): Promise<number> {
-  const log = bunyan.createLogger({ name: 'almondrelayd', host: settings.host.name, level: settings.log.level })
-  const process = new AbortController()
+  const output = new BatchedOutput((chunk) => { process.stdout.write(chunk) })
+  process.once('exit', () => { output.flush() })
+  const log = bunyan.createLogger({ name: 'almondrelayd', host: settings.host.name, streams: [{ level: settings.log.level, stream: output }] })
+  const owner = new AbortController()
   const failure = new AbortController()
-  setMaxListeners(0, process.signal)
-  const host = buildHost(settings, log, process.signal, () => { if (!signal.aborted) failure.abort() })
-  const servers = await openPorts(host, process.signal)
-  const tasks = runTasks(host, process.signal)
+  setMaxListeners(0, owner.signal)
+  const host = buildHost(settings, log, owner.signal, () => { if (!signal.aborted) failure.abort() })
+  const servers = await openPorts(host, owner.signal)
+  const tasks = runTasks(host, owner.signal)
   log.info({ incarnation: host.identity.incarnation, listen: settings.listen }, 'host started')
   await waitForAbort(AbortSignal.any([signal, failure.signal]))
   const unfinished = await stopHost(host, servers)
   await releaseZone(host)
-  process.abort()
+  owner.abort()
   await tasks
   await closeHost(host)
   log.info({ unfinished }, 'host stopped')
+  output.flush()
   return unfinished === 0 && !failure.signal.aborted ? 0 : 1
 }
 
