--- a/packages/almondrelay-faults/src/index.ts
+++ b/packages/almondrelay-faults/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './fleet/index.js'
+export * from './matrix/cells.js'
