--- /dev/null
+++ b/packages/almondrelay-cli/src/replay/__tests__/traces.test.ts
@@ -0,0 +1,21 @@
+import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { runWith } from '../../__fixtures__/runWith.js'
+
+const FOLDER = new URL('../../../src/replay/__fixtures__/', import.meta.url)
+
+// Traces of one host (akl-a-1 of Kowhai's smallest size, 12 requests a second): in peace, while region wlg's hosts
+// are killed, and while the platform refuses every call. A change that makes it decide otherwise shows here, line by line.
+for (const name of ['peace', 'regionLoss', 'platformOutage']) {
+  test(`the recorded trace ${name} is decided again as it was`, async () => {
+    const file = fileURLToPath(new URL(`${name}.jsonl`, FOLDER))
+    const lines = readFileSync(file, 'utf8').trim().split('\n').length
+    const result = await runWith(['replay', file])
+    assert.is(result.code, 0, result.stderr)
+    assert.match(result.stdout, `${lines} decisions: ${lines} the same, 0 different`)
+  })
+}
+
+test.run()
--- a/packages/almondrelay-cli/src/replay/choiceReplayer.ts
+++ b/packages/almondrelay-cli/src/replay/choiceReplayer.ts
@@ -25,6 +25,7 @@
     return match(call)
       .with('adoptTargets', () => chooser.adoptTargets(given[0] as TargetSpec[], given[1] as number))
       .with('choose', () => chooser.choose(new Map(Object.entries(given[0] as Record<string, number>)), new Set(given[1] as string[]), given[2] as number, this.random.draw))
+      .with('allow', () => chooser.allow(given[0] as string, given[1] as number))
       .with('start', () => chooser.start(given[0] as string, given[1] as number, given[2] as number | null ?? undefined))
       .with('finish', () => chooser.finish(given[0] as string, given[1] as TargetResult, given[2] as number))
       .with('report', () => chooser.report(given[0] as string, given[1] as TargetReport, given[2] as number))
--- a/packages/almondrelay-faults/src/fleet/fakeHost.ts
+++ b/packages/almondrelay-faults/src/fleet/fakeHost.ts
@@ -1,5 +1,5 @@
 import { Code, ConnectError } from '@connectrpc/connect'
-import { buildRequestPath, createPeerHandlers, createSeededRandom, DecisionRecorder, HostCapacity, HostDirectory, HostSlots, RegionLender, RegionLimits, type Clock, type Configuration, type HostIdentity, type KnownHost } from 'almondrelay'
+import { buildRequestPath, createPeerHandlers, createSeededRandom, DecisionRecorder, HostCapacity, HostDirectory, HostSlots, PlainModules, RegionLender, RegionLimits, type Clock, type Configuration, type HostIdentity, type KnownHost } from 'almondrelay'
 import type { FakeFleet } from './fakeFleet.js'
 import { FakeLinks } from './fakeLinks.js'
 import { HostClock } from './hostClock.js'
@@ -65,11 +65,13 @@
     this.limits = new RegionLimits(identity, this.slots.claims)
     this.lender = new RegionLender({ name: identity.host, incarnation: identity.incarnation })
     this.capacity = new HostCapacity({ region: identity.region, slots: this.slots, limits: this.limits, wakeLoans: () => undefined })
+    const random = createSeededRandom(seed)
     this.path = buildRequestPath({
       requests: REQUESTS,
       identity,
       clock: this.clock,
-      random: createSeededRandom(seed),
+      random,
+      modules: new PlainModules(random, this.recorder),
       recorder: this.recorder,
       slots: this.capacity,
       directory: this.directory,
--- a/packages/almondrelay/src/process/account/recordedTargetChooser.ts
+++ b/packages/almondrelay/src/process/account/recordedTargetChooser.ts
@@ -22,6 +22,11 @@
     return this.recorder.run({ call: 'choose', requestId: '', given: [free, exclude, now] }, () => super.choose(free, exclude, now, this.recorder.random))
   }
 
+  /** It may take a silent target's work away. */
+  override allow (target: string, now: number): boolean {
+    return this.recorder.run({ call: 'allow', requestId: '', given: [target, now] }, () => super.allow(target, now))
+  }
+
   override start (target: string, now: number, expectedMs?: number): void {
     this.recorder.run({ call: 'start', requestId: '', given: [target, now, expectedMs] }, () => super.start(target, now, expectedMs))
   }
--- a/packages/almondrelay/src/process/daemon/buildHost.ts
+++ b/packages/almondrelay/src/process/daemon/buildHost.ts
@@ -28,7 +28,9 @@
 import type { Host } from './host.js'
 import { MemberDirectory } from './memberDirectory.js'
 import { Metrics } from './metrics.js'
+import { PlainModules } from './plainModules.js'
 import { readAccount } from './readAccount.js'
+import { RecordedModules } from './recordedModules.js'
 
 const MAX_SEED = 2 ** 32
 
@@ -74,10 +76,11 @@
     targets: new TargetConnections(clock)
   }
   const recorder = new DecisionLogRecorder(new DecisionLog(log))
+  const modules = settings.log.replay ? new RecordedModules({ identity, random, recorder }) : new PlainModules(random, recorder)
   const directory = new MemberDirectory(membership, clock)
   const isWatcher = (): boolean => membership.chooseWatchers(identity.availabilityZone, clock.getNow()).includes(identity.host)
   const limits = buildLimits({ ...base, directory, links: base.peers, isWatcher })
-  const path = buildRequestPath({ ...base, slots: limits.capacity, requests: settings.requests, recorder, directory, links: base.peers }, signal)
+  const path = buildRequestPath({ ...base, slots: limits.capacity, requests: settings.requests, modules, recorder, directory, links: base.peers }, signal)
   const { services } = path
   const hub = new ExchangeHub({
     ...membershipOptions,
@@ -96,7 +99,7 @@
     hub,
     leavingTargets,
     isWatcher,
-    lookups: new LookupAnswerer({ identity, clock, random, services, directory, recorder, ttlMs: settings.lookups.ttlMs }),
+    lookups: new LookupAnswerer({ identity, clock, random, services, directory, modules, ttlMs: settings.lookups.ttlMs }),
     answers: new AccountRecorder({ identity, clock, ledger, recorder, metrics, getConfiguration: () => services.configuration }),
     accountWriter: new AccountWriter(ledger, platform, {
       wallNow: () => clock.getWallTime(),
--- a/packages/almondrelay/src/process/daemon/buildRequestPath.ts
+++ b/packages/almondrelay/src/process/daemon/buildRequestPath.ts
@@ -1,4 +1,5 @@
 import type { Random } from '../../request/random.js'
+import type { DecisionModules } from '../dispatch/decisionModules.js'
 import type { DecisionRecorder } from '../dispatch/decisionRecorder.js'
 import type { HostDirectory } from '../dispatch/hostDirectory.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
@@ -24,6 +25,7 @@
   identity: HostIdentity
   clock: Clock
   random: Random
+  modules: DecisionModules
   recorder: DecisionRecorder
   slots: SlotPool
   directory: HostDirectory
@@ -48,10 +50,10 @@
 
 /** Makes what a request passes through, from admission to its answer. */
 export function buildRequestPath (base: PathBase, signal: AbortSignal): RequestPath {
-  const { identity, clock, random, recorder, slots, directory, links, targets } = base
+  const { identity, clock, random, modules, recorder, slots, directory, links, targets } = base
   const { maxQueued, maxDeadlineMs, maxJournalEntries, journalRetentionMs } = base.requests
   const sender = makeSender(identity)
-  const services = new Services({ identity, clock, random, recorder, slots, directory, links, maxQueued, maxDeadlineMs, signal })
+  const services = new Services({ identity, clock, random, modules, recorder, slots, directory, links, maxQueued, maxDeadlineMs, signal })
   const journal = new Journal({ maxEntries: maxJournalEntries, maxRefused: maxJournalEntries, maxBytes: MAX_JOURNAL_BYTES, retentionMs: journalRetentionMs, maxSkewMs: MAX_SKEW_MS })
   const runner = new TargetRunner({ clock, slots, sender: targets, signal })
   const executor = new RequestExecutor({
@@ -59,7 +61,7 @@
     clock,
     recorder,
     runner,
-    placer: new RequestPlacer({ identity, clock, random, services, slots, directory, recorder }),
+    placer: new RequestPlacer({ identity, clock, services, slots, directory, modules }),
     forwarder: new PeerForwarder({ clock, directory, links, sender })
   })
   const relay = new HomeRelay({ clock, directory, links, sender })
--- a/packages/almondrelay/src/process/daemon/index.ts
+++ b/packages/almondrelay/src/process/daemon/index.ts
@@ -1,1 +1,2 @@
 export * from './buildRequestPath.js'
+export * from './plainModules.js'
--- a/packages/almondrelay/src/process/dispatch/__tests__/targetRunner.test.ts
+++ b/packages/almondrelay/src/process/dispatch/__tests__/targetRunner.test.ts
@@ -4,6 +4,7 @@
 import type { TargetReply } from '../../../request/targetReply.js'
 import { ServiceSpec } from '../../../version/resources/serviceSpec.js'
 import { FakeClock } from '../../platform/__fixtures__/fakeClock.js'
+import { TargetChooser } from '../../../request/choice/targetChooser.js'
 import { HostSlots } from '../../limits/hostSlots.js'
 import { RegionLimits } from '../../limits/regionLimits.js'
 import { HostCapacity } from '../hostCapacity.js'
@@ -32,7 +33,7 @@
   slots.adoptRoster({ version: 1, availabilityZone: 'akl-a', hosts: [{ name: 'akl-a-1', incarnation: 1 }] }, 0)
   const capacity = new HostCapacity({ region: 'akl', slots, limits: new RegionLimits(HOST, slots.claims), wakeLoans: () => undefined })
   capacity.adoptTargets('approvals', [TARGET], 10_000, 0)
-  const runtime = new ServiceRuntime('approvals', SPEC)
+  const runtime = new ServiceRuntime('approvals', SPEC, new TargetChooser())
   runtime.adoptSpec(SPEC, 'akl-a', new Set(), 0)
   const runner = new TargetRunner({ clock, slots: capacity, sender: new PatientSender(), signal: new AbortController().signal })
   return { clock, capacity, runtime, runner }
--- a/packages/almondrelay/src/process/dispatch/requestPlacer.ts
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -1,14 +1,12 @@
 import type { CallerRequest } from '../../request/contract/callerRequest.js'
-import { choosePlacement } from '../../request/placement/choosePlacement.js'
 import type { PlacementInput } from '../../request/placement/placementInput.js'
 import type { ZoneView } from '../../request/placement/zoneView.js'
-import type { Random } from '../../request/random.js'
 import { RefusalReason } from '../../request/refusalReason.js'
 import type { Configuration } from '../../version/configuration.js'
 import { findDrainedZones } from '../../version/findDrainedZones.js'
 import { findSteeringPolicy } from '../../version/findSteeringPolicy.js'
 import type { Clock } from '../platform/clock.js'
-import type { DecisionRecorder } from './decisionRecorder.js'
+import type { DecisionModules } from './decisionModules.js'
 import type { HostDirectory } from './hostDirectory.js'
 import type { HostIdentity } from './hostIdentity.js'
 import type { KnownHost } from './knownHost.js'
@@ -21,11 +19,10 @@
 interface PlacerParts {
   identity: HostIdentity
   clock: Clock
-  random: Random
   services: Services
   slots: SlotPool
   directory: HostDirectory
-  recorder: DecisionRecorder
+  modules: DecisionModules
 }
 
 interface KnownZones {
@@ -48,13 +45,12 @@
   constructor (private readonly parts: PlacerParts) {}
 
   place (request: CallerRequest, runtime: ServiceRuntime, deadlineAt: number): PlacerResult {
-    const { clock, random, services, recorder } = this.parts
+    const { clock, modules, services } = this.parts
     const now = clock.getNow()
     const configuration = services.configuration
     if (configuration === undefined) return { kind: 'refused', reason: RefusalReason.notReady, retryAfterMs: 1_000 }
     const input = this.buildInput(runtime, configuration, deadlineAt, now)
-    const placement = choosePlacement(input, now, random)
-    recorder.record({ decision: 'placement', requestId: request.id, input: { ...input }, output: { ...placement } })
+    const placement = modules.choosePlacement(request.id, input, now)
     if (placement.kind === 'refuse') return { kind: 'refused', reason: placement.reason, retryAfterMs: placement.retryAfterMs }
     const first = placement.zones[0]
     if (first === undefined) return { kind: 'refused', reason: RefusalReason.noTarget, retryAfterMs: 1_000 }
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -1,4 +1,4 @@
-import { TargetChooser } from '../../request/choice/targetChooser.js'
+import type { TargetChooser } from '../../request/choice/targetChooser.js'
 import type { TargetReport } from '../../request/choice/targetReport.js'
 import { RetryBudget } from '../../request/retry/retryBudget.js'
 import type { ServiceSpec } from '../../version/resources/serviceSpec.js'
@@ -7,13 +7,12 @@
 
 /** What this host keeps for one service as long as the service is configured. */
 export class ServiceRuntime {
-  readonly chooser = new TargetChooser()
   readonly retryBudget = new RetryBudget()
   readonly lanes = new Map<string, Lane>()
   private targets = new Map<string, TargetSpec>()
   private drained: ReadonlySet<string> = new Set()
 
-  constructor (readonly name: string, private currentSpec: ServiceSpec) {}
+  constructor (readonly name: string, private currentSpec: ServiceSpec, readonly chooser: TargetChooser) {}
 
   get spec (): ServiceSpec {
     return this.currentSpec
--- a/packages/almondrelay/src/process/dispatch/services.ts
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -1,9 +1,9 @@
-import { AdmissionQueue } from '../../request/admission/admissionQueue.js'
 import type { Random } from '../../request/random.js'
 import type { Configuration } from '../../version/configuration.js'
 import { findDrainedTargets } from '../../version/findDrainedTargets.js'
 import type { Clock } from '../platform/clock.js'
 import { CreditTask } from './creditTask.js'
+import type { DecisionModules } from './decisionModules.js'
 import type { DecisionRecorder } from './decisionRecorder.js'
 import type { HostDirectory } from './hostDirectory.js'
 import type { HostIdentity } from './hostIdentity.js'
@@ -19,6 +19,7 @@
   identity: HostIdentity
   clock: Clock
   random: Random
+  modules: DecisionModules
   recorder: DecisionRecorder
   slots: SlotPool
   directory: HostDirectory
@@ -41,10 +42,10 @@
   }
 
   adoptConfiguration (configuration: Configuration, now: number): void {
-    const { identity, slots, maxDeadlineMs } = this.parts
+    const { identity, modules, slots, maxDeadlineMs } = this.parts
     this.current = configuration
     for (const { name, spec } of configuration.list('Service')) {
-      const runtime = this.runtimes.get(name) ?? new ServiceRuntime(name, spec)
+      const runtime = this.runtimes.get(name) ?? new ServiceRuntime(name, spec, modules.createChooser(name))
       this.runtimes.set(name, runtime)
       runtime.adoptSpec(spec, identity.availabilityZone, findDrainedTargets(configuration, name, spec), now)
       slots.adoptTargets(name, spec.targets, maxDeadlineMs, now)
@@ -80,13 +81,13 @@
   }
 
   private createLane (runtime: ServiceRuntime, region: string): Lane {
-    const { identity, clock, random, recorder, slots, directory, links, maxQueued, signal } = this.parts
+    const { identity, clock, random, modules, recorder, slots, directory, links, maxQueued, signal } = this.parts
     const task = {} as { current?: CreditTask }
     const rankPeers = (): KnownHost[] => rankCreditPeers({ service: runtime.name, region, identity, hosts: directory.list(), configuration: this.current, random })
     const lane = new Lane({
       service: runtime.name,
       region,
-      queue: new AdmissionQueue({ maxQueued }, random),
+      queue: modules.createQueue(runtime.name, region, { maxQueued }),
       chooser: runtime.chooser,
       slots,
       usesOwnSlots: region === identity.region,
--- a/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
+++ b/packages/almondrelay/src/process/lookup/lookupAnswerer.ts
@@ -1,11 +1,10 @@
 import type { Random } from '../../request/random.js'
 import { ClientBlocks } from '../../version/clientBlocks/clientBlocks.js'
 import type { Configuration } from '../../version/configuration.js'
-import { computeLookupAnswer } from '../../version/weights/computeLookupAnswer.js'
 import type { HostView } from '../../version/weights/hostView.js'
 import type { LookupAnswer } from '../../version/weights/lookupAnswer.js'
 import { sortByDraw } from '../../version/weights/sortByDraw.js'
-import type { DecisionRecorder } from '../dispatch/decisionRecorder.js'
+import type { DecisionModules } from '../dispatch/decisionModules.js'
 import type { HostDirectory } from '../dispatch/hostDirectory.js'
 import type { HostIdentity } from '../dispatch/hostIdentity.js'
 import type { KnownHost } from '../dispatch/knownHost.js'
@@ -19,7 +18,7 @@
   random: Random
   services: Services
   directory: HostDirectory
-  recorder: DecisionRecorder
+  modules: DecisionModules
   ttlMs: number
 }
 
@@ -72,14 +71,13 @@
   }
 
   private findWeights (service: string, region: string): LookupAnswer {
-    const { clock, random, ttlMs, recorder } = this.parts
+    const { clock, ttlMs, modules } = this.parts
     const now = clock.getNow()
     const key = `${service}/${region}`
     const previous = this.weights.get(key)
     if (previous !== undefined && now - previous.computedAt < WEIGHTS_MS && this.isEveryHostUsable(previous)) return previous
     const input = { hosts: this.listViews(service, region), ttlMs }
-    const weights = computeLookupAnswer(input, previous, now, random)
-    recorder.record({ decision: 'lookup', requestId: '', input: { service, region, ...input }, output: weights })
+    const weights = modules.computeLookupAnswer(input, previous, now)
     this.weights.set(key, weights)
     return weights
   }
