--- a/packages/almondrelay/src/connection/limits/linkedLimitPeers.ts
+++ b/packages/almondrelay/src/connection/limits/linkedLimitPeers.ts
@@ -1,4 +1,4 @@
-import type { ClaimPartsResponse, Sender } from 'almondrelay-protocol'
+import type { ClaimPartsResponse } from 'almondrelay-protocol'
 import type { HostDirectory } from '../../process/dispatch/hostDirectory.js'
 import { isConnectionRefused } from '../../process/dispatch/isConnectionRefused.js'
 import type { KnownHost } from '../../process/dispatch/knownHost.js'
@@ -13,11 +13,12 @@
 import { LimitPeers } from './limitPeers.js'
 import type { LoanPeers } from './loanPeers.js'
 import { toPartClaimAnswer } from './toPartClaimAnswer.js'
+import type { PeerSender } from '../../process/dispatch/peerSender.js'
 
 interface LinkedPeersParts {
   links: PeerLinks
   directory: HostDirectory
-  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+  sender: PeerSender
 }
 
 type PeerClient = ReturnType<PeerLinks['get']>
--- a/packages/almondrelay/src/process/dispatch/creditTask.ts
+++ b/packages/almondrelay/src/process/dispatch/creditTask.ts
@@ -1,5 +1,4 @@
 import { Code, ConnectError } from '@connectrpc/connect'
-import type { Sender } from 'almondrelay-protocol'
 import { RefusalReason } from '../../request/refusalReason.js'
 import type { Clock } from '../platform/clock.js'
 import type { HeldCredit } from './heldCredit.js'
@@ -8,12 +7,13 @@
 import type { KnownHost } from './knownHost.js'
 import type { Lane } from './lane.js'
 import type { PeerLinks } from './peerLinks.js'
+import type { PeerSender } from './peerSender.js'
 
 interface CreditTaskParts {
   clock: Clock
   directory: HostDirectory
   links: PeerLinks
-  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+  sender: PeerSender
   /** Peers to ask for a lane's credits, best first. */
   rankPeers: (lane: Lane, now: number) => KnownHost[]
   signal: AbortSignal
--- a/packages/almondrelay/src/process/dispatch/homeRelay.ts
+++ b/packages/almondrelay/src/process/dispatch/homeRelay.ts
@@ -1,4 +1,3 @@
-import type { Sender } from 'almondrelay-protocol'
 import type { Answer } from '../../request/answer.js'
 import { buildRefusal } from '../../request/buildRefusal.js'
 import type { CallerRequest } from '../../request/contract/callerRequest.js'
@@ -12,12 +11,13 @@
 import type { KnownHost } from './knownHost.js'
 import { toAnswer } from './toAnswer.js'
 import type { PeerLinks } from './peerLinks.js'
+import type { PeerSender } from './peerSender.js'
 
 interface HomeRelayParts {
   clock: Clock
   directory: HostDirectory
   links: PeerLinks
-  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+  sender: PeerSender
 }
 
 const RELAY_PAUSE_MS = 100
--- a/packages/almondrelay/src/process/dispatch/peerForwarder.ts
+++ b/packages/almondrelay/src/process/dispatch/peerForwarder.ts
@@ -1,5 +1,5 @@
 import { Code, ConnectError, type Client } from '@connectrpc/connect'
-import type { ForwardResponse, PeerService, Sender } from 'almondrelay-protocol'
+import type { ForwardResponse, PeerService } from 'almondrelay-protocol'
 import { match } from 'ts-pattern'
 import type { Attempt } from '../../request/attempt.js'
 import { Outcome } from '../../request/outcome.js'
@@ -11,12 +11,13 @@
 import { isConnectionRefused } from './isConnectionRefused.js'
 import type { KnownHost } from './knownHost.js'
 import type { PeerLinks } from './peerLinks.js'
+import type { PeerSender } from './peerSender.js'
 
 interface ForwarderParts {
   clock: Clock
   directory: HostDirectory
   links: PeerLinks
-  sender: Pick<Sender, 'host' | 'incarnation' | 'availabilityZone' | 'region' | 'protocolVersion'>
+  sender: PeerSender
 }
 
 /** Longest wait for an answer to one fence call, in milliseconds; shorter than a silent connection is noticed. */
--- a/packages/almondrelay/src/request/contract/parseCallerRequest.ts
+++ b/packages/almondrelay/src/request/contract/parseCallerRequest.ts
@@ -5,62 +5,113 @@
 import { RefusalReason } from '../refusalReason.js'
 import type { CallerRequest } from './callerRequest.js'
 import { HeaderName } from './headerName.js'
+import type { HomeReference } from './homeReference.js'
 import { isIdempotent } from './isIdempotent.js'
 import { parseHome } from './parseHome.js'
 import { parseIdTime } from './parseIdTime.js'
 import type { RawRequest } from './rawRequest.js'
 
-const NAME = /^[\x21-\x7e]{1,128}$/
-const DEADLINE = /^\d{1,9}$/
-const ATTEMPT = /^\d{1,6}$/
-const ANONYMOUS = 'anonymous'
-
 interface ContractLimits {
   maxDeadlineMs: number
 }
 
 type ParseResult = { request: CallerRequest } | { refusal: Answer }
 
+type Headers = ReadonlyMap<string, string>
+
+const VISIBLE = /^[\x21-\x7e]{1,128}$/
+const DEADLINE = /^\d{1,9}$/
+const ATTEMPT = /^\d{1,6}$/
+const ANONYMOUS = 'anonymous'
+/** Characters of a malformed value that a message repeats. */
+const SHOWN = 40
+
+/** Ends the reading of a request that breaks the contract. */
+class ContractBreach extends Error {
+  constructor (readonly reason: RefusalReason, message: string) {
+    super(message)
+  }
+}
+
 /** Checks a request against the caller contract; a refusal names the header and what to send instead. */
 export function parseCallerRequest (raw: RawRequest, service: ServiceSpec, limits: ContractLimits, makeId: () => string): ParseResult {
-  const headers = new Map(raw.headers.map((header) => [header.name.toLowerCase(), header.value]))
-  const caller = headers.get(HeaderName.caller) ?? ANONYMOUS
-  if (!NAME.test(caller)) return refuse(RefusalReason.invalidHeader, `Almondrelay-Caller is '${caller.slice(0, 40)}': send 1 to 128 visible ASCII characters`)
-  const key = headers.get(HeaderName.key) ?? ''
-  if (key !== '' && !NAME.test(key)) return refuse(RefusalReason.invalidHeader, 'Almondrelay-Key is malformed: send 1 to 128 visible ASCII characters')
-  const deadlineText = headers.get(HeaderName.deadline) ?? String(service.defaultDeadlineMs)
-  if (!DEADLINE.test(deadlineText) || Number(deadlineText) === 0) return refuse(RefusalReason.invalidHeader, `Almondrelay-Deadline is '${deadlineText.slice(0, 40)}': send the milliseconds left, a whole number above 0`)
-  if (raw.body.byteLength > service.maxBodyBytes) return refuse(RefusalReason.bodyTooLarge, `the body has ${raw.body.byteLength} bytes: send at most ${service.maxBodyBytes}`)
+  try {
+    return { request: readRequest(raw, service, limits, makeId) }
+  } catch (error) {
+    if (!(error instanceof ContractBreach)) throw error
+    return { refusal: buildRefusal({ outcome: Outcome.notRun, reason: error.reason, message: error.message }) }
+  }
+}
+
+function readRequest (raw: RawRequest, service: ServiceSpec, limits: ContractLimits, makeId: () => string): CallerRequest {
+  const headers: Headers = new Map(raw.headers.map((header) => [header.name.toLowerCase(), header.value]))
+  checkBody(raw, service)
   const idempotent = isIdempotent(service, raw.method, raw.path)
-  const id = headers.get(HeaderName.id)
-  const idTime = id === undefined ? undefined : parseIdTime(id)
-  if (!idempotent && id === undefined) return refuse(RefusalReason.missingId, `${raw.method} ${raw.path} is not idempotent: send Idempotency-Key, a UUIDv7 that stays the same on every retry`)
-  if (id !== undefined && idTime === undefined) return refuse(RefusalReason.invalidHeader, `Idempotency-Key is '${id.slice(0, 40)}': send a UUIDv7`)
-  const attemptText = headers.get(HeaderName.attempt)
-  if (attemptText !== undefined && !ATTEMPT.test(attemptText)) return refuse(RefusalReason.invalidHeader, `Almondrelay-Attempt is '${attemptText.slice(0, 40)}': send a whole number, one higher after each not-run`)
-  const homeText = headers.get(HeaderName.home)
-  if (!idempotent && homeText === undefined) return refuse(RefusalReason.missingHome, `${raw.method} ${raw.path} is not idempotent: send Almondrelay-Home, host;incarnation from the look-up that you used first`)
-  const home = homeText === undefined ? undefined : parseHome(homeText)
-  if (homeText !== undefined && home === undefined) return refuse(RefusalReason.invalidHeader, `Almondrelay-Home is '${homeText.slice(0, 40)}': send host;incarnation as the look-up gave them`)
+  const id = readId(headers)
+  const home = readHome(headers)
+  if (!idempotent) requireOnce(raw, id, home)
   return {
-    request: {
-      id: id?.toLowerCase() ?? makeId(),
-      idTime,
-      attempt: attemptText === undefined ? undefined : Number(attemptText),
-      service: raw.service,
-      caller,
-      key,
-      method: raw.method,
-      path: raw.path,
-      headers: raw.headers,
-      body: raw.body,
-      idempotent,
-      home: idempotent ? undefined : home,
-      deadlineMs: Math.min(Number(deadlineText), limits.maxDeadlineMs)
-    }
+    id: id ?? makeId(),
+    idTime: id === undefined ? undefined : parseIdTime(id),
+    attempt: readAttempt(headers),
+    service: raw.service,
+    caller: readName(headers, HeaderName.caller) ?? ANONYMOUS,
+    key: readName(headers, HeaderName.key) ?? '',
+    method: raw.method,
+    path: raw.path,
+    headers: raw.headers,
+    body: raw.body,
+    idempotent,
+    home: idempotent ? undefined : home,
+    deadlineMs: Math.min(readDeadlineMs(headers) ?? service.defaultDeadlineMs, limits.maxDeadlineMs)
   }
 }
 
-function refuse (reason: RefusalReason, message: string): ParseResult {
-  return { refusal: buildRefusal({ outcome: Outcome.notRun, reason, message }) }
+function checkBody (raw: RawRequest, service: ServiceSpec): void {
+  if (raw.body.byteLength <= service.maxBodyBytes) return
+  throw new ContractBreach(RefusalReason.bodyTooLarge, `the body has ${raw.body.byteLength} bytes: send at most ${service.maxBodyBytes}`)
+}
+
+/** What a request needs that may run only once. */
+function requireOnce (raw: RawRequest, id: string | undefined, home: HomeReference | undefined): void {
+  const about = `${raw.method} ${raw.path.slice(0, SHOWN)} is not idempotent`
+  if (id === undefined) throw new ContractBreach(RefusalReason.missingId, `${about}: send Idempotency-Key, a UUIDv7 that stays the same on every retry`)
+  if (home === undefined) throw new ContractBreach(RefusalReason.missingHome, `${about}: send Almondrelay-Home, host;incarnation from the look-up that you used first`)
+}
+
+function readId (headers: Headers): string | undefined {
+  const text = headers.get(HeaderName.id)?.toLowerCase()
+  if (text !== undefined && parseIdTime(text) === undefined) throw buildBreach('Idempotency-Key', text, 'send a UUIDv7')
+  return text
+}
+
+function readHome (headers: Headers): HomeReference | undefined {
+  const text = headers.get(HeaderName.home)
+  if (text === undefined) return undefined
+  const home = parseHome(text)
+  if (home === undefined) throw buildBreach('Almondrelay-Home', text, 'send host;incarnation as the look-up gave them')
+  return home
+}
+
+function readAttempt (headers: Headers): number | undefined {
+  const text = headers.get(HeaderName.attempt)
+  if (text !== undefined && !ATTEMPT.test(text)) throw buildBreach('Almondrelay-Attempt', text, 'send a whole number, one higher after each not-run')
+  return text === undefined ? undefined : Number(text)
+}
+
+function readDeadlineMs (headers: Headers): number | undefined {
+  const text = headers.get(HeaderName.deadline)
+  if (text === undefined) return undefined
+  if (!DEADLINE.test(text) || Number(text) === 0) throw buildBreach('Almondrelay-Deadline', text, 'send the milliseconds left, a whole number above 0')
+  return Number(text)
+}
+
+function readName (headers: Headers, header: typeof HeaderName.caller | typeof HeaderName.key): string | undefined {
+  const text = headers.get(header)
+  if (text !== undefined && !VISIBLE.test(text)) throw buildBreach(header, text, 'send 1 to 128 visible ASCII characters')
+  return text
+}
+
+function buildBreach (header: string, text: string, remedy: string): ContractBreach {
+  return new ContractBreach(RefusalReason.invalidHeader, `${header} is '${text.slice(0, SHOWN)}': ${remedy}`)
 }
