Give a slot back when its target was removed before the request was sent

Cause: the executor answered not-run for a target that had left the configuration and kept its slot for good (found by reading; peers' requests had their own copy of the check, which released it). Change: the runner looks the target up and releases, for both. Measured: the new test fails before and passes after.

--- a/packages/almondrelay/src/process/dispatch/__tests__/targetRunner.test.ts
+++ b/packages/almondrelay/src/process/dispatch/__tests__/targetRunner.test.ts
@@ -50,7 +50,7 @@
   for (const id of ['a', 'b', 'c']) {
     assert.ok(capacity.acquire('approvals', 't', id, 5_000, clock.getNow()))
     const caller = new AbortController()
-    const result = runner.run(makeAttempt(id, clock.getNow() + 5_000), TARGET, runtime, caller.signal)
+    const result = runner.run(makeAttempt(id, clock.getNow() + 5_000), 't', runtime, caller.signal)
     await clock.advance(50)
     caller.abort()
     assert.is((await result).kind, 'unknown')
@@ -65,7 +65,7 @@
   const { clock, capacity, runtime, runner } = createParts()
   capacity.acquire('approvals', 't', 'a', 5_000, 0)
   const caller = new AbortController()
-  const result = runner.run(makeAttempt('a', 5_000), TARGET, runtime, caller.signal)
+  const result = runner.run(makeAttempt('a', 5_000), 't', runtime, caller.signal)
   await clock.advance(10)
   caller.abort()
   await result
@@ -80,7 +80,18 @@
   const { clock, capacity, runtime, runner } = createParts()
   capacity.acquire('approvals', 't', 'a', 100, 0)
   await clock.advance(200)
-  const result = await runner.run(makeAttempt('a', 100), TARGET, runtime)
+  const result = await runner.run(makeAttempt('a', 100), 't', runtime)
+  assert.is(result.kind, 'not-run')
+  assert.is(capacity.countFree('approvals', clock.getNow()), 2)
+})
+
+// A target is taken out of the configuration between a request's slot and its sending. The slot has to come back, or
+// the target starts with one less when it is put in again.
+test('the slot of a target that was removed meanwhile comes back', async () => {
+  const { clock, capacity, runtime, runner } = createParts()
+  capacity.acquire('approvals', 't', 'a', 5_000, 0)
+  runtime.adoptSpec({ ...SPEC, targets: [] }, 'akl-a', new Set(), 0)
+  const result = await runner.run(makeAttempt('a', 5_000), 't', runtime)
   assert.is(result.kind, 'not-run')
   assert.is(capacity.countFree('approvals', clock.getNow()), 2)
 })
--- a/packages/almondrelay/src/process/dispatch/peerRequests.ts
+++ b/packages/almondrelay/src/process/dispatch/peerRequests.ts
@@ -106,12 +106,11 @@
     const used = slots.useCredit(request.creditId, request.attemptId, deadlineAt, now)
     if (used === undefined) return buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.noCredit, message: 'the credit lapsed or was used: ask for another' })
     const runtime = services.find(used.service)
-    const target = runtime?.findTarget(used.target)
-    if (runtime === undefined || target === undefined) {
+    if (runtime === undefined) {
       slots.release(request.attemptId, now)
-      return buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.noTarget, message: `target ${used.target} was removed: ask for another credit` })
+      return buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.unknownService, message: `service ${used.service} was removed: check the name` })
     }
-    const result = await runner.run(buildAttempt(request, deadlineAt), target, runtime)
+    const result = await runner.run(buildAttempt(request, deadlineAt), used.target, runtime)
     services.advance(clock.getNow())
     return buildAnswer(result)
   }
--- a/packages/almondrelay/src/process/dispatch/requestExecutor.ts
+++ b/packages/almondrelay/src/process/dispatch/requestExecutor.ts
@@ -88,10 +88,7 @@
   private async run (attempt: Attempt, grant: SlotGrant, execution: Execution): Promise<AttemptResult> {
     if (grant.kind === 'credit') return await this.parts.forwarder.forward(attempt, grant.credit, execution.signal)
     execution.tried.add(grant.target)
-    const { runtime } = execution
-    const target = runtime.findTarget(grant.target)
-    if (target === undefined) return { kind: 'not-run', reason: RefusalReason.noTarget, message: `target ${grant.target} was removed: try again` }
-    return await this.parts.runner.run(attempt, target, runtime, execution.signal)
+    return await this.parts.runner.run(attempt, grant.target, execution.runtime, execution.signal)
   }
 
   private buildAttempt ({ request, deadlineAt }: Execution): Attempt {
--- a/packages/almondrelay/src/process/dispatch/targetRunner.ts
+++ b/packages/almondrelay/src/process/dispatch/targetRunner.ts
@@ -33,15 +33,25 @@
   }
 
   /** Sends the attempt and releases its slot as soon as its end is known. */
-  async run (attempt: Attempt, target: TargetSpec, runtime: ServiceRuntime, signal?: AbortSignal): Promise<AttemptResult> {
-    const { clock, slots, sender } = this.parts
-    const startedAt = clock.getNow()
+  async run (attempt: Attempt, targetName: string, runtime: ServiceRuntime, signal?: AbortSignal): Promise<AttemptResult> {
+    const { clock, slots } = this.parts
+    const now = clock.getNow()
+    const target = runtime.findTarget(targetName)
+    if (target === undefined) {
+      slots.release(attempt.attemptId, now)
+      return { kind: 'not-run', reason: RefusalReason.noTarget, message: `target ${targetName} was removed: try again` }
+    }
     // Failure: the process was stopped between admission and here, and the target would run work
     // that was refused or fenced meanwhile. The monotonic clock ran on, so the deadline shows it.
-    if (startedAt >= attempt.deadlineAt) {
-      slots.release(attempt.attemptId, startedAt)
-      return { kind: 'not-run', reason: RefusalReason.deadlinePassed, message: 'the deadline passed before the request was sent: allow more time', target: target.name }
+    if (now >= attempt.deadlineAt) {
+      slots.release(attempt.attemptId, now)
+      return { kind: 'not-run', reason: RefusalReason.deadlinePassed, message: 'the deadline passed before the request was sent: allow more time', target: targetName }
     }
+    return await this.send(attempt, target, runtime, now, signal)
+  }
+
+  private async send (attempt: Attempt, target: TargetSpec, runtime: ServiceRuntime, startedAt: number, signal?: AbortSignal): Promise<AttemptResult> {
+    const { clock, sender } = this.parts
     const { chooser } = runtime
     chooser.start(target.name, startedAt, runtime.findCost(attempt.route))
     this.running += 1
