Take a refused connection for evidence within the own zone only

Ruled out: asking the platform first (down in the same cut); ignoring 'declared-gone' (a host that was paused must stop, or two use one slot). Change: what a zone's hosts hold is freed within the zone, so only its own hosts judge; others hear it or see silence. Measured: the new test fails before (gone) and passes after; the 31 tests of exchange and membership pass.

--- a/packages/almondrelay/src/connection/exchange/__fixtures__/fakeNetwork.ts
+++ b/packages/almondrelay/src/connection/exchange/__fixtures__/fakeNetwork.ts
@@ -33,6 +33,8 @@
   isCut: (from: string, to: string) => boolean = () => false
   /** Whether calls that one host begins to another are lost, though those the other way succeed. */
   isCutForCalls: (from: string, to: string) => boolean = () => false
+  /** Whether a device between two hosts refuses connections in the name of the one that is called. */
+  isRejected: (from: string, to: string) => boolean = () => false
   /** Share of calls whose answer is lost. */
   lossShare = 0
 
@@ -66,7 +68,7 @@
     const signal = options?.signal ?? new AbortController().signal
     const endpoint = this.endpoints.get(address)
     await this.clock.sleep(LATENCY_MS, signal)
-    if (endpoint === undefined || endpoint.isDead) throw new ConnectError('connect', Code.Unavailable, undefined, undefined, Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
+    if (endpoint === undefined || endpoint.isDead || this.isRejected(from, endpoint.host)) throw new ConnectError('connect', Code.Unavailable, undefined, undefined, Object.assign(new Error('refused'), { code: 'ECONNREFUSED' }))
     const sent = this.countBytes(from, endpoint.host, toBinary(requestSchema, request))
     if (endpoint.isFrozen || this.isCut(from, endpoint.host) || this.isCutForCalls(from, endpoint.host)) await this.waitUntilTimeout(options, signal)
     const answer = this.countBytes(from, endpoint.host, toBinary(responseSchema, handle(fromBinary(requestSchema, sent), endpoint.hub)))
--- a/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
+++ b/packages/almondrelay/src/connection/exchange/__tests__/runExchanges.test.ts
@@ -96,6 +96,22 @@
   }
 })
 
+// A firewall between two zones refuses connections in the name of live hosts for a while. Each side took that for the
+// end of the other's processes; when it was lifted, each refused the other as declared gone, and every host
+// of both sides stopped.
+test('refused connections between zones end no live host', async () => {
+  const fleet = await startFleet(ZONES, 2)
+  const isAround = (host: string): boolean => host.startsWith('wlg-a')
+  fleet.network.isRejected = (from, to) => isAround(from) !== isAround(to)
+  await fleet.clock.advance(10_000)
+  assert.is(fleet.getState('akl-a-01', 'wlg-a-01'), 'suspected')
+  fleet.network.isRejected = () => false
+  await fleet.clock.advance(10_000)
+  for (const host of fleet.hosts.values()) assert.equal(host.refusals, [], host.host)
+  for (const viewer of fleet.hosts.keys()) for (const host of fleet.hosts.keys()) assert.is(fleet.getState(viewer, host), 'live', `${viewer} sees ${host}`)
+  fleet.stopAll()
+})
+
 // Both watchers of a zone die one after the other. Changes must go on arriving in the zone: the
 // next hosts by rank watch in their place.
 test('watchers that die are replaced', async () => {
--- a/packages/almondrelay/src/process/membership/membership.ts
+++ b/packages/almondrelay/src/process/membership/membership.ts
@@ -104,13 +104,17 @@
   /**
    * The address refused a connection that was begun while `incarnation` was the host's latest. A
    * paused process still accepts connections, as its kernel does it, so a refusal says that the
-   * process has ended. It counts only for the address that this incarnation gave.
+   * process has ended. It counts only for the address that this incarnation gave, and only within the
+   * own zone: between zones a device on the way may refuse in a live host's name, and each side would
+   * declare the other gone. What a zone's hosts hold is freed within the zone, so its own word is enough;
+   * other zones hear it from there, or see silence.
    */
   observeRefused (host: string, incarnation: number, peerAddress: string, now: number): void {
     const entry = this.entries.get(host)
     if (entry === undefined) return
     entry.triedAt = now
     if (entry.incarnation !== incarnation || entry.peerAddress !== peerAddress || entry.heardAt === -Infinity) return
+    if (entry.availabilityZone !== this.options.self.availabilityZone) return
     this.markGone(entry, GoneEvidence.refused)
   }
 
