Forget lapsed credits before counting what to ask for; keep no signal per round

Cause: a credit that came after it had lapsed counted as one in hand, so no other was asked for and the request waited for its refusal (found by reading); AbortSignal.any made a dependent of the process's signal in every loan round and every probe.

--- a/packages/almondrelay/src/connection/limits/loanTask.ts
+++ b/packages/almondrelay/src/connection/limits/loanTask.ts
@@ -39,9 +39,12 @@
   }
 
   private async waitForRound (signal: AbortSignal): Promise<void> {
-    const woken = new AbortController()
-    this.wakeUp = () => { woken.abort() }
-    await this.parts.clock.sleep(ROUND_MS - SHORTEST_ROUND_MS, AbortSignal.any([signal, woken.signal]))
+    const round = new AbortController()
+    const finish = (): void => { round.abort() }
+    this.wakeUp = finish
+    signal.addEventListener('abort', finish)
+    await this.parts.clock.sleep(ROUND_MS - SHORTEST_ROUND_MS, round.signal)
+    signal.removeEventListener('abort', finish)
     this.wakeUp = undefined
   }
 
--- a/packages/almondrelay/src/process/daemon/probeTargets.ts
+++ b/packages/almondrelay/src/process/daemon/probeTargets.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod'
 import type { TargetSpec } from '../../version/resources/targetSpec.js'
 import { LeavingSource } from '../membership/leavingSource.js'
+import { createDeadlineSignal } from '../dispatch/createDeadlineSignal.js'
 import type { ServiceRuntime } from '../dispatch/serviceRuntime.js'
 import type { Host } from './host.js'
 
@@ -25,8 +26,9 @@
 
 async function probeTarget (host: Host, source: LeavingSource, runtime: ServiceRuntime, target: TargetSpec, signal: AbortSignal): Promise<void> {
   const { targets, clock, log } = host
-  const timeout = AbortSignal.any([signal, AbortSignal.timeout(PROBE_TIMEOUT_MS)])
-  const result = await targets.send(target.address, { method: 'GET', path: runtime.spec.healthPath, headers: [], body: new Uint8Array(0), idempotent: true, maxAnswerBytes: MAX_HEALTH_BYTES }, timeout)
+  const timeout = createDeadlineSignal(clock, clock.getNow() + PROBE_TIMEOUT_MS, signal)
+  const result = await targets.send(target.address, { method: 'GET', path: runtime.spec.healthPath, headers: [], body: new Uint8Array(0), idempotent: true, maxAnswerBytes: MAX_HEALTH_BYTES }, timeout.signal)
+  timeout.clear()
   if (result.kind !== 'answered') return
   try {
     const health = TargetHealth.parse(JSON.parse(Buffer.from(result.body).toString()))
--- /dev/null
+++ b/packages/almondrelay/src/process/dispatch/__tests__/lane.test.ts
@@ -0,0 +1,54 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { AdmissionQueue } from '../../../request/admission/admissionQueue.js'
+import { TargetChooser } from '../../../request/choice/targetChooser.js'
+import { createSeededRandom } from '../../../request/createSeededRandom.js'
+import { HostSlots } from '../../limits/hostSlots.js'
+import { RegionLimits } from '../../limits/regionLimits.js'
+import { FakeClock } from '../../platform/__fixtures__/fakeClock.js'
+import { DecisionRecorder } from '../decisionRecorder.js'
+import { HostCapacity } from '../hostCapacity.js'
+import { Lane } from '../lane.js'
+
+const HOST = { host: 'akl-a-1', incarnation: 1, availabilityZone: 'akl-a', region: 'akl' }
+
+class SilentRecorder extends DecisionRecorder {
+  override record (): void {}
+}
+
+function createLane (clock: FakeClock): Lane {
+  const slots = new HostSlots(HOST)
+  return new Lane({
+    service: 'approvals',
+    region: 'wlg',
+    queue: new AdmissionQueue({ maxQueued: 8 }, createSeededRandom(1)),
+    chooser: new TargetChooser(),
+    slots: new HostCapacity({ region: 'akl', slots, limits: new RegionLimits(HOST, slots.claims), wakeLoans: () => undefined }),
+    usesOwnSlots: false,
+    clock,
+    random: createSeededRandom(2),
+    recorder: new SilentRecorder(),
+    estimateCredits: () => 4,
+    wakeCreditTask: () => undefined,
+    returnCredits: () => undefined,
+    signal: new AbortController().signal
+  })
+}
+
+// A request waits for a credit, and the answer with it comes so late that the credit has lapsed. The lapsed credit was
+// counted as one in hand, so no other was asked for, and the request waited until it was refused.
+test('a credit that came too late is not counted as one in hand', async () => {
+  const clock = new FakeClock()
+  const lane = createLane(clock)
+  const request = { id: 'a', caller: 'c', key: '', route: 'POST /leave', deadlineAt: 5_000, arrivedAt: 0 }
+  const granted = lane.admit(request, 'r', new Set(), new AbortController().signal)
+  await clock.advance(200)
+  assert.is(lane.countWanted(), 1)
+  lane.addCredits([{ id: 'late', host: 'wlg-a-1', target: 't', expiresAt: 100 }])
+  assert.is(lane.countWanted(), 1)
+  lane.addCredits([{ id: 'fresh', host: 'wlg-a-1', target: 't', expiresAt: 1_000 }])
+  const grant = await granted
+  assert.is(grant.kind === 'credit' ? grant.credit.id : grant.kind, 'fresh')
+})
+
+test.run()
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/lane.ts
@@ -69,7 +69,7 @@
 
   /** Credits that would be used at once. */
   countWanted (): number {
-    return Math.max(0, this.parts.queue.waiting - this.credits.length)
+    return Math.max(0, this.parts.queue.waiting - this.countCredits(this.parts.clock.getNow()))
   }
 
   /** Expected service time of a route, in milliseconds; undefined before one was learnt. */
@@ -152,7 +152,7 @@
   }
 
   private takeCredit (now: number): SlotGrant | undefined {
-    this.credits = this.credits.filter((credit) => credit.expiresAt > now)
+    this.countCredits(now)
     const credit = this.credits.shift()
     return credit === undefined ? undefined : { kind: 'credit', credit }
   }
@@ -192,8 +192,14 @@
     this.returnUnused()
   }
 
+  /** Credits in hand. One that has lapsed is forgotten: counted, it would keep another from being asked for. */
+  private countCredits (now: number): number {
+    this.credits = this.credits.filter((credit) => credit.expiresAt > now)
+    return this.credits.length
+  }
+
   private countFree (now: number): number {
-    const credits = this.credits.filter((credit) => credit.expiresAt > now).length
+    const credits = this.countCredits(now)
     if (!this.parts.usesOwnSlots) return credits
     return credits + Math.min(this.parts.slots.countFree(this.service, now), this.parts.chooser.countReady(now))
   }
