--- a/packages/almondrelay/src/process/daemon/reportLoad.ts
+++ b/packages/almondrelay/src/process/daemon/reportLoad.ts
@@ -14,7 +14,7 @@
     for (const runtime of services.list()) runtime.observeLeaving((target) => leavingTargets.isLeaving(runtime.name, target), now)
     const loads = services.list().map((runtime) => {
       const free = capacity.countFree(runtime.name, now)
-      const waiting = [...runtime.lanes.values()].reduce((sum, lane) => sum + lane.countWaiting(), 0)
+      const waiting = [...runtime.queues.values()].reduce((sum, regionQueue) => sum + regionQueue.countWaiting(), 0)
       const running = slots.countRunning(runtime.name)
       metrics.observeLoad(runtime.name, waiting, running)
       return { service: runtime.name, freeSlots: Math.max(0, free - waiting), running }
--- a/packages/almondrelay/src/process/dispatch/__tests__/lane.test.ts
+++ b/packages/almondrelay/src/process/dispatch/__tests__/regionQueue.test.ts
@@ -8,7 +8,7 @@
 import { FakeClock } from '../../platform/__fixtures__/fakeClock.js'
 import { DecisionRecorder } from '../decisionRecorder.js'
 import { HostCapacity } from '../hostCapacity.js'
-import { Lane } from '../lane.js'
+import { RegionQueue } from '../regionQueue.js'
 
 const HOST = { host: 'akl-a-1', incarnation: 1, availabilityZone: 'akl-a', region: 'akl' }
 
@@ -16,9 +16,9 @@
   override record (): void {}
 }
 
-function createLane (clock: FakeClock): Lane {
+function createQueue (clock: FakeClock): RegionQueue {
   const slots = new HostSlots(HOST)
-  return new Lane({
+  return new RegionQueue({
     service: 'approvals',
     region: 'wlg',
     queue: new AdmissionQueue({ maxQueued: 8 }, createSeededRandom(1)),
@@ -39,14 +39,14 @@
 // counted as one in hand, so no other was asked for, and the request waited until it was refused.
 test('a credit that came too late is not counted as one in hand', async () => {
   const clock = new FakeClock()
-  const lane = createLane(clock)
+  const regionQueue = createQueue(clock)
   const request = { id: 'a', caller: 'c', key: '', route: 'POST /leave', deadlineAt: 5_000, arrivedAt: 0 }
-  const granted = lane.admit(request, 'r', new Set(), new AbortController().signal)
+  const granted = regionQueue.admit(request, 'r', new Set(), new AbortController().signal)
   await clock.advance(200)
-  assert.is(lane.countWanted(), 1)
-  lane.addCredits([{ id: 'late', host: 'wlg-a-1', target: 't', expiresAt: 100 }])
-  assert.is(lane.countWanted(), 1)
-  lane.addCredits([{ id: 'fresh', host: 'wlg-a-1', target: 't', expiresAt: 1_000 }])
+  assert.is(regionQueue.countWanted(), 1)
+  regionQueue.addCredits([{ id: 'late', host: 'wlg-a-1', target: 't', expiresAt: 100 }])
+  assert.is(regionQueue.countWanted(), 1)
+  regionQueue.addCredits([{ id: 'fresh', host: 'wlg-a-1', target: 't', expiresAt: 1_000 }])
   const grant = await granted
   assert.is(grant.kind === 'credit' ? grant.credit.id : grant.kind, 'fresh')
 })
--- a/packages/almondrelay/src/process/dispatch/creditTask.ts
+++ b/packages/almondrelay/src/process/dispatch/creditTask.ts
@@ -5,7 +5,7 @@
 import type { HostDirectory } from './hostDirectory.js'
 import { isConnectionRefused } from './isConnectionRefused.js'
 import type { KnownHost } from './knownHost.js'
-import type { Lane } from './lane.js'
+import type { RegionQueue } from './regionQueue.js'
 import type { PeerLinks } from './peerLinks.js'
 import type { PeerSender } from './peerSender.js'
 
@@ -14,8 +14,8 @@
   directory: HostDirectory
   links: PeerLinks
   sender: PeerSender
-  /** Peers to ask for a lane's credits, best first. */
-  rankPeers: (lane: Lane, now: number) => KnownHost[]
+  /** Peers to ask for a queue's credits, best first. */
+  rankPeers: (regionQueue: RegionQueue, now: number) => KnownHost[]
   signal: AbortSignal
 }
 
@@ -26,11 +26,11 @@
 const MIN_PAUSE_MS = 20
 const MAX_PAUSE_MS = 500
 
-/** Fetches credits for a lane while requests wait in it; one task a lane. */
+/** Fetches credits for a queue while requests wait in it; one task a queue. */
 export class CreditTask {
   private wakeUp: (() => void) | undefined
 
-  constructor (private readonly lane: Lane, private readonly parts: CreditTaskParts) {}
+  constructor (private readonly regionQueue: RegionQueue, private readonly parts: CreditTaskParts) {}
 
   wake (): void {
     this.wakeUp?.()
@@ -40,7 +40,7 @@
     const { signal } = this.parts
     let pauseMs = MIN_PAUSE_MS
     while (!signal.aborted) {
-      if (this.lane.countWanted() === 0) await this.waitForWake()
+      if (this.regionQueue.countWanted() === 0) await this.waitForWake()
       if (signal.aborted) return
       const granted = await this.askPeers()
       if (granted > 0) {
@@ -49,7 +49,7 @@
       }
       await this.parts.clock.sleep(pauseMs, signal)
       pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS)
-      if (this.lane.countWanted() === 0) pauseMs = MIN_PAUSE_MS
+      if (this.regionQueue.countWanted() === 0) pauseMs = MIN_PAUSE_MS
     }
   }
 
@@ -66,8 +66,8 @@
   private async askPeers (): Promise<number> {
     const { rankPeers, clock, signal } = this.parts
     let granted = 0
-    for (const peer of rankPeers(this.lane, clock.getNow())) {
-      const wanted = Math.min(MAX_BATCH, this.lane.countWanted())
+    for (const peer of rankPeers(this.regionQueue, clock.getNow())) {
+      const wanted = Math.min(MAX_BATCH, this.regionQueue.countWanted())
       if (wanted === 0 || signal.aborted) break
       granted += await this.askPeer(peer, wanted)
     }
@@ -79,14 +79,14 @@
     // The validity counts from before the request left, so that a slow answer can't stretch it.
     const sentAt = clock.getNow()
     try {
-      const response = await links.get(peer.peerAddress).requestCredits({ sender, service: this.lane.service, wanted }, { signal, timeoutMs: CREDIT_TIMEOUT_MS })
+      const response = await links.get(peer.peerAddress).requestCredits({ sender, service: this.regionQueue.service, wanted }, { signal, timeoutMs: CREDIT_TIMEOUT_MS })
       const credits = response.credits.map((credit) => ({ id: credit.id, host: peer.name, target: credit.target, expiresAt: sentAt + response.validMs }))
-      if (credits.length === 0) this.lane.observeShortage((response.reason || RefusalReason.noCredit) as RefusalReason)
-      else this.lane.addCredits(credits)
+      if (credits.length === 0) this.regionQueue.observeShortage((response.reason || RefusalReason.noCredit) as RefusalReason)
+      else this.regionQueue.addCredits(credits)
       return credits.length
     } catch (error) {
       this.observeError(peer, error)
-      this.lane.observeShortage(RefusalReason.noCredit)
+      this.regionQueue.observeShortage(RefusalReason.noCredit)
       return 0
     }
   }
--- a/packages/almondrelay/src/process/dispatch/peerRequests.ts
+++ b/packages/almondrelay/src/process/dispatch/peerRequests.ts
@@ -50,7 +50,7 @@
     const runtime = services.find(request.service)
     if (runtime === undefined) return { credits: [], validMs: 0, reason: RefusalReason.unknownService }
     // Own callers that wait come first; a sender that gets nothing asks elsewhere.
-    const isBusy = [...runtime.lanes.values()].some((lane) => lane.region === this.parts.identity.region && lane.countWaiting() > 0)
+    const isBusy = [...runtime.queues.values()].some((regionQueue) => regionQueue.region === this.parts.identity.region && regionQueue.countWaiting() > 0)
     const sender = { host: request.sender?.host ?? '', region: request.sender?.region ?? '' }
     const isUsable = (target: string): boolean => runtime.chooser.allow(target, now)
     const grant = isBusy ? { credits: [] } : slots.grantCredits(request.service, sender, request.wanted, now, isUsable)
--- a/packages/almondrelay/src/process/dispatch/laneRefusal.ts
+++ b/packages/almondrelay/src/process/dispatch/queueRefusal.ts
@@ -1,7 +1,7 @@
 import type { RefusalReason } from '../../request/refusalReason.js'
 
 /** Why a request gets no slot. */
-export interface LaneRefusal {
+export interface QueueRefusal {
   kind: 'refused'
   reason: RefusalReason
   retryAfterMs: number
--- a/packages/almondrelay/src/process/dispatch/lane.ts
+++ b/packages/almondrelay/src/process/dispatch/regionQueue.ts
@@ -7,18 +7,18 @@
 import type { Clock } from '../platform/clock.js'
 import type { DecisionRecorder } from './decisionRecorder.js'
 import type { HeldCredit } from './heldCredit.js'
-import type { LaneRefusal } from './laneRefusal.js'
+import type { QueueRefusal } from './queueRefusal.js'
 import type { SlotGrant } from './slotGrant.js'
 import type { SlotPool } from './slotPool.js'
 
-interface LaneParts {
+interface RegionQueueParts {
   service: string
   /** Region that serves what is queued here. */
   region: string
   queue: AdmissionQueue
   chooser: TargetChooser
   slots: SlotPool
-  /** Slots of this host's own targets count here; false in a lane to another region. */
+  /** Slots of this host's own targets count here; false in a queue for another region. */
   usesOwnSlots: boolean
   clock: Clock
   random: Random
@@ -37,7 +37,7 @@
   /** The caller's id of the request; `request.id` names the attempt. */
   requestId: string
   excluded: ReadonlySet<string>
-  resolve: (result: SlotGrant | LaneRefusal) => void
+  resolve: (result: SlotGrant | QueueRefusal) => void
 }
 
 /** Retry-After, in milliseconds, of a request whose slot was lost to another at the last moment. */
@@ -47,13 +47,13 @@
 const MIN_CHECK_MS = 1
 
 /** Requests of one service that wait for slots in one region: the queue, the slots and the credits together. */
-export class Lane {
+export class RegionQueue {
   private readonly waiting = new Map<string, WaitingRequest>()
   private credits: HeldCredit[] = []
   private checkTimer: AbortController | undefined
   private lastShortage: RefusalReason = RefusalReason.noCredit
 
-  constructor (private readonly parts: LaneParts) {}
+  constructor (private readonly parts: RegionQueueParts) {}
 
   get service (): string {
     return this.parts.service
@@ -78,7 +78,7 @@
   }
 
   /** Waits for a slot; a refusal is final for this attempt. */
-  admit (request: QueuedRequest, requestId: string, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotGrant | LaneRefusal> {
+  admit (request: QueuedRequest, requestId: string, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotGrant | QueueRefusal> {
     const { queue, clock, recorder } = this.parts
     const now = clock.getNow()
     const free = this.countFree(now)
@@ -86,7 +86,7 @@
     const decision = queue.offer(request, free, capacity, now)
     recorder.record({ decision: 'admission', requestId, input: { service: this.service, region: this.region, caller: request.caller, key: request.key, route: request.route, deadlineMs: Math.round(request.deadlineAt - now), free, capacity, waiting: queue.waiting }, output: { ...decision } })
     if (decision.kind === 'refuse') return Promise.resolve(this.explainRefusal(decision.reason, decision.retryAfterMs))
-    const result = new Promise<SlotGrant | LaneRefusal>((resolve) => {
+    const result = new Promise<SlotGrant | QueueRefusal>((resolve) => {
       this.waiting.set(request.id, { request, requestId, excluded, resolve })
     })
     signal.addEventListener('abort', () => { this.cancel(request) }, { once: true })
@@ -158,7 +158,7 @@
   }
 
   /** The queue let it start on a slot that is gone by now; the caller is told at once. */
-  private refuseForSlot (request: QueuedRequest, now: number): LaneRefusal {
+  private refuseForSlot (request: QueuedRequest, now: number): QueueRefusal {
     this.parts.queue.finish(request, undefined, now)
     const reason = this.parts.slots.shortage ?? RefusalReason.noTarget
     return { kind: 'refused', reason, retryAfterMs: Math.round(MIN_RETRY_MS + this.parts.random() * RETRY_SPREAD_MS) }
@@ -173,7 +173,7 @@
   }
 
   /** Names the shortage of credits where this host has no slot of its own to wait for. */
-  private explainRefusal (reason: RefusalReason, retryAfterMs: number): LaneRefusal {
+  private explainRefusal (reason: RefusalReason, retryAfterMs: number): QueueRefusal {
     const isStarved = this.parts.queue.running === 0 && this.countFree(this.parts.clock.getNow()) === 0
     return { kind: 'refused', reason: isStarved ? this.findShortage() : reason, retryAfterMs }
   }
--- a/packages/almondrelay/src/process/dispatch/requestExecutor.ts
+++ b/packages/almondrelay/src/process/dispatch/requestExecutor.ts
@@ -13,8 +13,8 @@
 import { createDeadlineSignal } from './createDeadlineSignal.js'
 import type { DecisionRecorder } from './decisionRecorder.js'
 import type { HostIdentity } from './hostIdentity.js'
-import type { Lane } from './lane.js'
-import type { LaneRefusal } from './laneRefusal.js'
+import type { RegionQueue } from './regionQueue.js'
+import type { QueueRefusal } from './queueRefusal.js'
 import type { PeerForwarder } from './peerForwarder.js'
 import type { RequestPlacer } from './requestPlacer.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
@@ -62,7 +62,7 @@
     for (;;) {
       const placement = this.parts.placer.place(execution.request, execution.runtime, execution.deadlineAt)
       if (placement.kind === 'refused') return this.answerRefusal(placement, execution)
-      const result = await this.runAttempt(execution, placement.lane)
+      const result = await this.runAttempt(execution, placement.regionQueue)
       if (result.kind === 'refused') return this.answerRefusal(result, execution)
       if (result.kind === 'answered') return buildAnswer(result)
       execution.mayHaveRun ||= result.kind === 'unknown'
@@ -70,17 +70,17 @@
     }
   }
 
-  private async runAttempt (execution: Execution, lane: Lane): Promise<AttemptResult | LaneRefusal> {
+  private async runAttempt (execution: Execution, regionQueue: RegionQueue): Promise<AttemptResult | QueueRefusal> {
     const { clock } = this.parts
     const attempt = this.buildAttempt(execution)
     const queued = { id: attempt.attemptId, caller: attempt.caller, key: execution.request.key, route: attempt.route, deadlineAt: execution.deadlineAt, arrivedAt: clock.getNow() }
-    const grant = await lane.admit(queued, attempt.requestId, execution.tried, execution.signal)
+    const grant = await regionQueue.admit(queued, attempt.requestId, execution.tried, execution.signal)
     if (grant.kind === 'refused') return grant
     execution.attempts += 1
     const startedAt = clock.getNow()
     const result = await this.run(attempt, grant, execution)
     const now = clock.getNow()
-    lane.finish(queued, result.kind === 'answered' ? now - startedAt : undefined)
+    regionQueue.finish(queued, result.kind === 'answered' ? now - startedAt : undefined)
     if (result.kind === 'answered') execution.runtime.retryBudget.addServed(now)
     return result
   }
@@ -125,7 +125,7 @@
   }
 
   /** The queue had no place; what earlier attempts may have done decides the outcome. */
-  private answerRefusal (refusal: LaneRefusal, execution: Execution): Answer {
+  private answerRefusal (refusal: QueueRefusal, execution: Execution): Answer {
     const isPastDeadline = this.parts.clock.getNow() >= execution.deadlineAt
     const reason = refusal.reason === RefusalReason.cancelled && isPastDeadline ? RefusalReason.deadlinePassed : refusal.reason
     return buildRefusal({
--- a/packages/almondrelay/src/process/dispatch/requestPlacer.ts
+++ b/packages/almondrelay/src/process/dispatch/requestPlacer.ts
@@ -10,8 +10,8 @@
 import type { HostDirectory } from './hostDirectory.js'
 import type { HostIdentity } from './hostIdentity.js'
 import type { KnownHost } from './knownHost.js'
-import type { Lane } from './lane.js'
-import type { LaneRefusal } from './laneRefusal.js'
+import type { RegionQueue } from './regionQueue.js'
+import type { QueueRefusal } from './queueRefusal.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
 import type { Services } from './services.js'
 import type { SlotPool } from './slotPool.js'
@@ -31,7 +31,7 @@
   zones: ZoneView[]
 }
 
-type PlacerResult = { kind: 'placed', lane: Lane } | LaneRefusal
+type PlacerResult = { kind: 'placed', regionQueue: RegionQueue } | QueueRefusal
 
 const UNKNOWN_LATENCY_MS = 200
 const ZONE_LATENCY_MS = 1
@@ -54,7 +54,7 @@
     if (placement.kind === 'refuse') return { kind: 'refused', reason: placement.reason, retryAfterMs: placement.retryAfterMs }
     const first = placement.zones[0]
     if (first === undefined) return { kind: 'refused', reason: RefusalReason.noTarget, retryAfterMs: 1_000 }
-    return { kind: 'placed', lane: services.getLane(runtime, first.region) }
+    return { kind: 'placed', regionQueue: services.getQueue(runtime, first.region) }
   }
 
   private buildInput (runtime: ServiceRuntime, configuration: Configuration, deadlineAt: number, now: number): PlacementInput {
--- a/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
+++ b/packages/almondrelay/src/process/dispatch/serviceRuntime.ts
@@ -3,12 +3,12 @@
 import { RetryBudget } from '../../request/retry/retryBudget.js'
 import type { ServiceSpec } from '../../version/resources/serviceSpec.js'
 import type { TargetSpec } from '../../version/resources/targetSpec.js'
-import type { Lane } from './lane.js'
+import type { RegionQueue } from './regionQueue.js'
 
 /** What this host keeps for one service as long as the service is configured. */
 export class ServiceRuntime {
   readonly retryBudget = new RetryBudget()
-  readonly lanes = new Map<string, Lane>()
+  readonly queues = new Map<string, RegionQueue>()
   private targets = new Map<string, TargetSpec>()
   private drained: ReadonlySet<string> = new Set()
 
@@ -40,8 +40,8 @@
 
   /** Expected service time of a route, in milliseconds; undefined before one was learnt. */
   findCost (route: string): number | undefined {
-    const [lane] = this.lanes.values()
-    return lane?.findCost(route)
+    const [regionQueue] = this.queues.values()
+    return regionQueue?.findCost(route)
   }
 
   /** A target of this host's availability zone. */
--- a/packages/almondrelay/src/process/dispatch/services.ts
+++ b/packages/almondrelay/src/process/dispatch/services.ts
@@ -8,7 +8,7 @@
 import type { HostDirectory } from './hostDirectory.js'
 import type { HostIdentity } from './hostIdentity.js'
 import type { KnownHost } from './knownHost.js'
-import { Lane } from './lane.js'
+import { RegionQueue } from './regionQueue.js'
 import type { PeerLinks } from './peerLinks.js'
 import { makeSender } from './makeSender.js'
 import { rankCreditPeers } from './rankCreditPeers.js'
@@ -65,26 +65,26 @@
   }
 
   /** The queue for one service's work in one region, made at its first use. */
-  getLane (runtime: ServiceRuntime, region: string): Lane {
-    const known = runtime.lanes.get(region)
+  getQueue (runtime: ServiceRuntime, region: string): RegionQueue {
+    const known = runtime.queues.get(region)
     if (known !== undefined) return known
-    const lane = this.createLane(runtime, region)
-    runtime.lanes.set(region, lane)
-    return lane
+    const regionQueue = this.createQueue(runtime, region)
+    runtime.queues.set(region, regionQueue)
+    return regionQueue
   }
 
   /** Slots may have become free: lets every queue look. */
   advance (now: number): void {
     for (const runtime of this.runtimes.values()) {
-      for (const lane of runtime.lanes.values()) lane.advance(now)
+      for (const regionQueue of runtime.queues.values()) regionQueue.advance(now)
     }
   }
 
-  private createLane (runtime: ServiceRuntime, region: string): Lane {
+  private createQueue (runtime: ServiceRuntime, region: string): RegionQueue {
     const { identity, clock, random, modules, recorder, slots, directory, links, maxQueued, signal } = this.parts
     const task = {} as { current?: CreditTask }
     const rankPeers = (): KnownHost[] => rankCreditPeers({ service: runtime.name, region, identity, hosts: directory.list(), configuration: this.current, random })
-    const lane = new Lane({
+    const regionQueue = new RegionQueue({
       service: runtime.name,
       region,
       queue: modules.createQueue(runtime.name, region, { maxQueued }),
@@ -99,7 +99,7 @@
       returnCredits: (credits) => { void task.current?.returnCredits(credits) },
       signal
     })
-    task.current = new CreditTask(lane, {
+    task.current = new CreditTask(regionQueue, {
       clock,
       directory,
       links,
@@ -108,7 +108,7 @@
       signal
     })
     void task.current.run()
-    return lane
+    return regionQueue
   }
 
   private remove (name: string, now: number): void {
