--- a/packages/almondrelay-cli/src/client/operatorClient.ts
+++ b/packages/almondrelay-cli/src/client/operatorClient.ts
@@ -18,18 +18,8 @@
    * @throws AlmondrelayError of kind `peer-unavailable` when no host answered.
    */
   async ask (call: HttpCall): Promise<HttpAnswer> {
-    const failures: string[] = []
-    for (const address of this.addresses) {
-      try {
-        const answer = await this.send(address, call)
-        if (!isNotReady(answer)) return answer
-        failures.push(`${address}: not ready`)
-      } catch (error) {
-        this.signal.throwIfAborted()
-        failures.push(`${address}: ${describeFailure(error)}`)
-      }
-    }
-    throw makeUnreachable(failures)
+    const answer = await this.tryHosts(call, () => true)
+    return answer as HttpAnswer
   }
 
   /**
@@ -40,6 +30,11 @@
    * undefined, and the writer has to ask by the write id.
    */
   async write (call: HttpCall): Promise<HttpAnswer | undefined> {
+    return await this.tryHosts(call, isNotSent)
+  }
+
+  /** The first host's answer; undefined after a failure that `allowNext` does not let another host follow. */
+  private async tryHosts (call: HttpCall, allowNext: (error: unknown) => boolean): Promise<HttpAnswer | undefined> {
     const failures: string[] = []
     for (const address of this.addresses) {
       try {
@@ -48,7 +43,7 @@
         failures.push(`${address}: not ready`)
       } catch (error) {
         this.signal.throwIfAborted()
-        if (!isNotSent(error)) return undefined
+        if (!allowNext(error)) return undefined
         failures.push(`${address}: ${describeFailure(error)}`)
       }
     }
