--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,9 @@
   'packages/almondrelay/src/version/**/*.ts',
   'packages/almondrelay/src/process/limits/**/*.ts',
   'packages/almondrelay/src/process/membership/**/*.ts',
-  'packages/almondrelay/src/process/journal/**/*.ts'
+  'packages/almondrelay/src/process/journal/**/*.ts',
+  'packages/almondrelay-gateway/src/request/**/*.ts',
+  'packages/almondrelay-gateway/src/version/**/*.ts'
 ]
 
 const AMBIENT_TIME_AND_CHANCE = [
@@ -17,16 +19,16 @@
   { object: 'Math', property: 'random', message: 'chance is an argument of what decides' }
 ]
 
-const IO_MODULES = ['node:*', 'undici', 'hono', 'hono/*', '@hono/*', '@connectrpc/*', 'bunyan', 'hot-shots', '**/connection/**', '**/platform/**']
+const IO_MODULES = ['node:*', 'http-parser-js', 'prom-client', 'undici', 'hono', 'hono/*', '@hono/*', '@connectrpc/*', 'bunyan', 'hot-shots', '**/connection/**', '**/platform/**']
 
 export default [
-  { ignores: ['**/dist/**', '**/src/gen/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/src/gen/**', 'node_modules/**'] },
   ...neostandard({ ts: true }),
   {
     plugins: { almondrelay: { rules: { 'function-verb': functionVerb, 'one-export': oneExport } } }
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: { parser: tseslint.parser, parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
       // The compiler checks redeclaration; a constant object and its type share a name on purpose.
@@ -42,12 +44,16 @@
       'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }]
     }
   },
-  { files: ['packages/*/src/**/index.ts', 'packages/*/src/testing.ts'], rules: { 'almondrelay/one-export': 'off' } },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    rules: { 'no-restricted-imports': ['error', { patterns: [{ group: ['almondrelay-platform'], message: 'the product does not know the platform: the adapter is passed in' }] }] }
+  },
+  { files: ['packages/*/src/**/index.ts', 'packages/*/src/testing.ts', 'platform/src/index.ts'], rules: { 'almondrelay/one-export': 'off' } },
   {
     files: DECISION_FILES,
     ignores: ['**/__tests__/**', '**/__fixtures__/**'],
     rules: {
-      'no-restricted-imports': ['error', { patterns: [{ group: IO_MODULES, message: 'a decision module does no I/O' }] }],
+      'no-restricted-imports': ['error', { patterns: [{ group: [...IO_MODULES, 'almondrelay-platform'], message: 'a decision module does no I/O' }] }],
       'no-restricted-properties': ['error', ...AMBIENT_TIME_AND_CHANCE],
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'process']
     }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/callerHead.ts
@@ -0,0 +1,8 @@
+/** What the head of a caller's request says besides method, path and headers. */
+export interface CallerHead {
+  /** Undefined where the caller sent none. */
+  id: string | undefined
+  affinityKey: string | undefined
+  /** Milliseconds that the caller waits; undefined where it doesn't say. */
+  waitsMs: number | undefined
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -0,0 +1,63 @@
+import type { TargetEntry } from '../request/targetEntry.js'
+import type { TargetCodec } from './targetCodec.js'
+import { TargetConnection } from './targetConnection.js'
+
+interface PoolObserver {
+  countOpened: () => void
+  /** Milliseconds that a new connection took. */
+  observeConnect: (durationMs: number) => void
+}
+
+/** Connections to one target; a free one is used again, the latest first, so that the others run out by themselves. */
+export class TargetPool {
+  private readonly connections: TargetConnection[] = []
+  private isClosed = false
+
+  constructor (private readonly codec: TargetCodec, private readonly getNow: () => number, private readonly observer: PoolObserver) {}
+
+  /** A free connection, or a new one, held for one request; undefined where none can be had within the timeout, in milliseconds. */
+  async acquire (entry: TargetEntry, timeoutMs: number): Promise<TargetConnection | undefined> {
+    if (this.isClosed) return undefined
+    const free = this.findFree(this.getNow())
+    if (free !== undefined) {
+      free.take()
+      return free
+    }
+    this.observer.countOpened()
+    const startedAt = this.getNow()
+    const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.codec, this.getNow, () => { this.pruneClosed() })
+    if (opened === undefined) return undefined
+    this.observer.observeConnect(this.getNow() - startedAt)
+    this.connections.push(opened)
+    return opened
+  }
+
+  /** Closes what has been unused for too long. */
+  closeIdle (now: number): void {
+    for (const connection of [...this.connections]) {
+      if (!connection.isBusy && !connection.isUsable(now)) connection.close('unused')
+    }
+  }
+
+  /** Takes no new requests; those that are out go on. */
+  closeWhenFree (): void {
+    this.isClosed = true
+    for (const connection of [...this.connections]) {
+      if (!connection.isBusy) connection.close('target left')
+    }
+  }
+
+  private findFree (now: number): TargetConnection | undefined {
+    for (let index = this.connections.length - 1; index >= 0; index -= 1) {
+      const connection = this.connections[index]
+      if (connection?.isUsable(now) === true) return connection
+    }
+    return undefined
+  }
+
+  private pruneClosed (): void {
+    for (let index = this.connections.length - 1; index >= 0; index -= 1) {
+      if (this.connections[index]?.isClosed === true) this.connections.splice(index, 1)
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetChange.ts
@@ -0,0 +1,14 @@
+import type { TargetEntry } from '../../request/targetEntry.js'
+import type { SteeringConfiguration } from '../../version/steeringConfiguration.js'
+import type { HostEntry } from './hostEntry.js'
+
+/** What a key of the store says, decoded. */
+export type FleetChange =
+  | { kind: 'configuration', configuration: SteeringConfiguration }
+  | { kind: 'target', entry: TargetEntry }
+  | { kind: 'target-gone', id: string }
+  | { kind: 'evacuation', availabilityZone: string, isEvacuated: boolean }
+  | { kind: 'host', entry: HostEntry }
+  | { kind: 'host-gone', name: string }
+  /** The value can't be used; what was known of the key stays in force. */
+  | { kind: 'invalid', key: string, reason: string }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -0,0 +1,187 @@
+import { sleepFor } from '../sleepFor.js'
+import { match } from 'ts-pattern'
+import type { EventLog } from '../observe/eventLog.js'
+import type { RevisionStore } from '../store/revisionStore.js'
+import type { StoreEvent } from '../store/storeEvent.js'
+import type { StoreHealth } from '../store/storeHealth.js'
+import type { FleetChange } from './fleetChange.js'
+import type { FleetCodec } from './fleetCodec.js'
+import type { FleetState } from './fleetState.js'
+
+/**
+ * Longest wait of one watch, in milliseconds: an empty answer to it shows that nothing was missed, so
+ * this bounds the age of what a host believes. Changes of targets must be known within 2.5 s.
+ */
+const WATCH_MS = 2_000
+/**
+ * Pause after changes, in milliseconds: entries change in groups, as at a start or a release, and each answer
+ * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
+ */
+const BATCH_MS = 200
+/** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
+const FIRST_PAUSE_MS = 100
+const LONGEST_PAUSE_MS = 800
+
+interface FollowerParts {
+  store: RevisionStore
+  codec: FleetCodec
+  fleet: FleetState
+  health: StoreHealth
+  log: EventLog
+  getNow: () => number
+  random: () => number
+  /** Called after a change of the configuration. */
+  handleConfiguration: () => void
+  /** Called when this host's own entry is gone though it runs. */
+  handleOwnEntryGone: () => void
+  ownName: string
+}
+
+/** Keeps what the host knows in step with the store. */
+export class FleetFollower {
+  /** Targets whose entries are gone and may come back, with the time at which they count as gone. */
+  private readonly lapsing = new Map<string, number>()
+
+  constructor (private readonly parts: FollowerParts) {}
+
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.expireLapsed(signal)])
+  }
+
+  private async followPrefix (prefix: string, signal: AbortSignal): Promise<void> {
+    let failures = 0
+    let revision: number | undefined
+    while (!signal.aborted) {
+      try {
+        revision = revision === undefined ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, revision, signal)
+        failures = 0
+      } catch (error) {
+        if (signal.aborted) return
+        this.parts.log.logError('store not followed', error as Error)
+        failures += 1
+        const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures)
+        await sleepFor(pauseMs * (0.5 + this.parts.random()), signal)
+      }
+    }
+  }
+
+  /** Reads everything under a prefix; what isn't there any more is gone. Returns the revision from which to watch. */
+  private async readAll (prefix: string, signal: AbortSignal): Promise<number> {
+    const { store, fleet } = this.parts
+    const present = new Set<string>()
+    let after = ''
+    let first: number | undefined
+    for (;;) {
+      const page = await store.list(prefix, after, signal)
+      first ??= page.revision
+      for (const item of page.items) {
+        const change = this.applyEvent({ kind: 'written', item })
+        if (change !== undefined) present.add(describeSubject(change))
+        after = item.key
+      }
+      if (!page.isTruncated) break
+    }
+    this.removeAbsent(prefix, present)
+    fleet.isComplete = true
+    this.parts.log.record('read from the store', { prefix, revision: first, keys: present.size })
+    return first
+  }
+
+  private async watchOnce (prefix: string, revision: number, signal: AbortSignal): Promise<number | undefined> {
+    const result = await this.parts.store.watch(prefix, revision, WATCH_MS, signal)
+    if (result.kind === 'history-gone') {
+      this.parts.log.report('history of the store gone', { prefix, revision })
+      return undefined
+    }
+    for (const event of result.events) this.applyEvent(event)
+    if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
+    return result.revision
+  }
+
+  private removeAbsent (prefix: string, present: ReadonlySet<string>): void {
+    const { codec, fleet } = this.parts
+    const gone: FleetChange[] = [
+      ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
+      ...fleet.listHosts().map(({ name }): FleetChange => ({ kind: 'host-gone', name })),
+      ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
+    ]
+    for (const change of gone) {
+      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change)
+    }
+  }
+
+  private applyEvent (event: StoreEvent): FleetChange | undefined {
+    const change = this.parts.codec.decode(event)
+    if (change !== undefined) this.apply(change)
+    return change
+  }
+
+  private apply (change: FleetChange): void {
+    const { fleet, log, getNow } = this.parts
+    const now = getNow()
+    match(change)
+      .with({ kind: 'configuration' }, ({ configuration }) => {
+        if (!fleet.adoptConfiguration(configuration)) return
+        log.report('configuration in force', { version: configuration.version, routes: configuration.routes.length })
+        this.parts.handleConfiguration()
+      })
+      .with({ kind: 'target' }, ({ entry }) => {
+        this.lapsing.delete(entry.id)
+        const known = fleet.findTarget(entry.id)
+        if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
+        fleet.putTarget(entry, now)
+      })
+      .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, now) })
+      .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => {
+        if (fleet.isEvacuated(availabilityZone) !== isEvacuated) log.report('evacuation', { availabilityZone, isEvacuated })
+        fleet.setEvacuated(availabilityZone, isEvacuated)
+      })
+      .with({ kind: 'host' }, ({ entry }) => {
+        log.record('host', { entry })
+        fleet.putHost(entry)
+      })
+      .with({ kind: 'host-gone' }, ({ name }) => {
+        log.record('host gone', { host: name })
+        if (name === this.parts.ownName) this.parts.handleOwnEntryGone()
+        else fleet.removeHost(name)
+      })
+      .with({ kind: 'invalid' }, ({ key, reason }) => { log.report('value in the store not usable; the one before stays in force', { key, reason }) })
+      .exhaustive()
+  }
+
+  private applyTargetGone (id: string, now: number): void {
+    const { fleet, health, log } = this.parts
+    if (fleet.findTarget(id) === undefined) return
+    const lapseEnd = health.findLapseEnd(now)
+    if (lapseEnd !== undefined) {
+      this.lapsing.set(id, Math.min(lapseEnd, this.lapsing.get(id) ?? lapseEnd))
+      log.record('target entry lapsed while the store was away', { target: id, untilMs: Math.round(lapseEnd - now) })
+      return
+    }
+    fleet.removeTarget(id, now)
+    log.record('target gone', { target: id })
+  }
+
+  private async expireLapsed (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleepFor(FIRST_PAUSE_MS, signal)
+      const now = this.parts.getNow()
+      for (const [id, end] of this.lapsing) {
+        if (now < end) continue
+        this.lapsing.delete(id)
+        this.parts.fleet.removeTarget(id, now)
+        this.parts.log.record('target gone', { target: id, after: 'lapse' })
+      }
+    }
+  }
+}
+
+const describeSubject = (change: FleetChange): string => match(change)
+  .with({ kind: 'configuration' }, () => 'configuration')
+  .with({ kind: 'target' }, ({ entry }) => `target ${entry.id}`)
+  .with({ kind: 'target-gone' }, ({ id }) => `target ${id}`)
+  .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
+  .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
+  .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
+  .with({ kind: 'invalid' }, ({ key }) => `invalid ${key}`)
+  .exhaustive()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -0,0 +1,109 @@
+import type { TargetEntry } from '../../request/targetEntry.js'
+import { TargetState } from '../../request/targetState.js'
+import { RouteTable } from '../../version/routeTable.js'
+import type { ServiceDefinition } from '../../version/serviceDefinition.js'
+import type { SteeringConfiguration } from '../../version/steeringConfiguration.js'
+import type { HostEntry } from './hostEntry.js'
+
+interface FleetListener {
+  targetRemoved: (target: TargetState) => void
+}
+
+/** Everything that this host has learnt from the platform, as of now. Times are monotonic milliseconds. */
+export class FleetState {
+  configuration: SteeringConfiguration | undefined
+  routes = new RouteTable([])
+  private readonly targets = new Map<string, TargetState>()
+  private readonly targetsByService = new Map<string, TargetState[]>()
+  private readonly evacuatedZones = new Set<string>()
+  private readonly hosts = new Map<string, HostEntry>()
+  /** The first full read of targets and hosts is done. */
+  isComplete = false
+
+  constructor (private readonly listener: FleetListener) {}
+
+  /** Takes a version into force; false for one that isn't newer, so that a late read can't bring an old one back. */
+  adoptConfiguration (configuration: SteeringConfiguration): boolean {
+    if (this.configuration !== undefined && configuration.version <= this.configuration.version) return false
+    this.configuration = configuration
+    this.routes = new RouteTable(configuration.routes)
+    return true
+  }
+
+  findService (name: string): ServiceDefinition | undefined {
+    return this.configuration?.services.get(name)
+  }
+
+  putTarget (entry: TargetEntry, now: number): void {
+    const known = this.targets.get(entry.id)
+    if (known !== undefined) {
+      known.updateEntry(entry, now)
+      return
+    }
+    this.clearAddress(entry, now)
+    const target = new TargetState(entry, now)
+    this.targets.set(entry.id, target)
+    this.targetsByService.set(entry.service, [...this.listTargets(entry.service), target])
+  }
+
+  removeTarget (id: string, now: number): TargetState | undefined {
+    const target = this.targets.get(id)
+    if (target === undefined) return undefined
+    target.markDeparted(now)
+    this.targets.delete(id)
+    const { service } = target.entry
+    this.targetsByService.set(service, this.listTargets(service).filter((each) => each !== target))
+    this.listener.targetRemoved(target)
+    return target
+  }
+
+  listTargets (service: string): readonly TargetState[] {
+    return this.targetsByService.get(service) ?? []
+  }
+
+  listTargetIds (): string[] {
+    return [...this.targets.keys()]
+  }
+
+  findTarget (id: string): TargetState | undefined {
+    return this.targets.get(id)
+  }
+
+  listAllTargets (): Iterable<TargetState> {
+    return this.targets.values()
+  }
+
+  setEvacuated (zone: string, isEvacuated: boolean): void {
+    if (isEvacuated) this.evacuatedZones.add(zone)
+    else this.evacuatedZones.delete(zone)
+  }
+
+  listEvacuated (): string[] {
+    return [...this.evacuatedZones]
+  }
+
+  isEvacuated (zone: string): boolean {
+    return this.evacuatedZones.has(zone)
+  }
+
+  putHost (entry: HostEntry): void {
+    this.hosts.set(entry.name, entry)
+  }
+
+  removeHost (name: string): HostEntry | undefined {
+    const entry = this.hosts.get(name)
+    this.hosts.delete(name)
+    return entry
+  }
+
+  listHosts (): HostEntry[] {
+    return [...this.hosts.values()]
+  }
+
+  // An address is used again by another target once its own has ended: the old entry may outlive it.
+  private clearAddress (entry: TargetEntry, now: number): void {
+    for (const target of this.targets.values()) {
+      if (target.entry.ip === entry.ip && target.entry.port === entry.port) this.removeTarget(target.entry.id, now)
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
@@ -0,0 +1,68 @@
+import { sleepFor } from '../sleepFor.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { RevisionStore } from '../store/revisionStore.js'
+import type { FleetCodec } from './fleetCodec.js'
+import type { HostEntry } from './hostEntry.js'
+
+/** Life of the entry without a renewal, in milliseconds: a host that is gone is named for no longer. */
+const LEASE_MS = 3_000
+/** Milliseconds between renewals: two may be lost. */
+const RENEW_MS = 1_000
+/** Milliseconds before a failed call is made again, spread by chance. */
+const RETRY_MS = 300
+/** Milliseconds for the last call at a stop. */
+const END_TIMEOUT_MS = 500
+
+interface AnnouncerParts {
+  store: RevisionStore
+  codec: FleetCodec
+  entry: HostEntry
+  log: EventLog
+  random: () => number
+}
+
+/** Keeps this host's entry in the store for as long as it serves. */
+export class HostAnnouncer {
+  private leaseId: number | undefined
+
+  constructor (private readonly parts: AnnouncerParts) {}
+
+  /** Writes and renews the entry until the signal aborts, then takes it out. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const pauseMs = await this.keepEntry(signal)
+      await sleepFor(pauseMs, signal)
+    }
+    await this.removeEntry()
+  }
+
+  /** The entry is gone though the lease may stand: it is written anew. */
+  renewEntry (): void {
+    this.leaseId = undefined
+  }
+
+  private async keepEntry (signal: AbortSignal): Promise<number> {
+    const { store, codec, entry, log, random } = this.parts
+    try {
+      if (this.leaseId !== undefined && await store.renewLease(this.leaseId, signal)) return RENEW_MS
+      const leaseId = await store.grantLease(LEASE_MS, signal)
+      const { key, value } = codec.encodeHost(entry)
+      if (!await store.put(key, value, leaseId, signal)) return RETRY_MS * random()
+      this.leaseId = leaseId
+      log.report('entry of this host written', { leaseId })
+      return RENEW_MS
+    } catch (error) {
+      if (!signal.aborted) log.logError('entry of this host not kept up', error as Error)
+      return RETRY_MS * (0.5 + random())
+    }
+  }
+
+  private async removeEntry (): Promise<void> {
+    if (this.leaseId === undefined) return
+    try {
+      await this.parts.store.releaseLease(this.leaseId, AbortSignal.timeout(END_TIMEOUT_MS))
+    } catch (error) {
+      this.parts.log.logError('entry of this host not taken out; it lapses by itself', error as Error)
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -0,0 +1,65 @@
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import { ColdAllowance } from '../../request/coldAllowance.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { PeerView } from '../peers/peerView.js'
+import type { GatewaySettings } from '../settings/gatewaySettings.js'
+import { ServiceRuntime } from './serviceRuntime.js'
+import { TargetPools } from './targetPools.js'
+import { TripTimes } from './tripTimes.js'
+
+interface ForwardParts {
+  settings: GatewaySettings
+  fleet: FleetState
+  peers: PeerView
+  codec: TargetCodec
+  getNow: () => number
+  countOpened: (region: string) => void
+}
+
+/** What all requests of a host share. */
+export class ForwardState {
+  readonly fleet: FleetState
+  readonly trips: TripTimes
+  readonly pools: TargetPools
+  private readonly cold: ColdAllowance
+  private readonly runtimes = new Map<string, ServiceRuntime>()
+
+  constructor (private readonly parts: ForwardParts) {
+    const { settings, fleet, codec, getNow, countOpened } = parts
+    this.fleet = fleet
+    this.trips = new TripTimes(settings.host.region)
+    this.pools = new TargetPools(codec, this.trips, getNow, countOpened)
+    this.cold = new ColdAllowance(settings.host.name)
+  }
+
+  getRuntime (service: string): ServiceRuntime {
+    const known = this.runtimes.get(service)
+    if (known !== undefined) return known
+    const runtime = new ServiceRuntime(service, this.parts.settings)
+    this.runtimes.set(service, runtime)
+    return runtime
+  }
+
+  listRuntimes (): Iterable<ServiceRuntime> {
+    return this.runtimes.values()
+  }
+
+  countHosts (): number | undefined {
+    return this.parts.peers.countHosts(this.parts.getNow())
+  }
+
+  allowCold (target: TargetState, now: number): boolean {
+    const perSecond = this.fleet.findService(target.entry.service)?.coldPerSecond ?? 0
+    return this.cold.allow(target, perSecond, this.parts.peers.listSenders(target.entry.region, now), now)
+  }
+
+  observeColdSend (target: TargetState, now: number): void {
+    this.cold.observeSend(target, this.fleet.findService(target.entry.service)?.coldPerSecond ?? 1, now)
+  }
+
+  dropTarget (targetId: string): void {
+    this.cold.drop(targetId)
+    this.pools.remove(targetId)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
@@ -0,0 +1,25 @@
+import { computeRegionParts } from '../../request/computeRegionParts.js'
+import type { RegionLoad } from '../../request/regionLoad.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { ServiceDemand } from '../peers/serviceDemand.js'
+
+/** Demand for a service as one host reports it. */
+interface HostDemand {
+  region: string
+  demand: ServiceDemand
+}
+
+/** The parts of a region's requests for one service by what all hosts report and which targets there are. */
+export function planRegionParts (ownRegion: string, regions: readonly string[], demands: readonly HostDemand[], targets: readonly TargetState[], now: number): Map<string, number> {
+  const loads = regions.map((region): RegionLoad => ({
+    region,
+    slots: sumSlots(targets, region, now),
+    busySlots: demands.filter((each) => each.region === region).reduce((sum, { demand }) => sum + demand.perSecond * demand.warmMs / 1_000, 0)
+  }))
+  return computeRegionParts(ownRegion, loads)
+}
+
+// Nothing is sent to a target that is paused: its slots don't count.
+const sumSlots = (targets: readonly TargetState[], region: string, now: number): number => targets
+  .filter((target) => target.entry.region === region && !target.isLeaving() && !target.isPaused(now))
+  .reduce((sum, target) => sum + target.entry.slots, 0)
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -0,0 +1,119 @@
+import type { IncomingMessage } from 'node:http'
+import type { CallerAnswer } from '../../connection/callerAnswer.js'
+import type { CallerCodec } from '../../connection/callerCodec.js'
+import type { CallerHead } from '../../connection/callerHead.js'
+import { readBody } from '../../connection/readBody.js'
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import type { CallerRequest } from '../../request/callerRequest.js'
+import type { FinalAnswer } from '../../request/finalAnswer.js'
+import { computeHash } from '../../version/computeHash.js'
+import { pickDestination } from '../../version/pickDestination.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { ForwardState } from './forwardState.js'
+import { RequestPlacement } from './requestPlacement.js'
+import type { RequestRecord } from './requestRecord.js'
+import { RequestRunner } from './requestRunner.js'
+
+/** Retry-After, in milliseconds, of a host that knows no configuration yet. */
+const STARTING_RETRY_MS = 500
+const HASH_RANGE = 2 ** 32
+
+interface HandlerParts {
+  callerCodec: CallerCodec
+  targetCodec: TargetCodec
+  forward: ForwardState
+  log: EventLog
+  metrics: GatewayMetrics
+  getNow: () => number
+  random: () => number
+}
+
+/** Takes a caller's request from its head to its answer. */
+export class RequestHandler {
+  constructor (private readonly parts: HandlerParts) {}
+
+  async handle (message: IncomingMessage, left: AbortSignal): Promise<CallerAnswer | undefined> {
+    const arrivedAt = this.parts.getNow()
+    const head = this.parts.callerCodec.decodeHead(message)
+    const { configuration, routes } = this.parts.forward.fleet
+    if (configuration === undefined) return this.refuseUnready(head)
+    const route = routes.findRoute(getHostName(message), getPath(message))
+    if (route === undefined) return this.reject(message, head, 404, 'no route')
+    if (head.id === undefined) return this.reject(message, head, 400, 'no request id')
+    const read = await readBody(message, configuration.limits.maxBodyBytes)
+    if (read.kind === 'too-long') return this.reject(message, head, 413, 'body too long')
+    if (read.kind === 'cut-short') return undefined
+    return this.forward({
+      id: head.id,
+      method: message.method ?? 'GET',
+      url: message.url ?? '/',
+      rawHeaders: message.rawHeaders,
+      body: read.body,
+      affinityKey: head.affinityKey,
+      route,
+      configurationVersion: configuration.version,
+      arrivedAt,
+      deadline: arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
+    }, left)
+  }
+
+  private async forward (request: CallerRequest, left: AbortSignal): Promise<CallerAnswer | undefined> {
+    const runner = this.createRunner(request)
+    const answer = await runner.run(left)
+    this.report(request, runner.record, answer)
+    return answer.kind === 'abandoned' ? undefined : this.parts.callerCodec.encodeAnswer(answer, request.id)
+  }
+
+  private createRunner (request: CallerRequest): RequestRunner {
+    const { forward, targetCodec, getNow, random } = this.parts
+    const service = pickDestination(request.route.destinations, random()) ?? ''
+    const runtime = forward.getRuntime(service)
+    runtime.observeRequest(getNow())
+    const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
+    const placement = new RequestPlacement(forward, runtime, keyHash, request.route.allowedRegions)
+    return new RequestRunner(request, placement, { codec: targetCodec, getNow })
+  }
+
+  private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
+    const { log, metrics, getNow } = this.parts
+    const durationMs = getNow() - request.arrivedAt
+    const outcome = answer.kind === 'passed' ? String(answer.head.status) : answer.kind
+    metrics.observeAnswer(record.service, outcome, durationMs)
+    log.record('request', {
+      id: request.id,
+      route: request.route.name,
+      version: request.configurationVersion,
+      key: request.affinityKey,
+      ...record,
+      outcome,
+      reason: answer.kind === 'passed' ? undefined : answer.reason,
+      ms: Math.round(durationMs)
+    })
+  }
+
+  private reject (message: IncomingMessage, head: CallerHead, status: number, reason: string): CallerAnswer {
+    const { log, metrics, forward, callerCodec } = this.parts
+    log.record('request rejected', { id: head.id, host: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
+    metrics.observeAnswer('none', String(status), 0)
+    return callerCodec.encodeRejection(status, reason, head.id)
+  }
+
+  private refuseUnready (head: CallerHead): CallerAnswer {
+    const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet' }
+    this.parts.log.record('request refused', { id: head.id, ...answer })
+    return this.parts.callerCodec.encodeAnswer(answer, head.id)
+  }
+}
+
+const getHostName = (message: IncomingMessage): string => {
+  const host = message.headers.host ?? ''
+  const colon = host.indexOf(':')
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase()
+}
+
+const getPath = (message: IncomingMessage): string => {
+  const url = message.url ?? '/'
+  const query = url.indexOf('?')
+  return query < 0 ? url : url.slice(0, query)
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -0,0 +1,84 @@
+import type { TargetPool } from '../../connection/targetPool.js'
+import type { AttemptResult } from '../../request/attemptResult.js'
+import type { CallerRequest } from '../../request/callerRequest.js'
+import { chooseTarget } from '../../request/chooseTarget.js'
+import type { TargetChoice } from '../../request/targetChoice.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { Attempt } from './attempt.js'
+import type { ForwardState } from './forwardState.js'
+import type { ServiceRuntime } from './serviceRuntime.js'
+
+/** Statuses from here on are failures of the target. */
+const FIRST_FAILURE_STATUS = 500
+
+/** Where one request may run: its service, its key and what the host knows of the targets. */
+export class RequestPlacement {
+  readonly homeRegion: string
+
+  constructor (private readonly state: ForwardState, private readonly runtime: ServiceRuntime, private readonly keyHash: number, allowedRegions: readonly string[]) {
+    const planned = runtime.regionParts.findRegion(keyHash)
+    this.homeRegion = allowedRegions.length === 0 || allowedRegions.includes(planned) ? planned : allowedRegions[keyHash % allowedRegions.length] as string
+  }
+
+  get service (): string {
+    return this.runtime.name
+  }
+
+  choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
+    const { fleet, trips } = this.state
+    const { allowedRegions, targetLatencyMs } = request.route
+    return chooseTarget(fleet.listTargets(this.service), {
+      now,
+      keyHash: this.keyHash,
+      homeRegion: this.homeRegion,
+      findTripMs: (region) => trips.find(region),
+      warmMs: this.runtime.times.getWarmMs(targetLatencyMs),
+      coldMs: this.runtime.times.getColdMs(targetLatencyMs),
+      targetLatencyMs,
+      isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && (allowedRegions.length === 0 || allowedRegions.includes(entry.region)),
+      allowCold: (target) => this.state.allowCold(target, now),
+      allowAway: this.runtime.away.allow()
+    })
+  }
+
+  observeSend (choice: TargetChoice, now: number): void {
+    const { target } = choice
+    if (target.isCold(now)) this.state.observeColdSend(target, now)
+    if (target.entry.region !== this.homeRegion) this.runtime.away.use()
+  }
+
+  /** Learns from what became of an attempt; one that was cancelled says nothing of its target. */
+  observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
+    const { target } = attempt.choice
+    if (attempt.isCancelled || attempt.sentAt === undefined) return
+    if (result.kind !== 'answered') {
+      target.observeFailure(now)
+      return
+    }
+    if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
+    if (result.head.isMisdirected) this.state.fleet.removeTarget(target.entry.id, now)
+    else if (result.head.isNotRun || !result.head.isGenuine || result.head.status >= FIRST_FAILURE_STATUS) target.observeFailure(now)
+    else this.learnDuration(attempt.choice, now - attempt.sentAt, now)
+  }
+
+  useRetry (now: number): boolean {
+    return this.runtime.retries.use(now, this.state.countHosts())
+  }
+
+  getPool (target: TargetState): TargetPool {
+    return this.state.pools.get(target)
+  }
+
+  /** Milliseconds after which a target is likely to have room; undefined where there is none to estimate from. */
+  estimateRetryAfterMs (): number | undefined {
+    return undefined
+  }
+
+  private learnDuration (choice: TargetChoice, durationMs: number, now: number): void {
+    const { times } = this.runtime
+    const workMs = Math.max(1, durationMs - choice.tripMs - choice.waitMs)
+    choice.target.observeAnswer(workMs / Math.max(1, choice.workMs / choice.target.getSpeedRatio(now)), now)
+    if (choice.rank === 0) times.learnWarm(workMs)
+    else times.learnCold(workMs)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -0,0 +1,21 @@
+interface AttemptRecord {
+  target: string
+  region: string
+  /** Place of the target in the order of the key. */
+  rank: number
+  /** Requests that were taken to be at the target. */
+  outstanding: number
+  expectedMs: number
+  /** `answered` with the status, or why there was no answer. */
+  result: string
+  /** Milliseconds from the choice to the result. */
+  ms: number
+}
+
+/** What one request went through, for its log line. */
+export interface RequestRecord {
+  service: string
+  /** Region in which its key has its place. */
+  homeRegion: string
+  attempts: AttemptRecord[]
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -0,0 +1,191 @@
+import { match } from 'ts-pattern'
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import type { AttemptResult } from '../../request/attemptResult.js'
+import type { CallerRequest } from '../../request/callerRequest.js'
+import { decideNextStep } from '../../request/decideNextStep.js'
+import type { FinalAnswer } from '../../request/finalAnswer.js'
+import { NextStep } from '../../request/nextStep.js'
+import type { TargetChoice } from '../../request/targetChoice.js'
+import { Attempt } from './attempt.js'
+import { EventQueue } from './eventQueue.js'
+import type { RequestEvent } from './requestEvent.js'
+import type { RequestRecord } from './requestRecord.js'
+import type { RequestPlacement } from './requestPlacement.js'
+
+/** A second target is asked after so many times the expected duration, and not before the least time, in milliseconds. */
+const OVERDUE_RATIO = 3
+const OVERDUE_LEAST_MS = 150
+/** Milliseconds after the deadline in which a target's own answer to it may still arrive and leave its connection usable. */
+const LATE_ANSWER_MS = 400
+/** Retry-After, in milliseconds, where nothing better is known: about one answer's time. */
+const PLAIN_RETRY_AFTER_MS = 150
+
+interface RunnerParts {
+  codec: TargetCodec
+  getNow: () => number
+}
+
+/** Carries one request through to its answer: one task, written straight down. */
+export class RequestRunner {
+  readonly record: RequestRecord
+  private readonly events = new EventQueue<RequestEvent>()
+  private readonly running = new Set<Attempt>()
+  private readonly triedIds = new Set<string>()
+  private readonly timers: NodeJS.Timeout[] = []
+  private sends = 0
+  /** A target's failure that is given to the caller where no better answer comes. */
+  private kept: Extract<AttemptResult, { kind: 'answered' }> | undefined
+  /** What the last attempt left behind, for the final answer. */
+  private doubt: string | undefined
+  private refusal = 'no target'
+
+  constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
+    this.record = { service: placement.service, homeRegion: placement.homeRegion, attempts: [] }
+  }
+
+  async run (callerLeft: AbortSignal): Promise<FinalAnswer> {
+    const handleLeft = (): void => { this.events.push({ kind: 'caller-left' }) }
+    callerLeft.addEventListener('abort', handleLeft, { once: true })
+    if (callerLeft.aborted) handleLeft()
+    this.startTimer(this.request.deadline - this.parts.getNow(), { kind: 'deadline' })
+    try {
+      return await this.handleEvents()
+    } finally {
+      callerLeft.removeEventListener('abort', handleLeft)
+      for (const timer of this.timers) clearTimeout(timer)
+    }
+  }
+
+  private async handleEvents (): Promise<FinalAnswer> {
+    if (!this.startAttempt()) return this.refuse()
+    for (;;) {
+      const event = await this.events.take()
+      const answer = match(event)
+        .with({ kind: 'ended' }, ({ attempt, result }) => this.handleEnd(attempt, result))
+        .with({ kind: 'overdue' }, () => this.handleOverdue())
+        .with({ kind: 'deadline' }, () => this.handleDeadline())
+        .with({ kind: 'caller-left' }, () => this.handleCallerLeft())
+        .exhaustive()
+      if (answer !== undefined) return answer
+    }
+  }
+
+  private handleEnd (attempt: Attempt, result: AttemptResult): FinalAnswer | undefined {
+    this.running.delete(attempt)
+    const step = decideNextStep(result, this.request.route.idempotent)
+    this.recordAttempt(attempt, result)
+    if (step === NextStep.resend) this.sends -= 1
+    if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result)
+    if (step === NextStep.giveUp) return this.reportFailure(describeResult(result))
+    this.keepForLater(result, step)
+    if (this.startAttempt() || this.running.size > 0) return undefined
+    return this.finishWithoutAnswer()
+  }
+
+  private keepForLater (result: AttemptResult, step: NextStep): void {
+    if (step === NextStep.retryMaybeRun) this.doubt = describeResult(result)
+    else this.refusal = describeResult(result)
+    if (step === NextStep.retryMaybeRun && result.kind === 'answered' && result.head.isGenuine) this.kept = result
+  }
+
+  private finishWithoutAnswer (): FinalAnswer {
+    if (this.kept !== undefined) return this.passAnswer(this.kept)
+    return this.doubt === undefined ? this.refuse() : this.reportFailure(this.doubt)
+  }
+
+  // A target that has gone silent is seen by nothing but the time it takes. Only idempotent requests may be asked twice.
+  private handleOverdue (): undefined {
+    if (this.request.route.idempotent && this.running.size === 1) this.startAttempt()
+    return undefined
+  }
+
+  private handleDeadline (): FinalAnswer {
+    const wasSent = [...this.running].some((attempt) => attempt.sentAt !== undefined) || this.doubt !== undefined
+    for (const attempt of this.running) this.leaveBehind(attempt)
+    if (this.kept !== undefined) return this.passAnswer(this.kept)
+    return wasSent ? { kind: 'failed', timedOut: true, reason: 'no answer in time' } : { kind: 'refused', retryAfterMs: 0, reason: 'no time left' }
+  }
+
+  // A repeated run costs nothing but a target's time, which is freed at once; one that may run only once goes on, as cutting it off would leave its outcome open.
+  private handleCallerLeft (): FinalAnswer {
+    for (const attempt of this.running) {
+      if (this.request.route.idempotent || attempt.sentAt === undefined) attempt.cancel('caller left')
+    }
+    return { kind: 'abandoned', reason: 'caller left' }
+  }
+
+  // The target stops by itself at the deadline that it was given; its own answer a moment later keeps the connection usable.
+  private leaveBehind (attempt: Attempt): void {
+    if (attempt.sentAt === undefined) attempt.cancel('deadline')
+    else setTimeout(() => { attempt.cancel('deadline') }, LATE_ANSWER_MS)
+  }
+
+  private passAnswer (result: Extract<AttemptResult, { kind: 'answered' }>): FinalAnswer {
+    for (const attempt of this.running) attempt.cancel('answered elsewhere')
+    return { kind: 'passed', head: result.head, body: result.body }
+  }
+
+  private reportFailure (reason: string): FinalAnswer {
+    return { kind: 'failed', timedOut: false, reason }
+  }
+
+  private refuse (): FinalAnswer {
+    return { kind: 'refused', retryAfterMs: this.placement.estimateRetryAfterMs() ?? PLAIN_RETRY_AFTER_MS, reason: this.refusal }
+  }
+
+  /** Sends to one more target where there is one that can answer in time; false where not. */
+  private startAttempt (): boolean {
+    const now = this.parts.getNow()
+    const isRepeat = this.sends > 0
+    if (isRepeat && this.sends >= this.request.route.maxAttempts) return false
+    const choice = this.placement.choose(this.request, this.triedIds, now)
+    if (choice === undefined) return false
+    if (isRepeat && now + choice.expectedMs > this.request.deadline) return false
+    if (choice.waitMs > this.request.deadline - now) {
+      this.refusal = 'every target is full for longer than the caller waits'
+      return false
+    }
+    if (isRepeat && !this.placement.useRetry(now)) return false
+    this.send(choice, now)
+    return true
+  }
+
+  private send (choice: TargetChoice, now: number): void {
+    const { codec, getNow } = this.parts
+    const attempt = new Attempt(this.request, choice, codec, getNow)
+    this.sends += 1
+    this.triedIds.add(choice.target.entry.id)
+    this.running.add(attempt)
+    this.placement.observeSend(choice, now)
+    if (this.request.route.idempotent) this.startTimer(Math.max(OVERDUE_LEAST_MS, choice.expectedMs * OVERDUE_RATIO), { kind: 'overdue' })
+    void attempt.run(this.placement.getPool(choice.target)).then((result) => {
+      this.placement.observeResult(attempt, result, this.parts.getNow())
+      this.events.push({ kind: 'ended', attempt, result })
+    })
+  }
+
+  private startTimer (delayMs: number, event: RequestEvent): void {
+    this.timers.push(setTimeout(() => { this.events.push(event) }, Math.max(0, delayMs)))
+  }
+
+  private recordAttempt (attempt: Attempt, result: AttemptResult): void {
+    const { target, rank, outstanding, expectedMs } = attempt.choice
+    this.record.attempts.push({
+      target: target.entry.id,
+      region: target.entry.region,
+      rank,
+      outstanding,
+      expectedMs: Math.round(expectedMs),
+      result: describeResult(result),
+      ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
+    })
+  }
+}
+
+const describeResult = (result: AttemptResult): string => {
+  if (result.kind !== 'answered') return `${result.kind}: ${result.reason}`
+  const { head } = result
+  if (head.isMisdirected) return 'another target has the address'
+  if (head.isNotRun) return `target refused (${head.status})`
+  return head.isGenuine ? `answered ${head.status}` : `spoilt answer (${head.status})`
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -0,0 +1,33 @@
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import { TargetPool } from '../../connection/targetPool.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { TripTimes } from './tripTimes.js'
+
+/** The connections to each target. */
+export class TargetPools {
+  private readonly pools = new Map<string, TargetPool>()
+
+  constructor (private readonly codec: TargetCodec, private readonly trips: TripTimes, private readonly getNow: () => number, private readonly countOpened: (region: string) => void) {}
+
+  get (target: TargetState): TargetPool {
+    const { id, region } = target.entry
+    const known = this.pools.get(id)
+    if (known !== undefined) return known
+    const pool = new TargetPool(this.codec, this.getNow, {
+      countOpened: () => { this.countOpened(region) },
+      observeConnect: (durationMs) => { this.trips.learn(region, durationMs) }
+    })
+    this.pools.set(id, pool)
+    return pool
+  }
+
+  /** The target is gone: requests that are out go on, no new one goes there. */
+  remove (targetId: string): void {
+    this.pools.get(targetId)?.closeWhenFree()
+    this.pools.delete(targetId)
+  }
+
+  closeIdle (now: number): void {
+    for (const pool of this.pools.values()) pool.closeIdle(now)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -0,0 +1,163 @@
+import { splitAddress } from 'almondrelay'
+import { CallerServer } from '../connection/callerServer.js'
+import { listenForGet } from '../connection/listenForGet.js'
+import { FleetFollower } from './fleet/fleetFollower.js'
+import { FleetState } from './fleet/fleetState.js'
+import { HostAnnouncer } from './fleet/hostAnnouncer.js'
+import type { HostEntry } from './fleet/hostEntry.js'
+import { ForwardState } from './forward/forwardState.js'
+import { RegionPlanner } from './forward/regionPlanner.js'
+import { RequestHandler } from './forward/requestHandler.js'
+import type { GatewayAdapter } from './gatewayAdapter.js'
+import { LookupAnswers } from './lookup/lookupAnswers.js'
+import type { EventLog } from './observe/eventLog.js'
+import type { GatewayMetrics } from './observe/gatewayMetrics.js'
+import { PeerExchange } from './peers/peerExchange.js'
+import { PeerSocket } from './peers/peerSocket.js'
+import { PeerView } from './peers/peerView.js'
+import type { GatewaySettings } from './settings/gatewaySettings.js'
+import { sleepFor } from './sleepFor.js'
+import type { StoreHealth } from './store/storeHealth.js'
+
+/** Milliseconds between checks for connections to targets that have been unused for too long. */
+const IDLE_CHECK_MS = 1_000
+/** Milliseconds after the signal in which callers with older look-up answers may still connect: their life and a look-up. */
+const ACCEPT_MS = 3_000
+/** Milliseconds of the grace that are kept for the last answers to be written before the process is ended by force. */
+const GRACE_MARGIN_MS = 300
+/** Milliseconds between looks at what is still running at a stop. */
+const STOP_CHECK_MS = 50
+
+interface GatewayParts {
+  settings: GatewaySettings
+  adapter: GatewayAdapter
+  health: StoreHealth
+  log: EventLog
+  metrics: GatewayMetrics
+  incarnation: string
+  /** Monotonic milliseconds. */
+  getNow: () => number
+  random: () => number
+}
+
+/** An entry host: its state, its ports and the tasks that keep it up to date. */
+export class Gateway {
+  private readonly own: HostEntry
+  private readonly fleet: FleetState
+  private readonly view: PeerView
+  private readonly forward: ForwardState
+  private readonly exchange: PeerExchange
+  private readonly socket: PeerSocket
+  private readonly callers: CallerServer
+  private readonly lookups: LookupAnswers
+  private readonly announcer: HostAnnouncer
+  private isLeaving = false
+
+  constructor (private readonly parts: GatewayParts) {
+    const { settings, adapter, log, metrics, getNow, random } = parts
+    const isLeaving = (): boolean => this.isLeaving
+    this.own = makeOwnEntry(settings, parts.incarnation)
+    this.fleet = new FleetState({ targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) } })
+    this.fleet.putHost(this.own)
+    this.view = new PeerView(this.own.name, this.fleet)
+    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, getNow, countOpened: (region) => { metrics.countConnection(region) } })
+    const logError = (error: Error): void => { log.logError('port', error) }
+    this.socket = new PeerSocket(logError)
+    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving })
+    const handler = new RequestHandler({ callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.callers = new CallerServer((message, left) => handler.handle(message, left), logError)
+    this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
+    this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
+  }
+
+  /** Serves until the signal aborts, then makes a planned stop. Resolves with the number of requests that it cut off. */
+  async run (signal: AbortSignal): Promise<number> {
+    const owner = new AbortController()
+    const leaving = new AbortController()
+    await this.openPorts(owner.signal)
+    const tasks = this.startTasks(owner.signal, leaving.signal)
+    this.parts.log.report('host started', { incarnation: this.own.incarnation })
+    await new Promise<void>((resolve) => {
+      if (signal.aborted) resolve()
+      signal.addEventListener('abort', () => { resolve() }, { once: true })
+    })
+    const unfinished = await this.stop(leaving)
+    owner.abort()
+    await tasks
+    return unfinished
+  }
+
+  private async openPorts (signal: AbortSignal): Promise<void> {
+    const { settings, metrics, log } = this.parts
+    const logError = (error: Error): void => { log.logError('port', error) }
+    const callers = splitAddress(settings.listen.callers)
+    const readiness = splitAddress(settings.listen.readiness)
+    const lookups = splitAddress(settings.listen.lookups)
+    await this.callers.listen(callers.host, callers.port)
+    await this.socket.listen(this.own.ip, this.own.peerPort, (bytes) => { this.exchange.handleDatagram(bytes) }, signal)
+    await listenForGet(readiness.host, readiness.port, (path) => this.lookups.answerReadiness(path), logError)
+    await listenForGet(lookups.host, lookups.port, (path, query) => this.lookups.answerLookup(path, query), logError)
+    await listenForGet(settings.host.ip, settings.metrics.port, async (path) => path === settings.metrics.path
+      ? { status: 200, type: 'text/plain', body: await metrics.render() }
+      : { status: 404, type: 'text/plain', body: '' }, logError)
+  }
+
+  private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
+    const { settings, adapter, log, health, metrics, getNow, random } = this.parts
+    const follower = new FleetFollower({
+      store: adapter.store,
+      codec: adapter.fleet,
+      fleet: this.fleet,
+      health,
+      log,
+      getNow,
+      random,
+      ownName: this.own.name,
+      handleOwnEntryGone: () => { this.announcer.renewEntry() },
+      handleConfiguration: () => {
+        const { configuration } = this.fleet
+        if (configuration === undefined) return
+        this.callers.setLimits(configuration.limits)
+        metrics.setVersion(configuration.version)
+      }
+    })
+    const regions = [...new Set(Object.values(settings.availabilityZones))]
+    const planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
+    return Promise.all([follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), planner.run(signal), this.closeIdle(signal)])
+  }
+
+  private async closeIdle (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleepFor(IDLE_CHECK_MS, signal)
+      this.forward.pools.closeIdle(this.parts.getNow())
+    }
+  }
+
+  // Callers hold look-up answers for some seconds: they still come after the signal and are served, each told to go elsewhere.
+  private async stop (leaving: AbortController): Promise<number> {
+    const { settings, getNow, log } = this.parts
+    const stoppedAt = getNow()
+    this.isLeaving = true
+    this.callers.leave()
+    this.exchange.announce()
+    leaving.abort()
+    log.report('planned stop', { unanswered: this.callers.countUnanswered() })
+    const never = new AbortController().signal
+    await sleepFor(ACCEPT_MS, never)
+    this.callers.close()
+    while (this.callers.countUnanswered() > 0 && getNow() - stoppedAt < settings.bounds.stopGrace - GRACE_MARGIN_MS) await sleepFor(STOP_CHECK_MS, never)
+    const unfinished = this.callers.countUnanswered()
+    log.report('host stopped', { unfinished })
+    return unfinished
+  }
+}
+
+const makeOwnEntry = (settings: GatewaySettings, incarnation: string): HostEntry => ({
+  name: settings.host.name,
+  incarnation,
+  availabilityZone: settings.host.availabilityZone,
+  region: settings.host.region,
+  ip: settings.host.ip,
+  callerPort: splitAddress(settings.listen.callers).port,
+  peerPort: settings.peerPorts[0] as number
+})
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -0,0 +1,16 @@
+import type { ServiceDemand } from './serviceDemand.js'
+
+/** What a host tells its peers of itself. */
+export interface PeerReport {
+  host: string
+  incarnation: string
+  region: string
+  sequence: number
+  /** It is about to end; callers aren't to be sent there. */
+  isLeaving: boolean
+  configurationVersion: number
+  /** Requests of the host at targets, by the hash of the target's id. */
+  inFlight: ReadonlyMap<number, number>
+  /** Empty in most reports. */
+  demands: readonly ServiceDemand[]
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/sleepFor.ts
@@ -0,0 +1,16 @@
+/** Resolves after some milliseconds, or as soon as the signal aborts; never rejects. */
+export function sleepFor (ms: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve()
+      return
+    }
+    const finish = (): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', finish)
+      resolve()
+    }
+    const timer = setTimeout(finish, ms)
+    signal.addEventListener('abort', finish)
+  })
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/store/revisionStore.ts
@@ -0,0 +1,20 @@
+import type { StorePage } from './storePage.js'
+import type { WatchResult } from './watchResult.js'
+
+/**
+ * The platform's key-value store, in which a single counter of revisions rises with each change. Every method
+ * rejects with a StoreError, whose kind says whether the call may have taken effect.
+ */
+export abstract class RevisionStore {
+  /** Keys under a prefix, in order, after the key `after`; as new as any answered write. */
+  abstract list (prefix: string, after: string, signal: AbortSignal): Promise<StorePage>
+  /** Waits up to `waitMs` for changes under a prefix after a revision. */
+  abstract watch (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<WatchResult>
+  /** Writes a key that vanishes with the lease; false where the lease has ended. */
+  abstract put (key: string, value: Buffer, leaseId: number, signal: AbortSignal): Promise<boolean>
+  /** Creates a lease and returns its id. */
+  abstract grantLease (ttlMs: number, signal: AbortSignal): Promise<number>
+  /** False where the lease has ended. */
+  abstract renewLease (leaseId: number, signal: AbortSignal): Promise<boolean>
+  abstract releaseLease (leaseId: number, signal: AbortSignal): Promise<void>
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/store/storeItem.ts
@@ -0,0 +1,7 @@
+/** A key of the platform's store with its value. */
+export interface StoreItem {
+  key: string
+  value: Buffer
+  /** Revision of the store at which the key was last written. */
+  revision: number
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/store/storePage.ts
@@ -0,0 +1,10 @@
+import type { StoreItem } from './storeItem.js'
+
+/** A part of a listing. Pages of one listing are no snapshot: keys may change between them. */
+export interface StorePage {
+  items: StoreItem[]
+  /** Revision of the store when the page was read. */
+  revision: number
+  /** More keys follow after the last one. */
+  isTruncated: boolean
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/computeRegionParts.ts
@@ -0,0 +1,28 @@
+import type { RegionLoad } from './regionLoad.js'
+
+/** Part of a region's slots that may be busy with warm work before requests are planned to go elsewhere. */
+const COMFORTABLE_USE = 0.55
+/** Room above the mean use of all regions up to which each is filled when all are busy. */
+const USE_ABOVE_MEAN = 1.1
+
+/**
+ * The part of one region's requests that each region should serve, by load alone.
+ *
+ * Answers a region with more callers than its own targets bear: its queue grows without end while other
+ * regions, a trip of some milliseconds away, have slots free. What doesn't fit is divided among the regions
+ * with room, by their room; where none has any, it stays.
+ */
+export function computeRegionParts (own: string, loads: readonly RegionLoad[]): Map<string, number> {
+  const slots = loads.reduce((sum, each) => sum + each.slots, 0)
+  const busy = loads.reduce((sum, each) => sum + each.busySlots, 0)
+  const use = Math.max(COMFORTABLE_USE, slots > 0 ? busy / slots * USE_ABOVE_MEAN : 0)
+  const home = loads.find((each) => each.region === own)
+  if (home === undefined || home.busySlots <= 0) return new Map([[own, 1]])
+  const ownPart = Math.min(1, use * home.slots / home.busySlots)
+  const rooms = loads
+    .filter((each) => each.region !== own)
+    .map((each) => ({ region: each.region, room: Math.max(0, use * each.slots - each.busySlots) }))
+  const room = rooms.reduce((sum, each) => sum + each.room, 0)
+  if (room <= 0) return new Map([[own, 1]])
+  return new Map([[own, ownPart], ...rooms.map((each): [string, number] => [each.region, (1 - ownPart) * each.room / room])])
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/finalAnswer.ts
@@ -0,0 +1,12 @@
+import type { TargetAnswerHead } from './targetAnswerHead.js'
+
+/** What a caller is told. */
+export type FinalAnswer =
+  /** A target's answer, unchanged. */
+  | { kind: 'passed', head: TargetAnswerHead, body: Buffer }
+  /** It wasn't run and won't be; the caller may come back after the time, in milliseconds. */
+  | { kind: 'refused', retryAfterMs: number, reason: string }
+  /** It may have run. `timedOut`: no answer came in time; else an answer was lost or spoilt. */
+  | { kind: 'failed', timedOut: boolean, reason: string }
+  /** The caller left before its answer. */
+  | { kind: 'abandoned', reason: string }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/version/routeTable.ts
@@ -0,0 +1,28 @@
+import type { Route } from './route.js'
+
+/** Routes of one configuration version, indexed by host name and path prefix. */
+export class RouteTable {
+  private readonly prefixesByHost = new Map<string, Map<string, Route>>()
+
+  constructor (routes: readonly Route[]) {
+    for (const route of routes) {
+      const prefixes = this.prefixesByHost.get(route.hostName) ?? new Map<string, Route>()
+      prefixes.set(route.pathPrefix, route)
+      this.prefixesByHost.set(route.hostName, prefixes)
+    }
+  }
+
+  /**
+   * The route with the longest prefix that begins the path. The cost follows the number of slashes in
+   * the path and not the number of routes, so that a version with thousands of routes decides as fast.
+   */
+  findRoute (hostName: string, path: string): Route | undefined {
+    const prefixes = this.prefixesByHost.get(hostName)
+    if (prefixes === undefined) return undefined
+    for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+      const route = prefixes.get(path.slice(0, end + 1))
+      if (route !== undefined) return route
+    }
+    return undefined
+  }
+}
--- a/packages/almondrelay/src/process/daemon/index.ts
+++ b/packages/almondrelay/src/process/daemon/index.ts
@@ -1,2 +1,3 @@
 export * from './buildRequestPath.js'
 export * from './plainModules.js'
+export * from './batchedOutput.js'
--- a/packages/almondrelay/src/process/settings/parseSettings.ts
+++ b/packages/almondrelay/src/process/settings/parseSettings.ts
@@ -1,21 +1,11 @@
-import { AlmondrelayError } from '../errors/almondrelayError.js'
-import { ErrorKind } from '../errors/errorKind.js'
-import { checkDocument } from './checkDocument.js'
-import { formatFileProblem } from './formatFileProblem.js'
 import { HostSettings } from './hostSettings.js'
-import { JsoncDocument } from './jsoncDocument.js'
-
-const REMEDY = 'mend these settings and start again; docs/examples/almondrelayd.jsonc shows every one'
+import { parseSettingsAs } from './parseSettingsAs.js'
 
 /**
- * The settings in a text of JSON with comments.
+ * The settings of a host in a text of JSON with comments.
  *
  * @throws AlmondrelayError of kind `settings-invalid` that lists every problem.
  */
 export function parseSettings (file: string, text: string): HostSettings {
-  const document = new JsoncDocument(file, text)
-  const problems = document.problems.length > 0 ? document.problems : checkDocument(document, HostSettings)
-  if (problems.length === 0) return HostSettings.parse(document.value)
-  const lines = problems.map((problem) => `\n  ${formatFileProblem(problem)}`)
-  throw new AlmondrelayError({ kind: ErrorKind.settingsInvalid, message: `${file} can't be used as settings${lines.join('')}\n`, remedy: REMEDY })
+  return parseSettingsAs(file, text, HostSettings)
 }
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -54,7 +54,7 @@
 }
 
 const wanted = process.argv.slice(2)
-const files = listTestFiles('packages').filter((file) => wanted.length === 0 || wanted.some((part) => file.includes(part)))
+const files = [...listTestFiles('packages'), ...listTestFiles('platform')].filter((file) => wanted.length === 0 || wanted.some((part) => file.includes(part)))
 const knownRed = readKnownRed()
 const results = await runAll(files)
 let unexpected = 0
