--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/plainCodec.ts
@@ -0,0 +1,27 @@
+import type { CallerRequest } from '../../request/callerRequest.js'
+import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
+import { TargetCodec } from '../targetCodec.js'
+
+/** A codec with headers of the tests' own. */
+export class PlainCodec extends TargetCodec {
+  override encodeHead (request: CallerRequest, targetId: string, leftMs: number): string {
+    return `${request.method} ${request.url} HTTP/1.1\r\nid: ${request.id}\r\ntarget: ${targetId}\r\nleft: ${leftMs}\r\ncontent-length: ${request.body.length}\r\n\r\n`
+  }
+
+  override decodeAnswerHead (status: number, rawHeaders: readonly string[], shouldKeepAlive: boolean): TargetAnswerHead {
+    const find = (name: string): string | undefined => rawHeaders[rawHeaders.indexOf(name) + 1]
+    const has = (name: string): boolean => rawHeaders.includes(name)
+    return {
+      status,
+      rawHeaders,
+      requestId: has('id') ? find('id') : undefined,
+      isNotRun: has('not-run'),
+      isMisdirected: status === 421,
+      isGenuine: has('signed'),
+      keepAliveMs: has('keep') ? Number(find('keep')) : undefined,
+      isLast: !shouldKeepAlive,
+      load: undefined,
+      coldForMs: undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -0,0 +1,79 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeRequest } from '../__fixtures__/makeRequest.js'
+import { PlainCodec } from '../__fixtures__/plainCodec.js'
+import { resetSocket } from '../__fixtures__/resetSocket.js'
+import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
+import { TargetConnection } from '../targetConnection.js'
+
+const test = suite('TargetConnection')
+const codec = new PlainCodec()
+const ANSWER_TO_FIRST = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nkeep: 10000\r\ncontent-length: 5\r\n\r\nfirst'
+const ANSWER_TO_SECOND = 'HTTP/1.1 200 OK\r\nid: r2\r\nsigned: yes\r\nkeep: 10000\r\ncontent-length: 6\r\n\r\nsecond'
+let owner = new AbortController()
+
+const open = async (port: number): Promise<TargetConnection> => {
+  const connection = await TargetConnection.open('127.0.0.1', port, 1_000, codec, () => 0, () => undefined)
+  if (connection === undefined) throw new Error('no connection')
+  return connection
+}
+
+test.before.each(() => { owner = new AbortController() })
+test.after.each(() => { owner.abort() })
+
+// A target sends the answer to one request a second time, late, at the point where the next request's
+// answer is due. Passed on, a caller reads another caller's balance.
+test('an answer that comes twice never reaches the next request', async () => {
+  const port = await startScriptedTarget((socket, request) => {
+    socket.write(request === 1 ? ANSWER_TO_FIRST : ANSWER_TO_FIRST + ANSWER_TO_SECOND)
+  }, owner.signal)
+  const connection = await open(port)
+  const first = await connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  connection.take()
+  const second = await connection.exchange(makeRequest({ id: 'r2' }), codec.encodeHead(makeRequest({ id: 'r2' }), 't', 100))
+  assert.is(first.kind === 'answered' && first.body.toString(), 'first')
+  assert.is(second.kind === 'answered' && second.body.toString(), 'second')
+})
+
+test('an answer that is cut short is no answer', async () => {
+  const port = await startScriptedTarget((socket) => { socket.end(ANSWER_TO_FIRST.slice(0, -2)) }, owner.signal)
+  const result = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.is(result.kind, 'broken')
+})
+
+// A target breaks off an answer that states no length, by a reset. The bytes and the reset arrive together and
+// the runtime reports an ordinary end: a caller takes half a calendar for all of it.
+test('an answer without a length is whole at the end of its connection, and not after a reset', async () => {
+  const answer = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nconnection: close\r\n\r\nall of it'
+  const whole = await startScriptedTarget((socket) => { socket.end(answer) }, owner.signal)
+  const cut = await startScriptedTarget((socket) => { socket.write(answer, () => { resetSocket(socket) }) }, owner.signal)
+  const wholeResult = await (await open(whole)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  const cutResult = await (await open(cut)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.is(wholeResult.kind === 'answered' && wholeResult.body.toString(), 'all of it')
+  assert.is(cutResult.kind, 'broken')
+})
+
+test('bytes that are no answer end the connection', async () => {
+  const port = await startScriptedTarget((socket) => { socket.write('#!/nonsense\r\n\r\n') }, owner.signal)
+  const connection = await open(port)
+  const result = await connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.is(result.kind, 'broken')
+  assert.ok(connection.isClosed)
+})
+
+test('a connection that its target is about to close is not used again', async () => {
+  const port = await startScriptedTarget((socket) => { socket.write(ANSWER_TO_FIRST.replace('10000', '1000')) }, owner.signal)
+  const connection = await open(port)
+  await connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.ok(connection.isUsable(0))
+  assert.not(connection.isUsable(900))
+})
+
+test('a port without a listener gives no connection', async () => {
+  const port = await startScriptedTarget(() => undefined, owner.signal)
+  owner.abort()
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.is(await TargetConnection.open('127.0.0.1', port, 1_000, codec, () => 0, () => undefined), undefined)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -29,7 +29,7 @@
     this.reader = new AnswerReader(codec, (answer) => { this.handleAnswer(answer) })
     socket.setNoDelay(true)
     socket.on('data', (bytes: Buffer) => { if (!this.reader.acceptBytes(bytes)) this.close('bytes that are no answer') })
-    socket.on('end', () => { this.reader.finishStream(); this.close('ended by the target') })
+    socket.on('end', () => { this.handleEnd() })
     socket.on('error', (error: NodeJS.ErrnoException) => { this.close(error.code ?? error.message) })
     socket.on('close', () => { this.close('closed') })
   }
@@ -94,6 +94,14 @@
     this.handleClose()
   }
 
+  // Where the last bytes and a reset arrive together, the runtime reports an ordinary end, and an answer without a
+  // length would count as whole though it was broken off. A connection that was reset has no peer any more.
+  private handleEnd (): void {
+    const wasReset = this.socket.remoteAddress === undefined
+    if (!wasReset) this.reader.finishStream()
+    this.close(wasReset ? 'reset by the target' : 'ended by the target')
+  }
+
   private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
     // A target may send an answer twice, the second one late: taken for the next request's answer it
     // would hand one caller another's data. The id that it echoes tells whose it is.
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -0,0 +1,83 @@
+import { RevisionStore } from '../../store/revisionStore.js'
+import { StoreError } from '../../store/storeError.js'
+import type { StoreEvent } from '../../store/storeEvent.js'
+import type { StorePage } from '../../store/storePage.js'
+import type { WatchResult } from '../../store/watchResult.js'
+
+/** A store in memory, with switches for its faults. */
+export class FakeRevisionStore extends RevisionStore {
+  /** Every call fails without having done anything. */
+  isDown = false
+  /** Watches answer with nothing, whatever has changed. */
+  isDeaf = false
+  private revision = 1
+  private oldestEvent = 0
+  private readonly items = new Map<string, { value: Buffer, revision: number, leaseId: number }>()
+  private events: StoreEvent[] = []
+  private leases = 0
+
+  write (key: string, value: object, leaseId = 0): void {
+    this.revision += 1
+    const bytes = Buffer.from(JSON.stringify(value))
+    this.items.set(key, { value: bytes, revision: this.revision, leaseId })
+    this.events.push({ kind: 'written', item: { key, value: bytes, revision: this.revision } })
+  }
+
+  remove (key: string): void {
+    this.revision += 1
+    this.items.delete(key)
+    this.events.push({ kind: 'deleted', key, revision: this.revision })
+  }
+
+  /** Forgets all changes so far. */
+  dropHistory (): void {
+    this.oldestEvent = this.revision
+    this.events = []
+  }
+
+  override list (prefix: string): Promise<StorePage> {
+    if (this.isDown) return this.refuse('list')
+    const items = [...this.items].filter(([key]) => key.startsWith(prefix)).map(([key, { value, revision }]) => ({ key, value, revision }))
+    return Promise.resolve({ items, revision: this.revision, isTruncated: false })
+  }
+
+  override async watch (prefix: string, afterRevision: number): Promise<WatchResult> {
+    await new Promise((resolve) => { setTimeout(resolve, 1) })
+    if (this.isDown) return this.refuse('watch')
+    if (afterRevision < this.oldestEvent) return { kind: 'history-gone' }
+    const events = this.isDeaf ? [] : this.events.filter((event) => getRevision(event) > afterRevision && getKey(event).startsWith(prefix))
+    return { kind: 'events', events, revision: this.isDeaf ? afterRevision : this.revision }
+  }
+
+  override put (key: string, value: Buffer, leaseId: number): Promise<boolean> {
+    if (this.isDown) return this.refuse('put')
+    this.write(key, JSON.parse(value.toString()) as object, leaseId)
+    return Promise.resolve(true)
+  }
+
+  override grantLease (): Promise<number> {
+    if (this.isDown) return this.refuse('grant lease')
+    this.leases += 1
+    return Promise.resolve(this.leases)
+  }
+
+  override renewLease (): Promise<boolean> {
+    return this.isDown ? this.refuse('renew lease') : Promise.resolve(true)
+  }
+
+  override releaseLease (leaseId: number): Promise<void> {
+    for (const [key, item] of this.items) if (item.leaseId === leaseId) this.remove(key)
+    return Promise.resolve()
+  }
+
+  has (key: string): boolean {
+    return this.items.has(key)
+  }
+
+  private refuse (call: string): Promise<never> {
+    return Promise.reject(new StoreError('refused', call, 'down'))
+  }
+}
+
+const getRevision = (event: StoreEvent): number => event.kind === 'written' ? event.item.revision : event.revision
+const getKey = (event: StoreEvent): string => event.kind === 'written' ? event.item.key : event.key
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -0,0 +1,53 @@
+import bunyan from 'bunyan'
+import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
+import { EventLog } from '../../observe/eventLog.js'
+import { StoreHealth } from '../../store/storeHealth.js'
+import { FleetFollower } from '../fleetFollower.js'
+import { FleetState } from '../fleetState.js'
+import { FakeRevisionStore } from './fakeRevisionStore.js'
+import { PlainFleetCodec } from './plainFleetCodec.js'
+
+/** A follower on a store in memory, with a clock that the test moves. */
+export class FollowedFleet {
+  now = 0
+  readonly store = new FakeRevisionStore()
+  readonly health = new StoreHealth()
+  readonly fleet = new FleetState({ targetRemoved: () => undefined })
+  private readonly owner = new AbortController()
+  private readonly follower = new FleetFollower({
+    store: this.store,
+    codec: new PlainFleetCodec(),
+    fleet: this.fleet,
+    health: this.health,
+    log: new EventLog(bunyan.createLogger({ name: 'test', streams: [] }), () => this.now),
+    getNow: () => this.now,
+    random: () => 0,
+    ownName: 'own',
+    handleConfiguration: () => undefined,
+    handleOwnEntryGone: () => undefined
+  })
+
+  private running: Promise<void> | undefined
+
+  start (): void {
+    this.running = this.follower.run(this.owner.signal)
+  }
+
+  async stop (): Promise<void> {
+    this.owner.abort()
+    await this.running
+  }
+
+  writeTarget (id: string): void {
+    this.store.write(`target/${id}`, makeTarget({ id, port: 8_000 + Number(id) }).entry)
+  }
+
+  /** Waits until something holds; rejects after a bound that only a fault reaches. */
+  async waitFor (check: () => boolean, what: string): Promise<void> {
+    for (let step = 0; step < 2_000; step += 1) {
+      if (check()) return
+      await new Promise((resolve) => { setTimeout(resolve, 5) })
+    }
+    throw new Error(`never came: ${what}`)
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -0,0 +1,37 @@
+import type { TargetEntry } from '../../../request/targetEntry.js'
+import type { SteeringConfiguration } from '../../../version/steeringConfiguration.js'
+import type { StoreEvent } from '../../store/storeEvent.js'
+import type { FleetChange } from '../fleetChange.js'
+import { FleetCodec } from '../fleetCodec.js'
+import type { HostEntry } from '../hostEntry.js'
+
+/** Keys of the tests' own: `target/ID`, `host/NAME`, `evacuation/ZONE` and `configuration`. */
+export class PlainFleetCodec extends FleetCodec {
+  override readonly prefixes = ['']
+
+  override decode (event: StoreEvent): FleetChange | undefined {
+    const [kind, name] = (event.kind === 'written' ? event.item.key : event.key).split('/') as [string, string]
+    if (event.kind === 'deleted') return decodeDeletion(kind, name)
+    const value: unknown = JSON.parse(event.item.value.toString())
+    if (kind === 'target') return { kind: 'target', entry: value as TargetEntry }
+    if (kind === 'host') return { kind: 'host', entry: value as HostEntry }
+    if (kind === 'evacuation') return { kind: 'evacuation', availabilityZone: name, isEvacuated: true }
+    const document = value as { version: number }
+    const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    return { kind: 'configuration', configuration }
+  }
+
+  override isUnder (): boolean {
+    return true
+  }
+
+  override encodeHost (entry: HostEntry): { key: string, value: Buffer } {
+    return { key: `host/${entry.name}`, value: Buffer.from(JSON.stringify(entry)) }
+  }
+}
+
+const decodeDeletion = (kind: string, name: string): FleetChange | undefined => {
+  if (kind === 'target') return { kind: 'target-gone', id: name }
+  if (kind === 'host') return { kind: 'host-gone', name }
+  return kind === 'evacuation' ? { kind: 'evacuation', availabilityZone: name, isEvacuated: false } : undefined
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -0,0 +1,93 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FollowedFleet } from '../__fixtures__/followedFleet.js'
+
+const test = suite('FleetFollower')
+let followed = new FollowedFleet()
+
+test.before.each(() => {
+  followed = new FollowedFleet()
+  followed.store.write('configuration', { version: 5 })
+  followed.writeTarget('1')
+  followed.writeTarget('2')
+  followed.start()
+})
+test.after.each(() => followed.stop())
+
+test('what stands in the store and what changes in it is known', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  assert.is(fleet.configuration?.version, 5)
+  assert.is(fleet.listTargets('balances').length, 2)
+  store.write('configuration', { version: 9 })
+  followed.writeTarget('3')
+  store.remove('target/1')
+  store.write('evacuation/akl-a', {})
+  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'evacuation')
+  assert.is(fleet.configuration?.version, 9)
+  assert.equal(fleet.listTargetIds().sort(), ['2', '3'])
+  store.remove('evacuation/akl-a')
+  await followed.waitFor(() => !fleet.isEvacuated('akl-a'), 'end of the evacuation')
+})
+
+// Operators put version 9 in force; a host that then reads an older one from a store that lags would send
+// callers to where they were before.
+test('a version that is not newer is never put in force', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.write('configuration', { version: 9 })
+  await followed.waitFor(() => fleet.configuration?.version === 9, 'version 9')
+  store.write('configuration', { version: 7 })
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  assert.is(fleet.configuration?.version, 9)
+})
+
+// Watches hear nothing while a target leaves, then the store drops its history. A host that only watched on
+// would send to the target for ever.
+test('after the history is gone everything is read anew, and what vanished meanwhile is gone', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isDeaf = true
+  store.remove('target/1')
+  followed.writeTarget('3')
+  store.write('configuration', { version: 6 })
+  store.dropHistory()
+  store.isDeaf = false
+  await followed.waitFor(() => fleet.configuration?.version === 6, 'version 6')
+  assert.equal(fleet.listTargetIds().sort(), ['2', '3'])
+})
+
+// The store is away for some seconds and the targets' entries lapse in it. Taken for the end of every
+// target, each host would refuse every request until they have written themselves anew.
+test('entries that lapsed while the store was away count until two seconds after its return', async () => {
+  const { fleet, store, health } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  health.observeFailure(followed.now)
+  store.isDown = true
+  store.remove('target/1')
+  store.remove('target/2')
+  followed.now = 4_000
+  store.isDown = false
+  health.observeAnswer(followed.now)
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  assert.equal(fleet.listTargetIds().sort(), ['1', '2', '3'])
+  followed.writeTarget('2')
+  followed.writeTarget('4')
+  await followed.waitFor(() => fleet.findTarget('4') !== undefined, 'target 4')
+  followed.now = 6_100
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'end of target 1')
+  assert.equal(fleet.listTargetIds().sort(), ['2', '3', '4'])
+})
+
+test('an address that is used again belongs to the newer target alone', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  const entry = fleet.findTarget('1')?.entry
+  store.write('target/9', { ...entry, id: '9', service: 'approvals' })
+  await followed.waitFor(() => fleet.findTarget('9') !== undefined, 'target 9')
+  assert.is(fleet.findTarget('1'), undefined)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -0,0 +1,59 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FleetState } from '../../fleet/fleetState.js'
+import type { HostEntry } from '../../fleet/hostEntry.js'
+import { decodeReport } from '../decodeReport.js'
+import { encodeReport } from '../encodeReport.js'
+import type { PeerReport } from '../peerReport.js'
+import { PeerView } from '../peerView.js'
+
+const test = suite('PeerView')
+const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, inFlight: new Map([[7, 3]]), demands: [] })
+
+const build = (): PeerView => {
+  const fleet = new FleetState({ targetRemoved: () => undefined })
+  for (const name of ['own', 'a', 'b']) fleet.putHost(makeEntry(name))
+  fleet.isComplete = true
+  return new PeerView('own', fleet)
+}
+const listNames = (view: PeerView, now: number): string[] => view.listLive(now).map(({ name }) => name)
+
+// A host is killed; its entry stands until its lease lapses, or as long as the store is away. A look-up
+// that names it sends callers into nothing.
+test('a host that has gone silent is not named while others are heard', () => {
+  const view = build()
+  view.hear(makeReport('a', 1), 0)
+  view.hear(makeReport('b', 1), 0)
+  assert.equal(listNames(view, 100), ['own', 'a', 'b'])
+  view.hear(makeReport('a', 2), 4_000)
+  assert.equal(listNames(view, 4_000), ['own', 'a'])
+})
+
+test('a host that hears nobody goes by the entries: it is the one that is cut off', () => {
+  const view = build()
+  view.hear(makeReport('a', 1), 0)
+  assert.equal(listNames(view, 60_000), ['own', 'a', 'b'])
+})
+
+test('a host that says that it leaves is not named from then on', () => {
+  const view = build()
+  view.hear(makeReport('a', 1), 0)
+  view.hear(makeReport('b', 1, true), 0)
+  assert.equal(listNames(view, 10), ['own', 'a'])
+})
+
+test('an older report never replaces a newer one', () => {
+  const view = build()
+  assert.ok(view.hear(makeReport('a', 2), 0))
+  assert.not(view.hear(makeReport('a', 1, true), 5))
+  assert.ok(listNames(view, 10).includes('a'))
+})
+
+test('a report reads as it was written, and other bytes are none', () => {
+  const report = { ...makeReport('a', 3), demands: [{ service: 's', perSecond: 2, warmMs: 64, parts: new Map([['akl', 0.5]]) }] }
+  assert.equal(decodeReport(encodeReport(report)), report)
+  assert.is(decodeReport(Buffer.from('nonsense')), undefined)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -38,6 +38,7 @@
   /** Hosts that serve callers, this one included. */
   listLive (now: number): HostEntry[] {
     const hosts = this.fleet.listHosts()
+    for (const entry of hosts) this.observeEntry(entry, now)
     const isAlone = !hosts.some((entry) => entry.name !== this.ownName && this.hasHeard(entry, now))
     return hosts.filter((entry) => entry.name === this.ownName || this.isLive(entry, now, isAlone))
   }
@@ -64,13 +65,10 @@
   private isLive (entry: HostEntry, now: number, isAlone: boolean): boolean {
     const peer = this.peers.get(entry.name)
     if (peer?.report.isLeaving === true && peer.incarnation === entry.incarnation) return false
-    return isAlone || this.hasHeard(entry, now) || now - this.findFirstSeen(entry, now) <= ENTRY_TRUST_MS
+    return isAlone || this.hasHeard(entry, now) || now - (this.firstSeenAt.get(entry.name)?.at ?? now) <= ENTRY_TRUST_MS
   }
 
-  private findFirstSeen (entry: HostEntry, now: number): number {
-    const known = this.firstSeenAt.get(entry.name)
-    if (known !== undefined && known.incarnation === entry.incarnation) return known.at
-    this.firstSeenAt.set(entry.name, { incarnation: entry.incarnation, at: now })
-    return now
+  private observeEntry (entry: HostEntry, now: number): void {
+    if (this.firstSeenAt.get(entry.name)?.incarnation !== entry.incarnation) this.firstSeenAt.set(entry.name, { incarnation: entry.incarnation, at: now })
   }
 }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
@@ -0,0 +1,18 @@
+import type { ChoiceContext } from '../choiceContext.js'
+
+/** A choice at time 0 in region `akl`, with some of its context replaced. */
+export function makeContext (context: Partial<ChoiceContext> = {}): ChoiceContext {
+  return {
+    now: 0,
+    keyHash: 1,
+    homeRegion: 'akl',
+    findTripMs: (region) => region === 'akl' ? 2 : 40,
+    warmMs: 100,
+    coldMs: 300,
+    targetLatencyMs: 250,
+    isEligible: () => true,
+    allowCold: () => false,
+    allowAway: true,
+    ...context
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -0,0 +1,81 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeContext } from '../__fixtures__/makeContext.js'
+import { makeTarget } from '../__fixtures__/makeTarget.js'
+import { chooseTarget } from '../chooseTarget.js'
+
+const test = suite('chooseTarget')
+const listNear = () => [0, 1, 2, 3].map((index) => makeTarget({ id: `near-${index}` }))
+const listKeys = () => Array.from({ length: 400 }, (_, index) => Math.imul(index + 1, 0x9e3779b1) >>> 0)
+
+test('a key keeps its target, and only the keys of a target that left move', () => {
+  const targets = listNear()
+  const before = listKeys().map((keyHash) => chooseTarget(targets, makeContext({ keyHash }))?.target)
+  const [gone] = targets
+  const after = listKeys().map((keyHash) => chooseTarget(targets.slice(1), makeContext({ keyHash }))?.target)
+  for (const [index, target] of before.entries()) {
+    if (target !== gone) assert.is(after[index], target)
+  }
+})
+
+test('a short queue at the target that holds the object is better than work on it anew', () => {
+  const targets = listNear()
+  const first = chooseTarget(targets, makeContext())
+  if (first === undefined) throw new Error('no target')
+  first.target.inFlight = 5
+  assert.is(chooseTarget(targets, makeContext())?.target, first.target)
+  first.target.inFlight = 40
+  assert.is.not(chooseTarget(targets, makeContext())?.target, first.target)
+})
+
+// A hot region: every target of it is full, another one 40 ms away is idle. Callers see their answers
+// late though there is room. The choice must compare the wait here with the trip there.
+test('a full region is left for one with room, where that is allowed', () => {
+  const near = listNear()
+  for (const target of near) target.inFlight = 40
+  const far = makeTarget({ id: 'far', region: 'wlg' })
+  assert.is(chooseTarget([...near, far], makeContext())?.target, far)
+  assert.is(chooseTarget([...near, far], makeContext({ allowAway: false }))?.target.entry.region, 'akl')
+})
+
+test('a region whose targets are all gone is left without asking', () => {
+  const far = makeTarget({ id: 'far', region: 'wlg' })
+  assert.is(chooseTarget([far], makeContext({ allowAway: false }))?.target, far)
+})
+
+test('a target that drains or has departed gets nothing', () => {
+  const draining = makeTarget({ draining: true })
+  const departed = makeTarget({ id: 'departed' })
+  departed.markDeparted(0)
+  assert.is(chooseTarget([draining, departed], makeContext()), undefined)
+})
+
+test('a cold target gets nothing but within its allowance', () => {
+  const cold = makeTarget({ coldForMs: 3_000 })
+  assert.is(chooseTarget([cold], makeContext()), undefined)
+  assert.is(chooseTarget([cold], makeContext({ allowCold: () => true }))?.target, cold)
+  assert.is(chooseTarget([cold], makeContext({ now: 3_000 }))?.target, cold)
+})
+
+// One target turns five times slower: its callers wait while others are idle, for as long as its keys stay.
+test('a target that has become slow loses its keys within some answers, and is tried again later', () => {
+  const targets = listNear()
+  const first = chooseTarget(targets, makeContext())
+  if (first === undefined) throw new Error('no target')
+  for (let answer = 0; answer < 15; answer += 1) first.target.observeAnswer(5, 0)
+  assert.is.not(chooseTarget(targets, makeContext())?.target, first.target)
+  assert.is(chooseTarget(targets, makeContext({ now: 20_000 }))?.target, first.target)
+})
+
+test('a target that refuses half of its requests loses its keys', () => {
+  const targets = listNear()
+  const first = chooseTarget(targets, makeContext())
+  if (first === undefined) throw new Error('no target')
+  for (let answer = 0; answer < 10; answer += 1) {
+    first.target.observeFailure(0)
+    first.target.observeAnswer(1, 0)
+  }
+  assert.is.not(chooseTarget(targets, makeContext())?.target, first.target)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/__tests__/regionParts.test.ts
@@ -0,0 +1,44 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { computeRegionParts } from '../computeRegionParts.js'
+import { RegionParts } from '../regionParts.js'
+
+const test = suite('RegionParts')
+const SHIFT_PART = 0.15
+const listKeys = () => Array.from({ length: 2_000 }, (_, index) => Math.imul(index + 1, 0x9e3779b1) >>> 0)
+
+// A third of the callers live where two of sixteen targets stand: their queue grows without end while the
+// other regions, 40 ms away, have slots free. The plan must send away what doesn't fit.
+test('a region with too few targets sends the rest to where there is room', () => {
+  const parts = computeRegionParts('wlg', [
+    { region: 'akl', slots: 48, busySlots: 12 },
+    { region: 'wlg', slots: 12, busySlots: 12 },
+    { region: 'chc', slots: 36, busySlots: 12 }
+  ])
+  assert.ok((parts.get('wlg') ?? 0) < 0.6)
+  assert.ok((parts.get('akl') ?? 0) > (parts.get('chc') ?? 0))
+  assert.ok(Math.abs([...parts.values()].reduce((sum, part) => sum + part, 0) - 1) < 1e-9)
+})
+
+test('a region with room keeps its requests, and where all are full nobody sends any away', () => {
+  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 48, busySlots: 12 }, { region: 'wlg', slots: 12, busySlots: 12 }]).get('akl'), 1)
+  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 0, busySlots: 12 }, { region: 'wlg', slots: 0, busySlots: 12 }]).get('akl'), 1)
+})
+
+test('steps stay within the bound on shifts in any two seconds, and few keys move', () => {
+  const parts = new RegionParts('wlg', SHIFT_PART)
+  const plan = new Map([['wlg', 0.2], ['akl', 0.5], ['chc', 0.3]])
+  const places: string[][] = []
+  for (let now = 0; now <= 40_000; now += 250) {
+    parts.moveTowards(plan, now)
+    places.push(listKeys().map((keyHash) => parts.findRegion(keyHash)))
+  }
+  for (let index = 8; index < places.length; index += 1) {
+    const moved = places[index]?.filter((region, key) => region !== places[index - 8]?.[key]).length ?? 0
+    assert.ok(moved / 2_000 <= SHIFT_PART, `${moved} of 2000`)
+  }
+  const last = places.at(-1) ?? []
+  assert.ok(Math.abs(last.filter((region) => region === 'wlg').length / 2_000 - 0.2) < 0.05)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -5,6 +5,11 @@
 
 /** A cold target works about twice as long for its first seconds. */
 const COLD_TARGET_RATIO = 2
+/**
+ * Latency targets that one failure costs: the request is late, and its repeat takes one of the few that all hosts
+ * may send to the service. At this price a target that fails 4 of 10 loses its keys.
+ */
+const FAILURE_COST = 2
 
 /**
  * The target from which an answer is expected soonest.
@@ -45,6 +50,6 @@
   const waitMs = ahead / target.entry.slots * context.warmMs * speed
   const tripMs = context.findTripMs(target.entry.region)
   const failureShare = Math.min(0.95, target.getFailureShare(now))
-  const failureMs = failureShare / (1 - failureShare) * context.targetLatencyMs
+  const failureMs = failureShare / (1 - failureShare) * FAILURE_COST * context.targetLatencyMs
   return { target, expectedMs: tripMs + waitMs + workMs + failureMs, workMs, waitMs, tripMs, rank, outstanding }
 }
--- a/packages/almondrelay-gateway/src/request/regionParts.ts
+++ b/packages/almondrelay-gateway/src/request/regionParts.ts
@@ -1,12 +1,11 @@
+import { computeHash } from '../version/computeHash.js'
 import { computePairHash } from '../version/computePairHash.js'
 
 const HASH_RANGE = 2 ** 32
-/** Tells the place of a key among regions from its place among targets. */
-const REGION_SALT = 0x5bd1e995
 /** Milliseconds of the window in which the operators bound a shift. */
 const SHIFT_WINDOW_MS = 2_000
 /** Part of the operators' bound that planned steps use; the rest is for requests that leave a full region at once. */
-const USED_PART = 0.45
+const USED_PART = 0.6
 
 /**
  * The parts of one service's requests that go to each region, moved in small steps.
@@ -49,14 +48,17 @@
     for (const { region, gap } of gaps) this.parts.set(region, (this.parts.get(region) ?? 0) + gap * step)
   }
 
-  /** The region in which a key has its place; a step moves only the keys at its edge. */
+  /** The region in which a key has its place, by weighted rendezvous hashing: a step moves as few keys as it can. */
   findRegion (keyHash: number): string {
-    let left = computePairHash(keyHash, REGION_SALT) / HASH_RANGE
-    const others = [...this.parts.entries()].filter(([region]) => region !== this.own).sort(([first], [second]) => first < second ? -1 : 1)
-    for (const [region, part] of others) {
-      left -= part
-      if (left < 0) return region
+    let best = this.own
+    let bestScore = -Infinity
+    for (const [region, part] of this.parts) {
+      const chance = (computePairHash(computeHash(`region ${region}`), keyHash) + 1) / (HASH_RANGE + 1)
+      const score = part / -Math.log(chance)
+      if (part <= 0 || score <= bestScore) continue
+      best = region
+      bestScore = score
     }
-    return this.own
+    return best
   }
 }
