Keep two targets a key, queue no longer than is on time, plan regions before demand is known

Ruled out: processor time of hosts (0.15 of a core), the number of hosts, connections. Change: a key has two targets; work on an object that isn't held counts what it costs those behind it; a request waits no longer than lets it be on time, else it is refused at once with the time after which there is room; the first plan of regions' parts goes by the hosts of each region. Now a lapse shows in the other entries (new ones, or most missing); a test of it.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -10,17 +10,20 @@
   isDown = false
   /** Watches answer with nothing, whatever has changed. */
   isDeaf = false
+  /** Calls that failed so far. */
+  refusals = 0
   private revision = 1
   private oldestEvent = 0
-  private readonly items = new Map<string, { value: Buffer, revision: number, leaseId: number }>()
+  private readonly items = new Map<string, { value: Buffer, revision: number, createdRevision: number, leaseId: number }>()
   private events: StoreEvent[] = []
   private leases = 0
 
   write (key: string, value: object, leaseId = 0): void {
     this.revision += 1
     const bytes = Buffer.from(JSON.stringify(value))
-    this.items.set(key, { value: bytes, revision: this.revision, leaseId })
-    this.events.push({ kind: 'written', item: { key, value: bytes, revision: this.revision } })
+    const createdRevision = this.items.get(key)?.createdRevision ?? this.revision
+    this.items.set(key, { value: bytes, revision: this.revision, createdRevision, leaseId })
+    this.events.push({ kind: 'written', item: { key, value: bytes, revision: this.revision, createdRevision } })
   }
 
   remove (key: string): void {
@@ -37,7 +40,7 @@
 
   override list (prefix: string): Promise<StorePage> {
     if (this.isDown) return this.refuse('list')
-    const items = [...this.items].filter(([key]) => key.startsWith(prefix)).map(([key, { value, revision }]) => ({ key, value, revision }))
+    const items = [...this.items].filter(([key]) => key.startsWith(prefix)).map(([key, { value, revision, createdRevision }]) => ({ key, value, revision, createdRevision }))
     return Promise.resolve({ items, revision: this.revision, isTruncated: false })
   }
 
@@ -75,6 +78,7 @@
   }
 
   private refuse (call: string): Promise<never> {
+    this.refusals += 1
     return Promise.reject(new StoreError('refused', call, 'down'))
   }
 }
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -65,15 +65,16 @@
   await followed.waitFor(() => fleet.isComplete, 'first read')
   health.observeFailure(followed.now)
   store.isDown = true
+  await followed.waitFor(() => store.refusals > 0, 'the outage')
   store.remove('target/1')
   store.remove('target/2')
   followed.now = 4_000
   store.isDown = false
   health.observeAnswer(followed.now)
+  followed.writeTarget('2')
   followed.writeTarget('3')
   await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
   assert.equal(fleet.listTargetIds().sort(), ['1', '2', '3'])
-  followed.writeTarget('2')
   followed.writeTarget('4')
   await followed.waitFor(() => fleet.findTarget('4') !== undefined, 'target 4')
   followed.now = 6_100
@@ -81,6 +82,24 @@
   assert.equal(fleet.listTargetIds().sort(), ['2', '3', '4'])
 })
 
+// One host alone is cut off for some seconds; the store and the other targets live on, one target leaves for
+// good. Taken for a lapse, the host sends to the one that left for two seconds more than it may.
+test('a target that left while this host alone was cut off is gone at once', async () => {
+  const { fleet, store, health } = followed
+  for (const id of ['3', '4', '5']) followed.writeTarget(id)
+  await followed.waitFor(() => fleet.listTargetIds().length === 5, 'five targets')
+  health.observeFailure(followed.now)
+  store.isDown = true
+  await followed.waitFor(() => store.refusals > 0, 'the outage')
+  store.remove('target/1')
+  followed.now = 4_000
+  store.isDown = false
+  health.observeAnswer(followed.now)
+  followed.writeTarget('6')
+  await followed.waitFor(() => fleet.findTarget('6') !== undefined, 'target 6')
+  assert.is(fleet.findTarget('1'), undefined)
+})
+
 test('an address that is used again belongs to the newer target alone', async () => {
   const { fleet, store } = followed
   await followed.waitFor(() => fleet.isComplete, 'first read')
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,8 +1,10 @@
 import { sleepFor } from '../sleepFor.js'
 import { match } from 'ts-pattern'
 import type { EventLog } from '../observe/eventLog.js'
+import { findLapse } from '../../request/findLapse.js'
 import type { RevisionStore } from '../store/revisionStore.js'
 import type { StoreEvent } from '../store/storeEvent.js'
+import type { StoreItem } from '../store/storeItem.js'
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { FleetChange } from './fleetChange.js'
 import type { FleetCodec } from './fleetCodec.js'
@@ -20,7 +22,7 @@
 const BATCH_MS = 200
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
 const FIRST_PAUSE_MS = 100
-const LONGEST_PAUSE_MS = 800
+const LONGEST_PAUSE_MS = 500
 
 interface FollowerParts {
   store: RevisionStore
@@ -41,6 +43,8 @@
 export class FleetFollower {
   /** Targets whose entries are gone and may come back, with the time at which they count as gone. */
   private readonly lapsing = new Map<string, number>()
+  /** Revision at which each known target's entry came into being. */
+  private readonly createdRevisions = new Map<string, number>()
 
   constructor (private readonly parts: FollowerParts) {}
 
@@ -58,6 +62,7 @@
       } catch (error) {
         if (signal.aborted) return
         this.parts.log.logError('store not followed', error as Error)
+        revision = undefined
         failures += 1
         const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** failures)
         await sleepFor(pauseMs * (0.5 + this.parts.random()), signal)
@@ -67,23 +72,25 @@
 
   /** Reads everything under a prefix; what isn't there any more is gone. Returns the revision from which to watch. */
   private async readAll (prefix: string, signal: AbortSignal): Promise<number> {
-    const { store, fleet } = this.parts
-    const present = new Set<string>()
-    let after = ''
+    const { store, fleet, log } = this.parts
+    const items: StoreItem[] = []
     let first: number | undefined
     for (;;) {
-      const page = await store.list(prefix, after, signal)
+      const page = await store.list(prefix, items.at(-1)?.key ?? '', signal)
       first ??= page.revision
-      for (const item of page.items) {
-        const change = this.applyEvent({ kind: 'written', item })
-        if (change !== undefined) present.add(describeSubject(change))
-        after = item.key
-      }
+      items.push(...page.items)
       if (!page.isTruncated) break
     }
-    this.removeAbsent(prefix, present)
+    const known = new Map(this.createdRevisions)
+    const present = new Set<string>()
+    for (const item of items) {
+      const change = this.applyEvent({ kind: 'written', item })
+      if (change !== undefined) present.add(describeSubject(change))
+    }
+    const isLapse = findLapse({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
+    this.removeAbsent(prefix, present, isLapse)
     fleet.isComplete = true
-    this.parts.log.record('read from the store', { prefix, revision: first, keys: present.size })
+    log.record('read from the store', { prefix, revision: first, keys: present.size, isLapse })
     return first
   }
 
@@ -93,12 +100,24 @@
       this.parts.log.report('history of the store gone', { prefix, revision })
       return undefined
     }
-    for (const event of result.events) this.applyEvent(event)
+    const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(result.events) })
+    for (const event of result.events) this.applyEvent(event, isLapse)
     if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
     return result.revision
   }
 
-  private removeAbsent (prefix: string, present: ReadonlySet<string>): void {
+  /** The targets whose entries stand after these events. */
+  private listPresentAfter (events: readonly StoreEvent[]): Map<string, number> {
+    const present = new Map(this.createdRevisions)
+    for (const event of events) {
+      const change = this.parts.codec.decode(event)
+      if (change?.kind === 'target-gone') present.delete(change.id)
+      if (change?.kind === 'target' && event.kind === 'written') present.set(change.entry.id, event.item.createdRevision)
+    }
+    return present
+  }
+
+  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean): void {
     const { codec, fleet } = this.parts
     const gone: FleetChange[] = [
       ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
@@ -106,17 +125,19 @@
       ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
     ]
     for (const change of gone) {
-      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change)
+      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change, isLapse)
     }
   }
 
-  private applyEvent (event: StoreEvent): FleetChange | undefined {
+  private applyEvent (event: StoreEvent, isLapse = false): FleetChange | undefined {
     const change = this.parts.codec.decode(event)
-    if (change !== undefined) this.apply(change)
+    if (change === undefined) return undefined
+    this.apply(change, isLapse)
+    if (change.kind === 'target' && event.kind === 'written') this.createdRevisions.set(change.entry.id, event.item.createdRevision)
     return change
   }
 
-  private apply (change: FleetChange): void {
+  private apply (change: FleetChange, isLapse: boolean): void {
     const { fleet, log, getNow } = this.parts
     const now = getNow()
     match(change)
@@ -131,7 +152,7 @@
         if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
         fleet.putTarget(entry, now)
       })
-      .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, now) })
+      .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, isLapse, now) })
       .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => {
         if (fleet.isEvacuated(availabilityZone) !== isEvacuated) log.report('evacuation', { availabilityZone, isEvacuated })
         fleet.setEvacuated(availabilityZone, isEvacuated)
@@ -149,17 +170,24 @@
       .exhaustive()
   }
 
-  private applyTargetGone (id: string, now: number): void {
+  private applyTargetGone (id: string, isLapse: boolean, now: number): void {
     const { fleet, health, log } = this.parts
-    if (fleet.findTarget(id) === undefined) return
-    const lapseEnd = health.findLapseEnd(now)
-    if (lapseEnd !== undefined) {
-      this.lapsing.set(id, Math.min(lapseEnd, this.lapsing.get(id) ?? lapseEnd))
-      log.record('target entry lapsed while the store was away', { target: id, untilMs: Math.round(lapseEnd - now) })
+    const target = fleet.findTarget(id)
+    if (target === undefined) return
+    if (isLapse && !target.isLeaving()) {
+      const end = Math.min(health.findLapseEnd(now), this.lapsing.get(id) ?? Infinity)
+      this.lapsing.set(id, end)
+      log.record('target entry lapsed while the store was away', { target: id, untilMs: Math.round(end - now) })
       return
     }
-    fleet.removeTarget(id, now)
-    log.record('target gone', { target: id })
+    this.removeTarget(id, now)
+  }
+
+  private removeTarget (id: string, now: number): void {
+    this.lapsing.delete(id)
+    this.createdRevisions.delete(id)
+    this.parts.fleet.removeTarget(id, now)
+    this.parts.log.record('target gone', { target: id })
   }
 
   private async expireLapsed (signal: AbortSignal): Promise<void> {
@@ -167,10 +195,7 @@
       await sleepFor(FIRST_PAUSE_MS, signal)
       const now = this.parts.getNow()
       for (const [id, end] of this.lapsing) {
-        if (now < end) continue
-        this.lapsing.delete(id)
-        this.parts.fleet.removeTarget(id, now)
-        this.parts.log.record('target gone', { target: id, after: 'lapse' })
+        if (now >= end) this.removeTarget(id, now)
       }
     }
   }
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -15,6 +15,8 @@
   codec: TargetCodec
   getNow: () => number
   countOpened: (region: string) => void
+  /** Called for a service with its first request. */
+  startRuntime: (runtime: ServiceRuntime) => void
 }
 
 /** What all requests of a host share. */
@@ -38,6 +40,7 @@
     if (known !== undefined) return known
     const runtime = new ServiceRuntime(service, this.parts.settings)
     this.runtimes.set(service, runtime)
+    this.parts.startRuntime(runtime)
     return runtime
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
+++ b/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
@@ -1,13 +1,7 @@
 import { computeRegionParts } from '../../request/computeRegionParts.js'
 import type { RegionLoad } from '../../request/regionLoad.js'
 import type { TargetState } from '../../request/targetState.js'
-import type { ServiceDemand } from '../peers/serviceDemand.js'
-
-/** Demand for a service as one host reports it. */
-interface HostDemand {
-  region: string
-  demand: ServiceDemand
-}
+import type { HostDemand } from './hostDemand.js'
 
 /** The parts of a region's requests for one service by what all hosts report and which targets there are. */
 export function planRegionParts (ownRegion: string, regions: readonly string[], demands: readonly HostDemand[], targets: readonly TargetState[], now: number): Map<string, number> {
@@ -19,7 +13,7 @@
   return computeRegionParts(ownRegion, loads)
 }
 
-// Nothing is sent to a target that is paused: its slots don't count.
+// Nothing is sent to a target that is suspended: its slots don't count.
 const sumSlots = (targets: readonly TargetState[], region: string, now: number): number => targets
-  .filter((target) => target.entry.region === region && !target.isLeaving() && !target.isPaused(now))
+  .filter((target) => target.entry.region === region && !target.isLeaving() && !target.isSuspended(now))
   .reduce((sum, target) => sum + target.entry.slots, 0)
--- a/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
@@ -1,6 +1,8 @@
 import { sleepFor } from '../sleepFor.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { ForwardState } from './forwardState.js'
+import { estimateFirstDemands } from './estimateFirstDemands.js'
+import type { HostDemand } from './hostDemand.js'
 import { planRegionParts } from './planRegionParts.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
 
@@ -28,17 +30,32 @@
     }
   }
 
-  private advance (runtime: ServiceRuntime, now: number): void {
-    const { ownRegion, regions, forward, view } = this.parts
-    const own = { region: ownRegion, demand: runtime.describeDemand(now) }
-    const reports = view.listReports(now, DEMAND_MAX_AGE_MS)
-    const heard = reports.flatMap((report) => report.demands.filter((each) => each.service === runtime.name).map((demand) => ({ region: report.region, demand })))
-    if (!runtime.regionParts.isPlanned) {
+  /** The first parts for a service: those of a peer in the region, or a plan from what can be guessed. */
+  start (runtime: ServiceRuntime, now: number): void {
+    const { ownRegion, view, forward } = this.parts
+    const peer = this.listDemands(runtime, now).find((each) => each.region === ownRegion && each.demand.parts.size > 0)
+    if (peer !== undefined) {
       // A host that starts in the middle of a day goes on where the others of its region are: a start from nothing would swing its callers back.
-      const peer = heard.find((each) => each.region === ownRegion && each.demand.parts.size > 0)
-      if (peer !== undefined) runtime.regionParts.adopt(peer.demand.parts, now)
+      runtime.regionParts.adopt(peer.demand.parts, now)
+      return
     }
+    const slots = forward.fleet.listTargets(runtime.name).reduce((sum, target) => sum + target.entry.slots, 0)
+    runtime.regionParts.adopt(this.plan(runtime, estimateFirstDemands(runtime.name, view.listLive(now), slots), now), now)
+  }
+
+  private advance (runtime: ServiceRuntime, now: number): void {
+    const own = { region: this.parts.ownRegion, demand: runtime.describeDemand(now) }
+    runtime.regionParts.moveTowards(this.plan(runtime, [own, ...this.listDemands(runtime, now)], now), now)
+  }
+
+  private listDemands (runtime: ServiceRuntime, now: number): HostDemand[] {
+    return this.parts.view.listReports(now, DEMAND_MAX_AGE_MS)
+      .flatMap((report) => report.demands.filter((each) => each.service === runtime.name).map((demand) => ({ region: report.region, demand })))
+  }
+
+  private plan (runtime: ServiceRuntime, demands: readonly HostDemand[], now: number): Map<string, number> {
+    const { ownRegion, regions, forward } = this.parts
     const targets = forward.fleet.listTargets(runtime.name).filter((target) => !forward.fleet.isEvacuated(target.entry.availabilityZone))
-    runtime.regionParts.moveTowards(planRegionParts(ownRegion, regions, [own, ...heard], targets, now), now)
+    return planRegionParts(ownRegion, regions, demands, targets, now)
   }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -34,6 +34,7 @@
       findTripMs: (region) => trips.find(region),
       warmMs: this.runtime.times.getWarmMs(targetLatencyMs),
       coldMs: this.runtime.times.getColdMs(targetLatencyMs),
+      meanMs: this.runtime.times.getMeanMs(targetLatencyMs),
       targetLatencyMs,
       isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && (allowedRegions.length === 0 || allowedRegions.includes(entry.region)),
       allowCold: (target) => this.state.allowCold(target, now),
@@ -69,16 +70,11 @@
     return this.state.pools.get(target)
   }
 
-  /** Milliseconds after which a target is likely to have room; undefined where there is none to estimate from. */
-  estimateRetryAfterMs (): number | undefined {
-    return undefined
-  }
-
   private learnDuration (choice: TargetChoice, durationMs: number, now: number): void {
     const { times } = this.runtime
     const workMs = Math.max(1, durationMs - choice.tripMs - choice.waitMs)
     choice.target.observeAnswer(workMs / Math.max(1, choice.workMs / choice.target.getSpeedRatio(now)), now)
-    if (choice.rank === 0) times.learnWarm(workMs)
-    else times.learnCold(workMs)
+    times.learn(workMs, choice.isWarm)
+    choice.target.warmKeys.add(this.keyHash)
   }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -2,6 +2,7 @@
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
+import { decideAdmission } from '../../request/decideAdmission.js'
 import { decideNextStep } from '../../request/decideNextStep.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { NextStep } from '../../request/nextStep.js'
@@ -38,6 +39,7 @@
   /** What the last attempt left behind, for the final answer. */
   private doubt: string | undefined
   private refusal = 'no target'
+  private retryAfterMs = PLAIN_RETRY_AFTER_MS
 
   constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
     this.record = { service: placement.service, homeRegion: placement.homeRegion, attempts: [] }
@@ -130,7 +132,7 @@
   }
 
   private refuse (): FinalAnswer {
-    return { kind: 'refused', retryAfterMs: this.placement.estimateRetryAfterMs() ?? PLAIN_RETRY_AFTER_MS, reason: this.refusal }
+    return { kind: 'refused', retryAfterMs: this.retryAfterMs, reason: this.refusal }
   }
 
   /** Sends to one more target where there is one that can answer in time; false where not. */
@@ -141,8 +143,10 @@
     const choice = this.placement.choose(this.request, this.triedIds, now)
     if (choice === undefined) return false
     if (isRepeat && now + choice.expectedMs > this.request.deadline) return false
-    if (choice.waitMs > this.request.deadline - now) {
-      this.refusal = 'every target is full for longer than the caller waits'
+    const retryAfterMs = this.decideAdmission(choice, now)
+    if (retryAfterMs > 0) {
+      this.refusal = 'every target of the key is full'
+      this.retryAfterMs = retryAfterMs
       return false
     }
     if (isRepeat && !this.placement.useRetry(now)) return false
@@ -150,6 +154,11 @@
     return true
   }
 
+  private decideAdmission (choice: TargetChoice, now: number): number {
+    const { arrivedAt, deadline, route } = this.request
+    return decideAdmission({ choice, targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, leftMs: deadline - now })
+  }
+
   private send (choice: TargetChoice, now: number): void {
     const { codec, getNow } = this.parts
     const attempt = new Attempt(this.request, choice, codec, getNow)
--- a/packages/almondrelay-gateway/src/process/forward/serviceRuntime.ts
+++ b/packages/almondrelay-gateway/src/process/forward/serviceRuntime.ts
@@ -38,7 +38,7 @@
       service: this.name,
       perSecond: this.arrivals.count(now) / DEMAND_WINDOW_MS * 1_000,
       warmMs: this.times.getWarmMs(FIRST_LATENCY_MS),
-      parts: this.regionParts.getParts()
+      parts: this.regionParts.isPlanned ? this.regionParts.getParts() : new Map()
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -46,6 +46,7 @@
   private readonly fleet: FleetState
   private readonly view: PeerView
   private readonly forward: ForwardState
+  private readonly planner: RegionPlanner
   private readonly exchange: PeerExchange
   private readonly socket: PeerSocket
   private readonly callers: CallerServer
@@ -60,7 +61,9 @@
     this.fleet = new FleetState({ targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) } })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own.name, this.fleet)
-    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, getNow, countOpened: (region) => { metrics.countConnection(region) } })
+    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, getNow, countOpened: (region) => { metrics.countConnection(region) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
+    const regions = [...new Set(Object.values(settings.availabilityZones))]
+    this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
     this.socket = new PeerSocket(logError)
     this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving })
@@ -103,7 +106,7 @@
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    const { settings, adapter, log, health, metrics, getNow, random } = this.parts
+    const { adapter, log, health, metrics, getNow, random } = this.parts
     const follower = new FleetFollower({
       store: adapter.store,
       codec: adapter.fleet,
@@ -121,9 +124,7 @@
         metrics.setVersion(configuration.version)
       }
     })
-    const regions = [...new Set(Object.values(settings.availabilityZones))]
-    const planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
-    return Promise.all([follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), planner.run(signal), this.closeIdle(signal)])
+    return Promise.all([follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal)])
   }
 
   private async closeIdle (signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/store/storeHealth.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeHealth.ts
@@ -21,13 +21,9 @@
     return true
   }
 
-  /**
-   * Until when an entry that is gone may only have lapsed with the store; undefined where its going is its
-   * target's. While the store is away targets can't renew their entries: taking that for their end would
-   * leave a host without any target.
-   */
-  findLapseEnd (now: number): number | undefined {
-    const end = this.failingSince === undefined ? this.returnedAt + RETURN_MS : now + RETURN_MS
-    return end > now ? end : undefined
+  /** Until when an entry that lapsed while the store was away may come back. */
+  findLapseEnd (now: number): number {
+    const hasReturned = this.failingSince === undefined && now - this.returnedAt < RETURN_MS
+    return (hasReturned ? this.returnedAt : now) + RETURN_MS
   }
 }
--- a/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
@@ -9,6 +9,7 @@
     findTripMs: (region) => region === 'akl' ? 2 : 40,
     warmMs: 100,
     coldMs: 300,
+    meanMs: 100,
     targetLatencyMs: 250,
     isEligible: () => true,
     allowCold: () => false,
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -13,6 +13,8 @@
   /** Work on an object that the target holds, and on one that it doesn't. */
   warmMs: number
   coldMs: number
+  /** Work on the requests that are ahead in a queue, on average. */
+  meanMs: number
   /** Milliseconds within which an answer has its full value. */
   targetLatencyMs: number
   /** Whether the target may get this request now: not evacuated, allowed by the route, not yet tried. */
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -11,45 +11,54 @@
  */
 const FAILURE_COST = 2
 
+/** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
+const TARGETS_OF_KEY = 2
+
 /**
- * The target from which an answer is expected soonest.
+ * The target from which an answer is expected soonest; undefined where none is left.
  *
  * Answers many callers asking for the same objects: a target that handled an object lately answers it
- * several times faster, so each key has one target of its own (rendezvous hashing) and leaves it only when
- * waiting there costs more than working on the object anew elsewhere. Without it every target works on
- * every object from scratch, and a service at a third of its capacity is overloaded.
+ * several times faster, so each key has one target of its own (rendezvous hashing) and a second one for when
+ * the first is full. Going to any target with room instead makes each work on every object anew: at a third of
+ * its warm capacity a service is then overloaded and stays so, as the next requests find no object held either.
  */
 export function chooseTarget (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined {
   const eligible = targets.filter((target) => !target.isLeaving() && context.isEligible(target))
-  const usable = eligible.filter((target) => !target.isPaused(context.now))
+  const usable = eligible.filter((target) => !target.isSuspended(context.now))
   const near = usable.filter((target) => target.entry.region === context.homeRegion)
-  const away = usable.filter((target) => target.entry.region !== context.homeRegion)
-  const atHome = findSoonest(near, context, 0)
+  const atHome = findSoonest(near, context)
   if (atHome !== undefined && !context.allowAway) return atHome
-  const elsewhere = findSoonest(away, context, near.length)
-  if (atHome === undefined) return elsewhere ?? findSoonest(eligible, context, 0)
-  return elsewhere !== undefined && elsewhere.expectedMs < atHome.expectedMs ? elsewhere : atHome
+  const elsewhere = findSoonest(usable.filter((target) => target.entry.region !== context.homeRegion), context)
+  if (atHome === undefined) return elsewhere ?? findSoonest(eligible, context)
+  return elsewhere !== undefined && elsewhere.costMs < atHome.costMs ? elsewhere : atHome
 }
 
-const findSoonest = (targets: readonly TargetState[], context: ChoiceContext, firstRank: number): TargetChoice | undefined => {
+const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
   let best: TargetChoice | undefined
-  for (const [index, target] of rankTargets(targets, context.keyHash).entries()) {
+  let seen = 0
+  for (const [rank, target] of rankTargets(targets, context.keyHash).entries()) {
     if (target.isCold(context.now) && !context.allowCold(target)) continue
-    const choice = estimateChoice(target, firstRank + index, context)
-    if (best === undefined || choice.expectedMs < best.expectedMs) best = choice
+    const choice = estimateChoice(target, rank, context)
+    if (best === undefined || choice.costMs < best.costMs) best = choice
+    seen += 1
+    if (seen === TARGETS_OF_KEY) break
   }
   return best
 }
 
 const estimateChoice = (target: TargetState, rank: number, context: ChoiceContext): TargetChoice => {
-  const { now } = context
+  const { now, warmMs, coldMs } = context
   const outstanding = target.countOutstanding(now)
   const speed = target.getSpeedRatio(now) * (target.isCold(now) ? COLD_TARGET_RATIO : 1)
-  const workMs = (rank === 0 ? context.warmMs : context.coldMs) * speed
+  const isHeld = target.warmKeys.has(context.keyHash)
+  const isWarm = (rank === 0 && target.entry.region === context.homeRegion) || isHeld
+  const workMs = (isWarm ? warmMs : coldMs) * speed
   const ahead = Math.max(0, outstanding + 1 - target.entry.slots)
-  const waitMs = ahead / target.entry.slots * context.warmMs * speed
+  const waitMs = ahead / target.entry.slots * context.meanMs * speed
   const tripMs = context.findTripMs(target.entry.region)
   const failureShare = Math.min(0.95, target.getFailureShare(now))
   const failureMs = failureShare / (1 - failureShare) * FAILURE_COST * context.targetLatencyMs
-  return { target, expectedMs: tripMs + waitMs + workMs + failureMs, workMs, waitMs, tripMs, rank, outstanding }
+  // Work on an object anew takes slots from those behind it: it costs them as much more as the target is busy.
+  const burdenMs = isWarm ? 0 : (coldMs - warmMs) * Math.min(1, outstanding / target.entry.slots)
+  return { target, expectedMs: tripMs + waitMs + workMs, costMs: tripMs + waitMs + workMs + failureMs + burdenMs, workMs, waitMs, tripMs, rank, outstanding, isWarm: isHeld }
 }
--- a/packages/almondrelay-gateway/src/request/serviceTimes.ts
+++ b/packages/almondrelay-gateway/src/request/serviceTimes.ts
@@ -9,6 +9,7 @@
 export class ServiceTimes {
   private warmMs: number | undefined
   private coldMs: number | undefined
+  private meanMs: number | undefined
 
   /** Work on an object that the target has handled lately. */
   getWarmMs (targetLatencyMs: number): number {
@@ -20,11 +21,16 @@
     return Math.max(this.coldMs ?? targetLatencyMs * FIRST_COLD_PART, this.getWarmMs(targetLatencyMs))
   }
 
-  learnWarm (durationMs: number): void {
-    this.warmMs = this.warmMs === undefined ? durationMs : this.warmMs + (durationMs - this.warmMs) * GAIN
+  /** Work on a request as they come: what those ahead in a queue will take. */
+  getMeanMs (targetLatencyMs: number): number {
+    return this.meanMs ?? this.getColdMs(targetLatencyMs)
   }
 
-  learnCold (durationMs: number): void {
-    this.coldMs = this.coldMs === undefined ? durationMs : this.coldMs + (durationMs - this.coldMs) * GAIN
+  learn (durationMs: number, wasWarm: boolean): void {
+    this.meanMs = learnFrom(this.meanMs, durationMs)
+    if (wasWarm) this.warmMs = learnFrom(this.warmMs, durationMs)
+    else this.coldMs = learnFrom(this.coldMs, durationMs)
   }
 }
+
+const learnFrom = (known: number | undefined, durationMs: number): number => known === undefined ? durationMs : known + (durationMs - known) * GAIN
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -1,5 +1,6 @@
 import { computeHash } from '../version/computeHash.js'
 import type { TargetEntry } from './targetEntry.js'
+import { WarmKeys } from './warmKeys.js'
 
 /** Weight of one answer in the estimate of a target's speed: about the last ten answers count. */
 const SPEED_GAIN = 0.1
@@ -21,12 +22,13 @@
   readonly hash: number
   /** Requests that this host has at the target. */
   inFlight = 0
+  readonly warmKeys = new WarmKeys()
   private readonly peerCounts = new Map<string, { count: number, heardAt: number }>()
   private speedRatio = 1
   private failureShare = 0
   private judgedAt = 0
-  private pausedUntil = 0
-  private pauses = 0
+  private suspendedUntil = 0
+  private suspensions = 0
   private coldUntil: number
   private departedAt: number | undefined
 
@@ -55,8 +57,8 @@
     return this.entry.draining || this.departedAt !== undefined
   }
 
-  isPaused (now: number): boolean {
-    return now < this.pausedUntil
+  isSuspended (now: number): boolean {
+    return now < this.suspendedUntil
   }
 
   isCold (now: number): boolean {
@@ -84,8 +86,8 @@
   /** `ratio`: the measured time over the expected one. */
   observeAnswer (ratio: number, now: number): void {
     this.expireJudgement(now)
-    this.pauses = 0
-    this.pausedUntil = 0
+    this.suspensions = 0
+    this.suspendedUntil = 0
     const bounded = Math.min(SLOWEST_RATIO, Math.max(FASTEST_RATIO, ratio))
     this.speedRatio += (bounded - this.speedRatio) * SPEED_GAIN
     this.failureShare *= 1 - FAILURE_GAIN
@@ -99,9 +101,9 @@
 
   /** A connection could not be had or went silent: no work for a while, then one trial. */
   suspend (now: number): void {
-    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.pauses)
-    this.pauses += 1
-    this.pausedUntil = now + pauseMs
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.suspensions)
+    this.suspensions += 1
+    this.suspendedUntil = now + pauseMs
   }
 
   getSpeedRatio (now: number): number {
