Hold a key at a second target only where its own is really full; end connections in order at a stop

And a caller with two requests out whose second one was answered first was never told to go at a stop. Change: a second place costs 0.4 of the additional work; the answer to the last request read on a connection ends it, and after the time to accept nothing more is read.

--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
@@ -0,0 +1,91 @@
+import { connect, type Socket } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { CallerAnswer } from '../callerAnswer.js'
+import { CallerServer } from '../callerServer.js'
+
+const test = suite('CallerServer')
+
+/** A server whose answers the test gives by hand, in any order. */
+class HeldServer {
+  readonly paths: string[] = []
+  private readonly finishers = new Map<string, (answer: CallerAnswer) => void>()
+  readonly server = new CallerServer((message) => new Promise((resolve) => {
+    this.paths.push(message.url ?? '')
+    this.finishers.set(message.url ?? '', resolve)
+  }), (error) => { throw error })
+
+  answer (path: string): void {
+    const body = Buffer.from(`answer to ${path};`)
+    this.finishers.get(path)?.({ status: 200, headers: ['Content-Length', String(body.length)], body })
+  }
+}
+
+const read = (socket: Socket): { text: string, isEnded: boolean } => {
+  const seen = { text: '', isEnded: false }
+  socket.on('data', (bytes) => { seen.text += bytes.toString() })
+  socket.on('close', () => { seen.isEnded = true })
+  return seen
+}
+const waitFor = async (check: () => boolean, what: string): Promise<void> => {
+  for (let look = 0; look < 1_000; look += 1) {
+    if (check()) return
+    await new Promise((resolve) => { setTimeout(resolve, 5) })
+  }
+  throw new Error(`never came: ${what}`)
+}
+const start = async (): Promise<{ held: HeldServer, socket: Socket }> => {
+  const held = new HeldServer()
+  const port = await held.server.listen('127.0.0.1', 0)
+  const socket = connect(port, '127.0.0.1')
+  return { held, socket }
+}
+const makeGet = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
+
+// A host is stopped while a caller has two requests out on one connection, and the second is answered by its
+// target first. A count of unanswered requests told neither answer to end the connection: the caller kept
+// sending on it until the process was ended by force with requests at targets.
+test('at a planned stop every request that was read is answered, whichever ends first', async () => {
+  const { held, socket } = await start()
+  const seen = read(socket)
+  socket.write(makeGet('/1') + makeGet('/2'))
+  await waitFor(() => held.paths.length === 2, 'both requests')
+  held.server.leave()
+  held.answer('/2')
+  await new Promise((resolve) => { setImmediate(resolve) })
+  held.answer('/1')
+  await waitFor(() => seen.isEnded, 'the end of the connection')
+  assert.match(seen.text, /answer to \/1;[^]*answer to \/2;/)
+  held.server.close()
+})
+
+// A caller that keeps sending on an open connection would hold the stop up until it is ended by force, with
+// requests at targets. What is sent after the time to accept isn't read: the caller sends it elsewhere.
+test('after the time to accept, nothing more is read from an open connection', async () => {
+  const { held, socket } = await start()
+  const seen = read(socket)
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.server.leave()
+  held.server.close()
+  socket.write(makeGet('/2'))
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  held.answer('/1')
+  await waitFor(() => seen.isEnded, 'the end of the connection')
+  assert.equal(held.paths, ['/1'])
+  assert.match(seen.text, /Connection: close[^]*answer to \/1;$/)
+})
+
+test('while it serves, a connection is kept for the next request', async () => {
+  const { held, socket } = await start()
+  const seen = read(socket)
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1')
+  await waitFor(() => seen.text.includes('answer to /1;'), 'the answer')
+  assert.not.match(seen.text, /Connection: close/)
+  socket.destroy()
+  held.server.close()
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -14,9 +14,9 @@
 type HandleRequest = (message: IncomingMessage, left: AbortSignal) => Promise<CallerAnswer | undefined>
 
 interface ConnectionState {
-  /** Requests that were read and have no answer. */
-  unanswered: number
-  /** The last answer is out: what arrives now isn't read. */
+  /** Answer to the request that was read last; answers go out in the order of their requests. */
+  last: ServerResponse | undefined
+  /** Nothing more is read: the answer to the last request ends the connection. */
   isClosing: boolean
 }
 
@@ -25,20 +25,22 @@
   private readonly server: Server
   private isLeaving = false
   private unanswered = 0
-  private readonly connections = new WeakMap<Socket, ConnectionState>()
+  private readonly connections = new Map<Socket, ConnectionState>()
 
   constructor (private readonly handleRequest: HandleRequest, private readonly logError: (error: Error) => void) {
     this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true })
     this.server.on('request', (message, response) => { this.serve(message, response).catch((error: Error) => { this.abortAnswer(response, error) }) })
   }
 
-  listen (ip: string, port: number): Promise<void> {
+  /** Opens the port, or a free one for 0, and returns it. */
+  listen (ip: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(port, ip, () => {
         this.server.off('error', reject)
         this.server.on('error', this.logError)
-        resolve()
+        const address = this.server.address()
+        resolve(typeof address === 'object' && address !== null ? address.port : port)
       })
     })
   }
@@ -59,8 +61,9 @@
     this.isLeaving = true
   }
 
-  /** Takes no new connections and ends those without a request. */
+  /** Takes no new connections, reads nothing more from the others and ends those without a request. */
   close (): void {
+    for (const connection of this.connections.values()) connection.isClosing = true
     this.server.close()
     this.server.closeIdleConnections()
   }
@@ -70,16 +73,16 @@
     // The caller takes what it sent behind the last answer for unread and sends it again: passed on, it would run twice.
     if (connection.isClosing) return
     const left = new AbortController()
-    connection.unanswered += 1
+    connection.last = response
     this.unanswered += 1
     response.once('close', () => {
-      connection.unanswered -= 1
       this.unanswered -= 1
       if (!response.writableFinished) left.abort()
     })
     const answer = await this.handleRequest(message, left.signal)
     if (answer === undefined || response.destroyed) return
-    const isLast = this.isLeaving && connection.unanswered === 1
+    // Of two requests on one connection the second may be answered first: a close after the first one's answer would cut the second one's off.
+    const isLast = this.isLeaving && connection.last === response
     if (isLast) connection.isClosing = true
     response.writeHead(answer.status, isLast ? [...answer.headers, 'Connection', 'close'] : answer.headers)
     response.end(answer.body)
@@ -88,8 +91,9 @@
   private findConnection (socket: Socket): ConnectionState {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const state = { unanswered: 0, isClosing: false }
+    const state = { last: undefined, isClosing: false }
     this.connections.set(socket, state)
+    socket.once('close', () => { this.connections.delete(socket) })
     return state
   }
 
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -14,6 +14,9 @@
 /** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
 const TARGETS_OF_KEY = 2
 
+/** Part of the additional work on an object anew that holding it at a second target is taken to cost. */
+const SECOND_PLACE_PART = 0.4
+
 /**
  * The target from which an answer is expected soonest; undefined where none is left.
  *
@@ -58,7 +61,16 @@
   const tripMs = context.findTripMs(target.entry.region)
   const failureShare = Math.min(0.95, target.getFailureShare(now))
   const failureMs = failureShare / (1 - failureShare) * FAILURE_COST * context.targetLatencyMs
-  // Work on an object anew takes slots from those behind it: it costs them as much more as the target is busy.
-  const burdenMs = isWarm ? 0 : (coldMs - warmMs) * Math.min(1, outstanding / target.entry.slots)
+  const burdenMs = estimateBurden(isWarm, rank, outstanding / target.entry.slots, coldMs - warmMs)
   return { target, expectedMs: tripMs + waitMs + workMs, costMs: tripMs + waitMs + workMs + failureMs + burdenMs, workMs, waitMs, tripMs, rank, outstanding, isWarm: isHeld }
 }
+
+/**
+ * What a choice costs the requests after it. Work on an object anew takes slots from those behind it, the more the
+ * busier the target is. An object that is held at a second place takes the place of another one there: targets
+ * remember few, and with every key at two of them the memory of a small region is full and holds nothing for long.
+ */
+const estimateBurden = (isWarm: boolean, rank: number, use: number, coldExtraMs: number): number => {
+  if (!isWarm) return coldExtraMs * Math.max(SECOND_PLACE_PART, Math.min(1, use))
+  return rank === 0 ? 0 : coldExtraMs * SECOND_PLACE_PART
+}
