--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -19,7 +19,7 @@
  * Pause after changes, in milliseconds: entries change in groups, as at a start or a release, and each answer
  * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
  */
-const BATCH_MS = 200
+const BATCH_MS = 500
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
 const FIRST_PAUSE_MS = 100
 const LONGEST_PAUSE_MS = 500
@@ -158,11 +158,11 @@
         fleet.setEvacuated(availabilityZone, isEvacuated)
       })
       .with({ kind: 'host' }, ({ entry }) => {
-        log.record('host', { entry })
+        log.record('peer', { entry })
         fleet.putHost(entry)
       })
       .with({ kind: 'host-gone' }, ({ name }) => {
-        log.record('host gone', { host: name })
+        log.record('peer gone', { peer: name })
         if (name === this.parts.ownName) this.parts.handleOwnEntryGone()
         else fleet.removeHost(name)
       })
--- a/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
+++ b/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
@@ -13,7 +13,7 @@
   return computeRegionParts(ownRegion, loads)
 }
 
-// Nothing is sent to a target that is suspended: its slots don't count.
+// Nothing is sent to a target that is suspended, and one that works four times slower has room for a quarter.
 const sumSlots = (targets: readonly TargetState[], region: string, now: number): number => targets
   .filter((target) => target.entry.region === region && !target.isLeaving() && !target.isSuspended(now))
-  .reduce((sum, target) => sum + target.entry.slots, 0)
+  .reduce((sum, target) => sum + target.entry.slots / Math.max(1, target.getSpeedRatio(now)) * (1 - target.getFailureShare(now)), 0)
--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -38,6 +38,17 @@
   assert.is(chooseTarget([...near, far], makeContext({ allowAway: false }))?.target.entry.region, 'akl')
 })
 
+// Both targets of a key have turned slow and are full, the others of the region are idle. Kept to its own, the
+// key's callers are refused for as long as that lasts.
+test('a key whose targets are both full goes to an idle one', () => {
+  const targets = listNear()
+  const first = chooseTarget(targets, makeContext())
+  const second = chooseTarget(targets.filter((target) => target !== first?.target), makeContext())
+  for (const choice of [first, second]) if (choice !== undefined) choice.target.inFlight = 30
+  const third = chooseTarget(targets, makeContext())
+  assert.is(third?.outstanding, 0)
+})
+
 test('a region whose targets are all gone is left without asking', () => {
   const far = makeTarget({ id: 'far', region: 'wlg' })
   assert.is(chooseTarget([far], makeContext({ allowAway: false }))?.target, far)
--- a/packages/almondrelay-gateway/src/request/awayAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/awayAllowance.ts
@@ -1,5 +1,5 @@
 /** Part of the operators' bound on shifts that unplanned moves may use. */
-const USED_PART = 0.25
+const USED_PART = 0.45
 /** Moves that may come at once. */
 const BURST = 3
 
--- a/packages/almondrelay-gateway/src/request/regionParts.ts
+++ b/packages/almondrelay-gateway/src/request/regionParts.ts
@@ -5,7 +5,7 @@
 /** Milliseconds of the window in which the operators bound a shift. */
 const SHIFT_WINDOW_MS = 2_000
 /** Part of the operators' bound that planned steps use; the rest is for requests that leave a full region at once. */
-const USED_PART = 0.6
+const USED_PART = 0.45
 
 /**
  * The parts of one service's requests that go to each region, moved in small steps.
