--- a/packages/almondrelay-gateway/src/request/__tests__/regionParts.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/regionParts.test.ts
@@ -25,6 +25,14 @@
   assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 0, busySlots: 12 }, { region: 'wlg', slots: 0, busySlots: 12 }]).get('akl'), 1)
 })
 
+test('a small difference moves nothing, a large one is followed to its end', () => {
+  const parts = new RegionParts('wlg', SHIFT_PART)
+  for (let now = 0; now <= 10_000; now += 250) parts.moveTowards(new Map([['wlg', 0.9], ['akl', 0.1]]), now)
+  assert.is(parts.getParts().get('wlg'), 1)
+  for (let now = 10_000; now <= 30_000; now += 250) parts.moveTowards(new Map([['wlg', 0.7], ['akl', 0.3]]), now)
+  assert.ok((parts.getParts().get('wlg') ?? 0) < 0.74)
+})
+
 test('steps stay within the bound on shifts in any two seconds, and few keys move', () => {
   const parts = new RegionParts('wlg', SHIFT_PART)
   const plan = new Map([['wlg', 0.2], ['akl', 0.5], ['chc', 0.3]])
--- a/packages/almondrelay-gateway/src/request/regionParts.ts
+++ b/packages/almondrelay-gateway/src/request/regionParts.ts
@@ -6,6 +6,13 @@
 const SHIFT_WINDOW_MS = 2_000
 /** Part of the operators' bound that planned steps use; the rest is for requests that leave a full region at once. */
 const USED_PART = 0.45
+/**
+ * Difference between plan and parts at which a move begins and at which it ends. Each key that moves is worked on anew
+ * where it arrives; small differences cost less than that, and the parts that every host would begin with
+ * after a restart of all stay in force for longer.
+ */
+const MOVE_FROM = 0.15
+const MOVE_TO = 0.03
 
 /**
  * The parts of one service's requests that go to each region, moved in small steps.
@@ -16,6 +23,7 @@
 export class RegionParts {
   private parts: Map<string, number>
   private movedAt: number | undefined
+  private isMoving = false
 
   /** @param shiftPart part of the requests that may change their region from one window to the next */
   constructor (private readonly own: string, private readonly shiftPart: number) {
@@ -43,7 +51,8 @@
     const regions = new Set([...this.parts.keys(), ...plan.keys()])
     const gaps = [...regions].map((region) => ({ region, gap: (plan.get(region) ?? 0) - (this.parts.get(region) ?? 0) }))
     const change = gaps.reduce((sum, { gap }) => sum + Math.max(0, gap), 0)
-    if (change === 0) return
+    this.isMoving = change > (this.isMoving ? MOVE_TO : MOVE_FROM)
+    if (!this.isMoving) return
     const step = Math.min(1, this.shiftPart * USED_PART * elapsedMs / SHIFT_WINDOW_MS / change)
     for (const { region, gap } of gaps) this.parts.set(region, (this.parts.get(region) ?? 0) + gap * step)
   }
