--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -140,20 +140,27 @@
     const now = this.parts.getNow()
     const isRepeat = this.sends > 0
     if (isRepeat && this.sends >= this.request.route.maxAttempts) return false
-    const choice = this.placement.choose(this.request, this.triedIds, now)
+    const choice = this.chooseAdmitted(now)
     if (choice === undefined) return false
     if (isRepeat && now + choice.expectedMs > this.request.deadline) return false
-    const retryAfterMs = this.decideAdmission(choice, now)
-    if (retryAfterMs > 0) {
-      this.refusal = 'every target of the key is full'
-      this.retryAfterMs = retryAfterMs
-      return false
-    }
     if (isRepeat && !this.placement.useRetry(now)) return false
     this.send(choice, now)
     return true
   }
 
+  /** A target at which the request waits no longer than is on time: one of its key's, else an idle one. */
+  private chooseAdmitted (now: number): TargetChoice | undefined {
+    for (const allowIdle of [false, true]) {
+      const choice = this.placement.choose(this.request, this.triedIds, allowIdle, now)
+      if (choice === undefined) return undefined
+      const retryAfterMs = this.decideAdmission(choice, now)
+      if (retryAfterMs === 0) return choice
+      this.refusal = 'every target of the key is full'
+      this.retryAfterMs = retryAfterMs
+    }
+    return undefined
+  }
+
   private decideAdmission (choice: TargetChoice, now: number): number {
     const { arrivedAt, deadline, route } = this.request
     return decideAdmission({ choice, targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, leftMs: deadline - now })
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -14,7 +14,7 @@
 /** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
 const TARGETS_OF_KEY = 2
 
-/** Part of its slots below which a target counts as idle: any key that waits at its own targets may go there. */
+/** Part of its slots below which a target counts as idle: a key that would be refused at its own targets may go there. */
 const IDLE_PART = 0.5
 /** Part of the additional work on an object anew that holding it at a second target is taken to cost. */
 const SECOND_PLACE_PART = 0.4
@@ -45,7 +45,7 @@
     if (target.isCold(context.now) && !context.allowCold(target)) continue
     const choice = estimateChoice(target, rank, context)
     ownTargets += 1
-    if (ownTargets > TARGETS_OF_KEY && choice.outstanding >= target.entry.slots * IDLE_PART) continue
+    if (ownTargets > TARGETS_OF_KEY && !(context.allowIdle && choice.outstanding < target.entry.slots * IDLE_PART)) continue
     if (best === undefined || choice.costMs < best.costMs) best = choice
   }
   return best
