--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -40,16 +40,13 @@
 
 // Both targets of a key have turned slow and are full, the others of the region are idle. Kept to its own, the
 // key's callers are refused for as long as that lasts.
-test('a key whose targets are both slow and full goes to a third one; while they are sound it does not', () => {
+test('a key whose targets are both full goes to an idle one, and only when it would else be refused', () => {
   const targets = listNear()
   const first = chooseTarget(targets, makeContext())
   const second = chooseTarget(targets.filter((target) => target !== first?.target), makeContext())
   for (const choice of [first, second]) if (choice !== undefined) choice.target.inFlight = 30
   assert.is(chooseTarget(targets, makeContext())?.outstanding, 30)
-  for (const choice of [first, second]) {
-    for (let answer = 0; answer < 20; answer += 1) choice?.target.observeAnswer(4, 0)
-  }
-  assert.is(chooseTarget(targets, makeContext())?.outstanding, 0)
+  assert.is(chooseTarget(targets, makeContext({ allowIdle: true }))?.outstanding, 0)
 })
 
 test('a region whose targets are all gone is left without asking', () => {
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -14,9 +14,8 @@
 /** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
 const TARGETS_OF_KEY = 2
 
-/** Times longer than expected that a target works, and part of its answers that fail, from which on it counts as impaired. */
-const IMPAIRED_SPEED_RATIO = 2
-const IMPAIRED_FAILURE_SHARE = 0.3
+/** Part of its slots below which a target counts as idle: a key that would be refused at its own targets may go there. */
+const IDLE_PART = 0.5
 /** Part of the additional work on an object anew that holding it at a second target is taken to cost. */
 const SECOND_PLACE_PART = 0.4
 
@@ -41,21 +40,17 @@
 
 const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
   let best: TargetChoice | undefined
-  let soundTargets = 0
+  let ownTargets = 0
   for (const [rank, target] of rankTargets(targets, context.keyHash).entries()) {
     if (target.isCold(context.now) && !context.allowCold(target)) continue
     const choice = estimateChoice(target, rank, context)
+    ownTargets += 1
+    if (ownTargets > TARGETS_OF_KEY && !(context.allowIdle && choice.outstanding < target.entry.slots * IDLE_PART)) continue
     if (best === undefined || choice.costMs < best.costMs) best = choice
-    // A target that is slow or fails doesn't count as one of the two: its keys would have nowhere to go but the other.
-    if (!isImpaired(target, context.now)) soundTargets += 1
-    if (soundTargets === TARGETS_OF_KEY) break
   }
   return best
 }
 
-const isImpaired = (target: TargetState, now: number): boolean =>
-  target.getSpeedRatio(now) >= IMPAIRED_SPEED_RATIO || target.getFailureShare(now) >= IMPAIRED_FAILURE_SHARE
-
 const estimateChoice = (target: TargetState, rank: number, context: ChoiceContext): TargetChoice => {
   const { now, warmMs, coldMs } = context
   const outstanding = target.countOutstanding(now)
