--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -24,7 +24,7 @@
     return this.runtime.name
   }
 
-  choose (request: CallerRequest, triedIds: ReadonlySet<string>, allowIdle: boolean, now: number): TargetChoice | undefined {
+  choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
     const { fleet, trips } = this.state
     const { allowedRegions, targetLatencyMs } = request.route
     return chooseTarget(fleet.listTargets(this.service), {
@@ -38,7 +38,6 @@
       targetLatencyMs,
       isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && (allowedRegions.length === 0 || allowedRegions.includes(entry.region)),
       allowCold: (target) => this.state.allowCold(target, now),
-      allowIdle,
       allowAway: this.runtime.away.allow()
     })
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -148,16 +148,14 @@
     return true
   }
 
-  /** A target at which the request waits no longer than is on time: one of its key's, else an idle one. */
+  /** The target for the request; undefined where it would wait there for longer than is on time. */
   private chooseAdmitted (now: number): TargetChoice | undefined {
-    for (const allowIdle of [false, true]) {
-      const choice = this.placement.choose(this.request, this.triedIds, allowIdle, now)
-      if (choice === undefined) return undefined
-      const retryAfterMs = this.decideAdmission(choice, now)
-      if (retryAfterMs === 0) return choice
-      this.refusal = 'every target of the key is full'
-      this.retryAfterMs = retryAfterMs
-    }
+    const choice = this.placement.choose(this.request, this.triedIds, now)
+    if (choice === undefined) return undefined
+    const retryAfterMs = this.decideAdmission(choice, now)
+    if (retryAfterMs === 0) return choice
+    this.refusal = 'every target of the key is full'
+    this.retryAfterMs = retryAfterMs
     return undefined
   }
 
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -21,8 +21,6 @@
   isEligible: (target: TargetState) => boolean
   /** Whether this host may send one more request to a cold target. */
   allowCold: (target: TargetState) => boolean
-  /** Whether the request may go to an idle target that isn't one of its key's two. */
-  allowIdle: boolean
   /** Whether the request may leave its home region though that one has targets left. */
   allowAway: boolean
 }
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -14,8 +14,6 @@
 /** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
 const TARGETS_OF_KEY = 2
 
-/** Part of its slots below which a target counts as idle: a key that would be refused at its own targets may go there. */
-const IDLE_PART = 0.5
 /** Part of the additional work on an object anew that holding it at a second target is taken to cost. */
 const SECOND_PLACE_PART = 0.4
 
@@ -40,13 +38,13 @@
 
 const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
   let best: TargetChoice | undefined
-  let ownTargets = 0
+  let seen = 0
   for (const [rank, target] of rankTargets(targets, context.keyHash).entries()) {
     if (target.isCold(context.now) && !context.allowCold(target)) continue
     const choice = estimateChoice(target, rank, context)
-    ownTargets += 1
-    if (ownTargets > TARGETS_OF_KEY && !(context.allowIdle && choice.outstanding < target.entry.slots * IDLE_PART)) continue
     if (best === undefined || choice.costMs < best.costMs) best = choice
+    seen += 1
+    if (seen === TARGETS_OF_KEY) break
   }
   return best
 }
