Log the age of what decides; explain a request of the users' platform from its line

Cause: the field 'host' of a rejected request's line replaced the name of the host that wrote it, and no line said how old the beliefs were that decided. Change: one line a request says how long ago the store confirmed what is known and how long ago a peer reported; almondrelay explain reads these lines.

--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -30,6 +30,18 @@
   assert.match(result.stdout, 'answered: not-run with status 503, because of queue-full, after 1 ms')
 })
 
+test('a request at a host of the users\' platform: where it belonged, each target, the answer', async () => {
+  const log = writeTemporary([
+    JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request', time: '2026-03-04T09:00:00.009Z', id: '9c41', route: 'r-1', version: 7, key: '17', service: 'balances', homeRegion: 'akl', attempts: [{ target: 'i-1', region: 'akl', rank: 0, outstanding: 3, expectedMs: 110, result: 'broken: ECONNRESET', ms: 40 }, { target: 'i-2', region: 'akl', rank: 1, outstanding: 1, expectedMs: 310, result: 'answered 200', ms: 120 }], outcome: '200', ms: 163 }),
+    JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request rejected', time: '2026-03-04T09:00:00.019Z', id: '9c42', status: 404, reason: 'no route', version: 7 })
+  ].join('\n'))
+  const served = await runWith(['explain', '9c41', '--log', log])
+  assert.match(served.stdout, 'route r-1 of version 7, service balances, key 17 with its place in akl; attempt 1 at i-1 in akl (rank 0 of the key, 3 requests there, answer expected after 110 ms): broken: ECONNRESET after 40 ms; attempt 2 at i-2')
+  assert.match(served.stdout, 'answered 200, after 163 ms')
+  const rejected = await runWith(['explain', '9c42', '--log', log])
+  assert.match(rejected.stdout, 'no target asked; answered 404, because of: no route')
+})
+
 test('a request of which nothing is logged has its own exit code and a remedy', async () => {
   const result = await runWith(['explain', 'r3', '--log', first])
   assert.is(result.code, 8)
--- a/packages/almondrelay-cli/src/explain/describeDecision.ts
+++ b/packages/almondrelay-cli/src/explain/describeDecision.ts
@@ -1,5 +1,7 @@
 import { match } from 'ts-pattern'
+import type { RequestLine } from '../trace/requestLine.js'
 import type { TraceLine } from '../trace/traceLine.js'
+import { describeRequest } from './describeRequest.js'
 
 type Fields = Record<string, unknown>
 
@@ -13,6 +15,7 @@
     .with('admission', () => describeAdmission(input, output))
     .with('choice', () => line.output === null ? 'no target may take work now' : `target ${String(output.target)} chosen (${String(output.reason)}); ${formatFields(filterFields(output, 'target', 'reason'))}`)
     .with('retry', () => output.kind === 'retry' ? `tried again, since the attempt ended as ${String(input.outcome)}` : `not tried again: ${String(output.reason)}`)
+    .with('request', () => describeRequest(line.input as RequestLine))
     .with('answer', () => `answered: ${describeAnswer(output)}`)
     .otherwise(() => `${line.decision}: ${formatFields(input)} gave ${formatFields(output)}`)
 }
--- /dev/null
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -0,0 +1,14 @@
+import type { RequestLine } from '../trace/requestLine.js'
+
+/** What one request went through at a host, in plain words: where it belonged, each target that was asked, the answer. */
+export function describeRequest (line: RequestLine): string {
+  const route = line.route === undefined ? '' : `route ${line.route} of version ${line.version}, `
+  const place = line.service === undefined ? '' : `service ${line.service}, key ${line.key ?? 'none'} with its place in ${line.homeRegion}; `
+  const attempts = line.attempts.length === 0 ? 'no target asked' : line.attempts.map(describeAttempt).join('; ')
+  const reason = line.reason === undefined ? '' : `, because of: ${line.reason}`
+  const duration = line.ms === undefined ? '' : `, after ${line.ms} ms`
+  return `${route}${place}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}`
+}
+
+const describeAttempt = (attempt: RequestLine['attempts'][number], index: number): string =>
+  `attempt ${index + 1} at ${attempt.target} in ${attempt.region} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms): ${attempt.result} after ${attempt.ms} ms`
--- a/packages/almondrelay-cli/src/trace/readTrace.ts
+++ b/packages/almondrelay-cli/src/trace/readTrace.ts
@@ -1,6 +1,7 @@
 import { createReadStream } from 'node:fs'
 import { createInterface } from 'node:readline'
 import { AlmondrelayError, ErrorKind } from 'almondrelay'
+import { RequestLine } from './requestLine.js'
 import { TraceLine } from './traceLine.js'
 
 interface NumberedLine {
@@ -32,10 +33,17 @@
 }
 
 const parseLine = (text: string): TraceLine | undefined => {
-  if (!text.includes('"decision"')) return undefined
+  const isRequest = text.includes('"msg":"request')
+  if (!isRequest && !text.includes('"decision"')) return undefined
   try {
-    return TraceLine.safeParse(JSON.parse(text)).data
+    const value: unknown = JSON.parse(text)
+    return isRequest ? toTraceLine(RequestLine.safeParse(value).data) : TraceLine.safeParse(value).data
   } catch {
     return undefined
   }
 }
+
+// A host of the users' platform writes one line for all decisions of a request.
+const toTraceLine = (line: RequestLine | undefined): TraceLine | undefined => line === undefined
+  ? undefined
+  : { time: line.time, host: line.host, decision: 'request', requestId: line.id, input: line, output: null }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -59,6 +59,7 @@
       try {
         revision = revision === undefined ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, revision, signal)
         failures = 0
+        this.parts.fleet.confirmedAt = this.parts.getNow()
       } catch (error) {
         if (signal.aborted) return
         this.parts.log.logError('store not followed', error as Error)
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -17,6 +17,8 @@
   private readonly targetsByService = new Map<string, TargetState[]>()
   private readonly evacuatedZones = new Set<string>()
   private readonly hosts = new Map<string, HostEntry>()
+  /** Monotonic milliseconds at which the store last confirmed all this; undefined before the first read. */
+  confirmedAt: number | undefined
   /** The first full read of targets and hosts is done. */
   isComplete = false
 
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -48,6 +48,12 @@
     return this.runtimes.values()
   }
 
+  /** How old what decides is, in milliseconds; undefined where nothing was heard yet. */
+  describeAges (now: number): { storeAgeMs: number | undefined, peerAgeMs: number | undefined } {
+    const toAge = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.round(now - at)
+    return { storeAgeMs: toAge(this.fleet.confirmedAt), peerAgeMs: toAge(this.parts.peers.lastHeardAt) }
+  }
+
   countHosts (): number | undefined {
     return this.parts.peers.countHosts(this.parts.getNow())
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -94,7 +94,7 @@
 
   private reject (message: IncomingMessage, head: CallerHead, status: number, reason: string): CallerAnswer {
     const { log, metrics, forward, callerCodec } = this.parts
-    log.record('request rejected', { id: head.id, host: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
+    log.record('request rejected', { id: head.id, hostName: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
     metrics.observeAnswer('none', String(status), 0)
     return callerCodec.encodeRejection(status, reason, head.id)
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -24,6 +24,11 @@
     return this.runtime.name
   }
 
+  /** How old what decides is, in milliseconds. */
+  describeAges (now: number): { storeAgeMs: number | undefined, peerAgeMs: number | undefined } {
+    return this.state.describeAges(now)
+  }
+
   choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
     const { fleet, trips } = this.state
     const { allowedRegions, targetLatencyMs } = request.route
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -17,5 +17,9 @@
   service: string
   /** Region in which its key has its place. */
   homeRegion: string
+  /** Milliseconds since the store last confirmed what this host knows of targets and configuration. */
+  storeAgeMs: number | undefined
+  /** Milliseconds since the last report of any peer, from which load at targets is counted. */
+  peerAgeMs: number | undefined
   attempts: AttemptRecord[]
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -42,7 +42,7 @@
   private retryAfterMs = PLAIN_RETRY_AFTER_MS
 
   constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
-    this.record = { service: placement.service, homeRegion: placement.homeRegion, attempts: [] }
+    this.record = { service: placement.service, homeRegion: placement.homeRegion, ...placement.describeAges(request.arrivedAt), attempts: [] }
   }
 
   async run (callerLeft: AbortSignal): Promise<FinalAnswer> {
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -16,6 +16,8 @@
 
 /** What this host knows of the other hosts, from their entries in the store and from their own reports. */
 export class PeerView {
+  /** Monotonic milliseconds of the last report of any peer; undefined before the first. */
+  lastHeardAt: number | undefined
   private readonly peers = new Map<string, PeerState>()
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
 
@@ -25,6 +27,7 @@
   hear (report: PeerReport, now: number): boolean {
     const known = this.peers.get(report.host)
     if (known !== undefined && known.incarnation === report.incarnation && report.sequence <= known.sequence) return false
+    this.lastHeardAt = now
     const demands = report.demands.length > 0 ? report.demands : known?.report.demands ?? []
     this.peers.set(report.host, { incarnation: report.incarnation, sequence: report.sequence, heardAt: now, report: { ...report, demands } })
     return true
