Watch the store with two hosts of a region, and hear of a silent watch from peers

Change: the first two hosts of a region by name watch with short waits; the others wait 15 s and begin anew when a peer has known newer changes for a second, when the store answers again after a failure, or when they become one of the two. Two hosts of a region tell the others its demand every two seconds. Repeats are shared by entries.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -10,6 +10,8 @@
   isDown = false
   /** Watches answer with nothing, whatever has changed. */
   isDeaf = false
+  /** Watches never answer: their connection has gone silent. */
+  isHung = false
   /** Calls that failed so far. */
   refusals = 0
   private revision = 1
@@ -44,7 +46,8 @@
     return Promise.resolve({ items, revision: this.revision, isTruncated: false })
   }
 
-  override async watch (prefix: string, afterRevision: number): Promise<WatchResult> {
+  override async watch (prefix: string, afterRevision: number, _waitMs: number, signal: AbortSignal): Promise<WatchResult> {
+    if (this.isHung) await waitForAbort(signal)
     await new Promise((resolve) => { setTimeout(resolve, 1) })
     if (this.isDown) return this.refuse('watch')
     if (afterRevision < this.oldestEvent) return { kind: 'history-gone' }
@@ -73,6 +76,10 @@
     return Promise.resolve()
   }
 
+  get latestRevision (): number {
+    return this.revision
+  }
+
   has (key: string): boolean {
     return this.items.has(key)
   }
@@ -83,5 +90,9 @@
   }
 }
 
+const waitForAbort = (signal: AbortSignal): Promise<never> => new Promise((_resolve, reject) => {
+  signal.addEventListener('abort', () => { reject(new StoreError('unknown', 'watch', 'aborted')) }, { once: true })
+})
+
 const getRevision = (event: StoreEvent): number => event.kind === 'written' ? event.item.revision : event.revision
 const getKey = (event: StoreEvent): string => event.kind === 'written' ? event.item.key : event.key
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -14,7 +14,7 @@
   readonly health = new StoreHealth()
   readonly fleet = new FleetState({ targetRemoved: () => undefined })
   private readonly owner = new AbortController()
-  private readonly follower = new FleetFollower({
+  readonly follower = new FleetFollower({
     store: this.store,
     codec: new PlainFleetCodec(),
     fleet: this.fleet,
@@ -23,6 +23,7 @@
     getNow: () => this.now,
     random: () => 0,
     ownName: 'own',
+    isWatcher: () => true,
     handleConfiguration: () => undefined,
     handleOwnEntryGone: () => undefined
   })
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -100,6 +100,35 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// The connection of a host's watch goes silent for good while a target leaves. Nothing fails; the host would send
+// to the target until the long wait ends. Its peers have seen the change and say so in their reports.
+test('a watch that has gone silent is begun anew once peers know newer changes for a while', async () => {
+  const { fleet, store, follower } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isHung = true
+  followed.writeTarget('7')
+  await followed.waitFor(() => fleet.findTarget('7') !== undefined || store.isHung, 'a hung watch')
+  await new Promise((resolve) => { setTimeout(resolve, 700) })
+  store.remove('target/1')
+  store.isHung = false
+  follower.hearRevision(store.latestRevision, 10_000)
+  assert.ok(fleet.findTarget('1') !== undefined)
+  follower.hearRevision(store.latestRevision, 11_000)
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'end of target 1')
+})
+
+test('with the first answer after a failure a hanging watch is begun anew', async () => {
+  const { fleet, store, health } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isHung = true
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  health.observeFailure(0)
+  store.remove('target/2')
+  store.isHung = false
+  health.observeAnswer(3_000)
+  await followed.waitFor(() => fleet.findTarget('2') === undefined, 'end of target 2')
+})
+
 test('an address that is used again belongs to the newer target alone', async () => {
   const { fleet, store } = followed
   await followed.waitFor(() => fleet.isComplete, 'first read')
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -6,15 +6,25 @@
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreItem } from '../store/storeItem.js'
 import type { StoreHealth } from '../store/storeHealth.js'
+import type { WatchResult } from '../store/watchResult.js'
 import type { FleetChange } from './fleetChange.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 
 /**
- * Longest wait of one watch, in milliseconds: an empty answer to it shows that nothing was missed, so
- * this bounds the age of what a host believes. Changes of targets must be known within 2.5 s.
+ * Wait of one watch of the hosts that watch for their region, in milliseconds: an empty answer to it shows that nothing
+ * was missed, so this bounds the age of what a region believes. Changes of targets must be known within 2.5 s.
  */
 const WATCH_MS = 2_000
+/** Wait of the others' watches: they too hear of changes at once, and from peers if their watch has gone silent. */
+const LONG_WATCH_MS = 15_000
+/** Wait of a watch that only asks what was missed. */
+const CATCH_UP_MS = 1
+/**
+ * Milliseconds for which peers may know of newer changes before a watch counts as silent: the pause after changes
+ * and the interval of peers' reports. With it such a host is back in step 1.7 s after a change at the latest.
+ */
+const BEHIND_MS = 1_000
 /**
  * Pause after changes, in milliseconds: entries change in groups, as at a start or a release, and each answer
  * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
@@ -37,6 +47,8 @@
   /** Called when this host's own entry is gone though it runs. */
   handleOwnEntryGone: () => void
   ownName: string
+  /** Whether this host is one of those that watch with short waits for their region. */
+  isWatcher: () => boolean
 }
 
 /** Keeps what the host knows in step with the store. */
@@ -45,13 +57,41 @@
   private readonly lapsing = new Map<string, number>()
   /** Revision at which each known target's entry came into being. */
   private readonly createdRevisions = new Map<string, number>()
+  /** Ends the wait of the watch that is out. */
+  private interrupt: AbortController | undefined
+  private isWaitLong = false
+  private hasToCatchUp = false
+  private newestHeard = 0
+  private behindSince: number | undefined
 
   constructor (private readonly parts: FollowerParts) {}
 
   async run (signal: AbortSignal): Promise<void> {
+    this.parts.health.handleReturn = () => { this.refresh('the store answers again') }
     await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.expireLapsed(signal)])
   }
 
+  /** A peer has seen all changes up to a revision; where this host hasn't for long, its watch is silent. */
+  hearRevision (revision: number, now: number): void {
+    this.newestHeard = Math.max(this.newestHeard, revision)
+    if (this.parts.fleet.storeRevision >= this.newestHeard) {
+      this.behindSince = undefined
+      return
+    }
+    this.behindSince ??= now
+    if (now - this.behindSince < BEHIND_MS) return
+    this.behindSince = now
+    this.refresh('a peer knows newer changes')
+  }
+
+  /** Begins the watch anew, on another connection, and asks at once what was missed. */
+  refresh (reason: string): void {
+    if (this.interrupt === undefined) return
+    this.parts.log.record('watch begun anew', { reason, revision: this.parts.fleet.storeRevision })
+    this.hasToCatchUp = true
+    this.interrupt.abort()
+  }
+
   private async followPrefix (prefix: string, signal: AbortSignal): Promise<void> {
     let failures = 0
     let revision: number | undefined
@@ -91,22 +131,46 @@
     const isLapse = findLapse({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
     this.removeAbsent(prefix, present, isLapse)
     fleet.isComplete = true
+    fleet.storeRevision = Math.max(fleet.storeRevision, first)
     log.record('read from the store', { prefix, revision: first, keys: present.size, isLapse })
     return first
   }
 
   private async watchOnce (prefix: string, revision: number, signal: AbortSignal): Promise<number | undefined> {
-    const result = await this.parts.store.watch(prefix, revision, WATCH_MS, signal)
+    const result = await this.waitForChanges(prefix, revision, signal)
+    if (result === undefined) return revision
     if (result.kind === 'history-gone') {
       this.parts.log.report('history of the store gone', { prefix, revision })
       return undefined
     }
     const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(result.events) })
     for (const event of result.events) this.applyEvent(event, isLapse)
+    this.parts.fleet.storeRevision = Math.max(this.parts.fleet.storeRevision, result.revision)
     if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
     return result.revision
   }
 
+  /** Undefined where the wait was interrupted. */
+  private async waitForChanges (prefix: string, revision: number, signal: AbortSignal): Promise<WatchResult | undefined> {
+    const interrupt = new AbortController()
+    const handleAbort = (): void => { interrupt.abort() }
+    signal.addEventListener('abort', handleAbort)
+    this.interrupt = interrupt
+    this.isWaitLong = !this.hasToCatchUp && !this.parts.isWatcher()
+    const waitMs = this.hasToCatchUp ? CATCH_UP_MS : this.isWaitLong ? LONG_WATCH_MS : WATCH_MS
+    this.hasToCatchUp = false
+    try {
+      return await this.parts.store.watch(prefix, revision, waitMs, interrupt.signal)
+    } catch (error) {
+      if (interrupt.signal.aborted && !signal.aborted) return undefined
+      throw error
+    } finally {
+      signal.removeEventListener('abort', handleAbort)
+      this.interrupt = undefined
+      this.isWaitLong = false
+    }
+  }
+
   /** The targets whose entries stand after these events. */
   private listPresentAfter (events: readonly StoreEvent[]): Map<string, number> {
     const present = new Map(this.createdRevisions)
@@ -198,6 +262,7 @@
       for (const [id, end] of this.lapsing) {
         if (now >= end) this.removeTarget(id, now)
       }
+      if (this.isWaitLong && this.parts.isWatcher()) this.refresh('this host watches for its region now')
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -19,6 +19,8 @@
   private readonly hosts = new Map<string, HostEntry>()
   /** Monotonic milliseconds at which the store last confirmed all this; undefined before the first read. */
   confirmedAt: number | undefined
+  /** Revision of the store up to which all changes are known. */
+  storeRevision = 0
   /** The first full read of targets and hosts is done. */
   isComplete = false
 
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -55,7 +55,7 @@
   }
 
   countHosts (): number | undefined {
-    return this.parts.peers.countHosts(this.parts.getNow())
+    return this.parts.peers.countHosts()
   }
 
   allowCold (target: TargetState, now: number): boolean {
--- a/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
+++ b/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
@@ -1,10 +1,10 @@
 import { computeRegionParts } from '../../request/computeRegionParts.js'
 import type { RegionLoad } from '../../request/regionLoad.js'
 import type { TargetState } from '../../request/targetState.js'
-import type { HostDemand } from './hostDemand.js'
+import type { RegionDemand } from '../peers/regionDemand.js'
 
 /** The parts of a region's requests for one service by what all hosts report and which targets there are. */
-export function planRegionParts (ownRegion: string, regions: readonly string[], demands: readonly HostDemand[], targets: readonly TargetState[], now: number): Map<string, number> {
+export function planRegionParts (ownRegion: string, regions: readonly string[], demands: readonly RegionDemand[], targets: readonly TargetState[], now: number): Map<string, number> {
   const loads = regions.map((region): RegionLoad => ({
     region,
     slots: sumSlots(targets, region, now),
--- a/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
@@ -2,14 +2,12 @@
 import type { PeerView } from '../peers/peerView.js'
 import type { ForwardState } from './forwardState.js'
 import { estimateFirstDemands } from './estimateFirstDemands.js'
-import type { HostDemand } from './hostDemand.js'
+import type { RegionDemand } from '../peers/regionDemand.js'
 import { planRegionParts } from './planRegionParts.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
 
 /** Milliseconds between steps; demands of peers come once a second. */
 const STEP_MS = 250
-/** Milliseconds after which a peer's demand isn't counted any more. */
-const DEMAND_MAX_AGE_MS = 3_000
 
 interface PlannerParts {
   ownRegion: string
@@ -48,12 +46,11 @@
     runtime.regionParts.moveTowards(this.plan(runtime, [own, ...this.listDemands(runtime, now)], now), now)
   }
 
-  private listDemands (runtime: ServiceRuntime, now: number): HostDemand[] {
-    return this.parts.view.listReports(now, DEMAND_MAX_AGE_MS)
-      .flatMap((report) => report.demands.filter((each) => each.service === runtime.name).map((demand) => ({ region: report.region, demand })))
+  private listDemands (runtime: ServiceRuntime, now: number): RegionDemand[] {
+    return this.parts.view.listDemands(now).filter(({ demand }) => demand.service === runtime.name)
   }
 
-  private plan (runtime: ServiceRuntime, demands: readonly HostDemand[], now: number): Map<string, number> {
+  private plan (runtime: ServiceRuntime, demands: readonly RegionDemand[], now: number): Map<string, number> {
     const { ownRegion, regions, forward } = this.parts
     const targets = forward.fleet.listTargets(runtime.name).filter((target) => !forward.fleet.isEvacuated(target.entry.availabilityZone))
     return planRegionParts(ownRegion, regions, demands, targets, now)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -52,6 +52,7 @@
   private readonly callers: CallerServer
   private readonly lookups: LookupAnswers
   private readonly announcer: HostAnnouncer
+  private readonly follower: FleetFollower
   private isLeaving = false
 
   constructor (private readonly parts: GatewayParts) {
@@ -60,19 +61,42 @@
     this.own = makeOwnEntry(settings, parts.incarnation)
     this.fleet = new FleetState({ targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) } })
     this.fleet.putHost(this.own)
-    this.view = new PeerView(this.own.name, this.fleet)
+    this.view = new PeerView(this.own, this.fleet)
     this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, getNow, countOpened: (region) => { metrics.countConnection(region) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
     this.socket = new PeerSocket(logError)
-    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving })
+    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, hearRevision: (revision, now) => { this.follower.hearRevision(revision, now) } })
     const handler = new RequestHandler({ callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left) => handler.handle(message, left), logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
+    this.follower = this.createFollower()
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
   }
 
+  private createFollower (): FleetFollower {
+    const { adapter, log, health, metrics, getNow, random } = this.parts
+    return new FleetFollower({
+      store: adapter.store,
+      codec: adapter.fleet,
+      fleet: this.fleet,
+      health,
+      log,
+      getNow,
+      random,
+      ownName: this.own.name,
+      isWatcher: () => this.view.isSpeaker(getNow()),
+      handleOwnEntryGone: () => { this.announcer.renewEntry() },
+      handleConfiguration: () => {
+        const { configuration } = this.fleet
+        if (configuration === undefined) return
+        this.callers.setLimits(configuration.limits)
+        metrics.setVersion(configuration.version)
+      }
+    })
+  }
+
   /** Serves until the signal aborts, then makes a planned stop. Resolves with the number of requests that it cut off. */
   async run (signal: AbortSignal): Promise<number> {
     const owner = new AbortController()
@@ -106,25 +130,7 @@
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    const { adapter, log, health, metrics, getNow, random } = this.parts
-    const follower = new FleetFollower({
-      store: adapter.store,
-      codec: adapter.fleet,
-      fleet: this.fleet,
-      health,
-      log,
-      getNow,
-      random,
-      ownName: this.own.name,
-      handleOwnEntryGone: () => { this.announcer.renewEntry() },
-      handleConfiguration: () => {
-        const { configuration } = this.fleet
-        if (configuration === undefined) return
-        this.callers.setLimits(configuration.limits)
-        metrics.setVersion(configuration.version)
-      }
-    })
-    return Promise.all([follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal)])
   }
 
   private async closeIdle (signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -9,13 +9,13 @@
 
 const test = suite('PeerView')
 const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, inFlight: new Map([[7, 3]]), demands: [] })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, inFlight: new Map([[7, 3]]), demands: [] })
 
 const build = (): PeerView => {
   const fleet = new FleetState({ targetRemoved: () => undefined })
   for (const name of ['own', 'a', 'b']) fleet.putHost(makeEntry(name))
   fleet.isComplete = true
-  return new PeerView('own', fleet)
+  return new PeerView(makeEntry('own'), fleet)
 }
 const listNames = (view: PeerView, now: number): string[] => view.listLive(now).map(({ name }) => name)
 
@@ -50,6 +50,23 @@
   assert.ok(listNames(view, 10).includes('a'))
 })
 
+test('hosts of other regions count by their entries, and speak through two of theirs', () => {
+  const view = build()
+  const far = { ...makeReport('far', 1), region: 'wlg', isRegional: true, demands: [{ service: 's', perSecond: 40, warmMs: 100, parts: new Map() }] }
+  assert.ok(view.hear(far, 0))
+  view.hear({ ...makeReport('a', 1), demands: [{ service: 's', perSecond: 3, warmMs: 90, parts: new Map([['akl', 1]]) }] }, 0)
+  assert.equal(view.listDemands(10).map(({ region, demand }) => [region, demand.perSecond]), [['akl', 3], ['wlg', 40]])
+  assert.equal(view.listDemands(10_000), [])
+})
+
+test('two hosts of a region speak for it; a host that hears nobody speaks for itself', () => {
+  const view = build()
+  assert.ok(view.isSpeaker(0))
+  view.hear(makeReport('a', 1), 0)
+  view.hear(makeReport('b', 1), 0)
+  assert.not(view.isSpeaker(0), 'a and b come first by name')
+})
+
 test('a report reads as it was written, and other bytes are none', () => {
   const report = { ...makeReport('a', 3), demands: [{ service: 's', perSecond: 2, warmMs: 64, parts: new Map([['akl', 0.5]]) }] }
   assert.equal(decodeReport(encodeReport(report)), report)
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -13,6 +13,8 @@
       sequence: message.sequence,
       isLeaving: message.leaving,
       configurationVersion: message.configurationVersion,
+      storeRevision: message.storeRevision,
+      isRegional: message.regional,
       inFlight: new Map(message.targetHashes.map((hash, index) => [hash, message.inFlight[index] ?? 0])),
       demands: message.demands.map(({ service, perSecond, warmMs, parts }) => ({
         service,
--- a/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
@@ -10,6 +10,8 @@
     sequence: report.sequence,
     leaving: report.isLeaving,
     configurationVersion: report.configurationVersion,
+    storeRevision: report.storeRevision,
+    regional: report.isRegional,
     targetHashes: [...report.inFlight.keys()],
     inFlight: [...report.inFlight.values()],
     demands: report.demands.map(({ service, perSecond, warmMs, parts }) => ({
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -7,14 +7,17 @@
 import type { PeerReport } from './peerReport.js'
 import type { PeerSocket } from './peerSocket.js'
 import type { PeerView } from './peerView.js'
+import type { ServiceDemand } from './serviceDemand.js'
 
 /**
  * Milliseconds between reports to the hosts of the same region. Targets' queues change within tens of
  * milliseconds; half of that interval is the mean age of a count.
  */
 const NEAR_INTERVAL_MS = 100
-/** Rounds between reports to all other hosts, which also carry demands: one each second. */
-const FAR_ROUNDS = 10
+/** Milliseconds between reports that also carry demands, to the same hosts. */
+const DEMAND_INTERVAL_MS = 1_000
+/** Milliseconds between the words of a region's speakers to all hosts of the others. */
+const FAR_INTERVAL_MS = 2_000
 /** Bytes a second that a host may spend on reports, of the 12 KB a second for all its control traffic. */
 const BYTES_PER_SECOND = 9_000
 /** Bytes of headers around each datagram. */
@@ -28,12 +31,15 @@
   socket: PeerSocket
   getNow: () => number
   isLeaving: () => boolean
+  /** Called with the revision of the store that a peer knows. */
+  hearRevision: (revision: number, now: number) => void
 }
 
 /** Tells the other hosts what this one has running, and takes in what they tell. */
 export class PeerExchange {
   private sequence = 0
-  private round = 0
+  private demandsSentAt = -Infinity
+  private farSentAt = -Infinity
 
   constructor (private readonly parts: ExchangeParts) {}
 
@@ -51,33 +57,51 @@
     if (report === undefined || report.host === this.parts.own.name) return
     const now = this.parts.getNow()
     if (!this.parts.view.hear(report, now)) return
+    this.parts.hearRevision(report.storeRevision, now)
+    if (report.region !== this.parts.own.region) return
     for (const target of this.parts.fleet.listAllTargets()) target.hearPeerCount(report.host, report.inFlight.get(target.hash) ?? 0, now)
   }
 
   /** Sends one report at once to every host, as when this one is about to leave. */
   announce (): void {
-    this.sendTo(() => true, true)
+    this.sendTo(() => true, { isRegional: false, demands: [] })
   }
 
   private sendRound (): number {
-    this.round += 1
-    const isFar = this.round % FAR_ROUNDS === 0
-    const { region } = this.parts.own
-    return this.sendTo((entry) => isFar || entry.region === region, isFar)
+    const { own, view, getNow } = this.parts
+    const now = getNow()
+    const withDemands = now - this.demandsSentAt >= DEMAND_INTERVAL_MS
+    if (withDemands) this.demandsSentAt = now
+    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [] })
+    if (now - this.farSentAt < FAR_INTERVAL_MS || !view.isSpeaker(now)) return bytes
+    this.farSentAt = now
+    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now) })
+  }
+
+  private listOwnDemands (now: number): ServiceDemand[] {
+    return [...this.parts.forward.listRuntimes()].map((runtime) => runtime.describeDemand(now))
+  }
+
+  /** Demands of all hosts of this region together. */
+  private sumDemands (now: number): ServiceDemand[] {
+    const { own, view } = this.parts
+    const near = view.listDemands(now).filter(({ region }) => region === own.region).map(({ demand }) => demand)
+    const sums = new Map<string, ServiceDemand>()
+    for (const demand of [...this.listOwnDemands(now), ...near]) sums.set(demand.service, addDemands(sums.get(demand.service), demand))
+    return [...sums.values()]
   }
 
-  private sendTo (isReceiver: (entry: HostEntry) => boolean, withDemands: boolean): number {
+  private sendTo (isReceiver: (entry: HostEntry) => boolean, word: { isRegional: boolean, demands: ServiceDemand[] }): number {
     const receivers = this.parts.fleet.listHosts().filter((entry) => entry.name !== this.parts.own.name && isReceiver(entry))
     if (receivers.length === 0) return 0
     this.sequence += 1
-    const bytes = encodeReport(this.buildReport(withDemands))
+    const bytes = encodeReport({ ...this.buildReport(), ...word })
     for (const entry of receivers) this.parts.socket.send(bytes, entry.ip, entry.peerPort)
     return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
   }
 
-  private buildReport (withDemands: boolean): PeerReport {
-    const { own, fleet, forward, getNow, isLeaving } = this.parts
-    const now = getNow()
+  private buildReport (): Omit<PeerReport, 'isRegional' | 'demands'> {
+    const { own, fleet, isLeaving } = this.parts
     const busy = [...fleet.listAllTargets()].filter((target) => target.inFlight > 0)
     return {
       host: own.name,
@@ -86,8 +110,15 @@
       sequence: this.sequence,
       isLeaving: isLeaving(),
       configurationVersion: fleet.configuration?.version ?? 0,
-      inFlight: new Map(busy.map((target) => [target.hash, target.inFlight])),
-      demands: withDemands ? [...forward.listRuntimes()].map((runtime) => runtime.describeDemand(now)) : []
+      storeRevision: fleet.storeRevision,
+      inFlight: new Map(busy.map((target) => [target.hash, target.inFlight]))
     }
   }
 }
+
+const addDemands = (sum: ServiceDemand | undefined, demand: ServiceDemand): ServiceDemand => {
+  if (sum === undefined) return { ...demand, parts: new Map() }
+  const perSecond = sum.perSecond + demand.perSecond
+  const warmMs = perSecond === 0 ? sum.warmMs : (sum.warmMs * sum.perSecond + demand.warmMs * demand.perSecond) / perSecond
+  return { service: sum.service, perSecond, warmMs, parts: new Map() }
+}
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -11,6 +11,10 @@
   configurationVersion: number
   /** Requests of the host at targets, by the hash of the target's id. */
   inFlight: ReadonlyMap<number, number>
+  /** Revision of the platform's store up to which the host has seen all changes. */
+  storeRevision: number
+  /** The demands are those of all hosts of the sender's region together. */
+  isRegional: boolean
   /** Empty in most reports. */
   demands: readonly ServiceDemand[]
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -1,11 +1,17 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { PeerReport } from './peerReport.js'
+import type { RegionDemand } from './regionDemand.js'
+import type { ServiceDemand } from './serviceDemand.js'
 
 /** Milliseconds of silence after which a peer isn't taken for live, though its entry still stands. */
 const SILENCE_MS = 3_000
 /** Milliseconds for which an entry alone is word enough: its host may not have reported yet. */
 const ENTRY_TRUST_MS = 3_000
+/** Milliseconds after which a demand isn't counted any more; those of other regions come every two seconds. */
+const DEMAND_MAX_AGE_MS = 6_000
+/** Hosts of a region that speak for it to the other regions and watch the store with short waits. */
+const SPEAKERS = 2
 
 interface PeerState {
   incarnation: string
@@ -19,36 +25,45 @@
   /** Monotonic milliseconds of the last report of any peer; undefined before the first. */
   lastHeardAt: number | undefined
   private readonly peers = new Map<string, PeerState>()
+  private readonly regions = new Map<string, { heardAt: number, demands: readonly ServiceDemand[] }>()
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
 
-  constructor (private readonly ownName: string, private readonly fleet: FleetState) {}
+  constructor (private readonly own: HostEntry, private readonly fleet: FleetState) {}
 
   /** Takes in a report; false for one that is older than the last one of its sender. */
   hear (report: PeerReport, now: number): boolean {
     const known = this.peers.get(report.host)
     if (known !== undefined && known.incarnation === report.incarnation && report.sequence <= known.sequence) return false
     this.lastHeardAt = now
-    const demands = report.demands.length > 0 ? report.demands : known?.report.demands ?? []
+    if (report.isRegional) this.regions.set(report.region, { heardAt: now, demands: report.demands })
+    const isOwnDemand = !report.isRegional && report.demands.length > 0
+    const demands = isOwnDemand ? report.demands : known?.report.demands ?? []
     this.peers.set(report.host, { incarnation: report.incarnation, sequence: report.sequence, heardAt: now, report: { ...report, demands } })
     return true
   }
 
-  /** Fresh reports of the peers, at most `maxAgeMs` old. */
-  listReports (now: number, maxAgeMs: number): PeerReport[] {
-    return [...this.peers.values()].filter(({ heardAt }) => now - heardAt <= maxAgeMs).map(({ report }) => report)
+  /** Demands of the other hosts of this region, and of each other region as a whole. */
+  listDemands (now: number): RegionDemand[] {
+    const isFresh = ({ heardAt }: { heardAt: number }): boolean => now - heardAt <= DEMAND_MAX_AGE_MS
+    const near = [...this.peers.values()].filter((peer) => isFresh(peer) && peer.report.region === this.own.region)
+    const far = [...this.regions].filter(([region, word]) => isFresh(word) && region !== this.own.region)
+    return [
+      ...near.flatMap(({ report }) => report.demands.map((demand) => ({ region: report.region, demand }))),
+      ...far.flatMap(([region, { demands }]) => demands.map((demand) => ({ region, demand })))
+    ]
   }
 
-  /** Hosts that serve callers, this one included. */
+  /** Hosts that serve callers, this one included. Those of other regions report seldom: their entries count. */
   listLive (now: number): HostEntry[] {
     const hosts = this.fleet.listHosts()
     for (const entry of hosts) this.observeEntry(entry, now)
-    const isAlone = !hosts.some((entry) => entry.name !== this.ownName && this.hasHeard(entry, now))
-    return hosts.filter((entry) => entry.name === this.ownName || this.isLive(entry, now, isAlone))
+    const isAlone = !this.hasHeardNear(now)
+    return hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isAlone))
   }
 
-  /** Number of hosts that may send; undefined while this host doesn't know them. */
-  countHosts (now: number): number | undefined {
-    return this.fleet.isComplete ? Math.max(1, this.listLive(now).length) : undefined
+  /** Number of hosts that may send, those too whose end isn't certain; undefined while this host doesn't know them. */
+  countHosts (): number | undefined {
+    return this.fleet.isComplete ? Math.max(1, this.fleet.listHosts().length) : undefined
   }
 
   /** Hosts that share the work on the targets of a region: its own, or all where it has none. */
@@ -59,6 +74,17 @@
     return (near.length > 0 ? near : live).map((entry) => entry.name)
   }
 
+  /** Whether this host is one of the few of its region that speak for it, or hears no other one of it. */
+  isSpeaker (now: number): boolean {
+    if (!this.hasHeardNear(now)) return true
+    const names = this.listLive(now).filter((entry) => entry.region === this.own.region).map((entry) => entry.name).sort()
+    return names.indexOf(this.own.name) < SPEAKERS
+  }
+
+  private hasHeardNear (now: number): boolean {
+    return this.fleet.listHosts().some((entry) => entry.region === this.own.region && entry.name !== this.own.name && this.hasHeard(entry, now))
+  }
+
   private hasHeard (entry: HostEntry, now: number): boolean {
     const peer = this.peers.get(entry.name)
     return peer !== undefined && now - peer.heardAt <= SILENCE_MS
@@ -68,7 +94,8 @@
   private isLive (entry: HostEntry, now: number, isAlone: boolean): boolean {
     const peer = this.peers.get(entry.name)
     if (peer?.report.isLeaving === true && peer.incarnation === entry.incarnation) return false
-    return isAlone || this.hasHeard(entry, now) || now - (this.firstSeenAt.get(entry.name)?.at ?? now) <= ENTRY_TRUST_MS
+    if (isAlone || entry.region !== this.own.region) return true
+    return this.hasHeard(entry, now) || now - (this.firstSeenAt.get(entry.name)?.at ?? now) <= ENTRY_TRUST_MS
   }
 
   private observeEntry (entry: HostEntry, now: number): void {
--- a/packages/almondrelay-gateway/src/process/store/storeHealth.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeHealth.ts
@@ -3,6 +3,8 @@
 
 /** Whether the store has answered lately. Times are monotonic milliseconds. */
 export class StoreHealth {
+  /** Called with the first answer after a failure. */
+  handleReturn: () => void = () => undefined
   private failingSince: number | undefined
   private returnedAt = -Infinity
 
@@ -11,6 +13,7 @@
     if (this.failingSince === undefined) return false
     this.failingSince = undefined
     this.returnedAt = now
+    this.handleReturn()
     return true
   }
 
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -1,5 +1,5 @@
 import type { ChoiceContext } from './choiceContext.js'
-import { rankTargets } from './rankTargets.js'
+import { pickTargets } from './pickTargets.js'
 import type { TargetChoice } from './targetChoice.js'
 import type { TargetState } from './targetState.js'
 
@@ -37,14 +37,11 @@
 }
 
 const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
+  const isAllowed = (target: TargetState): boolean => !target.isCold(context.now) || context.allowCold(target)
   let best: TargetChoice | undefined
-  let seen = 0
-  for (const [rank, target] of rankTargets(targets, context.keyHash).entries()) {
-    if (target.isCold(context.now) && !context.allowCold(target)) continue
+  for (const { target, rank } of pickTargets(targets, context.keyHash, TARGETS_OF_KEY, isAllowed)) {
     const choice = estimateChoice(target, rank, context)
     if (best === undefined || choice.costMs < best.costMs) best = choice
-    seen += 1
-    if (seen === TARGETS_OF_KEY) break
   }
   return best
 }
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -91,6 +91,8 @@
   sequence: 100_000,
   isLeaving: false,
   configurationVersion: 100_000,
+  storeRevision: 1_000_000,
+  isRegional: false,
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
   demands: []
 })
