Decode each change of the store once; one copy of a time, a status and a route for tests

Cause: reading the whole change again. Each event of a watch was decoded twice, first to look for a lapse and then to be applied, so that a configuration of many routes was parsed and checked twice; the reader of times stood in the gateway and in platform/, the first failing status in two files, a route for tests in two; two methods, a field and a kept argument were used by nobody. Change: decoded once and handed on; one copy of each; the dead parts are gone. Behaviour is meant to stay as it is.

--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -21,7 +21,7 @@
   /** The request that is out has no answer body (HEAD). */
   isBodiless = false
 
-  constructor (private readonly codec: TargetCodec, private readonly handleAnswer: (answer: WholeAnswer) => void) {
+  constructor (codec: TargetCodec, private readonly handleAnswer: (answer: WholeAnswer) => void) {
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
       if (info.statusCode < FIRST_FINAL_STATUS) return 1
       this.head = codec.decodeAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive)
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -23,7 +23,6 @@
   private isDone = false
   private isTaken = false
   private unusableAt = Infinity
-  private closeReason = 'closed'
 
   private constructor (private readonly socket: Socket, codec: TargetCodec, private readonly getNow: () => number, private readonly handleClose: () => void) {
     this.reader = new AnswerReader(codec, (answer) => { this.handleAnswer(answer) })
@@ -88,9 +87,8 @@
   close (reason: string): void {
     if (this.isDone) return
     this.isDone = true
-    this.closeReason = reason
     this.socket.destroy()
-    this.finish({ kind: 'broken', reason: this.closeReason })
+    this.finish({ kind: 'broken', reason })
     this.handleClose()
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -51,6 +51,12 @@
   isWatcher: () => boolean
 }
 
+interface DecodedChange {
+  change: FleetChange
+  /** Revision at which the key came into being; of a deletion, its own. */
+  createdRevision: number
+}
+
 /** Keeps what the host knows in step with the store. */
 export class FleetFollower {
   /** Targets whose entries are gone and may come back, with the time at which they count as gone. */
@@ -124,9 +130,9 @@
     }
     const known = new Map(this.createdRevisions)
     const present = new Set<string>()
-    for (const item of items) {
-      const change = this.applyEvent({ kind: 'written', item })
-      if (change !== undefined) present.add(describeSubject(change))
+    for (const decoded of items.flatMap((item) => this.decodeEvent({ kind: 'written', item }))) {
+      this.applyDecoded(decoded, false)
+      present.add(describeSubject(decoded.change))
     }
     const isLapse = findLapse({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
     this.removeAbsent(prefix, present, isLapse)
@@ -143,8 +149,9 @@
       this.parts.log.report('history of the store gone', { prefix, revision })
       return undefined
     }
-    const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(result.events) })
-    for (const event of result.events) this.applyEvent(event, isLapse)
+    const changes = result.events.flatMap((event) => this.decodeEvent(event))
+    const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
+    for (const change of changes) this.applyDecoded(change, isLapse)
     this.parts.fleet.storeRevision = Math.max(this.parts.fleet.storeRevision, result.revision)
     if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
     return result.revision
@@ -171,17 +178,23 @@
     }
   }
 
-  /** The targets whose entries stand after these events. */
-  private listPresentAfter (events: readonly StoreEvent[]): Map<string, number> {
+  /** The targets whose entries stand after these changes. */
+  private listPresentAfter (changes: readonly DecodedChange[]): Map<string, number> {
     const present = new Map(this.createdRevisions)
-    for (const event of events) {
-      const change = this.parts.codec.decode(event)
-      if (change?.kind === 'target-gone') present.delete(change.id)
-      if (change?.kind === 'target' && event.kind === 'written') present.set(change.entry.id, event.item.createdRevision)
+    for (const { change, createdRevision } of changes) {
+      if (change.kind === 'target-gone') present.delete(change.id)
+      if (change.kind === 'target') present.set(change.entry.id, createdRevision)
     }
     return present
   }
 
+  /** Nothing for a key that means nothing to a host. */
+  private decodeEvent (event: StoreEvent): DecodedChange[] {
+    const change = this.parts.codec.decode(event)
+    if (change === undefined) return []
+    return [{ change, createdRevision: event.kind === 'written' ? event.item.createdRevision : event.revision }]
+  }
+
   private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean): void {
     const { codec, fleet } = this.parts
     const gone: FleetChange[] = [
@@ -194,12 +207,9 @@
     }
   }
 
-  private applyEvent (event: StoreEvent, isLapse = false): FleetChange | undefined {
-    const change = this.parts.codec.decode(event)
-    if (change === undefined) return undefined
+  private applyDecoded ({ change, createdRevision }: DecodedChange, isLapse: boolean): void {
     this.apply(change, isLapse)
-    if (change.kind === 'target' && event.kind === 'written') this.createdRevisions.set(change.entry.id, event.item.createdRevision)
-    return change
+    if (change.kind === 'target') this.createdRevisions.set(change.entry.id, createdRevision)
   }
 
   private apply (change: FleetChange, isLapse: boolean): void {
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -2,15 +2,13 @@
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import { chooseTarget } from '../../request/chooseTarget.js'
+import { FIRST_FAILURE_STATUS } from '../../request/firstFailureStatus.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { Attempt } from './attempt.js'
 import type { ForwardState } from './forwardState.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
 
-/** Statuses from here on are failures of the target. */
-const FIRST_FAILURE_STATUS = 500
-
 /** Where one request may run: its service, its key and what the host knows of the targets. */
 export class RequestPlacement {
   readonly homeRegion: string
--- a/packages/almondrelay-gateway/src/process/observe/stdoutWriter.ts
+++ b/packages/almondrelay-gateway/src/process/observe/stdoutWriter.ts
@@ -25,10 +25,6 @@
     if (!this.isWriting) this.writeNext()
   }
 
-  get isIdle (): boolean {
-    return !this.isWriting
-  }
-
   private writeNext (): void {
     const chunk = this.waiting[0]
     if (chunk === undefined) {
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -1,11 +1,8 @@
 import { z } from 'zod'
+import { duration } from './duration.js'
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'write an IPv4 address and a port, such as "10.0.0.2:7000"')
 
-/** Text such as `1500ms` or `2.5s`, held in milliseconds. */
-const duration = z.string().regex(/^\d+(\.\d+)?(ms|s)$/, 'write a number and its unit, "ms" or "s", such as "1500ms"')
-  .transform((text) => text.endsWith('ms') ? Number(text.slice(0, -2)) : Number(text.slice(0, -1)) * 1_000)
-
 /** Settings of a host; unknown names are ignored, as a platform may add some. All times are milliseconds once read. */
 const GatewaySettings = z.object({
   host: z.object({
--- a/packages/almondrelay-gateway/src/request/decideNextStep.ts
+++ b/packages/almondrelay-gateway/src/request/decideNextStep.ts
@@ -1,9 +1,8 @@
 import { match, P } from 'ts-pattern'
 import type { AttemptResult } from './attemptResult.js'
+import { FIRST_FAILURE_STATUS } from './firstFailureStatus.js'
 import { NextStep } from './nextStep.js'
 
-/** Statuses from here on are failures of the target. */
-const FIRST_FAILURE_STATUS = 500
 /** Statuses that promise a caller that its request hasn't run; a target's own are passed on only with its word for it. */
 const PROMISING_STATUSES = [408, 421, 429, 503]
 
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -48,11 +48,6 @@
     this.departedAt ??= now
   }
 
-  /** Notes the target's own word that it is about to leave. */
-  markDraining (): void {
-    this.entry = { ...this.entry, draining: true }
-  }
-
   isLeaving (): boolean {
     return this.entry.draining || this.departedAt !== undefined
   }
--- a/packages/almondrelay-gateway/src/version/__tests__/routeTable.test.ts
+++ b/packages/almondrelay-gateway/src/version/__tests__/routeTable.test.ts
@@ -1,25 +1,11 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { Route } from '../route.js'
+import { makeRoute } from '../__fixtures__/makeRoute.js'
 import { RouteTable } from '../routeTable.js'
 
 const test = suite('RouteTable')
 
-const makeRoute = (hostName: string, pathPrefix: string): Route => ({
-  name: `${hostName}${pathPrefix}`,
-  hostName,
-  pathPrefix,
-  idempotent: true,
-  timeoutMs: 2_000,
-  targetLatencyMs: 250,
-  priority: 0,
-  sessionAffinity: true,
-  maxAttempts: 2,
-  allowedRegions: [],
-  destinations: [{ service: 'balances', weight: 1 }]
-})
-
-const table = new RouteTable([makeRoute('a.example', '/one/'), makeRoute('a.example', '/one/two/'), makeRoute('b.example', '/')])
+const table = new RouteTable([makeRoute(), makeRoute({ pathPrefix: '/one/two/' }), makeRoute({ hostName: 'b.example', pathPrefix: '/' })])
 
 test('the longest prefix that begins the path wins', () => {
   assert.is(table.findRoute('a.example', '/one/two/3')?.pathPrefix, '/one/two/')
