Close relayed connections whose end was sent without a reset

Cause: networkFaults passed both tests once and its process did not end within 300 s. A socket that is reset after its end was sent fails with EINVAL in Node.js 20; its handle is lost open, and the process spins at its exit. The relay resets all its connections at the end of a test, just as the killed programs' ends are being passed on. Ruled out: children left alive (killed by id, exits awaited), listeners opened again after the end (the scenario awaits them), callers' agents (destroyed). Change: resetOrDestroy resets only what has not sent its end; used by the relay and by the target stand-in.

--- a/packages/almondrelay-stand-ins/src/network/relayedConnection.ts
+++ b/packages/almondrelay-stand-ins/src/network/relayedConnection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import type { RelayDirection } from './relayDirection.js'
+import { resetOrDestroy } from './resetOrDestroy.js'
 
 /** One connection through a relay: two sockets and what happens to the bytes between them. */
 export class RelayedConnection {
@@ -25,14 +26,14 @@
   }
 
   reset (): void {
-    this.client.resetAndDestroy()
-    this.target.resetAndDestroy()
+    resetOrDestroy(this.client)
+    resetOrDestroy(this.target)
   }
 
   private passOn (from: Socket, to: Socket, isSilent: () => boolean): void {
     from.on('data', (data) => { this.runLater(() => { if (!isSilent() && !to.destroyed) to.write(data) }) })
     from.on('end', () => { this.runLater(() => { if (!isSilent() && !to.destroyed) to.end() }) })
-    from.on('error', () => { this.runLater(() => { if (!isSilent() && !to.destroyed) to.resetAndDestroy() }) })
+    from.on('error', () => { this.runLater(() => { if (!isSilent() && !to.destroyed) resetOrDestroy(to) }) })
     from.on('close', () => { this.runLater(() => { if (!isSilent() && !to.destroyed) to.end() }) })
   }
 
--- a/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
+++ b/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
@@ -4,6 +4,7 @@
 import type { Context } from 'hono'
 import { once } from 'node:events'
 import { setTimeout as sleepFor } from 'node:timers/promises'
+import { resetOrDestroy } from '../network/resetOrDestroy.js'
 import { buildTargetAnswer } from './buildTargetAnswer.js'
 import { sendTargetAnswer } from './sendTargetAnswer.js'
 import { TargetFaults } from './targetFaults.js'
@@ -78,7 +79,7 @@
   const gone = new AbortController()
   const cancel = (): void => { gone.abort() }
   outgoing.once('close', cancel)
-  const reset = resetAfterMs === undefined ? undefined : setTimeout(() => { incoming.socket.resetAndDestroy() }, resetAfterMs)
+  const reset = resetAfterMs === undefined ? undefined : setTimeout(() => { resetOrDestroy(incoming.socket) }, resetAfterMs)
   const end = await sleepFor(workMs, 'done' as const, { signal: gone.signal }).catch(() => 'cancelled' as const)
   clearTimeout(reset)
   outgoing.off('close', cancel)
