--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -1,7 +1,10 @@
+import type { CommitResult } from '../../store/commitResult.js'
 import { RevisionStore } from '../../store/revisionStore.js'
 import { StoreError } from '../../store/storeError.js'
 import type { StoreEvent } from '../../store/storeEvent.js'
+import type { StoreItem } from '../../store/storeItem.js'
 import type { StorePage } from '../../store/storePage.js'
+import type { StoreTransaction } from '../../store/storeTransaction.js'
 import type { WatchResult } from '../../store/watchResult.js'
 
 /** A store in memory, with switches for its faults. */
@@ -12,6 +15,8 @@
   isDeaf = false
   /** Watches never answer: their connection has gone silent. */
   isHung = false
+  /** Commits are made and their answers are lost. */
+  losesAnswers = false
   /** Calls that failed so far. */
   refusals = 0
   private revision = 1
@@ -21,8 +26,16 @@
   private leases = 0
 
   write (key: string, value: object, leaseId = 0): void {
+    this.writeBytes(key, Buffer.from(JSON.stringify(value)), leaseId)
+  }
+
+  private findItem (key: string): StoreItem | undefined {
+    const item = this.items.get(key)
+    return item === undefined ? undefined : { key, value: item.value, revision: item.revision, createdRevision: item.createdRevision }
+  }
+
+  private writeBytes (key: string, bytes: Buffer, leaseId: number): void {
     this.revision += 1
-    const bytes = Buffer.from(JSON.stringify(value))
     const createdRevision = this.items.get(key)?.createdRevision ?? this.revision
     this.items.set(key, { value: bytes, revision: this.revision, createdRevision, leaseId })
     this.events.push({ kind: 'written', item: { key, value: bytes, revision: this.revision, createdRevision } })
@@ -40,9 +53,10 @@
     this.events = []
   }
 
-  override list (prefix: string): Promise<StorePage> {
+  override list (prefix: string, after = ''): Promise<StorePage> {
     if (this.isDown) return this.refuse('list')
-    const items = [...this.items].filter(([key]) => key.startsWith(prefix)).map(([key, { value, revision, createdRevision }]) => ({ key, value, revision, createdRevision }))
+    const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort()
+    const items = keys.flatMap((key) => this.findItem(key) ?? [])
     return Promise.resolve({ items, revision: this.revision, isTruncated: false })
   }
 
@@ -55,10 +69,19 @@
     return { kind: 'events', events, revision: this.isDeaf ? afterRevision : this.revision }
   }
 
-  override put (key: string, value: Buffer, leaseId: number): Promise<boolean> {
-    if (this.isDown) return this.refuse('put')
-    this.write(key, JSON.parse(value.toString()) as object, leaseId)
-    return Promise.resolve(true)
+  override get (key: string): Promise<StoreItem | undefined> {
+    if (this.isDown) return this.refuse('get')
+    return Promise.resolve(this.findItem(key))
+  }
+
+  override commit ({ expected, writes, deletes }: StoreTransaction): Promise<CommitResult> {
+    if (this.isDown) return this.refuse('commit')
+    const isMet = expected.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision)
+    if (!isMet) return Promise.resolve({ kind: 'conflict', items: expected.flatMap(({ key }) => this.findItem(key) ?? []) })
+    for (const { key, value, leaseId } of writes) this.writeBytes(key, value, leaseId)
+    for (const key of deletes) this.remove(key)
+    if (!this.losesAnswers) return Promise.resolve({ kind: 'done', revision: this.revision })
+    return Promise.reject(new StoreError('unknown', 'commit', 'answer lost'))
   }
 
   override grantLease (): Promise<number> {
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -25,7 +25,9 @@
     ownName: 'own',
     isWatcher: () => true,
     handleConfiguration: () => undefined,
-    handleOwnEntryGone: () => undefined
+    handleOwnEntryGone: () => undefined,
+    handleDeclared: () => undefined,
+    handleProductKeys: () => undefined
   })
 
   private running: Promise<void> | undefined
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -8,10 +8,12 @@
 /** Keys of the tests' own: `target/ID`, `host/NAME`, `evacuation/ZONE` and `configuration`. */
 export class PlainFleetCodec extends FleetCodec {
   override readonly prefixes = ['']
+  override readonly productPrefix = 'use/'
 
   override decode (event: StoreEvent): FleetChange | undefined {
     const [kind, name] = (event.kind === 'written' ? event.item.key : event.key).split('/') as [string, string]
     if (event.kind === 'deleted') return decodeDeletion(kind, name)
+    if (kind === 'use') return undefined
     const value: unknown = JSON.parse(event.item.value.toString())
     if (kind === 'target') return { kind: 'target', entry: value as TargetEntry }
     if (kind === 'host') return { kind: 'host', entry: value as HostEntry }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetChange.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetChange.ts
@@ -10,5 +10,7 @@
   | { kind: 'evacuation', availabilityZone: string, isEvacuated: boolean }
   | { kind: 'host', entry: HostEntry }
   | { kind: 'host-gone', name: string }
+  /** A change of the resources that operators declare here. */
+  | { kind: 'declared', revision: number, body: Buffer }
   /** The value can't be used; what was known of the key stays in force. */
   | { kind: 'invalid', key: string, reason: string }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
@@ -7,6 +7,9 @@
   /** Prefixes that together hold every key that matters. */
   abstract readonly prefixes: readonly string[]
 
+  /** Begins the keys of the product's own. They come after all others, and a full read ends at the first. */
+  abstract readonly productPrefix: string
+
   /** Undefined for a key that means nothing to a host. */
   abstract decode (event: StoreEvent): FleetChange | undefined
 
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,15 +1,12 @@
 import { sleepFor } from 'almondrelay'
-import { match } from 'ts-pattern'
 import type { EventLog } from '../observe/eventLog.js'
-import { findLapse } from '../../request/findLapse.js'
 import type { RevisionStore } from '../store/revisionStore.js'
-import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreItem } from '../store/storeItem.js'
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { WatchResult } from '../store/watchResult.js'
-import type { FleetChange } from './fleetChange.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
+import { FleetUpdater } from './fleetUpdater.js'
 
 /**
  * Wait of one watch of the hosts that watch for their region, in milliseconds: an empty answer to it shows that nothing
@@ -30,6 +27,8 @@
  * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
  */
 const BATCH_MS = 500
+/** Milliseconds between looks for entries that lapsed and for a change of who watches. */
+const CHECK_MS = 100
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
 const FIRST_PAUSE_MS = 100
 const LONGEST_PAUSE_MS = 500
@@ -42,27 +41,22 @@
   log: EventLog
   getNow: () => number
   random: () => number
+  ownName: string
   /** Called after a change of the configuration. */
   handleConfiguration: () => void
   /** Called when this host's own entry is gone though it runs. */
   handleOwnEntryGone: () => void
-  ownName: string
+  /** Called with a change of the resources that operators declare. */
+  handleDeclared: (revision: number, body: Buffer) => void
+  /** Called after a full read that came upon keys of the product's own, which it left out. */
+  handleProductKeys: () => void
   /** Whether this host is one of those that watch with short waits for their region. */
   isWatcher: () => boolean
 }
 
-interface DecodedChange {
-  change: FleetChange
-  /** Revision at which the key came into being; of a deletion, its own. */
-  createdRevision: number
-}
-
 /** Keeps what the host knows in step with the store. */
 export class FleetFollower {
-  /** Targets whose entries are gone and may come back, with the time at which they count as gone. */
-  private readonly lapsing = new Map<string, number>()
-  /** Revision at which each known target's entry came into being. */
-  private readonly createdRevisions = new Map<string, number>()
+  private readonly updater: FleetUpdater
   /** Ends the wait of the watch that is out. */
   private interrupt: AbortController | undefined
   private isWaitLong = false
@@ -70,11 +64,13 @@
   private newestHeard = 0
   private behindSince: number | undefined
 
-  constructor (private readonly parts: FollowerParts) {}
+  constructor (private readonly parts: FollowerParts) {
+    this.updater = new FleetUpdater(parts)
+  }
 
   async run (signal: AbortSignal): Promise<void> {
     this.parts.health.handleReturn = () => { this.refresh('the store answers again') }
-    await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.expireLapsed(signal)])
+    await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.keepChecking(signal)])
   }
 
   /** A peer has seen all changes up to a revision; where this host hasn't for long, its watch is silent. */
@@ -119,26 +115,22 @@
 
   /** Reads everything under a prefix; what isn't there any more is gone. Returns the revision from which to watch. */
   private async readAll (prefix: string, signal: AbortSignal): Promise<number> {
-    const { store, fleet, log } = this.parts
+    const { store, codec, fleet, log } = this.parts
     const items: StoreItem[] = []
     let first: number | undefined
+    let hasProductKeys = false
     for (;;) {
       const page = await store.list(prefix, items.at(-1)?.key ?? '', signal)
       first ??= page.revision
       items.push(...page.items)
-      if (!page.isTruncated) break
-    }
-    const known = new Map(this.createdRevisions)
-    const present = new Set<string>()
-    for (const decoded of items.flatMap((item) => this.decodeEvent({ kind: 'written', item }))) {
-      this.applyDecoded(decoded, false)
-      present.add(describeSubject(decoded.change))
+      hasProductKeys = items.at(-1)?.key.startsWith(codec.productPrefix) === true
+      if (!page.isTruncated || hasProductKeys) break
     }
-    const isLapse = findLapse({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
-    this.removeAbsent(prefix, present, isLapse)
+    const { keys, isLapse } = this.updater.applyRead(prefix, items.map((item) => ({ kind: 'written', item })))
     fleet.isComplete = true
     fleet.storeRevision = Math.max(fleet.storeRevision, first)
-    log.record('read from the store', { prefix, revision: first, keys: present.size, isLapse })
+    log.record('read from the store', { prefix, revision: first, keys, isLapse })
+    if (hasProductKeys) this.parts.handleProductKeys()
     return first
   }
 
@@ -149,9 +141,7 @@
       this.parts.log.report('history of the store gone', { prefix, revision })
       return undefined
     }
-    const changes = result.events.flatMap((event) => this.decodeEvent(event))
-    const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
-    for (const change of changes) this.applyDecoded(change, isLapse)
+    this.updater.applyEvents(result.events)
     this.parts.fleet.storeRevision = Math.max(this.parts.fleet.storeRevision, result.revision)
     if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
     return result.revision
@@ -178,111 +168,11 @@
     }
   }
 
-  /** The targets whose entries stand after these changes. */
-  private listPresentAfter (changes: readonly DecodedChange[]): Map<string, number> {
-    const present = new Map(this.createdRevisions)
-    for (const { change, createdRevision } of changes) {
-      if (change.kind === 'target-gone') present.delete(change.id)
-      if (change.kind === 'target') present.set(change.entry.id, createdRevision)
-    }
-    return present
-  }
-
-  /** Nothing for a key that means nothing to a host. */
-  private decodeEvent (event: StoreEvent): DecodedChange[] {
-    const change = this.parts.codec.decode(event)
-    if (change === undefined) return []
-    return [{ change, createdRevision: event.kind === 'written' ? event.item.createdRevision : event.revision }]
-  }
-
-  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean): void {
-    const { codec, fleet } = this.parts
-    const gone: FleetChange[] = [
-      ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
-      ...fleet.listHosts().map(({ name }): FleetChange => ({ kind: 'host-gone', name })),
-      ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
-    ]
-    for (const change of gone) {
-      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change, isLapse)
-    }
-  }
-
-  private applyDecoded ({ change, createdRevision }: DecodedChange, isLapse: boolean): void {
-    this.apply(change, isLapse)
-    if (change.kind === 'target') this.createdRevisions.set(change.entry.id, createdRevision)
-  }
-
-  private apply (change: FleetChange, isLapse: boolean): void {
-    const { fleet, log, getNow } = this.parts
-    const now = getNow()
-    match(change)
-      .with({ kind: 'configuration' }, ({ configuration }) => {
-        if (!fleet.adoptConfiguration(configuration)) return
-        log.report('configuration in force', { version: configuration.version, routes: configuration.routes.length })
-        this.parts.handleConfiguration()
-      })
-      .with({ kind: 'target' }, ({ entry }) => {
-        this.lapsing.delete(entry.id)
-        const known = fleet.findTarget(entry.id)
-        if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
-        fleet.putTarget(entry, now)
-      })
-      .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, isLapse, now) })
-      .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => {
-        if (fleet.isEvacuated(availabilityZone) !== isEvacuated) log.report('evacuation', { availabilityZone, isEvacuated })
-        fleet.setEvacuated(availabilityZone, isEvacuated)
-      })
-      .with({ kind: 'host' }, ({ entry }) => {
-        log.record('peer', { entry })
-        fleet.putHost(entry)
-      })
-      .with({ kind: 'host-gone' }, ({ name }) => {
-        log.record('peer gone', { peer: name })
-        if (name === this.parts.ownName) this.parts.handleOwnEntryGone()
-        else fleet.removeHost(name)
-      })
-      .with({ kind: 'invalid' }, ({ key, reason }) => { log.report('value in the store not usable; the one before stays in force', { key, reason }) })
-      .exhaustive()
-  }
-
-  private applyTargetGone (id: string, isLapse: boolean, now: number): void {
-    const { fleet, health, log } = this.parts
-    const target = fleet.findTarget(id)
-    if (target === undefined) return
-    if (isLapse && !target.isLeaving()) {
-      const end = Math.min(health.findLapseEnd(now), this.lapsing.get(id) ?? Infinity)
-      this.lapsing.set(id, end)
-      log.record('target entry lapsed while the store was away', { target: id, untilMs: Math.round(end - now) })
-      return
-    }
-    this.removeTarget(id, now)
-  }
-
-  private removeTarget (id: string, now: number): void {
-    this.lapsing.delete(id)
-    this.createdRevisions.delete(id)
-    this.parts.fleet.removeTarget(id, now)
-    this.parts.log.record('target gone', { target: id })
-  }
-
-  private async expireLapsed (signal: AbortSignal): Promise<void> {
+  private async keepChecking (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await sleepFor(FIRST_PAUSE_MS, signal)
-      const now = this.parts.getNow()
-      for (const [id, end] of this.lapsing) {
-        if (now >= end) this.removeTarget(id, now)
-      }
+      await sleepFor(CHECK_MS, signal)
+      this.updater.expireLapsed()
       if (this.isWaitLong && this.parts.isWatcher()) this.refresh('this host watches for its region now')
     }
   }
 }
-
-const describeSubject = (change: FleetChange): string => match(change)
-  .with({ kind: 'configuration' }, () => 'configuration')
-  .with({ kind: 'target' }, ({ entry }) => `target ${entry.id}`)
-  .with({ kind: 'target-gone' }, ({ id }) => `target ${id}`)
-  .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
-  .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
-  .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
-  .with({ kind: 'invalid' }, ({ key }) => `invalid ${key}`)
-  .exhaustive()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -0,0 +1,167 @@
+import { match } from 'ts-pattern'
+import { findLapse } from '../../request/findLapse.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { StoreEvent } from '../store/storeEvent.js'
+import type { StoreHealth } from '../store/storeHealth.js'
+import type { FleetChange } from './fleetChange.js'
+import type { FleetCodec } from './fleetCodec.js'
+import type { FleetState } from './fleetState.js'
+
+interface UpdaterParts {
+  codec: FleetCodec
+  fleet: FleetState
+  health: StoreHealth
+  log: EventLog
+  getNow: () => number
+  ownName: string
+  /** Called after a change of the configuration. */
+  handleConfiguration: () => void
+  /** Called when this host's own entry is gone though it runs. */
+  handleOwnEntryGone: () => void
+  /** Called with a change of the resources that operators declare. */
+  handleDeclared: (revision: number, body: Buffer) => void
+}
+
+interface DecodedChange {
+  change: FleetChange
+  /** Revision at which the key came into being; of a deletion, its own. */
+  createdRevision: number
+}
+
+/** Puts what the store says into the fleet's state, and tells entries that lapsed with the store from targets that are gone. */
+export class FleetUpdater {
+  /** Targets whose entries are gone and may come back, with the time at which they count as gone. */
+  private readonly lapsing = new Map<string, number>()
+  /** Revision at which each known target's entry came into being. */
+  private readonly createdRevisions = new Map<string, number>()
+
+  constructor (private readonly parts: UpdaterParts) {}
+
+  /** Takes in everything that stands under a prefix: what isn't there any more is gone. */
+  applyRead (prefix: string, events: readonly StoreEvent[]): { keys: number, isLapse: boolean } {
+    const known = new Map(this.createdRevisions)
+    const present = new Set<string>()
+    for (const decoded of events.flatMap((event) => this.decodeEvent(event))) {
+      this.applyDecoded(decoded, false)
+      present.add(describeSubject(decoded.change))
+    }
+    const isLapse = findLapse({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
+    this.removeAbsent(prefix, present, isLapse)
+    return { keys: present.size, isLapse }
+  }
+
+  /** Takes in changes, in order. */
+  applyEvents (events: readonly StoreEvent[]): void {
+    const changes = events.flatMap((event) => this.decodeEvent(event))
+    const isLapse = findLapse({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
+    for (const change of changes) this.applyDecoded(change, isLapse)
+  }
+
+  /** Removes the targets whose entries have not come back in time. */
+  expireLapsed (): void {
+    const now = this.parts.getNow()
+    for (const [id, end] of this.lapsing) {
+      if (now >= end) this.removeTarget(id, now)
+    }
+  }
+
+  /** Nothing for a key that means nothing to a host. */
+  private decodeEvent (event: StoreEvent): DecodedChange[] {
+    const change = this.parts.codec.decode(event)
+    if (change === undefined) return []
+    return [{ change, createdRevision: event.kind === 'written' ? event.item.createdRevision : event.revision }]
+  }
+
+  /** The targets whose entries stand after these changes. */
+  private listPresentAfter (changes: readonly DecodedChange[]): Map<string, number> {
+    const present = new Map(this.createdRevisions)
+    for (const { change, createdRevision } of changes) {
+      if (change.kind === 'target-gone') present.delete(change.id)
+      if (change.kind === 'target') present.set(change.entry.id, createdRevision)
+    }
+    return present
+  }
+
+  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean): void {
+    const { codec, fleet } = this.parts
+    const gone: FleetChange[] = [
+      ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
+      ...fleet.listHosts().map(({ name }): FleetChange => ({ kind: 'host-gone', name })),
+      ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
+    ]
+    for (const change of gone) {
+      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change, isLapse)
+    }
+  }
+
+  private applyDecoded ({ change, createdRevision }: DecodedChange, isLapse: boolean): void {
+    this.apply(change, isLapse)
+    if (change.kind === 'target') this.createdRevisions.set(change.entry.id, createdRevision)
+  }
+
+  private apply (change: FleetChange, isLapse: boolean): void {
+    const { fleet, log, getNow } = this.parts
+    const now = getNow()
+    match(change)
+      .with({ kind: 'configuration' }, ({ configuration }) => {
+        if (!fleet.adoptConfiguration(configuration)) return
+        log.report('configuration in force', { version: configuration.version, routes: configuration.routes.length })
+        this.parts.handleConfiguration()
+      })
+      .with({ kind: 'target' }, ({ entry }) => {
+        this.lapsing.delete(entry.id)
+        const known = fleet.findTarget(entry.id)
+        if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
+        fleet.putTarget(entry, now)
+      })
+      .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, isLapse, now) })
+      .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => {
+        if (fleet.isEvacuated(availabilityZone) !== isEvacuated) log.report('evacuation', { availabilityZone, isEvacuated })
+        fleet.setEvacuated(availabilityZone, isEvacuated)
+      })
+      .with({ kind: 'host' }, ({ entry }) => {
+        log.record('peer', { entry })
+        fleet.putHost(entry)
+      })
+      .with({ kind: 'host-gone' }, ({ name }) => {
+        log.record('peer gone', { peer: name })
+        if (name === this.parts.ownName) this.parts.handleOwnEntryGone()
+        else fleet.removeHost(name)
+      })
+      .with({ kind: 'declared' }, ({ revision, body }) => { this.parts.handleDeclared(revision, body) })
+      .with({ kind: 'invalid' }, ({ key, reason }) => { log.report('value in the store not usable; the one before stays in force', { key, reason }) })
+      .exhaustive()
+  }
+
+  private applyTargetGone (id: string, isLapse: boolean, now: number): void {
+    const { fleet, health, log } = this.parts
+    const target = fleet.findTarget(id)
+    if (target === undefined) return
+    if (isLapse && !target.isLeaving()) {
+      const end = Math.min(health.findLapseEnd(now), this.lapsing.get(id) ?? Infinity)
+      this.lapsing.set(id, end)
+      log.record('target entry lapsed while the store was away', { target: id, untilMs: Math.round(end - now) })
+      return
+    }
+    this.removeTarget(id, now)
+  }
+
+  private removeTarget (id: string, now: number): void {
+    this.lapsing.delete(id)
+    this.createdRevisions.delete(id)
+    this.parts.fleet.removeTarget(id, now)
+    this.parts.log.record('target gone', { target: id })
+  }
+}
+
+/** Names what a change is about, the same for its coming and its going. */
+const describeSubject = (change: FleetChange): string => match(change)
+  .with({ kind: 'configuration' }, () => 'configuration')
+  .with({ kind: 'target' }, ({ entry }) => `target ${entry.id}`)
+  .with({ kind: 'target-gone' }, ({ id }) => `target ${id}`)
+  .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
+  .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
+  .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
+  .with({ kind: 'declared' }, ({ revision }) => `declared ${revision}`)
+  .with({ kind: 'invalid' }, ({ key }) => `invalid ${key}`)
+  .exhaustive()
--- a/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
@@ -47,7 +47,8 @@
       if (this.leaseId !== undefined && await store.renewLease(this.leaseId, signal)) return RENEW_MS
       const leaseId = await store.grantLease(LEASE_MS, signal)
       const { key, value } = codec.encodeHost(entry)
-      if (!await store.put(key, value, leaseId, signal)) return RETRY_MS * random()
+      const result = await store.commit({ expected: [], writes: [{ key, value, leaseId }], deletes: [] }, signal)
+      if (result.kind !== 'done') return RETRY_MS * random()
       this.leaseId = leaseId
       log.report('entry of this host written', { leaseId })
       return RENEW_MS
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -1,6 +1,8 @@
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import { ColdAllowance } from '../../request/coldAllowance.js'
+import { ShiftCapUse } from '../../request/shiftCapUse.js'
 import type { TargetState } from '../../request/targetState.js'
+import { DeclaredSteering } from '../../version/declaredSteering.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
@@ -24,6 +26,9 @@
   readonly fleet: FleetState
   readonly trips: TripTimes
   readonly pools: TargetPools
+  readonly shiftCaps = new ShiftCapUse()
+  /** What operators declared, of the newest revision that this host knows. */
+  steering = DeclaredSteering.none
   private readonly cold: ColdAllowance
   private readonly runtimes = new Map<string, ServiceRuntime>()
 
@@ -54,6 +59,16 @@
     return { storeAgeMs: toAge(this.fleet.confirmedAt), peerAgeMs: toAge(this.parts.peers.lastHeardAt) }
   }
 
+  get ownRegion (): string {
+    return this.parts.settings.host.region
+  }
+
+  /** Whether a request for a service may run in a region under the caps on shifts. */
+  allowRegion (service: string, region: string): boolean {
+    if (region === this.ownRegion || this.steering.caps.length === 0) return true
+    return this.shiftCaps.allow(this.steering, service, region, this.parts.peers.countRegionHosts())
+  }
+
   countHosts (): number | undefined {
     return this.parts.peers.countHosts()
   }
--- a/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
+++ b/packages/almondrelay-gateway/src/process/forward/planRegionParts.ts
@@ -2,13 +2,14 @@
 import type { RegionLoad } from '../../request/regionLoad.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { RegionDemand } from '../peers/regionDemand.js'
+import { sumBusySlots } from './sumBusySlots.js'
 
 /** The parts of a region's requests for one service by what all hosts report and which targets there are. */
 export function planRegionParts (ownRegion: string, regions: readonly string[], demands: readonly RegionDemand[], targets: readonly TargetState[], now: number): Map<string, number> {
   const loads = regions.map((region): RegionLoad => ({
     region,
     slots: sumSlots(targets, region, now),
-    busySlots: demands.filter((each) => each.region === region).reduce((sum, { demand }) => sum + demand.perSecond * demand.warmMs / 1_000, 0)
+    busySlots: sumBusySlots(demands, region)
   }))
   return computeRegionParts(ownRegion, loads)
 }
--- a/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
@@ -3,8 +3,10 @@
 import type { ForwardState } from './forwardState.js'
 import { estimateFirstDemands } from './estimateFirstDemands.js'
 import type { RegionDemand } from '../peers/regionDemand.js'
+import { planDeclaredParts } from '../../request/planDeclaredParts.js'
 import { planRegionParts } from './planRegionParts.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
+import { sumBusySlots } from './sumBusySlots.js'
 
 /** Milliseconds between steps; demands of peers come once a second. */
 const STEP_MS = 250
@@ -52,7 +54,10 @@
 
   private plan (runtime: ServiceRuntime, demands: readonly RegionDemand[], now: number): Map<string, number> {
     const { ownRegion, regions, forward } = this.parts
-    const targets = forward.fleet.listTargets(runtime.name).filter((target) => !forward.fleet.isEvacuated(target.entry.availabilityZone))
-    return planRegionParts(ownRegion, regions, demands, targets, now)
+    const { fleet, steering } = forward
+    const targets = fleet.listTargets(runtime.name).filter(({ entry }) => !fleet.isEvacuated(entry.availabilityZone) && !steering.isDrained(entry) && !steering.isRegionDrained(entry.region))
+    const byLoad = planRegionParts(ownRegion, regions, demands, targets, now)
+    const ownBusySlots = sumBusySlots(demands, ownRegion)
+    return planDeclaredParts({ service: runtime.name, ownRegion, regions, byLoad, steering, ownBusySlots })
   }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import { RefusalReason } from 'almondrelay'
 import type { CallerAnswer } from '../../connection/callerAnswer.js'
 import type { CallerCodec } from '../../connection/callerCodec.js'
 import type { CallerHead } from '../../connection/callerHead.js'
@@ -8,6 +9,7 @@
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { computeHash } from '../../version/computeHash.js'
 import { pickDestination } from '../../version/pickDestination.js'
+import type { AccountKeeper } from '../observe/accountKeeper.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { ForwardState } from './forwardState.js'
@@ -24,6 +26,7 @@
   targetCodec: TargetCodec
   forward: ForwardState
   log: EventLog
+  account: AccountKeeper
   metrics: GatewayMetrics
   getNow: () => number
   random: () => number
@@ -76,10 +79,11 @@
   }
 
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
-    const { log, metrics, getNow } = this.parts
+    const { log, account, metrics, getNow } = this.parts
     const durationMs = getNow() - request.arrivedAt
     const outcome = answer.kind === 'passed' ? String(answer.head.status) : answer.kind
     metrics.observeAnswer(record.service, outcome, durationMs)
+    account.record(request, record, answer, durationMs)
     log.record('request', {
       id: request.id,
       route: request.route.name,
@@ -100,7 +104,7 @@
   }
 
   private refuseUnready (head: CallerHead): CallerAnswer {
-    const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet' }
+    const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet', cause: RefusalReason.notReady }
     this.parts.log.record('request refused', { id: head.id, ...answer })
     return this.parts.callerCodec.encodeAnswer(answer, head.id)
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -29,7 +29,8 @@
 
   choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
     const { fleet, trips } = this.state
-    const { allowedRegions, targetLatencyMs } = request.route
+    const { targetLatencyMs } = request.route
+    const isRegionOpen = this.findOpenRegions(request.route.allowedRegions)
     return chooseTarget(fleet.listTargets(this.service), {
       now,
       keyHash: this.keyHash,
@@ -39,18 +40,24 @@
       coldMs: this.runtime.times.getColdMs(targetLatencyMs),
       meanMs: this.runtime.times.getMeanMs(targetLatencyMs),
       targetLatencyMs,
-      isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && (allowedRegions.length === 0 || allowedRegions.includes(entry.region)),
+      isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && !this.state.steering.isDrained(entry) && isRegionOpen(entry.region),
       allowCold: (target) => this.state.allowCold(target, now),
-      allowAway: this.runtime.away.allow()
+      allowAway: this.declared?.spill !== false && this.runtime.away.allow()
     })
   }
 
+  /** Notes a request that goes to a target now; pairs with observeFinish. */
   observeSend (choice: TargetChoice, now: number): void {
     const { target } = choice
+    this.state.shiftCaps.begin(this.service, target.entry.region)
     if (target.isCold(now)) this.state.observeColdSend(target, now)
     if (target.entry.region !== this.homeRegion) this.runtime.away.use()
   }
 
+  observeFinish (choice: TargetChoice): void {
+    this.state.shiftCaps.finish(this.service, choice.target.entry.region)
+  }
+
   /** Learns from what became of an attempt; one that was cancelled says nothing of its target. */
   observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
     const { target } = attempt.choice
@@ -73,6 +80,24 @@
     return this.state.pools.get(target)
   }
 
+  private get declared (): ReturnType<ForwardState['steering']['findWeights']> {
+    return this.state.steering.findWeights(this.service)
+  }
+
+  /** Asked once a region and choice: under a cap each answer adds up what runs there. */
+  private findOpenRegions (allowedRegions: readonly string[]): (region: string) => boolean {
+    const { declared } = this
+    const known = new Map<string, boolean>()
+    return (region) => {
+      const answer = known.get(region) ??
+        ((allowedRegions.length === 0 || allowedRegions.includes(region)) &&
+        (declared === undefined || declared.spill || (declared.weights[region] ?? 0) > 0) &&
+        this.state.allowRegion(this.service, region))
+      known.set(region, answer)
+      return answer
+    }
+  }
+
   private learnDuration (choice: TargetChoice, durationMs: number, now: number): void {
     const { times } = this.runtime
     const workMs = Math.max(1, durationMs - choice.tripMs - choice.waitMs)
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -1,6 +1,7 @@
 interface AttemptRecord {
   target: string
   region: string
+  availabilityZone: string
   /** Place of the target in the order of the key. */
   rank: number
   /** Requests that were taken to be at the target. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -1,9 +1,11 @@
+import { RefusalReason } from 'almondrelay'
 import { match } from 'ts-pattern'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import { decideAdmission } from '../../request/decideAdmission.js'
 import { decideNextStep } from '../../request/decideNextStep.js'
+import { describeResult } from '../../request/describeResult.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { NextStep } from '../../request/nextStep.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
@@ -37,8 +39,8 @@
   /** A target's failure that is given to the caller where no better answer comes. */
   private kept: Extract<AttemptResult, { kind: 'answered' }> | undefined
   /** What the last attempt left behind, for the final answer. */
-  private doubt: string | undefined
-  private refusal = 'no target'
+  private doubt: ReturnType<typeof describeResult> | undefined
+  private refusal: ReturnType<typeof describeResult> = { text: 'no target', cause: RefusalReason.noTarget }
   private retryAfterMs = PLAIN_RETRY_AFTER_MS
 
   constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
@@ -105,15 +107,18 @@
     const wasSent = [...this.running].some((attempt) => attempt.sentAt !== undefined) || this.doubt !== undefined
     for (const attempt of this.running) this.leaveBehind(attempt)
     if (this.kept !== undefined) return this.passAnswer(this.kept)
-    return wasSent ? { kind: 'failed', timedOut: true, reason: 'no answer in time' } : { kind: 'refused', retryAfterMs: 0, reason: 'no time left' }
+    return wasSent
+      ? { kind: 'failed', timedOut: true, reason: 'no answer in time', cause: RefusalReason.deadlinePassed }
+      : { kind: 'refused', retryAfterMs: 0, reason: 'no time left', cause: RefusalReason.deadlinePassed }
   }
 
   // A repeated run costs nothing but a target's time, which is freed at once; one that may run only once goes on, as cutting it off would leave its outcome open.
   private handleCallerLeft (): FinalAnswer {
+    const wasSent = [...this.running].some((attempt) => attempt.sentAt !== undefined) || this.doubt !== undefined
     for (const attempt of this.running) {
       if (this.request.route.idempotent || attempt.sentAt === undefined) attempt.cancel('caller left')
     }
-    return { kind: 'abandoned', reason: 'caller left' }
+    return { kind: 'abandoned', reason: 'caller left', wasSent, cause: RefusalReason.cancelled }
   }
 
   // The target stops by itself at the deadline that it was given; its own answer a moment later keeps the connection usable.
@@ -127,12 +132,12 @@
     return { kind: 'passed', head: result.head, body: result.body }
   }
 
-  private reportFailure (reason: string): FinalAnswer {
-    return { kind: 'failed', timedOut: false, reason }
+  private reportFailure ({ text, cause }: ReturnType<typeof describeResult>): FinalAnswer {
+    return { kind: 'failed', timedOut: false, reason: text, cause }
   }
 
   private refuse (): FinalAnswer {
-    return { kind: 'refused', retryAfterMs: this.retryAfterMs, reason: this.refusal }
+    return { kind: 'refused', retryAfterMs: this.retryAfterMs, reason: this.refusal.text, cause: this.refusal.cause }
   }
 
   /** Sends to one more target where there is one that can answer in time; false where not. */
@@ -154,7 +159,7 @@
     if (choice === undefined) return undefined
     const retryAfterMs = this.decideAdmission(choice, now)
     if (retryAfterMs === 0) return choice
-    this.refusal = 'every target of the key is full'
+    this.refusal = { text: 'every target of the key is full', cause: RefusalReason.queueFull }
     this.retryAfterMs = retryAfterMs
     return undefined
   }
@@ -173,6 +178,7 @@
     this.placement.observeSend(choice, now)
     if (this.request.route.idempotent) this.startTimer(Math.max(OVERDUE_LEAST_MS, choice.expectedMs * OVERDUE_RATIO), { kind: 'overdue' })
     void attempt.run(this.placement.getPool(choice.target)).then((result) => {
+      this.placement.observeFinish(choice)
       this.placement.observeResult(attempt, result, this.parts.getNow())
       this.events.push({ kind: 'ended', attempt, result })
     })
@@ -187,19 +193,12 @@
     this.record.attempts.push({
       target: target.entry.id,
       region: target.entry.region,
+      availabilityZone: target.entry.availabilityZone,
       rank,
       outstanding,
       expectedMs: Math.round(expectedMs),
-      result: describeResult(result),
+      result: describeResult(result).text,
       ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
     })
   }
 }
-
-const describeResult = (result: AttemptResult): string => {
-  if (result.kind !== 'answered') return `${result.kind}: ${result.reason}`
-  const { head } = result
-  if (head.isMisdirected) return 'another target has the address'
-  if (head.isNotRun) return `target refused (${head.status})`
-  return head.isGenuine ? `answered ${head.status}` : `spoilt answer (${head.status})`
-}
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -1,4 +1,6 @@
-import { sleepFor, splitAddress } from 'almondrelay'
+import { createServer } from 'node:http'
+import { openServer, sleepFor, splitAddress, SystemClock } from 'almondrelay'
+import type Logger from 'bunyan'
 import { CallerServer } from '../connection/callerServer.js'
 import { listenForGet } from '../connection/listenForGet.js'
 import { FleetFollower } from './fleet/fleetFollower.js'
@@ -10,12 +12,15 @@
 import { RequestHandler } from './forward/requestHandler.js'
 import type { GatewayAdapter } from './gatewayAdapter.js'
 import { LookupAnswers } from './lookup/lookupAnswers.js'
+import { AccountKeeper } from './observe/accountKeeper.js'
 import type { EventLog } from './observe/eventLog.js'
 import type { GatewayMetrics } from './observe/gatewayMetrics.js'
+import { OperatorDesk } from './operators/operatorDesk.js'
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
 import type { GatewaySettings } from './settings/gatewaySettings.js'
+import { StoreKeyValues } from './store/storeKeyValues.js'
 import type { StoreHealth } from './store/storeHealth.js'
 
 /** Milliseconds between checks for connections to targets that have been unused for too long. */
@@ -24,6 +29,8 @@
 const ACCEPT_MS = 3_000
 /** Milliseconds of the grace that are kept for the last answers to be written before the process is ended by force. */
 const GRACE_MARGIN_MS = 300
+/** Milliseconds for the last pages of the account, of the grace that is left. */
+const LAST_PAGES_MS = 1_000
 /** Milliseconds between looks at what is still running at a stop. */
 const STOP_CHECK_MS = 50
 
@@ -32,6 +39,8 @@
   adapter: GatewayAdapter
   health: StoreHealth
   log: EventLog
+  /** For what serves operators, where lines are few. */
+  logger: Logger
   metrics: GatewayMetrics
   incarnation: string
   /** Monotonic milliseconds. */
@@ -52,6 +61,9 @@
   private readonly lookups: LookupAnswers
   private readonly announcer: HostAnnouncer
   private readonly follower: FleetFollower
+  private readonly account: AccountKeeper
+  private readonly desk: OperatorDesk
+  private readonly owner = new AbortController()
   private isLeaving = false
 
   constructor (private readonly parts: GatewayParts) {
@@ -66,8 +78,12 @@
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
     this.socket = new PeerSocket(logError)
-    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, hearRevision: (revision, now) => { this.follower.hearRevision(revision, now) } })
-    const handler = new RequestHandler({ callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, now) => { this.follower.hearRevision(revision, now) } })
+    const clock = new SystemClock()
+    const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
+    this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
+    this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, ledger: this.account.ledger, clock, logger: parts.logger, isLeaving }, this.owner.signal)
+    const handler = new RequestHandler({ account: this.account, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left) => handler.handle(message, left), logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
@@ -87,6 +103,8 @@
       ownName: this.own.name,
       isWatcher: () => this.view.isSpeaker(getNow()),
       handleOwnEntryGone: () => { this.announcer.renewEntry() },
+      handleDeclared: (revision, body) => { this.desk.acceptChange(revision, body) },
+      handleProductKeys: () => { this.desk.refresh() },
       handleConfiguration: () => {
         const { configuration } = this.fleet
         if (configuration === undefined) return
@@ -98,7 +116,7 @@
 
   /** Serves until the signal aborts, then makes a planned stop. Resolves with the number of requests that it cut off. */
   async run (signal: AbortSignal): Promise<number> {
-    const owner = new AbortController()
+    const { owner } = this
     const leaving = new AbortController()
     await this.openPorts(owner.signal)
     const tasks = this.startTasks(owner.signal, leaving.signal)
@@ -123,13 +141,15 @@
     await this.socket.listen(this.own.ip, this.own.peerPort, (bytes) => { this.exchange.handleDatagram(bytes) }, signal)
     await listenForGet(readiness.host, readiness.port, (path) => this.lookups.answerReadiness(path), logError)
     await listenForGet(lookups.host, lookups.port, (path, query) => this.lookups.answerLookup(path, query), logError)
+    const operators = createServer((request, response) => { this.desk.answer(request, response) })
+    await openServer(operators, `${this.own.ip}:${settings.peerPorts[1]}`)
     await listenForGet(settings.host.ip, settings.metrics.port, async (path) => path === settings.metrics.path
       ? { status: 200, type: 'text/plain', body: await metrics.render() }
       : { status: 404, type: 'text/plain', body: '' }, logError)
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal), this.account.run(leaving)])
   }
 
   private async closeIdle (signal: AbortSignal): Promise<void> {
@@ -153,7 +173,9 @@
     this.callers.close()
     while (this.callers.countUnanswered() > 0 && getNow() - stoppedAt < settings.bounds.stopGrace - GRACE_MARGIN_MS) await sleepFor(STOP_CHECK_MS, never)
     const unfinished = this.callers.countUnanswered()
-    log.report('host stopped', { unfinished })
+    const leftMs = settings.bounds.stopGrace - GRACE_MARGIN_MS - (getNow() - stoppedAt)
+    const unwrittenPages = await this.account.finish(Math.max(1, Math.min(LAST_PAGES_MS, leftMs)))
+    log.report('host stopped', { unfinished, unwrittenPages })
     return unfinished
   }
 }
@@ -165,5 +187,5 @@
   region: settings.host.region,
   ip: settings.host.ip,
   callerPort: splitAddress(settings.listen.callers).port,
-  peerPort: settings.peerPorts[0] as number
+  peerPort: settings.peerPorts[0]
 })
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -0,0 +1,66 @@
+import { AccountLedger, AccountWriter, Outcome, type AccountEntry, type Clock, type KeyValueStore } from 'almondrelay'
+import { match } from 'ts-pattern'
+import type { FinalAnswer } from '../../request/finalAnswer.js'
+import type { CallerRequest } from '../../request/callerRequest.js'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import type { RequestRecord } from '../forward/requestRecord.js'
+import type { EventLog } from './eventLog.js'
+
+interface KeeperParts {
+  own: HostEntry
+  values: KeyValueStore
+  clock: Clock
+  log: EventLog
+  random: () => number
+}
+
+/** Counts every final answer by who asked, what served and what came of it, and writes the counts to the store each minute. */
+export class AccountKeeper {
+  readonly ledger: AccountLedger
+  private readonly writer: AccountWriter
+
+  constructor (private readonly parts: KeeperParts) {
+    const { own, values, clock, log, random } = parts
+    this.ledger = new AccountLedger({ host: own.name, incarnation: Number.parseInt(own.incarnation, 10) })
+    this.writer = new AccountWriter(this.ledger, values, {
+      wallNow: () => clock.getWallTime(),
+      sleep: (ms, signal) => clock.sleep(ms, signal),
+      random,
+      logFailure: (error) => { log.logError('account page not written; it is kept and tried again', error) }
+    })
+  }
+
+  /** Writes pages until the signal aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    await this.writer.run(signal)
+  }
+
+  /** Writes what is left within a time in milliseconds, as at a planned stop; returns the pages that could not be written. */
+  async finish (limitMs: number): Promise<number> {
+    return await this.writer.finish(limitMs)
+  }
+
+  record (request: CallerRequest, record: RequestRecord, answer: FinalAnswer, durationMs: number): void {
+    const { own, clock } = this.parts
+    const last = record.attempts.at(-1)
+    this.ledger.record({
+      at: clock.getWallTime(),
+      // Callers don't name their organisation here; the host name that they asked for tells whose product it was.
+      caller: request.route.hostName,
+      service: record.service,
+      region: last?.region ?? own.region,
+      availabilityZone: last?.availabilityZone ?? own.availabilityZone,
+      callerRegion: own.region,
+      durationMs,
+      ...(last === undefined ? {} : { target: last.target }),
+      ...describeOutcome(answer)
+    })
+  }
+}
+
+const describeOutcome = (answer: FinalAnswer): Pick<AccountEntry, 'outcome' | 'reason'> => match(answer)
+  .with({ kind: 'passed' }, () => ({ outcome: Outcome.run }))
+  .with({ kind: 'refused' }, ({ cause }) => ({ outcome: Outcome.notRun, reason: cause }))
+  .with({ kind: 'failed' }, ({ cause }) => ({ outcome: Outcome.unknown, reason: cause }))
+  .with({ kind: 'abandoned' }, ({ wasSent, cause }) => ({ outcome: wasSent ? Outcome.unknown : Outcome.notRun, reason: cause }))
+  .exhaustive()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
@@ -0,0 +1,21 @@
+import type Logger from 'bunyan'
+import type { AccountLedger, Clock, KeyValueStore } from 'almondrelay'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import type { ForwardState } from '../forward/forwardState.js'
+import type { PeerView } from '../peers/peerView.js'
+
+/** What serves operators on a host. */
+export interface OperatorParts {
+  own: HostEntry
+  availabilityZones: Readonly<Record<string, string>>
+  fleet: FleetState
+  view: PeerView
+  forward: ForwardState
+  /** The product's own keys. */
+  values: KeyValueStore
+  ledger: AccountLedger
+  clock: Clock
+  logger: Logger
+  isLeaving: () => boolean
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/operators/operatorService.ts
@@ -0,0 +1,84 @@
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { getRequestListener } from '@hono/node-server'
+import { AccountReader, ChangeLog, ConfigurationStore, createOperatorApp, decodeChange, readAccount, repairFromPlatform, runSnapshotWriter, type StatusHooks } from 'almondrelay/operators'
+import { DeclaredSteering } from '../../version/declaredSteering.js'
+import { storedText } from '../store/storedText.js'
+import { listGivenResources } from './listGivenResources.js'
+import { listMembers } from './listMembers.js'
+import type { OperatorParts } from './operatorParts.js'
+
+/** The operators' resources on this host: what they declared, its effect on requests, and the calls that read and change it. */
+export class OperatorService {
+  private readonly store: ConfigurationStore
+  private readonly listener: ReturnType<typeof getRequestListener>
+  private repairing: Promise<void> | undefined
+
+  constructor (private readonly parts: OperatorParts, private readonly signal: AbortSignal) {
+    const { own, availabilityZones, fleet, forward, values, clock, logger } = parts
+    this.store = new ConfigurationStore(() => listGivenResources(fleet, availabilityZones))
+    this.store.subscribe((configuration) => {
+      forward.steering = new DeclaredSteering(configuration, own.region)
+      logger.warn({ revision: configuration.revision }, 'resources of the operators in force')
+    }, signal)
+    const changeLog = new ChangeLog({ platform: values, store: this.store, clock })
+    void runSnapshotWriter({ platform: values, store: this.store, changeLog, log: logger }, signal)
+    const reader = new AccountReader(values)
+    const app = createOperatorApp({
+      host: own.name,
+      store: this.store,
+      changeLog,
+      listMembers: () => listMembers({ ...parts, ownRevision: this.revision, isLeaving: parts.isLeaving() }, clock.getNow()),
+      statusHooks: this.buildStatusHooks(),
+      fetchAccount: (query, callSignal) => readAccount(reader, query, clock.getWallTime(), callSignal),
+      makeWriteId: randomUUID,
+      log: logger
+    }, signal)
+    this.listener = getRequestListener(app.fetch)
+  }
+
+  get revision (): number {
+    return this.store.current.revision
+  }
+
+  async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!this.store.isReady) await this.repair()
+    await this.listener(request, response)
+  }
+
+  /** Takes in a change that the store's watch has brought; asks for what is missing before it. */
+  async acceptChange (revision: number, body: Buffer): Promise<void> {
+    if (revision <= this.revision) return
+    const text = await storedText.decode(body)
+    if (revision === this.revision + 1 && this.store.isReady) this.store.adoptChange(decodeChange(text, revision), text)
+    else await this.repair()
+  }
+
+  /** Brings the resources up to the newest change; one call at a time, as many may ask at once. */
+  async repair (): Promise<void> {
+    this.repairing ??= this.repairOnce().finally(() => { this.repairing = undefined })
+    await this.repairing
+  }
+
+  private async repairOnce (): Promise<void> {
+    const { values, logger } = this.parts
+    try {
+      await repairFromPlatform(values, this.store, this.signal)
+      this.store.markReady()
+    } catch (error) {
+      if (!this.signal.aborted) logger.warn({ err: error as Error, revision: this.revision }, 'resources of the operators not read; those before stay in force')
+    }
+  }
+
+  private buildStatusHooks (): StatusHooks {
+    const { fleet, forward } = this.parts
+    return {
+      countWorkLeft: ({ spec }) => [...fleet.listAllTargets()]
+        .filter(({ entry }) => ({ target: entry.id, availabilityZone: entry.availabilityZone, region: entry.region })[spec.scope] === spec.name)
+        .reduce((sum, target) => sum + target.countOutstanding(this.parts.clock.getNow()), 0),
+      countCarried: (resource) => resource.kind === 'Region'
+        ? undefined
+        : forward.shiftCaps.countRunning(resource.spec.to, resource.kind === 'ShiftCap' ? resource.spec.service : undefined)
+    }
+  }
+}
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -14,6 +14,7 @@
       isLeaving: message.leaving,
       configurationVersion: message.configurationVersion,
       storeRevision: message.storeRevision,
+      declaredRevision: message.declaredRevision,
       isRegional: message.regional,
       inFlight: new Map(message.targetHashes.map((hash, index) => [hash, message.inFlight[index] ?? 0])),
       demands: message.demands.map(({ service, perSecond, warmMs, parts }) => ({
--- a/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
@@ -11,6 +11,7 @@
     leaving: report.isLeaving,
     configurationVersion: report.configurationVersion,
     storeRevision: report.storeRevision,
+    declaredRevision: report.declaredRevision,
     regional: report.isRegional,
     targetHashes: [...report.inFlight.keys()],
     inFlight: [...report.inFlight.values()],
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -31,6 +31,8 @@
   socket: PeerSocket
   getNow: () => number
   isLeaving: () => boolean
+  /** Revision of the operators' resources in force here. */
+  getDeclaredRevision: () => number
   /** Called with the revision of the store that a peer knows. */
   hearRevision: (revision: number, now: number) => void
 }
@@ -64,18 +66,19 @@
 
   /** Sends one report at once to every host, as when this one is about to leave. */
   announce (): void {
-    this.sendTo(() => true, { isRegional: false, demands: [] })
+    this.sendTo(() => true, { isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision() })
   }
 
   private sendRound (): number {
-    const { own, view, getNow } = this.parts
+    const { own, view, getNow, getDeclaredRevision } = this.parts
     const now = getNow()
+    const declaredRevision = getDeclaredRevision()
     const withDemands = now - this.demandsSentAt >= DEMAND_INTERVAL_MS
     if (withDemands) this.demandsSentAt = now
-    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [] })
+    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision })
     if (now - this.farSentAt < FAR_INTERVAL_MS || !view.isSpeaker(now)) return bytes
     this.farSentAt = now
-    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now) })
+    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclared(now)) })
   }
 
   private listOwnDemands (now: number): ServiceDemand[] {
@@ -91,7 +94,7 @@
     return [...sums.values()]
   }
 
-  private sendTo (isReceiver: (entry: HostEntry) => boolean, word: { isRegional: boolean, demands: ServiceDemand[] }): number {
+  private sendTo (isReceiver: (entry: HostEntry) => boolean, word: Pick<PeerReport, 'isRegional' | 'demands' | 'declaredRevision'>): number {
     const receivers = this.parts.fleet.listHosts().filter((entry) => entry.name !== this.parts.own.name && isReceiver(entry))
     if (receivers.length === 0) return 0
     this.sequence += 1
@@ -100,7 +103,7 @@
     return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
   }
 
-  private buildReport (): Omit<PeerReport, 'isRegional' | 'demands'> {
+  private buildReport (): Omit<PeerReport, 'isRegional' | 'demands' | 'declaredRevision'> {
     const { own, fleet, isLeaving } = this.parts
     const busy = [...fleet.listAllTargets()].filter((target) => target.inFlight > 0)
     return {
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -13,6 +13,8 @@
   inFlight: ReadonlyMap<number, number>
   /** Revision of the platform's store up to which the host has seen all changes. */
   storeRevision: number
+  /** Revision of the operators' resources in force at the host; of a region's word, the lowest of its hosts. */
+  declaredRevision: number
   /** The demands are those of all hosts of the sender's region together. */
   isRegional: boolean
   /** Empty in most reports. */
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -20,12 +20,19 @@
   report: PeerReport
 }
 
+interface RegionWord {
+  heardAt: number
+  demands: readonly ServiceDemand[]
+  /** The lowest of its hosts. */
+  declaredRevision: number
+}
+
 /** What this host knows of the other hosts, from their entries in the store and from their own reports. */
 export class PeerView {
   /** Monotonic milliseconds of the last report of any peer; undefined before the first. */
   lastHeardAt: number | undefined
   private readonly peers = new Map<string, PeerState>()
-  private readonly regions = new Map<string, { heardAt: number, demands: readonly ServiceDemand[] }>()
+  private readonly regions = new Map<string, RegionWord>()
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
 
   constructor (private readonly own: HostEntry, private readonly fleet: FleetState) {}
@@ -35,7 +42,7 @@
     const known = this.peers.get(report.host)
     if (known !== undefined && known.incarnation === report.incarnation && report.sequence <= known.sequence) return false
     this.lastHeardAt = now
-    if (report.isRegional) this.regions.set(report.region, { heardAt: now, demands: report.demands })
+    if (report.isRegional) this.regions.set(report.region, { heardAt: now, demands: report.demands, declaredRevision: report.declaredRevision })
     const isOwnDemand = !report.isRegional && report.demands.length > 0
     const demands = isOwnDemand ? report.demands : known?.report.demands ?? []
     this.peers.set(report.host, { incarnation: report.incarnation, sequence: report.sequence, heardAt: now, report: { ...report, demands } })
@@ -61,11 +68,30 @@
     return hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isAlone))
   }
 
+  /** The lowest revision of the operators' resources in force on a live host of this region; Infinity where none is heard. */
+  findLowestDeclared (now: number): number {
+    const near = this.fleet.listHosts().filter((entry) => entry.region === this.own.region && this.hasHeard(entry, now))
+    return near.reduce((lowest, { name }) => Math.min(lowest, this.peers.get(name)?.report.declaredRevision ?? Infinity), Infinity)
+  }
+
+  /** What was last heard of another host: by itself in this region, by its region's word elsewhere; undefined where nothing was. */
+  findWord (entry: HostEntry): { heardAt: number, isLeaving: boolean, declaredRevision: number } | undefined {
+    const peer = this.peers.get(entry.name)
+    const word = entry.region === this.own.region ? undefined : this.regions.get(entry.region)
+    if (word !== undefined) return { heardAt: word.heardAt, isLeaving: peer?.report.isLeaving === true && peer.incarnation === entry.incarnation, declaredRevision: word.declaredRevision }
+    return peer === undefined ? undefined : { heardAt: peer.heardAt, isLeaving: peer.report.isLeaving, declaredRevision: peer.report.declaredRevision }
+  }
+
   /** Number of hosts that may send, those too whose end isn't certain; undefined while this host doesn't know them. */
   countHosts (): number | undefined {
     return this.fleet.isComplete ? Math.max(1, this.fleet.listHosts().length) : undefined
   }
 
+  /** The same of this host's region alone. */
+  countRegionHosts (): number | undefined {
+    return this.fleet.isComplete ? Math.max(1, this.fleet.listHosts().filter((entry) => entry.region === this.own.region).length) : undefined
+  }
+
   /** Hosts that share the work on the targets of a region: its own, or all where it has none. */
   listSenders (region: string, now: number): string[] | undefined {
     if (!this.fleet.isComplete) return undefined
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -3,6 +3,8 @@
 
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'write an IPv4 address and a port, such as "10.0.0.2:7000"')
 
+const port = z.int().min(1).max(65_535)
+
 /** Settings of a host; unknown names are ignored, as a platform may add some. All times are milliseconds once read. */
 const GatewaySettings = z.object({
   host: z.object({
@@ -16,8 +18,8 @@
     readiness: address,
     lookups: address
   }),
-  /** First and last port that hosts may use among themselves. */
-  peerPorts: z.array(z.int().min(1).max(65_535)).length(2),
+  /** First and last port that hosts may use among themselves; operators call the last. */
+  peerPorts: z.tuple([port, port]).refine(([first, last]) => first !== last, 'give two ports: the first for hosts, the last for operators'),
   /** Region of each availability zone. */
   availabilityZones: z.record(z.string(), z.string()),
   platform: z.object({
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/__tests__/planDeclaredParts.test.ts
@@ -0,0 +1,40 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Configuration, type Resource } from 'almondrelay'
+import { DeclaredSteering } from '../../version/declaredSteering.js'
+import { planDeclaredParts } from '../planDeclaredParts.js'
+
+const test = suite('planDeclaredParts')
+const regions = ['akl', 'wlg', 'chc']
+const plan = (resources: Resource[], byLoad = new Map([['akl', 0.7], ['wlg', 0.3]]), ownBusySlots = 10): Record<string, number> => {
+  const steering = new DeclaredSteering(Configuration.restore(1, resources), 'akl')
+  const parts = planDeclaredParts({ service: 'balances', ownRegion: 'akl', regions, byLoad, steering, ownBusySlots })
+  return Object.fromEntries([...parts].map(([region, part]) => [region, Math.round(part * 100) / 100]))
+}
+const drain = (region: string): Resource => ({ kind: 'Drain', name: `drain-${region}`, revision: 1, spec: { scope: 'region', name: region } })
+
+test('without resources the parts are those of the load', () => {
+  assert.equal(plan([]), { akl: 0.7, wlg: 0.3 })
+})
+
+test('declared weights go before the load', () => {
+  assert.equal(plan([{ kind: 'SteeringPolicy', name: 'p', revision: 1, spec: { service: 'balances', from: 'akl', weights: { akl: 1, chc: 3 }, spill: true } }]), { akl: 0.25, chc: 0.75 })
+})
+
+test('a drained region gets nothing, and its part is divided among the others', () => {
+  assert.equal(plan([drain('wlg')]), { akl: 1 })
+  assert.equal(plan([drain('akl')], new Map([['akl', 1]])), { wlg: 0.5, chc: 0.5 })
+})
+
+// An operator drains every region, by mistake or one after the other. Callers who were then sent nowhere would all be
+// refused, though every target still works.
+test('where every region is drained, callers stay where they are', () => {
+  assert.equal(plan(regions.map(drain)), { akl: 0.7, wlg: 0.3 })
+})
+
+test('what a cap does not bear stays at home', () => {
+  assert.equal(plan([{ kind: 'ShiftCap', name: 'c', revision: 1, spec: { from: 'akl', to: 'wlg', maxInFlight: 1 } }]), { akl: 0.92, wlg: 0.08 })
+  assert.equal(plan([{ kind: 'ShiftCap', name: 'c', revision: 1, spec: { from: 'akl', to: 'wlg', maxInFlight: 0 } }]), { akl: 1, wlg: 0 })
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/__tests__/shiftCapUse.test.ts
@@ -0,0 +1,51 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Configuration } from 'almondrelay'
+import { DeclaredSteering } from '../../version/declaredSteering.js'
+import { ShiftCapUse } from '../shiftCapUse.js'
+
+const test = suite('ShiftCapUse')
+const SEED = 20_261_203
+const makeCap = (maxInFlight: number, service?: string): DeclaredSteering => new DeclaredSteering(Configuration.restore(1, [
+  { kind: 'ShiftCap', name: 'cap', revision: 1, spec: { from: 'akl', to: 'wlg', maxInFlight, ...(service === undefined ? {} : { service }) } }
+]), 'akl')
+
+test('what is over the cap stays, and room comes back with each answer', () => {
+  const use = new ShiftCapUse()
+  const steering = makeCap(4)
+  for (let sent = 0; sent < 2; sent += 1) use.begin('balances', 'wlg')
+  assert.not(use.allow(steering, 'requests', 'wlg', 2))
+  assert.ok(use.allow(steering, 'requests', 'chc', 2))
+  use.finish('balances', 'wlg')
+  assert.ok(use.allow(steering, 'requests', 'wlg', 2))
+})
+
+test('a cap for one service leaves the others alone', () => {
+  const use = new ShiftCapUse()
+  use.begin('requests', 'wlg')
+  assert.ok(use.allow(makeCap(1, 'balances'), 'balances', 'wlg', 1))
+  assert.ok(use.allow(makeCap(1, 'balances'), 'requests', 'wlg', 1))
+})
+
+test('a host that does not know its fleet shifts nothing under a cap', () => {
+  assert.not(new ShiftCapUse().allow(makeCap(100), 'balances', 'wlg', undefined))
+})
+
+// An operator caps a shift so that the link between two regions isn't filled. Hosts come and go, and each sees the fleet
+// a little late. Were a host to count fewer hosts than may send, the sum of their parts would pass the cap.
+test('property: whatever the hosts send and answer, the sum stays under the cap while no host counts too few', () => {
+  const step = fc.record({ host: fc.nat(4), ends: fc.boolean(), seen: fc.integer({ min: 5, max: 9 }) })
+  fc.assert(fc.property(fc.integer({ min: 0, max: 40 }), fc.array(step, { maxLength: 300 }), (cap, steps) => {
+    const steering = makeCap(cap)
+    const hosts = Array.from({ length: 5 }, () => new ShiftCapUse())
+    for (const { host, ends, seen } of steps) {
+      const use = hosts[host] as ShiftCapUse
+      if (ends && use.countRunning('wlg') > 0) use.finish('balances', 'wlg')
+      else if (use.allow(steering, 'balances', 'wlg', seen)) use.begin('balances', 'wlg')
+      assert.ok(hosts.reduce((sum, each) => sum + each.countRunning('wlg'), 0) <= cap)
+    }
+  }), { seed: SEED })
+})
+
+test.run()
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -93,6 +93,7 @@
   configurationVersion: 100_000,
   storeRevision: 1_000_000,
   isRegional: false,
+  declaredRevision: 0,
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
   demands: []
 })
--- a/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
+++ b/packages/almondrelay/src/connection/operator/addResourceRoutes.ts
@@ -19,14 +19,14 @@
     const kind = findKind(context)
     if (kind === undefined) return refuseKind(context)
     const zones = listZones()
-    const resources = store.current.list(kind).map((resource) => ({ ...resource, status: computeResourceStatus(resource, zones, statusHooks) }))
+    const resources = store.view.list(kind).map((resource) => ({ ...resource, status: computeResourceStatus(resource, zones, statusHooks) }))
     return context.json({ revision: store.current.revision, resources })
   })
 
   app.get('/v1/resources/:kind/:name', (context) => {
     const kind = findKind(context)
     if (kind === undefined) return refuseKind(context)
-    const resource = store.current.get(kind, context.req.param('name'))
+    const resource = store.view.get(kind, context.req.param('name'))
     if (resource === undefined) return context.json({ outcome: 'missing', revision: store.current.revision }, 404)
     context.header('ETag', `"${resource.revision}"`)
     return context.json({ ...resource, status: computeResourceStatus(resource, listZones(), statusHooks) })
--- /dev/null
+++ b/packages/almondrelay/src/operators/index.ts
@@ -0,0 +1,12 @@
+// What serves operators, for daemons that load it on demand: the package's index would bring every other part along.
+export { createOperatorApp } from '../connection/operator/createOperatorApp.js'
+export { AccountReader } from '../process/account/accountReader.js'
+export { ChangeLog } from '../process/configuration/changeLog.js'
+export { ConfigurationStore } from '../process/configuration/configurationStore.js'
+export { decodeChange } from '../process/configuration/decodeChange.js'
+export { repairFromPlatform } from '../process/configuration/repairFromPlatform.js'
+export { runSnapshotWriter } from '../process/configuration/runSnapshotWriter.js'
+export { readAccount } from '../process/daemon/readAccount.js'
+export type { StatusHooks } from '../process/configuration/status/statusHooks.js'
+export type { Member } from '../process/membership/member.js'
+export { MemberState } from '../process/membership/memberState.js'
--- a/packages/almondrelay/src/process/account/accountReader.ts
+++ b/packages/almondrelay/src/process/account/accountReader.ts
@@ -1,4 +1,4 @@
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import type { PlatformEntry } from '../platform/platformEntry.js'
 import { AccountPage } from './accountPage.js'
 import type { AccountReport } from './accountReport.js'
@@ -17,7 +17,7 @@
 
 /** Reads the pages of all hosts from the platform and adds them up. */
 export class AccountReader {
-  constructor (private readonly platform: Platform) {}
+  constructor (private readonly platform: KeyValueStore) {}
 
   /**
    * The account of a span of wall time in milliseconds, both ends' minutes counted. `wallNow`
--- a/packages/almondrelay/src/process/account/accountWriter.ts
+++ b/packages/almondrelay/src/process/account/accountWriter.ts
@@ -1,5 +1,5 @@
 import type { Random } from '../../request/random.js'
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import type { AccountLedger } from './accountLedger.js'
 import type { AccountPage } from './accountPage.js'
 import { formatPageKey } from './formatPageKey.js'
@@ -27,7 +27,7 @@
   private readonly delayMs: number
   private backoffMs = FIRST_BACKOFF_MS
 
-  constructor (private readonly ledger: AccountLedger, private readonly platform: Platform, private readonly options: WriterOptions) {
+  constructor (private readonly ledger: AccountLedger, private readonly platform: KeyValueStore, private readonly options: WriterOptions) {
     this.delayMs = Math.floor(options.random() * WRITE_SPREAD_MS)
   }
 
@@ -45,10 +45,12 @@
   /**
    * Writes everything that is left, for a planned stop after the last request has ended.
    * Returns how many pages could not be written.
+   *
+   * @param limitMs longest time for it
    */
-  async finish (): Promise<number> {
+  async finish (limitMs = LAST_WRITE_LIMIT_MS): Promise<number> {
     this.ledger.closeLast(this.options.wallNow())
-    await this.writePages([...this.ledger.listPages()], AbortSignal.timeout(LAST_WRITE_LIMIT_MS))
+    await this.writePages([...this.ledger.listPages()], AbortSignal.timeout(limitMs))
     return this.ledger.listPages().length
   }
 
--- a/packages/almondrelay/src/process/configuration/changeLog.ts
+++ b/packages/almondrelay/src/process/configuration/changeLog.ts
@@ -3,7 +3,7 @@
 import { AlmondrelayError } from '../errors/almondrelayError.js'
 import { ErrorKind } from '../errors/errorKind.js'
 import type { Clock } from '../platform/clock.js'
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import { changeKeys } from './changeKeys.js'
 import type { ConfigurationStore } from './configurationStore.js'
 import { decideWrite } from './decideWrite.js'
@@ -22,7 +22,7 @@
 const MAX_UNRESOLVED = 1_000
 
 interface ChangeLogOptions {
-  platform: Platform
+  platform: KeyValueStore
   store: ConfigurationStore
   clock: Clock
 }
@@ -81,7 +81,7 @@
     for (;;) {
       const known = store.findWrite(writeId)
       if (known !== undefined) return this.resolveRepeat(write, known)
-      const decision = decideWrite(store.current, write, this.findLostTo(write, begunAt), clock.getWallTime())
+      const decision = decideWrite(store.current, write, this.findLostTo(write, begunAt), clock.getWallTime(), store.given)
       if ('refusal' in decision) {
         if (await this.tryAdvance(signal)) continue
         return decision.refusal
--- a/packages/almondrelay/src/process/configuration/configurationStore.ts
+++ b/packages/almondrelay/src/process/configuration/configurationStore.ts
@@ -1,5 +1,6 @@
 import { Configuration } from '../../version/configuration.js'
 import type { Change } from '../../version/resources/change.js'
+import type { Resource } from '../../version/resources/resource.js'
 import type { ConfigurationSnapshot } from './configurationSnapshot.js'
 import { encodeChange } from './encodeChange.js'
 import type { KeptChange } from './keptChange.js'
@@ -28,6 +29,18 @@
   private readonly writes = new Map<string, number>()
   private readonly listeners = new Set<Listener>()
 
+  /** @param listGiven resources that are declared elsewhere, as now; none of their kinds is written here */
+  constructor (private readonly listGiven: () => readonly Resource[] = () => []) {}
+
+  /** What is in force, with the resources that are declared elsewhere. */
+  get view (): Configuration {
+    return this.configuration.withGiven(this.listGiven())
+  }
+
+  get given (): readonly Resource[] {
+    return this.listGiven()
+  }
+
   get current (): Configuration {
     return this.configuration
   }
--- a/packages/almondrelay/src/process/configuration/decideWrite.ts
+++ b/packages/almondrelay/src/process/configuration/decideWrite.ts
@@ -1,8 +1,10 @@
 import type { Configuration } from '../../version/configuration.js'
 import type { Change } from '../../version/resources/change.js'
 import type { Resource } from '../../version/resources/resource.js'
+import type { ResourceKind } from '../../version/resources/resourceKind.js'
 import { checkResource } from './checkResource.js'
 import { listBrokenReferences } from './listBrokenReferences.js'
+import type { ResourceProblem } from './resourceProblem.js'
 import type { Write } from './write.js'
 import type { WriteOutcome } from './writeOutcome.js'
 
@@ -12,24 +14,30 @@
  * Whether a write may become the change after `configuration`. Its checks hold for good once that
  * change is created, because a change is only ever applied on the revision it was checked against.
  *
+ * @param given resources that are declared elsewhere: they may be named, and their kinds can't be written
  * @param lostTo the revision of a change to the same resource that came in since the write began
  */
-export function decideWrite (configuration: Configuration, write: Write, lostTo: number | undefined, writtenAt: number): Decision {
+export function decideWrite (configuration: Configuration, write: Write, lostTo: number | undefined, writtenAt: number, given: readonly Resource[] = []): Decision {
   const { writeId } = write
   const [kind, name] = write.action === 'put' ? [write.resource.kind, write.resource.name] : [write.kind, write.name]
+  if (given.some((resource) => resource.kind === kind)) return { refusal: { outcome: 'rejected', writeId, problems: [makeGivenProblem(kind)] } }
   const held = configuration.get(kind, name)
   if (lostTo !== undefined) return { refusal: { outcome: 'conflict', writeId, revision: lostTo } }
   if (isUnexpected(held, write.expectedRevision)) return { refusal: { outcome: 'conflict', writeId, revision: held?.revision ?? configuration.revision } }
   if (write.action === 'delete' && held === undefined) return { refusal: { outcome: 'missing', writeId } }
   const change = makeChange(write, configuration.revision + 1, writtenAt)
   const after = configuration.apply(change) as Configuration
-  const problems = write.action === 'put' ? checkResource(write.resource, after) : []
+  const problems = write.action === 'put' ? checkResource(write.resource, after.withGiven(given)) : []
   if (problems.length > 0) return { refusal: { outcome: 'rejected', writeId, problems } }
   const broken = listBrokenReferences(configuration, after)
   if (broken.length > 0) return { refusal: { outcome: 'in-use', writeId, problems: broken } }
   return { change }
 }
 
+function makeGivenProblem (kind: ResourceKind): ResourceProblem {
+  return { path: 'kind', found: kind, remedy: `change it on the platform, which declares every ${kind} of this deployment` }
+}
+
 function isUnexpected (held: Resource | undefined, expectedRevision: number | undefined): boolean {
   return expectedRevision !== undefined && (held?.revision ?? 0) !== expectedRevision
 }
--- a/packages/almondrelay/src/process/configuration/loadSnapshot.ts
+++ b/packages/almondrelay/src/process/configuration/loadSnapshot.ts
@@ -2,7 +2,7 @@
 import type { Resource } from '../../version/resources/resource.js'
 import { AlmondrelayError } from '../errors/almondrelayError.js'
 import { ErrorKind } from '../errors/errorKind.js'
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import { changeKeys } from './changeKeys.js'
 import type { ConfigurationSnapshot } from './configurationSnapshot.js'
 import { resourceSchema } from './resourceSchema.js'
@@ -17,7 +17,7 @@
  * A chunk that is missing means that two newer snapshots were written since the manifest was
  * read, so the manifest is read again.
  */
-export async function loadSnapshot (platform: Platform, signal: AbortSignal): Promise<ConfigurationSnapshot | undefined> {
+export async function loadSnapshot (platform: KeyValueStore, signal: AbortSignal): Promise<ConfigurationSnapshot | undefined> {
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
     const entry = await platform.get(changeKeys.manifest, signal)
     if (entry === undefined) return undefined
@@ -32,7 +32,7 @@
   })
 }
 
-async function loadChunks (platform: Platform, manifest: SnapshotManifest, signal: AbortSignal): Promise<Resource[] | undefined> {
+async function loadChunks (platform: KeyValueStore, manifest: SnapshotManifest, signal: AbortSignal): Promise<Resource[] | undefined> {
   const resources: Resource[] = []
   for (let index = 0; index < manifest.chunks; index++) {
     const entry = await platform.get(changeKeys.makeChunkKey(manifest.revision, index), signal)
--- a/packages/almondrelay/src/process/configuration/repairFromPlatform.ts
+++ b/packages/almondrelay/src/process/configuration/repairFromPlatform.ts
@@ -1,4 +1,4 @@
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import { changeKeys } from './changeKeys.js'
 import type { ConfigurationStore } from './configurationStore.js'
 import { decodeChange } from './decodeChange.js'
@@ -11,7 +11,7 @@
  * Brings the store up to the end of the platform's change log. Rejects where the platform doesn't
  * answer, or where a change can't be read; the store then stays at the revision before it.
  */
-export async function repairFromPlatform (platform: Platform, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
+export async function repairFromPlatform (platform: KeyValueStore, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
   if (store.current.revision === 0) await adoptLatestSnapshot(platform, store, signal)
   for (;;) {
     const before = store.current.revision
@@ -25,7 +25,7 @@
   }
 }
 
-async function adoptLatestSnapshot (platform: Platform, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
+async function adoptLatestSnapshot (platform: KeyValueStore, store: ConfigurationStore, signal: AbortSignal): Promise<void> {
   const snapshot = await loadSnapshot(platform, signal)
   if (snapshot !== undefined) store.adoptSnapshot(snapshot)
 }
--- a/packages/almondrelay/src/process/configuration/runSnapshotWriter.ts
+++ b/packages/almondrelay/src/process/configuration/runSnapshotWriter.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import type { ChangeLog } from './changeLog.js'
 import type { ConfigurationStore } from './configurationStore.js'
 import { loadSnapshotRevision } from './loadSnapshotRevision.js'
@@ -11,7 +11,7 @@
 const CHANGES_A_TRY = 32
 
 interface SnapshotWriterOptions {
-  platform: Platform
+  platform: KeyValueStore
   store: ConfigurationStore
   changeLog: ChangeLog
   log: Logger
--- a/packages/almondrelay/src/process/configuration/saveSnapshot.ts
+++ b/packages/almondrelay/src/process/configuration/saveSnapshot.ts
@@ -1,4 +1,4 @@
-import type { Platform } from '../platform/platform.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
 import { changeKeys } from './changeKeys.js'
 import type { ConfigurationSnapshot } from './configurationSnapshot.js'
 import { MAX_VALUE_BYTES } from './maxValueBytes.js'
@@ -11,7 +11,7 @@
  * Guards against a host that dies half way: the manifest still names the snapshot before, whole,
  * because it moves only after the last chunk. Returns the revision that the manifest then names.
  */
-export async function saveSnapshot (platform: Platform, snapshot: ConfigurationSnapshot, signal: AbortSignal): Promise<number> {
+export async function saveSnapshot (platform: KeyValueStore, snapshot: ConfigurationSnapshot, signal: AbortSignal): Promise<number> {
   const entry = await platform.get(changeKeys.manifest, signal)
   const previous = entry === undefined ? undefined : SnapshotManifest.parse(JSON.parse(entry.value))
   if (previous !== undefined && previous.revision >= snapshot.revision) return previous.revision
@@ -28,6 +28,9 @@
   return previous === undefined ? manifest : { ...manifest, previous: { revision: previous.revision, chunks: previous.chunks } }
 }
 
-async function deleteChunks (platform: Platform, old: { revision: number, chunks: number }, signal: AbortSignal): Promise<void> {
-  for (let index = 0; index < old.chunks; index++) await platform.delete(changeKeys.makeChunkKey(old.revision, index), 1, signal)
+async function deleteChunks (platform: KeyValueStore, old: { revision: number, chunks: number }, signal: AbortSignal): Promise<void> {
+  for (let index = 0; index < old.chunks; index++) {
+    const entry = await platform.get(changeKeys.makeChunkKey(old.revision, index), signal)
+    if (entry !== undefined) await platform.delete(entry.key, entry.version, signal)
+  }
 }
--- a/packages/almondrelay/src/process/platform/index.ts
+++ b/packages/almondrelay/src/process/platform/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js'
 export * from './httpPlatform.js'
+export * from './keyValueStore.js'
 export * from './platform.js'
 export * from './platformEntry.js'
 export * from './platformHost.js'
--- a/packages/almondrelay/src/version/configuration.ts
+++ b/packages/almondrelay/src/version/configuration.ts
@@ -24,6 +24,14 @@
     return new Configuration(change.revision, resources)
   }
 
+  /** This revision with resources that are declared elsewhere beside its own. */
+  withGiven (given: readonly Resource[]): Configuration {
+    if (given.length === 0) return this
+    const resources = new Map(this.resources)
+    for (const resource of given) resources.set(makeKey(resource.kind, resource.name), resource)
+    return new Configuration(this.revision, resources)
+  }
+
   get<Kind extends ResourceKind> (kind: Kind, name: string): ResourceOf<Kind> | undefined {
     return this.resources.get(makeKey(kind, name)) as ResourceOf<Kind> | undefined
   }
