Shed what a host's processor can't carry; let requests in by turns; hear of every leaving

Measured by a debug line: the runtime accepts one connection a turn of its loop; the lone host was at 100% of its share, 200 to 480 connections a second came in, and they waited about 2 s in the port's queue of 511, so that each was dead when it was accepted. Besides, of several requests on one connection only the first heard that its caller had left: 1,205 counted as unanswered for ever, and a planned stop waited for them.

--- a/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
@@ -3,17 +3,21 @@
 import * as assert from 'uvu/assert'
 import type { CallerAnswer } from '../callerAnswer.js'
 import { CallerServer } from '../callerServer.js'
+import { TurnQueue } from '../turnQueue.js'
 
 const test = suite('CallerServer')
 
 /** A server whose answers the test gives by hand, in any order. */
 class HeldServer {
   readonly paths: string[] = []
+  /** Paths of the requests whose caller is known to have left. */
+  readonly left: string[] = []
   private readonly finishers = new Map<string, (answer: CallerAnswer) => void>()
-  readonly server = new CallerServer((message) => new Promise((resolve) => {
+  readonly server = new CallerServer((message, left) => new Promise((resolve) => {
     this.paths.push(message.url ?? '')
+    left.addEventListener('abort', () => { this.left.push(message.url ?? '') })
     this.finishers.set(message.url ?? '', resolve)
-  }), (error) => { throw error })
+  }), new TurnQueue(() => performance.now()), (error) => { throw error })
 
   answer (path: string): void {
     const body = Buffer.from(`answer to ${path};`)
@@ -76,6 +80,33 @@
   assert.match(seen.text, /Connection: close[^]*answer to \/1;$/)
 })
 
+// A caller has three requests out on one connection and leaves. Only the first answer heard of it: the others' requests
+// went on to targets for nobody, and counted as unanswered for as long as the host lived, so that a planned stop waited
+// for them until the process was ended by force.
+test('a caller that leaves takes back every request of its connection', async () => {
+  const { held, socket } = await start()
+  socket.write(makeGet('/1') + makeGet('/2') + makeGet('/3'))
+  await waitFor(() => held.paths.length === 3, 'the requests')
+  assert.is(held.server.countUnanswered(), 3)
+  socket.destroy()
+  await waitFor(() => held.left.length === 3, 'word to each request that its caller left')
+  assert.is(held.server.countUnanswered(), 0)
+  held.server.close()
+})
+
+// A caller's connection waited long to be accepted. Its request and its leaving are read one right after the other; the
+// request must not be worked on.
+test('a request whose caller left before it was read is not handled', async () => {
+  const held = new HeldServer()
+  const port = await held.server.listen('127.0.0.1', 0)
+  const socket = connect(port, '127.0.0.1')
+  socket.end(makeGet('/1'))
+  await new Promise((resolve) => socket.once('close', resolve))
+  assert.equal(held.paths, [])
+  assert.is(held.server.countUnanswered(), 0)
+  held.server.close()
+})
+
 test('while it serves, a connection is kept for the next request', async () => {
   const { held, socket } = await start()
   const seen = read(socket)
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -2,41 +2,61 @@
 import type { Socket } from 'node:net'
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { CallerAnswer } from './callerAnswer.js'
+import type { TurnQueue } from './turnQueue.js'
 
 /** Milliseconds between checks for callers that are too slow with their heads. */
 const CHECK_INTERVAL_MS = 1_000
 /** Milliseconds that a connection is kept beyond the stated limit: a caller's last request and our close may cross. */
 const IDLE_MARGIN_MS = 1_000
+/**
+ * Connections that wait to be accepted. An overloaded host accepts a few hundred a second, and callers give an attempt
+ * up after a third of a second to a second without being read: behind more than these, every connection is a dead one
+ * when its turn comes, and accepting it keeps those behind it waiting.
+ */
+const MOST_UNACCEPTED = 128
 /** Milliseconds that a whole request may take to arrive. */
 const REQUEST_TIMEOUT_MS = 60_000
 
-/** Carries one request through; undefined where the caller gets no answer. The signal aborts when the caller leaves. */
-type HandleRequest = (message: IncomingMessage, left: AbortSignal) => Promise<CallerAnswer | undefined>
+/**
+ * Carries one request through; undefined where the caller gets no answer. The signal aborts when the caller leaves;
+ * `arrivedAt` is when its head was read, in monotonic milliseconds.
+ */
+type HandleRequest = (message: IncomingMessage, left: AbortSignal, arrivedAt: number) => Promise<CallerAnswer | undefined>
 
 interface ConnectionState {
   /** Answer to the request that was read last; answers go out in the order of their requests. */
   last: ServerResponse | undefined
   /** Nothing more is read: the answer to the last request ends the connection. */
   isClosing: boolean
+  /** Requests that were read and have no whole answer yet; aborted when the caller leaves. */
+  unanswered: Set<AbortController>
+}
+
+interface AcceptedRequest {
+  message: IncomingMessage
+  response: ServerResponse
+  connection: ConnectionState
+  left: AbortSignal
+  arrivedAt: number
 }
 
 /** The port on which callers' requests arrive. */
 export class CallerServer {
   private readonly server: Server
   private isLeaving = false
-  private unanswered = 0
   private readonly connections = new Map<Socket, ConnectionState>()
 
-  constructor (private readonly handleRequest: HandleRequest, private readonly logError: (error: Error) => void) {
+  constructor (private readonly handleRequest: HandleRequest, private readonly turns: TurnQueue, private readonly logError: (error: Error) => void) {
     this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true })
-    this.server.on('request', (message, response) => { this.serve(message, response).catch((error: Error) => { this.abortAnswer(response, error) }) })
+    this.server.on('connection', () => { turns.observeAccept() })
+    this.server.on('request', (message, response) => { this.accept(message, response) })
   }
 
   /** Opens the port, or a free one for 0, and returns it. */
   listen (ip: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject)
-      this.server.listen(port, ip, () => {
+      this.server.listen(port, ip, MOST_UNACCEPTED, () => {
         this.server.off('error', reject)
         this.server.on('error', this.logError)
         const address = this.server.address()
@@ -53,7 +73,7 @@
 
   /** Requests that were read and have no whole answer yet. */
   countUnanswered (): number {
-    return this.unanswered
+    return [...this.connections.values()].reduce((sum, { unanswered }) => sum + unanswered.size, 0)
   }
 
   /** Each answer from now on ends its connection, so that callers go elsewhere. */
@@ -68,18 +88,25 @@
     this.server.closeIdleConnections()
   }
 
-  private async serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  private accept (message: IncomingMessage, response: ServerResponse): void {
+    if (message.socket.destroyed) return
     const connection = this.findConnection(message.socket)
     // The caller takes what it sent behind the last answer for unread and sends it again: passed on, it would run twice.
     if (connection.isClosing) return
     const left = new AbortController()
+    const isFirst = connection.last === undefined
     connection.last = response
-    this.unanswered += 1
-    response.once('close', () => {
-      this.unanswered -= 1
-      if (!response.writableFinished) left.abort()
-    })
-    const answer = await this.handleRequest(message, left.signal)
+    connection.unanswered.add(left)
+    response.once('finish', () => { connection.unanswered.delete(left) })
+    this.turns.push((arrivedAt) => {
+      this.serve({ message, response, connection, left: left.signal, arrivedAt }).catch((error: Error) => { this.abortAnswer(response, error) })
+    }, isFirst)
+  }
+
+  private async serve ({ message, response, connection, left, arrivedAt }: AcceptedRequest): Promise<void> {
+    // A caller that left while its request waited for its turn: worked on, it would take the place of one that waits.
+    if (left.aborted) return
+    const answer = await this.handleRequest(message, left, arrivedAt)
     if (answer === undefined || response.destroyed) return
     // Of two requests on one connection the second may be answered first: a close after the first one's answer would cut the second one's off.
     const isLast = this.isLeaving && connection.last === response
@@ -91,9 +118,16 @@
   private findConnection (socket: Socket): ConnectionState {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const state = { last: undefined, isClosing: false }
+    const state = { last: undefined, isClosing: false, unanswered: new Set<AbortController>() }
     this.connections.set(socket, state)
-    socket.once('close', () => { this.connections.delete(socket) })
+    // The end of the connection and not that of each answer: an answer that waits for the one before it, on a connection
+    // with several requests out, is never told of its caller's leaving, and its request would go on for nobody.
+    const abortAll = (): void => { for (const left of state.unanswered) left.abort() }
+    socket.once('end', abortAll)
+    socket.once('close', () => {
+      this.connections.delete(socket)
+      abortAll()
+    })
     return state
   }
 
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/loadSampler.ts
@@ -0,0 +1,30 @@
+import { sleepFor } from 'almondrelay'
+import type { TurnQueue } from '../../connection/turnQueue.js'
+import type { HostLoad } from '../../request/hostLoad.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+
+/** Milliseconds between two looks at how late this host is. */
+const SAMPLE_MS = 50
+
+interface SamplerParts {
+  load: HostLoad
+  turns: TurnQueue
+  log: EventLog
+  metrics: GatewayMetrics
+  getNow: () => number
+}
+
+/** Measures how late a timer of this host fires and how long requests wait for their turn, until the signal aborts. */
+export async function runLoadSampler ({ load, turns, log, metrics, getNow }: SamplerParts, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    const dueAt = getNow() + SAMPLE_MS
+    await sleepFor(SAMPLE_MS, signal)
+    const now = getNow()
+    const delayMs = Math.max(0, now - dueAt, turns.computeDelay(now))
+    metrics.observeDelay(delayMs)
+    const acceptDelayMs = turns.computeAcceptDelay(now)
+    if (!load.observeDelay(delayMs, acceptDelayMs)) continue
+    log.report(load.isShedding ? 'host overloaded, requests are shed' : 'host no longer overloaded', { delayMs: Math.round(delayMs), acceptDelayMs: Math.round(acceptDelayMs) })
+  }
+}
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -7,7 +7,9 @@
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
+import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
+import type { Route } from '../../version/route.js'
 import { pickDestination } from '../../version/pickDestination.js'
 import type { AccountKeeper } from '../observe/accountKeeper.js'
 import type { EventLog } from '../observe/eventLog.js'
@@ -25,6 +27,7 @@
   callerCodec: CallerCodec
   targetCodec: TargetCodec
   forward: ForwardState
+  load: HostLoad
   log: EventLog
   account: AccountKeeper
   metrics: GatewayMetrics
@@ -36,14 +39,19 @@
 export class RequestHandler {
   constructor (private readonly parts: HandlerParts) {}
 
-  async handle (message: IncomingMessage, left: AbortSignal): Promise<CallerAnswer | undefined> {
-    const arrivedAt = this.parts.getNow()
+  /** @param readAt when the request's head was read, in monotonic milliseconds */
+  async handle (message: IncomingMessage, left: AbortSignal, readAt: number): Promise<CallerAnswer | undefined> {
+    const { load, getNow, random } = this.parts
+    // The caller's time has run since its request came in, which was before this host came to read it.
+    const arrivedAt = Math.min(readAt, getNow() - load.readDelay)
     const head = this.parts.callerCodec.decodeHead(message)
     const { configuration, routes } = this.parts.forward.fleet
     if (configuration === undefined) return this.refuseUnready(head)
     const route = routes.findRoute(getHostName(message), getPath(message))
     if (route === undefined) return this.reject(message, head, 404, 'no route')
     if (head.id === undefined) return this.reject(message, head, 400, 'no request id')
+    const deadline = arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
+    if (deadline <= getNow() || !load.allow(routes.computePatience(route), random())) return this.refuseOverloaded(head, route)
     const read = await readBody(message, configuration.limits.maxBodyBytes)
     if (read.kind === 'too-long') return this.reject(message, head, 413, 'body too long')
     if (read.kind === 'cut-short') return undefined
@@ -57,7 +65,7 @@
       route,
       configurationVersion: configuration.version,
       arrivedAt,
-      deadline: arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
+      deadline
     }, left)
   }
 
@@ -103,6 +111,16 @@
     return callerCodec.encodeRejection(status, reason, head.id)
   }
 
+  private refuseOverloaded (head: CallerHead, route: Route): CallerAnswer {
+    const { load, account, callerCodec, metrics, random } = this.parts
+    const retryAfterMs = load.computeRetryAfter(random())
+    const answer = { kind: 'refused' as const, retryAfterMs, reason: 'this host has no processor time left', cause: RefusalReason.hostOverloaded }
+    account.recordRefusal(route.hostName, answer.cause)
+    metrics.observeAnswer('none', answer.cause, load.delay)
+    this.parts.log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), ...answer })
+    return callerCodec.encodeAnswer(answer, head.id)
+  }
+
   private refuseUnready (head: CallerHead): CallerAnswer {
     const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet', cause: RefusalReason.notReady }
     this.parts.log.record('request refused', { id: head.id, ...answer })
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -3,11 +3,14 @@
 import type Logger from 'bunyan'
 import { CallerServer } from '../connection/callerServer.js'
 import { listenForGet } from '../connection/listenForGet.js'
+import { TurnQueue } from '../connection/turnQueue.js'
+import { HostLoad } from '../request/hostLoad.js'
 import { FleetFollower } from './fleet/fleetFollower.js'
 import { FleetState } from './fleet/fleetState.js'
 import { HostAnnouncer } from './fleet/hostAnnouncer.js'
 import type { HostEntry } from './fleet/hostEntry.js'
 import { ForwardState } from './forward/forwardState.js'
+import { runLoadSampler } from './forward/loadSampler.js'
 import { RegionPlanner } from './forward/regionPlanner.js'
 import { RequestHandler } from './forward/requestHandler.js'
 import type { GatewayAdapter } from './gatewayAdapter.js'
@@ -63,12 +66,15 @@
   private readonly follower: FleetFollower
   private readonly account: AccountKeeper
   private readonly desk: OperatorDesk
+  private readonly load = new HostLoad()
+  private readonly turns: TurnQueue
   private readonly owner = new AbortController()
   private isLeaving = false
 
   constructor (private readonly parts: GatewayParts) {
     const { settings, adapter, log, metrics, getNow, random } = parts
     const isLeaving = (): boolean => this.isLeaving
+    this.turns = new TurnQueue(getNow)
     this.own = makeOwnEntry(settings, parts.incarnation)
     this.fleet = new FleetState({ targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) } })
     this.fleet.putHost(this.own)
@@ -83,8 +89,8 @@
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
     this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, ledger: this.account.ledger, clock, logger: parts.logger, isLeaving }, this.owner.signal)
-    const handler = new RequestHandler({ account: this.account, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
-    this.callers = new CallerServer((message, left) => handler.handle(message, left), logError)
+    const handler = new RequestHandler({ account: this.account, load: this.load, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.callers = new CallerServer((message, left, arrivedAt) => handler.handle(message, left, arrivedAt), this.turns, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
@@ -149,7 +155,7 @@
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal), this.account.run(leaving)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
   }
 
   private async closeIdle (signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -1,4 +1,4 @@
-import { AccountLedger, AccountWriter, Outcome, type AccountEntry, type Clock, type KeyValueStore } from 'almondrelay'
+import { AccountLedger, AccountWriter, Outcome, type AccountEntry, type Clock, type KeyValueStore, type RefusalReason } from 'almondrelay'
 import { match } from 'ts-pattern'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
@@ -40,6 +40,13 @@
     return await this.writer.finish(limitMs)
   }
 
+  /** Counts a request that was refused before any service was looked up for it. */
+  recordRefusal (hostName: string, reason: RefusalReason): void {
+    const { own, clock } = this.parts
+    const { region, availabilityZone } = own
+    this.ledger.record({ at: clock.getWallTime(), caller: hostName, service: '', region, availabilityZone, callerRegion: region, outcome: Outcome.notRun, reason, durationMs: 0 })
+  }
+
   record (request: CallerRequest, record: RequestRecord, answer: FinalAnswer, durationMs: number): void {
     const { own, clock } = this.parts
     const last = record.attempts.at(-1)
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -3,6 +3,9 @@
 /** Upper bounds in seconds: from a warm answer nearby to the longest time limit. */
 const LATENCY_BOUNDS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3]
 
+/** Upper bounds in seconds of the delay of a host's own work; from 0.15 s on requests are shed. */
+const DELAY_BOUNDS = [0.01, 0.05, 0.15, 0.5, 1.5]
+
 /** Counters and histograms of one host, served as a text page. */
 export class GatewayMetrics {
   private readonly registry = new Registry()
@@ -10,6 +13,7 @@
   private readonly latency = new Histogram({ name: 'almondrelay_answer_seconds', help: 'Time from a request to its answer', labelNames: ['service'], buckets: LATENCY_BOUNDS, registers: [this.registry] })
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets', labelNames: ['region'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
+  private readonly delay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BOUNDS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
 
   observeAnswer (service: string, outcome: string, durationMs: number): void {
@@ -17,6 +21,10 @@
     this.latency.observe({ service }, durationMs / 1_000)
   }
 
+  observeDelay (delayMs: number): void {
+    this.delay.observe(delayMs / 1_000)
+  }
+
   countConnection (region: string): void {
     this.connections.inc({ region })
   }
--- a/packages/almondrelay-gateway/src/version/routeTable.ts
+++ b/packages/almondrelay-gateway/src/version/routeTable.ts
@@ -3,8 +3,10 @@
 /** Routes of one configuration version, indexed by host name and path prefix. */
 export class RouteTable {
   private readonly prefixesByHost = new Map<string, Map<string, Route>>()
+  private readonly lastPriority: number
 
   constructor (routes: readonly Route[]) {
+    this.lastPriority = routes.reduce((last, { priority }) => Math.max(last, priority), 0)
     for (const route of routes) {
       const prefixes = this.prefixesByHost.get(route.hostName) ?? new Map<string, Route>()
       prefixes.set(route.pathPrefix, route)
@@ -12,6 +14,11 @@
     }
   }
 
+  /** Place of a route's rank among all: 0 for the most urgent, 1 for the least. */
+  computePatience ({ priority }: Route): number {
+    return this.lastPriority === 0 ? 0 : priority / this.lastPriority
+  }
+
   /**
    * The route with the longest prefix that begins the path. The cost follows the number of slashes in
    * the path and not the number of routes, so that a version with thousands of routes decides as fast.
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -8,6 +8,7 @@
   bodyTooLarge: 'body-too-large',
   notReady: 'not-ready',
   leaving: 'leaving',
+  hostOverloaded: 'host-overloaded',
   queueFull: 'queue-full',
   overFairShare: 'over-fair-share',
   deadlineUnreachable: 'deadline-unreachable',
--- a/packages/almondrelay/src/request/refusalStatus.ts
+++ b/packages/almondrelay/src/request/refusalStatus.ts
@@ -10,6 +10,7 @@
   [RefusalReason.bodyTooLarge]: 413,
   [RefusalReason.notReady]: 503,
   [RefusalReason.leaving]: 503,
+  [RefusalReason.hostOverloaded]: 503,
   [RefusalReason.queueFull]: 503,
   [RefusalReason.overFairShare]: 429,
   [RefusalReason.deadlineUnreachable]: 503,
