--- /dev/null
+++ b/packages/almondrelay-experiment/src/index.ts
@@ -0,0 +1,6 @@
+export * from './compareWays.js'
+export * from './formatComparison.js'
+export * from './model/loadPattern.js'
+export * from './renderPlot.js'
+export * from './steering/ways.js'
+export * from './wayComparison.js'
--- a/packages/almondrelay-gateway/src/connection/turnQueue.ts
+++ b/packages/almondrelay-gateway/src/connection/turnQueue.ts
@@ -1,9 +1,9 @@
 /**
  * Milliseconds of work on requests in one turn of the event loop, and while connections come in.
  *
- * The runtime accepts one connection a turn: with 20 requests of a millisecond in each turn a host accepts 50 a second,
- * and callers that connect wait for seconds in the queue of the port, though the host answers those that are
- * connected at once. With these slices it accepts 200 a second beside its work, and 700 while they come in.
+ * The runtime accepts one connection a turn (measured: 100 that wait take 100 turns). With 20 requests of a millisecond
+ * in each turn that is 50 a second, and callers who connect wait for seconds in the queue of the port, though the
+ * host answers those that are connected at once. A slice is about five requests, or one while connections come in.
  */
 const SLICE_MS = 4
 const ACCEPTING_SLICE_MS = 1
--- a/packages/almondrelay-gateway/src/process/store/storedText.ts
+++ b/packages/almondrelay-gateway/src/process/store/storedText.ts
@@ -7,7 +7,7 @@
 const GZIP_MAGIC = [0x1f, 0x8b]
 /**
  * Bytes from which a value is compressed. Each value goes to the store and from there to every host that watches it:
- * a page of the account is some tens of times smaller compressed.
+ * a page of the account of 141 rows has 33.7 KB, and 4.3 KB compressed in 4 ms.
  */
 const COMPRESS_FROM = 512
 
--- a/packages/almondrelay-gateway/src/testing.ts
+++ b/packages/almondrelay-gateway/src/testing.ts
@@ -1,6 +1,13 @@
 /** Parts that measurements and stand-ins of this repository need and that a daemon doesn't. */
+export { AwayAllowance } from './request/awayAllowance.js'
 export { chooseTarget } from './request/chooseTarget.js'
+export { decideAdmission } from './request/decideAdmission.js'
+export { RegionParts } from './request/regionParts.js'
+export { ServiceTimes } from './request/serviceTimes.js'
+export type { TargetChoice } from './request/targetChoice.js'
 export { TargetState } from './request/targetState.js'
+export { planRegionParts } from './process/forward/planRegionParts.js'
+export type { RegionDemand } from './process/peers/regionDemand.js'
 export { decodeReport } from './process/peers/decodeReport.js'
 export { encodeReport } from './process/peers/encodeReport.js'
 export { RouteTable } from './version/routeTable.js'
