Leave the operators' parts alone where the store holds pages of the account only

A full read that came upon any key of the product's own loaded what serves operators and read twice more; planned stops write such keys, so every restart after one paid for it. Ruled out: the change log itself (no change stood in the store). Change: changes among what was read put themselves into force; only a read that was cut off among the product's keys asks for the rest.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -9,6 +9,8 @@
 
 /** A store in memory, with switches for its faults. */
 export class FakeRevisionStore extends RevisionStore {
+  /** Items on one page of a listing. */
+  pageItems = Infinity
   /** Every call fails without having done anything. */
   isDown = false
   /** Watches answer with nothing, whatever has changed. */
@@ -56,8 +58,8 @@
   override list (prefix: string, after = ''): Promise<StorePage> {
     if (this.isDown) return this.refuse('list')
     const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort()
-    const items = keys.flatMap((key) => this.findItem(key) ?? [])
-    return Promise.resolve({ items, revision: this.revision, isTruncated: false })
+    const items = keys.slice(0, this.pageItems).flatMap((key) => this.findItem(key) ?? [])
+    return Promise.resolve({ items, revision: this.revision, isTruncated: keys.length > items.length })
   }
 
   override async watch (prefix: string, afterRevision: number, _waitMs: number, signal: AbortSignal): Promise<WatchResult> {
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -10,6 +10,8 @@
 /** A follower on a store in memory, with a clock that the test moves. */
 export class FollowedFleet {
   now = 0
+  /** Full reads that left keys out. */
+  unreadKeys = 0
   readonly store = new FakeRevisionStore()
   readonly health = new StoreHealth()
   readonly fleet = new FleetState({ targetRemoved: () => undefined })
@@ -27,7 +29,7 @@
     handleConfiguration: () => undefined,
     handleOwnEntryGone: () => undefined,
     handleDeclared: () => undefined,
-    handleProductKeys: () => undefined
+    handleUnreadKeys: () => { this.unreadKeys += 1 }
   })
 
   private running: Promise<void> | undefined
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -138,4 +138,26 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// All hosts restart after one of them has written a page of the account. Each loaded what serves operators in its first
+// second, in which callers wait for it, though no operator had declared anything.
+test('pages of the account alone do not bring the operators\' parts in, a read that was cut off among them does', async () => {
+  const followed = new FollowedFleet()
+  followed.writeTarget('1')
+  followed.store.write('use/account/a', {})
+  followed.store.write('use/account/b', {})
+  followed.start()
+  await followed.waitFor(() => followed.fleet.isComplete, 'the first read')
+  assert.is(followed.unreadKeys, 0)
+  await followed.stop()
+  const cut = new FollowedFleet()
+  cut.store.pageItems = 2
+  cut.writeTarget('1')
+  for (const name of ['a', 'b', 'c']) cut.store.write(`use/account/${name}`, {})
+  cut.start()
+  await cut.waitFor(() => cut.fleet.isComplete, 'the first read')
+  assert.is(cut.unreadKeys, 1)
+  assert.ok(cut.fleet.findTarget('1') !== undefined)
+  await cut.stop()
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -48,8 +48,8 @@
   handleOwnEntryGone: () => void
   /** Called with a change of the resources that operators declare. */
   handleDeclared: (revision: number, body: Buffer) => void
-  /** Called after a full read that came upon keys of the product's own, which it left out. */
-  handleProductKeys: () => void
+  /** Called after a full read that left keys of the product's own out, so that there may be changes among them. */
+  handleUnreadKeys: () => void
   /** Whether this host is one of those that watch with short waits for their region. */
   isWatcher: () => boolean
 }
@@ -118,19 +118,20 @@
     const { store, codec, fleet, log } = this.parts
     const items: StoreItem[] = []
     let first: number | undefined
-    let hasProductKeys = false
+    let isCutOff = false
     for (;;) {
       const page = await store.list(prefix, items.at(-1)?.key ?? '', signal)
       first ??= page.revision
       items.push(...page.items)
-      hasProductKeys = items.at(-1)?.key.startsWith(codec.productPrefix) === true
-      if (!page.isTruncated || hasProductKeys) break
+      isCutOff = page.isTruncated && items.at(-1)?.key.startsWith(codec.productPrefix) === true
+      if (!page.isTruncated || isCutOff) break
     }
     const { keys, isLapse } = this.updater.applyRead(prefix, items.map((item) => ({ kind: 'written', item })))
     fleet.isComplete = true
     fleet.storeRevision = Math.max(fleet.storeRevision, first)
     log.record('read from the store', { prefix, revision: first, keys, isLapse })
-    if (hasProductKeys) this.parts.handleProductKeys()
+    // Pages of the account alone don't bring the operators' parts in: hosts that restart have no time to load them.
+    if (isCutOff) this.parts.handleUnreadKeys()
     return first
   }
 
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -110,7 +110,7 @@
       isWatcher: () => this.view.isSpeaker(getNow()),
       handleOwnEntryGone: () => { this.announcer.renewEntry() },
       handleDeclared: (revision, body) => { this.desk.acceptChange(revision, body) },
-      handleProductKeys: () => { this.desk.refresh() },
+      handleUnreadKeys: () => { this.desk.refresh() },
       handleConfiguration: () => {
         const { configuration } = this.fleet
         if (configuration === undefined) return
