--- /dev/null
+++ b/packages/almondrelay/src/process/limits/describeGiven.ts
@@ -0,0 +1,14 @@
+import { isSameHost } from './isSameHost.js'
+import { listBindingGrants } from './listBindingGrants.js'
+import type { PartHandOver } from './partHandOver.js'
+import type { PartState } from './partState.js'
+import type { RosterHost } from './rosterHost.js'
+
+/** What a host that gave a part up tells the one that asks for it; nothing where it binds nobody. */
+export function describeGiven (state: PartState | undefined, sender: RosterHost, viewKey: string, now: number): PartHandOver[] {
+  const given = state?.given
+  if (state === undefined || given === undefined) return []
+  const toAsker = given.viewKey === viewKey && isSameHost(given.to, sender)
+  const grants = listBindingGrants(given, now)
+  return toAsker || grants.length > 0 ? [{ part: state.part.id, grants, toAsker }] : []
+}
--- a/packages/almondrelay/src/process/limits/partClaims.ts
+++ b/packages/almondrelay/src/process/limits/partClaims.ts
@@ -1,16 +1,18 @@
-import { computeGrantorWait } from './computeGrantorWait.js'
+import { describeGiven } from './describeGiven.js'
 import { isSameHost } from './isSameHost.js'
+import { isTakeable } from './isTakeable.js'
 import type { LimitsOptions } from './limitsOptions.js'
 import { listBindingGrants } from './listBindingGrants.js'
 import type { Part } from './part.js'
 import type { PartClaim } from './partClaim.js'
 import type { PartClaimAnswer } from './partClaimAnswer.js'
-import type { PartHandOver } from './partHandOver.js'
 import type { PartState } from './partState.js'
 import type { PartStatus } from './partStatus.js'
 import type { PartUser } from './partUser.js'
 import type { Roster } from './roster.js'
 import type { RosterHost } from './rosterHost.js'
+import { takePart } from './takePart.js'
+import { tryPassPart } from './tryPassPart.js'
 import { ZoneView } from './zoneView.js'
 
 /** Evidence kept for hosts that the roster may still name; what is dropped here is learnt again from its next report. */
@@ -141,7 +143,7 @@
   /** Takes every part whose conditions are met. */
   advance (now: number): void {
     for (const state of this.listWanted()) {
-      if (this.isCleared(state) && this.isWaitOver(state, now)) this.take(state, now)
+      if (this.isCleared(state) && isTakeable(state, this.options, now)) this.take(state, now)
     }
   }
 
@@ -176,7 +178,7 @@
       ...answer,
       binding: true,
       held: claim.parts.filter((id) => this.isHeld(id)),
-      handedOver: claim.parts.flatMap((id) => this.describeGiven(id, sender, view, now))
+      handedOver: claim.parts.flatMap((id) => describeGiven(this.parts.get(id), sender, view.key, now))
     }
   }
 
@@ -225,46 +227,19 @@
     return view !== undefined && this.listOthers(view).every((host) => state.cleared.has(host.name))
   }
 
-  private isWaitOver (state: PartState, now: number): boolean {
-    if (state.handOvers.some((handOver) => handOver.toAsker)) return true
-    if (now >= state.lostAt + computeGrantorWait(state.part.waitMs, this.options)) return true
-    return state.user.isOnlyGrantee(state.part.id, now)
-  }
-
   private take (state: PartState, now: number): void {
     this.wanted = undefined
-    state.held = true
-    state.usable = true
     this.changes += 1
-    // What this host granted when it gave the part up binds it too, if the next holder never took it.
-    const own = state.given === undefined ? [] : listBindingGrants(state.given, now)
-    const grants = [...own, ...state.handOvers.flatMap((handOver) => handOver.grants)]
-    state.handOvers = []
-    state.given = undefined
-    state.cleared.clear()
-    state.user.acceptPart(state.part.id, grants, now)
+    takePart(state, now)
   }
 
   private passPart (id: string, sender: RosterHost, view: ZoneView, now: number): void {
     const state = this.parts.get(id)
     if (state === undefined || !state.held) return
     if (view.getHolder(state.part.key, state.part.rank)?.name !== sender.name) return
-    state.usable = false
-    const grants = state.user.tryGiveUp(id, now)
-    if (grants === undefined) return
+    if (!tryPassPart(state, sender, view.key, now)) return
     this.wanted = undefined
-    state.held = false
     this.changes += 1
-    state.lostAt = now
-    state.given = { to: sender, viewKey: view.key, at: now, grants }
-  }
-
-  private describeGiven (id: string, sender: RosterHost, view: ZoneView, now: number): PartHandOver[] {
-    const given = this.parts.get(id)?.given
-    if (given === undefined) return []
-    const toAsker = given.viewKey === view.key && isSameHost(given.to, sender)
-    const grants = listBindingGrants(given, now)
-    return toAsker || grants.length > 0 ? [{ part: id, grants, toAsker }] : []
   }
 
   /** `undefined` stands for hosts that this one never heard of. */
--- /dev/null
+++ b/packages/almondrelay/src/process/membership/describeSummary.ts
@@ -0,0 +1,10 @@
+import type { MemberEntry } from './memberEntry.js'
+import type { Summary } from './summary.js'
+
+/** What to tell of a host; undefined where nothing was heard of it. A host knows itself as of now. */
+export function describeSummary (entry: MemberEntry | undefined, isSelf: boolean, now: number): Summary | undefined {
+  if (entry === undefined || entry.incarnation === 0) return undefined
+  const { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent, loads } = entry
+  const ageMs = isSelf ? 0 : Math.round(Math.max(0, now - entry.heardAt))
+  return { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent, ageMs, loads }
+}
--- a/packages/almondrelay/src/process/membership/membership.ts
+++ b/packages/almondrelay/src/process/membership/membership.ts
@@ -2,10 +2,13 @@
 import { chooseWatchers } from './chooseWatchers.js'
 import { describeMember } from './describeMember.js'
 import { describeSelf } from './describeSelf.js'
+import { describeSummary } from './describeSummary.js'
 import { GoneEvidence } from './goneEvidence.js'
 import { HeartbeatVerdict } from './heartbeatVerdict.js'
 import type { HeartbeatSender } from './heartbeatSender.js'
+import { isRefusalEvidence } from './isRefusalEvidence.js'
 import type { ListedHost } from './listedHost.js'
+import { listTries } from './listTries.js'
 import { makeMemberEntry } from './makeMemberEntry.js'
 import type { Member } from './member.js'
 import type { MemberEntry } from './memberEntry.js'
@@ -101,21 +104,12 @@
     if (entry !== undefined) Object.assign(entry, { failures: 0, failedSince: Infinity })
   }
 
-  /**
-   * The address refused a connection that was begun while `incarnation` was the host's latest. A
-   * paused process still accepts connections, as its kernel does it, so a refusal says that the
-   * process has ended. It counts only for the address that this incarnation gave, and only within the
-   * own zone: between zones a device on the way may refuse in a live host's name, and each side would
-   * declare the other gone. What a zone's hosts hold is freed within the zone, so its own word is enough;
-   * other zones hear it from there, or see silence.
-   */
+  /** The address refused a connection that was begun while `incarnation` was the host's latest. */
   observeRefused (host: string, incarnation: number, peerAddress: string, now: number): void {
     const entry = this.entries.get(host)
     if (entry === undefined) return
     entry.triedAt = now
-    if (entry.incarnation !== incarnation || entry.peerAddress !== peerAddress || entry.heardAt === -Infinity) return
-    if (entry.availabilityZone !== this.options.self.availabilityZone) return
-    this.markGone(entry, GoneEvidence.refused)
+    if (isRefusalEvidence(entry, { incarnation, peerAddress, ownZone: this.options.self.availabilityZone })) this.markGone(entry, GoneEvidence.refused)
   }
 
   /** Word of a host from another one. */
@@ -167,10 +161,7 @@
   planNeighbours (now: number): Neighbour[] {
     const members = this.listMembers(now)
     const self = members.find((member) => member.host === this.options.self.host) as Member
-    const tries = [...this.entries.values()]
-      .filter((entry) => entry.heardAt === -Infinity || (entry.isGone && entry.listedAt > -Infinity))
-      .sort((a, b) => a.triedAt - b.triedAt || (a.host < b.host ? -1 : 1))
-      .map((entry) => this.describeMember(entry, new Set(), now))
+    const tries = listTries(this.entries.values()).map((entry) => this.describeMember(entry, new Set(), now))
     const plan = planNeighbours({ self, members, heartbeatMs: this.options.heartbeatMs, tries, getTriedAt: (host) => this.entries.get(host)?.triedAt ?? -Infinity, chooseWatchers: (zone) => chooseWatchers(members, zone) })
     this.silence.setIntervals(plan, now)
     return plan
@@ -193,11 +184,7 @@
 
   /** What to tell of a host; its age is as of now. */
   getSummary (host: string, now: number): Summary | undefined {
-    const entry = this.entries.get(host)
-    if (entry === undefined || entry.incarnation === 0) return undefined
-    const { incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, loads } = entry
-    const ageMs = host === this.options.self.host ? 0 : Math.round(Math.max(0, now - entry.heardAt))
-    return { host, incarnation, availabilityZone, region, callerAddress, peerAddress, revision, isLeaving, isGone, isSilent: entry.isSilent, ageMs, loads }
+    return describeSummary(this.entries.get(host), host === this.options.self.host, now)
   }
 
   /** The hosts of which there is word to pass on, gone ones among them, so that older word doesn't bring them back. */
--- a/packages/almondrelay/src/request/admission/admissionQueue.ts
+++ b/packages/almondrelay/src/request/admission/admissionQueue.ts
@@ -7,11 +7,11 @@
 import type { AdmissionRefusal } from './admissionRefusal.js'
 import type { AdmissionStatus } from './admissionStatus.js'
 import { Backlog } from './backlog.js'
-import { IndexedHeap } from './indexedHeap.js'
 import type { QueuedRequest } from './queuedRequest.js'
 import { RetryAfterSpreader } from './retryAfterSpreader.js'
 import { RouteCosts } from './routeCosts.js'
 import type { WaitingRequest } from './waitingRequest.js'
+import { WaitingSet } from './waitingSet.js'
 
 /** What waits is shed once the capacity has fallen so far that the backlog is this many times its bound. */
 const SHED_FACTOR = 2
@@ -43,11 +43,7 @@
   private readonly options: AdmissionOptions
   private readonly costs: RouteCosts
   private readonly retryAfter = new RetryAfterSpreader()
-  private readonly entries = new Map<string, WaitingRequest>()
-  /** By the latest time at which a request can start and still be answered in time. */
-  private readonly latestStarts = new IndexedHeap<WaitingRequest>()
-  /** What waits, by the time at which it may go before all others. */
-  private readonly passedBy = new IndexedHeap<WaitingRequest>()
+  private readonly entries = new WaitingSet()
   private readonly started = new Map<string, WaitingRequest>()
   private readonly backlog: Backlog
 
@@ -112,10 +108,10 @@
 
   /** The caller went away; false where the request does not wait. */
   cancel (id: string, _now: number): boolean {
-    const entry = this.entries.get(id)
+    const entry = this.entries.find(id)
     if (entry === undefined) return false
     this.backlog.getLane(entry).remove(entry)
-    this.removeWaiting(entry)
+    this.entries.remove(entry)
     return true
   }
 
@@ -132,7 +128,7 @@
 
   /** When `take` has to be called although nothing ends; undefined while nothing waits. */
   computeNextCheckAt (now: number): number | undefined {
-    const latestStart = this.latestStarts.findPriority()
+    const latestStart = this.entries.findNextStart()
     return latestStart === undefined ? undefined : Math.max(now, latestStart)
   }
 
@@ -162,13 +158,11 @@
       const victim = this.backlog.dropHottest(entry, isOverPart)
       if (victim === undefined && displaced.length > 0) break
       if (victim === undefined) return this.refuse(entry, isOverPart ? RefusalReason.overFairShare : this.backlog.explainFull(entry), capacity, now)
-      this.removeWaiting(victim)
+      this.entries.remove(victim)
       displaced.push(this.buildRefusal(victim, RefusalReason.overFairShare, capacity, now))
     }
-    this.passedBy.set(entry, now + entry.costMs)
     lane.push(entry)
-    this.entries.set(entry.request.id, entry)
-    this.latestStarts.set(entry, this.computeLatestStart(entry, now))
+    this.entries.add(entry, this.computeLatestStart(entry, now), now + entry.costMs)
     return { kind: 'wait', displaced }
   }
 
@@ -183,7 +177,7 @@
     const longMayStart = this.backlog.allowLong(capacity, now)
     const entry = this.takePassedBy(longMayStart, capacity, now) ?? (longMayStart ? this.backlog.long.take() : undefined) ?? this.backlog.short.take()
     if (entry === undefined) return undefined
-    this.removeWaiting(entry)
+    this.entries.remove(entry)
     this.begin(entry)
     return entry
   }
@@ -196,11 +190,10 @@
    * the requests of the others.
    */
   private takePassedBy (longMayStart: boolean, capacity: number, now: number): WaitingRequest | undefined {
-    while ((this.passedBy.findPriority() ?? Infinity) <= now) {
-      const entry = this.passedBy.find() as WaitingRequest
+    for (let entry = this.entries.findPassedBy(now); entry !== undefined; entry = this.entries.findPassedBy(now)) {
       const mayStart = !entry.isLong || longMayStart
       if (!mayStart || !this.backlog.isWithinPart(entry, capacity, now)) {
-        this.passedBy.set(entry, now + PASSED_BY_CHECK_JOBS * entry.costMs)
+        this.entries.schedule(entry, now + PASSED_BY_CHECK_JOBS * entry.costMs)
         continue
       }
       this.backlog.getLane(entry).takeEntry(entry)
@@ -216,11 +209,9 @@
 
   private dropLate (capacity: number, now: number): AdmissionRefusal[] {
     const dropped: AdmissionRefusal[] = []
-    while ((this.latestStarts.findPriority() ?? Infinity) < now) {
-      const entry = this.latestStarts.take()
-      if (entry === undefined) break
+    for (let entry = this.entries.findLate(now); entry !== undefined; entry = this.entries.findLate(now)) {
       this.backlog.getLane(entry).remove(entry)
-      this.removeWaiting(entry)
+      this.entries.remove(entry)
       const isTooLate = now > entry.request.deadlineAt - entry.tailMs
       const reason = isTooLate ? RefusalReason.deadlineUnreachable : RefusalReason.overFairShare
       dropped.push(this.buildRefusal(entry, reason, capacity, now))
@@ -240,19 +231,13 @@
         const flow = lane.findHottest()
         const entry = flow === undefined ? undefined : lane.dropLatest(flow)
         if (entry === undefined) break
-        this.removeWaiting(entry)
+        this.entries.remove(entry)
         dropped.push(this.buildRefusal(entry, RefusalReason.queueFull, capacity, now))
       }
     }
     return dropped
   }
 
-  private removeWaiting (entry: WaitingRequest): void {
-    this.entries.delete(entry.request.id)
-    this.latestStarts.remove(entry)
-    this.passedBy.remove(entry)
-  }
-
   private refuse (entry: WaitingRequest, reason: RefusalReason, capacity: number, now: number): AdmissionDecision {
     const { retryAfterMs } = this.buildRefusal(entry, reason, capacity, now)
     return { kind: 'refuse', reason, retryAfterMs }
