Wait longer for programs of the process tests to start

Change: the limit that stands for 'never starts' is 60 s in both places. What has to become ready must still do so. Conclusion: a bound on the harness, not on the product.

--- a/packages/almondrelay-stand-ins/src/cluster/childProgram.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/childProgram.ts
@@ -21,7 +21,11 @@
 }
 
 const MAX_KEPT_LINES = 50_000
-const READY_LIMIT_MS = 15_000
+/**
+ * Milliseconds after which a program that hasn't begun counts as one that never will. No promise of the product: with
+ * seven running processes to each core, starts took over 20 s.
+ */
+const READY_LIMIT_MS = 60_000
 const living = new Set<ChildProcess>()
 let isWatchingOwnEnd = false
 
--- a/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
+++ b/packages/almondrelay-stand-ins/src/cluster/hostHandle.ts
@@ -23,7 +23,8 @@
 
 const REDIRECTS = new URL('redirectConnections.js', import.meta.url).href
 const STEP_MS = 25
-const READY_LIMIT_MS = 20_000
+/** Milliseconds after which a host that isn't ready counts as one that never will be; see ChildProgram. */
+const READY_LIMIT_MS = 60_000
 
 /** One entry host of a cluster: an `almondrelayd` that can be killed, frozen, stopped and started again. */
 export class HostHandle {
