Drop a part that nothing used: the ledger handed to the operators' service

Cause: read in the whole change: OperatorParts carried the account's ledger, and the service reads pages only. Behaviour stays.

--- a/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -16,7 +16,7 @@
 
 /** Counts every final answer by who asked, what served and what came of it, and writes the counts to the store each minute. */
 export class AccountKeeper {
-  readonly ledger: AccountLedger
+  private readonly ledger: AccountLedger
   private readonly writer: AccountWriter
 
   constructor (private readonly parts: KeeperParts) {
--- a/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
+++ b/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import type { AccountLedger, Clock, KeyValueStore } from 'almondrelay'
+import type { Clock, KeyValueStore } from 'almondrelay'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { ForwardState } from '../forward/forwardState.js'
@@ -14,7 +14,6 @@
   forward: ForwardState
   /** The product's own keys. */
   values: KeyValueStore
-  ledger: AccountLedger
   clock: Clock
   logger: Logger
   isLeaving: () => boolean
