Send large answers to their end at a planned stop

The runtime's Server.close() and closeIdleConnections() destroy every connection whose response was ended, though its bytes were not sent yet. Ruled out: the target broke off (its run ended with 200); the grace (3 s of 6 had passed). Change: the caller server ends connections itself, only those on which everything was sent; a request that has come in part is read and answered. Its only user of the runtime's close is gone. Measured: callerServer.test.ts, large answer: 3.9 of 16.8 MB arrived before, all of it after.

--- a/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
@@ -7,8 +7,12 @@
 
 const test = suite('CallerServer')
 
+/** More than the socket buffers of both sides hold. */
+const LARGE_ANSWER_BYTES = 16 * 1024 * 1024
+
 /** A server whose answers the test gives by hand, in any order. */
 class HeldServer {
+  port = 0
   readonly paths: string[] = []
   /** Paths of the requests whose caller is known to have left. */
   readonly left: string[] = []
@@ -19,8 +23,8 @@
     this.finishers.set(message.url ?? '', resolve)
   }), new TurnQueue(() => performance.now()), (error) => { throw error })
 
-  answer (path: string): void {
-    const body = Buffer.from(`answer to ${path};`)
+  answer (path: string, text = `answer to ${path};`): void {
+    const body = Buffer.from(text)
     this.finishers.get(path)?.({ status: 200, headers: ['Content-Length', String(body.length)], body })
   }
 }
@@ -40,8 +44,8 @@
 }
 const start = async (): Promise<{ held: HeldServer, socket: Socket }> => {
   const held = new HeldServer()
-  const port = await held.server.listen('127.0.0.1', 0)
-  const socket = connect(port, '127.0.0.1')
+  held.port = await held.server.listen('127.0.0.1', 0)
+  const socket = connect(held.port, '127.0.0.1')
   return { held, socket }
 }
 const makeGet = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
@@ -107,6 +111,46 @@
   held.server.close()
 })
 
+// A caller downloads a large report while its host makes a planned stop, and the connection ends in the middle of it. The
+// answer was complete here but not yet sent when the host stopped accepting; the runtime's own close takes such a
+// connection for idle and destroys it with what it hasn't sent.
+test('a large answer that is still being sent when the host stops accepting arrives whole', async () => {
+  const { held, socket } = await start()
+  socket.pause()
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  held.server.leave()
+  held.server.close()
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  const seen = read(socket)
+  socket.resume()
+  await waitFor(() => seen.text.length >= LARGE_ANSWER_BYTES || seen.isEnded, 'the answer')
+  assert.ok(seen.text.length > LARGE_ANSWER_BYTES, `only ${seen.text.length} bytes came`)
+  socket.destroy()
+})
+
+// A caller's request has come in part when its host stops accepting. Cut off, the caller would have to send it again; left
+// unread, it would wait until the process is ended by force.
+test('a request that has come in part when the host stops accepting is answered, an idle connection ends', async () => {
+  const { held, socket } = await start()
+  const seen = read(socket)
+  const idle = connect(held.port, '127.0.0.1')
+  const seenIdle = read(idle)
+  await new Promise((resolve) => idle.once('connect', resolve))
+  socket.write('GET /1 HTTP/1.1\r\nHost: a.exa')
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  held.server.leave()
+  held.server.close()
+  await waitFor(() => seenIdle.isEnded, 'the end of the idle connection')
+  socket.write('mple\r\n\r\n')
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1')
+  await waitFor(() => seen.isEnded, 'the end of the connection')
+  assert.match(seen.text, /Connection: close[^]*answer to \/1;$/)
+})
+
 test('while it serves, a connection is kept for the next request', async () => {
   const { held, socket } = await start()
   const seen = read(socket)
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import type { TurnQueue } from './turnQueue.js'
@@ -30,6 +30,8 @@
   isClosing: boolean
   /** Requests that were read and have no whole answer yet; aborted when the caller leaves. */
   unanswered: Set<AbortController>
+  /** Bytes that had been read when the last answer was sent; more of them are the beginning of a request. */
+  bytesAnswered: number
 }
 
 interface AcceptedRequest {
@@ -48,7 +50,10 @@
 
   constructor (private readonly handleRequest: HandleRequest, private readonly turns: TurnQueue, private readonly logError: (error: Error) => void) {
     this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true })
-    this.server.on('connection', () => { turns.observeAccept() })
+    this.server.on('connection', (socket: Socket) => {
+      turns.observeAccept()
+      this.findConnection(socket)
+    })
     this.server.on('request', (message, response) => { this.accept(message, response) })
   }
 
@@ -81,11 +86,20 @@
     this.isLeaving = true
   }
 
-  /** Takes no new connections, reads nothing more from the others and ends those without a request. */
+  /**
+   * Takes no new connections, reads no further request from the others and ends those without one. A request that has
+   * come in part is read to its end and answered.
+   *
+   * The runtime's own close takes a connection for idle as soon as its answer is complete here, and destroys it: a caller
+   * that was still receiving a large answer got it cut off. A connection ends here only once all of it was sent.
+   */
   close (): void {
-    for (const connection of this.connections.values()) connection.isClosing = true
-    this.server.close()
-    this.server.closeIdleConnections()
+    for (const [socket, connection] of this.connections) {
+      const hasBegun = socket.bytesRead > connection.bytesAnswered
+      connection.isClosing = connection.unanswered.size > 0 || !hasBegun
+      if (connection.unanswered.size === 0 && !hasBegun) socket.destroySoon()
+    }
+    NetServer.prototype.close.call(this.server)
   }
 
   private accept (message: IncomingMessage, response: ServerResponse): void {
@@ -97,7 +111,10 @@
     const isFirst = connection.last === undefined
     connection.last = response
     connection.unanswered.add(left)
-    response.once('finish', () => { connection.unanswered.delete(left) })
+    response.once('finish', () => {
+      connection.unanswered.delete(left)
+      connection.bytesAnswered = message.socket.bytesRead
+    })
     this.turns.push((arrivedAt) => {
       this.serve({ message, response, connection, left: left.signal, arrivedAt }).catch((error: Error) => { this.abortAnswer(response, error) })
     }, isFirst)
@@ -118,7 +135,7 @@
   private findConnection (socket: Socket): ConnectionState {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
-    const state = { last: undefined, isClosing: false, unanswered: new Set<AbortController>() }
+    const state = { last: undefined, isClosing: false, unanswered: new Set<AbortController>(), bytesAnswered: 0 }
     this.connections.set(socket, state)
     // The end of the connection and not that of each answer: an answer that waits for the one before it, on a connection
     // with several requests out, is never told of its caller's leaving, and its request would go on for nobody.
