Tell the lives of a target apart and pass over entries that name none

Cause: a target may start again under its id, and entries may come from another writer. Ruled out: ordering lives by the store's revision (a write that is carried out late has the highest one); requiring the start in every entry (today's deployments don't state it).

--- a/packages/almondrelay-experiment/src/steering/productWay.ts
+++ b/packages/almondrelay-experiment/src/steering/productWay.ts
@@ -26,7 +26,7 @@
 
   constructor (targets: readonly KnownTarget[], private readonly region: string, private readonly options: WayOptions) {
     super()
-    this.targets = targets.map((target) => new TargetState({ ...target, service: SERVICE, ip: '', port: 0, availabilityZone: target.region, draining: false, coldForMs: 0 }, 0))
+    this.targets = targets.map((target) => new TargetState({ ...target, incarnation: undefined, sequence: 1, service: SERVICE, ip: '', port: 0, availabilityZone: target.region, draining: false, coldForMs: 0 }, 0))
     this.parts = new RegionParts(region, deployment.shiftPart)
     this.parts.adopt(new Map([[region, 1]]), 0)
   }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -0,0 +1,51 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeTarget } from '../../request/__fixtures__/makeTarget.js'
+import { makeRequest } from '../__fixtures__/makeRequest.js'
+import { PlainCodec } from '../__fixtures__/plainCodec.js'
+import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
+import type { TargetConnection } from '../targetConnection.js'
+import { TargetPool } from '../targetPool.js'
+
+const test = suite('TargetPool')
+const codec = new PlainCodec()
+const ANSWER = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nkeep: 10000\r\ncontent-length: 2\r\n\r\nok'
+let owner = new AbortController()
+
+const open = async (port: number): Promise<{ pool: TargetPool, connection: TargetConnection }> => {
+  const pool = new TargetPool(codec, () => 0, { countOpened: () => undefined, observeConnect: () => undefined })
+  const connection = await pool.acquire(makeTarget({ port }).entry, 1_000)
+  if (connection === undefined) throw new Error('no connection')
+  return { pool, connection }
+}
+
+test.before.each(() => { owner = new AbortController() })
+test.after.each(() => { owner.abort() })
+
+// A target is started again while a caller waits for its answer. The process that had the request is gone; without a word
+// the caller would wait until its time has passed, though another target could answer.
+test('requests at a life that has ended are broken at once', async () => {
+  const port = await startScriptedTarget(() => undefined, owner.signal)
+  const { pool, connection } = await open(port)
+  const waiting = connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  pool.closeAll('target was started again')
+  assert.equal(await waiting, { kind: 'broken', reason: 'target was started again' })
+  assert.is(await pool.acquire(makeTarget({ port }).entry, 1_000), undefined)
+})
+
+// A target leaves while it works on a request. Its answer is passed on; its connection stayed open for as long as the target
+// kept it, one of the few thousand that a host may have.
+test('a connection that is busy when its target leaves ends with its answer', async () => {
+  let finish = (): void => undefined
+  const port = await startScriptedTarget((socket) => { finish = () => { socket.write(ANSWER) } }, owner.signal)
+  const { pool, connection } = await open(port)
+  const waiting = connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  pool.closeWhenFree()
+  assert.not(connection.isClosed)
+  finish()
+  assert.is((await waiting).kind, 'answered')
+  assert.ok(connection.isClosed)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -22,6 +22,8 @@
   private isOpen = false
   private isDone = false
   private isTaken = false
+  /** Why the connection is to end with its next answer; undefined while it is to be used again. */
+  private closeReason: string | undefined
   private unusableAt = Infinity
 
   private constructor (private readonly socket: Socket, codec: TargetCodec, private readonly getNow: () => number, private readonly handleClose: () => void) {
@@ -56,6 +58,13 @@
   /** Gives the connection back without a request. */
   release (): void {
     this.isTaken = false
+    if (this.closeReason !== undefined) this.close(this.closeReason)
+  }
+
+  /** Ends the connection now, or with the answer that it waits for. */
+  closeWhenFree (reason: string): void {
+    if (this.isTaken) this.closeReason = reason
+    else this.close(reason)
   }
 
   get isClosed (): boolean {
@@ -108,6 +117,7 @@
     this.unusableAt = this.getNow() + idleMs
     this.finish({ kind: 'answered', ...answer })
     if (answer.head.isLast) this.close('last answer')
+    else if (this.closeReason !== undefined) this.close(this.closeReason)
   }
 
   private finish (result: AttemptResult): void {
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -27,6 +27,11 @@
     const startedAt = this.getNow()
     const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.codec, this.getNow, () => { this.pruneClosed() })
     if (opened === undefined) return undefined
+    // A target that left, or was started again, while the connection was being opened gets nothing through it.
+    if (this.isClosed) {
+      opened.close('target left')
+      return undefined
+    }
     this.observer.observeConnect(this.getNow() - startedAt)
     this.connections.push(opened)
     return opened
@@ -42,9 +47,13 @@
   /** Takes no new requests; those that are out go on. */
   closeWhenFree (): void {
     this.isClosed = true
-    for (const connection of [...this.connections]) {
-      if (!connection.isBusy) connection.close('target left')
-    }
+    for (const connection of [...this.connections]) connection.closeWhenFree('target left')
+  }
+
+  /** Ends every connection; requests that are out are given up. */
+  closeAll (reason: string): void {
+    this.isClosed = true
+    for (const connection of [...this.connections]) connection.close(reason)
   }
 
   private findFree (now: number): TargetConnection | undefined {
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -1,4 +1,5 @@
 import bunyan from 'bunyan'
+import type { TargetEntry } from '../../../request/targetEntry.js'
 import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
 import { EventLog } from '../../observe/eventLog.js'
 import { StoreHealth } from '../../store/storeHealth.js'
@@ -14,14 +15,22 @@
   unreadKeys = 0
   readonly store = new FakeRevisionStore()
   readonly health = new StoreHealth()
-  readonly fleet = new FleetState({ targetRemoved: () => undefined })
+  /** Ids of targets that were removed, and of those that were started again. */
+  readonly removed: string[] = []
+  readonly restarted: string[] = []
+  readonly lines: string[] = []
+  readonly fleet = new FleetState({
+    targetRemoved: ({ entry }) => { this.removed.push(entry.id) },
+    targetRestarted: ({ entry }) => { this.restarted.push(entry.id) }
+  })
+
   private readonly owner = new AbortController()
   readonly follower = new FleetFollower({
     store: this.store,
     codec: new PlainFleetCodec(),
     fleet: this.fleet,
     health: this.health,
-    log: new EventLog(bunyan.createLogger({ name: 'test', streams: [] }), () => this.now),
+    log: new EventLog(bunyan.createLogger({ name: 'test', streams: [{ type: 'raw', stream: { write: (line: { msg: string }) => { this.lines.push(line.msg) } } as unknown as NodeJS.WritableStream }] }), () => this.now),
     getNow: () => this.now,
     random: () => 0,
     ownName: 'own',
@@ -43,8 +52,8 @@
     await this.running
   }
 
-  writeTarget (id: string): void {
-    this.store.write(`target/${id}`, makeTarget({ id, port: 8_000 + Number(id) }).entry)
+  writeTarget (id: string, entry: Partial<TargetEntry> = {}): void {
+    this.store.write(`target/${id}`, makeTarget({ id, port: 8_000 + Number(id), ...entry }).entry)
   }
 
   /** Waits until something holds; rejects after a bound that only a fault reaches. */
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -5,6 +5,9 @@
 import { FleetCodec } from '../fleetCodec.js'
 import type { HostEntry } from '../hostEntry.js'
 
+/** Services that every configuration of the tests names. */
+const SERVICES = ['balances', 'approvals']
+
 /** Keys of the tests' own: `target/ID`, `host/NAME`, `evacuation/ZONE` and `configuration`. */
 export class PlainFleetCodec extends FleetCodec {
   override readonly prefixes = ['']
@@ -15,11 +18,12 @@
     if (event.kind === 'deleted') return decodeDeletion(kind, name)
     if (kind === 'use') return undefined
     const value: unknown = JSON.parse(event.item.value.toString())
+    if (kind === 'target' && (value as { id?: string }).id !== name) return { kind: 'target-unreadable', id: name, key: event.item.key, reason: 'no entry' }
     if (kind === 'target') return { kind: 'target', entry: value as TargetEntry }
     if (kind === 'host') return { kind: 'host', entry: value as HostEntry }
     if (kind === 'evacuation') return { kind: 'evacuation', availabilityZone: name, isEvacuated: true }
     const document = value as { version: number }
-    const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(SERVICES.map((name) => [name, { name, maxConnections: 100, coldStartMs: 0, coldPerSecond: 10 }])), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
     return { kind: 'configuration', configuration }
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -138,6 +138,72 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// A target is killed and started again at once under its id, its entry never lapses. Taken for the one before, it would
+// get the rate of a target that holds its keys: it is cold, and falls over again.
+test('a target that was started again under its id holds nothing of before', async () => {
+  const { fleet } = followed
+  followed.writeTarget('3', { incarnation: 1_000, sequence: 40 })
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  const before = fleet.findTarget('3')
+  before?.warmKeys.add(7)
+  before?.hearPeerCount('a', 9, 0)
+  before?.suspend(0)
+  followed.writeTarget('3', { incarnation: 2_000, sequence: 1, coldForMs: 3_000 })
+  await followed.waitFor(() => fleet.findTarget('3') !== before, 'its second life')
+  const after = fleet.findTarget('3')
+  assert.ok(before?.isLeaving(), 'nothing more goes to the life before')
+  assert.ok(after?.isCold(0))
+  assert.not(after?.warmKeys.has(7))
+  assert.is(after?.countOutstanding(0), 0)
+  assert.not(after?.isSuspended(0))
+  assert.not.equal(after?.incarnationHash, before?.incarnationHash)
+  assert.is(after?.hash, before?.hash)
+  assert.equal([followed.restarted, followed.removed], [['3'], []])
+})
+
+// A target announces its end and leaves; a heartbeat that it wrote before comes to the store seconds late and stands there
+// as its newest entry. Believed, the target would get work after it had said that it takes none.
+test('an older entry that is written late changes nothing', async () => {
+  const { fleet } = followed
+  followed.writeTarget('3', { incarnation: 2_000, sequence: 5, draining: true })
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  followed.writeTarget('3', { incarnation: 2_000, sequence: 4 })
+  followed.writeTarget('3', { incarnation: 1_000, sequence: 90 })
+  followed.writeTarget('4')
+  await followed.waitFor(() => fleet.findTarget('4') !== undefined, 'target 4')
+  assert.ok(fleet.findTarget('3')?.isLeaving())
+  followed.store.remove('target/3')
+  followed.writeTarget('3', { incarnation: 2_000, sequence: 4 })
+  followed.writeTarget('5')
+  await followed.waitFor(() => fleet.findTarget('5') !== undefined, 'target 5')
+  assert.is(fleet.findTarget('3'), undefined)
+  followed.writeTarget('3', { incarnation: 3_000, sequence: 1 })
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'its next life')
+})
+
+// Another writer puts bytes of its own under a target's key, again and again. The target isn't used until it has written
+// itself anew; all others are, and the log isn't filled.
+test('an entry that can not be read names no target, and the others of its answer hold', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.listTargetIds().length === 2, 'both targets')
+  for (let time = 0; time < 20; time += 1) store.write('target/1', { time })
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  assert.equal(fleet.listTargetIds().sort(), ['2', '3'])
+  assert.is(followed.lines.filter((line) => line.startsWith('value in the store not usable')).length, 1)
+  followed.writeTarget('1', { sequence: 2 })
+  await followed.waitFor(() => fleet.findTarget('1') !== undefined, 'target 1 again')
+})
+
+// Another writer's entry has the address of a live target and a service that nobody has heard of.
+test('an entry of a service that is not configured takes nobody\'s address', async () => {
+  const { fleet } = followed
+  await followed.waitFor(() => fleet.listTargetIds().length === 2, 'both targets')
+  followed.writeTarget('9', { port: 8_001, service: 'elsewhere' })
+  await followed.waitFor(() => fleet.findTarget('9') !== undefined, 'the entry')
+  assert.ok(fleet.findTarget('1') !== undefined)
+})
+
 // All hosts restart after one of them has written a page of the account. Each loaded what serves operators in its first
 // second, in which callers wait for it, though no operator had declared anything.
 test('pages of the account alone do not bring the operators\' parts in, a read that was cut off among them does', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetChange.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetChange.ts
@@ -12,5 +12,7 @@
   | { kind: 'host-gone', name: string }
   /** A change of the resources that operators declare here. */
   | { kind: 'declared', revision: number, body: Buffer }
+  /** The entry of a target can't be read: it names no target to use until it is written anew. */
+  | { kind: 'target-unreadable', id: string, key: string, reason: string }
   /** The value can't be used; what was known of the key stays in force. */
   | { kind: 'invalid', key: string, reason: string }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -125,6 +125,8 @@
       items.push(...page.items)
       isCutOff = page.isTruncated && items.at(-1)?.key.startsWith(codec.productPrefix) === true
       if (!page.isTruncated || isCutOff) break
+      // Asked again after the same key, the store would give the same page for ever.
+      if (page.items.length === 0) throw new Error('a page of the store says that more follow, and none of its items can be read')
     }
     const { keys, isLapse } = this.updater.applyRead(prefix, items.map((item) => ({ kind: 'written', item })))
     fleet.isComplete = true
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -6,7 +6,10 @@
 import type { HostEntry } from './hostEntry.js'
 
 interface FleetListener {
+  /** A target takes no new requests; those that it has go on. */
   targetRemoved: (target: TargetState) => void
+  /** A target was started again: what was sent to the life before will never be answered. */
+  targetRestarted: (target: TargetState) => void
 }
 
 /** Everything that this host has learnt from the platform, as of now. Times are monotonic milliseconds. */
@@ -40,11 +43,12 @@
 
   putTarget (entry: TargetEntry, now: number): void {
     const known = this.targets.get(entry.id)
-    if (known !== undefined) {
+    if (known?.entry.incarnation === entry.incarnation && known !== undefined) {
       known.updateEntry(entry, now)
       return
     }
-    this.clearAddress(entry, now)
+    if (known !== undefined) this.finishLife(known, now)
+    if (this.isKnownService(entry.service)) this.clearAddress(entry, now)
     const target = new TargetState(entry, now)
     this.targets.set(entry.id, target)
     this.targetsByService.set(entry.service, [...this.listTargets(entry.service), target])
@@ -53,12 +57,26 @@
   removeTarget (id: string, now: number): TargetState | undefined {
     const target = this.targets.get(id)
     if (target === undefined) return undefined
+    this.removeFromLists(target, now)
+    this.listener.targetRemoved(target)
+    return target
+  }
+
+  /** Removes a target whose address turned out to be another one's, unless it was started again meanwhile. */
+  removeMisdirected (target: TargetState, now: number): void {
+    if (this.targets.get(target.entry.id) === target) this.removeTarget(target.entry.id, now)
+  }
+
+  private finishLife (target: TargetState, now: number): void {
+    this.removeFromLists(target, now)
+    this.listener.targetRestarted(target)
+  }
+
+  private removeFromLists (target: TargetState, now: number): void {
+    const { id, service } = target.entry
     target.markDeparted(now)
     this.targets.delete(id)
-    const { service } = target.entry
     this.targetsByService.set(service, this.listTargets(service).filter((each) => each !== target))
-    this.listener.targetRemoved(target)
-    return target
   }
 
   listTargets (service: string): readonly TargetState[] {
@@ -104,6 +122,11 @@
     return [...this.hosts.values()]
   }
 
+  // An entry of a service that no configuration names comes from another writer: it takes nobody's address.
+  private isKnownService (name: string): boolean {
+    return this.configuration === undefined || this.configuration.services.has(name)
+  }
+
   // An address is used again by another target once its own has ended: the old entry may outlive it.
   private clearAddress (entry: TargetEntry, now: number): void {
     for (const target of this.targets.values()) {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -1,11 +1,14 @@
 import { match } from 'ts-pattern'
 import { findLapse } from '../../request/findLapse.js'
 import type { EventLog } from '../observe/eventLog.js'
+import type { TargetEntry } from '../../request/targetEntry.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { FleetChange } from './fleetChange.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
+import { LatestEntries } from './latestEntries.js'
+import { RepeatFilter } from './repeatFilter.js'
 
 interface UpdaterParts {
   codec: FleetCodec
@@ -34,6 +37,8 @@
   private readonly lapsing = new Map<string, number>()
   /** Revision at which each known target's entry came into being. */
   private readonly createdRevisions = new Map<string, number>()
+  private readonly latest = new LatestEntries()
+  private readonly unusable = new RepeatFilter()
 
   constructor (private readonly parts: UpdaterParts) {}
 
@@ -76,7 +81,7 @@
   private listPresentAfter (changes: readonly DecodedChange[]): Map<string, number> {
     const present = new Map(this.createdRevisions)
     for (const { change, createdRevision } of changes) {
-      if (change.kind === 'target-gone') present.delete(change.id)
+      if (change.kind === 'target-gone' || change.kind === 'target-unreadable') present.delete(change.id)
       if (change.kind === 'target') present.set(change.entry.id, createdRevision)
     }
     return present
@@ -96,7 +101,7 @@
 
   private applyDecoded ({ change, createdRevision }: DecodedChange, isLapse: boolean): void {
     this.apply(change, isLapse)
-    if (change.kind === 'target') this.createdRevisions.set(change.entry.id, createdRevision)
+    if (change.kind === 'target' && this.parts.fleet.findTarget(change.entry.id) !== undefined) this.createdRevisions.set(change.entry.id, createdRevision)
   }
 
   private apply (change: FleetChange, isLapse: boolean): void {
@@ -108,13 +113,12 @@
         log.report('configuration in force', { version: configuration.version, routes: configuration.routes.length })
         this.parts.handleConfiguration()
       })
-      .with({ kind: 'target' }, ({ entry }) => {
-        this.lapsing.delete(entry.id)
-        const known = fleet.findTarget(entry.id)
-        if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
-        fleet.putTarget(entry, now)
-      })
+      .with({ kind: 'target' }, ({ entry }) => { this.applyTarget(entry, now) })
       .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, isLapse, now) })
+      .with({ kind: 'target-unreadable' }, ({ id, key, reason }) => {
+        this.reportUnusable(key, reason)
+        if (fleet.findTarget(id) !== undefined) this.removeTarget(id, now)
+      })
       .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => {
         if (fleet.isEvacuated(availabilityZone) !== isEvacuated) log.report('evacuation', { availabilityZone, isEvacuated })
         fleet.setEvacuated(availabilityZone, isEvacuated)
@@ -129,10 +133,28 @@
         else fleet.removeHost(name)
       })
       .with({ kind: 'declared' }, ({ revision, body }) => { this.parts.handleDeclared(revision, body) })
-      .with({ kind: 'invalid' }, ({ key, reason }) => { log.report('value in the store not usable; the one before stays in force', { key, reason }) })
+      .with({ kind: 'invalid' }, ({ key, reason }) => { this.reportUnusable(key, reason) })
       .exhaustive()
   }
 
+  private applyTarget (entry: TargetEntry, now: number): void {
+    const { fleet, log } = this.parts
+    const known = fleet.findTarget(entry.id)
+    if (!this.latest.accept(entry)) {
+      log.record('older entry of a target passed over', { entry })
+      return
+    }
+    this.lapsing.delete(entry.id)
+    const isRestart = known !== undefined && known.entry.incarnation !== entry.incarnation
+    if (isRestart) log.report('target was started again', { entry, before: known.entry.incarnation })
+    else if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
+    fleet.putTarget(entry, now)
+  }
+
+  private reportUnusable (key: string, reason: string): void {
+    if (this.unusable.accept(key, reason)) this.parts.log.report('value in the store not usable', { key, reason })
+  }
+
   private applyTargetGone (id: string, isLapse: boolean, now: number): void {
     const { fleet, health, log } = this.parts
     const target = fleet.findTarget(id)
@@ -158,7 +180,7 @@
 const describeSubject = (change: FleetChange): string => match(change)
   .with({ kind: 'configuration' }, () => 'configuration')
   .with({ kind: 'target' }, ({ entry }) => `target ${entry.id}`)
-  .with({ kind: 'target-gone' }, ({ id }) => `target ${id}`)
+  .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, ({ id }) => `target ${id}`)
   .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
   .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
   .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -82,8 +82,15 @@
     this.cold.observeSend(target, this.fleet.findService(target.entry.service)?.coldPerSecond ?? 1, now)
   }
 
+  /** The target takes no new requests; those that it has go on. */
   dropTarget (targetId: string): void {
     this.cold.drop(targetId)
     this.pools.remove(targetId)
   }
+
+  /** The target was started again: requests that wait for its former life wait for nothing. */
+  abortTarget (targetId: string): void {
+    this.cold.drop(targetId)
+    this.pools.abort(targetId)
+  }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -67,7 +67,7 @@
       return
     }
     if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
-    if (result.head.isMisdirected) this.state.fleet.removeTarget(target.entry.id, now)
+    if (result.head.isMisdirected) this.state.fleet.removeMisdirected(target, now)
     else if (result.head.isNotRun || !result.head.isGenuine || result.head.status >= FIRST_FAILURE_STATUS) target.observeFailure(now)
     else this.learnDuration(attempt.choice, now - attempt.sentAt, now)
   }
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -27,6 +27,12 @@
     this.pools.delete(targetId)
   }
 
+  /** The life of the target that these connections reached has ended: requests that are out end as broken. */
+  abort (targetId: string): void {
+    this.pools.get(targetId)?.closeAll('target was started again')
+    this.pools.delete(targetId)
+  }
+
   closeIdle (now: number): void {
     for (const pool of this.pools.values()) pool.closeIdle(now)
   }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -76,7 +76,10 @@
     const isLeaving = (): boolean => this.isLeaving
     this.turns = new TurnQueue(getNow)
     this.own = makeOwnEntry(settings, parts.incarnation)
-    this.fleet = new FleetState({ targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) } })
+    this.fleet = new FleetState({
+      targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) },
+      targetRestarted: (target) => { this.forward.abortTarget(target.entry.id) }
+    })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
     this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, getNow, countOpened: (region) => { metrics.countConnection(region) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -12,13 +12,23 @@
 const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, inFlight: new Map([[7, 3]]), demands: [] })
 
 const build = (): PeerView => {
-  const fleet = new FleetState({ targetRemoved: () => undefined })
+  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined })
   for (const name of ['own', 'a', 'b']) fleet.putHost(makeEntry(name))
   fleet.isComplete = true
   return new PeerView(makeEntry('own'), fleet)
 }
 const listNames = (view: PeerView, now: number): string[] => view.listLive(now).map(({ name }) => name)
 
+// Anybody may send reports under names of their own, each a new one: none is taken for a host, and memory stays bounded.
+test('reports of names that have no entry make no host and no end of memory', () => {
+  const view = build()
+  view.hear(makeReport('a', 1), 0)
+  for (let index = 0; index < 12_000; index += 1) view.hear(makeReport(`stranger-${index}`, 1), 0)
+  view.hear(makeReport('b', 1), 0)
+  assert.equal(listNames(view, 10), ['own', 'a', 'b'])
+  assert.ok(view.countHeard() <= 10_000, `${view.countHeard()} senders are remembered`)
+})
+
 // A host is killed; its entry stands until its lease lapses, or as long as the store is away. A look-up
 // that names it sends callers into nothing.
 test('a host that has gone silent is not named while others are heard', () => {
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -1,11 +1,15 @@
 import { fromBinary } from '@bufbuild/protobuf'
-import { LoadReportSchema } from 'almondrelay-protocol'
+import { LoadReportSchema, type LoadReport } from 'almondrelay-protocol'
 import type { PeerReport } from './peerReport.js'
 
+/** Bytes of a host's name and of a region's; longer ones aren't ours. */
+const LONGEST_NAME = 200
+
 /** The report in a datagram; undefined where it isn't one: anybody may send to the port. */
 export function decodeReport (bytes: Uint8Array): PeerReport | undefined {
   try {
     const message = fromBinary(LoadReportSchema, bytes)
+    if (!isNamed(message) || !message.demands.every(isMeasured)) return undefined
     return {
       host: message.host,
       incarnation: message.incarnation,
@@ -28,3 +32,9 @@
     return undefined
   }
 }
+
+const isNamed = ({ host, region }: LoadReport): boolean => [host, region].every((name) => name.length > 0 && name.length <= LONGEST_NAME)
+
+/** Numbers that can be counted with: one that isn't finite would spoil every sum that it goes into. */
+const isMeasured = ({ perSecond, warmMs, parts }: LoadReport['demands'][number]): boolean =>
+  [perSecond, warmMs, ...parts.map(({ part }) => part)].every((value) => Number.isFinite(value) && value >= 0)
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -61,7 +61,7 @@
     if (!this.parts.view.hear(report, now)) return
     this.parts.hearRevision(report.storeRevision, now)
     if (report.region !== this.parts.own.region) return
-    for (const target of this.parts.fleet.listAllTargets()) target.hearPeerCount(report.host, report.inFlight.get(target.hash) ?? 0, now)
+    for (const target of this.parts.fleet.listAllTargets()) target.hearPeerCount(report.host, report.inFlight.get(target.incarnationHash) ?? 0, now)
   }
 
   /** Sends one report at once to every host, as when this one is about to leave. */
@@ -114,7 +114,7 @@
       isLeaving: isLeaving(),
       configurationVersion: fleet.configuration?.version ?? 0,
       storeRevision: fleet.storeRevision,
-      inFlight: new Map(busy.map((target) => [target.hash, target.inFlight]))
+      inFlight: new Map(busy.map((target) => [target.incarnationHash, target.inFlight]))
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -9,7 +9,7 @@
   /** It is about to end; callers aren't to be sent there. */
   isLeaving: boolean
   configurationVersion: number
-  /** Requests of the host at targets, by the hash of the target's id. */
+  /** Requests of the host at targets, by the hash of the target's life. */
   inFlight: ReadonlyMap<number, number>
   /** Revision of the platform's store up to which the host has seen all changes. */
   storeRevision: number
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -1,3 +1,4 @@
+import { putBounded } from '../../request/putBounded.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { PeerReport } from './peerReport.js'
@@ -13,6 +14,10 @@
 /** Hosts of a region that speak for it to the other regions and watch the store with short waits. */
 const SPEAKERS = 2
 
+/** Senders and regions that are remembered: twice the hosts of the largest fleet. Anybody may send reports of any name. */
+const MOST_PEERS = 10_000
+const MOST_REGIONS = 100
+
 interface PeerState {
   incarnation: string
   sequence: number
@@ -42,13 +47,18 @@
     const known = this.peers.get(report.host)
     if (known !== undefined && known.incarnation === report.incarnation && report.sequence <= known.sequence) return false
     this.lastHeardAt = now
-    if (report.isRegional) this.regions.set(report.region, { heardAt: now, demands: report.demands, declaredRevision: report.declaredRevision })
+    if (report.isRegional) putBounded(this.regions, report.region, { heardAt: now, demands: report.demands, declaredRevision: report.declaredRevision }, MOST_REGIONS)
     const isOwnDemand = !report.isRegional && report.demands.length > 0
     const demands = isOwnDemand ? report.demands : known?.report.demands ?? []
-    this.peers.set(report.host, { incarnation: report.incarnation, sequence: report.sequence, heardAt: now, report: { ...report, demands } })
+    putBounded(this.peers, report.host, { incarnation: report.incarnation, sequence: report.sequence, heardAt: now, report: { ...report, demands } }, MOST_PEERS)
     return true
   }
 
+  /** Senders of reports that are remembered. */
+  countHeard (): number {
+    return this.peers.size
+  }
+
   /** Demands of the other hosts of this region, and of each other region as a whole. */
   listDemands (now: number): RegionDemand[] {
     const isFresh = ({ heardAt }: { heardAt: number }): boolean => now - heardAt <= DEMAND_MAX_AGE_MS
--- a/packages/almondrelay-gateway/src/request/__fixtures__/makeTarget.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/makeTarget.ts
@@ -5,6 +5,8 @@
 export function makeTarget (entry: Partial<TargetEntry> = {}, now = 0): TargetState {
   return new TargetState({
     id: 'target-1',
+    incarnation: undefined,
+    sequence: 1,
     service: 'balances',
     ip: '127.0.0.1',
     port: 8000,
--- a/packages/almondrelay-gateway/src/request/targetEntry.ts
+++ b/packages/almondrelay-gateway/src/request/targetEntry.ts
@@ -1,7 +1,11 @@
 /** What a target says of itself in the directory of targets. */
 export interface TargetEntry {
-  /** Names one start of the target; a restarted target has another one. */
+  /** Names the target; one that was started again may have the id that it had before. */
   id: string
+  /** Unix milliseconds of its start, which tell its lives under one id apart; undefined where it doesn't say. */
+  incarnation: number | undefined
+  /** Heartbeats of this life so far: of two entries of one life the one with more is the newer. */
+  sequence: number
   service: string
   ip: string
   port: number
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -17,9 +17,15 @@
 /** Milliseconds after which a peer's count of running requests says nothing of the present. */
 const PEER_COUNT_MAX_AGE_MS = 1_500
 
-/** What this host knows of one target: its entry, its load and how it has answered. Times are monotonic milliseconds. */
+/**
+ * What this host knows of one life of a target: its entry, its load and how it has answered. A target that was started
+ * again holds nothing of before and gets another one. Times are monotonic milliseconds.
+ */
 export class TargetState {
+  /** Places the target in the order of each key; the same for all its lives, so that its keys come back to it. */
   readonly hash: number
+  /** Names this life of the target in reports between hosts. */
+  readonly incarnationHash: number
   /** Requests that this host has at the target. */
   inFlight = 0
   readonly warmKeys = new WarmKeys()
@@ -34,6 +40,7 @@
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
+    this.incarnationHash = entry.incarnation === undefined ? this.hash : computeHash(`${entry.id} ${entry.incarnation}`)
     this.coldUntil = now + entry.coldForMs
   }
 
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -46,6 +46,8 @@
     region: 'akl',
     slots: 6,
     draining: false,
+    incarnation: undefined,
+    sequence: 1,
     coldForMs: 0
   }, 0))
   return measureMs(() => {
