Count the wait of unaccepted connections by the queue of the port

Cause: a host that accepts a connection in each turn of its loop counted for how long that had gone on as the wait of each connection: after two seconds of it nine of ten requests were refused, with 2 to 10 ms of delay otherwise. Requests that came before a host had read its first configuration (0.05 to 0.3 s after its start) were refused, and callers have one repeat. Ruled out: the processor (100 answers and 75 refusals a second are under what the same hosts carry a second later). Change: the wait is bounded by the port's queue of 128 at the pace of the turns; requests wait for the first configuration for up to 0.6 s after the start.

--- a/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
@@ -63,6 +63,18 @@
   assert.is(counted.queue.computeAcceptDelay(counted.now), 0)
 })
 
+// All hosts were restarted, and callers connect for two seconds at just the rate at which they are accepted. Each waits
+// for a moment; the host that counts how long this goes on takes itself for two seconds late and refuses almost everybody.
+test('connections in every turn for long wait no longer than the queue of the port takes', async () => {
+  const counted = new CountedQueue(0)
+  for (let turn = 0; turn < 1_000; turn += 1) {
+    counted.queue.observeAccept()
+    counted.now += 2
+    await waitTurn()
+  }
+  assert.is(counted.queue.computeAcceptDelay(counted.now), 256)
+})
+
 // A caller waited long for its connection to be accepted, sent its request meanwhile, and left. Both are there to be read,
 // the leaving a turn after the request.
 test('the first request of a connection waits one turn more', async () => {
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -2,18 +2,13 @@
 import { Server as NetServer, type Socket } from 'node:net'
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { CallerAnswer } from './callerAnswer.js'
+import { MOST_UNACCEPTED } from './mostUnaccepted.js'
 import type { TurnQueue } from './turnQueue.js'
 
 /** Milliseconds between checks for callers that are too slow with their heads. */
 const CHECK_INTERVAL_MS = 1_000
 /** Milliseconds that a connection is kept beyond the stated limit: a caller's last request and our close may cross. */
 const IDLE_MARGIN_MS = 1_000
-/**
- * Connections that wait to be accepted. An overloaded host accepts a few hundred a second, and callers give an attempt
- * up after a third of a second to a second without being read: behind more than these, every connection is a dead one
- * when its turn comes, and accepting it keeps those behind it waiting.
- */
-const MOST_UNACCEPTED = 128
 /** Milliseconds that a whole request may take to arrive. */
 const REQUEST_TIMEOUT_MS = 60_000
 
--- a/packages/almondrelay-gateway/src/connection/turnQueue.ts
+++ b/packages/almondrelay-gateway/src/connection/turnQueue.ts
@@ -1,3 +1,5 @@
+import { MOST_UNACCEPTED } from './mostUnaccepted.js'
+
 /**
  * Milliseconds of work on requests in one turn of the event loop, and while connections come in.
  *
@@ -26,6 +28,8 @@
   private hasAccepted = false
   /** Since when every turn of the loop has accepted a connection; undefined where the last one did not. */
   private acceptingSince: number | undefined
+  /** Connections accepted since then. */
+  private accepted = 0
 
   /** @param getNow monotonic milliseconds */
   constructor (private readonly getNow: () => number) {}
@@ -46,17 +50,23 @@
   /** Notes that a connection was accepted: more may wait. */
   observeAccept (): void {
     this.hasAccepted = true
+    this.accepted += 1
     if (this.acceptingSince !== undefined) return
     this.acceptingSince = this.getNow()
+    this.accepted = 1
     setImmediate(() => { this.checkAccepting() })
   }
 
   /**
-   * For how long every turn has accepted a connection, in milliseconds: as long as it does, more connections come in
-   * than are accepted, and they wait unseen in the queue of the port.
+   * For how long a connection waits to be accepted at most, in milliseconds. As long as every turn accepts one, more come in
+   * than are accepted and they wait unseen in the queue of the port; the queue is as long as this has gone on, and no
+   * longer than the port's, each place a turn. Without that second bound a host that accepts a connection in each turn for
+   * two seconds took itself for two seconds late, and refused nine of ten whom it could have served.
    */
   computeAcceptDelay (now: number): number {
-    return this.acceptingSince === undefined ? 0 : Math.max(0, now - this.acceptingSince)
+    if (this.acceptingSince === undefined) return 0
+    const lastsMs = Math.max(0, now - this.acceptingSince)
+    return Math.min(lastsMs, lastsMs / this.accepted * MOST_UNACCEPTED)
   }
 
   /** How long the first in the queue has waited, in milliseconds; 0 where none waits. */
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -21,6 +21,11 @@
 
 /** Retry-After, in milliseconds, of a host that knows no configuration yet. */
 const STARTING_RETRY_MS = 500
+/**
+ * Milliseconds after the host's start in which requests wait for its first configuration: a connection and a read take two
+ * round trips, of 110 ms each to a store in a region that is 55 ms away. After that the store is away, and the request is refused.
+ */
+const STARTING_MS = 600
 const HASH_RANGE = 2 ** 32
 
 interface HandlerParts {
@@ -31,6 +36,8 @@
   log: EventLog
   account: AccountKeeper
   metrics: GatewayMetrics
+  /** When the host started, in monotonic milliseconds. */
+  startedAt: number
   getNow: () => number
   random: () => number
 }
@@ -45,7 +52,10 @@
     // The caller's time has run since its request came in, which was before this host came to read it.
     const arrivedAt = Math.min(readAt, getNow() - load.readDelay)
     const head = this.parts.callerCodec.decodeHead(message)
-    const { configuration, routes } = this.parts.forward.fleet
+    const { fleet } = this.parts.forward
+    if (fleet.configuration === undefined) await fleet.waitForConfiguration(this.parts.startedAt + STARTING_MS - getNow())
+    if (left.aborted) return undefined
+    const { configuration, routes } = fleet
     if (configuration === undefined) return this.refuseUnready(head)
     const route = routes.findRoute(getHostName(message), getPath(message))
     if (route === undefined) return this.reject(message, head, 404, 'no route')
