Revert "Take large answers from targets in the host's own zone"

Cause: what the change costs callers. Ruled out: places in each zone only where work anew is still on time (on the small deployment that is 288 of 300 ms: it would switch on and off with the load). Conclusion: reverted.

--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -2,7 +2,6 @@
 import { ColdAllowance } from '../../request/coldAllowance.js'
 import { ShiftCapUse } from '../../request/shiftCapUse.js'
 import type { TargetState } from '../../request/targetState.js'
-import { TransferCost } from '../../request/transferCost.js'
 import { DeclaredSteering } from '../../version/declaredSteering.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerView } from '../peers/peerView.js'
@@ -27,7 +26,6 @@
   readonly fleet: FleetState
   readonly trips: TripTimes
   readonly pools: TargetPools
-  readonly transfer: TransferCost
   readonly shiftCaps = new ShiftCapUse()
   /** What operators declared, of the newest revision that this host knows. */
   steering = DeclaredSteering.none
@@ -39,7 +37,6 @@
     this.fleet = fleet
     this.trips = new TripTimes(settings.host.region)
     this.pools = new TargetPools(codec, this.trips, getNow, countOpened)
-    this.transfer = new TransferCost(settings.host, settings.costs)
     this.cold = new ColdAllowance(settings.host.name)
   }
 
@@ -66,10 +63,6 @@
     return this.parts.settings.host.region
   }
 
-  get ownZone (): string {
-    return this.parts.settings.host.availabilityZone
-  }
-
   /** Whether a request for a service may run in a region under the caps on shifts. */
   allowRegion (service: string, region: string): boolean {
     if (region === this.ownRegion || this.steering.caps.length === 0) return true
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -28,16 +28,14 @@
   }
 
   choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
-    const { fleet, trips, transfer } = this.state
-    const { targetLatencyMs, name } = request.route
+    const { fleet, trips } = this.state
+    const { targetLatencyMs } = request.route
     const isRegionOpen = this.findOpenRegions(request.route.allowedRegions)
     return chooseTarget(fleet.listTargets(this.service), {
       now,
       keyHash: this.keyHash,
       homeRegion: this.homeRegion,
       findTripMs: (region) => trips.find(region),
-      findTransferMs: ({ entry }) => transfer.estimate(name, entry),
-      homeZone: transfer.isLocal(name) ? this.state.ownZone : undefined,
       warmMs: this.runtime.times.getWarmMs(targetLatencyMs),
       coldMs: this.runtime.times.getColdMs(targetLatencyMs),
       meanMs: this.runtime.times.getMeanMs(targetLatencyMs),
@@ -71,10 +69,7 @@
     if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
     if (result.head.isMisdirected) this.state.fleet.removeMisdirected(target, now)
     else if (result.head.isNotRun || !result.head.isGenuine || result.head.status >= FIRST_FAILURE_STATUS) target.observeFailure(now)
-    else {
-      this.state.transfer.learn(attempt.request.route.name, result.body.length)
-      this.learnDuration(attempt.choice, now - attempt.sentAt, now)
-    }
+    else this.learnDuration(attempt.choice, now - attempt.sentAt, now)
   }
 
   useRetry (now: number): boolean {
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -5,13 +5,6 @@
 
 const port = z.int().min(1).max(65_535)
 
-/**
- * Milliseconds of answer time that a megabyte is taken to be worth on its way: an answer of 90 KB from another zone then
- * counts as 45 ms later, so that it is preferred to a wait of half a read, and not to a late answer.
- */
-const DEFAULT_ZONE_COST = 500
-const DEFAULT_REGION_COST = 800
-
 /** Settings of a host; unknown names are ignored, as a platform may add some. All times are milliseconds once read. */
 const GatewaySettings = z.object({
   host: z.object({
@@ -45,15 +38,8 @@
     /** Longest time for which callers may keep a look-up answer. */
     longestLookupLife: duration,
     /** Part of a region's requests that may change the region in which they run, from one window of two seconds to the next. */
-    shiftPart: z.number().min(0).max(1),
-    /** Time within which a host must know that a target takes no new requests. */
-    leavingInForce: duration
+    shiftPart: z.number().min(0).max(1)
   }),
-  /** What bytes cost, in milliseconds of answer time for a megabyte. */
-  costs: z.object({
-    availabilityZoneMsPerMegabyte: z.number().min(0).default(DEFAULT_ZONE_COST),
-    regionMsPerMegabyte: z.number().min(0).default(DEFAULT_REGION_COST)
-  }).default({ availabilityZoneMsPerMegabyte: DEFAULT_ZONE_COST, regionMsPerMegabyte: DEFAULT_REGION_COST }),
   /** Port and path of the text page of metrics. */
   metrics: z.object({ port: z.int().min(1).max(65_535), path: z.string().startsWith('/') }),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) })
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -10,10 +10,6 @@
   homeRegion: string
   /** Milliseconds there and back to a region. */
   findTripMs: (region: string) => number
-  /** What the bytes of the answer cost on their way from a target, in milliseconds. */
-  findTransferMs: (target: TargetState) => number
-  /** Availability zone in which the request has its first place; undefined where all zones of a region share one. */
-  homeZone: string | undefined
   /** Work on an object that the target holds, and on one that it doesn't. */
   warmMs: number
   coldMs: number
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -37,24 +37,15 @@
 }
 
 const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
+  const isAllowed = (target: TargetState): boolean => !target.isCold(context.now) || context.allowCold(target)
   let best: TargetChoice | undefined
-  for (const { target, rank } of pickPlaces(targets, context)) {
+  for (const { target, rank } of pickTargets(targets, context.keyHash, TARGETS_OF_KEY, isAllowed)) {
     const choice = estimateChoice(target, rank, context)
     if (best === undefined || choice.costMs < best.costMs) best = choice
   }
   return best
 }
 
-/** The targets that may hold the key's object: two of the region, or one of the home zone and one of the others. */
-const pickPlaces = (targets: readonly TargetState[], context: ChoiceContext): ReturnType<typeof pickTargets> => {
-  const isAllowed = (target: TargetState): boolean => !target.isCold(context.now) || context.allowCold(target)
-  const isAtHome = (target: TargetState): boolean => target.entry.availabilityZone === context.homeZone
-  const own = targets.filter(isAtHome)
-  if (own.length === 0 || own.length === targets.length) return pickTargets(targets, context.keyHash, TARGETS_OF_KEY, isAllowed)
-  const others = targets.filter((target) => !isAtHome(target))
-  return [own, others].flatMap((zone) => pickTargets(zone, context.keyHash, 1, isAllowed))
-}
-
 const estimateChoice = (target: TargetState, rank: number, context: ChoiceContext): TargetChoice => {
   const { now, warmMs, coldMs } = context
   const outstanding = target.countOutstanding(now)
@@ -67,9 +58,8 @@
   const tripMs = context.findTripMs(target.entry.region)
   const failureShare = Math.min(0.95, target.getFailureShare(now))
   const failureMs = failureShare / (1 - failureShare) * FAILURE_COST * context.targetLatencyMs
-  const transferMs = context.findTransferMs(target)
   const burdenMs = estimateBurden(isWarm, rank, outstanding / target.entry.slots, coldMs - warmMs)
-  return { target, expectedMs: tripMs + waitMs + workMs, costMs: tripMs + waitMs + workMs + failureMs + transferMs + burdenMs, workMs, waitMs, tripMs, rank, outstanding, isWarm: isHeld }
+  return { target, expectedMs: tripMs + waitMs + workMs, costMs: tripMs + waitMs + workMs + failureMs + burdenMs, workMs, waitMs, tripMs, rank, outstanding, isWarm: isHeld }
 }
 
 /**
