Pause between questions on others' word, and take no revision that is no number

Cause: read in the diff: a report that tells a revision which the store will never have made hosts of large regions ask the store in a tight loop; one that is no number made every host begin its watch anew each second. Anybody may send to the port. Change: a pause after each such question; reports whose revisions aren't whole numbers are none. Measured: the tests fail before.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -239,6 +239,10 @@
   await followed.waitFor(() => fleet.findTarget('1') === undefined, 'end of target 1')
   assert.is(store.watches, watches + 1)
   assert.is(fleet.notableRevision, store.latestRevision)
+  const before = store.watches
+  follower.hearRevision(store.latestRevision, store.latestRevision + 1_000, 0)
+  await new Promise((resolve) => { setTimeout(resolve, 700) })
+  assert.ok(store.watches - before <= 2, `${store.watches - before} calls for a revision that never comes`)
   followed.reliesOnWatchers = false
   store.remove('target/2')
   await followed.waitFor(() => fleet.findTarget('2') === undefined, 'end of target 2, though nobody told of it')
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -155,7 +155,8 @@
   }
 
   private async watchOnce (prefix: string, revision: number, signal: AbortSignal): Promise<number | undefined> {
-    if (this.parts.hasReliableWatchers()) {
+    const isOnWord = this.parts.hasReliableWatchers()
+    if (isOnWord) {
       this.isRelying = true
       await this.waitForWord(signal)
       this.isRelying = false
@@ -169,7 +170,8 @@
     }
     this.updater.applyEvents(result.events)
     this.parts.fleet.storeRevision = Math.max(this.parts.fleet.storeRevision, result.revision)
-    if (result.events.length > 0) await sleepFor(BATCH_MS, signal)
+    // A host that asks on others' word pauses after each answer: a wrong word of a revision to come would else make it ask without end.
+    if (result.events.length > 0 || isOnWord) await sleepFor(BATCH_MS, signal)
     return result.revision
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -33,4 +33,13 @@
   assert.ok(decodeReport(encode({})) !== undefined)
 })
 
+// A report with a revision that no store will ever have would make every host ask the store for it without end.
+test('a report with a revision that is no whole number is none', () => {
+  for (const revision of [NaN, Infinity, -1, 0.5, 1e300]) {
+    for (const field of ['storeRevision', 'notableRevision', 'declaredRevision']) {
+      assert.is(decodeReport(toBinary(LoadReportSchema, create(LoadReportSchema, { host: 'a', region: 'akl', [field]: revision }))), undefined, `${field}: ${revision}`)
+    }
+  }
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -9,7 +9,7 @@
 export function decodeReport (bytes: Uint8Array): PeerReport | undefined {
   try {
     const message = fromBinary(LoadReportSchema, bytes)
-    if (!isNamed(message) || !message.demands.every(isMeasured)) return undefined
+    if (!isNamed(message) || !hasRevisions(message) || !message.demands.every(isMeasured)) return undefined
     return {
       host: message.host,
       incarnation: message.incarnation,
@@ -37,6 +37,9 @@
 
 const isNamed = ({ host, region }: LoadReport): boolean => [host, region].every((name) => name.length > 0 && name.length <= LONGEST_NAME)
 
+const hasRevisions = ({ storeRevision, notableRevision, declaredRevision }: LoadReport): boolean =>
+  [storeRevision, notableRevision, declaredRevision].every((revision) => Number.isSafeInteger(revision) && revision >= 0)
+
 /** Numbers that can be counted with: one that isn't finite would spoil every sum that it goes into. */
 const isMeasured = ({ perSecond, warmMs, parts }: LoadReport['demands'][number]): boolean =>
   [perSecond, warmMs, ...parts.map(({ part }) => part)].every((value) => Number.isFinite(value) && value >= 0)
