--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -156,12 +156,7 @@
 
   private async watchOnce (prefix: string, revision: number, signal: AbortSignal): Promise<number | undefined> {
     const isOnWord = this.parts.hasReliableWatchers()
-    if (isOnWord) {
-      this.isRelying = true
-      await this.waitForWord(signal)
-      this.isRelying = false
-      this.hasToCatchUp = true
-    }
+    if (isOnWord) await this.waitForWord(signal)
     const result = await this.waitForChanges(prefix, revision, signal)
     if (result === undefined) return revision
     if (result.kind === 'history-gone') {
@@ -184,10 +179,11 @@
   private async waitForWord (signal: AbortSignal): Promise<void> {
     const { fleet, getNow, hasReliableWatchers } = this.parts
     const startedAt = getNow()
-    while (!signal.aborted && hasReliableWatchers() && getNow() - startedAt < LONGEST_UNASKED_MS) {
-      if (this.hasToCatchUp || this.notableHeard > fleet.storeRevision) return
-      await sleepFor(CHECK_MS, signal)
-    }
+    const hasWord = (): boolean => this.hasToCatchUp || this.notableHeard > fleet.storeRevision
+    this.isRelying = true
+    while (!signal.aborted && !hasWord() && hasReliableWatchers() && getNow() - startedAt < LONGEST_UNASKED_MS) await sleepFor(CHECK_MS, signal)
+    this.isRelying = false
+    this.hasToCatchUp = true
   }
 
   /** Undefined where the wait was interrupted. */
@@ -197,7 +193,7 @@
     signal.addEventListener('abort', handleAbort)
     this.interrupt = interrupt
     this.isWaitLong = !this.hasToCatchUp && !this.parts.isWatcher()
-    const waitMs = this.hasToCatchUp ? CATCH_UP_MS : this.isWaitLong ? LONG_WATCH_MS : this.parts.isReliedOn() ? RELIED_WATCH_MS : WATCH_MS
+    const waitMs = this.chooseWaitMs()
     this.hasToCatchUp = false
     try {
       return await this.parts.store.watch(prefix, revision, waitMs, interrupt.signal)
@@ -211,6 +207,12 @@
     }
   }
 
+  private chooseWaitMs (): number {
+    if (this.hasToCatchUp) return CATCH_UP_MS
+    if (this.isWaitLong) return LONG_WATCH_MS
+    return this.parts.isReliedOn() ? RELIED_WATCH_MS : WATCH_MS
+  }
+
   private async keepChecking (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleepFor(CHECK_MS, signal)
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -57,7 +57,7 @@
 
   putTarget (entry: TargetEntry, now: number): void {
     const known = this.targets.get(entry.id)
-    if (known?.entry.incarnation === entry.incarnation && known !== undefined) {
+    if (known !== undefined && known.entry.incarnation === entry.incarnation) {
       known.updateEntry(entry, now)
       return
     }
