Hear that a target is cold also from an entry that may be an older one

Cause: read in the diff: where targets state no start, a target that starts again under its id counts its heartbeats from one, as a late write of its former life does; passed over, it would get the rate of a warm target while it is cold. Ruled out: believing such an entry in full (a late write would bring back a target that takes no new work). Change: the time for which it says that it is cold is taken over. Today's deployments give a restarted target a new id.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -197,6 +197,16 @@
   await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'its next life')
 })
 
+// In a deployment whose targets state no start one is started again under its id. Its heartbeats count from one, like those
+// of an old entry that is written late; its word that it is cold must be heard in any case.
+test('fewer heartbeats of a target that states no start are believed in that it is cold', async () => {
+  const { fleet } = followed
+  followed.writeTarget('3', { sequence: 40 })
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  followed.writeTarget('3', { sequence: 1, coldForMs: 3_000 })
+  await followed.waitFor(() => fleet.findTarget('3')?.isCold(0) === true, 'its being cold')
+})
+
 // Another writer puts bytes of its own under a target's key, again and again. The target isn't used until it has written
 // itself anew; all others are, and the log isn't filled.
 test('an entry that can not be read names no target, and the others of its answer hold', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -148,6 +148,8 @@
     const known = fleet.findTarget(entry.id)
     if (!this.latest.accept(entry)) {
       log.record('older entry of a target passed over', { entry })
+      // Where targets state no start, fewer heartbeats may also be those of a new life: cold, it would fall over at the rate of a warm one.
+      if (known !== undefined && entry.incarnation === undefined) known.markCold(entry.coldForMs, now)
       return
     }
     this.lapsing.delete(entry.id)
