Build targets and routes of measurements with the fixtures that tests use; list a region's hosts in one place

Cause: the entry of a target was written out in the capacity measurement and in the experiment beside the tests' makeTarget, a route beside makeRoute, so that each new field had to be added to all of them; the hosts of the own region were filtered in four methods of PeerView, one of them new. Ruled out: the context of a choice (makeContext): spread in the measured loop it would count as part of the choice. Change: almondrelay-gateway/testing hands out both fixtures; PeerView.listNear. No behaviour changes. Measured: 57 tests (peer view, experiment, stand-ins) passed, no test touched; types and lint of the three packages clean.

--- a/packages/almondrelay-experiment/src/steering/productWay.ts
+++ b/packages/almondrelay-experiment/src/steering/productWay.ts
@@ -1,4 +1,4 @@
-import { AwayAllowance, chooseTarget, decideAdmission, planRegionParts, RegionParts, ServiceTimes, TargetState, type RegionDemand, type TargetChoice } from 'almondrelay-gateway/testing'
+import { AwayAllowance, chooseTarget, decideAdmission, makeTarget, planRegionParts, RegionParts, ServiceTimes, type RegionDemand, type TargetChoice, type TargetState } from 'almondrelay-gateway/testing'
 import { deployment } from '../model/deployment.js'
 import type { ModelRequest } from '../model/modelRequest.js'
 import type { KnownTarget } from './knownTarget.js'
@@ -26,7 +26,7 @@
 
   constructor (targets: readonly KnownTarget[], private readonly region: string, private readonly options: WayOptions) {
     super()
-    this.targets = targets.map((target) => new TargetState({ ...target, incarnation: undefined, sequence: 1, service: SERVICE, ip: '', port: 0, availabilityZone: target.region, draining: false, coldForMs: 0 }, 0))
+    this.targets = targets.map((target) => makeTarget({ ...target, service: SERVICE, availabilityZone: target.region }))
     this.parts = new RegionParts(region, deployment.shiftPart)
     this.parts.adopt(new Map([[region, 1]]), 0)
   }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -88,7 +88,7 @@
 
   /** The lowest revision of the operators' resources in force on a live host of this region; Infinity where none is heard. */
   findLowestDeclared (now: number): number {
-    const near = this.fleet.listHosts().filter((entry) => entry.region === this.own.region && this.hasHeard(entry, now))
+    const near = this.listNear().filter((entry) => this.hasHeard(entry, now))
     return near.reduce((lowest, { name }) => Math.min(lowest, this.peers.get(name)?.report.declaredRevision ?? Infinity), Infinity)
   }
 
@@ -107,7 +107,7 @@
 
   /** The same of this host's region alone. */
   countRegionHosts (): number | undefined {
-    return this.fleet.isComplete ? Math.max(1, this.fleet.listHosts().filter((entry) => entry.region === this.own.region).length) : undefined
+    return this.fleet.isComplete ? Math.max(1, this.listNear().length) : undefined
   }
 
   /** Hosts that share the work on the targets of a region: its own, or all where it has none. */
@@ -126,7 +126,7 @@
 
   /** Whether the hosts of this region are so many that those that don't watch leave it to those that do. */
   hasManyNear (): boolean {
-    return this.fleet.listHosts().filter((entry) => entry.region === this.own.region).length >= LEAST_TO_RELY
+    return this.listNear().length >= LEAST_TO_RELY
   }
 
   /**
@@ -150,8 +150,13 @@
     return this.listLive(now).filter((entry) => entry.region === this.own.region).map((entry) => entry.name).sort().slice(0, SPEAKERS)
   }
 
+  /** Entries of the hosts of this region, this one's included. */
+  private listNear (): HostEntry[] {
+    return this.fleet.listHosts().filter((entry) => entry.region === this.own.region)
+  }
+
   private hasHeardNear (now: number): boolean {
-    return this.fleet.listHosts().some((entry) => entry.region === this.own.region && entry.name !== this.own.name && this.hasHeard(entry, now))
+    return this.listNear().some((entry) => entry.name !== this.own.name && this.hasHeard(entry, now))
   }
 
   private hasHeard (entry: HostEntry, now: number): boolean {
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -1,4 +1,4 @@
-import { chooseTarget, decodeReport, encodeReport, RouteTable, TargetState } from 'almondrelay-gateway/testing'
+import { chooseTarget, decodeReport, encodeReport, makeRoute, makeTarget, RouteTable } from 'almondrelay-gateway/testing'
 import type { CapacitySection } from './capacitySection.js'
 import { measureMs } from './measureMs.js'
 import type { Point } from './point.js'
@@ -37,19 +37,7 @@
 }
 
 const measureChoice = (count: number): number => {
-  const targets = Array.from({ length: count }, (_, index) => new TargetState({
-    id: `i-${index}`,
-    service: 'balances',
-    ip: '10.0.0.1',
-    port: index,
-    availabilityZone: 'akl-a',
-    region: 'akl',
-    slots: 6,
-    draining: false,
-    incarnation: undefined,
-    sequence: 1,
-    coldForMs: 0
-  }, 0))
+  const targets = Array.from({ length: count }, (_, index) => makeTarget({ id: `i-${index}`, port: index, slots: 6 }))
   return measureMs(() => {
     for (let decision = 0; decision < DECISIONS; decision += 1) {
       chooseTarget(targets, {
@@ -70,19 +58,7 @@
 }
 
 const measureRouting = (count: number): number => {
-  const table = new RouteTable(Array.from({ length: count }, (_, index) => ({
-    name: `r-${index}`,
-    hostName: `h${index % 10}.example`,
-    pathPrefix: `/p${index}/`,
-    idempotent: true,
-    timeoutMs: 2_000,
-    targetLatencyMs: 250,
-    priority: 0,
-    sessionAffinity: true,
-    maxAttempts: 2,
-    allowedRegions: [],
-    destinations: []
-  })))
+  const table = new RouteTable(Array.from({ length: count }, (_, index) => makeRoute({ name: `r-${index}`, hostName: `h${index % 10}.example`, pathPrefix: `/p${index}/` })))
   return measureMs(() => { for (let decision = 0; decision < DECISIONS; decision += 1) table.findRoute('h3.example', `/p${decision % count}/a/b`) }) / DECISIONS * US_PER_MS
 }
 
