Keep a key at the target that holds it while its own one warms up; fill a region less where the next one is near

Cause: a target that joins or was cold is the first of some keys at once and holds none; all their requests went there together, each working on the object anew. A region was filled to 0.55 of its slots also where the trip is a twentieth of the work. That work ended by its limit leaves nothing behind: 115 of 125 requests after one were answered, half of them within 820 ms. Change: settled targets hold, those cold until 8 s ago get a quarter of their keys' requests, and more by cost; the use up to which a region is filled goes by the trip as a part of the work.

--- a/packages/almondrelay-experiment/src/steering/productWay.ts
+++ b/packages/almondrelay-experiment/src/steering/productWay.ts
@@ -71,7 +71,7 @@
     }
     if (!this.options.movesRegions) return
     const demands = [this.describeDemand(now), ...others.map((peer) => peer.describeDemand(now))]
-    this.parts.moveTowards(planRegionParts(this.region, deployment.regions, demands, this.targets, now), now)
+    this.parts.moveTowards(planRegionParts(this.region, deployment.regions, demands, this.targets, deployment.tripFarMs, now), now)
   }
 
   override countAt (targetId: string): number {
@@ -91,6 +91,7 @@
       targetLatencyMs,
       isEligible: () => true,
       allowCold: () => true,
+      warmsUp: true,
       allowAway: this.options.movesRegions && this.away.allow()
     })
   }
--- a/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
@@ -64,7 +64,8 @@
     const { ownRegion, regions, forward } = this.parts
     const { fleet, steering } = forward
     const targets = fleet.listTargets(runtime.name).filter(({ entry }) => !fleet.isEvacuated(entry.availabilityZone) && !steering.isDrained(entry) && !steering.isRegionDrained(entry.region))
-    const byLoad = planRegionParts(ownRegion, regions, demands, targets, now)
+    const tripMs = Math.min(...regions.filter((region) => region !== ownRegion).map((region) => forward.trips.find(region)))
+    const byLoad = planRegionParts(ownRegion, regions, demands, targets, tripMs, now)
     const ownBusySlots = sumBusySlots(demands, ownRegion)
     return planDeclaredParts({ service: runtime.name, ownRegion, regions, byLoad, steering, ownBusySlots })
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -27,6 +27,8 @@
  */
 const STARTING_MS = 600
 const HASH_RANGE = 2 ** 32
+/** Part of a key's requests that goes to its own target while that one is warming up. */
+const WARM_UP_PART = 0.25
 
 interface HandlerParts {
   callerCodec: CallerCodec
@@ -92,7 +94,7 @@
     const runtime = forward.getRuntime(service)
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
-    const placement = new RequestPlacement(forward, runtime, keyHash, request.route.allowedRegions)
+    const placement = new RequestPlacement(forward, runtime, keyHash, request.route.allowedRegions, random() < WARM_UP_PART)
     return new RequestRunner(request, placement, { codec: targetCodec, getNow })
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -13,7 +13,8 @@
 export class RequestPlacement {
   readonly homeRegion: string
 
-  constructor (private readonly state: ForwardState, private readonly runtime: ServiceRuntime, private readonly keyHash: number, allowedRegions: readonly string[]) {
+  /** @param warmsUp whether the request goes to its key's own target though that one is warming up */
+  constructor (private readonly state: ForwardState, private readonly runtime: ServiceRuntime, private readonly keyHash: number, allowedRegions: readonly string[], private readonly warmsUp: boolean) {
     const planned = runtime.regionParts.findRegion(keyHash)
     this.homeRegion = allowedRegions.length === 0 || allowedRegions.includes(planned) ? planned : allowedRegions[keyHash % allowedRegions.length] as string
   }
@@ -43,6 +44,7 @@
       targetLatencyMs,
       isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && !this.state.steering.isDrained(entry) && isRegionOpen(entry.region),
       allowCold: (target) => this.state.allowCold(target, now),
+      warmsUp: this.warmsUp,
       allowAway: this.declared?.spill !== false && this.runtime.away.allow()
     })
   }
--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -3,6 +3,7 @@
 import { makeContext } from '../__fixtures__/makeContext.js'
 import { makeTarget } from '../__fixtures__/makeTarget.js'
 import { chooseTarget } from '../chooseTarget.js'
+import type { TargetState } from '../targetState.js'
 
 const test = suite('chooseTarget')
 const listNear = () => [0, 1, 2, 3].map((index) => makeTarget({ id: `near-${index}` }))
@@ -79,6 +80,53 @@
 })
 
 // One target turns five times slower: its callers wait while others are idle, for as long as its keys stay.
+/** The targets with one of them just after it was cold. */
+const listWithStarting = (): { targets: TargetState[], starting: TargetState } => {
+  const starting = makeTarget({ id: 'starting', coldForMs: 1 })
+  return { targets: [...listNear(), starting], starting }
+}
+const listOwnKeys = (): number[] => {
+  const { targets, starting } = listWithStarting()
+  return listKeys().filter((keyHash) => chooseTarget(targets, makeContext({ keyHash, now: 60_000 }))?.target.entry.id === starting.entry.id)
+}
+
+// A third of a service's targets is added. Each is the first of some keys, all of whose requests went there in the same
+// second: with work of three seconds on an object that isn't held, four or five of them at once, which ended by their time limit,
+// while the target that held the object stood idle.
+test('a key stays with the target that holds its object while its own one is warming up', () => {
+  const keys = listOwnKeys()
+  assert.ok(keys.length > 40)
+  for (const keyHash of keys) {
+    const { targets, starting } = listWithStarting()
+    const context = makeContext({ keyHash, now: 10, warmMs: 770, coldMs: 3_000, meanMs: 900, targetLatencyMs: 1_500 })
+    const choice = chooseTarget(targets, context)
+    assert.is.not(choice?.target, starting)
+    assert.is(choice?.workMs, 770, 'the target before holds it')
+    assert.is(chooseTarget(targets, { ...context, warmsUp: true })?.target, starting, 'some requests warm it up')
+  }
+})
+
+test('a target that is warming up takes its keys where the one that holds them is full', () => {
+  const [keyHash] = listOwnKeys()
+  const { targets, starting } = listWithStarting()
+  for (const target of targets) if (target !== starting) target.inFlight = 40
+  assert.is(chooseTarget(targets, makeContext({ keyHash: keyHash as number, now: 10 }))?.target, starting)
+})
+
+test('keys of other targets never go to one that is warming up', () => {
+  const own = new Set(listOwnKeys())
+  const { targets, starting } = listWithStarting()
+  for (const keyHash of listKeys().filter((each) => !own.has(each))) {
+    assert.is.not(chooseTarget(targets, makeContext({ keyHash, now: 10, warmsUp: true }))?.target, starting)
+  }
+})
+
+test('targets that are all warming up serve their keys as ever', () => {
+  const targets = [0, 1, 2].map((index) => makeTarget({ id: `starting-${index}`, coldForMs: 1 }))
+  const settled = listKeys().map((keyHash) => chooseTarget(targets, makeContext({ keyHash, now: 60_000 }))?.target)
+  assert.equal(listKeys().map((keyHash) => chooseTarget(targets, makeContext({ keyHash, now: 10 }))?.target), settled)
+})
+
 test('a target that has become slow loses its keys within some answers, and is tried again later', () => {
   const targets = listNear()
   const first = chooseTarget(targets, makeContext())
--- a/packages/almondrelay-gateway/src/request/__tests__/regionParts.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/regionParts.test.ts
@@ -5,6 +5,8 @@
 
 const test = suite('RegionParts')
 const SHIFT_PART = 0.15
+/** A trip of 40 ms beside work of 90 ms. */
+const FAR_TRIP_PART = 0.44
 const listKeys = () => Array.from({ length: 2_000 }, (_, index) => Math.imul(index + 1, 0x9e3779b1) >>> 0)
 
 // A third of the callers live where two of sixteen targets stand: their queue grows without end while the
@@ -14,15 +16,25 @@
     { region: 'akl', slots: 48, busySlots: 12 },
     { region: 'wlg', slots: 12, busySlots: 12 },
     { region: 'chc', slots: 36, busySlots: 12 }
-  ])
+  ], FAR_TRIP_PART)
   assert.ok((parts.get('wlg') ?? 0) < 0.6)
   assert.ok((parts.get('akl') ?? 0) > (parts.get('chc') ?? 0))
   assert.ok(Math.abs([...parts.values()].reduce((sum, part) => sum + part, 0) - 1) < 1e-9)
 })
 
 test('a region with room keeps its requests, and where all are full nobody sends any away', () => {
-  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 48, busySlots: 12 }, { region: 'wlg', slots: 12, busySlots: 12 }]).get('akl'), 1)
-  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 0, busySlots: 12 }, { region: 'wlg', slots: 0, busySlots: 12 }]).get('akl'), 1)
+  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 48, busySlots: 12 }, { region: 'wlg', slots: 12, busySlots: 12 }], FAR_TRIP_PART).get('akl'), 1)
+  assert.is(computeRegionParts('akl', [{ region: 'akl', slots: 0, busySlots: 12 }, { region: 'wlg', slots: 0, busySlots: 12 }], FAR_TRIP_PART).get('akl'), 1)
+})
+
+// Work takes 770 ms, the trip 40. In a region whose targets are half busy on average one of them has twice the mean of keys,
+// and its callers wait for seconds beside idle targets in the next region.
+test('where the trip is nothing beside the work a region is filled less far than where it counts', () => {
+  const loads = [{ region: 'akl', slots: 1_080, busySlots: 240 }, { region: 'wlg', slots: 228, busySlots: 240 }]
+  const near = computeRegionParts('wlg', loads, 0.05).get('wlg') ?? 0
+  const far = computeRegionParts('wlg', loads, FAR_TRIP_PART).get('wlg') ?? 0
+  assert.ok(near * 240 / 228 < 0.45, `${near}`)
+  assert.ok(far * 240 / 228 > 0.5, `${far}`)
 })
 
 test('a small difference moves nothing, a large one is followed to its end', () => {
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -21,6 +21,8 @@
   isEligible: (target: TargetState) => boolean
   /** Whether this host may send one more request to a cold target. */
   allowCold: (target: TargetState) => boolean
+  /** Whether the request goes to its key's own target though that one is warming up and another holds the object. */
+  warmsUp: boolean
   /** Whether the request may leave its home region though that one has targets left. */
   allowAway: boolean
 }
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -1,4 +1,5 @@
 import type { ChoiceContext } from './choiceContext.js'
+import { computePairHash } from '../version/computePairHash.js'
 import { pickTargets } from './pickTargets.js'
 import type { TargetChoice } from './targetChoice.js'
 import type { TargetState } from './targetState.js'
@@ -14,6 +15,9 @@
 /** Targets of a key that may hold its object: its own and the one to which it goes when that one is full. */
 const TARGETS_OF_KEY = 2
 
+/** Rank of a key's own target that holds nothing yet: as of a second place. */
+const STARTING_RANK = 1
+
 /** Part of the additional work on an object anew that holding it at a second target is taken to cost. */
 const SECOND_PLACE_PART = 0.4
 /**
@@ -44,10 +48,37 @@
 }
 
 const findSoonest = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice | undefined => {
-  const isAllowed = (target: TargetState): boolean => !target.isCold(context.now) || context.allowCold(target)
+  const settled = targets.filter((target) => !target.isWarmingUp(context.now))
+  if (settled.length === targets.length || settled.length === 0) return findCheapest(listChoices(targets, context))
+  const choices = listChoices(settled, context)
+  const starting = findStarting(targets.filter((target) => target.isWarmingUp(context.now)), choices[0], context)
+  if (starting === undefined) return findCheapest(choices)
+  return context.warmsUp && !starting.target.isCold(context.now) ? starting : findCheapest([...choices, starting])
+}
+
+const listChoices = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice[] =>
+  pickTargets(targets, context.keyHash, TARGETS_OF_KEY, (target) => isAllowed(target, context)).map(({ target, rank }) => estimateChoice(target, rank, context))
+
+/**
+ * The key's own target where that one is warming up.
+ *
+ * Answers targets that join or come back: each is the first of some keys at once, and holds none of their objects. With all
+ * requests of a key there, each until the first one's end works on the object anew; at a request a second and three
+ * seconds of work that is four or five of them, most of which end by their time limit. The target that held the object
+ * before goes on meanwhile, and gives way to the new one by queues as to any second place.
+ */
+const findStarting = (targets: readonly TargetState[], holder: TargetChoice | undefined, context: ChoiceContext): TargetChoice | undefined => {
+  const [own] = pickTargets(targets, context.keyHash, 1, (target) => isAllowed(target, context))
+  if (own === undefined) return undefined
+  const isFirst = holder === undefined || computePairHash(own.target.hash, context.keyHash) > computePairHash(holder.target.hash, context.keyHash)
+  return isFirst ? estimateChoice(own.target, STARTING_RANK, context) : undefined
+}
+
+const isAllowed = (target: TargetState, context: ChoiceContext): boolean => !target.isCold(context.now) || context.allowCold(target)
+
+const findCheapest = (choices: readonly TargetChoice[]): TargetChoice | undefined => {
   let best: TargetChoice | undefined
-  for (const { target, rank } of pickTargets(targets, context.keyHash, TARGETS_OF_KEY, isAllowed)) {
-    const choice = estimateChoice(target, rank, context)
+  for (const choice of choices) {
     if (best === undefined || choice.costMs < best.costMs) best = choice
   }
   return best
--- a/packages/almondrelay-gateway/src/request/computeRegionParts.ts
+++ b/packages/almondrelay-gateway/src/request/computeRegionParts.ts
@@ -1,7 +1,14 @@
 import type { RegionLoad } from './regionLoad.js'
 
-/** Part of a region's slots that may be busy with warm work before requests are planned to go elsewhere. */
+/** Part of a region's slots that may be busy with warm work before requests are planned to go elsewhere, where that is far. */
 const COMFORTABLE_USE = 0.55
+/**
+ * The same where the trip is nothing beside the work. A region whose targets have some keys each is uneven: at half of
+ * all slots busy, the target with twice the mean of keys is full, while the trip would cost its callers a twentieth.
+ */
+const NEAR_USE = 0.3
+/** Part of the work that the trip is, from which on it counts as far. */
+const FAR_TRIP_PART = 0.25
 /** Room above the mean use of all regions up to which each is filled when all are busy. */
 const USE_ABOVE_MEAN = 1.1
 
@@ -11,11 +18,14 @@
  * Answers a region with more callers than its own targets bear: its queue grows without end while other
  * regions, a trip of some milliseconds away, have slots free. What doesn't fit is divided among the regions
  * with room, by their room; where none has any, it stays.
+ *
+ * @param tripPart the trip to the nearest other region and back, as a part of the work on an object that is held
  */
-export function computeRegionParts (own: string, loads: readonly RegionLoad[]): Map<string, number> {
+export function computeRegionParts (own: string, loads: readonly RegionLoad[], tripPart: number): Map<string, number> {
   const slots = loads.reduce((sum, each) => sum + each.slots, 0)
   const busy = loads.reduce((sum, each) => sum + each.busySlots, 0)
-  const use = Math.max(COMFORTABLE_USE, slots > 0 ? busy / slots * USE_ABOVE_MEAN : 0)
+  const comfortableUse = NEAR_USE + (COMFORTABLE_USE - NEAR_USE) * Math.min(1, tripPart / FAR_TRIP_PART)
+  const use = Math.max(comfortableUse, slots > 0 ? busy / slots * USE_ABOVE_MEAN : 0)
   const home = loads.find((each) => each.region === own)
   if (home === undefined || home.busySlots <= 0) return new Map([[own, 1]])
   const ownPart = Math.min(1, use * home.slots / home.busySlots)
--- a/packages/almondrelay-gateway/src/request/runningMean.ts
+++ b/packages/almondrelay-gateway/src/request/runningMean.ts
@@ -9,6 +9,10 @@
   /** @param gain weight of one sample once there are many */
   constructor (private readonly gain: number) {}
 
+  get hasSamples (): boolean {
+    return this.samples > 0
+  }
+
   learn (value: number): void {
     this.samples += 1
     this.mean += (value - this.mean) * Math.max(this.gain, 1 / this.samples)
--- a/packages/almondrelay-gateway/src/request/serviceTimes.ts
+++ b/packages/almondrelay-gateway/src/request/serviceTimes.ts
@@ -7,6 +7,11 @@
 const FIRST_WARM_PART = 0.4
 /** The same for an object that it doesn't hold. */
 const FIRST_COLD_PART = 1.2
+/**
+ * Times the work on an object that is held from which on an answer is taken for one about another object, as long as none
+ * such was measured: a guess of the longer time that is twice too long would take it for the shorter one for ever.
+ */
+const FIRST_SPLIT = 1.6
 /** Part of the work on an object that isn't held up to which an answer about one that should be held is taken for that. */
 const HELD_PART = 0.9
 /** Part of the same from which on work that never ended says that such work takes longer than was believed. */
@@ -56,12 +61,21 @@
   learn (durationMs: number, isHeld: boolean, targetLatencyMs: number): void {
     const warmMs = this.getWarmMs(targetLatencyMs)
     const coldMs = this.getColdMs(targetLatencyMs)
-    const mostWarmMs = isHeld ? Math.max(warmMs, coldMs * HELD_PART) : Math.sqrt(warmMs * coldMs)
-    if (durationMs <= mostWarmMs) this.warm.learn(durationMs)
+    if (durationMs <= this.findMostWarm(isHeld, warmMs, coldMs)) this.warm.learn(durationMs)
     else this.cold.learn(durationMs)
     this.mean.learn(durationMs)
   }
 
+  /** The longest time that counts as of an object that is held. */
+  private findMostWarm (isHeld: boolean, warmMs: number, coldMs: number): number {
+    if (isHeld) return Math.max(warmMs, coldMs * HELD_PART)
+    return this.hasMeasuredCold() ? Math.sqrt(warmMs * coldMs) : warmMs * FIRST_SPLIT
+  }
+
+  private hasMeasuredCold (): boolean {
+    return this.cold.hasSamples || this.region !== undefined || this.wider?.hasMeasuredCold() === true
+  }
+
   /**
    * Notes work that was ended by its time limit. Were only answers counted, work that as often as not takes longer than it may
    * would be taken for shorter than its limit, and be begun again and again.
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -14,6 +14,11 @@
 /** Milliseconds for which a target isn't used after a failed connection, doubled with each further one. */
 const FIRST_PAUSE_MS = 300
 const LONGEST_PAUSE_MS = 2_000
+/**
+ * Milliseconds after a target was cold in which it is taken to hold none of its objects. A quarter of the requests for them
+ * goes there in that time, so one that is asked for once a second is worked on there before all of its requests come.
+ */
+const WARM_UP_MS = 8_000
 /** Milliseconds after which a peer's count of running requests says nothing of the present. */
 const PEER_COUNT_MAX_AGE_MS = 1_500
 
@@ -35,18 +40,18 @@
   private judgedAt = 0
   private suspendedUntil = 0
   private suspensions = 0
-  private coldUntil: number
+  private coldUntil = -Infinity
   private departedAt: number | undefined
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
     this.incarnationHash = entry.incarnation === undefined ? this.hash : computeHash(`${entry.id} ${entry.incarnation}`)
-    this.coldUntil = now + entry.coldForMs
+    this.markCold(entry.coldForMs, now)
   }
 
   updateEntry (entry: TargetEntry, now: number): void {
     this.entry = entry
-    this.coldUntil = Math.max(this.coldUntil, now + entry.coldForMs)
+    this.markCold(entry.coldForMs, now)
     this.departedAt = undefined
   }
 
@@ -68,7 +73,12 @@
   }
 
   markCold (forMs: number, now: number): void {
-    this.coldUntil = Math.max(this.coldUntil, now + forMs)
+    if (forMs > 0) this.coldUntil = Math.max(this.coldUntil, now + forMs)
+  }
+
+  /** Whether the target was cold until lately, so that other targets still hold the objects of its keys. */
+  isWarmingUp (now: number): boolean {
+    return now < this.coldUntil + WARM_UP_MS
   }
 
   /** Requests at the target from all hosts whose counts are fresh. */
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -51,6 +51,7 @@
         targetLatencyMs: 250,
         isEligible: () => true,
         allowCold: () => false,
+        warmsUp: false,
         allowAway: true
       })
     }
@@ -75,7 +76,8 @@
   isRegional: false,
   declaredRevision: 0,
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
-  changes: undefined, demands: []
+  changes: undefined,
+  demands: []
 })
 
 const measureReading = (busyTargets: number): number => {
