Test what is handed on between hosts, counts by change and their senders; one line for the first read

Cause: a host that starts logged a line for each of 960 targets and 195 hosts in its first second. Measured: tests only.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -134,7 +134,7 @@
         fleet.setEvacuated(availabilityZone, isEvacuated)
       })
       .with({ kind: 'host' }, ({ entry }) => {
-        log.record('peer', { entry })
+        if (fleet.isComplete) log.record('peer', { entry })
         fleet.putHost(entry)
       })
       .with({ kind: 'host-gone' }, ({ name }) => {
@@ -159,7 +159,8 @@
     this.lapsing.delete(entry.id)
     const isRestart = known !== undefined && known.entry.incarnation !== entry.incarnation
     if (isRestart) log.report('target was started again', { entry, before: known.entry.incarnation })
-    else if (known === undefined || known.entry.draining !== entry.draining) log.record('target', { entry })
+    // The first read is one line of its own: a thousand more in a host's first second take its processor from its callers.
+    else if (fleet.isComplete && known?.entry.draining !== entry.draining) log.record('target', { entry })
     fleet.putTarget(entry, now)
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -4,6 +4,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { decodeReport } from '../decodeReport.js'
+import { encodeReport } from '../encodeReport.js'
 
 const test = suite('decodeReport')
 const SEED = 20_261_203
@@ -33,6 +34,31 @@
   assert.ok(decodeReport(encode({})) !== undefined)
 })
 
+test('changes of the store read as they were written', () => {
+  const changes = {
+    afterRevision: 4,
+    upToRevision: 9,
+    events: [
+      { kind: 'written' as const, item: { key: 'target/1', value: Buffer.from('{}'), revision: 5, createdRevision: 2 } },
+      { kind: 'deleted' as const, key: 'target/2', revision: 8 }
+    ]
+  }
+  const plain = decodeReport(encode({}))
+  if (plain === undefined) throw new Error('no report')
+  assert.equal(decodeReport(encodeReport({ ...plain, changes }))?.changes, changes)
+})
+
+// Revisions that fall would let a host believe that it knows changes which it never got.
+test('changes of the store whose revisions do not rise are none', () => {
+  const isReport = (changes: object): boolean => decodeReport(toBinary(LoadReportSchema, create(LoadReportSchema, { host: 'a', region: 'akl', changes }))) !== undefined
+  const change = { key: 'k', revision: 5, deleted: true }
+  assert.ok(isReport({ afterRevision: 4, upToRevision: 5, changes: [change] }))
+  assert.not.ok(isReport({ afterRevision: 6, upToRevision: 7, changes: [change] }))
+  assert.not.ok(isReport({ afterRevision: 4, upToRevision: 4, changes: [change] }))
+  assert.not.ok(isReport({ afterRevision: 4, upToRevision: NaN, changes: [] }))
+  assert.not.ok(isReport({ afterRevision: 1, upToRevision: 9, changes: [change, { ...change, revision: 3 }] }))
+})
+
 // A report with a revision that no store will ever have would make every host ask the store for it without end.
 test('a report with a revision that is no whole number is none', () => {
   for (const revision of [NaN, Infinity, -1, 0.5, 1e300]) {
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -0,0 +1,101 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
+import { FleetState } from '../../fleet/fleetState.js'
+import type { HostEntry } from '../../fleet/hostEntry.js'
+import type { ForwardState } from '../../forward/forwardState.js'
+import { decodeReport } from '../decodeReport.js'
+import { encodeReport } from '../encodeReport.js'
+import { PeerExchange } from '../peerExchange.js'
+import type { PeerReport } from '../peerReport.js'
+import type { PeerSocket } from '../peerSocket.js'
+import { PeerView } from '../peerView.js'
+
+const test = suite('PeerExchange')
+const ADDRESS = '10.0.0.2'
+
+const makeEntry = (name: string, region = 'akl'): HostEntry => ({ name, incarnation: 'i1', availabilityZone: `${region}-a`, region, ip: ADDRESS, callerPort: 1, peerPort: 2 })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map(), demands: [], changes: undefined, ...content })
+
+/** One host among others of its region, with what it sends and what it takes for the word of a watcher. */
+class ExchangeRig {
+  readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined })
+  readonly sent: PeerReport[] = []
+  readonly watched: PeerReport[] = []
+  readonly exchange: PeerExchange
+
+  constructor () {
+    const own = makeEntry('own')
+    for (const entry of [own, makeEntry('a'), makeEntry('b'), makeEntry('c'), makeEntry('far', 'wlg')]) this.fleet.putHost(entry)
+    this.fleet.isComplete = true
+    const socket = { send: (bytes: Uint8Array) => { this.sent.push(decodeReport(bytes) as PeerReport) } } as unknown as PeerSocket
+    this.exchange = new PeerExchange({
+      own,
+      fleet: this.fleet,
+      forward: { listRuntimes: () => [] } as unknown as ForwardState,
+      view: new PeerView(own, this.fleet),
+      socket,
+      getNow: () => 0,
+      isLeaving: () => false,
+      getDeclaredRevision: () => 0,
+      hearRevision: () => undefined,
+      hearWatcher: (report) => { this.watched.push(report) }
+    })
+  }
+
+  hear (report: PeerReport, ip = ADDRESS): void {
+    this.exchange.handleDatagram(encodeReport(report), ip)
+  }
+}
+
+// A peer's requests at one target end and others begin at another. A count that stays behind makes a free target look full
+// for as long as the process lives; each report is worked on by what it and the one before it name.
+test('a report replaces all counts of the one before it', () => {
+  const rig = new ExchangeRig()
+  const targets = ['1', '2', '3'].map((id, index) => makeTarget({ id, port: index + 1 }))
+  for (const { entry } of targets) rig.fleet.putTarget(entry, 0)
+  const count = (id: string): number => rig.fleet.findTarget(id)?.countOutstanding(0) ?? -1
+  const findHash = (id: string): number => rig.fleet.findTarget(id)?.incarnationHash ?? 0
+  rig.hear(makeReport('a', 1, { inFlight: new Map([[findHash('1'), 3], [findHash('2'), 1]]) }))
+  rig.hear(makeReport('b', 1, { inFlight: new Map([[findHash('1'), 2]]) }))
+  assert.equal(['1', '2', '3'].map(count), [5, 1, 0])
+  rig.hear(makeReport('a', 2, { inFlight: new Map([[findHash('2'), 4], [findHash('3'), 1]]) }))
+  assert.equal(['1', '2', '3'].map(count), [2, 4, 1])
+  rig.hear(makeReport('a', 1, { inFlight: new Map([[findHash('1'), 9]]) }))
+  assert.equal(['1', '2', '3'].map(count), [2, 4, 1], 'an older report')
+})
+
+test('counts at the life before say nothing of a target that was started again', () => {
+  const rig = new ExchangeRig()
+  const { entry } = makeTarget({ id: '1', incarnation: 1 })
+  rig.fleet.putTarget(entry, 0)
+  const before = rig.fleet.findTarget('1')?.incarnationHash ?? 0
+  rig.fleet.putTarget({ ...entry, incarnation: 2 }, 0)
+  rig.hear(makeReport('a', 1, { inFlight: new Map([[before, 3]]) }))
+  assert.is(rig.fleet.findTarget('1')?.countOutstanding(0), 0)
+})
+
+// Anybody may send to the port. Changes of the store decide where every request goes: they count only from one of the hosts
+// that watch for the region, from its address and its present life.
+test('the word of a watcher counts from its own address and life alone', () => {
+  const rig = new ExchangeRig()
+  for (const name of ['a', 'b', 'c']) rig.hear(makeReport(name, 1))
+  rig.watched.length = 0
+  rig.hear(makeReport('a', 2), '10.9.9.9')
+  rig.hear(makeReport('a', 3, { incarnation: 'i2' }))
+  rig.hear(makeReport('c', 2))
+  rig.hear(makeReport('stranger', 2))
+  assert.equal(rig.watched, [])
+  rig.hear(makeReport('a', 4))
+  assert.equal(rig.watched.map(({ host }) => host), ['a'])
+})
+
+test('changes are handed on to the other hosts of the region alone', () => {
+  const rig = new ExchangeRig()
+  const changes = { afterRevision: 4, upToRevision: 6, events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }] }
+  rig.exchange.relay(changes)
+  assert.is(rig.sent.length, 3)
+  for (const report of rig.sent) assert.equal(report.changes, changes)
+})
+
+test.run()
