Hand changes on by groups of eight hosts

Ruled out: fewer watchers that hand on (one that is turned away by the store would leave its region to ask); smaller batches (the same bytes). Change: the watcher sends to the first host of each group of eight and names the others, to whom that one passes it on; an entry counts in whatever order its datagram comes, by its revisions.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -214,7 +214,7 @@
     const notableBefore = fleet.notableRevision
     const notable = this.updater.applyEvents(result.events)
     fleet.storeRevision = Math.max(fleet.storeRevision, result.revision)
-    if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ afterRevision: notableBefore, upToRevision: result.revision, events: notable })
+    if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ afterRevision: notableBefore, upToRevision: result.revision, events: notable, forwardTo: [] })
     // A host that asks on others' word pauses after each answer: a wrong word of a revision to come would else make it ask without end.
     if (result.events.length > 0 || isOnWord) await sleepFor(BATCH_MS, signal)
     return result.revision
--- a/packages/almondrelay-gateway/src/process/fleet/relayedChanges.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/relayedChanges.ts
@@ -8,4 +8,6 @@
   upToRevision: number
   /** In the order of their revisions. */
   events: readonly StoreEvent[]
+  /** Names of the hosts to which the receiver is to pass them on. */
+  forwardTo: readonly string[]
 }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -20,7 +20,6 @@
 import type { EventLog } from './observe/eventLog.js'
 import type { GatewayMetrics } from './observe/gatewayMetrics.js'
 import { OperatorDesk } from './operators/operatorDesk.js'
-import type { PeerReport } from './peers/peerReport.js'
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
@@ -95,7 +94,7 @@
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
     this.socket = new PeerSocket(logError)
-    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, hearWatcher: (report, now) => { this.hearWatcher(report, now) } })
+    this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, acceptRelayed: (changes) => { this.follower.acceptRelayed(changes) }, hearWatcher: (report, now) => { this.follower.hearWatcher(report.storeRevision, report.notableRevision, report.storeAgeMs, now) } })
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
@@ -134,11 +133,6 @@
     })
   }
 
-  private hearWatcher ({ changes, storeRevision, notableRevision, storeAgeMs }: PeerReport, now: number): void {
-    if (changes === undefined) this.follower.hearWatcher(storeRevision, notableRevision, storeAgeMs, now)
-    else this.follower.acceptRelayed(changes)
-  }
-
   /** Serves until the signal aborts, then makes a planned stop. Resolves with the number of requests that it cut off. */
   async run (signal: AbortSignal): Promise<number> {
     const { owner } = this
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -41,7 +41,8 @@
     events: [
       { kind: 'written' as const, item: { key: 'target/1', value: Buffer.from('{}'), revision: 5, createdRevision: 2 } },
       { kind: 'deleted' as const, key: 'target/2', revision: 8 }
-    ]
+    ],
+    forwardTo: ['b', 'c']
   }
   const plain = decodeReport(encode({}))
   if (plain === undefined) throw new Error('no report')
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -53,7 +53,7 @@
     revisions.every((revision, index) => isRevision(revision) && revision >= (revisions[index - 1] ?? afterRevision))
 }
 
-const decodeChanges = ({ afterRevision, upToRevision, changes }: StoreChanges): RelayedChanges => ({ afterRevision, upToRevision, events: changes.map(decodeChange) })
+const decodeChanges = ({ afterRevision, upToRevision, changes, forwardTo }: StoreChanges): RelayedChanges => ({ afterRevision, upToRevision, events: changes.map(decodeChange), forwardTo })
 
 const decodeChange = ({ key, revision, deleted, value, createdRevision }: StoreChange): StoreEvent => deleted
   ? { kind: 'deleted', key, revision }
--- a/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
@@ -30,8 +30,8 @@
   }))
 }
 
-const encodeChanges = ({ afterRevision, upToRevision, events }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
-  ({ afterRevision, upToRevision, changes: events.map(encodeEvent) })
+const encodeChanges = ({ afterRevision, upToRevision, events, forwardTo }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
+  ({ afterRevision, upToRevision, changes: events.map(encodeEvent), forwardTo: [...forwardTo] })
 
 const encodeEvent = (event: StoreEvent): MessageInitShape<typeof StoreChangeSchema> => event.kind === 'deleted'
   ? { key: event.key, revision: event.revision, deleted: true }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -35,6 +35,12 @@
  * with one part all of it is lost; then the receiver asks the store, as for a change that fits into none.
  */
 const MOST_CHANGE_BYTES = 8_000
+/**
+ * Hosts in a group, of which the first gets changes from the watcher and passes them on to the others. Sent to all 64 others
+ * of a region, the entries of a thousand targets that start filled the link of a watcher (14 Mbit/s) for seconds, and its own
+ * calls to the store found no room; with groups of eight a watcher sends an eighth.
+ */
+const GROUP_SIZE = 8
 /** Bytes of headers around each datagram. */
 const DATAGRAM_OVERHEAD = 28
 
@@ -50,7 +56,9 @@
   getDeclaredRevision: () => number
   /** Called with the revision of the store that a peer knows, and with the last one that decides something. */
   hearRevision: (revision: number, notableRevision: number, now: number) => void
-  /** Called with the word of a host that watches the store for this region. */
+  /** Called with changes that a host which watches the store for this region hands on. */
+  acceptRelayed: (changes: RelayedChanges) => void
+  /** Called with the word of such a host on what it knows. */
   hearWatcher: (report: PeerReport, now: number) => void
 }
 
@@ -79,19 +87,39 @@
     const { own, view, getNow, hearRevision } = this.parts
     if (report === undefined || report.host === own.name) return
     const now = getNow()
+    const isWatcher = report.region === own.region && view.isWatcher(report, ip, now)
+    // Changes count also in a report that came behind a later one: their revisions tell their order.
+    if (isWatcher && report.changes !== undefined) {
+      this.parts.acceptRelayed(report.changes)
+      this.passOn(report, report.changes)
+    }
     const countsBefore = view.findCounts(report.host)
     if (!view.hear(report, now)) return
     hearRevision(report.storeRevision, report.notableRevision, now)
     if (report.region !== own.region) return
     this.hearCounts(report, countsBefore, now)
-    if (view.isWatcher(report, ip, now)) this.parts.hearWatcher(report, now)
+    if (isWatcher && report.changes === undefined) this.parts.hearWatcher(report, now)
   }
 
   /** Hands changes of the store on to the other hosts of the region. */
   relay (changes: RelayedChanges): void {
-    const declaredRevision = this.parts.getDeclaredRevision()
+    const { own, fleet, getDeclaredRevision } = this.parts
+    const near = fleet.listHosts().filter(({ name, region }) => region === own.region && name !== own.name)
+    const content = { isRegional: false, demands: [], declaredRevision: getDeclaredRevision() }
     for (const part of splitChanges(changes, MOST_CHANGE_BYTES)) {
-      this.sendTo((entry) => entry.region === this.parts.own.region, { isRegional: false, demands: [], declaredRevision, changes: part })
+      for (const [head, ...others] of splitGroups(near, GROUP_SIZE)) {
+        const forwardTo = others.map(({ name }) => name)
+        if (head !== undefined) this.send([head], { ...content, changes: { ...part, forwardTo } })
+      }
+    }
+  }
+
+  private passOn (report: PeerReport, { forwardTo, ...changes }: RelayedChanges): void {
+    if (forwardTo.length === 0) return
+    const bytes = encodeReport({ ...report, changes: { ...changes, forwardTo: [] } })
+    for (const name of forwardTo.slice(0, GROUP_SIZE)) {
+      const entry = this.parts.fleet.findHost(name)
+      if (entry !== undefined) this.parts.socket.send(bytes, entry.ip, entry.peerPort)
     }
   }
 
@@ -138,7 +166,11 @@
   }
 
   private sendTo (isReceiver: (entry: HostEntry) => boolean, content: ReportContent): number {
-    const receivers = this.parts.fleet.listHosts().filter((entry) => entry.name !== this.parts.own.name && isReceiver(entry))
+    return this.send(this.parts.fleet.listHosts().filter((entry) => entry.name !== this.parts.own.name && isReceiver(entry)), content)
+  }
+
+  /** Returns the bytes that it takes. */
+  private send (receivers: readonly HostEntry[], content: ReportContent): number {
     if (receivers.length === 0) return 0
     this.sequence += 1
     const bytes = encodeReport({ ...this.buildReport(), ...content })
@@ -168,3 +200,6 @@
   if (sum === undefined) return { ...demand, parts: new Map() }
   return { ...computeMeanTimes([sum, demand]), service: sum.service, perSecond: sum.perSecond + demand.perSecond, parts: new Map() }
 }
+
+const splitGroups = (entries: readonly HostEntry[], size: number): HostEntry[][] =>
+  Array.from({ length: Math.ceil(entries.length / size) }, (_, index) => entries.slice(index * size, (index + 1) * size))
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -41,7 +41,8 @@
   changes: number
   hostsRevision: number
   live: HostEntry[]
-  near: HostEntry[]
+  /** Addresses of the hosts of this region. */
+  nearAddresses: ReadonlySet<string>
   /** Names of the hosts of this region that speak for it and watch the store. */
   speakers: string[]
   /** Names of the hosts that share the work on the targets of each region that was asked for. */
@@ -158,11 +159,12 @@
 
   /**
    * Whether a report is the word of a host that watches the store for this region. Anybody may send to the port, and what such
-   * a host hands on decides where requests go: it counts only from the address and life that the host's own entry names.
+   * a host hands on decides where requests go: it counts only in its present life, and from its own address or that
+   * of a host of this region, which passes it on.
    */
   isWatcher ({ host, incarnation }: PeerReport, ip: string, now: number): boolean {
-    const entry = this.fleet.findHost(host)
-    return entry !== undefined && entry.incarnation === incarnation && entry.ip === ip && this.listSpeakers(now).includes(host)
+    const { speakers, nearAddresses } = this.findLists(now)
+    return speakers.includes(host) && this.fleet.findHost(host)?.incarnation === incarnation && nearAddresses.has(ip)
   }
 
   /** Whether the hosts of this region are so many that those that don't watch leave it to those that do. */
@@ -205,7 +207,7 @@
     const live = hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isAlone))
     const near = live.filter((entry) => entry.region === this.own.region)
     const speakers = near.map((entry) => entry.name).sort().slice(0, SPEAKERS)
-    return { madeAt: now, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, near, speakers, senders: new Map() }
+    return { madeAt: now, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, nearAddresses: new Set(near.map(({ ip }) => ip)), speakers, senders: new Map() }
   }
 
   /** Entries of the hosts of this region, this one's included. */
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -33,7 +33,8 @@
   return parts.map((events, index) => ({
     afterRevision: ends[index - 1] ?? afterRevision,
     upToRevision: index === parts.length - 1 && upToRevision !== undefined ? upToRevision : ends[index] as number,
-    events
+    events,
+    forwardTo: []
   }))
 }
 
