Count the time for which a host was suspended

Cause: a suspended machine's steady clock stands still, as do its timers: by it, what a host knew of targets eight seconds ago is fresh, its peers were heard just now, and callers who have left still wait. Ruled out: time of day alone (others set it); a hold of requests until the store has answered (not built: what binds in time is asked for at once, and the ages say the rest).

--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -50,8 +50,16 @@
 
 /** Takes a caller's request from its head to its answer. */
 export class RequestHandler {
+  private readonly runners = new Set<RequestRunner>()
+
   constructor (private readonly parts: HandlerParts) {}
 
+  /** Ends the requests whose deadline has passed while no timer ran. */
+  expireRequests (): void {
+    const now = this.parts.getNow()
+    for (const runner of this.runners) runner.expire(now)
+  }
+
   /** @param readAt when the request's head was read, in monotonic milliseconds */
   async handle (message: IncomingMessage, left: AbortSignal, readAt: number): Promise<CallerAnswer | undefined> {
     const { load, memory, getNow, random } = this.parts
@@ -88,7 +96,8 @@
 
   private async forward (request: CallerRequest, left: AbortSignal): Promise<CallerAnswer | undefined> {
     const runner = this.createRunner(request)
-    const answer = await runner.run(left)
+    this.runners.add(runner)
+    const answer = await runner.run(left).finally(() => { this.runners.delete(runner) })
     this.report(request, runner.record, answer)
     return answer.kind === 'abandoned' ? undefined : this.parts.callerCodec.encodeAnswer(answer, request.id)
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Ends the request where its deadline has passed and its timer hasn't fired: timers stand still with the machine. */
+  expire (now: number): void {
+    if (now >= this.request.deadline) this.events.push({ kind: 'deadline' })
+  }
+
   private async handleEvents (): Promise<FinalAnswer> {
     if (!this.startAttempt()) return this.refuse()
     for (;;) {
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -66,6 +66,7 @@
   private readonly planner: RegionPlanner
   private readonly exchange: PeerExchange
   private readonly socket: PeerSocket
+  private readonly handler: RequestHandler
   private readonly callers: CallerServer
   private readonly lookups: LookupAnswers
   private readonly announcer: HostAnnouncer
@@ -99,8 +100,8 @@
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
     this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, clock, logger: parts.logger, isLeaving }, this.owner.signal)
-    const handler = new RequestHandler({ startedAt: getNow(), account: this.account, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
-    this.callers = new CallerServer((message, left, arrivedAt) => handler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
+    this.handler = new RequestHandler({ startedAt: getNow(), account: this.account, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.callers = new CallerServer((message, left, arrivedAt) => this.handler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
@@ -150,6 +151,13 @@
     return unfinished
   }
 
+  /** The machine was suspended: requests whose time has passed meanwhile end, and the store is asked what was missed. */
+  handleGap (gapMs: number): void {
+    this.parts.log.report('host was suspended', { gapMs: Math.round(gapMs) })
+    this.handler.expireRequests()
+    this.follower.refresh('this host was suspended')
+  }
+
   private async openPorts (signal: AbortSignal): Promise<void> {
     const { settings, metrics, log } = this.parts
     const logError = (error: Error): void => { log.logError('port', error) }
