Hand on what a watcher found out by itself, and tell of what vanished in a gone history

Cause, found by reading: whether a change is handed on was judged by the watcher's own state. What it had heard from a target's answer (it left, it is cold) or by reading everything after a gone history changed nothing for it, was not handed on, and those who rely on it went past the revision: they would have sent to a target that left for as long as they lived. Ruled out: all changes handed on (heartbeats of cold targets are most of them). Change: judged by what the store said before; a full read counts as a notable change; a call that failed goes on from what was handed on meanwhile. Measured: two tests that fail before.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -123,6 +123,37 @@
   assert.is(relayed.length, 1)
 })
 
+// A watcher hears from a target's own answer that it left before the store says so. Judged by what the watcher knew by then,
+// the store's word changed nothing and was not handed on: the rest of the region went on sending to the target.
+test('a watcher hands on what it had found out by itself', async () => {
+  const { fleet, store, relayed } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  followed.isReliedOn = true
+  const target = fleet.findTarget('1')
+  if (target === undefined) throw new Error('no target')
+  fleet.removeMisdirected(target, 0)
+  store.remove('target/1')
+  await followed.waitFor(() => relayed.length === 1, 'the end of target 1 handed on')
+  fleet.findTarget('2')?.markCold(3_000, 0)
+  followed.writeTarget('2', { sequence: 2, coldForMs: 3_000 })
+  await followed.waitFor(() => relayed.length === 2, 'that target 2 is cold handed on')
+})
+
+// The store forgets its history, and a target left in the gap: no change tells of it. The watcher sees it by reading
+// everything; the others must hear that there is something to ask for.
+test('after a history that is gone the others are told to ask', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isHung = true
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  store.remove('target/1')
+  store.dropHistory()
+  store.isHung = false
+  followed.follower.refresh('test')
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  assert.is(fleet.notableRevision, store.latestRevision)
+})
+
 // All hosts restart, and each reads hundreds of keys at once. Pages that may be some seconds old cost a tenth; a target that
 // left since must not come back by them, nor one that came since be missing.
 test('a first read of old pages is completed by the changes since', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -90,6 +90,8 @@
   /** No watch is out: this host waits for the word of those that watch. */
   private isRelying = false
   private behindSince: number | undefined
+  /** Up to which this host knows all that decides something by what was handed on. */
+  private handedOnRevision = 0
   /** Since when this host has had the word of a change but not the change. */
   private wordSince: number | undefined
 
@@ -132,6 +134,7 @@
     const { fleet } = this.parts
     if (!this.isRelying || fleet.storeRevision < notableRevision) return
     fleet.storeRevision = Math.max(fleet.storeRevision, revision)
+    this.handedOnRevision = fleet.storeRevision
     fleet.confirmedAt = Math.max(fleet.confirmedAt ?? -Infinity, now - ageMs)
   }
 
@@ -146,6 +149,7 @@
     const known = fleet.storeRevision
     this.updater.applyEvents(events.filter((event) => getEventRevision(event) > known))
     fleet.storeRevision = upToRevision
+    this.handedOnRevision = upToRevision
   }
 
   /** Begins the watch anew, on another connection, and asks at once what was missed. */
@@ -194,6 +198,8 @@
     this.updater.applyEvents(read.events)
     fleet.isComplete = true
     fleet.storeRevision = Math.max(fleet.storeRevision, read.revision)
+    // What vanished in a history that is gone has no change that could be handed on: the others hear that there is something to ask for.
+    fleet.notableRevision = Math.max(fleet.notableRevision, read.revision)
     log.record('read from the store', { prefix, revision: read.revision, keys, isLapse })
     // Pages of the account alone don't bring the operators' parts in: hosts that restart have no time to load them.
     if (read.isCutOff) this.parts.handleUnreadKeys()
@@ -204,7 +210,7 @@
     const { fleet, log } = this.parts
     const isOnWord = this.parts.hasReliableWatchers()
     if (isOnWord) await this.waitForWord(signal)
-    const known = isOnWord ? Math.max(revision, fleet.storeRevision) : revision
+    const known = Math.max(revision, this.handedOnRevision)
     const result = await this.waitForChanges(prefix, known, signal)
     if (result === undefined) return known
     if (result.kind === 'history-gone') {
--- a/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
@@ -6,12 +6,15 @@
 /**
  * Whether a host decides otherwise after a change than before it. Most changes are heartbeats of targets that tell only
  * how much longer they stay cold.
+ *
+ * It is judged by what the store said before, not by what this host found out by itself: a watcher that had heard from a target's
+ * own answer that it left, or was cold, would not hand the change on, and the others of its region would never know.
  */
 export function isNotableChange (change: FleetChange, fleet: FleetState, now: number): boolean {
   return match(change)
     .with({ kind: 'configuration' }, ({ configuration }) => configuration.version > (fleet.configuration?.version ?? -1))
     .with({ kind: 'target' }, ({ entry }) => isNotableEntry(entry, fleet, now))
-    .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, ({ id }) => fleet.findTarget(id) !== undefined)
+    .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, () => true)
     .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => fleet.isEvacuated(availabilityZone) !== isEvacuated)
     .with({ kind: 'host' }, ({ entry }) => fleet.findHost(entry.name)?.incarnation !== entry.incarnation)
     .with({ kind: 'host-gone' }, ({ name }) => fleet.findHost(name) !== undefined)
@@ -23,7 +26,8 @@
 const isNotableEntry = (entry: TargetEntry, fleet: FleetState, now: number): boolean => {
   const known = fleet.findTarget(entry.id)
   if (known === undefined) return true
-  const { incarnation, draining, ip, port, slots } = known.entry
+  const { incarnation, draining, ip, port, slots, coldForMs } = known.entry
   const isSame = incarnation === entry.incarnation && draining === entry.draining && ip === entry.ip && port === entry.port && slots === entry.slots
-  return !isSame || (entry.coldForMs > 0 && !known.isCold(now))
+  const isColdAnew = entry.coldForMs > 0 && (coldForMs === 0 || entry.coldForMs > coldForMs || !known.isCold(now))
+  return !isSame || isColdAnew
 }
