One watcher hands changes on; targets of a full read without a match over all kinds; room for the waits of all tasks

Change: the second watcher stands in where the first is silent, cut off from the store or gone; early returns for targets; a limit of listeners that fits the tasks.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -117,13 +117,17 @@
   private apply (change: FleetChange, isLapse: boolean): void {
     const { fleet, log, getNow } = this.parts
     const now = getNow()
+    // Nearly all changes are targets: a match over all kinds takes half of what a host that starts does with a thousand of them.
+    if (change.kind === 'target') {
+      this.applyTarget(change.entry, now)
+      return
+    }
     match(change)
       .with({ kind: 'configuration' }, ({ configuration }) => {
         if (!fleet.adoptConfiguration(configuration)) return
         log.report('configuration in force', { version: configuration.version, routes: configuration.routes.length })
         this.parts.handleConfiguration()
       })
-      .with({ kind: 'target' }, ({ entry }) => { this.applyTarget(entry, now) })
       .with({ kind: 'target-gone' }, ({ id }) => { this.applyTargetGone(id, isLapse, now) })
       .with({ kind: 'target-unreadable' }, ({ id, key, reason }) => {
         this.reportUnusable(key, reason)
@@ -190,9 +194,10 @@
 }
 
 /** Names what a change is about, the same for its coming and its going. */
-const describeSubject = (change: FleetChange): string => match(change)
+const describeSubject = (change: FleetChange): string => change.kind === 'target' ? `target ${change.entry.id}` : describeOtherSubject(change)
+
+const describeOtherSubject = (change: Exclude<FleetChange, { kind: 'target' }>): string => match(change)
   .with({ kind: 'configuration' }, () => 'configuration')
-  .with({ kind: 'target' }, ({ entry }) => `target ${entry.id}`)
   .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, ({ id }) => `target ${id}`)
   .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
   .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
--- a/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
@@ -11,9 +11,9 @@
  * own answer that it left, or was cold, would not hand the change on, and the others of its region would never know.
  */
 export function isNotableChange (change: FleetChange, fleet: FleetState, now: number): boolean {
+  if (change.kind === 'target') return isNotableEntry(change.entry, fleet, now)
   return match(change)
     .with({ kind: 'configuration' }, ({ configuration }) => configuration.version > (fleet.configuration?.version ?? -1))
-    .with({ kind: 'target' }, ({ entry }) => isNotableEntry(entry, fleet, now))
     .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, () => true)
     .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => fleet.isEvacuated(availabilityZone) !== isEvacuated)
     .with({ kind: 'host' }, ({ entry }) => fleet.findHost(entry.name)?.incarnation !== entry.incarnation)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
 import { openServer, sleepFor, splitAddress, SystemClock } from 'almondrelay'
 import type Logger from 'bunyan'
@@ -40,6 +41,8 @@
  * of which 45 to 95 are used without large answers.
  */
 const MOST_ANSWER_BYTES = 48 * 1024 * 1024
+/** Waits of all tasks at once that end with the process; above, the runtime warns of a leak. */
+const MOST_WAITS = 50
 /** Milliseconds between looks at what is still running at a stop. */
 const STOP_CHECK_MS = 50
 
@@ -121,7 +124,7 @@
       isWatcher: () => this.view.isSpeaker(getNow()),
       isReliedOn: () => this.view.hasManyNear(),
       hasReliableWatchers: () => this.view.hasReliableWatchers(this.parts.settings.bounds.leavingInForce, getNow()),
-      relay: (changes) => { this.exchange.relay(changes) },
+      relay: (changes) => { if (this.view.isRelay(getNow())) this.exchange.relay(changes) },
       handleOwnEntryGone: () => { this.announcer.renewEntry() },
       handleDeclared: (revision, body) => { this.desk.acceptChange(revision, body) },
       handleUnreadKeys: () => { this.desk.refresh() },
@@ -138,6 +141,7 @@
   async run (signal: AbortSignal): Promise<number> {
     const { owner } = this
     const leaving = new AbortController()
+    setMaxListeners(MOST_WAITS, owner.signal, leaving.signal)
     await this.openPorts(owner.signal)
     const tasks = this.startTasks(owner.signal, leaving.signal)
     this.parts.log.report('host started', { incarnation: this.own.incarnation })
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -54,6 +54,21 @@
   assert.not(isReliable(1_000), 'few hosts: each watches')
 })
 
+// Both watchers of a region hand on every change: each host gets all of them twice. The second one only stands in.
+test('one watcher hands changes on, the second where the first is silent or cut off from the store', () => {
+  const view = build()
+  for (const name of ['a', 'b']) view.hear(makeReport(name, 1), 0)
+  assert.not(view.isRelay(1_000), 'the first of the region is heard')
+  assert.ok(view.isRelay(2_600), 'it has gone silent')
+  view.hear({ ...makeReport('a', 2), storeAgeMs: 4_000 }, 2_700)
+  assert.ok(view.isRelay(2_700), 'it does not reach the store')
+  view.hear(makeReport('a', 3), 2_800)
+  assert.not(view.isRelay(2_800))
+  view.hear(makeReport('a', 4, true), 2_900)
+  view.hear(makeReport('b', 2, true), 2_900)
+  assert.ok(view.isRelay(2_900), 'this host is the first')
+})
+
 // A host is killed; its entry stands until its lease lapses, or as long as the store is away. A look-up
 // that names it sends callers into nothing.
 test('a host that has gone silent is not named while others are heard', () => {
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -22,6 +22,9 @@
 /** Part of the time within which a change must be known that the word of a watcher may be old; the rest is for asking. */
 const RELIED_PART = 0.6
 
+/** Age of the first watcher's knowledge, in milliseconds, above which the second hands changes on: reports come every 1.2 s, watches end after 1 s. */
+const RELAY_SILENCE_MS = 2_500
+
 /** Senders and regions that are remembered: twice the hosts of the largest fleet. Anybody may send reports of any name. */
 const MOST_PEERS = 10_000
 const MOST_REGIONS = 100
@@ -167,6 +170,17 @@
     return speakers.includes(host) && this.fleet.findHost(host)?.incarnation === incarnation && nearAddresses.has(ip)
   }
 
+  /**
+   * Whether this host is the one that hands changes on: the first that watches, or the second while the first isn't heard or doesn't
+   * reach the store. Of what both handed on half was for nothing: 0.06 GB between zones in half a minute with 195 hosts.
+   */
+  isRelay (now: number): boolean {
+    const [first] = this.listSpeakers(now)
+    if (first === undefined || first === this.own.name) return true
+    const peer = this.peers.get(first)
+    return peer === undefined || now - peer.heardAt + peer.report.storeAgeMs > RELAY_SILENCE_MS
+  }
+
   /** Whether the hosts of this region are so many that those that don't watch leave it to those that do. */
   hasManyNear (): boolean {
     return this.listNear().length >= LEAST_TO_RELY
