--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -38,8 +38,11 @@
  * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
  */
 const BATCH_MS = 500
-/** Milliseconds between looks for entries that lapsed and for a change of who watches. */
-const CHECK_MS = 100
+/**
+ * Milliseconds between looks for entries that lapsed, for a change of who watches and for changes that don't come. Each wakes a
+ * host that has nothing else to do; what they look for is judged by 300 ms and more.
+ */
+const CHECK_MS = 200
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
 const FIRST_PAUSE_MS = 100
 const LONGEST_PAUSE_MS = 500
