--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -106,6 +106,16 @@
   }
 })
 
+// Warming a target up must not cost an answer: a request that goes there and finds a queue is refused, while the target that
+// holds its object is idle.
+test('no request warms up a target that has a queue', () => {
+  for (const keyHash of listOwnKeys()) {
+    const { targets, starting } = listWithStarting()
+    starting.inFlight = 30
+    assert.is.not(chooseTarget(targets, makeContext({ keyHash, now: 10, warmsUp: true }))?.target, starting)
+  }
+})
+
 test('a target that is warming up takes its keys where the one that holds them is full', () => {
   const [keyHash] = listOwnKeys()
   const { targets, starting } = listWithStarting()
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -53,7 +53,9 @@
   const choices = listChoices(settled, context)
   const starting = findStarting(targets.filter((target) => target.isWarmingUp(context.now)), choices[0], context)
   if (starting === undefined) return findCheapest(choices)
-  return context.warmsUp && !starting.target.isCold(context.now) ? starting : findCheapest([...choices, starting])
+  // One that has a queue by now is warm enough: sent there, the request would be refused though the holder has room.
+  const warmsUp = context.warmsUp && starting.waitMs === 0 && !starting.target.isCold(context.now)
+  return warmsUp ? starting : findCheapest([...choices, starting])
 }
 
 const listChoices = (targets: readonly TargetState[], context: ChoiceContext): TargetChoice[] =>
