Take a host's entry out at a planned stop though calls are lost or its write was never answered

One call of 500 ms took it out; and a stop while the answer to the entry's write was on its way took the entry for unwritten.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -21,6 +21,8 @@
   isHung = false
   /** Commits are made and their answers are lost. */
   losesAnswers = false
+  /** Next calls to release a lease that are lost on their way. */
+  lostReleases = 0
   /** Calls that failed so far. */
   refusals = 0
   /** Watches that were asked for so far. */
@@ -108,6 +110,10 @@
   }
 
   override releaseLease (leaseId: number): Promise<void> {
+    if (this.lostReleases > 0) {
+      this.lostReleases -= 1
+      return Promise.reject(new StoreError('unknown', 'release lease', 'no answer'))
+    }
     for (const [key, item] of this.items) if (item.leaseId === leaseId) this.remove(key)
     return Promise.resolve()
   }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/hostAnnouncer.test.ts
@@ -0,0 +1,55 @@
+import bunyan from 'bunyan'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { EventLog } from '../../observe/eventLog.js'
+import { FakeRevisionStore } from '../__fixtures__/fakeRevisionStore.js'
+import { PlainFleetCodec } from '../__fixtures__/plainFleetCodec.js'
+import { HostAnnouncer } from '../hostAnnouncer.js'
+
+const test = suite('HostAnnouncer')
+const entry = { name: 'own', incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 }
+
+const start = async (store: FakeRevisionStore): Promise<{ stop: () => Promise<void> }> => {
+  const log = new EventLog(bunyan.createLogger({ name: 'test', streams: [] }), () => 0)
+  const leaving = new AbortController()
+  const running = new HostAnnouncer({ store, codec: new PlainFleetCodec(), entry, log, random: () => 0 }).run(leaving.signal)
+  for (let look = 0; look < 1_000 && !store.has('host/own'); look += 1) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  return {
+    stop: async () => {
+      leaving.abort()
+      await running
+    }
+  }
+}
+
+// A host makes a planned stop on a busy machine, and its one call to take its entry out has no answer in time. Look-ups of other
+// regions name it for as long as its lease holds, to callers who find nobody there.
+test('a planned stop takes the entry out though calls are lost', async () => {
+  const store = new FakeRevisionStore()
+  const host = await start(store)
+  assert.ok(store.has('host/own'))
+  store.lostReleases = 2
+  await host.stop()
+  assert.not(store.has('host/own'))
+})
+
+// A host is stopped just after its start, while the answer to the write of its entry is on its way. It took the entry for
+// unwritten and left it behind.
+test('a planned stop takes out an entry whose write was never answered', async () => {
+  const store = new FakeRevisionStore()
+  store.losesAnswers = true
+  const host = await start(store)
+  assert.ok(store.has('host/own'))
+  await host.stop()
+  assert.not(store.has('host/own'))
+})
+
+test('a store that never answers does not hold a planned stop up', async () => {
+  const store = new FakeRevisionStore()
+  const host = await start(store)
+  store.lostReleases = Infinity
+  await host.stop()
+  assert.ok(store.has('host/own'))
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
@@ -14,8 +14,9 @@
  */
 const RETRY_MS = 300
 const LONGEST_RETRY_MS = 2_400
-/** Milliseconds for the last call at a stop. */
-const END_TIMEOUT_MS = 500
+/** Milliseconds for the last call at a stop, and how often it is made: all tries end before callers may connect no more. */
+const END_TIMEOUT_MS = 600
+const END_TRIES = 4
 
 interface AnnouncerParts {
   store: RevisionStore
@@ -27,7 +28,10 @@
 
 /** Keeps this host's entry in the store for as long as it serves. */
 export class HostAnnouncer {
+  /** Lease of the entry; undefined while the entry isn't known to stand. */
   private leaseId: number | undefined
+  /** The last lease: the write of an entry under it may have taken effect though its answer never came. */
+  private grantedLease: number | undefined
   private failures = 0
 
   constructor (private readonly parts: AnnouncerParts) {}
@@ -54,6 +58,7 @@
         return RENEW_MS
       }
       const leaseId = await store.grantLease(LEASE_MS, signal)
+      this.grantedLease = leaseId
       const { key, value } = codec.encodeHost(entry)
       const result = await store.commit({ expected: [], writes: [{ key, value, leaseId }], deletes: [] }, signal)
       if (result.kind !== 'done') return RETRY_MS * random()
@@ -68,12 +73,19 @@
     }
   }
 
+  // One call alone may be lost or late on a busy machine; the entry then stands until its lease ends, and look-ups elsewhere name
+  // a host that is gone for four seconds.
   private async removeEntry (): Promise<void> {
-    if (this.leaseId === undefined) return
+    for (let left = END_TRIES; left > 0 && this.grantedLease !== undefined; left -= 1) await this.tryRemoveEntry(left)
+  }
+
+  private async tryRemoveEntry (triesLeft: number): Promise<void> {
+    if (this.grantedLease === undefined) return
     try {
-      await this.parts.store.releaseLease(this.leaseId, AbortSignal.timeout(END_TIMEOUT_MS))
+      await this.parts.store.releaseLease(this.grantedLease, AbortSignal.timeout(END_TIMEOUT_MS))
+      this.grantedLease = undefined
     } catch (error) {
-      this.parts.log.logError('entry of this host not taken out; it lapses by itself', error as Error)
+      this.parts.log.logError(triesLeft > 1 ? 'entry of this host not taken out yet' : 'entry of this host not taken out; it lapses by itself', error as Error)
     }
   }
 }
