Spread pauses after failures at the longest too; build a handed on report once; one copy of what stood twice

Cause, found by reading the change again: the pause after a failed call of the store was cut to its longest after the spread by chance, so that from the third failure on every host that had lost the store paused alike and all came back to it in the same moment; the code before spread the longest too. What is handed on went through all targets for each of its datagrams. The doubling pause, the wait that only asks for changes, the filter of other hosts and two set-ups of tests stood twice. Ruled out: computeBackoff of the library (other bounds, and a spread from nothing up). Change: computeRetryPause for both users; a handed on report is built once and numbered when it is sent; CATCH_UP_MS and the set-ups in one place each; two comments that still spoke of two watchers and ten looks.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -2,6 +2,7 @@
 import type { TargetEntry } from '../../../request/targetEntry.js'
 import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
 import { EventLog } from '../../observe/eventLog.js'
+import { PageAge } from '../../store/pageAge.js'
 import { StoreHealth } from '../../store/storeHealth.js'
 import { FleetFollower } from '../fleetFollower.js'
 import { FleetState } from '../fleetState.js'
@@ -53,6 +54,26 @@
 
   private running: Promise<void> | undefined
 
+  /** A fleet of a configuration and two targets, being followed. */
+  static startWithTargets (): FollowedFleet {
+    const followed = new FollowedFleet()
+    followed.store.write('configuration', { version: 5 })
+    followed.writeTarget('1')
+    followed.writeTarget('2')
+    followed.start()
+    return followed
+  }
+
+  /** A fleet not yet followed, of which old pages show target 1, which has left since. */
+  static async prepareOldPages (): Promise<FollowedFleet> {
+    const followed = new FollowedFleet()
+    followed.store.write('configuration', { version: 5 })
+    followed.writeTarget('1')
+    followed.store.stalePage = await followed.store.list('', '', PageAge.current)
+    followed.store.remove('target/1')
+    return followed
+  }
+
   start (): void {
     this.running = this.follower.run(this.owner.signal)
   }
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -5,13 +5,7 @@
 const test = suite('FleetFollower')
 let followed = new FollowedFleet()
 
-test.before.each(() => {
-  followed = new FollowedFleet()
-  followed.store.write('configuration', { version: 5 })
-  followed.writeTarget('1')
-  followed.writeTarget('2')
-  followed.start()
-})
+test.before.each(() => { followed = FollowedFleet.startWithTargets() })
 test.after.each(() => followed.stop())
 
 test('what stands in the store and what changes in it is known', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -1,6 +1,5 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { PageAge } from '../../store/pageAge.js'
 import { FollowedFleet } from '../__fixtures__/followedFleet.js'
 
 const test = suite('relayed changes and first reads')
@@ -20,13 +19,7 @@
 /** Some looks of the follower for something to do. */
 const waitForLooks = (): Promise<void> => new Promise((resolve) => { setTimeout(resolve, 300) })
 
-test.before.each(() => {
-  followed = new FollowedFleet()
-  followed.store.write('configuration', { version: 5 })
-  followed.writeTarget('1')
-  followed.writeTarget('2')
-  followed.start()
-})
+test.before.each(() => { followed = FollowedFleet.startWithTargets() })
 test.after.each(() => followed.stop())
 
 // Seventy hosts watch the store, and each heartbeat of a cold target answers them all. Of a region's hosts two watch and hand
@@ -157,11 +150,7 @@
 // All hosts restart, and each reads hundreds of keys at once. Pages that may be some seconds old cost a tenth; a target that
 // left since must not come back by them, nor one that came since be missing.
 test('a first read of old pages is completed by the changes since', async () => {
-  const started = new FollowedFleet()
-  started.store.write('configuration', { version: 5 })
-  started.writeTarget('1')
-  started.store.stalePage = await started.store.list('', '', PageAge.current)
-  started.store.remove('target/1')
+  const started = await FollowedFleet.prepareOldPages()
   started.writeTarget('2')
   const { currentPages } = started.store
   started.start()
@@ -172,11 +161,7 @@
 })
 
 test('a first read of old pages whose changes since are forgotten is made anew', async () => {
-  const started = new FollowedFleet()
-  started.store.write('configuration', { version: 5 })
-  started.writeTarget('1')
-  started.store.stalePage = await started.store.list('', '', PageAge.current)
-  started.store.remove('target/1')
+  const started = await FollowedFleet.prepareOldPages()
   started.store.dropHistory()
   started.start()
   await started.waitFor(() => started.fleet.isComplete, 'first read')
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,5 +1,7 @@
 import { sleepFor } from 'almondrelay'
+import { computeRetryPause } from '../../request/computeRetryPause.js'
 import type { EventLog } from '../observe/eventLog.js'
+import { CATCH_UP_MS } from '../store/catchUpMs.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import type { RevisionStore } from '../store/revisionStore.js'
 import type { StoreHealth } from '../store/storeHealth.js'
@@ -20,14 +22,12 @@
 /** Longest time, in milliseconds, for which a host that relies on others' watches doesn't ask the store without their word. */
 const LONGEST_UNASKED_MS = 5_000
 /**
- * Milliseconds after the word of a change for the change itself to be handed on: the datagrams of two watchers and of those
- * who have it already cross. After that it was lost, and the store is asked.
+ * Milliseconds after the word of a change for the change itself to be handed on: reports of
+ * those who have it already cross its datagram. After that it was lost, and the store is asked.
  */
 const RELAY_GRACE_MS = 300
 /** Wait of the others' watches: they too hear of changes at once, and from peers if their watch has gone silent. */
 const LONG_WATCH_MS = 15_000
-/** Wait of a watch that only asks what was missed. */
-const CATCH_UP_MS = 1
 /**
  * Milliseconds for which peers may know of newer changes before a watch counts as silent: the pause after changes
  * and the interval of peers' reports. With it such a host is back in step 1.7 s after a change at the latest.
@@ -44,15 +44,13 @@
  */
 const CHECK_MS = 200
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
-const FIRST_PAUSE_MS = 100
-const LONGEST_PAUSE_MS = 500
+const PAUSE = { firstMs: 200, longestMs: 500 }
 /**
  * The same for hosts of regions of many that leave watching to others: they go on by themselves only because those don't
  * reach the store either, and with their first word after its return they rely on them again. In an outage of five seconds
  * 195 hosts that all ask twice a second make 2,000 calls, each of them counted by the platform.
  */
-const FIRST_MANY_PAUSE_MS = 1_000
-const LONGEST_MANY_PAUSE_MS = 8_000
+const MANY_PAUSE = { firstMs: 1_000, longestMs: 8_000 }
 
 interface FollowerParts {
   store: RevisionStore
@@ -183,13 +181,12 @@
 
   private async waitAfterFailure (failures: number, signal: AbortSignal): Promise<void> {
     const { fleet, getNow, random, isReliedOn, isWatcher, hasReliableWatchers } = this.parts
-    const factor = 2 ** (failures - 1) * (0.5 + random())
     if (!fleet.isComplete || !isReliedOn() || isWatcher()) {
-      await sleepFor(Math.min(LONGEST_PAUSE_MS, 2 * FIRST_PAUSE_MS * factor), signal)
+      await sleepFor(computeRetryPause(PAUSE, failures, random()), signal)
       return
     }
-    const end = getNow() + Math.min(LONGEST_MANY_PAUSE_MS, FIRST_MANY_PAUSE_MS * factor)
-    await sleepFor(LONGEST_PAUSE_MS, signal)
+    const end = getNow() + computeRetryPause(MANY_PAUSE, failures, random())
+    await sleepFor(PAUSE.longestMs, signal)
     while (!signal.aborted && !hasReliableWatchers() && getNow() < end) await sleepFor(CHECK_MS, signal)
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
@@ -1,4 +1,5 @@
 import { sleepFor } from 'almondrelay'
+import { computeRetryPause } from '../../request/computeRetryPause.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { RevisionStore } from '../store/revisionStore.js'
 import type { FleetCodec } from './fleetCodec.js'
@@ -12,8 +13,7 @@
  * Milliseconds before a failed call is made again, doubled with each failure up to the longest, spread by chance: in an
  * outage every host of the fleet calls so often, for nothing.
  */
-const RETRY_MS = 300
-const LONGEST_RETRY_MS = 2_400
+const RETRY = { firstMs: 300, longestMs: 2_400 }
 /** Milliseconds for the last call at a stop, and how often it is made: all tries end before callers may connect no more. */
 const END_TIMEOUT_MS = 600
 const END_TRIES = 4
@@ -61,7 +61,7 @@
       this.grantedLease = leaseId
       const { key, value } = codec.encodeHost(entry)
       const result = await store.commit({ expected: [], writes: [{ key, value, leaseId }], deletes: [] }, signal)
-      if (result.kind !== 'done') return RETRY_MS * random()
+      if (result.kind !== 'done') return RETRY.firstMs * random()
       this.leaseId = leaseId
       this.failures = 0
       log.report('entry of this host written', { leaseId })
@@ -69,7 +69,7 @@
     } catch (error) {
       if (!signal.aborted) log.logError('entry of this host not kept up', error as Error)
       this.failures += 1
-      return Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (this.failures - 1)) * (0.5 + random())
+      return computeRetryPause(RETRY, this.failures, random())
     }
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/readEverything.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/readEverything.ts
@@ -1,12 +1,10 @@
+import { CATCH_UP_MS } from '../store/catchUpMs.js'
 import { PageAge } from '../store/pageAge.js'
 import type { RevisionStore } from '../store/revisionStore.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreItem } from '../store/storeItem.js'
 import type { FleetCodec } from './fleetCodec.js'
 
-/** Wait, in milliseconds, of a watch that only asks what has changed since. */
-const CHANGES_WAIT_MS = 1
-
 /** All keys under a prefix, and the changes after them. */
 interface FullRead {
   items: StoreItem[]
@@ -24,7 +22,7 @@
  */
 export async function readEverything (store: RevisionStore, codec: FleetCodec, prefix: string, signal: AbortSignal): Promise<FullRead> {
   const read = await readPages(store, codec, prefix, PageAge.stale, signal)
-  const changes = await store.watch(prefix, read.revision, CHANGES_WAIT_MS, signal)
+  const changes = await store.watch(prefix, read.revision, CATCH_UP_MS, signal)
   if (changes.kind === 'history-gone') return await readPages(store, codec, prefix, PageAge.current, signal)
   return { ...read, events: changes.events, revision: changes.revision }
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -103,13 +103,13 @@
 
   /** Hands changes of the store on to the other hosts of the region. */
   relay (changes: RelayedChanges): void {
-    const { own, fleet, getDeclaredRevision } = this.parts
-    const near = fleet.listHosts().filter(({ name, region }) => region === own.region && name !== own.name)
-    const content = { isRegional: false, demands: [], declaredRevision: getDeclaredRevision() }
+    const groups = splitGroups(this.listOthers(({ region }) => region === this.parts.own.region), GROUP_SIZE)
+    // Built once: for each of its dozens of datagrams anew, a watcher would go through all targets as often.
+    const report = this.buildReport({ isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), changes: undefined })
     for (const part of splitChanges(changes, MOST_CHANGE_BYTES)) {
-      for (const [head, ...others] of splitGroups(near, GROUP_SIZE)) {
+      for (const [head, ...others] of groups) {
         const forwardTo = others.map(({ name }) => name)
-        if (head !== undefined) this.send([head], { ...content, changes: { ...part, forwardTo } })
+        if (head !== undefined) this.send([head], { ...report, changes: { ...part, forwardTo } })
       }
     }
   }
@@ -166,32 +166,37 @@
   }
 
   private sendTo (isReceiver: (entry: HostEntry) => boolean, content: ReportContent): number {
-    return this.send(this.parts.fleet.listHosts().filter((entry) => entry.name !== this.parts.own.name && isReceiver(entry)), content)
+    const receivers = this.listOthers(isReceiver)
+    return receivers.length === 0 ? 0 : this.send(receivers, this.buildReport(content))
+  }
+
+  private listOthers (isReceiver: (entry: HostEntry) => boolean): HostEntry[] {
+    const { own, fleet } = this.parts
+    return fleet.listHosts().filter((entry) => entry.name !== own.name && isReceiver(entry))
   }
 
   /** Returns the bytes that it takes. */
-  private send (receivers: readonly HostEntry[], content: ReportContent): number {
-    if (receivers.length === 0) return 0
+  private send (receivers: readonly HostEntry[], report: Omit<PeerReport, 'sequence'>): number {
     this.sequence += 1
-    const bytes = encodeReport({ ...this.buildReport(), ...content })
+    const bytes = encodeReport({ ...report, sequence: this.sequence })
     for (const entry of receivers) this.parts.socket.send(bytes, entry.ip, entry.peerPort)
     return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
   }
 
-  private buildReport (): Omit<PeerReport, keyof ReportContent> {
+  private buildReport (content: ReportContent): Omit<PeerReport, 'sequence'> {
     const { own, fleet, isLeaving, getNow } = this.parts
     const busy = [...fleet.listAllTargets()].filter((target) => target.inFlight > 0)
     return {
       host: own.name,
       incarnation: own.incarnation,
       region: own.region,
-      sequence: this.sequence,
       isLeaving: isLeaving(),
       configurationVersion: fleet.configuration?.version ?? 0,
       storeRevision: fleet.storeRevision,
       notableRevision: fleet.notableRevision,
       storeAgeMs: Math.round(Math.min(LONGEST_AGE_MS, getNow() - (fleet.confirmedAt ?? -Infinity))),
-      inFlight: new Map(busy.map((target) => [target.incarnationHash, target.inFlight]))
+      inFlight: new Map(busy.map((target) => [target.incarnationHash, target.inFlight])),
+      ...content
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -31,7 +31,7 @@
 
 /**
  * Milliseconds for which a list of live hosts holds while nothing is heard that changes it. Only silence goes unseen for so
- * long, and that is judged after seconds. Lists are asked for by every request to a cold target, every look-up and ten times
+ * long, and that is judged after seconds. Lists are asked for by every request to a cold target, every look-up and several times
  * a second by the tasks: with 195 hosts each list anew took 0.2 ms of a processor that has 270 ms a second.
  */
 const LIST_LIFE_MS = 250
