Identify callers by their organisations' keys; both regions bind; the organisation's rank goes first

Ruled out: 401 from a host that is behind: callers don't come back after it, and its key may be new. Such a host says 503 with a short time to come back, unless the store or a peer that knows of nothing newer vouched for it within the operators' bound. Change: organisations, keys and open routes are decoded and checked at the edge; a request carries who sent it, is judged anew before each sending, runs where route and organisation both allow; targets get the organisation's name from the host alone. Readings: a known key on an open route names its organisation; an absent list asks for no keys, an empty one lets none in.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -23,7 +23,7 @@
     if (kind === 'host') return { kind: 'host', entry: value as HostEntry }
     if (kind === 'evacuation') return { kind: 'evacuation', availabilityZone: name, isEvacuated: true }
     const document = value as { version: number }
-    const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(SERVICES.map((name) => [name, { name, maxConnections: 100, coldStartMs: 0, coldPerSecond: 10 }])), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(SERVICES.map((name) => [name, { name, maxConnections: 100, coldStartMs: 0, coldPerSecond: 10 }])), organisations: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
     return { kind: 'configuration', configuration }
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -1,5 +1,6 @@
 import type { TargetEntry } from '../../request/targetEntry.js'
 import { TargetState } from '../../request/targetState.js'
+import { OrganisationTable } from '../../version/organisationTable.js'
 import { RouteTable } from '../../version/routeTable.js'
 import type { ServiceDefinition } from '../../version/serviceDefinition.js'
 import type { SteeringConfiguration } from '../../version/steeringConfiguration.js'
@@ -16,6 +17,7 @@
 export class FleetState {
   configuration: SteeringConfiguration | undefined
   routes = new RouteTable([])
+  organisations = new OrganisationTable(undefined)
   private readonly targets = new Map<string, TargetState>()
   private readonly targetsByService = new Map<string, TargetState[]>()
   private readonly evacuatedZones = new Set<string>()
@@ -27,6 +29,11 @@
   hostsRevision = 0
   /** Monotonic milliseconds at which the store last confirmed all this; undefined before the first read. */
   confirmedAt: number | undefined
+  /**
+   * Monotonic milliseconds at which the store last confirmed to a peer that there is nothing newer than what this host knows.
+   * A host whose watch waits long hears nothing of the store while nothing changes, and is up to date all the same.
+   */
+  private vouchedAt = -Infinity
   /** Revision of the store up to which all changes are known. */
   storeRevision = 0
   /** Revision of the last change by which this host decides otherwise than before. */
@@ -52,10 +59,25 @@
     if (this.configuration !== undefined && configuration.version <= this.configuration.version) return false
     this.configuration = configuration
     this.routes = new RouteTable(configuration.routes)
+    this.organisations = new OrganisationTable(configuration.organisations)
     for (const resume of this.starting.splice(0)) resume()
     return true
   }
 
+  /**
+   * A peer says that the store had nothing newer at a time.
+   *
+   * @param notableRevision the last change that the peer knows by which hosts decide otherwise
+   */
+  hearConfirmation (notableRevision: number, confirmedAt: number): void {
+    if (this.storeRevision >= notableRevision) this.vouchedAt = Math.max(this.vouchedAt, confirmedAt)
+  }
+
+  /** For how long nothing has said that what this host knows is up to date, in milliseconds. */
+  computeAge (now: number): number {
+    return now - Math.max(this.confirmedAt ?? -Infinity, this.vouchedAt)
+  }
+
   findService (name: string): ServiceDefinition | undefined {
     return this.configuration?.services.get(name)
   }
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -8,6 +8,13 @@
 /** Milliseconds for a connection to stand, besides the trip: a target that doesn't answer by then is taken for unreachable. */
 const CONNECT_TIMEOUT_MS = 300
 
+interface AttemptParts {
+  codec: TargetCodec
+  getNow: () => number
+  /** Whether the caller's key is still its organisation's. */
+  isIdentified: () => boolean
+}
+
 /** One sending of one request to one target. */
 export class Attempt {
   /** Monotonic milliseconds at which the first byte went out; undefined before. */
@@ -16,7 +23,7 @@
   private cancelled: string | undefined
   private isEnded = false
 
-  constructor (readonly request: CallerRequest, readonly choice: TargetChoice, private readonly codec: TargetCodec, private readonly getNow: () => number) {}
+  constructor (readonly request: CallerRequest, readonly choice: TargetChoice, private readonly parts: AttemptParts) {}
 
   get isCancelled (): boolean {
     return this.cancelled !== undefined
@@ -45,10 +52,10 @@
     const { target, tripMs } = this.choice
     const connection = await pool.acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * tripMs)
     if (connection === undefined) {
-      if (this.cancelled === undefined) target.suspend(this.getNow())
+      if (this.cancelled === undefined) target.suspend(this.parts.getNow())
       return { kind: 'not-sent', reason: this.cancelled ?? 'no connection to the target' }
     }
-    const now = this.getNow()
+    const now = this.parts.getNow()
     const stopReason = this.findStopReason(now)
     if (stopReason !== undefined) {
       connection.release()
@@ -56,12 +63,13 @@
     }
     this.connection = connection
     this.sentAt = now
-    return connection.exchange(this.request, this.codec.encodeHead(this.request, target.entry.id, Math.floor(this.request.deadline - now)))
+    return connection.exchange(this.request, this.parts.codec.encodeHead(this.request, target.entry.id, Math.floor(this.request.deadline - now)))
   }
 
   // While a connection was being opened the target may have announced its end, or the caller's time may have run out.
   private findStopReason (now: number): string | undefined {
     if (this.cancelled !== undefined) return this.cancelled
+    if (!this.parts.isIdentified()) return 'the key was taken away before the request was sent'
     if (this.choice.target.isLeaving()) return 'target left before the request was sent'
     return now >= this.request.deadline ? 'no time left before the request was sent' : undefined
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -10,6 +10,8 @@
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
+import { findCommonRegions } from '../../version/findCommonRegions.js'
+import { identifyCaller } from '../../version/identifyCaller.js'
 import type { Route } from '../../version/route.js'
 import { pickDestination } from '../../version/pickDestination.js'
 import type { AccountKeeper } from '../observe/accountKeeper.js'
@@ -29,6 +31,12 @@
 const STARTING_MS = 600
 /** Retry-After, in milliseconds on average, of a host that is full of answers: 24 MB go out over a link of 100 Mbit/s in two seconds. */
 const FULL_RETRY_MS = 1_000
+/** Retry-After, in milliseconds on average, of a host that is behind: another host that isn't is a new connection away. */
+const STALE_RETRY_MS = 200
+/** Retry-After, in milliseconds on average, where only a new configuration helps. */
+const NOWHERE_RETRY_MS = 2_000
+/** Status for a caller without a key of an organisation. */
+const UNIDENTIFIED_STATUS = 401
 const HASH_RANGE = 2 ** 32
 /** Part of a key's requests that goes to its own target while that one is warming up. */
 const WARM_UP_PART = 0.25
@@ -42,6 +50,8 @@
   log: EventLog
   account: AccountKeeper
   metrics: GatewayMetrics
+  /** Age of what this host knows, in milliseconds, from which on the operators may have said something newer that binds. */
+  staleAfterMs: number
   /** When the host started, in monotonic milliseconds. */
   startedAt: number
   getNow: () => number
@@ -69,13 +79,19 @@
     const { fleet } = this.parts.forward
     if (fleet.configuration === undefined) await fleet.waitForConfiguration(this.parts.startedAt + STARTING_MS - getNow())
     if (left.aborted) return undefined
-    const { configuration, routes } = fleet
+    const { configuration, routes, organisations } = fleet
     if (configuration === undefined) return this.refuseUnready(head)
     const route = routes.findRoute(getHostName(message), getPath(message))
     if (route === undefined) return this.reject(message, head, 404, 'no route')
+    const identity = identifyCaller(organisations, head.organisationKey, route)
+    if (identity.kind === 'unknown') return this.refuseUnknown(message, head, route)
     if (head.id === undefined) return this.reject(message, head, 400, 'no request id')
+    const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
+    const allowedRegions = findCommonRegions(route.allowedRegions, organisation?.allowedRegions ?? [])
+    if (allowedRegions === undefined) return this.refuseNowhere(head, route)
     const deadline = arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
-    if (deadline <= getNow() || !load.allow(routes.computePatience(route), random())) return this.refuseOverloaded(head, route)
+    const patience = organisations.computePatience(organisation, routes.computePatience(route))
+    if (deadline <= getNow() || !load.allow(patience, random())) return this.refuseOverloaded(head, route)
     if (memory.isFilling) return this.refuseFull(head, route)
     const read = await readBody(message, configuration.limits.maxBodyBytes)
     if (read.kind === 'too-long') return this.reject(message, head, 413, 'body too long')
@@ -88,6 +104,9 @@
       body: read.body,
       affinityKey: head.affinityKey,
       route,
+      identity,
+      organisationKey: head.organisationKey,
+      allowedRegions,
       configurationVersion: configuration.version,
       arrivedAt,
       deadline
@@ -108,7 +127,7 @@
     const runtime = forward.getRuntime(service)
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
-    const placement = new RequestPlacement(forward, runtime, keyHash, request.route.allowedRegions, random() < WARM_UP_PART)
+    const placement = new RequestPlacement(forward, runtime, keyHash, request.allowedRegions, random() < WARM_UP_PART)
     return new RequestRunner(request, placement, { codec: targetCodec, getNow })
   }
 
@@ -121,6 +140,7 @@
     log.record('request', {
       id: request.id,
       route: request.route.name,
+      organisation: describeOrganisation(request),
       version: request.configurationVersion,
       key: request.affinityKey,
       ...record,
@@ -137,19 +157,37 @@
     return callerCodec.encodeRejection(status, reason, head.id)
   }
 
+  /**
+   * A key that this host doesn't know is unknown to the operators only if this host knows what they last said. One that is cut
+   * off would turn a new customer away for good with 401, though the next host serves it: callers don't come back after 401.
+   */
+  private refuseUnknown (message: IncomingMessage, head: CallerHead, route: Route): CallerAnswer {
+    const { forward, staleAfterMs, getNow } = this.parts
+    if (forward.fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head, UNIDENTIFIED_STATUS, 'no key of an organisation')
+    return this.refuseUntried(head, route, this.spread(STALE_RETRY_MS), RefusalReason.notReady, 'this host doesn\'t know the newest configuration, and the key isn\'t in the one that it knows')
+  }
+
+  private refuseNowhere (head: CallerHead, route: Route): CallerAnswer {
+    return this.refuseUntried(head, route, this.spread(NOWHERE_RETRY_MS), RefusalReason.noCommonRegion, 'no region is allowed both to the route and to the organisation')
+  }
+
   private refuseOverloaded (head: CallerHead, route: Route): CallerAnswer {
     const { load, random } = this.parts
-    return this.refuseUntried(head, route, load.computeRetryAfter(random()), 'this host has no processor time left')
+    return this.refuseUntried(head, route, load.computeRetryAfter(random()), RefusalReason.hostOverloaded, 'this host has no processor time left')
   }
 
   private refuseFull (head: CallerHead, route: Route): CallerAnswer {
-    const retryAfterMs = FULL_RETRY_MS * (0.5 + this.parts.random())
-    return this.refuseUntried(head, route, retryAfterMs, 'answers that are on their way fill the memory of this host')
+    return this.refuseUntried(head, route, this.spread(FULL_RETRY_MS), RefusalReason.hostOverloaded, 'answers that are on their way fill the memory of this host')
   }
 
-  private refuseUntried (head: CallerHead, route: Route, retryAfterMs: number, reason: string): CallerAnswer {
+  /** A time around a mean, in milliseconds, so that not all who were refused come back together. */
+  private spread (meanMs: number): number {
+    return meanMs * (0.5 + this.parts.random())
+  }
+
+  private refuseUntried (head: CallerHead, route: Route, retryAfterMs: number, cause: RefusalReason, reason: string): CallerAnswer {
     const { load, memory, account, callerCodec, metrics, log } = this.parts
-    const answer = { kind: 'refused' as const, retryAfterMs, reason, cause: RefusalReason.hostOverloaded }
+    const answer = { kind: 'refused' as const, retryAfterMs, reason, cause }
     account.recordRefusal(route.hostName, answer.cause)
     metrics.observeAnswer('none', answer.cause, load.delay)
     log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, ...answer })
@@ -163,6 +201,8 @@
   }
 }
 
+const describeOrganisation = ({ identity }: CallerRequest): string | undefined => identity.kind === 'organisation' ? identity.organisation.name : undefined
+
 const getHostName = (message: IncomingMessage): string => {
   const host = message.headers.host ?? ''
   const colon = host.indexOf(':')
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -5,6 +5,7 @@
 import { FIRST_FAILURE_STATUS } from '../../request/firstFailureStatus.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
 import type { TargetState } from '../../request/targetState.js'
+import { identifyCaller } from '../../version/identifyCaller.js'
 import type { Attempt } from './attempt.js'
 import type { ForwardState } from './forwardState.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
@@ -32,7 +33,7 @@
     const { fleet, trips } = this.state
     const { targetLatencyMs } = request.route
     const times = this.runtime.findTimes(request.route.name)
-    const isRegionOpen = this.findOpenRegions(request.route.allowedRegions)
+    const isRegionOpen = this.findOpenRegions(request.allowedRegions)
     return chooseTarget(fleet.listTargets(this.service), {
       now,
       keyHash: this.keyHash,
@@ -84,6 +85,13 @@
     if (request.affinityKey !== undefined) this.runtime.times.learnOverrun(workMs, targetLatencyMs)
   }
 
+  /** Whether the request's key is still its organisation's: a version that takes it away may come while the request waits. */
+  isIdentified ({ identity, organisationKey, route }: CallerRequest): boolean {
+    if (identity.kind !== 'organisation') return true
+    const present = identifyCaller(this.state.fleet.organisations, organisationKey, route)
+    return present.kind === 'organisation' && present.organisation.name === identity.organisation.name
+  }
+
   useRetry (now: number): boolean {
     return this.runtime.retries.use(now, this.state.countHosts())
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -41,6 +41,8 @@
   /** What the last attempt left behind, for the final answer. */
   private doubt: ReturnType<typeof describeResult> | undefined
   private refusal: ReturnType<typeof describeResult> = { text: 'no target', cause: RefusalReason.noTarget }
+  /** The caller's key was taken away while the request waited. */
+  private isUnidentified = false
   private retryAfterMs = PLAIN_RETRY_AFTER_MS
 
   constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
@@ -147,6 +149,7 @@
   }
 
   private refuse (): FinalAnswer {
+    if (this.isUnidentified) return { kind: 'unidentified', reason: 'the key was taken away', cause: RefusalReason.unidentified }
     return { kind: 'refused', retryAfterMs: this.retryAfterMs, reason: this.refusal.text, cause: this.refusal.cause }
   }
 
@@ -155,6 +158,8 @@
     const now = this.parts.getNow()
     const isRepeat = this.sends > 0
     if (isRepeat && this.sends >= this.request.route.maxAttempts) return false
+    this.isUnidentified = !this.placement.isIdentified(this.request)
+    if (this.isUnidentified) return false
     const choice = this.chooseAdmitted(now)
     if (choice === undefined) return false
     if (isRepeat && now + choice.expectedMs > this.request.deadline) return false
@@ -181,7 +186,7 @@
 
   private send (choice: TargetChoice, now: number): void {
     const { codec, getNow } = this.parts
-    const attempt = new Attempt(this.request, choice, codec, getNow)
+    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request) })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
--- a/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -52,8 +52,7 @@
     const last = record.attempts.at(-1)
     this.ledger.record({
       at: clock.getWallTime(),
-      // Callers don't name their organisation here; the host name that they asked for tells whose product it was.
-      caller: request.route.hostName,
+      caller: describeCaller(request),
       service: record.service,
       region: last?.region ?? own.region,
       availabilityZone: last?.availabilityZone ?? own.availabilityZone,
@@ -65,9 +64,12 @@
   }
 }
 
+// Where callers don't identify themselves, the host name that they asked for tells whose product it was.
+const describeCaller = ({ identity, route }: CallerRequest): string => identity.kind === 'organisation' ? identity.organisation.name : route.hostName
+
 const describeOutcome = (answer: FinalAnswer): Pick<AccountEntry, 'outcome' | 'reason'> => match(answer)
   .with({ kind: 'passed' }, () => ({ outcome: Outcome.run }))
-  .with({ kind: 'refused' }, ({ cause }) => ({ outcome: Outcome.notRun, reason: cause }))
+  .with({ kind: 'refused' }, { kind: 'unidentified' }, ({ cause }) => ({ outcome: Outcome.notRun, reason: cause }))
   .with({ kind: 'failed' }, ({ cause }) => ({ outcome: Outcome.unknown, reason: cause }))
   .with({ kind: 'abandoned' }, ({ wasSent, cause }) => ({ outcome: wasSent ? Outcome.unknown : Outcome.notRun, reason: cause }))
   .exhaustive()
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -84,7 +84,7 @@
   /** @param ip address from which it came */
   handleDatagram (bytes: Uint8Array, ip: string): void {
     const report = decodeReport(bytes)
-    const { own, view, getNow, hearRevision } = this.parts
+    const { own, fleet, view, getNow, hearRevision } = this.parts
     if (report === undefined || report.host === own.name) return
     const now = getNow()
     const isWatcher = report.region === own.region && view.isWatcher(report, ip, now)
@@ -96,6 +96,7 @@
     const countsBefore = view.findCounts(report.host)
     if (!view.hear(report, now)) return
     hearRevision(report.storeRevision, report.notableRevision, now)
+    fleet.hearConfirmation(report.notableRevision, now - report.storeAgeMs)
     if (report.region !== own.region) return
     this.hearCounts(report, countsBefore, now)
     if (isWatcher && report.changes === undefined) this.parts.hearWatcher(report, now)
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -5,6 +5,9 @@
 
 const port = z.int().min(1).max(65_535)
 
+/** Milliseconds; platforms without allowances name no window. */
+const PLAIN_ALLOWANCE_WINDOW_MS = 5_000
+
 /** Settings of a host; unknown names are ignored, as a platform may add some. All times are milliseconds once read. */
 const GatewaySettings = z.object({
   host: z.object({
@@ -40,7 +43,11 @@
     /** Part of a region's requests that may change the region in which they run, from one window of two seconds to the next. */
     shiftPart: z.number().min(0).max(1),
     /** Time within which a host must know that a target takes no new requests. */
-    leavingInForce: duration
+    leavingInForce: duration,
+    /** Time within which a host must know of a new configuration. */
+    configurationInForce: duration,
+    /** Window in which an organisation may have its rate and its burst. */
+    allowanceWindow: duration.default(PLAIN_ALLOWANCE_WINDOW_MS)
   }),
   /** Port and path of the text page of metrics. */
   metrics: z.object({ port: z.int().min(1).max(65_535), path: z.string().startsWith('/') }),
--- a/packages/almondrelay-gateway/src/request/finalAnswer.ts
+++ b/packages/almondrelay-gateway/src/request/finalAnswer.ts
@@ -7,6 +7,8 @@
   | { kind: 'passed', head: TargetAnswerHead, body: Buffer }
   /** It wasn't run and won't be; the caller may come back after the time, in milliseconds. */
   | { kind: 'refused', retryAfterMs: number, reason: string, cause: RefusalReason }
+  /** It wasn't run and won't be: its caller is unknown. */
+  | { kind: 'unidentified', reason: string, cause: RefusalReason }
   /** It may have run. `timedOut`: no answer came in time; else an answer was lost or spoilt. */
   | { kind: 'failed', timedOut: boolean, reason: string, cause: RefusalReason }
   /** The caller left before its answer; `wasSent`: it may have run. */
--- a/packages/almondrelay-gateway/src/version/__fixtures__/makeRoute.ts
+++ b/packages/almondrelay-gateway/src/version/__fixtures__/makeRoute.ts
@@ -9,6 +9,7 @@
     idempotent: true,
     timeoutMs: 2_000,
     targetLatencyMs: 250,
+    isOpen: false,
     priority: 0,
     sessionAffinity: true,
     maxAttempts: 2,
--- a/packages/almondrelay-gateway/src/version/index.ts
+++ b/packages/almondrelay-gateway/src/version/index.ts
@@ -1,4 +1,6 @@
+export type * from './callerIdentity.js'
 export type * from './destination.js'
+export type * from './organisation.js'
 export { computePairHash } from './computePairHash.js'
 export { computeHash } from './computeHash.js'
 export { pickDestination } from './pickDestination.js'
--- a/packages/almondrelay-gateway/src/version/route.ts
+++ b/packages/almondrelay-gateway/src/version/route.ts
@@ -13,6 +13,8 @@
   timeoutMs: number
   /** Milliseconds within which an answer has its full value for the caller. */
   targetLatencyMs: number
+  /** Whether its requests need no key of an organisation. */
+  isOpen: boolean
   /** Rank under load; 0 is served first. */
   priority: number
   /** Whether targets work faster on an object that they handled lately. */
--- a/packages/almondrelay-gateway/src/version/steeringConfiguration.ts
+++ b/packages/almondrelay-gateway/src/version/steeringConfiguration.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from './organisation.js'
 import type { RequestLimits } from './requestLimits.js'
 import type { Route } from './route.js'
 import type { ServiceDefinition } from './serviceDefinition.js'
@@ -8,5 +9,7 @@
   version: number
   routes: readonly Route[]
   services: ReadonlyMap<string, ServiceDefinition>
+  /** Undefined where callers need no key. */
+  organisations: readonly Organisation[] | undefined
   limits: RequestLimits
 }
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -2,6 +2,9 @@
 const RefusalReason = {
   unknownService: 'unknown-service',
   invalidHeader: 'invalid-header',
+  unidentified: 'unidentified',
+  overAllowance: 'over-allowance',
+  noCommonRegion: 'no-common-region',
   missingId: 'missing-id',
   missingHome: 'missing-home',
   idReused: 'id-reused',
--- a/packages/almondrelay/src/request/refusalStatus.ts
+++ b/packages/almondrelay/src/request/refusalStatus.ts
@@ -4,6 +4,9 @@
 export const refusalStatus: Readonly<Record<RefusalReason, number>> = {
   [RefusalReason.unknownService]: 404,
   [RefusalReason.invalidHeader]: 400,
+  [RefusalReason.unidentified]: 401,
+  [RefusalReason.overAllowance]: 429,
+  [RefusalReason.noCommonRegion]: 503,
   [RefusalReason.missingId]: 428,
   [RefusalReason.missingHome]: 428,
   [RefusalReason.idReused]: 422,
