--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -29,7 +29,8 @@
   isReliedOn = false
   readonly fleet = new FleetState({
     targetRemoved: ({ entry }) => { this.removed.push(entry.id) },
-    targetRestarted: ({ entry }) => { this.restarted.push(entry.id) }
+    targetRestarted: ({ entry }) => { this.restarted.push(entry.id) },
+    hostRemoved: () => undefined
   })
 
   private readonly owner = new AbortController()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -11,6 +11,8 @@
   targetRemoved: (target: TargetState) => void
   /** A target was started again: what was sent to the life before will never be answered. */
   targetRestarted: (target: TargetState) => void
+  /** A host's entry is gone. */
+  hostRemoved: (entry: HostEntry) => void
 }
 
 /** Everything that this host has learnt from the platform, as of now. Times are monotonic milliseconds. */
@@ -189,6 +191,7 @@
     const entry = this.hosts.get(name)
     this.hosts.delete(name)
     this.hostsRevision += 1
+    if (entry !== undefined) this.listener.hostRemoved(entry)
     return entry
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -7,13 +7,18 @@
 import { readBody } from '../../connection/readBody.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
+import { computeAllowanceRetry } from '../../request/computeAllowanceRetry.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
 import { findCommonRegions } from '../../version/findCommonRegions.js'
 import { identifyCaller } from '../../version/identifyCaller.js'
+import type { CallerIdentity } from '../../version/callerIdentity.js'
+import type { Organisation } from '../../version/organisation.js'
 import type { Route } from '../../version/route.js'
+import type { SteeringConfiguration } from '../../version/steeringConfiguration.js'
 import { pickDestination } from '../../version/pickDestination.js'
+import type { Allowances } from '../organisations/allowances.js'
 import type { AccountKeeper } from '../observe/accountKeeper.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
@@ -47,6 +52,7 @@
   forward: ForwardState
   load: HostLoad
   memory: BodyMemory
+  allowances: Allowances
   log: EventLog
   account: AccountKeeper
   metrics: GatewayMetrics
@@ -58,6 +64,22 @@
   random: () => number
 }
 
+interface IdentifiedRequest {
+  message: IncomingMessage
+  id: string
+  head: CallerHead
+  route: Route
+  identity: CallerIdentity
+  arrivedAt: number
+  /** Aborts when the caller leaves. */
+  left: AbortSignal
+}
+
+interface ServedRequest {
+  answer: CallerAnswer | undefined
+  mayHaveRun: boolean
+}
+
 /** Takes a caller's request from its head to its answer. */
 export class RequestHandler {
   private readonly runners = new Set<RequestRunner>()
@@ -72,7 +94,7 @@
 
   /** @param readAt when the request's head was read, in monotonic milliseconds */
   async handle (message: IncomingMessage, left: AbortSignal, readAt: number): Promise<CallerAnswer | undefined> {
-    const { load, memory, getNow, random } = this.parts
+    const { load, getNow } = this.parts
     // The caller's time has run since its request came in, which was before this host came to read it.
     const arrivedAt = Math.min(readAt, getNow() - load.readDelay)
     const head = this.parts.callerCodec.decodeHead(message)
@@ -82,10 +104,16 @@
     const { configuration, routes, organisations } = fleet
     if (configuration === undefined) return this.refuseUnready(head)
     const route = routes.findRoute(getHostName(message), getPath(message))
-    if (route === undefined) return this.reject(message, head, 404, 'no route')
+    if (route === undefined) return this.reject(message, head.id, 404, 'no route')
     const identity = identifyCaller(organisations, head.organisationKey, route)
     if (identity.kind === 'unknown') return this.refuseUnknown(message, head, route)
-    if (head.id === undefined) return this.reject(message, head, 400, 'no request id')
+    if (head.id === undefined) return this.reject(message, undefined, 400, 'no request id')
+    return this.handleIdentified({ message, id: head.id, head, route, identity, arrivedAt, left }, configuration)
+  }
+
+  private async handleIdentified ({ message, id, head, route, identity, arrivedAt, left }: IdentifiedRequest, configuration: SteeringConfiguration): Promise<CallerAnswer | undefined> {
+    const { load, memory, forward, getNow, random } = this.parts
+    const { routes, organisations } = forward.fleet
     const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
     const allowedRegions = findCommonRegions(route.allowedRegions, organisation?.allowedRegions ?? [])
     if (allowedRegions === undefined) return this.refuseNowhere(head, route)
@@ -93,32 +121,39 @@
     const patience = organisations.computePatience(organisation, routes.computePatience(route))
     if (deadline <= getNow() || !load.allow(patience, random())) return this.refuseOverloaded(head, route)
     if (memory.isFilling) return this.refuseFull(head, route)
-    const read = await readBody(message, configuration.limits.maxBodyBytes)
-    if (read.kind === 'too-long') return this.reject(message, head, 413, 'body too long')
-    if (read.kind === 'cut-short') return undefined
-    return this.forward({
-      id: head.id,
-      method: message.method ?? 'GET',
-      url: message.url ?? '/',
-      rawHeaders: message.rawHeaders,
-      body: read.body,
-      affinityKey: head.affinityKey,
-      route,
-      identity,
-      organisationKey: head.organisationKey,
-      allowedRegions,
-      configurationVersion: configuration.version,
-      arrivedAt,
-      deadline
-    }, left)
-  }
-
-  private async forward (request: CallerRequest, left: AbortSignal): Promise<CallerAnswer | undefined> {
+    const { method = 'GET', url = '/', rawHeaders } = message
+    const { affinityKey, organisationKey } = head
+    const draft = { id, method, url, rawHeaders, affinityKey, route, identity, organisationKey, allowedRegions, configurationVersion: configuration.version, arrivedAt, deadline }
+    return this.serveWithin(organisation, head, route, () => this.serve(message, configuration.limits.maxBodyBytes, draft, left))
+  }
+
+  /** Serves a request that its organisation's allowance has room for, and gives the room back where it wasn't run. */
+  private async serveWithin (organisation: Organisation | undefined, head: CallerHead, route: Route, serve: () => Promise<ServedRequest>): Promise<CallerAnswer | undefined> {
+    const { allowances, getNow, random } = this.parts
+    if (organisation === undefined) return (await serve()).answer
+    const letThroughAt = getNow()
+    const allowedPart = allowances.ask(organisation.name, letThroughAt)
+    if (random() >= allowedPart) return this.refuseOverAllowance(organisation, head, route, allowedPart)
+    allowances.observeLetThrough(organisation.name, letThroughAt)
+    const { answer, mayHaveRun } = await serve()
+    if (!mayHaveRun) allowances.releaseUse(organisation.name, letThroughAt, getNow())
+    return answer
+  }
+
+  private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, left: AbortSignal): Promise<ServedRequest> {
+    const read = await readBody(message, maxBodyBytes)
+    if (read.kind === 'too-long') return { answer: this.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
+    if (read.kind === 'cut-short') return { answer: undefined, mayHaveRun: false }
+    return this.forward({ ...draft, body: read.body }, left)
+  }
+
+  private async forward (request: CallerRequest, left: AbortSignal): Promise<ServedRequest> {
     const runner = this.createRunner(request)
     this.runners.add(runner)
     const answer = await runner.run(left).finally(() => { this.runners.delete(runner) })
     this.report(request, runner.record, answer)
-    return answer.kind === 'abandoned' ? undefined : this.parts.callerCodec.encodeAnswer(answer, request.id)
+    if (answer.kind === 'abandoned') return { answer: undefined, mayHaveRun: answer.wasSent }
+    return { answer: this.parts.callerCodec.encodeAnswer(answer, request.id), mayHaveRun: answer.kind === 'passed' || answer.kind === 'failed' }
   }
 
   private createRunner (request: CallerRequest): RequestRunner {
@@ -150,11 +185,11 @@
     })
   }
 
-  private reject (message: IncomingMessage, head: CallerHead, status: number, reason: string): CallerAnswer {
+  private reject (message: IncomingMessage, id: string | undefined, status: number, reason: string): CallerAnswer {
     const { log, metrics, forward, callerCodec } = this.parts
-    log.record('request rejected', { id: head.id, hostName: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
+    log.record('request rejected', { id, hostName: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
     metrics.observeAnswer('none', String(status), 0)
-    return callerCodec.encodeRejection(status, reason, head.id)
+    return callerCodec.encodeRejection(status, reason, id)
   }
 
   /**
@@ -163,7 +198,7 @@
    */
   private refuseUnknown (message: IncomingMessage, head: CallerHead, route: Route): CallerAnswer {
     const { forward, staleAfterMs, getNow } = this.parts
-    if (forward.fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head, UNIDENTIFIED_STATUS, 'no key of an organisation')
+    if (forward.fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head.id, UNIDENTIFIED_STATUS, 'no key of an organisation')
     return this.refuseUntried(head, route, this.spread(STALE_RETRY_MS), RefusalReason.notReady, 'this host doesn\'t know the newest configuration, and the key isn\'t in the one that it knows')
   }
 
@@ -171,6 +206,11 @@
     return this.refuseUntried(head, route, this.spread(NOWHERE_RETRY_MS), RefusalReason.noCommonRegion, 'no region is allowed both to the route and to the organisation')
   }
 
+  private refuseOverAllowance ({ name, ratePerSecond }: Organisation, head: CallerHead, route: Route, allowedPart: number): CallerAnswer {
+    const retryAfterMs = computeAllowanceRetry(allowedPart, this.parts.random())
+    return this.refuseUntried(head, route, retryAfterMs, RefusalReason.overAllowance, `the organisation has had its allowance of ${ratePerSecond} requests a second`, { organisation: name, allowedPart })
+  }
+
   private refuseOverloaded (head: CallerHead, route: Route): CallerAnswer {
     const { load, random } = this.parts
     return this.refuseUntried(head, route, load.computeRetryAfter(random()), RefusalReason.hostOverloaded, 'this host has no processor time left')
@@ -185,12 +225,12 @@
     return meanMs * (0.5 + this.parts.random())
   }
 
-  private refuseUntried (head: CallerHead, route: Route, retryAfterMs: number, cause: RefusalReason, reason: string): CallerAnswer {
+  private refuseUntried (head: CallerHead, route: Route, retryAfterMs: number, cause: RefusalReason, reason: string, inputs: object = {}): CallerAnswer {
     const { load, memory, account, callerCodec, metrics, log } = this.parts
     const answer = { kind: 'refused' as const, retryAfterMs, reason, cause }
     account.recordRefusal(route.hostName, answer.cause)
     metrics.observeAnswer('none', answer.cause, load.delay)
-    log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, ...answer })
+    log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, ...inputs, ...answer })
     return callerCodec.encodeAnswer(answer, head.id)
   }
 
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -17,10 +17,13 @@
 import { RequestHandler } from './forward/requestHandler.js'
 import type { GatewayAdapter } from './gatewayAdapter.js'
 import { LookupAnswers } from './lookup/lookupAnswers.js'
+import { Allowances } from './organisations/allowances.js'
+import { UseExchange } from './organisations/useExchange.js'
 import { AccountKeeper } from './observe/accountKeeper.js'
 import type { EventLog } from './observe/eventLog.js'
 import type { GatewayMetrics } from './observe/gatewayMetrics.js'
 import { OperatorDesk } from './operators/operatorDesk.js'
+import { decodeDatagram } from './peers/decodeDatagram.js'
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
@@ -69,6 +72,8 @@
   private readonly planner: RegionPlanner
   private readonly exchange: PeerExchange
   private readonly socket: PeerSocket
+  private readonly allowances: Allowances
+  private readonly useExchange: UseExchange
   private readonly handler: RequestHandler
   private readonly callers: CallerServer
   private readonly lookups: LookupAnswers
@@ -89,7 +94,8 @@
     this.own = makeOwnEntry(settings, parts.incarnation)
     this.fleet = new FleetState({
       targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) },
-      targetRestarted: (target) => { this.forward.abortTarget(target.entry.id) }
+      targetRestarted: (target) => { this.forward.abortTarget(target.entry.id) },
+      hostRemoved: (entry) => { this.view.observeGone(entry, getNow()) }
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
@@ -99,11 +105,13 @@
     const logError = (error: Error): void => { log.logError('port', error) }
     this.socket = new PeerSocket(logError)
     this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, acceptRelayed: (changes) => { this.follower.acceptRelayed(changes) }, hearWatcher: (report, now) => { this.follower.hearWatcher(report.storeRevision, report.notableRevision, report.storeAgeMs, now) } })
+    this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isSumming: (now) => this.view.isSumming(now) })
+    this.useExchange = new UseExchange({ own: this.own, fleet: this.fleet, view: this.view, allowances: this.allowances, socket: this.socket, getNow })
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
     this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, clock, logger: parts.logger, isLeaving }, this.owner.signal)
-    this.handler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.handler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left, arrivedAt) => this.handler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
@@ -132,6 +140,7 @@
         const { configuration } = this.fleet
         if (configuration === undefined) return
         this.callers.setLimits(configuration.limits)
+        this.allowances.setOrganisations(configuration.organisations ?? [])
         metrics.setVersion(configuration.version)
       }
     })
@@ -169,7 +178,7 @@
     const readiness = splitAddress(settings.listen.readiness)
     const lookups = splitAddress(settings.listen.lookups)
     await this.callers.listen(callers.host, callers.port)
-    await this.socket.listen(this.own.ip, this.own.peerPort, (bytes, ip) => { this.exchange.handleDatagram(bytes, ip) }, signal)
+    await this.socket.listen(this.own.ip, this.own.peerPort, (bytes, ip) => { this.handleDatagram(bytes, ip) }, signal)
     await listenForGet(readiness.host, readiness.port, (path) => this.lookups.answerReadiness(path), logError)
     await listenForGet(lookups.host, lookups.port, (path, query) => this.lookups.answerLookup(path, query), logError)
     const operators = createServer((request, response) => { this.desk.answer(request, response) })
@@ -179,8 +188,14 @@
       : { status: 404, type: 'text/plain', body: '' }, logError)
   }
 
+  private handleDatagram (bytes: Uint8Array, ip: string): void {
+    const message = decodeDatagram(bytes)
+    if (message?.kind === 'load') this.exchange.handleReport(message.report, ip)
+    if (message?.kind === 'use') this.useExchange.handleReport(message.report, ip)
+  }
+
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.planner.run(signal), this.closeIdle(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.exchange.run(signal), this.useExchange.run(signal), this.planner.run(signal), this.closeIdle(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
   }
 
   private async closeIdle (signal: AbortSignal): Promise<void> {
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
@@ -0,0 +1,167 @@
+import { Allowances } from '../allowances.js'
+import type { UseReport } from '../useReport.js'
+
+/** Milliseconds between the reports of a host, and between two steps of the model. */
+const REPORT_MS = 250
+const STEP_MS = 10
+/** Hosts of a zone that sum up. */
+const SUMMING = 2
+
+interface ModelHost {
+  index: number
+  zone: number
+  startedAt: number
+  nextReportAt: number
+  sequence: number
+  isUp: boolean
+  allowances: Allowances
+}
+
+interface Datagram {
+  arrivesAt: number
+  to: number
+  report: UseReport
+}
+
+interface FleetOptions {
+  zones: number
+  hostsPerZone: number
+  windowMs: number
+  ratePerSecond: number
+  burst: number
+  /** In [0, 1), the same for every run. */
+  random: () => number
+  /** Requests a second that callers of the organisation send to a host. */
+  ask: (host: { index: number, zone: number }, now: number) => number
+  isLinked?: (from: number, to: number, now: number) => boolean
+  isDown?: (index: number, now: number) => boolean
+  /** Part of the datagrams that is lost, and of the others the part that comes twice, the second time late. */
+  loss?: number
+  /** Hosts stay known though nobody hears them. */
+  ratePerSecondAt?: (now: number) => number
+  /** Part of the requests that were let through and then aren't run. */
+  notRun?: number
+}
+
+const NAME = 'school'
+
+/** One organisation's requests through a fleet of hosts that tell each other of them, in virtual time. */
+export class AllowanceFleet {
+  /** Times of the requests that were let through and run, and of those that were refused. */
+  readonly ran: number[] = []
+  readonly refused: number[] = []
+  datagramsSent = 0
+  now = 0
+  private readonly hosts: ModelHost[]
+  private datagrams: Datagram[] = []
+
+  constructor (private readonly options: FleetOptions) {
+    this.hosts = Array.from({ length: options.zones * options.hostsPerZone }, (_, index) => this.makeHost(index, -options.windowMs))
+  }
+
+  run (untilMs: number): void {
+    for (; this.now < untilMs; this.now += STEP_MS) {
+      this.handleDue()
+      for (const host of this.hosts) this.advance(host)
+    }
+  }
+
+  /** The most that ran within any window. */
+  findMost (): number {
+    let most = 0
+    let first = 0
+    for (const [last, at] of this.ran.entries()) {
+      while ((this.ran[first] as number) <= at - this.options.windowMs) first += 1
+      most = Math.max(most, last - first + 1)
+    }
+    return most
+  }
+
+  /** Requests that were refused though all that were asked for in the window up to then were within the limit. */
+  countWronglyRefused (): number {
+    const { windowMs, ratePerSecond, burst } = this.options
+    const asked = [...this.ran, ...this.refused].sort((one, other) => one - other)
+    let first = 0
+    let last = 0
+    let wrong = 0
+    for (const at of this.refused) {
+      while (last < asked.length && (asked[last] as number) <= at) last += 1
+      while ((asked[first] as number) <= at - windowMs) first += 1
+      if (last - first <= ratePerSecond * windowMs / 1_000 + burst) wrong += 1
+    }
+    return wrong
+  }
+
+  private makeHost (index: number, startedAt: number): ModelHost {
+    const { zones, hostsPerZone, windowMs, random } = this.options
+    const zone = Math.floor(index / hostsPerZone)
+    const allowances = new Allowances({ availabilityZone: `z${zone}`, windowMs, startedAt, countHosts: () => zones * hostsPerZone, isSumming: () => index % hostsPerZone < SUMMING })
+    const host = { index, zone, startedAt, nextReportAt: this.now + random() * REPORT_MS, sequence: 0, isUp: true, allowances }
+    this.setLimits(host)
+    return host
+  }
+
+  private setLimits ({ allowances }: ModelHost): void {
+    const { ratePerSecond, burst, ratePerSecondAt } = this.options
+    allowances.setOrganisations([{ name: NAME, keys: [], priority: 0, ratePerSecond: ratePerSecondAt?.(this.now) ?? ratePerSecond, burst, allowedRegions: [] }])
+  }
+
+  private advance (host: ModelHost): void {
+    const { isDown, random, ask, ratePerSecondAt } = this.options
+    if (isDown?.(host.index, this.now) === true) {
+      host.isUp = false
+      return
+    }
+    if (!host.isUp) Object.assign(host, this.makeHost(host.index, this.now))
+    if (ratePerSecondAt !== undefined) this.setLimits(host)
+    if (this.now >= host.nextReportAt) this.report(host)
+    for (let asks = ask(host, this.now) * STEP_MS / 1_000; asks > 0; asks -= 1) if (random() < asks) this.ask(host)
+  }
+
+  private ask ({ allowances }: ModelHost): void {
+    const { random, notRun = 0 } = this.options
+    if (random() >= allowances.ask(NAME, this.now)) {
+      this.refused.push(this.now)
+      return
+    }
+    allowances.observeLetThrough(NAME, this.now)
+    if (random() < notRun) allowances.releaseUse(NAME, this.now, this.now)
+    else this.ran.push(this.now)
+  }
+
+  private report (host: ModelHost): void {
+    const { zones, hostsPerZone } = this.options
+    host.nextReportAt = this.now + REPORT_MS
+    const { allowances, zone, index } = host
+    const totals = allowances.takeTotals()
+    const first = zone * hostsPerZone
+    const isSumming = index - first < SUMMING
+    for (let other = first; other < first + SUMMING; other += 1) if (other !== index && !isSumming) this.send(host, other, { totals })
+    if (!isSumming) return
+    const fleet = allowances.describeFleet(this.now)
+    for (let other = first; other < first + hostsPerZone; other += 1) if (other !== index) this.send(host, other, { fleet, totals })
+    const word = allowances.describeZone(this.now)
+    for (let other = 0; other < zones * hostsPerZone; other += 1) if (Math.floor(other / hostsPerZone) !== zone && other % hostsPerZone < SUMMING) this.send(host, other, { zone: word })
+  }
+
+  private send (host: ModelHost, to: number, content: Partial<UseReport>): void {
+    const { random, loss = 0, isLinked } = this.options
+    host.sequence += 1
+    this.datagramsSent += 1
+    if (random() < loss || isLinked?.(host.index, to, this.now) === false) return
+    const report = { host: `h${host.index}`, incarnation: String(host.startedAt), availabilityZone: `z${host.zone}`, sequence: host.sequence, totals: new Map(), zone: undefined, fleet: undefined, ...content }
+    const arrivesAt = this.now + (Math.floor(to / this.options.hostsPerZone) === host.zone ? 2 : 20)
+    this.datagrams.push({ arrivesAt, to, report })
+    if (random() < loss) this.datagrams.push({ arrivesAt: arrivesAt + 300, to, report })
+  }
+
+  private handleDue (): void {
+    const due = this.datagrams.filter(({ arrivesAt }) => arrivesAt <= this.now)
+    if (due.length === 0) return
+    this.datagrams = this.datagrams.filter(({ arrivesAt }) => arrivesAt > this.now)
+    for (const { to, report } of due) {
+      const host = this.hosts[to] as ModelHost
+      if (host.isUp) host.allowances.hear(report, this.now)
+    }
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/runRandomDay.ts
@@ -0,0 +1,58 @@
+import { AllowanceFleet } from './allowanceFleet.js'
+import { makeRandom } from './makeRandom.js'
+
+const WINDOW_MS = 5_000
+const DAY_MS = 18_000
+const RATES = [6, 15, 60, 282]
+const ZONES = [2, 6, 9]
+const HOSTS_PER_ZONE = [1, 4, 12]
+/** Part of its limit that an organisation usually asks for. */
+const USUAL = 0.625
+/** What the operators grant above the limit: a tenth of it, and twenty requests. */
+const OVERAGE = 0.1
+const SLACK = 20
+
+interface RandomDay {
+  /** Requests that ran within the worst window, and what the operators bear there. */
+  most: number
+  bound: number
+}
+
+/**
+ * A day of one organisation that sends several times its usual, through all hosts or a few, while hosts are cut off one by one, in
+ * two parts or by regions, while some or all are killed and started again, and while datagrams are lost or come twice.
+ */
+export function runRandomDay (seed: number): RandomDay {
+  const random = makeRandom(seed)
+  const pick = (values: readonly number[]): number => values[Math.floor(random() * values.length)] as number
+  const [rate, zones, hostsPerZone] = [pick(RATES), pick(ZONES), pick(HOSTS_PER_ZONE)]
+  const hosts = zones * hostsPerZone
+  const [rush, rushAt] = [1 + random() * 3.7, 2_000 + random() * 8_000]
+  const rushHosts = random() < 0.3 ? Math.max(1, Math.floor(hosts * 0.1)) : hosts
+  const [cutAt, cutMs] = [1_000 + random() * 12_000, 2_000 + random() * 10_000]
+  const cutPart = random() < 0.6 ? random() * 0.6 : 0
+  const cutKind = Math.floor(random() * 3)
+  const killAt = 2_000 + random() * 12_000
+  const killPart = random() < 0.5 ? (random() < 0.5 ? 1 : random()) : 0
+  const downMs = 500 + random() * 1_500
+  const loss = random() < 0.3 ? random() * 0.2 : 0
+  const isCut = Array.from({ length: hosts }, () => random() < cutPart)
+  const isKilled = Array.from({ length: hosts }, () => random() < killPart)
+  const burst = random() < 0.2 ? 0 : rate
+  const findRegion = (index: number): number => Math.floor(index / hostsPerZone / 2)
+  const hasCut = (from: number, to: number): boolean => [isCut[from] === true || isCut[to] === true, isCut[from] !== isCut[to], findRegion(from) !== findRegion(to)][cutKind] === true
+  const fleet = new AllowanceFleet({
+    zones,
+    hostsPerZone,
+    windowMs: WINDOW_MS,
+    ratePerSecond: rate,
+    burst,
+    random,
+    loss,
+    ask: ({ index }, now) => rate * USUAL / hosts + (now > rushAt && now < rushAt + 8_000 && index < rushHosts ? rate * (rush - USUAL) / rushHosts : 0),
+    isLinked: (from, to, now) => now <= cutAt || now >= cutAt + cutMs || !hasCut(from, to),
+    isDown: (index, now) => isKilled[index] === true && now > killAt && now < killAt + downMs + index * 5
+  })
+  fleet.run(DAY_MS)
+  return { most: fleet.findMost(), bound: (rate * WINDOW_MS / 1_000 + burst) * (1 + OVERAGE) + SLACK }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
@@ -0,0 +1,124 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FleetState } from '../../fleet/fleetState.js'
+import type { HostEntry } from '../../fleet/hostEntry.js'
+import { decodeDatagram } from '../../peers/decodeDatagram.js'
+import type { PeerSocket } from '../../peers/peerSocket.js'
+import { PeerView } from '../../peers/peerView.js'
+import { Allowances } from '../allowances.js'
+import { encodeUseReport } from '../encodeUseReport.js'
+import { UseExchange } from '../useExchange.js'
+import type { UseReport } from '../useReport.js'
+
+const test = suite('UseExchange')
+const SEED = 20_261_203
+const SCHOOL = { name: 'school', keys: ['key-of-school'], priority: 0, ratePerSecond: 10, burst: 0, allowedRegions: [] }
+
+const makeEntry = (name: string, availabilityZone: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone, region: 'akl', ip: `10.0.0.${name.length}${name.charCodeAt(0)}`, callerPort: 1, peerPort: 2 })
+const makeReport = (content: Partial<UseReport> = {}): UseReport => ({ host: 'a', incarnation: 'i1', availabilityZone: 'one', sequence: 1, totals: new Map(), zone: undefined, fleet: undefined, ...content })
+
+/** One host among others of two zones, with what it sends to whom. */
+class UseRig {
+  readonly sent: Array<{ to: string, report: UseReport }> = []
+  readonly allowances: Allowances
+  readonly exchange: UseExchange
+  now = 10_000
+  private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+
+  constructor (name: string) {
+    const entries = [...['a', 'b', 'c', 'd'].map((each) => makeEntry(each, 'one')), ...['x', 'y', 'z'].map((each) => makeEntry(each, 'two'))]
+    for (const entry of entries) this.fleet.putHost(entry)
+    this.fleet.isComplete = true
+    const own = entries.find((entry) => entry.name === name) as HostEntry
+    const view = new PeerView(own, this.fleet)
+    this.allowances = new Allowances({ availabilityZone: 'one', windowMs: 5_000, startedAt: 0, countHosts: () => entries.length, isSumming: (now) => view.isSumming(now) })
+    const socket = {
+      send: (bytes: Uint8Array, ip: string) => {
+        const message = decodeDatagram(bytes)
+        const to = entries.find((entry) => entry.ip === ip)
+        if (message?.kind === 'use' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
+      }
+    } as unknown as PeerSocket
+    this.exchange = new UseExchange({ own, fleet: this.fleet, view, allowances: this.allowances, socket, getNow: () => this.now })
+  }
+
+  async runOnce (): Promise<void> {
+    const stop = new AbortController()
+    const running = this.exchange.run(stop.signal)
+    stop.abort()
+    await running
+  }
+
+  listReceivers (has: (report: UseReport) => boolean): string[] {
+    return [...new Set(this.sent.filter(({ report }) => has(report)).map(({ to }) => to))].sort()
+  }
+}
+
+test('where no organisation has a limit nothing is sent', async () => {
+  const rig = new UseRig('a')
+  await rig.runOnce()
+  assert.is(rig.sent.length, 0)
+})
+
+test('a host tells its own to the two that sum up for its zone, and nobody else', async () => {
+  const rig = new UseRig('c')
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.ask('school', rig.now)
+  await rig.runOnce()
+  assert.equal(rig.sent.map(({ to }) => to).sort(), ['a', 'b'])
+  assert.equal([...(rig.sent[0]?.report.totals.values() ?? [])], [{ asked: 1, letThrough: 0 }])
+})
+
+test('one that sums up tells its zone\'s sum to those of the other zones, and the sum of all to its zone', async () => {
+  const rig = new UseRig('a')
+  rig.allowances.setOrganisations([SCHOOL])
+  for (let request = 0; request < 40; request += 1) {
+    rig.allowances.ask('school', rig.now)
+    rig.allowances.observeLetThrough('school', rig.now)
+  }
+  await rig.runOnce()
+  assert.equal(rig.listReceivers(({ zone }) => zone !== undefined), ['x', 'y'])
+  assert.equal(rig.listReceivers(({ fleet }) => fleet !== undefined), ['b', 'c', 'd'])
+  assert.is(rig.sent.find(({ report }) => report.zone !== undefined)?.report.zone?.uses.size, 1)
+})
+
+// Anybody may send to the port. A made-up sum, or one of a host's former life, would refuse a customer everywhere.
+test('only a host\'s own word in its present life and from its address counts', () => {
+  const rig = new UseRig('c')
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.ask('school', rig.now)
+  const [hash] = rig.allowances.takeTotals().keys() as unknown as [number]
+  const fleet = { hosts: 7, unseenMs: 0, uses: new Map([[hash, { letThrough: 1_000, askedPerSecond: 200 }]]) }
+  const { ip } = makeEntry('a', 'one')
+  rig.exchange.handleReport(makeReport({ fleet, incarnation: 'i0' }), ip)
+  rig.exchange.handleReport(makeReport({ fleet }), '10.9.9.9')
+  rig.exchange.handleReport(makeReport({ fleet, host: 'x' }), makeEntry('x', 'two').ip)
+  rig.exchange.handleReport(makeReport({ fleet, host: 'unknown' }), ip)
+  assert.ok(rig.allowances.ask('school', rig.now) > 0)
+  rig.exchange.handleReport(makeReport({ fleet }), ip)
+  assert.is(rig.allowances.ask('school', rig.now), 0)
+})
+
+test('reports read as they were written, and bytes of any kind are a report or nothing', () => {
+  const report = makeReport({ totals: new Map([[7, { asked: 3, letThrough: 2 }]]), zone: { hosts: 4, unseenMs: 20, uses: new Map([[9, { letThrough: 5, askedPerSecond: 1.5 }]]) } })
+  const bytes = encodeUseReport(report)
+  assert.equal(decodeDatagram(bytes), { kind: 'use', report })
+  fc.assert(fc.property(fc.nat(bytes.length - 1), fc.nat(255), fc.nat(bytes.length), (place, value, length) => {
+    const changed = Uint8Array.from(bytes)
+    changed[place] = value
+    const message = decodeDatagram(changed.subarray(0, length))
+    const uses = message?.kind === 'use' ? [...(message.report.zone?.uses.values() ?? [])] : []
+    return uses.every(({ askedPerSecond }) => Number.isFinite(askedPerSecond) && askedPerSecond >= 0)
+  }), { seed: SEED, numRuns: 2_000 })
+})
+
+test('keys stand in no report', () => {
+  const rig = new UseRig('c')
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.ask('school', rig.now)
+  const bytes = encodeUseReport(makeReport({ totals: rig.allowances.takeTotals() }))
+  assert.not.match(Buffer.from(bytes).toString('latin1'), /key-of|school/)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
@@ -0,0 +1,82 @@
+import { sleepFor } from 'almondrelay'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { PeerSocket } from '../peers/peerSocket.js'
+import type { PeerView } from '../peers/peerView.js'
+import type { Allowances } from './allowances.js'
+import { encodeUseReport } from './encodeUseReport.js'
+import type { UseReport } from './useReport.js'
+
+/** Milliseconds between reports: what all hosts let through in this time is known to none of the others. */
+const REPORT_MS = 250
+/** The same where there is nothing to tell: others still have to know that this host is there. */
+const CALM_REPORT_MS = 500
+/** Milliseconds between looks whether there are limits at all. */
+const UNNEEDED_MS = 1_000
+/** Bytes a second that a host may spend on these reports, of the 12 KB a second for all its control traffic. */
+const BYTES_PER_SECOND = 9_000
+/** Bytes of headers around each datagram. */
+const DATAGRAM_OVERHEAD = 28
+
+interface ExchangeParts {
+  own: HostEntry
+  fleet: FleetState
+  view: PeerView
+  allowances: Allowances
+  socket: PeerSocket
+  getNow: () => number
+}
+
+/** Tells the other hosts what came to this one of the organisations' requests, sums up where this host does so for its zone, and takes in what they tell. */
+export class UseExchange {
+  private sequence = 0
+  private calmSentAt = -Infinity
+
+  constructor (private readonly parts: ExchangeParts) {}
+
+  /** Sends reports until the signal aborts; the more receivers there are, the longer the pause, so that the bytes a second stay bounded. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const bytes = this.parts.allowances.areNeeded ? this.sendRound() : 0
+      const leastMs = this.parts.allowances.areNeeded ? REPORT_MS : UNNEEDED_MS
+      await sleepFor(Math.max(leastMs, bytes / BYTES_PER_SECOND * 1_000), signal)
+    }
+  }
+
+  /** Anybody may send to the port, and what is said here decides who is refused: it counts only in the sender's present life and from its address. */
+  handleReport (report: UseReport, ip: string): void {
+    const entry = this.parts.fleet.findHost(report.host)
+    const isGenuine = entry?.incarnation === report.incarnation && entry.ip === ip && entry.availabilityZone === report.availabilityZone
+    if (isGenuine && entry.name !== this.parts.own.name) this.parts.allowances.hear(report, this.parts.getNow())
+  }
+
+  private sendRound (): number {
+    const { own, view, allowances, getNow } = this.parts
+    const now = getNow()
+    const isCalmOver = now - this.calmSentAt >= CALM_REPORT_MS
+    if (isCalmOver) this.calmSentAt = now
+    const totals = allowances.takeTotals()
+    const bytes = totals.size > 0 || isCalmOver ? this.send(view.listSumming(own.availabilityZone, now), { totals }) : 0
+    return view.isSumming(now) ? bytes + this.sendSums(isCalmOver, now) : bytes
+  }
+
+  private sendSums (isCalmOver: boolean, now: number): number {
+    const { own, view, allowances } = this.parts
+    const fleet = allowances.describeFleet(now)
+    if (fleet.uses.size === 0 && !isCalmOver) return 0
+    const others = view.listZones(now).filter((zone) => zone !== own.availabilityZone).flatMap((zone) => view.listSumming(zone, now))
+    const near = view.listLive(now).filter(({ availabilityZone }) => availabilityZone === own.availabilityZone)
+    return this.send(others, { zone: allowances.describeZone(now) }) + this.send(near, { fleet })
+  }
+
+  /** Returns the bytes that it takes. */
+  private send (entries: readonly HostEntry[], content: Partial<UseReport>): number {
+    const { own, socket } = this.parts
+    const receivers = entries.filter(({ name }) => name !== own.name)
+    if (receivers.length === 0) return 0
+    this.sequence += 1
+    const bytes = encodeUseReport({ host: own.name, incarnation: own.incarnation, availabilityZone: own.availabilityZone, sequence: this.sequence, totals: new Map(), zone: undefined, fleet: undefined, ...content })
+    for (const { ip, peerPort } of receivers) socket.send(bytes, ip, peerPort)
+    return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
+  }
+}
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -1,18 +1,19 @@
-import { create, toBinary } from '@bufbuild/protobuf'
+import { create } from '@bufbuild/protobuf'
 import { LoadReportSchema } from 'almondrelay-protocol'
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { decodeReport } from '../decodeReport.js'
+import { decodeLoad } from '../__fixtures__/decodeLoad.js'
+import { encodeDatagram } from '../encodeDatagram.js'
 import { encodeReport } from '../encodeReport.js'
 
 const test = suite('decodeReport')
 const SEED = 20_261_203
-const encode = (demand: object): Uint8Array => toBinary(LoadReportSchema, create(LoadReportSchema, { host: 'a', region: 'akl', demands: [{ service: 's', perSecond: 1, warmMs: 1, parts: [], ...demand }] }))
+const encode = (demand: object): Uint8Array => encodeDatagram({ case: 'load', value: create(LoadReportSchema, { host: 'a', region: 'akl', demands: [{ service: 's', perSecond: 1, warmMs: 1, parts: [], ...demand }] }) })
 
 test('bytes of any kind are a report or nothing, never a fault', () => {
   fc.assert(fc.property(fc.uint8Array({ maxLength: 400 }), (bytes) => {
-    const report = decodeReport(bytes)
+    const report = decodeLoad(bytes)
     return report === undefined || report.host.length > 0
   }), { seed: SEED, numRuns: 2_000 })
 })
@@ -22,16 +23,16 @@
   fc.assert(fc.property(fc.nat(whole.length - 1), fc.nat(255), fc.nat(whole.length), (place, value, length) => {
     const bytes = Uint8Array.from(whole)
     bytes[place] = value
-    const report = decodeReport(bytes.subarray(0, length))
+    const report = decodeLoad(bytes.subarray(0, length))
     return report === undefined || report.demands.every(({ perSecond }) => Number.isFinite(perSecond) && perSecond >= 0)
   }), { seed: SEED, numRuns: 2_000 })
 })
 
 // Anybody may send to the port. A demand of infinitely many requests would move every key of a region at once.
 test('a report with a number that can not be counted with is none', () => {
-  for (const perSecond of [NaN, Infinity, -1]) assert.is(decodeReport(encode({ perSecond })), undefined)
-  assert.is(decodeReport(encode({ parts: [{ region: 'akl', part: NaN }] })), undefined)
-  assert.ok(decodeReport(encode({})) !== undefined)
+  for (const perSecond of [NaN, Infinity, -1]) assert.is(decodeLoad(encode({ perSecond })), undefined)
+  assert.is(decodeLoad(encode({ parts: [{ region: 'akl', part: NaN }] })), undefined)
+  assert.ok(decodeLoad(encode({})) !== undefined)
 })
 
 test('changes of the store read as they were written', () => {
@@ -44,14 +45,14 @@
     ],
     forwardTo: ['b', 'c']
   }
-  const plain = decodeReport(encode({}))
+  const plain = decodeLoad(encode({}))
   if (plain === undefined) throw new Error('no report')
-  assert.equal(decodeReport(encodeReport({ ...plain, changes }))?.changes, changes)
+  assert.equal(decodeLoad(encodeReport({ ...plain, changes }))?.changes, changes)
 })
 
 // Revisions that fall would let a host believe that it knows changes which it never got.
 test('changes of the store whose revisions do not rise are none', () => {
-  const isReport = (changes: object): boolean => decodeReport(toBinary(LoadReportSchema, create(LoadReportSchema, { host: 'a', region: 'akl', changes }))) !== undefined
+  const isReport = (changes: object): boolean => decodeLoad(encodeDatagram({ case: 'load', value: create(LoadReportSchema, { host: 'a', region: 'akl', changes }) })) !== undefined
   const change = { key: 'k', revision: 5, deleted: true }
   assert.ok(isReport({ afterRevision: 4, upToRevision: 5, changes: [change] }))
   assert.not.ok(isReport({ afterRevision: 6, upToRevision: 7, changes: [change] }))
@@ -64,7 +65,7 @@
 test('a report with a revision that is no whole number is none', () => {
   for (const revision of [NaN, Infinity, -1, 0.5, 1e300]) {
     for (const field of ['storeRevision', 'notableRevision', 'declaredRevision']) {
-      assert.is(decodeReport(toBinary(LoadReportSchema, create(LoadReportSchema, { host: 'a', region: 'akl', [field]: revision }))), undefined, `${field}: ${revision}`)
+      assert.is(decodeLoad(encodeDatagram({ case: 'load', value: create(LoadReportSchema, { host: 'a', region: 'akl', [field]: revision }) })), undefined, `${field}: ${revision}`)
     }
   }
 })
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -5,7 +5,7 @@
 import type { HostEntry } from '../../fleet/hostEntry.js'
 import type { RelayedChanges } from '../../fleet/relayedChanges.js'
 import type { ForwardState } from '../../forward/forwardState.js'
-import { decodeReport } from '../decodeReport.js'
+import { decodeLoad } from '../__fixtures__/decodeLoad.js'
 import { encodeReport } from '../encodeReport.js'
 import { PeerExchange } from '../peerExchange.js'
 import type { PeerReport } from '../peerReport.js'
@@ -21,7 +21,7 @@
 
 /** One host among others of its region, with what it sends and what it takes for the word of a watcher. */
 class ExchangeRig {
-  readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined })
+  readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   readonly sent: PeerReport[] = []
   readonly watched: PeerReport[] = []
   readonly accepted: RelayedChanges[] = []
@@ -31,7 +31,7 @@
     const own = makeEntry('own')
     for (const entry of [own, makeEntry('a'), makeEntry('b'), makeEntry('c'), makeEntry('far', 'wlg')]) this.fleet.putHost(entry)
     this.fleet.isComplete = true
-    const socket = { send: (bytes: Uint8Array) => { this.sent.push(decodeReport(bytes) as PeerReport) } } as unknown as PeerSocket
+    const socket = { send: (bytes: Uint8Array) => { this.sent.push(decodeLoad(bytes) as PeerReport) } } as unknown as PeerSocket
     this.exchange = new PeerExchange({
       own,
       fleet: this.fleet,
@@ -48,7 +48,7 @@
   }
 
   hear (report: PeerReport, ip = ADDRESS): void {
-    this.exchange.handleDatagram(encodeReport(report), ip)
+    this.exchange.handleReport(decodeLoad(encodeReport(report)) as PeerReport, ip)
   }
 }
 
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert'
 import { FleetState } from '../../fleet/fleetState.js'
 import type { HostEntry } from '../../fleet/hostEntry.js'
-import { decodeReport } from '../decodeReport.js'
+import { decodeLoad } from '../__fixtures__/decodeLoad.js'
 import { encodeReport } from '../encodeReport.js'
 import type { PeerReport } from '../peerReport.js'
 import { PeerView } from '../peerView.js'
@@ -12,7 +12,7 @@
 const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), changes: undefined, demands: [] })
 
 const build = (): PeerView => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined })
+  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   for (const name of ['own', 'a', 'b']) fleet.putHost(makeEntry(name))
   fleet.isComplete = true
   return new PeerView(makeEntry('own'), fleet)
@@ -32,7 +32,7 @@
 // Both hosts that watch the store for their region are cut off from it, or die. The others must notice before the time
 // within which a target that leaves must be known, and ask the store themselves.
 test('watchers are relied on while one of them was heard and confirmed lately, in regions of many hosts', () => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined })
+  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'own']
   for (const name of names) fleet.putHost(makeEntry(name))
   const view = new PeerView(makeEntry('own'), fleet)
@@ -119,8 +119,8 @@
 
 test('a report reads as it was written, and other bytes are none', () => {
   const report = { ...makeReport('a', 3), demands: [{ service: 's', perSecond: 2, warmMs: 64, coldMs: 300, parts: new Map([['akl', 0.5]]) }] }
-  assert.equal(decodeReport(encodeReport(report)), report)
-  assert.is(decodeReport(Buffer.from('nonsense')), undefined)
+  assert.equal(decodeLoad(encodeReport(report)), report)
+  assert.is(decodeLoad(Buffer.from('nonsense')), undefined)
 })
 
 test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -0,0 +1,29 @@
+import { fromBinary } from '@bufbuild/protobuf'
+import { PeerDatagramSchema, type PeerDatagram } from 'almondrelay-protocol'
+import { match } from 'ts-pattern'
+import { decodeUseReport } from '../organisations/decodeUseReport.js'
+import { decodeReport } from './decodeReport.js'
+import type { PeerMessage } from './peerMessage.js'
+
+/** What a host says in a datagram; undefined where it can't be a host's word: anybody may send to the port. */
+export function decodeDatagram (bytes: Uint8Array): PeerMessage | undefined {
+  const content = decodeContent(bytes)
+  return match(content)
+    .with({ case: 'load' }, ({ value }) => {
+      const report = decodeReport(value)
+      return report === undefined ? undefined : { kind: 'load' as const, report }
+    })
+    .with({ case: 'use' }, ({ value }) => {
+      const report = decodeUseReport(value)
+      return report === undefined ? undefined : { kind: 'use' as const, report }
+    })
+    .otherwise(() => undefined)
+}
+
+const decodeContent = (bytes: Uint8Array): PeerDatagram['content'] => {
+  try {
+    return fromBinary(PeerDatagramSchema, bytes).content
+  } catch {
+    return { case: undefined }
+  }
+}
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -1,5 +1,4 @@
-import { fromBinary } from '@bufbuild/protobuf'
-import { LoadReportSchema, type LoadReport, type StoreChange, type StoreChanges } from 'almondrelay-protocol'
+import type { LoadReport, StoreChange, StoreChanges } from 'almondrelay-protocol'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { PeerReport } from './peerReport.js'
@@ -7,35 +6,30 @@
 /** Bytes of a host's name and of a region's; longer ones aren't ours. */
 const LONGEST_NAME = 200
 
-/** The report in a datagram; undefined where it isn't one: anybody may send to the port. */
-export function decodeReport (bytes: Uint8Array): PeerReport | undefined {
-  try {
-    const message = fromBinary(LoadReportSchema, bytes)
-    if (!isNamed(message) || !hasRevisions(message) || !message.demands.every(isMeasured)) return undefined
-    return {
-      host: message.host,
-      incarnation: message.incarnation,
-      region: message.region,
-      sequence: message.sequence,
-      isLeaving: message.leaving,
-      configurationVersion: message.configurationVersion,
-      storeRevision: message.storeRevision,
-      declaredRevision: message.declaredRevision,
-      notableRevision: message.notableRevision,
-      storeAgeMs: message.storeAgeMs,
-      isRegional: message.regional,
-      inFlight: new Map(message.targetHashes.map((hash, index) => [hash, message.inFlight[index] ?? 0])),
-      demands: message.demands.map(({ service, perSecond, warmMs, coldMs, parts }) => ({
-        service,
-        perSecond,
-        warmMs,
-        coldMs,
-        parts: new Map(parts.map(({ region, part }) => [region, part]))
-      })),
-      changes: message.changes === undefined ? undefined : decodeChanges(message.changes)
-    }
-  } catch {
-    return undefined
+/** What a host tells of its load; undefined where it can't be a host's word: anybody may send to the port. */
+export function decodeReport (message: LoadReport): PeerReport | undefined {
+  if (!isNamed(message) || !hasRevisions(message) || !message.demands.every(isMeasured)) return undefined
+  return {
+    host: message.host,
+    incarnation: message.incarnation,
+    region: message.region,
+    sequence: message.sequence,
+    isLeaving: message.leaving,
+    configurationVersion: message.configurationVersion,
+    storeRevision: message.storeRevision,
+    declaredRevision: message.declaredRevision,
+    notableRevision: message.notableRevision,
+    storeAgeMs: message.storeAgeMs,
+    isRegional: message.regional,
+    inFlight: new Map(message.targetHashes.map((hash, index) => [hash, message.inFlight[index] ?? 0])),
+    demands: message.demands.map(({ service, perSecond, warmMs, coldMs, parts }) => ({
+      service,
+      perSecond,
+      warmMs,
+      coldMs,
+      parts: new Map(parts.map(({ region, part }) => [region, part]))
+    })),
+    changes: message.changes === undefined ? undefined : decodeChanges(message.changes)
   }
 }
 
--- a/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
@@ -1,33 +1,37 @@
-import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf'
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { LoadReportSchema, type StoreChangeSchema, type StoreChangesSchema } from 'almondrelay-protocol'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { StoreEvent } from '../store/storeEvent.js'
+import { encodeDatagram } from './encodeDatagram.js'
 import type { PeerReport } from './peerReport.js'
 
 export function encodeReport (report: PeerReport): Uint8Array {
-  return toBinary(LoadReportSchema, create(LoadReportSchema, {
-    host: report.host,
-    incarnation: report.incarnation,
-    region: report.region,
-    sequence: report.sequence,
-    leaving: report.isLeaving,
-    configurationVersion: report.configurationVersion,
-    storeRevision: report.storeRevision,
-    declaredRevision: report.declaredRevision,
-    notableRevision: report.notableRevision,
-    storeAgeMs: report.storeAgeMs,
-    regional: report.isRegional,
-    targetHashes: [...report.inFlight.keys()],
-    inFlight: [...report.inFlight.values()],
-    demands: report.demands.map(({ service, perSecond, warmMs, coldMs, parts }) => ({
-      service,
-      perSecond,
-      warmMs,
-      coldMs,
-      parts: [...parts].map(([region, part]) => ({ region, part }))
-    })),
-    ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
-  }))
+  return encodeDatagram({
+    case: 'load',
+    value: create(LoadReportSchema, {
+      host: report.host,
+      incarnation: report.incarnation,
+      region: report.region,
+      sequence: report.sequence,
+      leaving: report.isLeaving,
+      configurationVersion: report.configurationVersion,
+      storeRevision: report.storeRevision,
+      declaredRevision: report.declaredRevision,
+      notableRevision: report.notableRevision,
+      storeAgeMs: report.storeAgeMs,
+      regional: report.isRegional,
+      targetHashes: [...report.inFlight.keys()],
+      inFlight: [...report.inFlight.values()],
+      demands: report.demands.map(({ service, perSecond, warmMs, coldMs, parts }) => ({
+        service,
+        perSecond,
+        warmMs,
+        coldMs,
+        parts: [...parts].map(([region, part]) => ({ region, part }))
+      })),
+      ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
+    })
+  })
 }
 
 const encodeChanges = ({ afterRevision, upToRevision, events, forwardTo }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -4,7 +4,6 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import { computeMeanTimes } from './computeMeanTimes.js'
-import { decodeReport } from './decodeReport.js'
 import { encodeReport } from './encodeReport.js'
 import type { PeerReport } from './peerReport.js'
 import type { PeerSocket } from './peerSocket.js'
@@ -82,10 +81,9 @@
   }
 
   /** @param ip address from which it came */
-  handleDatagram (bytes: Uint8Array, ip: string): void {
-    const report = decodeReport(bytes)
+  handleReport (report: PeerReport, ip: string): void {
     const { own, fleet, view, getNow, hearRevision } = this.parts
-    if (report === undefined || report.host === own.name) return
+    if (report.host === own.name) return
     const now = getNow()
     const isWatcher = report.region === own.region && view.isWatcher(report, ip, now)
     // Changes count also in a report that came behind a later one: their revisions tell their order.
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -13,6 +13,13 @@
 const DEMAND_MAX_AGE_MS = 6_000
 /** Hosts of a region that speak for it to the other regions and watch the store with short waits. */
 const SPEAKERS = 2
+/** Hosts of an availability zone that sum up what its hosts tell: two, so that one that ends or stands still leaves no gap. */
+const SUMMING_HOSTS = 2
+/**
+ * Milliseconds for which a host whose entry has gone may still serve callers: its lease ends too when it is cut off from the
+ * store. One that is started again or takes its leave is known at once.
+ */
+const LOST_MS = 30_000
 
 /**
  * Hosts of a region from which on those that don't watch leave it to those that do: below, their calls are few, and a
@@ -48,6 +55,8 @@
   nearAddresses: ReadonlySet<string>
   /** Names of the hosts of this region that speak for it and watch the store. */
   speakers: string[]
+  /** Hosts of each availability zone that sum up what its hosts tell. */
+  summing: ReadonlyMap<string, readonly HostEntry[]>
   /** Names of the hosts that share the work on the targets of each region that was asked for. */
   senders: Map<string, readonly string[]>
 }
@@ -73,6 +82,7 @@
   private readonly peers = new Map<string, PeerState>()
   private readonly regions = new Map<string, RegionWord>()
   /** Grows with each report that changes who is live. */
+  private readonly lost = new Map<string, { at: number }>()
   private changes = 0
   private lists: LiveLists | undefined
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
@@ -137,6 +147,37 @@
     return this.fleet.isComplete ? Math.max(1, this.fleet.listHosts().length) : undefined
   }
 
+  /** The same with those whose entries went without their leave, as they may only be cut off. */
+  countPossibleHosts (now: number): number {
+    let lost = 0
+    for (const [name, { at }] of this.lost) {
+      if (now - at > LOST_MS || this.fleet.findHost(name) !== undefined) this.lost.delete(name)
+      else lost += 1
+    }
+    return Math.max(1, this.fleet.listHosts().length) + lost
+  }
+
+  /** A host's entry is gone from the store. */
+  observeGone ({ name, incarnation }: HostEntry, now: number): void {
+    const peer = this.peers.get(name)
+    const hasLeft = peer?.incarnation === incarnation && peer.report.isLeaving
+    if (!hasLeft) putBounded(this.lost, name, { at: now }, MOST_PEERS)
+  }
+
+  /** Availability zones with live hosts. */
+  listZones (now: number): string[] {
+    return [...this.findLists(now).summing.keys()]
+  }
+
+  /** Hosts that sum up for an availability zone; every host that knows the same hosts names the same ones. */
+  listSumming (availabilityZone: string, now: number): readonly HostEntry[] {
+    return this.findLists(now).summing.get(availabilityZone) ?? []
+  }
+
+  isSumming (now: number): boolean {
+    return this.listSumming(this.own.availabilityZone, now).some(({ name }) => name === this.own.name)
+  }
+
   /** The same of this host's region alone. */
   countRegionHosts (): number | undefined {
     return this.fleet.isComplete ? Math.max(1, this.listNear().length) : undefined
@@ -221,7 +262,7 @@
     const live = hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isAlone))
     const near = live.filter((entry) => entry.region === this.own.region)
     const speakers = near.map((entry) => entry.name).sort().slice(0, SPEAKERS)
-    return { madeAt: now, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, nearAddresses: new Set(near.map(({ ip }) => ip)), speakers, senders: new Map() }
+    return { madeAt: now, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, nearAddresses: new Set(near.map(({ ip }) => ip)), speakers, summing: listFirst(live, SUMMING_HOSTS), senders: new Map() }
   }
 
   /** Entries of the hosts of this region, this one's included. */
@@ -250,3 +291,13 @@
     if (this.firstSeenAt.get(entry.name)?.incarnation !== entry.incarnation) this.firstSeenAt.set(entry.name, { incarnation: entry.incarnation, at: now })
   }
 }
+
+/** The first hosts of each availability zone by name. */
+const listFirst = (hosts: readonly HostEntry[], most: number): Map<string, HostEntry[]> => {
+  const byZone = new Map<string, HostEntry[]>()
+  for (const entry of [...hosts].sort((one, other) => one.name < other.name ? -1 : 1)) {
+    const first = byZone.get(entry.availabilityZone) ?? []
+    if (first.length < most) byZone.set(entry.availabilityZone, [...first, entry])
+  }
+  return byZone
+}
--- a/packages/almondrelay-gateway/src/request/slidingCount.ts
+++ b/packages/almondrelay-gateway/src/request/slidingCount.ts
@@ -7,21 +7,47 @@
   private readonly partMs: number
   private head = 0
   private headPart = 0
+  /** Of all parts together, so that a count costs nothing. */
+  private sum = 0
 
   /** @param windowMs length of the window in milliseconds */
   constructor (windowMs: number) {
     this.partMs = windowMs / PARTS
   }
 
-  add (now: number): void {
+  add (now: number, amount = 1): void {
     this.advance(now)
-    this.counts[this.head] = (this.counts[this.head] ?? 0) + 1
+    this.counts[this.head] = (this.counts[this.head] ?? 0) + amount
+    this.sum += amount
+  }
+
+  /** Takes back an event that was counted at an earlier time; nothing where the window has left it behind. */
+  remove (at: number, now: number): void {
+    this.advance(now)
+    const parts = this.headPart - Math.floor(at / this.partMs)
+    if (parts < 0 || parts > PARTS) return
+    const index = (this.head - parts + PARTS + 1) % (PARTS + 1)
+    this.counts[index] = (this.counts[index] ?? 0) - 1
+    this.sum -= 1
   }
 
   /** Events of the last window, and of up to one part before it. */
   count (now: number): number {
     this.advance(now)
-    return this.counts.reduce((sum, each) => sum + each, 0)
+    return this.sum
+  }
+
+  /**
+   * Events of the last milliseconds of the window, and of up to one part before them.
+   *
+   * @param spanMs at most the window
+   */
+  countLast (now: number, spanMs: number): number {
+    this.advance(now)
+    const parts = Math.min(PARTS, Math.ceil(spanMs / this.partMs))
+    let events = 0
+    for (let back = 0; back <= parts; back += 1) events += this.counts[(this.head - back + PARTS + 1) % (PARTS + 1)] ?? 0
+    return events
   }
 
   private advance (now: number): void {
@@ -29,6 +55,7 @@
     const steps = Math.min(PARTS + 1, part - this.headPart)
     for (let step = 0; step < steps; step += 1) {
       this.head = (this.head + 1) % (PARTS + 1)
+      this.sum -= this.counts[this.head] ?? 0
       this.counts[this.head] = 0
     }
     if (part > this.headPart) this.headPart = part
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -1,4 +1,4 @@
-import { chooseTarget, decodeReport, encodeReport, makeRoute, makeTarget, RouteTable } from 'almondrelay-gateway/testing'
+import { chooseTarget, decodeDatagram, encodeReport, makeRoute, makeTarget, RouteTable } from 'almondrelay-gateway/testing'
 import type { CapacitySection } from './capacitySection.js'
 import { measureMs } from './measureMs.js'
 import type { Point } from './point.js'
@@ -82,5 +82,5 @@
 
 const measureReading = (busyTargets: number): number => {
   const bytes = buildReport(busyTargets)
-  return measureMs(() => { for (let decision = 0; decision < DECISIONS; decision += 1) decodeReport(bytes) }) / DECISIONS * US_PER_MS
+  return measureMs(() => { for (let decision = 0; decision < DECISIONS; decision += 1) decodeDatagram(bytes) }) / DECISIONS * US_PER_MS
 }
