Write sums of use in whole numbers; claims on allowances hold what they count in

By reading the change: a request let through before its organisation had a limit would have been released from a count that it was never in. Ruled out: a bound on the loop that sends: the fault would have gone on unseen. Change: hosts are rounded down when written; a claim holds the count that it is in. A request looks at its own organisation alone.

--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -132,11 +132,11 @@
     const { allowances, getNow, random } = this.parts
     if (organisation === undefined) return (await serve()).answer
     const letThroughAt = getNow()
-    const allowedPart = allowances.ask(organisation.name, letThroughAt)
-    if (random() >= allowedPart) return this.refuseOverAllowance(organisation, head, route, allowedPart)
-    allowances.observeLetThrough(organisation.name, letThroughAt)
+    const claim = allowances.ask(organisation.name, letThroughAt)
+    if (random() >= claim.allowedPart) return this.refuseOverAllowance(organisation, head, route, claim.allowedPart)
+    allowances.observeLetThrough(claim, letThroughAt)
     const { answer, mayHaveRun } = await serve()
-    if (!mayHaveRun) allowances.releaseUse(organisation.name, letThroughAt, getNow())
+    if (!mayHaveRun) allowances.releaseUse(claim, letThroughAt, getNow())
     return answer
   }
 
--- a/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
@@ -120,12 +120,13 @@
 
   private ask ({ allowances }: ModelHost): void {
     const { random, notRun = 0 } = this.options
-    if (random() >= allowances.ask(NAME, this.now)) {
+    const claim = allowances.ask(NAME, this.now)
+    if (random() >= claim.allowedPart) {
       this.refused.push(this.now)
       return
     }
-    allowances.observeLetThrough(NAME, this.now)
-    if (random() < notRun) allowances.releaseUse(NAME, this.now, this.now)
+    allowances.observeLetThrough(claim, this.now)
+    if (random() < notRun) allowances.releaseUse(claim, this.now, this.now)
     else this.ran.push(this.now)
   }
 
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
@@ -133,10 +133,27 @@
   const allowances = new Allowances({ availabilityZone: 'z', windowMs: WINDOW_MS, startedAt: 0, countHosts: () => 1, isSumming: () => true })
   allowances.setOrganisations([{ name: 'school', keys: [], priority: 0, ratePerSecond: 0, burst: 0, allowedRegions: [] }])
   assert.not(allowances.areNeeded)
-  assert.is(allowances.ask('school', 1), 1)
+  assert.is(allowances.ask('school', 1).allowedPart, 1)
   assert.is(allowances.takeTotals().size, 0)
 })
 
+// An organisation without a limit has requests under way when the operators give it one. They end as not run; taken off a count
+// that they were never in, the total fell below zero, could not be written into a report, and the host ended by itself.
+test('what was let through without a limit isn\'t released from one that came later, nor from one that went and came back', () => {
+  const allowances = new Allowances({ availabilityZone: 'z', windowMs: WINDOW_MS, startedAt: 0, countHosts: () => 1, isSumming: () => true })
+  const setRate = (ratePerSecond: number): void => { allowances.setOrganisations([{ name: 'school', keys: [], priority: 0, ratePerSecond, burst: 5, allowedRegions: [] }]) }
+  for (const [before, after] of [[0, 10], [10, 0]] as const) {
+    setRate(before)
+    const claim = allowances.ask('school', 10_000)
+    allowances.observeLetThrough(claim, 10_000)
+    setRate(after)
+    setRate(10)
+    allowances.ask('school', 10_001)
+    allowances.releaseUse(claim, 10_000, 10_002)
+    for (const { letThrough } of allowances.takeTotals().values()) assert.ok(letThrough >= 0)
+  }
+})
+
 test('on random days with rushes, cuts, kills and losses the limit is kept', () => {
   for (let seed = 1; seed <= 30; seed += 1) {
     const { most, bound } = runRandomDay(seed)
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
@@ -74,8 +74,7 @@
   const rig = new UseRig('a')
   rig.allowances.setOrganisations([SCHOOL])
   for (let request = 0; request < 40; request += 1) {
-    rig.allowances.ask('school', rig.now)
-    rig.allowances.observeLetThrough('school', rig.now)
+    rig.allowances.observeLetThrough(rig.allowances.ask('school', rig.now), rig.now)
   }
   await rig.runOnce()
   assert.equal(rig.listReceivers(({ zone }) => zone !== undefined), ['x', 'y'])
@@ -95,9 +94,9 @@
   rig.exchange.handleReport(makeReport({ fleet }), '10.9.9.9')
   rig.exchange.handleReport(makeReport({ fleet, host: 'x' }), makeEntry('x', 'two').ip)
   rig.exchange.handleReport(makeReport({ fleet, host: 'unknown' }), ip)
-  assert.ok(rig.allowances.ask('school', rig.now) > 0)
+  assert.ok(rig.allowances.ask('school', rig.now).allowedPart > 0)
   rig.exchange.handleReport(makeReport({ fleet }), ip)
-  assert.is(rig.allowances.ask('school', rig.now), 0)
+  assert.is(rig.allowances.ask('school', rig.now).allowedPart, 0)
 })
 
 test('reports read as they were written, and bytes of any kind are a report or nothing', () => {
@@ -113,6 +112,21 @@
   }), { seed: SEED, numRuns: 2_000 })
 })
 
+// A zone's next word is overdue, so its hosts count in part. The sum had 5.6 hosts, which can't be written as a whole number, and the
+// host that summed up ended by itself, again after each start.
+test('a sum with a word that is overdue is written in whole numbers', async () => {
+  const rig = new UseRig('a')
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.ask('school', rig.now)
+  const [hash] = rig.allowances.takeTotals().keys() as unknown as [number]
+  rig.exchange.handleReport(makeReport({ host: 'x', availabilityZone: 'two', zone: { hosts: 3, unseenMs: 0.5, uses: new Map([[hash, { letThrough: 7, askedPerSecond: 200 }]]) } }), makeEntry('x', 'two').ip)
+  rig.now += 1_000
+  await rig.runOnce()
+  const word = rig.sent.find(({ report }) => report.fleet !== undefined)?.report.fleet
+  assert.ok(word !== undefined && word.hosts >= 1 && word.hosts < 4)
+  assert.ok((word.uses.get(hash)?.letThrough ?? 0) > 7)
+})
+
 test('keys stand in no report', () => {
   const rig = new UseRig('c')
   rig.allowances.setOrganisations([SCHOOL])
--- a/packages/almondrelay-gateway/src/process/organisations/allowances.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/allowances.ts
@@ -6,6 +6,7 @@
 import { computeHash } from '../../version/computeHash.js'
 import type { Organisation } from '../../version/organisation.js'
 import { putBounded } from '../../request/putBounded.js'
+import type { AllowanceClaim } from './allowanceClaim.js'
 import { addZones } from './addZones.js'
 import type { FleetUse } from './fleetUse.js'
 import type { HeardUse } from './heardUse.js'
@@ -27,6 +28,8 @@
 /** Zones that are remembered: anybody may send reports. */
 const MOST_ZONES = 1_000
 
+const NO_USES: ReadonlyMap<number, KnownUse> = new Map()
+
 interface AllowanceParts {
   availabilityZone: string
   /** Window in which an organisation may have its rate and its burst, in milliseconds. */
@@ -74,30 +77,25 @@
     for (const hash of this.uses.keys()) if (!this.limits.has(hash)) this.uses.delete(hash)
   }
 
-  /**
-   * Part of an organisation's requests that this host lets through now, of which this is one.
-   *
-   * @returns 1 for an organisation without a limit
-   */
-  ask (name: string, now: number): number {
-    const hash = computeHash(name)
-    const limit = this.limits.get(hash)
-    if (limit === undefined) return 1
-    const use = this.findUse(hash)
+  /** Counts a request that was asked for, and says what part of such requests this host lets through now. */
+  ask (name: string, now: number): AllowanceClaim {
+    const organisation = computeHash(name)
+    const limit = this.limits.get(organisation)
+    if (limit === undefined) return { allowedPart: 1, organisation, use: undefined }
+    const use = this.findUse(organisation)
     use.observeAsked(now)
-    this.changed.add(hash)
-    return computeAllowedPart(this.describe(hash, limit, use, now))
+    this.changed.add(organisation)
+    return { allowedPart: computeAllowedPart(this.describe(organisation, limit, use, now)), organisation, use }
   }
 
-  observeLetThrough (name: string, now: number): void {
-    this.uses.get(computeHash(name))?.observeLetThrough(now)
+  observeLetThrough ({ use }: AllowanceClaim, now: number): void {
+    use?.observeLetThrough(now)
   }
 
   /** A request that was let through wasn't run and won't be. */
-  releaseUse (name: string, letThroughAt: number, now: number): void {
-    const hash = computeHash(name)
-    this.uses.get(hash)?.releaseUse(letThroughAt, now)
-    this.changed.add(hash)
+  releaseUse ({ use, organisation }: AllowanceClaim, letThroughAt: number, now: number): void {
+    use?.releaseUse(letThroughAt, now)
+    this.changed.add(organisation)
   }
 
   /** What changed here since the report before the last one: each change is told twice, as datagrams are lost. */
@@ -152,8 +150,8 @@
     const told = this.fleet.find(now)
     const unseenMs = this.computeUnseen(now)
     const isSumming = this.parts.isSumming(now)
-    if (told !== undefined && (!isSumming || told.use.unseenMs < unseenMs)) return addUntold(addZones([told], this.findRate), hash, own.countOwn(now, UNTOLD_MS))
-    if (isSumming) return addZones([{ use: { hosts: this.countZoneHosts(now), unseenMs, uses: new Map([[hash, own.describeZone(now)]]) }, ageMs: 0 }, ...this.listFresh(now)], this.findRate)
+    if (told !== undefined && (!isSumming || told.use.unseenMs < unseenMs)) return addUntold(addZones([pickOne(told, hash)], this.findRate), hash, own.countOwn(now, UNTOLD_MS))
+    if (isSumming) return addZones([{ use: { hosts: this.countZoneHosts(now), unseenMs, uses: new Map([[hash, own.describeZone(now)]]) }, ageMs: 0 }, ...this.listFresh(now).map((heard) => pickOne(heard, hash))], this.findRate)
     return { hosts: 1, unseenMs, uses: new Map([[hash, { letThrough: own.countOwn(now, this.parts.windowMs), askedPerSecond: own.describeZone(now).askedPerSecond }]]) }
   }
 
@@ -213,3 +211,9 @@
   const told = uses.get(hash)
   return { hosts, unseenMs, uses: told === undefined ? uses : new Map([[hash, { ...told, letThrough: told.letThrough + untold }]]) }
 }
+
+/** A word on one organisation alone: each request asks for one, and words name many. */
+const pickOne = ({ use, ageMs }: HeardUse, hash: number): HeardUse => {
+  const known = use.uses.get(hash)
+  return { use: { ...use, uses: known === undefined ? NO_USES : new Map([[hash, known]]) }, ageMs }
+}
--- a/packages/almondrelay-gateway/src/process/organisations/encodeUseReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/encodeUseReport.ts
@@ -23,7 +23,7 @@
 }
 
 const encodeZone = ({ hosts, unseenMs, uses }: ZoneUse): MessageInitShape<typeof ZoneUseSchema> => ({
-  hosts,
+  hosts: Math.floor(hosts),
   unseenMs: Math.round(unseenMs),
   organisationHashes: [...uses.keys()],
   letThrough: [...uses.values()].map(({ letThrough }) => Math.round(letThrough)),
