One place for refusals before any target is looked for; counters and account by organisation

Change: RequestRefuser; a refusal is a typed record that log, account and metrics take. almondrelay_organisation_answers_total has lines for 200 organisations, the others together.

--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage } from 'node:http'
-import { RefusalReason } from 'almondrelay'
 import type { BodyMemory } from '../../connection/bodyMemory.js'
 import type { CallerAnswer } from '../../connection/callerAnswer.js'
 import type { CallerCodec } from '../../connection/callerCodec.js'
@@ -7,7 +6,6 @@
 import { readBody } from '../../connection/readBody.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
-import { computeAllowanceRetry } from '../../request/computeAllowanceRetry.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
@@ -23,25 +21,16 @@
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { ForwardState } from './forwardState.js'
+import { RequestRefuser } from './requestRefuser.js'
 import { RequestPlacement } from './requestPlacement.js'
 import type { RequestRecord } from './requestRecord.js'
 import { RequestRunner } from './requestRunner.js'
 
-/** Retry-After, in milliseconds, of a host that knows no configuration yet. */
-const STARTING_RETRY_MS = 500
 /**
  * Milliseconds after the host's start in which requests wait for its first configuration: a connection and a read take two
  * round trips, of 110 ms each to a store in a region that is 55 ms away. After that the store is away, and the request is refused.
  */
 const STARTING_MS = 600
-/** Retry-After, in milliseconds on average, of a host that is full of answers: 24 MB go out over a link of 100 Mbit/s in two seconds. */
-const FULL_RETRY_MS = 1_000
-/** Retry-After, in milliseconds on average, of a host that is behind: another host that isn't is a new connection away. */
-const STALE_RETRY_MS = 200
-/** Retry-After, in milliseconds on average, where only a new configuration helps. */
-const NOWHERE_RETRY_MS = 2_000
-/** Status for a caller without a key of an organisation. */
-const UNIDENTIFIED_STATUS = 401
 const HASH_RANGE = 2 ** 32
 /** Part of a key's requests that goes to its own target while that one is warming up. */
 const WARM_UP_PART = 0.25
@@ -83,8 +72,11 @@
 /** Takes a caller's request from its head to its answer. */
 export class RequestHandler {
   private readonly runners = new Set<RequestRunner>()
+  private readonly refuser: RequestRefuser
 
-  constructor (private readonly parts: HandlerParts) {}
+  constructor (private readonly parts: HandlerParts) {
+    this.refuser = new RequestRefuser({ ...parts, fleet: parts.forward.fleet })
+  }
 
   /** Ends the requests whose deadline has passed while no timer ran. */
   expireRequests (): void {
@@ -102,12 +94,12 @@
     if (fleet.configuration === undefined) await fleet.waitForConfiguration(this.parts.startedAt + STARTING_MS - getNow())
     if (left.aborted) return undefined
     const { configuration, routes, organisations } = fleet
-    if (configuration === undefined) return this.refuseUnready(head)
+    if (configuration === undefined) return this.refuser.refuseUnready(head)
     const route = routes.findRoute(getHostName(message), getPath(message))
-    if (route === undefined) return this.reject(message, head.id, 404, 'no route')
+    if (route === undefined) return this.refuser.reject(message, head.id, 404, 'no route')
     const identity = identifyCaller(organisations, head.organisationKey, route)
-    if (identity.kind === 'unknown') return this.refuseUnknown(message, head, route)
-    if (head.id === undefined) return this.reject(message, undefined, 400, 'no request id')
+    if (identity.kind === 'unknown') return this.refuser.refuseUnknown(message, head, route)
+    if (head.id === undefined) return this.refuser.reject(message, undefined, 400, 'no request id')
     return this.handleIdentified({ message, id: head.id, head, route, identity, arrivedAt, left }, configuration)
   }
 
@@ -116,11 +108,11 @@
     const { routes, organisations } = forward.fleet
     const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
     const allowedRegions = findCommonRegions(route.allowedRegions, organisation?.allowedRegions ?? [])
-    if (allowedRegions === undefined) return this.refuseNowhere(head, route)
+    if (allowedRegions === undefined) return this.refuser.refuseNowhere(head, route, organisation?.name)
     const deadline = arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
     const patience = organisations.computePatience(organisation, routes.computePatience(route))
-    if (deadline <= getNow() || !load.allow(patience, random())) return this.refuseOverloaded(head, route)
-    if (memory.isFilling) return this.refuseFull(head, route)
+    if (deadline <= getNow() || !load.allow(patience, random())) return this.refuser.refuseOverloaded(head, route, organisation?.name)
+    if (memory.isFilling) return this.refuser.refuseFull(head, route, organisation?.name)
     const { method = 'GET', url = '/', rawHeaders } = message
     const { affinityKey, organisationKey } = head
     const draft = { id, method, url, rawHeaders, affinityKey, route, identity, organisationKey, allowedRegions, configurationVersion: configuration.version, arrivedAt, deadline }
@@ -133,7 +125,7 @@
     if (organisation === undefined) return (await serve()).answer
     const letThroughAt = getNow()
     const claim = allowances.ask(organisation.name, letThroughAt)
-    if (random() >= claim.allowedPart) return this.refuseOverAllowance(organisation, head, route, claim.allowedPart)
+    if (random() >= claim.allowedPart) return this.refuser.refuseOverAllowance(head, route, organisation, claim.allowedPart)
     allowances.observeLetThrough(claim, letThroughAt)
     const { answer, mayHaveRun } = await serve()
     if (!mayHaveRun) allowances.releaseUse(claim, letThroughAt, getNow())
@@ -142,7 +134,7 @@
 
   private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, left: AbortSignal): Promise<ServedRequest> {
     const read = await readBody(message, maxBodyBytes)
-    if (read.kind === 'too-long') return { answer: this.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
+    if (read.kind === 'too-long') return { answer: this.refuser.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
     if (read.kind === 'cut-short') return { answer: undefined, mayHaveRun: false }
     return this.forward({ ...draft, body: read.body }, left)
   }
@@ -172,6 +164,7 @@
     const outcome = answer.kind === 'passed' ? String(answer.head.status) : answer.kind
     metrics.observeAnswer(record.service, outcome, durationMs)
     account.record(request, record, answer, durationMs)
+    if (request.identity.kind === 'organisation') metrics.countOrganisation(request.identity.organisation.name, answer.kind)
     log.record('request', {
       id: request.id,
       route: request.route.name,
@@ -184,61 +177,6 @@
       ms: Math.round(durationMs)
     })
   }
-
-  private reject (message: IncomingMessage, id: string | undefined, status: number, reason: string): CallerAnswer {
-    const { log, metrics, forward, callerCodec } = this.parts
-    log.record('request rejected', { id, hostName: message.headers.host, url: message.url, status, reason, version: forward.fleet.configuration?.version })
-    metrics.observeAnswer('none', String(status), 0)
-    return callerCodec.encodeRejection(status, reason, id)
-  }
-
-  /**
-   * A key that this host doesn't know is unknown to the operators only if this host knows what they last said. One that is cut
-   * off would turn a new customer away for good with 401, though the next host serves it: callers don't come back after 401.
-   */
-  private refuseUnknown (message: IncomingMessage, head: CallerHead, route: Route): CallerAnswer {
-    const { forward, staleAfterMs, getNow } = this.parts
-    if (forward.fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head.id, UNIDENTIFIED_STATUS, 'no key of an organisation')
-    return this.refuseUntried(head, route, this.spread(STALE_RETRY_MS), RefusalReason.notReady, 'this host doesn\'t know the newest configuration, and the key isn\'t in the one that it knows')
-  }
-
-  private refuseNowhere (head: CallerHead, route: Route): CallerAnswer {
-    return this.refuseUntried(head, route, this.spread(NOWHERE_RETRY_MS), RefusalReason.noCommonRegion, 'no region is allowed both to the route and to the organisation')
-  }
-
-  private refuseOverAllowance ({ name, ratePerSecond }: Organisation, head: CallerHead, route: Route, allowedPart: number): CallerAnswer {
-    const retryAfterMs = computeAllowanceRetry(allowedPart, this.parts.random())
-    return this.refuseUntried(head, route, retryAfterMs, RefusalReason.overAllowance, `the organisation has had its allowance of ${ratePerSecond} requests a second`, { organisation: name, allowedPart })
-  }
-
-  private refuseOverloaded (head: CallerHead, route: Route): CallerAnswer {
-    const { load, random } = this.parts
-    return this.refuseUntried(head, route, load.computeRetryAfter(random()), RefusalReason.hostOverloaded, 'this host has no processor time left')
-  }
-
-  private refuseFull (head: CallerHead, route: Route): CallerAnswer {
-    return this.refuseUntried(head, route, this.spread(FULL_RETRY_MS), RefusalReason.hostOverloaded, 'answers that are on their way fill the memory of this host')
-  }
-
-  /** A time around a mean, in milliseconds, so that not all who were refused come back together. */
-  private spread (meanMs: number): number {
-    return meanMs * (0.5 + this.parts.random())
-  }
-
-  private refuseUntried (head: CallerHead, route: Route, retryAfterMs: number, cause: RefusalReason, reason: string, inputs: object = {}): CallerAnswer {
-    const { load, memory, account, callerCodec, metrics, log } = this.parts
-    const answer = { kind: 'refused' as const, retryAfterMs, reason, cause }
-    account.recordRefusal(route.hostName, answer.cause)
-    metrics.observeAnswer('none', answer.cause, load.delay)
-    log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, ...inputs, ...answer })
-    return callerCodec.encodeAnswer(answer, head.id)
-  }
-
-  private refuseUnready (head: CallerHead): CallerAnswer {
-    const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet', cause: RefusalReason.notReady }
-    this.parts.log.record('request refused', { id: head.id, ...answer })
-    return this.parts.callerCodec.encodeAnswer(answer, head.id)
-  }
 }
 
 const describeOrganisation = ({ identity }: CallerRequest): string | undefined => identity.kind === 'organisation' ? identity.organisation.name : undefined
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -0,0 +1,102 @@
+import type { IncomingMessage } from 'node:http'
+import { RefusalReason } from 'almondrelay'
+import type { BodyMemory } from '../../connection/bodyMemory.js'
+import type { CallerAnswer } from '../../connection/callerAnswer.js'
+import type { CallerCodec } from '../../connection/callerCodec.js'
+import type { CallerHead } from '../../connection/callerHead.js'
+import { computeAllowanceRetry } from '../../request/computeAllowanceRetry.js'
+import type { HostLoad } from '../../request/hostLoad.js'
+import type { Organisation } from '../../version/organisation.js'
+import type { Route } from '../../version/route.js'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { AccountKeeper } from '../observe/accountKeeper.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { UntriedRefusal } from './untriedRefusal.js'
+
+/** Retry-After, in milliseconds, of a host that knows no configuration yet. */
+const STARTING_RETRY_MS = 500
+/** Retry-After, in milliseconds on average, of a host that is full of answers: 24 MB go out over a link of 100 Mbit/s in two seconds. */
+const FULL_RETRY_MS = 1_000
+/** Retry-After, in milliseconds on average, of a host that is behind: another host that isn't is a new connection away. */
+const STALE_RETRY_MS = 200
+/** Retry-After, in milliseconds on average, where only a new configuration helps. */
+const NOWHERE_RETRY_MS = 2_000
+/** Status for a caller without a key of an organisation. */
+const UNIDENTIFIED_STATUS = 401
+
+interface RefuserParts {
+  callerCodec: CallerCodec
+  fleet: FleetState
+  load: HostLoad
+  memory: BodyMemory
+  log: EventLog
+  account: AccountKeeper
+  metrics: GatewayMetrics
+  /** Age of what this host knows, in milliseconds, from which on the operators may have said something newer that binds. */
+  staleAfterMs: number
+  getNow: () => number
+  random: () => number
+}
+
+/** Answers requests that are refused before any target is looked for them, and writes down why. */
+export class RequestRefuser {
+  constructor (private readonly parts: RefuserParts) {}
+
+  /** @param id undefined where the caller sent none */
+  reject (message: IncomingMessage, id: string | undefined, status: number, reason: string): CallerAnswer {
+    const { log, metrics, fleet, callerCodec } = this.parts
+    log.record('request rejected', { id, hostName: message.headers.host, url: message.url, status, reason, version: fleet.configuration?.version })
+    metrics.observeAnswer('none', String(status), 0)
+    return callerCodec.encodeRejection(status, reason, id)
+  }
+
+  /**
+   * A key that this host doesn't know is unknown to the operators only if this host knows what they last said. One that is cut
+   * off would turn a new customer away for good with 401, though the next host serves it: callers don't come back after 401.
+   */
+  refuseUnknown (message: IncomingMessage, head: CallerHead, route: Route): CallerAnswer {
+    const { fleet, staleAfterMs, getNow } = this.parts
+    if (fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head.id, UNIDENTIFIED_STATUS, 'no key of an organisation')
+    return this.refuse(head, route, { retryAfterMs: this.spread(STALE_RETRY_MS), cause: RefusalReason.notReady, reason: 'this host doesn\'t know the newest configuration, and the key isn\'t in the one that it knows' })
+  }
+
+  refuseNowhere (head: CallerHead, route: Route, organisation: string | undefined): CallerAnswer {
+    return this.refuse(head, route, { retryAfterMs: this.spread(NOWHERE_RETRY_MS), cause: RefusalReason.noCommonRegion, reason: 'no region is allowed both to the route and to the organisation', organisation })
+  }
+
+  refuseOverAllowance (head: CallerHead, route: Route, { name, ratePerSecond }: Organisation, allowedPart: number): CallerAnswer {
+    const retryAfterMs = computeAllowanceRetry(allowedPart, this.parts.random())
+    return this.refuse(head, route, { retryAfterMs, cause: RefusalReason.overAllowance, reason: `the organisation has had its allowance of ${ratePerSecond} requests a second`, organisation: name, allowedPart })
+  }
+
+  refuseOverloaded (head: CallerHead, route: Route, organisation: string | undefined): CallerAnswer {
+    const { load, random } = this.parts
+    return this.refuse(head, route, { retryAfterMs: load.computeRetryAfter(random()), cause: RefusalReason.hostOverloaded, reason: 'this host has no processor time left', organisation })
+  }
+
+  refuseFull (head: CallerHead, route: Route, organisation: string | undefined): CallerAnswer {
+    return this.refuse(head, route, { retryAfterMs: this.spread(FULL_RETRY_MS), cause: RefusalReason.hostOverloaded, reason: 'answers that are on their way fill the memory of this host', organisation })
+  }
+
+  refuseUnready (head: CallerHead): CallerAnswer {
+    const answer = { kind: 'refused' as const, retryAfterMs: STARTING_RETRY_MS, reason: 'no configuration yet', cause: RefusalReason.notReady }
+    this.parts.log.record('request refused', { id: head.id, ...answer })
+    return this.parts.callerCodec.encodeAnswer(answer, head.id)
+  }
+
+  private refuse (head: CallerHead, route: Route, refusal: UntriedRefusal): CallerAnswer {
+    const { load, memory, account, callerCodec, metrics, log } = this.parts
+    const { organisation, cause } = refusal
+    account.recordRefusal(organisation ?? route.hostName, cause)
+    metrics.observeAnswer('none', cause, load.delay)
+    if (organisation !== undefined) metrics.countOrganisation(organisation, cause)
+    log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, kind: 'refused', ...refusal })
+    return callerCodec.encodeAnswer({ kind: 'refused', ...refusal }, head.id)
+  }
+
+  /** A time around a mean, in milliseconds, so that not all who were refused come back together. */
+  private spread (meanMs: number): number {
+    return meanMs * (0.5 + this.parts.random())
+  }
+}
--- a/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -41,10 +41,10 @@
   }
 
   /** Counts a request that was refused before any service was looked up for it. */
-  recordRefusal (hostName: string, reason: RefusalReason): void {
+  recordRefusal (caller: string, reason: RefusalReason): void {
     const { own, clock } = this.parts
     const { region, availabilityZone } = own
-    this.ledger.record({ at: clock.getWallTime(), caller: hostName, service: '', region, availabilityZone, callerRegion: region, outcome: Outcome.notRun, reason, durationMs: 0 })
+    this.ledger.record({ at: clock.getWallTime(), caller, service: '', region, availabilityZone, callerRegion: region, outcome: Outcome.notRun, reason, durationMs: 0 })
   }
 
   record (request: CallerRequest, record: RequestRecord, answer: FinalAnswer, durationMs: number): void {
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -6,11 +6,18 @@
 /** Upper bounds in seconds of the delay of a host's own work; from 0.15 s on requests are shed. */
 const DELAY_BOUNDS = [0.01, 0.05, 0.15, 0.5, 1.5]
 
+/** Organisations with counters of their own, the first that come: each is a line of the page a host and outcome. */
+const MOST_ORGANISATIONS = 200
+/** Label under which the others are counted together. */
+const OTHER_ORGANISATIONS = 'others'
+
 /** Counters and histograms of one host, served as a text page. */
 export class GatewayMetrics {
   private readonly registry = new Registry()
   private readonly answers = new Counter({ name: 'almondrelay_answers_total', help: 'Answers to callers', labelNames: ['service', 'outcome'], registers: [this.registry] })
   private readonly latency = new Histogram({ name: 'almondrelay_answer_seconds', help: 'Time from a request to its answer', labelNames: ['service'], buckets: LATENCY_BOUNDS, registers: [this.registry] })
+  private readonly organisations = new Counter({ name: 'almondrelay_organisation_answers_total', help: 'Answers to the callers of each organisation', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
+  private readonly named = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets', labelNames: ['region'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly delay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BOUNDS, registers: [this.registry] })
@@ -21,6 +28,12 @@
     this.latency.observe({ service }, durationMs / 1_000)
   }
 
+  /** @param outcome kind of the final answer, or the reason of a refusal before any target was looked for */
+  countOrganisation (organisation: string, outcome: string): void {
+    if (this.named.size < MOST_ORGANISATIONS) this.named.add(organisation)
+    this.organisations.inc({ organisation: this.named.has(organisation) ? organisation : OTHER_ORGANISATIONS, outcome })
+  }
+
   observeDelay (delayMs: number): void {
     this.delay.observe(delayMs / 1_000)
   }
