--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto'
+import { deflateRawSync } from 'node:zlib'
 import { create } from '@bufbuild/protobuf'
 import { LoadReportSchema } from 'almondrelay-protocol'
 import fc from 'fast-check'
@@ -6,6 +8,7 @@
 import { decodeLoad } from '../__fixtures__/decodeLoad.js'
 import { encodeDatagram } from '../encodeDatagram.js'
 import { encodeReport } from '../encodeReport.js'
+import { splitChanges } from '../splitChanges.js'
 
 const test = suite('decodeReport')
 const SEED = 20_261_203
@@ -35,6 +38,30 @@
   assert.ok(decodeLoad(encode({})) !== undefined)
 })
 
+// A configuration with 80 organisations is 24 KB long. Too long for a datagram it was not handed on, and each of a region's 25
+// hosts asked the store for it: with every change of it a call for each host.
+test('a long value is handed on compressed and reads as it was written', () => {
+  const tenants = Array.from({ length: 80 }, (_, index) => ({ name: `organisation-${index}`, api_keys: [createHash('sha1').update(String(index)).digest('hex').slice(0, 20)], priority: 1, rate_per_s: 20, burst: 20 }))
+  const value = Buffer.from(JSON.stringify({ tenants, routes: Array.from({ length: 40 }, (_, index) => ({ name: `r-${index}`, kind: 'safe', target_latency: '316ms', match: { path_prefix: `/p${index}/` } })) }))
+  const events = [{ kind: 'written' as const, item: { key: 'op/config', revision: 5, createdRevision: 1, value } }]
+  const parts = splitChanges({ afterRevision: 4, upToRevision: 6, events, forwardTo: [] }, 8_000)
+  assert.ok(value.byteLength > 8_000)
+  assert.equal(parts.map(({ events: each }) => each), [events])
+  const plain = decodeLoad(encode({}))
+  if (plain === undefined) throw new Error('no report')
+  const bytes = encodeReport({ ...plain, changes: parts[0] })
+  assert.ok(bytes.byteLength < 8_000)
+  assert.equal(decodeLoad(bytes)?.changes?.events, events)
+})
+
+// Anybody may send to the port: 8 KB that grow to gigabytes would end the host.
+test('a compressed value that is none, or grows beyond what the store takes, is no report', () => {
+  const isReport = (value: Uint8Array): boolean => decodeLoad(encodeDatagram({ case: 'load', value: create(LoadReportSchema, { host: 'a', region: 'akl', changes: { afterRevision: 4, upToRevision: 5, changes: [{ key: 'k', revision: 5, createdRevision: 5, value, deflated: true }] } }) })) !== undefined
+  assert.ok(isReport(deflateRawSync(Buffer.alloc(1_000))))
+  assert.not(isReport(Buffer.from('nonsense that is no such stream')))
+  assert.not(isReport(deflateRawSync(Buffer.alloc(4 * 1024 * 1024))))
+})
+
 test('changes of the store read as they were written', () => {
   const changes = {
     afterRevision: 4,
--- a/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -7,23 +7,20 @@
 
 /** What a host says in a datagram; undefined where it can't be a host's word: anybody may send to the port. */
 export function decodeDatagram (bytes: Uint8Array): PeerMessage | undefined {
-  const content = decodeContent(bytes)
-  return match(content)
-    .with({ case: 'load' }, ({ value }) => {
-      const report = decodeReport(value)
-      return report === undefined ? undefined : { kind: 'load' as const, report }
-    })
-    .with({ case: 'use' }, ({ value }) => {
-      const report = decodeUseReport(value)
-      return report === undefined ? undefined : { kind: 'use' as const, report }
-    })
-    .otherwise(() => undefined)
-}
-
-const decodeContent = (bytes: Uint8Array): PeerDatagram['content'] => {
   try {
-    return fromBinary(PeerDatagramSchema, bytes).content
+    return decodeContent(fromBinary(PeerDatagramSchema, bytes).content)
   } catch {
-    return { case: undefined }
+    return undefined
   }
 }
+
+const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined => match(content)
+  .with({ case: 'load' }, ({ value }) => {
+    const report = decodeReport(value)
+    return report === undefined ? undefined : { kind: 'load' as const, report }
+  })
+  .with({ case: 'use' }, ({ value }) => {
+    const report = decodeUseReport(value)
+    return report === undefined ? undefined : { kind: 'use' as const, report }
+  })
+  .otherwise(() => undefined)
--- a/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeReport.ts
@@ -1,6 +1,7 @@
 import type { LoadReport, StoreChange, StoreChanges } from 'almondrelay-protocol'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { StoreEvent } from '../store/storeEvent.js'
+import { decodeValue } from './decodeValue.js'
 import type { PeerReport } from './peerReport.js'
 
 /** Bytes of a host's name and of a region's; longer ones aren't ours. */
@@ -49,9 +50,9 @@
 
 const decodeChanges = ({ afterRevision, upToRevision, changes, forwardTo }: StoreChanges): RelayedChanges => ({ afterRevision, upToRevision, events: changes.map(decodeChange), forwardTo })
 
-const decodeChange = ({ key, revision, deleted, value, createdRevision }: StoreChange): StoreEvent => deleted
+const decodeChange = ({ key, revision, deleted, value, createdRevision, deflated }: StoreChange): StoreEvent => deleted
   ? { kind: 'deleted', key, revision }
-  : { kind: 'written', item: { key, revision, createdRevision, value: Buffer.from(value) } }
+  : { kind: 'written', item: { key, revision, createdRevision, value: decodeValue(value, deflated) } }
 
 /** Numbers that can be counted with: one that isn't finite would spoil every sum that it goes into. */
 const isMeasured = ({ perSecond, warmMs, coldMs, parts }: LoadReport['demands'][number]): boolean =>
--- a/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeReport.ts
@@ -3,6 +3,7 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import { encodeDatagram } from './encodeDatagram.js'
+import { encodeValue } from './encodeValue.js'
 import type { PeerReport } from './peerReport.js'
 
 export function encodeReport (report: PeerReport): Uint8Array {
@@ -39,4 +40,4 @@
 
 const encodeEvent = (event: StoreEvent): MessageInitShape<typeof StoreChangeSchema> => event.kind === 'deleted'
   ? { key: event.key, revision: event.revision, deleted: true }
-  : { key: event.item.key, revision: event.item.revision, createdRevision: event.item.createdRevision, value: event.item.value }
+  : { key: event.item.key, revision: event.item.revision, createdRevision: event.item.createdRevision, ...encodeValue(event.item.value) }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -30,7 +30,7 @@
 /** An age above says nothing more: an hour. */
 const LONGEST_AGE_MS = 3_600_000
 /**
- * Bytes of changes in one datagram: a configuration of thirty routes fits. Longer datagrams are cut up on the way, and
+ * Bytes of changes in one datagram: a configuration of a hundred organisations fits, as it is compressed. Longer datagrams are cut up on the way, and
  * with one part all of it is lost; then the receiver asks the store, as for a change that fits into none.
  */
 const MOST_CHANGE_BYTES = 8_000
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -26,8 +26,12 @@
  * watch of their own hears of changes sooner.
  */
 const LEAST_TO_RELY = 8
-/** Part of the time within which a change must be known that the word of a watcher may be old; the rest is for asking. */
-const RELIED_PART = 0.6
+/**
+ * Part of the time within which a change must be known that the word of a watcher may be old; the rest is for asking. Its watch
+ * lasts a second and a half with its pause, and its reports come every 0.7 s: with a bound of three seconds and a smaller part all hosts of a
+ * region asked the store every two seconds, each time that both watchers' words were at their oldest.
+ */
+const RELIED_PART = 0.75
 
 /** Age of the first watcher's knowledge, in milliseconds, above which the second hands changes on: reports come every 1.2 s, watches end after 1 s. */
 const RELAY_SILENCE_MS = 2_500
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -1,6 +1,7 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import type { StoreEvent } from '../store/storeEvent.js'
+import { encodeValue } from './encodeValue.js'
 
 /** Bytes of a change besides its key and value. */
 const CHANGE_OVERHEAD = 24
@@ -39,4 +40,4 @@
 }
 
 const countBytes = (event: StoreEvent): number => CHANGE_OVERHEAD +
-  (event.kind === 'written' ? Buffer.byteLength(event.item.key) + event.item.value.byteLength : Buffer.byteLength(event.key))
+  (event.kind === 'written' ? Buffer.byteLength(event.item.key) + encodeValue(event.item.value).value.byteLength : Buffer.byteLength(event.key))
