Explain refusals for allowance and unknown keys; write the version into refusals

Cause: explain said 'of version undefined' of every refusal before a target, and nothing of whose request it was. Measured: tests of the command line.

--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -42,6 +42,17 @@
   assert.match(rejected.stdout, 'no target asked; answered 404, because of: no route')
 })
 
+test('a refusal for an organisation\'s allowance names the organisation and how much of its requests got through', async () => {
+  const log = writeTemporary([
+    JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request refused', time: '2026-03-04T09:00:00.019Z', id: '9c43', route: 'r-1', version: 7, organisation: 'school', allowedPart: 0.254, kind: 'refused', cause: 'over-allowance', reason: 'the organisation has had its allowance of 20 requests a second' }),
+    JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request rejected', time: '2026-03-04T09:00:00.020Z', id: '9c44', status: 401, reason: 'no key of an organisation', version: 7 })
+  ].join('\n'))
+  const refused = await runWith(['explain', '9c43', '--log', log])
+  assert.match(refused.stdout, 'route r-1 of version 7, organisation school (25% of its requests let through), no target asked; answered refused, because of: the organisation has had its allowance of 20 requests a second')
+  const unknown = await runWith(['explain', '9c44', '--log', log])
+  assert.match(unknown.stdout, 'no target asked; answered 401, because of: no key of an organisation')
+})
+
 test('a request of which nothing is logged has its own exit code and a remedy', async () => {
   const result = await runWith(['explain', 'r3', '--log', first])
   assert.is(result.code, 8)
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -2,12 +2,21 @@
 
 /** What one request went through at a host, in plain words: where it belonged, each target that was asked, the answer. */
 export function describeRequest (line: RequestLine): string {
-  const route = line.route === undefined ? '' : `route ${line.route} of version ${line.version}, `
+  const version = line.version === undefined ? '' : ` of version ${line.version}`
+  const route = line.route === undefined ? '' : `route ${line.route}${version}, `
   const place = line.service === undefined ? '' : `service ${line.service}, key ${line.key ?? 'none'} with its place in ${line.homeRegion}; `
   const attempts = line.attempts.length === 0 ? 'no target asked' : line.attempts.map(describeAttempt).join('; ')
   const reason = line.reason === undefined ? '' : `, because of: ${line.reason}`
   const duration = line.ms === undefined ? '' : `, after ${line.ms} ms`
-  return `${route}${place}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}`
+  return `${route}${describeOrganisation(line)}${place}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}`
+}
+
+const PERCENT = 100
+
+const describeOrganisation = ({ organisation, allowedPart }: RequestLine): string => {
+  if (organisation === undefined) return ''
+  const part = allowedPart === undefined ? '' : ` (${Math.round(allowedPart * PERCENT)}% of its requests let through)`
+  return `organisation ${organisation}${part}, `
 }
 
 const describeAttempt = (attempt: RequestLine['attempts'][number], index: number): string =>
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -9,6 +9,10 @@
   route: z.string().optional(),
   /** Version of the configuration that chose the route. */
   version: z.number().optional(),
+  /** Whose key it came with. */
+  organisation: z.string().optional(),
+  /** Part of the organisation's requests that the host let through. */
+  allowedPart: z.number().optional(),
   key: z.string().optional(),
   service: z.string().optional(),
   /** Region in which the key has its place. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -86,12 +86,12 @@
   }
 
   private refuse (head: CallerHead, route: Route, refusal: UntriedRefusal): CallerAnswer {
-    const { load, memory, account, callerCodec, metrics, log } = this.parts
+    const { load, memory, fleet, account, callerCodec, metrics, log } = this.parts
     const { organisation, cause } = refusal
     account.recordRefusal(organisation ?? route.hostName, cause)
     metrics.observeAnswer('none', cause, load.delay)
     if (organisation !== undefined) metrics.countOrganisation(organisation, cause)
-    log.record('request refused', { id: head.id, route: route.name, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, kind: 'refused', ...refusal })
+    log.record('request refused', { id: head.id, route: route.name, version: fleet.configuration?.version, delayMs: Math.round(load.delay), heldBytes: memory.heldBytes, kind: 'refused', ...refusal })
     return callerCodec.encodeAnswer({ kind: 'refused', ...refusal }, head.id)
   }
 
