PeerView in three: what was heard, who is live, who is lost

Change: LiveHosts makes the lists of live hosts, LostHosts remembers those that went without leave; two tests more. Measured: tests; no decision changes.

--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -55,6 +55,34 @@
   assert.not(isReliable(1_400), 'few hosts: each watches')
 })
 
+// Hosts are cut off from the store for twelve seconds; after four their leases end and their entries go, though their callers
+// stay with them. Taken for gone, they leave the whole of an organisation's limit to the others, and use their part besides.
+test('a host whose entry goes without its leave may still serve; one that took its leave or came back does not count twice', () => {
+  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: (entry) => { view.observeGone(entry, 1_000) } })
+  const view = new PeerView(makeEntry('own'), fleet)
+  for (const name of ['own', 'cut', 'leaving']) fleet.putHost(makeEntry(name))
+  assert.is(view.countPossibleHosts(0), 3)
+  view.hear(makeReport('leaving', 1, true), 500)
+  fleet.removeHost('leaving')
+  fleet.removeHost('cut')
+  assert.is(view.countPossibleHosts(1_000), 2)
+  assert.is(view.countPossibleHosts(25_000), 2)
+  fleet.putHost(makeEntry('cut'))
+  assert.is(view.countPossibleHosts(25_000), 2)
+  fleet.removeHost('cut')
+  assert.is(view.countPossibleHosts(40_000), 1, 'gone for longer than any cut that was seen')
+})
+
+test('hosts that know the same hosts name the same two of each zone to sum up', () => {
+  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  const view = new PeerView(makeEntry('c'), fleet)
+  for (const name of ['d', 'c', 'b', 'a']) fleet.putHost(makeEntry(name))
+  view.hear(makeReport('a', 1, true), 0)
+  const zone = makeEntry('a').availabilityZone
+  assert.equal(view.listSumming(zone, 0).map(({ name }) => name), ['b', 'c'])
+  assert.ok(view.isSumming(0))
+})
+
 // Both watchers of a region hand on every change: each host gets all of them twice. The second one only stands in.
 test('one watcher hands changes on, the second where the first is silent or cut off from the store', () => {
   const view = build()
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -1,25 +1,15 @@
 import { putBounded } from '../../request/putBounded.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
+import { LiveHosts } from './liveHosts.js'
+import { LostHosts } from './lostHosts.js'
 import type { PeerReport } from './peerReport.js'
+import type { PeerState } from './peerState.js'
 import type { RegionDemand } from './regionDemand.js'
 import type { ServiceDemand } from './serviceDemand.js'
 
-/** Milliseconds of silence after which a peer isn't taken for live, though its entry still stands. */
-const SILENCE_MS = 3_000
-/** Milliseconds for which an entry alone is word enough: its host may not have reported yet. */
-const ENTRY_TRUST_MS = 3_000
 /** Milliseconds after which a demand isn't counted any more; those of other regions come every two seconds. */
 const DEMAND_MAX_AGE_MS = 6_000
-/** Hosts of a region that speak for it to the other regions and watch the store with short waits. */
-const SPEAKERS = 2
-/** Hosts of an availability zone that sum up what its hosts tell: two, so that one that ends or stands still leaves no gap. */
-const SUMMING_HOSTS = 2
-/**
- * Milliseconds for which a host whose entry has gone may still serve callers: its lease ends too when it is cut off from the
- * store. One that is started again or takes its leave is known at once.
- */
-const LOST_MS = 30_000
 
 /**
  * Hosts of a region from which on those that don't watch leave it to those that do: below, their calls are few, and a
@@ -40,38 +30,8 @@
 const MOST_PEERS = 10_000
 const MOST_REGIONS = 100
 
-/**
- * Milliseconds for which a list of live hosts holds while nothing is heard that changes it. Only silence goes unseen for so
- * long, and that is judged after seconds. Lists are asked for by every request to a cold target, every look-up and several times
- * a second by the tasks: with 195 hosts each list anew took 0.2 ms of a processor that has 270 ms a second.
- */
-const LIST_LIFE_MS = 250
-
 const NO_COUNTS: ReadonlyMap<number, number> = new Map()
 
-/** Lists made of the hosts that were live at one time. */
-interface LiveLists {
-  madeAt: number
-  changes: number
-  hostsRevision: number
-  live: HostEntry[]
-  /** Addresses of the hosts of this region. */
-  nearAddresses: ReadonlySet<string>
-  /** Names of the hosts of this region that speak for it and watch the store. */
-  speakers: string[]
-  /** Hosts of each availability zone that sum up what its hosts tell. */
-  summing: ReadonlyMap<string, readonly HostEntry[]>
-  /** Names of the hosts that share the work on the targets of each region that was asked for. */
-  senders: Map<string, readonly string[]>
-}
-
-interface PeerState {
-  incarnation: string
-  sequence: number
-  heardAt: number
-  report: PeerReport
-}
-
 interface RegionWord {
   heardAt: number
   demands: readonly ServiceDemand[]
@@ -85,20 +45,20 @@
   lastHeardAt: number | undefined
   private readonly peers = new Map<string, PeerState>()
   private readonly regions = new Map<string, RegionWord>()
-  /** Grows with each report that changes who is live. */
-  private readonly lost = new Map<string, { at: number }>()
-  private changes = 0
-  private lists: LiveLists | undefined
-  private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
+  private readonly live: LiveHosts
+  private readonly lost: LostHosts
 
-  constructor (private readonly own: HostEntry, private readonly fleet: FleetState) {}
+  constructor (private readonly own: HostEntry, private readonly fleet: FleetState) {
+    this.live = new LiveHosts(own, fleet, this.peers)
+    this.lost = new LostHosts(fleet)
+  }
 
   /** Takes in a report; false for one that is older than the last one of its sender. */
   hear (report: PeerReport, now: number): boolean {
     const known = this.peers.get(report.host)
     if (known !== undefined && known.incarnation === report.incarnation && report.sequence <= known.sequence) return false
     this.lastHeardAt = now
-    if (known === undefined || now - known.heardAt > SILENCE_MS || known.report.isLeaving !== report.isLeaving) this.changes += 1
+    this.live.observeReport(known, report, now)
     if (report.isRegional) putBounded(this.regions, report.region, { heardAt: now, demands: report.demands, declaredRevision: report.declaredRevision }, MOST_REGIONS)
     const isOwnDemand = !report.isRegional && report.demands.length > 0
     const demands = isOwnDemand ? report.demands : known?.report.demands ?? []
@@ -129,12 +89,12 @@
 
   /** Hosts that serve callers, this one included. Those of other regions report seldom: their entries count. */
   listLive (now: number): readonly HostEntry[] {
-    return this.findLists(now).live
+    return this.live.find(now).live
   }
 
   /** The lowest revision of the operators' resources in force on a live host of this region; Infinity where none is heard. */
   findLowestDeclared (now: number): number {
-    const near = this.listNear().filter((entry) => this.hasHeard(entry, now))
+    const near = this.live.listNear().filter((entry) => this.live.hasHeard(entry, now))
     return near.reduce((lowest, { name }) => Math.min(lowest, this.peers.get(name)?.report.declaredRevision ?? Infinity), Infinity)
   }
 
@@ -153,29 +113,24 @@
 
   /** The same with those whose entries went without their leave, as they may only be cut off. */
   countPossibleHosts (now: number): number {
-    let lost = 0
-    for (const [name, { at }] of this.lost) {
-      if (now - at > LOST_MS || this.fleet.findHost(name) !== undefined) this.lost.delete(name)
-      else lost += 1
-    }
-    return Math.max(1, this.fleet.listHosts().length) + lost
+    return Math.max(1, this.fleet.listHosts().length) + this.lost.count(now)
   }
 
   /** A host's entry is gone from the store. */
   observeGone ({ name, incarnation }: HostEntry, now: number): void {
     const peer = this.peers.get(name)
     const hasLeft = peer?.incarnation === incarnation && peer.report.isLeaving
-    if (!hasLeft) putBounded(this.lost, name, { at: now }, MOST_PEERS)
+    if (!hasLeft) this.lost.add(name, now)
   }
 
   /** Availability zones with live hosts. */
   listZones (now: number): string[] {
-    return [...this.findLists(now).summing.keys()]
+    return [...this.live.find(now).summing.keys()]
   }
 
   /** Hosts that sum up for an availability zone; every host that knows the same hosts names the same ones. */
   listSumming (availabilityZone: string, now: number): readonly HostEntry[] {
-    return this.findLists(now).summing.get(availabilityZone) ?? []
+    return this.live.find(now).summing.get(availabilityZone) ?? []
   }
 
   isSumming (now: number): boolean {
@@ -184,13 +139,13 @@
 
   /** The same of this host's region alone. */
   countRegionHosts (): number | undefined {
-    return this.fleet.isComplete ? Math.max(1, this.listNear().length) : undefined
+    return this.fleet.isComplete ? Math.max(1, this.live.listNear().length) : undefined
   }
 
   /** Hosts that share the work on the targets of a region: its own, or all where it has none. */
   listSenders (region: string, now: number): readonly string[] | undefined {
     if (!this.fleet.isComplete) return undefined
-    const { live, senders } = this.findLists(now)
+    const { live, senders } = this.live.find(now)
     const known = senders.get(region)
     if (known !== undefined) return known
     const inRegion = live.filter((entry) => entry.region === region)
@@ -201,7 +156,7 @@
 
   /** Whether this host is one of the few of its region that speak for it, or hears no other one of it. */
   isSpeaker (now: number): boolean {
-    if (!this.hasHeardNear(now)) return true
+    if (!this.live.hasHeardNear(now)) return true
     return this.listSpeakers(now).includes(this.own.name)
   }
 
@@ -211,7 +166,7 @@
    * of a host of this region, which passes it on.
    */
   isWatcher ({ host, incarnation }: PeerReport, ip: string, now: number): boolean {
-    const { speakers, nearAddresses } = this.findLists(now)
+    const { speakers, nearAddresses } = this.live.find(now)
     return speakers.includes(host) && this.fleet.findHost(host)?.incarnation === incarnation && nearAddresses.has(ip)
   }
 
@@ -228,7 +183,7 @@
 
   /** Whether the hosts of this region are so many that those that don't watch leave it to those that do. */
   hasManyNear (): boolean {
-    return this.listNear().length >= LEAST_TO_RELY
+    return this.live.listNear().length >= LEAST_TO_RELY
   }
 
   /**
@@ -247,61 +202,7 @@
     })
   }
 
-  private listSpeakers (now: number): string[] {
-    return this.findLists(now).speakers
-  }
-
-  private findLists (now: number): LiveLists {
-    const { lists, changes, fleet: { hostsRevision } } = this
-    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && now - lists.madeAt < LIST_LIFE_MS) return lists
-    const made = this.makeLists(now)
-    this.lists = made
-    return made
-  }
-
-  private makeLists (now: number): LiveLists {
-    const hosts = this.fleet.listHosts()
-    for (const entry of hosts) this.observeEntry(entry, now)
-    const isAlone = !this.hasHeardNear(now)
-    const live = hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isAlone))
-    const near = live.filter((entry) => entry.region === this.own.region)
-    const speakers = near.map((entry) => entry.name).sort().slice(0, SPEAKERS)
-    return { madeAt: now, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, nearAddresses: new Set(near.map(({ ip }) => ip)), speakers, summing: listFirst(live, SUMMING_HOSTS), senders: new Map() }
-  }
-
-  /** Entries of the hosts of this region, this one's included. */
-  private listNear (): HostEntry[] {
-    return this.fleet.listHosts().filter((entry) => entry.region === this.own.region)
-  }
-
-  private hasHeardNear (now: number): boolean {
-    return this.listNear().some((entry) => entry.name !== this.own.name && this.hasHeard(entry, now))
-  }
-
-  private hasHeard (entry: HostEntry, now: number): boolean {
-    const peer = this.peers.get(entry.name)
-    return peer !== undefined && now - peer.heardAt <= SILENCE_MS
-  }
-
-  // A host that hears nobody is more likely cut off itself than the last one alive: it then goes by the entries.
-  private isLive (entry: HostEntry, now: number, isAlone: boolean): boolean {
-    const peer = this.peers.get(entry.name)
-    if (peer?.report.isLeaving === true && peer.incarnation === entry.incarnation) return false
-    if (isAlone || entry.region !== this.own.region) return true
-    return this.hasHeard(entry, now) || now - (this.firstSeenAt.get(entry.name)?.at ?? now) <= ENTRY_TRUST_MS
-  }
-
-  private observeEntry (entry: HostEntry, now: number): void {
-    if (this.firstSeenAt.get(entry.name)?.incarnation !== entry.incarnation) this.firstSeenAt.set(entry.name, { incarnation: entry.incarnation, at: now })
-  }
-}
-
-/** The first hosts of each availability zone by name. */
-const listFirst = (hosts: readonly HostEntry[], most: number): Map<string, HostEntry[]> => {
-  const byZone = new Map<string, HostEntry[]>()
-  for (const entry of [...hosts].sort((one, other) => one.name < other.name ? -1 : 1)) {
-    const first = byZone.get(entry.availabilityZone) ?? []
-    if (first.length < most) byZone.set(entry.availabilityZone, [...first, entry])
+  private listSpeakers (now: number): readonly string[] {
+    return this.live.find(now).speakers
   }
-  return byZone
 }
