--- a/packages/almondrelay-gateway/src/process/organisations/allowances.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/allowances.ts
@@ -142,8 +142,10 @@
     const { letThrough: used, leavingPerSecond, askedPerSecond } = uses.get(hash) ?? NOTHING_USED
     // As much as the rate may have been let through before anybody listened: hosts that are all started anew at the height of a
     // rush know nothing of what they let through before, and the window still holds it.
-    const unseen = (this.rates.get(hash) ?? 0) * unseenMs / 1_000
-    return { limit: limit - unseen, used, leavingPerSecond, askedPerSecond, reach: this.computeReach(hosts, now) }
+    // It leaves the window by its rate, as what was seen does.
+    const rate = this.rates.get(hash) ?? 0
+    const unseen = rate * unseenMs / 1_000
+    return { limit: limit - unseen, used, leavingPerSecond: leavingPerSecond + rate * unseenMs / this.parts.windowMs, askedPerSecond, reach: this.computeReach(hosts, now) }
   }
 
   /** What is known of one organisation in all zones: what a summing host told, with what came since, or else this host's own sum. */
