A host that comes to sum up for its zone knows what it missed

Cause: by reading the change: where both hosts that sum up for a zone end for good, the next two take their place with sums of their own requests only, and tell the others that they had listened all the while. Change: a host counts the window as unseen from the moment at which it begins to sum up; the model's hosts run for a window before the first request, and who sums up follows who is up.

--- a/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
@@ -51,12 +51,14 @@
   readonly ran: number[] = []
   readonly refused: number[] = []
   datagramsSent = 0
-  now = 0
+  now: number
   private readonly hosts: ModelHost[]
   private datagrams: Datagram[] = []
 
   constructor (private readonly options: FleetOptions) {
-    this.hosts = Array.from({ length: options.zones * options.hostsPerZone }, (_, index) => this.makeHost(index, -options.windowMs))
+    // The hosts have run for a window before the first request.
+    this.now = -options.windowMs
+    this.hosts = Array.from({ length: options.zones * options.hostsPerZone }, (_, index) => this.makeHost(index, this.now))
   }
 
   run (untilMs: number): void {
@@ -95,12 +97,20 @@
   private makeHost (index: number, startedAt: number): ModelHost {
     const { zones, hostsPerZone, windowMs, random } = this.options
     const zone = Math.floor(index / hostsPerZone)
-    const allowances = new Allowances({ availabilityZone: `z${zone}`, windowMs, startedAt, countHosts: () => zones * hostsPerZone, isSumming: () => index % hostsPerZone < SUMMING })
+    const allowances = new Allowances({ availabilityZone: `z${zone}`, windowMs, startedAt, countHosts: () => zones * hostsPerZone, isSumming: () => this.isSumming(index) })
     const host = { index, zone, startedAt, nextReportAt: this.now + random() * REPORT_MS, sequence: 0, isUp: true, allowances }
     this.setLimits(host)
     return host
   }
 
+  /** The first hosts of each zone that are up, as all know at once. */
+  private isSumming (index: number): boolean {
+    const { hostsPerZone } = this.options
+    let rank = 0
+    for (let other = index - index % hostsPerZone; other < index; other += 1) if (this.hosts[other]?.isUp !== false) rank += 1
+    return rank < SUMMING
+  }
+
   private setLimits ({ allowances }: ModelHost): void {
     const { ratePerSecond, burst, ratePerSecondAt } = this.options
     allowances.setOrganisations([{ name: NAME, keys: [], priority: 0, ratePerSecond: ratePerSecondAt?.(this.now) ?? ratePerSecond, burst, allowedRegions: [] }])
@@ -115,6 +125,7 @@
     if (!host.isUp) Object.assign(host, this.makeHost(host.index, this.now))
     if (ratePerSecondAt !== undefined) this.setLimits(host)
     if (this.now >= host.nextReportAt) this.report(host)
+    if (this.now < 0) return
     for (let asks = ask(host, this.now) * STEP_MS / 1_000; asks > 0; asks -= 1) if (random() < asks) this.ask(host)
   }
 
@@ -135,14 +146,15 @@
     host.nextReportAt = this.now + REPORT_MS
     const { allowances, zone, index } = host
     const totals = allowances.takeTotals()
-    const first = zone * hostsPerZone
-    const isSumming = index - first < SUMMING
-    for (let other = first; other < first + SUMMING; other += 1) if (other !== index && !isSumming) this.send(host, other, { totals })
-    if (!isSumming) return
-    const fleet = allowances.describeFleet(this.now)
-    for (let other = first; other < first + hostsPerZone; other += 1) if (other !== index) this.send(host, other, { fleet, totals })
-    const word = allowances.describeZone(this.now)
-    for (let other = 0; other < zones * hostsPerZone; other += 1) if (Math.floor(other / hostsPerZone) !== zone && other % hostsPerZone < SUMMING) this.send(host, other, { zone: word })
+    const isSumming = this.isSumming(index)
+    const fleet = isSumming ? allowances.describeFleet(this.now) : undefined
+    const word = isSumming ? allowances.describeZone(this.now) : undefined
+    for (let other = 0; other < zones * hostsPerZone; other += 1) {
+      if (other === index || this.hosts[other]?.isUp === false) continue
+      if (Math.floor(other / hostsPerZone) !== zone) {
+        if (word !== undefined && this.isSumming(other)) this.send(host, other, { zone: word })
+      } else if (isSumming || this.isSumming(other)) this.send(host, other, { fleet, totals })
+    }
   }
 
   private send (host: ModelHost, to: number, content: Partial<UseReport>): void {
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
@@ -106,6 +106,18 @@
   }
 })
 
+// Both hosts that sum up for a zone are lost for good, and the next two take their place. They have heard what the others let through
+// from now on only; what the window still holds isn't in their sums, though they have run for long.
+test('hosts that come to sum up know that they missed what came before', () => {
+  for (const rate of RATES) {
+    const fleet = runFleet(rate, {
+      ask: (_, now) => rate * (now > 9_000 ? 4.7 : 0.625) / HOSTS,
+      isDown: (index, now) => index % HOSTS_PER_ZONE < 2 && now > 13_000
+    })
+    assert.ok(fleet.findMost() <= computeBound(rate), `${rate}: ${fleet.findMost()}`)
+  }
+})
+
 test('lost, late and doubled datagrams neither add to the use nor hide it', () => {
   for (const rate of RATES) {
     const fleet = runFleet(rate, { ask: (_, now) => rate * (isRush(now) ? 4.7 : 0.625) / HOSTS, loss: 0.2 })
--- a/packages/almondrelay-gateway/src/process/organisations/allowances.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/allowances.ts
@@ -57,6 +57,8 @@
   private readonly peers = new PeerTotals()
   private readonly zones = new Map<string, HeardUses>()
   private readonly fleet = new HeardUses()
+  /** Since when this host sums up for its zone; undefined while it doesn't. */
+  private summingSince: number | undefined
   private changed = new Set<number>()
   private changedBefore = new Set<number>()
 
@@ -169,8 +171,20 @@
 
   private readonly findRate = (hash: number): number => (this.limits.get(hash) ?? Infinity) / this.parts.windowMs * 1_000
 
+  /**
+   * Milliseconds of the window in which this host didn't listen to those whose requests it tells of. One that comes to sum up, as
+   * those before it have ended, has heard only of its own until then; its sum alone would let the zone's part of the window through
+   * a second time.
+   */
   private computeUnseen (now: number): number {
-    return Math.max(0, this.parts.windowMs - (now - this.parts.startedAt))
+    if (!this.parts.isSumming(now)) this.summingSince = undefined
+    else this.summingSince ??= this.hasBegun(now) ? now : this.parts.startedAt
+    return Math.max(0, this.parts.windowMs - (now - (this.summingSince ?? this.parts.startedAt)))
+  }
+
+  /** Whether this host has run for so long that others may have summed up for its zone before. */
+  private hasBegun (now: number): boolean {
+    return now - this.parts.startedAt > SILENCE_MS
   }
 
   /** Part of all hosts of whose requests this one knows. */
