--- a/packages/almondrelay-gateway/src/process/organisations/__fixtures__/runRandomDay.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/runRandomDay.ts
@@ -1,5 +1,5 @@
+import { createSeededRandom } from 'almondrelay'
 import { AllowanceFleet } from './allowanceFleet.js'
-import { makeRandom } from './makeRandom.js'
 
 const WINDOW_MS = 5_000
 const DAY_MS = 18_000
@@ -23,7 +23,7 @@
  * two parts or by regions, while some or all are killed and started again, and while datagrams are lost or come twice.
  */
 export function runRandomDay (seed: number): RandomDay {
-  const random = makeRandom(seed)
+  const random = createSeededRandom(seed)
   const pick = (values: readonly number[]): number => values[Math.floor(random() * values.length)] as number
   const [rate, zones, hostsPerZone] = [pick(RATES), pick(ZONES), pick(HOSTS_PER_ZONE)]
   const hosts = zones * hostsPerZone
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/allowances.test.ts
@@ -1,7 +1,7 @@
+import { createSeededRandom } from 'almondrelay'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { AllowanceFleet } from '../__fixtures__/allowanceFleet.js'
-import { makeRandom } from '../__fixtures__/makeRandom.js'
 import { runRandomDay } from '../__fixtures__/runRandomDay.js'
 import { Allowances } from '../allowances.js'
 
@@ -19,7 +19,7 @@
 type Options = ConstructorParameters<typeof AllowanceFleet>[0]
 
 const runFleet = (ratePerSecond: number, options: Pick<Options, 'ask'> & Partial<Options>, untilMs = 20_000): AllowanceFleet => {
-  const fleet = new AllowanceFleet({ zones: ZONES, hostsPerZone: HOSTS_PER_ZONE, windowMs: WINDOW_MS, ratePerSecond, burst: ratePerSecond, random: makeRandom(7), ...options })
+  const fleet = new AllowanceFleet({ zones: ZONES, hostsPerZone: HOSTS_PER_ZONE, windowMs: WINDOW_MS, ratePerSecond, burst: ratePerSecond, random: createSeededRandom(7), ...options })
   fleet.run(untilMs)
   return fleet
 }
@@ -40,14 +40,14 @@
   ]
   for (const rate of RATES) {
     for (const way of ways) {
-      const parts = [1, 2, 3, 4].map((seed) => computeWrongPart(runFleet(rate, { ask: way(rate), random: makeRandom(seed) })))
+      const parts = [1, 2, 3, 4].map((seed) => computeWrongPart(runFleet(rate, { ask: way(rate), random: createSeededRandom(seed) })))
       const mean = parts.reduce((sum, part) => sum + part, 0) / parts.length
       assert.ok(mean < REFUSED_BY_CHANCE, `${rate}: ${parts.join(', ')}`)
     }
   }
 })
 
-// A tenant's batch job sends nearly five times its limit from one moment to the next. Each host sees so little of it that by its own
+// A customer's batch job sends nearly five times its limit from one moment to the next. Each host sees so little of it that by its own
 // count there is nothing to refuse; 75 hosts together let 75 times as much pass.
 test('a sudden rush through all hosts, or through five, keeps to the limit', () => {
   for (const rate of RATES) {
@@ -62,7 +62,7 @@
 test('an organisation that always asks for more gets nearly all that it may have', () => {
   for (const rate of RATES) {
     for (const rush of [1.5, 2.5, 4.7]) {
-      const fleets = [1, 2, 3].map((seed) => runFleet(rate, { ask: (_, now) => rate * (isRush(now) ? rush : 0.625) / HOSTS, random: makeRandom(seed) }))
+      const fleets = [1, 2, 3].map((seed) => runFleet(rate, { ask: (_, now) => rate * (isRush(now) ? rush : 0.625) / HOSTS, random: createSeededRandom(seed) }))
       const ran = fleets.reduce((sum, fleet) => sum + fleet.ran.filter((at) => at > 13_000 && at <= 18_000).length, 0) / fleets.length
       assert.ok(ran >= (rate * 5 + rate) * 0.9, `${rate}: ${ran} of ${rate * 6}`)
       for (const fleet of fleets) assert.ok(fleet.findMost() <= computeBound(rate), `${rate}: ${fleet.findMost()}`)
@@ -139,7 +139,7 @@
 
 test('what a host sends a second grows with the zones and the hosts of its zone, not with all hosts', () => {
   const countSent = (zones: number, hostsPerZone: number): number => {
-    const fleet = new AllowanceFleet({ zones, hostsPerZone, windowMs: WINDOW_MS, ratePerSecond: 60, burst: 60, random: makeRandom(1), ask: () => 0 })
+    const fleet = new AllowanceFleet({ zones, hostsPerZone, windowMs: WINDOW_MS, ratePerSecond: 60, burst: 60, random: createSeededRandom(1), ask: () => 0 })
     fleet.run(1_000)
     return fleet.datagramsSent / zones / hostsPerZone
   }
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeReport.test.ts
@@ -41,9 +41,9 @@
 // A configuration with 80 organisations is 24 KB long. Too long for a datagram it was not handed on, and each of a region's 25
 // hosts asked the store for it: with every change of it a call for each host.
 test('a long value is handed on compressed and reads as it was written', () => {
-  const tenants = Array.from({ length: 80 }, (_, index) => ({ name: `organisation-${index}`, api_keys: [createHash('sha1').update(String(index)).digest('hex').slice(0, 20)], priority: 1, rate_per_s: 20, burst: 20 }))
-  const value = Buffer.from(JSON.stringify({ tenants, routes: Array.from({ length: 40 }, (_, index) => ({ name: `r-${index}`, kind: 'safe', target_latency: '316ms', match: { path_prefix: `/p${index}/` } })) }))
-  const events = [{ kind: 'written' as const, item: { key: 'op/config', revision: 5, createdRevision: 1, value } }]
+  const organisations = Array.from({ length: 80 }, (_, index) => ({ name: `organisation-${index}`, keys: [createHash('sha1').update(String(index)).digest('hex').slice(0, 20)], priority: 1, ratePerSecond: 20, burst: 20 }))
+  const value = Buffer.from(JSON.stringify({ organisations, routes: Array.from({ length: 40 }, (_, index) => ({ name: `r-${index}`, idempotent: true, targetLatencyMs: 316, pathPrefix: `/p${index}/` })) }))
+  const events = [{ kind: 'written' as const, item: { key: 'configuration', revision: 5, createdRevision: 1, value } }]
   const parts = splitChanges({ afterRevision: 4, upToRevision: 6, events, forwardTo: [] }, 8_000)
   assert.ok(value.byteLength > 8_000)
   assert.equal(parts.map(({ events: each }) => each), [events])
