Tell of use within a quarter of a second of a start

A host that starts looked for limits before its configuration had come, found none, and looked again a second later; until then nobody heard of what it let through, and each took all others for reached for half a second. Ruled out: holding back more of the limit (each hundredth is taken from every organisation in every window). Change: looks each quarter of a second; the pause is an argument.

--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
@@ -24,6 +24,7 @@
   readonly allowances: Allowances
   readonly exchange: UseExchange
   now = 10_000
+  sleep: (ms: number) => Promise<void> = () => Promise.resolve()
   private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
 
   constructor (name: string) {
@@ -40,7 +41,7 @@
         if (message?.kind === 'use' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
       }
     } as unknown as PeerSocket
-    this.exchange = new UseExchange({ own, fleet: this.fleet, view, allowances: this.allowances, socket, getNow: () => this.now })
+    this.exchange = new UseExchange({ own, fleet: this.fleet, view, allowances: this.allowances, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
   }
 
   async runOnce (): Promise<void> {
@@ -61,6 +62,25 @@
   assert.is(rig.sent.length, 0)
 })
 
+// All hosts are killed at the height of a rush. Started again, each looked for limits before its configuration had come, found none
+// and looked again a second later: for a second nobody told anybody of what it let through, and a window passed its bound.
+test('a host that learns of limits after its start tells of them within a quarter of a second', async () => {
+  const rig = new UseRig('c')
+  const stop = new AbortController()
+  const startedAt = rig.now
+  rig.sleep = (ms) => {
+    rig.now += ms
+    if (rig.sent.length > 0) stop.abort()
+    if (!rig.allowances.areNeeded) {
+      rig.allowances.setOrganisations([SCHOOL])
+      rig.allowances.ask('school', rig.now)
+    }
+    return Promise.resolve()
+  }
+  await rig.exchange.run(stop.signal)
+  assert.ok(rig.now - startedAt <= 500, String(rig.now - startedAt))
+})
+
 test('a host tells its own to the two that sum up for its zone, and nobody else', async () => {
   const rig = new UseRig('c')
   rig.allowances.setOrganisations([SCHOOL])
--- a/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
@@ -1,4 +1,3 @@
-import { sleepFor } from 'almondrelay'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
@@ -11,8 +10,6 @@
 const REPORT_MS = 250
 /** The same where there is nothing to tell: others still have to know that this host is there. */
 const CALM_REPORT_MS = 500
-/** Milliseconds between looks whether there are limits at all. */
-const UNNEEDED_MS = 1_000
 /** Bytes a second that a host may spend on these reports, of the 12 KB a second for all its control traffic. */
 const BYTES_PER_SECOND = 9_000
 /** Bytes of headers around each datagram. */
@@ -25,6 +22,7 @@
   allowances: Allowances
   socket: PeerSocket
   getNow: () => number
+  sleep: (ms: number, signal: AbortSignal) => Promise<void>
 }
 
 /** Tells the other hosts what came to this one of the organisations' requests, sums up where this host does so for its zone, and takes in what they tell. */
@@ -38,8 +36,9 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const bytes = this.parts.allowances.areNeeded ? this.sendRound() : 0
-      const leastMs = this.parts.allowances.areNeeded ? REPORT_MS : UNNEEDED_MS
-      await sleepFor(Math.max(leastMs, bytes / BYTES_PER_SECOND * 1_000), signal)
+      // Also where there are no limits yet: a host that has just started learns of them a moment later, and with a longer pause
+      // lets all through by itself while nobody hears of it.
+      await this.parts.sleep(Math.max(REPORT_MS, bytes / BYTES_PER_SECOND * 1_000), signal)
     }
   }
 
