Sum up a zone once a round; one way to a request's organisation; one constant for headers of datagrams

Cause: reading the change again: a summing host made its zone's sum twice a round, once inside the sum of all; who sent a request was unwrapped in four places; the bytes of datagram headers stood twice. Change: the zone's sum is handed to the sum of all; findOrganisation; DATAGRAM_OVERHEAD in a file of its own. No decision changes.

--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -10,6 +10,7 @@
 import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
 import { findCommonRegions } from '../../version/findCommonRegions.js'
+import { findOrganisation } from '../../version/findOrganisation.js'
 import { identifyCaller } from '../../version/identifyCaller.js'
 import type { CallerIdentity } from '../../version/callerIdentity.js'
 import type { Organisation } from '../../version/organisation.js'
@@ -106,7 +107,7 @@
   private async handleIdentified ({ message, id, head, route, identity, arrivedAt, left }: IdentifiedRequest, configuration: SteeringConfiguration): Promise<CallerAnswer | undefined> {
     const { load, memory, forward, getNow, random } = this.parts
     const { routes, organisations } = forward.fleet
-    const organisation = identity.kind === 'organisation' ? identity.organisation : undefined
+    const organisation = findOrganisation(identity)
     const allowedRegions = findCommonRegions(route.allowedRegions, organisation?.allowedRegions ?? [])
     if (allowedRegions === undefined) return this.refuser.refuseNowhere(head, route, organisation?.name)
     const deadline = arrivedAt + Math.min(route.timeoutMs, head.waitsMs ?? route.timeoutMs)
@@ -161,14 +162,15 @@
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
     const { log, account, metrics, getNow } = this.parts
     const durationMs = getNow() - request.arrivedAt
+    const organisation = findOrganisation(request.identity)?.name
     const outcome = answer.kind === 'passed' ? String(answer.head.status) : answer.kind
     metrics.observeAnswer(record.service, outcome, durationMs)
     account.record(request, record, answer, durationMs)
-    if (request.identity.kind === 'organisation') metrics.countOrganisation(request.identity.organisation.name, answer.kind)
+    if (organisation !== undefined) metrics.countOrganisation(organisation, answer.kind)
     log.record('request', {
       id: request.id,
       route: request.route.name,
-      organisation: describeOrganisation(request),
+      organisation,
       version: request.configurationVersion,
       key: request.affinityKey,
       ...record,
@@ -179,8 +181,6 @@
   }
 }
 
-const describeOrganisation = ({ identity }: CallerRequest): string | undefined => identity.kind === 'organisation' ? identity.organisation.name : undefined
-
 const getHostName = (message: IncomingMessage): string => {
   const host = message.headers.host ?? ''
   const colon = host.indexOf(':')
--- a/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountKeeper.ts
@@ -2,6 +2,7 @@
 import { match } from 'ts-pattern'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
+import { findOrganisation } from '../../version/findOrganisation.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RequestRecord } from '../forward/requestRecord.js'
 import type { EventLog } from './eventLog.js'
@@ -65,7 +66,7 @@
 }
 
 // Where callers don't identify themselves, the host name that they asked for tells whose product it was.
-const describeCaller = ({ identity, route }: CallerRequest): string => identity.kind === 'organisation' ? identity.organisation.name : route.hostName
+const describeCaller = ({ identity, route }: CallerRequest): string => findOrganisation(identity)?.name ?? route.hostName
 
 const describeOutcome = (answer: FinalAnswer): Pick<AccountEntry, 'outcome' | 'reason'> => match(answer)
   .with({ kind: 'passed' }, () => ({ outcome: Outcome.run }))
--- a/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__fixtures__/allowanceFleet.ts
@@ -147,8 +147,8 @@
     const { allowances, zone, index } = host
     const totals = allowances.takeTotals()
     const isSumming = this.isSumming(index)
-    const fleet = isSumming ? allowances.describeFleet(this.now) : undefined
     const word = isSumming ? allowances.describeZone(this.now) : undefined
+    const fleet = word === undefined ? undefined : allowances.describeFleet(word, this.now)
     for (let other = 0; other < zones * hostsPerZone; other += 1) {
       if (other === index || this.hosts[other]?.isUp === false) continue
       if (Math.floor(other / hostsPerZone) !== zone) {
--- a/packages/almondrelay-gateway/src/process/organisations/allowances.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/allowances.ts
@@ -134,9 +134,13 @@
     return { hosts, unseenMs: this.computeUnseen(now), uses }
   }
 
-  /** What this zone's hosts are told of all zones. */
-  describeFleet (now: number): FleetUse {
-    return addZones([{ use: this.describeZone(now), ageMs: 0 }, ...this.listFresh(now)], this.findRate)
+  /**
+   * What this zone's hosts are told of all zones.
+   *
+   * @param zone what the other zones are told of this one now
+   */
+  describeFleet (zone: ZoneUse, now: number): FleetUse {
+    return addZones([{ use: zone, ageMs: 0 }, ...this.listFresh(now)], this.findRate)
   }
 
   private describe (hash: number, limit: number, own: OrganisationUse, now: number): AllowanceInput {
--- a/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
@@ -1,5 +1,6 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { FleetState } from '../fleet/fleetState.js'
+import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { Allowances } from './allowances.js'
@@ -12,8 +13,6 @@
 const CALM_REPORT_MS = 500
 /** Bytes a second that a host may spend on these reports, of the 12 KB a second for all its control traffic. */
 const BYTES_PER_SECOND = 9_000
-/** Bytes of headers around each datagram. */
-const DATAGRAM_OVERHEAD = 28
 
 interface ExchangeParts {
   own: HostEntry
@@ -61,11 +60,12 @@
 
   private sendSums (isCalmOver: boolean, now: number): number {
     const { own, view, allowances } = this.parts
-    const fleet = allowances.describeFleet(now)
+    const zone = allowances.describeZone(now)
+    const fleet = allowances.describeFleet(zone, now)
     if (fleet.uses.size === 0 && !isCalmOver) return 0
-    const others = view.listZones(now).filter((zone) => zone !== own.availabilityZone).flatMap((zone) => view.listSumming(zone, now))
+    const others = view.listZones(now).filter((each) => each !== own.availabilityZone).flatMap((each) => view.listSumming(each, now))
     const near = view.listLive(now).filter(({ availabilityZone }) => availabilityZone === own.availabilityZone)
-    return this.send(others, { zone: allowances.describeZone(now) }) + this.send(near, { fleet })
+    return this.send(others, { zone }) + this.send(near, { fleet })
   }
 
   /** Returns the bytes that it takes. */
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/peers/datagramOverhead.ts
@@ -0,0 +1,2 @@
+/** Bytes of headers around each datagram. */
+export const DATAGRAM_OVERHEAD = 28
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -4,6 +4,7 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import { computeMeanTimes } from './computeMeanTimes.js'
+import { DATAGRAM_OVERHEAD } from './datagramOverhead.js'
 import { encodeReport } from './encodeReport.js'
 import type { PeerReport } from './peerReport.js'
 import type { PeerSocket } from './peerSocket.js'
@@ -40,8 +41,6 @@
  * calls to the store found no room; with groups of eight a watcher sends an eighth.
  */
 const GROUP_SIZE = 8
-/** Bytes of headers around each datagram. */
-const DATAGRAM_OVERHEAD = 28
 
 interface ExchangeParts {
   own: HostEntry
