Name what was asked in a request's line, and tell why a connection to a target failed

And "no connection to the target" was said of a target that has ended, of one that is slow to accept and of one that left.

"not-sent" now says refused, timed out, lost or left; a counter by region and reason. No decision changes.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -5,6 +5,7 @@
 import { resetSocket } from '../__fixtures__/resetSocket.js'
 import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
 import { BodyMemory } from '../bodyMemory.js'
+import { ConnectFailure } from '../connectFailure.js'
 import { TargetConnection } from '../targetConnection.js'
 
 const test = suite('TargetConnection')
@@ -15,9 +16,9 @@
 let memory = new BodyMemory(Infinity)
 
 const open = async (port: number): Promise<TargetConnection> => {
-  const connection = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined)
-  if (connection === undefined) throw new Error('no connection')
-  return connection
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined)
+  if (opened.kind === 'failed') throw new Error(opened.failure)
+  return opened.connection
 }
 
 test.before.each(() => {
@@ -99,7 +100,7 @@
   const port = await startScriptedTarget(() => undefined, owner.signal)
   owner.abort()
   await new Promise((resolve) => { setImmediate(resolve) })
-  assert.is(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined), undefined)
+  assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
 })
 
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -5,6 +5,7 @@
 import { PlainCodec } from '../__fixtures__/plainCodec.js'
 import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
 import { BodyMemory } from '../bodyMemory.js'
+import { ConnectFailure } from '../connectFailure.js'
 import type { TargetConnection } from '../targetConnection.js'
 import { TargetPool } from '../targetPool.js'
 
@@ -14,10 +15,10 @@
 let owner = new AbortController()
 
 const open = async (port: number): Promise<{ pool: TargetPool, connection: TargetConnection }> => {
-  const pool = new TargetPool({ codec, getNow: () => 0, memory: new BodyMemory(Infinity) }, { countOpened: () => undefined, observeConnect: () => undefined })
-  const connection = await pool.acquire(makeTarget({ port }).entry, 1_000)
-  if (connection === undefined) throw new Error('no connection')
-  return { pool, connection }
+  const pool = new TargetPool({ codec, getNow: () => 0, memory: new BodyMemory(Infinity) }, { countOpened: () => undefined, observeConnect: () => undefined, countFailure: () => undefined })
+  const opened = await pool.acquire(makeTarget({ port }).entry, 1_000)
+  if (opened.kind === 'failed') throw new Error(opened.failure)
+  return { pool, connection: opened.connection }
 }
 
 test.before.each(() => { owner = new AbortController() })
@@ -31,7 +32,7 @@
   const waiting = connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
   pool.closeAll('target was started again')
   assert.equal(await waiting, { kind: 'broken', reason: 'target was started again' })
-  assert.is(await pool.acquire(makeTarget({ port }).entry, 1_000), undefined)
+  assert.equal(await pool.acquire(makeTarget({ port }).entry, 1_000), { kind: 'failed', failure: ConnectFailure.targetLeft })
 })
 
 // A target leaves while it works on a request. Its answer is passed on; its connection stayed open for as long as the target
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -3,6 +3,8 @@
 import type { CallerRequest } from '../request/callerRequest.js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
 import { AnswerReader } from './answerReader.js'
+import { ConnectFailure } from './connectFailure.js'
+import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
 
 /** Unused time, in milliseconds, after which a connection of a target that states no limit isn't trusted any more. */
@@ -35,14 +37,16 @@
     socket.on('close', () => { this.close('closed') })
   }
 
-  /** Resolves once the connection stands, or with undefined where it isn't to be had in time. */
-  static async open (ip: string, port: number, timeoutMs: number, parts: ConnectionParts, handleClose: () => void): Promise<TargetConnection | undefined> {
+  /** Resolves once the connection stands, or with the reason why it isn't to be had in time. */
+  static async open (ip: string, port: number, timeoutMs: number, parts: ConnectionParts, handleClose: () => void): Promise<ConnectResult> {
     const socket = connect({ host: ip, port })
     const connection = new TargetConnection(socket, parts, handleClose)
     return new Promise((resolve) => {
-      const timer = setTimeout(() => { connection.close('connect timeout'); resolve(undefined) }, timeoutMs)
-      socket.once('connect', () => { clearTimeout(timer); connection.isOpen = true; connection.take(); resolve(connection) })
-      socket.once('close', () => { clearTimeout(timer); resolve(undefined) })
+      let failure: ConnectFailure = ConnectFailure.lost
+      const timer = setTimeout(() => { failure = ConnectFailure.timedOut; connection.close(failure) }, timeoutMs)
+      socket.once('error', (error: NodeJS.ErrnoException) => { if (error.code === 'ECONNREFUSED') failure = ConnectFailure.refused })
+      socket.once('connect', () => { clearTimeout(timer); connection.isOpen = true; connection.take(); resolve({ kind: 'connected', connection }) })
+      socket.once('close', () => { clearTimeout(timer); resolve({ kind: 'failed', failure }) })
     })
   }
 
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -1,11 +1,14 @@
 import type { TargetEntry } from '../request/targetEntry.js'
+import { ConnectFailure } from './connectFailure.js'
 import type { ConnectionParts } from './connectionParts.js'
+import type { ConnectResult } from './connectResult.js'
 import { TargetConnection } from './targetConnection.js'
 
 interface PoolObserver {
   countOpened: () => void
   /** Milliseconds that a new connection took. */
   observeConnect: (durationMs: number) => void
+  countFailure: (failure: ConnectFailure) => void
 }
 
 /** Connections to one target; a free one is used again, the latest first, so that the others run out by themselves. */
@@ -15,25 +18,30 @@
 
   constructor (private readonly parts: ConnectionParts, private readonly observer: PoolObserver) {}
 
-  /** A free connection, or a new one, held for one request; undefined where none can be had within the timeout, in milliseconds. */
-  async acquire (entry: TargetEntry, timeoutMs: number): Promise<TargetConnection | undefined> {
-    if (this.isClosed) return undefined
+  /** A free connection, or a new one, held for one request; a failure where none can be had within the timeout, in milliseconds. */
+  async acquire (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
+    if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
     const free = this.findFree(this.parts.getNow())
-    if (free !== undefined) {
-      free.take()
-      return free
-    }
+    if (free === undefined) return this.open(entry, timeoutMs)
+    free.take()
+    return { kind: 'connected', connection: free }
+  }
+
+  private async open (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
     this.observer.countOpened()
     const startedAt = this.parts.getNow()
     const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.parts, () => { this.pruneClosed() })
-    if (opened === undefined) return undefined
+    if (opened.kind === 'failed') {
+      this.observer.countFailure(opened.failure)
+      return opened
+    }
     // A target that left, or was started again, while the connection was being opened gets nothing through it.
     if (this.isClosed) {
-      opened.close('target left')
-      return undefined
+      opened.connection.close('target left')
+      return { kind: 'failed', failure: ConnectFailure.targetLeft }
     }
     this.observer.observeConnect(this.parts.getNow() - startedAt)
-    this.connections.push(opened)
+    this.connections.push(opened.connection)
     return opened
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -50,11 +50,12 @@
 
   private async exchange (pool: TargetPool): Promise<AttemptResult> {
     const { target, tripMs } = this.choice
-    const connection = await pool.acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * tripMs)
-    if (connection === undefined) {
+    const opened = await pool.acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * tripMs)
+    if (opened.kind === 'failed') {
       if (this.cancelled === undefined) target.suspend(this.parts.getNow())
-      return { kind: 'not-sent', reason: this.cancelled ?? 'no connection to the target' }
+      return { kind: 'not-sent', reason: this.cancelled ?? opened.failure }
     }
+    const { connection } = opened
     const now = this.parts.getNow()
     const stopReason = this.findStopReason(now)
     if (stopReason !== undefined) {
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -1,4 +1,5 @@
 import type { BodyMemory } from '../../connection/bodyMemory.js'
+import type { ConnectFailure } from '../../connection/connectFailure.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import { ColdAllowance } from '../../request/coldAllowance.js'
 import { ShiftCapUse } from '../../request/shiftCapUse.js'
@@ -19,6 +20,7 @@
   memory: BodyMemory
   getNow: () => number
   countOpened: (region: string) => void
+  countFailure: (region: string, failure: ConnectFailure) => void
   /** Called for a service with its first request. */
   startRuntime: (runtime: ServiceRuntime) => void
 }
@@ -35,10 +37,10 @@
   private readonly runtimes = new Map<string, ServiceRuntime>()
 
   constructor (private readonly parts: ForwardParts) {
-    const { settings, fleet, codec, memory, getNow, countOpened } = parts
+    const { settings, fleet, codec, memory, getNow } = parts
     this.fleet = fleet
     this.trips = new TripTimes(settings.host.region)
-    this.pools = new TargetPools({ codec, getNow, memory }, this.trips, countOpened)
+    this.pools = new TargetPools({ codec, getNow, memory }, this.trips, parts)
     this.cold = new ColdAllowance(settings.host.name)
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -9,6 +9,7 @@
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { NextStep } from '../../request/nextStep.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
+import { computeFingerprint } from '../quarantine/computeFingerprint.js'
 import { Attempt } from './attempt.js'
 import { EventQueue } from './eventQueue.js'
 import type { RequestEvent } from './requestEvent.js'
@@ -84,6 +85,7 @@
   private handleEnd (attempt: Attempt, result: AttemptResult): FinalAnswer | undefined {
     this.running.delete(attempt)
     const step = decideNextStep(result, this.request.route.idempotent)
+    if (result.kind === 'broken') this.record.fingerprint ??= computeFingerprint(this.request)
     this.recordAttempt(attempt, describeResult(result).text)
     if (step === NextStep.resend) this.sends -= 1
     if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result)
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -1,20 +1,27 @@
+import type { ConnectFailure } from '../../connection/connectFailure.js'
 import type { ConnectionParts } from '../../connection/connectionParts.js'
 import { TargetPool } from '../../connection/targetPool.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { TripTimes } from './tripTimes.js'
 
+interface PoolsObserver {
+  countOpened: (region: string) => void
+  countFailure: (region: string, failure: ConnectFailure) => void
+}
+
 /** The connections to each target. */
 export class TargetPools {
   private readonly pools = new Map<string, TargetPool>()
 
-  constructor (private readonly parts: ConnectionParts, private readonly trips: TripTimes, private readonly countOpened: (region: string) => void) {}
+  constructor (private readonly parts: ConnectionParts, private readonly trips: TripTimes, private readonly observer: PoolsObserver) {}
 
   get (target: TargetState): TargetPool {
     const { id, region } = target.entry
     const known = this.pools.get(id)
     if (known !== undefined) return known
     const pool = new TargetPool(this.parts, {
-      countOpened: () => { this.countOpened(region) },
+      countOpened: () => { this.observer.countOpened(region) },
+      countFailure: (failure) => { this.observer.countFailure(region, failure) },
       observeConnect: (durationMs) => { this.trips.learn(region, durationMs) }
     })
     this.pools.set(id, pool)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -99,7 +99,7 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, getNow, countOpened: (region) => { metrics.countConnection(region) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
+    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, getNow, countOpened: (region) => { metrics.countConnection(region) }, countFailure: (region, failure) => { metrics.countConnectFailure(region, failure) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
