--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -15,7 +15,7 @@
 let owner = new AbortController()
 
 const open = async (port: number): Promise<{ pool: TargetPool, connection: TargetConnection }> => {
-  const pool = new TargetPool({ codec, getNow: () => 0, memory: new BodyMemory(Infinity) }, { countOpened: () => undefined, observeConnect: () => undefined, countFailure: () => undefined })
+  const pool = new TargetPool({ codec, getNow: () => 0, memory: new BodyMemory(Infinity) }, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
   const opened = await pool.acquire(makeTarget({ port }).entry, 1_000)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   return { pool, connection: opened.connection }
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -8,7 +8,8 @@
   countOpened: () => void
   /** Milliseconds that a new connection took. */
   observeConnect: (durationMs: number) => void
-  countFailure: (failure: ConnectFailure) => void
+  /** @param isUnconnected whether no other connection to the target stands */
+  observeFailure: (failure: ConnectFailure, isUnconnected: boolean) => void
 }
 
 /** Connections to one target; a free one is used again, the latest first, so that the others run out by themselves. */
@@ -18,6 +19,11 @@
 
   constructor (private readonly parts: ConnectionParts, private readonly observer: PoolObserver) {}
 
+  /** Whether no connection to the target stands. */
+  get isUnconnected (): boolean {
+    return this.connections.every(({ isClosed }) => isClosed)
+  }
+
   /** A free connection, or a new one, held for one request; a failure where none can be had within the timeout, in milliseconds. */
   async acquire (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
     if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
@@ -32,7 +38,7 @@
     const startedAt = this.parts.getNow()
     const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.parts, () => { this.pruneClosed() })
     if (opened.kind === 'failed') {
-      this.observer.countFailure(opened.failure)
+      this.observer.observeFailure(opened.failure, this.isUnconnected)
       return opened
     }
     // A target that left, or was started again, while the connection was being opened gets nothing through it.
@@ -45,6 +51,14 @@
     return opened
   }
 
+  /** Opens one more connection to see whether anybody listens; it is kept for requests to come. */
+  async probe (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
+    if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
+    const opened = await this.open(entry, timeoutMs)
+    if (opened.kind === 'connected') opened.connection.release()
+    return opened
+  }
+
   /** Closes what has been unused for too long. */
   closeIdle (now: number): void {
     for (const connection of [...this.connections]) {
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -50,6 +50,8 @@
     handleConfiguration: () => undefined,
     handleOwnEntryGone: () => undefined,
     handleDeclared: () => undefined,
+    handleSuspect: () => undefined,
+    handleSuspectGone: () => undefined,
     handleUnreadKeys: () => { this.unreadKeys += 1 }
   })
 
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -1,5 +1,6 @@
 import type { TargetEntry } from '../../../request/targetEntry.js'
 import type { SteeringConfiguration } from '../../../version/steeringConfiguration.js'
+import type { SuspectRecord } from '../../quarantine/suspectRecord.js'
 import type { StoreEvent } from '../../store/storeEvent.js'
 import type { FleetChange } from '../fleetChange.js'
 import { FleetCodec } from '../fleetCodec.js'
@@ -8,7 +9,7 @@
 /** Services that every configuration of the tests names. */
 const SERVICES = ['balances', 'approvals']
 
-/** Keys of the tests' own: `target/ID`, `host/NAME`, `evacuation/ZONE` and `configuration`. */
+/** Keys of the tests' own: `target/ID`, `host/NAME`, `evacuation/ZONE`, `suspect/FINGERPRINT` and `configuration`. */
 export class PlainFleetCodec extends FleetCodec {
   override readonly prefixes = ['']
   override readonly productPrefix = 'use/'
@@ -21,6 +22,7 @@
     if (kind === 'target' && (value as { id?: string }).id !== name) return { kind: 'target-unreadable', id: name, key: event.item.key, reason: 'no entry' }
     if (kind === 'target') return { kind: 'target', entry: value as TargetEntry }
     if (kind === 'host') return { kind: 'host', entry: value as HostEntry }
+    if (kind === 'suspect') return { kind: 'suspect', record: value as SuspectRecord, revision: event.item.revision }
     if (kind === 'evacuation') return { kind: 'evacuation', availabilityZone: name, isEvacuated: true }
     const document = value as { version: number }
     const configuration: SteeringConfiguration = { version: document.version, routes: [], services: new Map(SERVICES.map((name) => [name, { name, maxConnections: 100, coldStartMs: 0, coldPerSecond: 10 }])), organisations: undefined, limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
@@ -34,10 +36,15 @@
   override encodeHost (entry: HostEntry): { key: string, value: Buffer } {
     return { key: `host/${entry.name}`, value: Buffer.from(JSON.stringify(entry)) }
   }
+
+  override encodeSuspect (record: SuspectRecord): { key: string, value: Buffer } {
+    return { key: `suspect/${record.fingerprint}`, value: Buffer.from(JSON.stringify(record)) }
+  }
 }
 
 const decodeDeletion = (kind: string, name: string): FleetChange | undefined => {
   if (kind === 'target') return { kind: 'target-gone', id: name }
   if (kind === 'host') return { kind: 'host-gone', name }
+  if (kind === 'suspect') return { kind: 'suspect-gone', fingerprint: name }
   return kind === 'evacuation' ? { kind: 'evacuation', availabilityZone: name, isEvacuated: false } : undefined
 }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
@@ -1,4 +1,5 @@
 import type { StoreEvent } from '../store/storeEvent.js'
+import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import type { FleetChange } from './fleetChange.js'
 import type { HostEntry } from './hostEntry.js'
 
@@ -17,4 +18,6 @@
   abstract isUnder (prefix: string, change: FleetChange): boolean
 
   abstract encodeHost (entry: HostEntry): { key: string, value: Buffer }
+
+  abstract encodeSuspect (record: SuspectRecord): { key: string, value: Buffer }
 }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,6 +1,7 @@
 import { sleepFor } from 'almondrelay'
 import { computeRetryPause } from '../../request/computeRetryPause.js'
 import type { EventLog } from '../observe/eventLog.js'
+import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import { CATCH_UP_MS } from '../store/catchUpMs.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import type { RevisionStore } from '../store/revisionStore.js'
@@ -67,6 +68,10 @@
   handleOwnEntryGone: () => void
   /** Called with a change of the resources that operators declare. */
   handleDeclared: (revision: number, body: Buffer) => void
+  /** Called with a record of a request under which targets ended. */
+  handleSuspect: (record: SuspectRecord, revision: number) => void
+  /** Called when such a record has lapsed. */
+  handleSuspectGone: (fingerprint: string) => void
   /** Called after a full read that left keys of the product's own out, so that there may be changes among them. */
   handleUnreadKeys: () => void
   /** Whether this host is one of those that watch with short waits for their region. */
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -2,6 +2,7 @@
 import { findLapse } from '../../request/findLapse.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
+import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { FleetChange } from './fleetChange.js'
@@ -24,6 +25,10 @@
   handleOwnEntryGone: () => void
   /** Called with a change of the resources that operators declare. */
   handleDeclared: (revision: number, body: Buffer) => void
+  /** Called with a record of a request under which targets ended. */
+  handleSuspect: (record: SuspectRecord, revision: number) => void
+  /** Called when such a record has lapsed. */
+  handleSuspectGone: (fingerprint: string) => void
 }
 
 interface DecodedChange {
@@ -147,6 +152,8 @@
         else fleet.removeHost(name)
       })
       .with({ kind: 'declared' }, ({ revision, body }) => { this.parts.handleDeclared(revision, body) })
+      .with({ kind: 'suspect' }, ({ record, revision }) => { this.parts.handleSuspect(record, revision) })
+      .with({ kind: 'suspect-gone' }, ({ fingerprint }) => { this.parts.handleSuspectGone(fingerprint) })
       .with({ kind: 'invalid' }, ({ key, reason }) => { this.reportUnusable(key, reason) })
       .exhaustive()
   }
@@ -203,5 +210,7 @@
   .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
   .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
   .with({ kind: 'declared' }, ({ revision }) => `declared ${revision}`)
+  .with({ kind: 'suspect' }, ({ record }) => `suspect ${record.fingerprint}`)
+  .with({ kind: 'suspect-gone' }, ({ fingerprint }) => `suspect ${fingerprint}`)
   .with({ kind: 'invalid' }, ({ key }) => `invalid ${key}`)
   .exhaustive()
--- a/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/isNotableChange.ts
@@ -18,7 +18,7 @@
     .with({ kind: 'evacuation' }, ({ availabilityZone, isEvacuated }) => fleet.isEvacuated(availabilityZone) !== isEvacuated)
     .with({ kind: 'host' }, ({ entry }) => fleet.findHost(entry.name)?.incarnation !== entry.incarnation)
     .with({ kind: 'host-gone' }, ({ name }) => fleet.findHost(name) !== undefined)
-    .with({ kind: 'declared' }, () => true)
+    .with({ kind: 'declared' }, { kind: 'suspect' }, { kind: 'suspect-gone' }, () => true)
     .with({ kind: 'invalid' }, () => false)
     .exhaustive()
 }
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -13,6 +13,8 @@
   getNow: () => number
   /** Whether the caller's key is still its organisation's. */
   isIdentified: () => boolean
+  /** Whether targets have ended under the request meanwhile, too many for it to be sent. */
+  isQuarantined: () => boolean
 }
 
 /** One sending of one request to one target. */
@@ -71,6 +73,7 @@
   private findStopReason (now: number): string | undefined {
     if (this.cancelled !== undefined) return this.cancelled
     if (!this.parts.isIdentified()) return 'the key was taken away before the request was sent'
+    if (this.parts.isQuarantined()) return 'quarantined before the request was sent'
     if (this.choice.target.isLeaving()) return 'target left before the request was sent'
     return now >= this.request.deadline ? 'no time left before the request was sent' : undefined
   }
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -10,6 +10,7 @@
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
 import { ServiceRuntime } from './serviceRuntime.js'
 import { TargetPools } from './targetPools.js'
+import { TargetProbes } from './targetProbes.js'
 import { TripTimes } from './tripTimes.js'
 
 interface ForwardParts {
@@ -20,9 +21,12 @@
   memory: BodyMemory
   getNow: () => number
   countOpened: (region: string) => void
-  countFailure: (region: string, failure: ConnectFailure) => void
+  /** @param isUnconnected whether no other connection of this host to the target stands */
+  observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
   /** Called for a service with its first request. */
   startRuntime: (runtime: ServiceRuntime) => void
+  /** Ends the host's own tasks. */
+  signal: AbortSignal
 }
 
 /** What all requests of a host share. */
@@ -30,6 +34,7 @@
   readonly fleet: FleetState
   readonly trips: TripTimes
   readonly pools: TargetPools
+  readonly probes: TargetProbes
   readonly shiftCaps = new ShiftCapUse()
   /** What operators declared, of the newest revision that this host knows. */
   steering = DeclaredSteering.none
@@ -37,10 +42,11 @@
   private readonly runtimes = new Map<string, ServiceRuntime>()
 
   constructor (private readonly parts: ForwardParts) {
-    const { settings, fleet, codec, memory, getNow } = parts
+    const { settings, fleet, codec, memory, getNow, signal } = parts
     this.fleet = fleet
     this.trips = new TripTimes(settings.host.region)
     this.pools = new TargetPools({ codec, getNow, memory }, this.trips, parts)
+    this.probes = new TargetProbes(this.pools, this.trips, signal)
     this.cold = new ColdAllowance(settings.host.name)
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -21,6 +21,8 @@
 import type { AccountKeeper } from '../observe/accountKeeper.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
+import { RequestGate } from '../quarantine/requestGate.js'
 import type { ForwardState } from './forwardState.js'
 import { RequestRefuser } from './requestRefuser.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -43,6 +45,7 @@
   load: HostLoad
   memory: BodyMemory
   allowances: Allowances
+  quarantine: Quarantine
   log: EventLog
   account: AccountKeeper
   metrics: GatewayMetrics
@@ -150,13 +153,13 @@
   }
 
   private createRunner (request: CallerRequest): RequestRunner {
-    const { forward, targetCodec, getNow, random } = this.parts
+    const { forward, targetCodec, quarantine, getNow, random } = this.parts
     const service = pickDestination(request.route.destinations, random()) ?? ''
     const runtime = forward.getRuntime(service)
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
     const placement = new RequestPlacement(forward, runtime, keyHash, request.allowedRegions, random() < WARM_UP_PART)
-    return new RequestRunner(request, placement, { codec: targetCodec, getNow })
+    return new RequestRunner(request, placement, { codec: targetCodec, gate: new RequestGate(request, quarantine), getNow })
   }
 
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -68,6 +68,7 @@
     if (attempt.isCancelled || attempt.sentAt === undefined) return
     if (result.kind !== 'answered') {
       target.observeFailure(now)
+      void this.state.probes.probe(target)
       return
     }
     if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -23,6 +23,6 @@
   /** Milliseconds since the last report of any peer, from which load at targets is counted. */
   peerAgeMs: number | undefined
   attempts: AttemptRecord[]
-  /** What was asked, the same for all attempts of a caller; undefined where every target that it was sent to gave a whole answer. */
+  /** What was asked, the same for all attempts of a caller; undefined where every target that it was sent to gave a whole answer and it isn't quarantined. */
   fingerprint?: string
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -9,7 +9,7 @@
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { NextStep } from '../../request/nextStep.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
-import { computeFingerprint } from '../quarantine/computeFingerprint.js'
+import type { RequestGate } from '../quarantine/requestGate.js'
 import { Attempt } from './attempt.js'
 import { EventQueue } from './eventQueue.js'
 import type { RequestEvent } from './requestEvent.js'
@@ -26,6 +26,7 @@
 
 interface RunnerParts {
   codec: TargetCodec
+  gate: RequestGate
   getNow: () => number
 }
 
@@ -56,6 +57,7 @@
     if (callerLeft.aborted) handleLeft()
     this.startTimer(this.request.deadline - this.parts.getNow(), { kind: 'deadline' })
     try {
+      if (this.parts.gate.isClosed) await this.parts.gate.claimTrial(this.parts.getNow())
       return await this.handleEvents()
     } finally {
       callerLeft.removeEventListener('abort', handleLeft)
@@ -85,7 +87,7 @@
   private handleEnd (attempt: Attempt, result: AttemptResult): FinalAnswer | undefined {
     this.running.delete(attempt)
     const step = decideNextStep(result, this.request.route.idempotent)
-    if (result.kind === 'broken') this.record.fingerprint ??= computeFingerprint(this.request)
+    if (result.kind === 'broken') this.record.fingerprint ??= this.parts.gate.fingerprint
     this.recordAttempt(attempt, describeResult(result).text)
     if (step === NextStep.resend) this.sends -= 1
     if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result)
@@ -160,6 +162,7 @@
     const now = this.parts.getNow()
     const isRepeat = this.sends > 0
     if (isRepeat && this.sends >= this.request.route.maxAttempts) return false
+    if (!this.parts.gate.allowSend(this.sends)) return this.holdBack(now)
     this.isUnidentified = !this.placement.isIdentified(this.request)
     if (this.isUnidentified) return false
     const choice = this.chooseAdmitted(now)
@@ -170,6 +173,14 @@
     return true
   }
 
+  private holdBack (now: number): false {
+    const { gate } = this.parts
+    this.record.fingerprint ??= gate.fingerprint
+    this.refusal = { text: 'targets ended under this request: it is quarantined', cause: RefusalReason.quarantined }
+    this.retryAfterMs = gate.computeRetryAfter(now)
+    return false
+  }
+
   /** The target for the request; undefined where it would wait there for longer than is on time. */
   private chooseAdmitted (now: number): TargetChoice | undefined {
     const choice = this.placement.choose(this.request, this.triedIds, now)
@@ -187,8 +198,8 @@
   }
 
   private send (choice: TargetChoice, now: number): void {
-    const { codec, getNow } = this.parts
-    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request) })
+    const { codec, gate, getNow } = this.parts
+    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isClosed })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
@@ -197,6 +208,7 @@
     void attempt.run(this.placement.getPool(choice.target)).then((result) => {
       this.placement.observeFinish(choice)
       this.placement.observeResult(attempt, result, this.parts.getNow())
+      if (attempt.sentAt !== undefined) gate.observeResult(choice.target, result, this.parts.getNow())
       this.events.push({ kind: 'ended', attempt, result })
     })
   }
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -6,7 +6,8 @@
 
 interface PoolsObserver {
   countOpened: (region: string) => void
-  countFailure: (region: string, failure: ConnectFailure) => void
+  /** @param isUnconnected whether no other connection of this host to the target stands */
+  observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
 }
 
 /** The connections to each target. */
@@ -21,13 +22,18 @@
     if (known !== undefined) return known
     const pool = new TargetPool(this.parts, {
       countOpened: () => { this.observer.countOpened(region) },
-      countFailure: (failure) => { this.observer.countFailure(region, failure) },
+      observeFailure: (failure, isUnconnected) => { this.observer.observeFailure(target, failure, isUnconnected) },
       observeConnect: (durationMs) => { this.trips.learn(region, durationMs) }
     })
     this.pools.set(id, pool)
     return pool
   }
 
+  /** The pool of a target that may get requests; undefined of one that has left. */
+  find (target: TargetState): TargetPool | undefined {
+    return this.pools.get(target.entry.id)
+  }
+
   /** The target is gone: requests that are out go on, no new one goes there. */
   remove (targetId: string): void {
     this.pools.get(targetId)?.closeWhenFree()
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -4,9 +4,11 @@
 import type Logger from 'bunyan'
 import { BodyMemory } from '../connection/bodyMemory.js'
 import { CallerServer } from '../connection/callerServer.js'
+import { ConnectFailure } from '../connection/connectFailure.js'
 import { listenForGet } from '../connection/listenForGet.js'
 import { TurnQueue } from '../connection/turnQueue.js'
 import { HostLoad } from '../request/hostLoad.js'
+import type { TargetState } from '../request/targetState.js'
 import { FleetFollower } from './fleet/fleetFollower.js'
 import { FleetState } from './fleet/fleetState.js'
 import { HostAnnouncer } from './fleet/hostAnnouncer.js'
@@ -27,6 +29,9 @@
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
+import { Quarantine } from './quarantine/quarantine.js'
+import { SuspectExchange } from './quarantine/suspectExchange.js'
+import { SuspectStore } from './quarantine/suspectStore.js'
 import type { GatewaySettings } from './settings/gatewaySettings.js'
 import { StoreKeyValues } from './store/storeKeyValues.js'
 import type { StoreHealth } from './store/storeHealth.js'
@@ -74,6 +79,8 @@
   private readonly socket: PeerSocket
   private readonly allowances: Allowances
   private readonly useExchange: UseExchange
+  private readonly suspectExchange: SuspectExchange
+  private readonly quarantine: Quarantine
   private readonly handler: RequestHandler
   private readonly callers: CallerServer
   private readonly lookups: LookupAnswers
@@ -94,12 +101,15 @@
     this.own = makeOwnEntry(settings, parts.incarnation)
     this.fleet = new FleetState({
       targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) },
-      targetRestarted: (target) => { this.forward.abortTarget(target.entry.id) },
+      targetRestarted: (target) => {
+        this.forward.abortTarget(target.entry.id)
+        this.quarantine.observeTargetEnd(target, getNow())
+      },
       hostRemoved: (entry) => { this.view.observeGone(entry, getNow()) }
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, getNow, countOpened: (region) => { metrics.countConnection(region) }, countFailure: (region, failure) => { metrics.countConnectFailure(region, failure) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) } })
+    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, getNow, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.owner.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('port', error) }
@@ -107,11 +117,14 @@
     this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, acceptRelayed: (changes) => { this.follower.acceptRelayed(changes) }, hearWatcher: (report, now) => { this.follower.hearWatcher(report.storeRevision, report.notableRevision, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isSumming: (now) => this.view.isSumming(now) })
     this.useExchange = new UseExchange({ own: this.own, fleet: this.fleet, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
+    this.suspectExchange = new SuspectExchange({ own: this.own, fleet: this.fleet, view: this.view, socket: this.socket, getNow, sleep: sleepFor, hear: (word, now) => this.quarantine.hear(word, now) }, this.owner.signal)
+    const suspectStore = new SuspectStore({ store: adapter.store, codec: adapter.fleet, log, getNow, random, sleep: sleepFor, adopt: (record, revision) => { this.quarantine.adoptRecord(record, revision) } }, this.owner.signal)
+    this.quarantine = new Quarantine({ exchange: this.suspectExchange, store: suspectStore, log, metrics, getNow, random })
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
     this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, clock, logger: parts.logger, isLeaving }, this.owner.signal)
-    this.handler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.handler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left, arrivedAt) => this.handler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
@@ -135,6 +148,8 @@
       relay: (changes) => { if (this.view.isRelay(getNow())) this.exchange.relay(changes) },
       handleOwnEntryGone: () => { this.announcer.renewEntry() },
       handleDeclared: (revision, body) => { this.desk.acceptChange(revision, body) },
+      handleSuspect: (record, revision) => { this.quarantine.adoptRecord(record, revision) },
+      handleSuspectGone: (fingerprint) => { this.quarantine.dropRecord(fingerprint) },
       handleUnreadKeys: () => { this.desk.refresh() },
       handleConfiguration: () => {
         const { configuration } = this.fleet
@@ -192,6 +207,13 @@
     const message = decodeDatagram(bytes)
     if (message?.kind === 'load') this.exchange.handleReport(message.report, ip)
     if (message?.kind === 'use') this.useExchange.handleReport(message.report, ip)
+    if (message?.kind === 'suspects') this.suspectExchange.handleReport(message.report, ip)
+  }
+
+  // An address that refuses connections, and at which none of this host's stands any more, is that of a process that has ended.
+  private observeFailure (target: TargetState, failure: ConnectFailure, isUnconnected: boolean): void {
+    this.parts.metrics.countConnectFailure(target.entry.region, failure)
+    if (failure === ConnectFailure.refused && isUnconnected) this.quarantine.observeTargetEnd(target, this.parts.getNow())
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -20,6 +20,7 @@
   private readonly named = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets', labelNames: ['region'], registers: [this.registry] })
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
+  private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly delay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BOUNDS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
@@ -47,6 +48,10 @@
     this.connectFailures.inc({ region, reason })
   }
 
+  countQuarantine (event: string): void {
+    this.quarantine.inc({ event })
+  }
+
   countPlatformCall (call: string, outcome: string): void {
     this.platformCalls.inc({ call, outcome })
   }
--- a/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -2,6 +2,7 @@
 import { PeerDatagramSchema, type PeerDatagram } from 'almondrelay-protocol'
 import { match } from 'ts-pattern'
 import { decodeUseReport } from '../organisations/decodeUseReport.js'
+import { decodeSuspectReport } from '../quarantine/decodeSuspectReport.js'
 import { decodeReport } from './decodeReport.js'
 import type { PeerMessage } from './peerMessage.js'
 
@@ -23,4 +24,8 @@
     const report = decodeUseReport(value)
     return report === undefined ? undefined : { kind: 'use' as const, report }
   })
+  .with({ case: 'suspects' }, ({ value }) => {
+    const report = decodeSuspectReport(value)
+    return report === undefined ? undefined : { kind: 'suspects' as const, report }
+  })
   .otherwise(() => undefined)
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -0,0 +1,277 @@
+import bunyan from 'bunyan'
+import { makeRequest } from '../../../connection/__fixtures__/makeRequest.js'
+import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
+import type { TargetAnswerHead } from '../../../request/targetAnswerHead.js'
+import type { TargetState } from '../../../request/targetState.js'
+import { FakeRevisionStore } from '../../fleet/__fixtures__/fakeRevisionStore.js'
+import { PlainFleetCodec } from '../../fleet/__fixtures__/plainFleetCodec.js'
+import { EventLog } from '../../observe/eventLog.js'
+import { GatewayMetrics } from '../../observe/gatewayMetrics.js'
+import { decodeDatagram } from '../../peers/decodeDatagram.js'
+import type { CommitResult } from '../../store/commitResult.js'
+import { StoreError } from '../../store/storeError.js'
+import type { StoreTransaction } from '../../store/storeTransaction.js'
+import { encodeSuspectReport } from '../encodeSuspectReport.js'
+import { Quarantine } from '../quarantine.js'
+import { RequestGate } from '../requestGate.js'
+import type { Suspect } from '../suspect.js'
+import { SuspectStore } from '../suspectStore.js'
+
+const STEP_MS = 10
+/** Milliseconds between a host's looks at what has changed in the store. */
+const WATCH_MS = 250
+/** Milliseconds at which an announcement is sent. */
+const ANNOUNCED_AT = [10, 410, 810]
+const TRIP_MS = 30
+/** Milliseconds from the loss of an answer to the verdict that the target has ended. */
+const VERDICT_MS = 60
+const WORK_MS = 150
+const POISON_WORK_MS = 80
+const RESTART_MS = 3_000
+const POISON = '/poison'
+const ANSWER: TargetAnswerHead = { status: 200, rawHeaders: [], requestId: 'r', isNotRun: false, isMisdirected: false, isGenuine: true, keepAliveMs: undefined, isLast: false, load: undefined, coldForMs: undefined }
+
+interface ModelTarget {
+  life: TargetState
+  downUntil: number
+  running: Set<Sending>
+}
+
+interface ModelHost {
+  index: number
+  quarantine: Quarantine
+  watchedRevision: number
+  nextWatchAt: number
+  upSince: number
+  stop: AbortController
+}
+
+interface Sending {
+  host: ModelHost
+  target: ModelTarget
+  life: TargetState
+  gate: RequestGate
+  url: string
+  sends: number
+}
+
+interface FleetOptions {
+  hosts: number
+  targets: number
+  random: () => number
+  /** Requests a second that end their targets; 0 for none. */
+  poisonPerSecond: number
+  /** Paths of other requests, each of which is asked for so often a second. */
+  hotPaths: number
+  hotPerSecond: number
+  /** Whether datagrams pass between two hosts. */
+  isLinked?: (from: number, to: number, now: number) => boolean
+  /** Whether a host reaches the store, and the store answers. */
+  reachesStore?: (host: number, now: number) => boolean
+  isDown?: (host: number, now: number) => boolean
+  /** Part of the datagrams that is lost. */
+  loss?: number
+  /** Part of the targets that end, each for another reason, at a time. */
+  findCrashPart?: (now: number) => number
+}
+
+interface Timed {
+  at: number
+  run: () => void
+}
+
+/** Hosts, a store and targets of which some end under one request, in virtual time. */
+export class QuarantineFleet {
+  /** Times at which a target ended under the request. */
+  readonly ends: number[] = []
+  readonly sends: Array<{ at: number, host: number }> = []
+  readonly served: Array<{ at: number, url: string }> = []
+  readonly refused: Array<{ at: number, url: string }> = []
+  now = 0
+  private readonly store = new FakeRevisionStore()
+  private readonly codec = new PlainFleetCodec()
+  private readonly hosts: ModelHost[]
+  private readonly targets: ModelTarget[]
+  private agenda: Timed[] = []
+  private lives = 0
+
+  constructor (private readonly options: FleetOptions) {
+    this.targets = Array.from({ length: options.targets }, () => ({ life: this.makeLife(), downUntil: 0, running: new Set() }))
+    this.hosts = Array.from({ length: options.hosts }, (_, index) => this.makeHost(index))
+  }
+
+  async run (untilMs: number): Promise<void> {
+    for (; this.now < untilMs; this.now += STEP_MS) {
+      this.runDue()
+      this.killTargets()
+      for (const host of this.hosts) this.advance(host)
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
+    for (const { stop } of this.hosts) stop.abort()
+  }
+
+  /** Sends of the request by hosts that were in touch, later than a time after it had ended its third target. */
+  countLateSends (windowMs: number): number {
+    const third = this.ends[2]
+    return third === undefined ? 0 : this.sends.filter(({ at, host }) => at > third + windowMs && this.isInTouch(host, at, windowMs)).length
+  }
+
+  private isInTouch (host: number, at: number, windowMs: number): boolean {
+    for (let time = at - windowMs; time <= at; time += STEP_MS) {
+      if (this.options.isDown?.(host, time) === true || this.options.reachesStore?.(host, time) === false) return false
+    }
+    return true
+  }
+
+  private makeLife (): TargetState {
+    this.lives += 1
+    return makeTarget({ id: `target-${this.lives}` })
+  }
+
+  private makeHost (index: number): ModelHost {
+    const stop = new AbortController()
+    const log = new EventLog(bunyan.createLogger({ name: 'test', streams: [] }), () => this.now)
+    const random = this.options.random
+    const suspects: SuspectStore = new SuspectStore({
+      store: this.makeStoreOf(index),
+      codec: this.codec,
+      log,
+      getNow: () => this.now,
+      random,
+      sleep: (ms) => new Promise((resolve) => { this.schedule(ms, resolve) }),
+      adopt: (record, revision) => { quarantine.adoptRecord(record, revision) }
+    }, stop.signal)
+    const quarantine: Quarantine = new Quarantine({ exchange: { announce: (suspect) => { this.announce(index, suspect) } }, store: suspects, log, metrics: new GatewayMetrics(), getNow: () => this.now, random })
+    return { index, quarantine, watchedRevision: 0, nextWatchAt: this.now + random() * WATCH_MS, upSince: this.now, stop }
+  }
+
+  /** The store as one host reaches it. */
+  private makeStoreOf (index: number): FakeRevisionStore {
+    const callWithin = async <Result>(call: string, run: () => Promise<Result>): Promise<Result> => {
+      if (!this.hasStore(index)) throw new StoreError('refused', call, 'not reached')
+      return await run()
+    }
+    const view = Object.create(this.store) as FakeRevisionStore
+    view.commit = (transaction: StoreTransaction): Promise<CommitResult> => callWithin('commit', () => this.store.commit(transaction))
+    view.grantLease = (): Promise<number> => callWithin('grant lease', () => this.store.grantLease())
+    view.releaseLease = (leaseId: number): Promise<void> => callWithin('release lease', () => this.store.releaseLease(leaseId))
+    return view
+  }
+
+  private hasStore (index: number): boolean {
+    return this.options.reachesStore?.(index, this.now) !== false
+  }
+
+  private schedule (delayMs: number, run: () => void): void {
+    this.agenda.push({ at: this.now + delayMs, run })
+  }
+
+  private runDue (): void {
+    const due = this.agenda.filter(({ at }) => at <= this.now)
+    if (due.length === 0) return
+    this.agenda = this.agenda.filter(({ at }) => at > this.now)
+    for (const { run } of due) run()
+  }
+
+  private announce (from: number, suspect: Suspect): void {
+    const { loss = 0, random, isLinked, isDown } = this.options
+    for (const delayMs of ANNOUNCED_AT) {
+      this.schedule(delayMs, () => {
+        if (isDown?.(from, this.now) === true) return
+        const bytes = encodeSuspectReport({ host: String(from), incarnation: 'i', suspects: [suspect.describe()], passesOn: false })
+        for (const { index } of this.hosts) {
+          if (index !== from && random() >= loss && isLinked?.(from, index, this.now) !== false) this.schedule(TRIP_MS, () => { this.receive(index, bytes) })
+        }
+      })
+    }
+  }
+
+  private receive (to: number, bytes: Uint8Array): void {
+    const message = decodeDatagram(bytes)
+    if (message?.kind !== 'suspects' || this.options.isDown?.(to, this.now) === true) return
+    for (const word of message.report.suspects) this.hosts[to]?.quarantine.hear(word, this.now)
+  }
+
+  private advance (host: ModelHost): void {
+    const { isDown, random, poisonPerSecond, hotPaths, hotPerSecond, hosts } = this.options
+    if (isDown?.(host.index, this.now) === true) {
+      host.stop.abort()
+      host.upSince = Infinity
+      return
+    }
+    if (host.upSince === Infinity) Object.assign(host, this.makeHost(host.index))
+    if (this.now >= host.nextWatchAt) void this.watch(host)
+    if (random() < poisonPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, POISON)
+    for (let path = 0; path < hotPaths; path += 1) {
+      if (random() < hotPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, `/hot/${path}`)
+    }
+  }
+
+  private async watch (host: ModelHost): Promise<void> {
+    host.nextWatchAt = this.now + WATCH_MS
+    if (!this.hasStore(host.index)) return
+    const result = await this.store.watch('', host.watchedRevision, 0, host.stop.signal)
+    if (result.kind !== 'events') return
+    host.watchedRevision = result.revision
+    for (const event of result.events) {
+      const change = this.codec.decode(event)
+      if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, change.revision)
+    }
+  }
+
+  private async handle (host: ModelHost, url: string): Promise<void> {
+    const gate = new RequestGate(makeRequest({ url }), host.quarantine)
+    if (gate.isClosed) await gate.claimTrial(this.now)
+    this.send(host, gate, url, 0)
+  }
+
+  private send (host: ModelHost, gate: RequestGate, url: string, sends: number): void {
+    const free = this.targets.filter(({ downUntil }) => downUntil <= this.now)
+    const target = free[Math.floor(this.options.random() * free.length)]
+    if (target === undefined) return
+    if (!gate.allowSend(sends)) {
+      if (sends === 0) this.refused.push({ at: this.now, url })
+      return
+    }
+    if (url === POISON) this.sends.push({ at: this.now, host: host.index })
+    const sending = { host, target, life: target.life, gate, url, sends: sends + 1 }
+    target.running.add(sending)
+    this.schedule(TRIP_MS + (url === POISON ? POISON_WORK_MS : WORK_MS), () => { this.finish(sending) })
+  }
+
+  private finish (sending: Sending): void {
+    const { target, life, host, gate, url } = sending
+    if (!target.running.delete(sending)) return
+    if (url === POISON) {
+      this.ends.push(this.now)
+      this.stop(target)
+      this.drop(sending)
+      return
+    }
+    gate.observeResult(life, { kind: 'answered', head: ANSWER, body: Buffer.alloc(0) }, this.now)
+    if (host.upSince !== Infinity) this.served.push({ at: this.now, url })
+  }
+
+  private stop (target: ModelTarget): void {
+    target.downUntil = this.now + RESTART_MS
+    target.life = this.makeLife()
+    const lost = [...target.running]
+    target.running.clear()
+    for (const sending of lost) this.drop(sending)
+  }
+
+  private drop ({ host, gate, life, url, sends }: Sending): void {
+    const { quarantine } = host
+    this.schedule(TRIP_MS, () => {
+      if (this.options.isDown?.(host.index, this.now) === true || host.quarantine !== quarantine) return
+      gate.observeResult(life, { kind: 'broken', reason: 'ended by the target' }, this.now)
+      this.schedule(VERDICT_MS, () => { quarantine.observeTargetEnd(life, this.now) })
+      if (sends < 2) this.send(host, gate, url, sends)
+    })
+  }
+
+  private killTargets (): void {
+    const part = this.options.findCrashPart?.(this.now) ?? 0
+    for (const target of this.targets) if (target.downUntil <= this.now && this.options.random() < part) this.stop(target)
+  }
+}
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/computeFingerprint.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/requestFingerprint.test.ts
@@ -2,9 +2,10 @@
 import * as assert from 'uvu/assert'
 import { makeRequest } from '../../../connection/__fixtures__/makeRequest.js'
 import { makeOrganisation } from '../../../version/__fixtures__/makeOrganisation.js'
-import { computeFingerprint } from '../computeFingerprint.js'
+import { RequestFingerprint } from '../requestFingerprint.js'
 
-const test = suite('computeFingerprint')
+const test = suite('RequestFingerprint')
+const computeFingerprint = (request: ReturnType<typeof makeRequest>): string => new RequestFingerprint(request).text
 const identify = (name: string): { identity: { kind: 'organisation', organisation: ReturnType<typeof makeOrganisation> } } => ({ identity: { kind: 'organisation', organisation: makeOrganisation({ name }) } })
 
 test('attempts of one caller share a fingerprint', () => {
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspect.test.ts
@@ -0,0 +1,79 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Suspect } from '../suspect.js'
+import type { SuspectWord } from '../suspectWord.js'
+
+const test = suite('Suspect')
+const makeSuspect = (ended: number[] = [], cleared: number[] = []): Suspect => {
+  const suspect = new Suspect('f', 'school')
+  suspect.merge({ ended, cleared }, 0)
+  return suspect
+}
+const lives = fc.uniqueArray(fc.integer({ min: 0, max: 9 }), { maxLength: 8 })
+const word = fc.record({ fingerprint: fc.constant('f'), organisation: fc.constant('school'), ended: lives, cleared: lives })
+
+test('three ends quarantine a request, the same end told twice does not', () => {
+  const suspect = makeSuspect([1, 2])
+  assert.not(suspect.merge({ ended: [2], cleared: [] }, 0))
+  assert.not(suspect.isQuarantined)
+  assert.ok(suspect.merge({ ended: [3], cleared: [] }, 0))
+  assert.ok(suspect.isQuarantined)
+})
+
+// Guards against hosts that disagree for good since datagrams came late, twice or in another order.
+test('words in any order and number lead every host to the same', () => {
+  fc.assert(fc.property(fc.array(word, { maxLength: 6 }), fc.func(fc.integer()), (words, order) => {
+    const shuffled = [...words, ...words].sort((one, other) => order(one) - order(other))
+    const [first, second] = [words, shuffled].map((list: readonly SuspectWord[]) => {
+      const suspect = makeSuspect()
+      for (const each of list) suspect.merge(each, 0)
+      const { ended, cleared } = suspect.describe()
+      return [[...ended].sort(), [...cleared].sort(), suspect.isQuarantined]
+    })
+    assert.equal(first, second)
+  }), { seed: 1 })
+})
+
+// Guards against an object of many callers that stays refused after a third of all targets ended for another reason.
+test('an answer clears what ended before, and a late word of it does not bring it back', () => {
+  const suspect = makeSuspect([1, 2, 3])
+  suspect.clear(0)
+  assert.not(suspect.isQuarantined)
+  suspect.merge({ ended: [1, 2, 3], cleared: [] }, 1)
+  assert.is(suspect.countEnds(), 0)
+  suspect.merge({ ended: [4, 5, 6], cleared: [] }, 2)
+  assert.ok(suspect.isQuarantined)
+})
+
+test('trials come after longer and longer pauses, and begin anew after an answer', () => {
+  const suspect = makeSuspect([1, 2, 3])
+  const pauses = [0, 1, 2, 3].map((trials) => {
+    suspect.setTrials(trials, 0)
+    return suspect.trialAt
+  })
+  assert.ok(pauses.every((pause, index) => index === 0 || pause > (pauses[index - 1] as number)))
+  suspect.clear(0)
+  suspect.merge({ ended: [4, 5, 6], cleared: [] }, 0)
+  assert.is(suspect.trialAt, pauses[0])
+})
+
+test('a record sets the number of trials, an older one nothing', () => {
+  const suspect = makeSuspect([1, 2, 3])
+  suspect.adoptRecord({ ...suspect.describe(), trials: 2 }, 7, 0)
+  suspect.adoptRecord({ ...suspect.describe(), trials: 0 }, 6, 0)
+  assert.is(suspect.trials, 2)
+})
+
+// Guards against one request that fills the memory of all hosts with the targets that it has ended.
+test('the lives that are remembered are bounded, and it stays quarantined', () => {
+  const suspect = makeSuspect()
+  for (let life = 0; life < 1_000; life += 1) {
+    suspect.merge({ ended: [life], cleared: [] }, 0)
+    if (life === 50) suspect.clear(0)
+  }
+  assert.ok(suspect.describe().ended.length <= 24)
+  assert.ok(suspect.isQuarantined)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
@@ -0,0 +1,111 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FleetState } from '../../fleet/fleetState.js'
+import type { HostEntry } from '../../fleet/hostEntry.js'
+import { decodeDatagram } from '../../peers/decodeDatagram.js'
+import type { PeerSocket } from '../../peers/peerSocket.js'
+import { PeerView } from '../../peers/peerView.js'
+import { encodeSuspectReport } from '../encodeSuspectReport.js'
+import { Suspect } from '../suspect.js'
+import { SuspectExchange } from '../suspectExchange.js'
+import type { SuspectReport } from '../suspectReport.js'
+import type { SuspectWord } from '../suspectWord.js'
+
+const test = suite('SuspectExchange')
+const SEED = 20_261_203
+const FINGERPRINT = 'ab'.repeat(16)
+const WORD: SuspectWord = { fingerprint: FINGERPRINT, organisation: 'school', ended: [1, 0xffffffff], cleared: [1] }
+const makeEntry = (name: string, availabilityZone: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone, region: 'akl', ip: `10.0.0.${name.charCodeAt(0)}`, callerPort: 1, peerPort: 2 })
+const ENTRIES = [...['a', 'b', 'c', 'd'].map((name) => makeEntry(name, 'one')), ...['x', 'y', 'z'].map((name) => makeEntry(name, 'two'))]
+
+/** Host a of zone one, with what it sends to whom. */
+class ExchangeRig {
+  readonly sent: Array<{ to: string, report: SuspectReport }> = []
+  readonly heard: SuspectWord[] = []
+  readonly slept: number[] = []
+  private readonly own = ENTRIES[0] as HostEntry
+  private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  readonly exchange: SuspectExchange
+
+  constructor (isNews = true) {
+    for (const entry of ENTRIES) this.fleet.putHost(entry)
+    this.fleet.isComplete = true
+    const socket = {
+      send: (bytes: Uint8Array, ip: string) => {
+        const message = decodeDatagram(bytes)
+        const to = ENTRIES.find((entry) => entry.ip === ip)
+        if (message?.kind === 'suspects' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
+      }
+    } as unknown as PeerSocket
+    this.exchange = new SuspectExchange({
+      own: this.own,
+      fleet: this.fleet,
+      view: new PeerView(this.own, this.fleet),
+      socket,
+      getNow: () => 0,
+      sleep: (ms) => { this.slept.push(ms); return Promise.resolve() },
+      hear: (word) => { this.heard.push(word); return isNews }
+    }, new AbortController().signal)
+  }
+
+  hear (report: Partial<SuspectReport>, ip = ENTRIES[4]?.ip as string): void {
+    this.exchange.handleReport({ host: 'x', incarnation: 'i1', suspects: [WORD], passesOn: true, ...report }, ip)
+  }
+}
+
+test('news goes to the own zone and to those that sum up for the others, a few times', async () => {
+  const rig = new ExchangeRig()
+  const suspect = new Suspect(FINGERPRINT, 'school')
+  suspect.merge(WORD, 0)
+  rig.exchange.announce(suspect)
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.equal([...new Set(rig.sent.map(({ to, report }) => `${to} ${report.passesOn}`))].sort(), ['b false', 'c false', 'd false', 'x true', 'y true'])
+  assert.is(rig.sent.filter(({ to }) => to === 'b').length, 3)
+  assert.equal(rig.sent[0]?.report.suspects, [{ ...WORD, ended: [1, 0xffffffff] }])
+})
+
+test('what comes from another zone is passed on to the own one, but only once', () => {
+  const rig = new ExchangeRig()
+  rig.hear({})
+  assert.equal(rig.sent.map(({ to, report }) => `${to} ${report.passesOn}`), ['b false', 'c false', 'd false'])
+  const informed = new ExchangeRig(false)
+  informed.hear({})
+  assert.equal(informed.sent, [])
+})
+
+// Guards against anybody on the network who has a customer's request held back by a datagram.
+test('a report counts only in the present life of its sender and from its address', () => {
+  const rig = new ExchangeRig()
+  rig.hear({ host: 'nobody' })
+  rig.hear({ incarnation: 'i0' })
+  rig.hear({}, '10.0.0.9')
+  rig.hear({ host: 'a' }, '10.0.0.97')
+  assert.equal(rig.heard, [])
+})
+
+// Guards against a failure of a target with a thousand requests that fills the links between all hosts.
+test('reports are small and paced however many suspects there are', async () => {
+  const rig = new ExchangeRig()
+  for (let number = 0; number < 100; number += 1) rig.exchange.announce(new Suspect(number.toString(16).padStart(32, '0'), 'school'))
+  for (let turn = 0; turn < 500; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
+  assert.ok(rig.sent.every(({ report }) => encodeSuspectReport(report).byteLength < 1_400))
+  const bytes = rig.sent.reduce((sum, { report }) => sum + encodeSuspectReport(report).byteLength, 0)
+  assert.ok(bytes / (rig.slept.reduce((sum, ms) => sum + ms, 0) / 1_000) <= 12_000)
+})
+
+test('what is no report of a host says nothing', () => {
+  const report = { host: 'a', incarnation: 'i1', suspects: [WORD], passesOn: false }
+  assert.is(decodeDatagram(encodeSuspectReport(report))?.kind, 'suspects')
+  assert.is(decodeDatagram(encodeSuspectReport({ ...report, host: '' })), undefined)
+  assert.is(decodeDatagram(encodeSuspectReport({ ...report, suspects: [{ ...WORD, fingerprint: 'x' }] })), undefined)
+  assert.is(decodeDatagram(encodeSuspectReport({ ...report, suspects: [{ ...WORD, ended: new Array<number>(65).fill(1) }] })), undefined)
+  const bytes = Buffer.from(encodeSuspectReport(report))
+  fc.assert(fc.property(fc.nat(bytes.length - 1), fc.integer({ min: 0, max: 255 }), (index, value) => {
+    const changed = Buffer.from(bytes)
+    changed[index] = value
+    decodeDatagram(changed)
+  }), { seed: SEED, numRuns: 500 })
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectStore.test.ts
@@ -0,0 +1,95 @@
+import bunyan from 'bunyan'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FakeRevisionStore } from '../../fleet/__fixtures__/fakeRevisionStore.js'
+import { PlainFleetCodec } from '../../fleet/__fixtures__/plainFleetCodec.js'
+import { EventLog } from '../../observe/eventLog.js'
+import { Suspect } from '../suspect.js'
+import { SuspectStore } from '../suspectStore.js'
+
+const test = suite('SuspectStore')
+const KEY = 'suspect/f'
+let store = new FakeRevisionStore()
+
+/** One host's knowledge of one suspect, and its way to the store. */
+const makeHost = (ended: number[]): { suspect: Suspect, suspects: SuspectStore } => {
+  const suspect = new Suspect('f', 'school')
+  suspect.merge({ ended, cleared: [] }, 0)
+  const log = new EventLog(bunyan.createLogger({ name: 'test', streams: [] }), () => 0)
+  const suspects = new SuspectStore({
+    store,
+    codec: new PlainFleetCodec(),
+    log,
+    getNow: () => 0,
+    random: () => 0,
+    sleep: () => new Promise((resolve) => { setImmediate(resolve) }),
+    adopt: (record, revision) => { suspect.adoptRecord(record, revision, 0) }
+  }, new AbortController().signal)
+  return { suspect, suspects }
+}
+const waitForCalls = async (): Promise<void> => { for (let turn = 0; turn < 50; turn += 1) await new Promise((resolve) => { setImmediate(resolve) }) }
+const readRecord = async (): Promise<{ ended: number[], trials: number }> => JSON.parse(String((await store.get(KEY))?.value)) as { ended: number[], trials: number }
+
+test.before.each(() => { store = new FakeRevisionStore() })
+
+test('hosts that know different ends at once leave a record with all of them', async () => {
+  for (const { suspect, suspects } of [makeHost([1, 2]), makeHost([2, 3])]) suspects.save(suspect)
+  await waitForCalls()
+  assert.equal((await readRecord()).ended.sort(), [1, 2, 3])
+})
+
+// Guards against a record that is missing for good as the store was away when three targets had ended.
+test('a record that could not be written is written when the store answers again', async () => {
+  const { suspect, suspects } = makeHost([1, 2, 3])
+  store.isDown = true
+  suspects.save(suspect)
+  await waitForCalls()
+  store.isDown = false
+  await waitForCalls()
+  assert.equal((await readRecord()).ended, [1, 2, 3])
+})
+
+test('a record whose answer was lost stands and is known', async () => {
+  const { suspect, suspects } = makeHost([1, 2, 3])
+  store.losesAnswers = true
+  suspects.save(suspect)
+  await waitForCalls()
+  store.losesAnswers = false
+  await waitForCalls()
+  assert.is(suspect.recordRevision, (await store.get(KEY))?.revision)
+})
+
+// Guards against a trial by each host: with 75 hosts a quarantined request would end 75 more targets.
+test('of all hosts that ask for a trial one gets it', async () => {
+  const hosts = [makeHost([1, 2, 3]), makeHost([1, 2, 3]), makeHost([1, 2, 3])]
+  for (const { suspect, suspects } of hosts) {
+    suspects.save(suspect)
+    await waitForCalls()
+  }
+  const granted = await Promise.all(hosts.map(({ suspect, suspects }) => suspects.claimTrial(suspect)))
+  assert.is(granted.filter(Boolean).length, 1)
+  assert.is((await readRecord()).trials, 1)
+  assert.equal(hosts.map(({ suspect }) => suspect.trials), [1, 1, 1])
+})
+
+test('without the store, or without a record, there is no trial', async () => {
+  const { suspect, suspects } = makeHost([1, 2, 3])
+  assert.not(await suspects.claimTrial(suspect))
+  suspects.save(suspect)
+  await waitForCalls()
+  store.isDown = true
+  assert.not(await suspects.claimTrial(suspect))
+})
+
+test('a record that lapsed is written anew when the request is asked for', async () => {
+  const { suspect, suspects } = makeHost([1, 2, 3])
+  suspects.save(suspect)
+  await waitForCalls()
+  store.remove(KEY)
+  suspect.recordRevision = undefined
+  suspects.keep(suspect)
+  await waitForCalls()
+  assert.equal((await readRecord()).ended, [1, 2, 3])
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/quarantine/requestGate.ts
@@ -0,0 +1,59 @@
+import type { AttemptResult } from '../../request/attemptResult.js'
+import type { CallerRequest } from '../../request/callerRequest.js'
+import { FIRST_FAILURE_STATUS } from '../../request/firstFailureStatus.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { Quarantine } from './quarantine.js'
+import { RequestFingerprint } from './requestFingerprint.js'
+
+/** What the quarantine says of one request, and learns from it. */
+export class RequestGate {
+  private readonly name: RequestFingerprint
+  private isTrial = false
+  private hasAnswer = false
+  /** Targets that gave no whole answer. */
+  private readonly unansweredBy: TargetState[] = []
+
+  constructor (request: CallerRequest, private readonly quarantine: Quarantine) {
+    this.name = new RequestFingerprint(request)
+  }
+
+  get fingerprint (): string {
+    return this.name.text
+  }
+
+  /** Whether the request is quarantined and this isn't its trial. */
+  get isClosed (): boolean {
+    return !this.isTrial && this.quarantine.isQuarantined(this.name)
+  }
+
+  /** Whether it may be sent to one more target. A trial that has been sent once may not be sent again. */
+  allowSend (sends: number): boolean {
+    return this.isTrial ? sends === 0 : !this.isClosed
+  }
+
+  /** Asks for a trial of a request that is quarantined, where one is due. */
+  async claimTrial (now: number): Promise<void> {
+    this.isTrial = await this.quarantine.claimTrial(this.name, now)
+  }
+
+  /** Milliseconds after which the next trial may be due. */
+  computeRetryAfter (now: number): number {
+    return this.quarantine.computeRetryAfter(this.name, now)
+  }
+
+  /** Learns from what became of a request that was written to a target. */
+  observeResult (target: TargetState, result: AttemptResult, now: number): void {
+    if (result.kind === 'broken') this.observeUnanswered(target, now)
+    if (result.kind !== 'answered') return
+    const { isGenuine, isNotRun, isMisdirected, status } = result.head
+    if (!isGenuine || isNotRun || isMisdirected || status >= FIRST_FAILURE_STATUS) return
+    this.hasAnswer = true
+    this.quarantine.observeAnswer(this.name, this.unansweredBy, now)
+  }
+
+  private observeUnanswered (target: TargetState, now: number): void {
+    if (this.hasAnswer) return
+    this.unansweredBy.push(target)
+    this.quarantine.observeUnanswered(target, { fingerprint: this.name.text, organisation: this.name.organisation }, now)
+  }
+}
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -12,6 +12,7 @@
   notReady: 'not-ready',
   leaving: 'leaving',
   hostOverloaded: 'host-overloaded',
+  quarantined: 'quarantined',
   queueFull: 'queue-full',
   overFairShare: 'over-fair-share',
   deadlineUnreachable: 'deadline-unreachable',
--- a/packages/almondrelay/src/request/refusalStatus.ts
+++ b/packages/almondrelay/src/request/refusalStatus.ts
@@ -14,6 +14,7 @@
   [RefusalReason.notReady]: 503,
   [RefusalReason.leaving]: 503,
   [RefusalReason.hostOverloaded]: 503,
+  [RefusalReason.quarantined]: 503,
   [RefusalReason.queueFull]: 503,
   [RefusalReason.overFairShare]: 429,
   [RefusalReason.deadlineUnreachable]: 503,
