Show operators the requests under which targets ended, and let them release one

An operator who has mended the targets waits else for the next trial, up to an hour; and without a list nobody sees what is refused and for whose request.

Change: GET /v1/quarantine and DELETE /v1/quarantine/FINGERPRINT on the operators' port; `almondrelay quarantine` and `almondrelay release`; `explain` names the fingerprint of a request.

--- a/packages/almondrelay-cli/src/__fixtures__/fakeOperator.ts
+++ b/packages/almondrelay-cli/src/__fixtures__/fakeOperator.ts
@@ -32,6 +32,8 @@
   /** Revision that the second availability zone has in force; the newest where undefined. */
   laggingRevision: number | undefined
   unreachable: string[] = []
+  /** Requests under which targets ended. */
+  suspects: Array<{ fingerprint: string, organisation: string, ends: number, isQuarantined: boolean, trials: number, nextTrialMs?: number }> = []
   pages: unknown = { pages: [] }
   address = ''
   private closeServer: () => Promise<void> = async () => {}
@@ -73,6 +75,13 @@
       return c.json(revision === undefined ? { outcome: 'absent' } : { outcome: 'accepted', revision })
     })
     app.get('/v1/status', (c) => c.json(this.buildStatus()))
+    app.get('/v1/quarantine', (c) => c.json({ requests: this.suspects }))
+    app.delete('/v1/quarantine/:fingerprint', (c) => {
+      const left = this.suspects.filter(({ fingerprint }) => fingerprint !== c.req.param('fingerprint'))
+      const isKnown = left.length < this.suspects.length
+      this.suspects = left
+      return isKnown ? c.json({ outcome: 'released' }) : c.json({ outcome: 'missing', message: 'not known' }, 404)
+    })
     app.get('/v1/account', (c) => c.json(this.pages as object))
     app.get('/v1/lookup', (c) => c.json({ revision: this.revision, ttlMs: 2000, hosts: [{ name: 'akl-a-1', incarnation: 1, address: '127.0.0.1:8080', region: 'akl', availabilityZone: 'akl-a', weight: 1 }] }))
     return app
--- /dev/null
+++ b/packages/almondrelay-cli/src/client/fetchQuarantine.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod'
+import type { OperatorClient } from './operatorClient.js'
+import { parseAnswer } from './parseAnswer.js'
+import { QuarantinedRequest } from './quarantinedRequest.js'
+
+const Quarantine = z.object({ requests: z.array(QuarantinedRequest) })
+
+/** The requests under which targets ended, as the host that answers knows them. */
+export async function fetchQuarantine (client: OperatorClient): Promise<QuarantinedRequest[]> {
+  return parseAnswer(await client.ask({ method: 'GET', path: '/v1/quarantine' }), Quarantine, 'the quarantine').requests
+}
--- a/packages/almondrelay-cli/src/commands/__tests__/almondrelay.test.ts
+++ b/packages/almondrelay-cli/src/commands/__tests__/almondrelay.test.ts
@@ -170,4 +170,15 @@
   assert.ok(files.every((name) => readFileSync(new URL(name, folder), 'utf8').includes('formatExample(')))
 })
 
+test('the quarantine is shown, and one request of it is released', () => withOperator(async (fake, ...operator) => {
+  assert.match((await runWith(['quarantine', ...operator])).stdout, 'no request under which targets ended')
+  fake.suspects = [{ fingerprint: 'ab12', organisation: 'school', ends: 3, isQuarantined: true, trials: 1, nextTrialMs: 900 }, { fingerprint: 'cd34', organisation: '', ends: 1, isQuarantined: false, trials: 0 }]
+  const shown = await runWith(['quarantine', ...operator])
+  assert.match(shown.stdout, /ab12 +school +3 +quarantined +1 +900/)
+  assert.match(shown.stdout, /cd34 +1 +suspected/)
+  assert.match((await runWith(['release', 'ab12', ...operator])).stdout, 'ab12: released')
+  assert.equal(fake.suspects.map(({ fingerprint }) => fingerprint), ['cd34'])
+  assert.is((await runWith(['release', 'ab12', ...operator])).code, 8)
+}))
+
 test.run()
--- a/packages/almondrelay-cli/src/commands/createProgram.ts
+++ b/packages/almondrelay-cli/src/commands/createProgram.ts
@@ -9,6 +9,8 @@
 import { createGetCommand } from './createGetCommand.js'
 import { createLookupCommand } from './createLookupCommand.js'
 import { createOutcomeCommand } from './createOutcomeCommand.js'
+import { createQuarantineCommand } from './createQuarantineCommand.js'
+import { createReleaseCommand } from './createReleaseCommand.js'
 import { createReplayCommand } from './createReplayCommand.js'
 import { createReportCommand } from './createReportCommand.js'
 import { createStatusCommand } from './createStatusCommand.js'
@@ -24,6 +26,8 @@
   createOutcomeCommand,
   createLookupCommand,
   createStatusCommand,
+  createQuarantineCommand,
+  createReleaseCommand,
   createAccountCommand,
   createExplainCommand,
   createReplayCommand,
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -8,7 +8,8 @@
   const attempts = line.attempts.length === 0 ? 'no target asked' : line.attempts.map(describeAttempt).join('; ')
   const reason = line.reason === undefined ? '' : `, because of: ${line.reason}`
   const duration = line.ms === undefined ? '' : `, after ${line.ms} ms`
-  return `${route}${describeOrganisation(line)}${place}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}`
+  const fingerprint = line.fingerprint === undefined ? '' : `, fingerprint ${line.fingerprint}`
+  return `${route}${describeOrganisation(line)}${place}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}${fingerprint}`
 }
 
 const PERCENT = 100
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -29,6 +29,8 @@
   outcome: z.string().optional(),
   status: z.number().optional(),
   reason: z.string().optional(),
+  /** What was asked, where a target gave no whole answer or the request is quarantined. */
+  fingerprint: z.string().optional(),
   ms: z.number().optional()
 })
 
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -123,7 +123,7 @@
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
-    this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, values, clock, logger: parts.logger, isLeaving }, this.owner.signal)
+    this.desk = new OperatorDesk({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, isLeaving }, this.owner.signal)
     this.handler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left, arrivedAt) => this.handler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, longestLifeMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
--- a/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
+++ b/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
@@ -3,6 +3,7 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { ForwardState } from '../forward/forwardState.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
 import type { PeerView } from '../peers/peerView.js'
 
 /** What serves operators on a host. */
@@ -12,6 +13,7 @@
   fleet: FleetState
   view: PeerView
   forward: ForwardState
+  quarantine: Quarantine
   /** The product's own keys. */
   values: KeyValueStore
   clock: Clock
--- a/packages/almondrelay-gateway/src/process/operators/operatorService.ts
+++ b/packages/almondrelay-gateway/src/process/operators/operatorService.ts
@@ -4,6 +4,7 @@
 import { AccountReader, ChangeLog, ConfigurationStore, createOperatorApp, decodeChange, readAccount, repairFromPlatform, runSnapshotWriter, type StatusHooks } from 'almondrelay/operators'
 import { DeclaredSteering } from '../../version/declaredSteering.js'
 import { storedText } from '../store/storedText.js'
+import { addQuarantineRoutes } from './addQuarantineRoutes.js'
 import { listGivenResources } from './listGivenResources.js'
 import { listMembers } from './listMembers.js'
 import type { OperatorParts } from './operatorParts.js'
@@ -34,6 +35,7 @@
       makeWriteId: randomUUID,
       log: logger
     }, signal)
+    addQuarantineRoutes(app, parts.quarantine, () => clock.getNow())
     this.listener = getRequestListener(app.fetch)
   }
 
