What throws on one datagram, answer, request or change of the store no longer ends or stops a host

No such value is known; four places had nothing between it and all else that the process does: a datagram (thrown out of the socket's event, the process ends), an answer's bytes (the same), what throws while a request is sent (nobody waits for the rejection: the process ends), and a change of the store (the follower reads it again for ever and never sees what comes after it).

Change: each is the loss of that one thing, with a line: the datagram is dropped, the answer is broken, the attempt is not-sent or broken, the change is passed over.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -103,4 +103,15 @@
   assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
 })
 
+// Guards against one answer that ends the process, and with it every request that the host has.
+test('an answer at which reading it throws is the loss of its request alone', async () => {
+  const port = await startScriptedTarget((socket) => { socket.write(ANSWER_TO_FIRST) }, owner.signal)
+  const failing = new PlainCodec()
+  failing.decodeAnswerHead = () => { throw new Error('not to be dealt with') }
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec: failing, getNow: () => 0, memory }, () => undefined)
+  if (opened.kind === 'failed') throw new Error(opened.failure)
+  const result = await opened.connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.equal(result, { kind: 'broken', reason: 'answer that can\'t be dealt with: not to be dealt with' })
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -31,8 +31,8 @@
   private constructor (private readonly socket: Socket, private readonly parts: ConnectionParts, private readonly handleClose: () => void) {
     this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) })
     socket.setNoDelay(true)
-    socket.on('data', (bytes: Buffer) => { if (!this.reader.acceptBytes(bytes)) this.close('bytes that are no answer, or more than there is room for') })
-    socket.on('end', () => { this.handleEnd() })
+    socket.on('data', (bytes: Buffer) => { this.readWithin(() => { if (!this.reader.acceptBytes(bytes)) this.close('bytes that are no answer, or more than there is room for') }) })
+    socket.on('end', () => { this.readWithin(() => { this.handleEnd() }) })
     socket.on('error', (error: NodeJS.ErrnoException) => { this.close(error.code ?? error.message) })
     socket.on('close', () => { this.close('closed') })
   }
@@ -106,6 +106,15 @@
     this.handleClose()
   }
 
+  // An answer that can't be dealt with is its request's loss, not that of the process with all others.
+  private readWithin (read: () => void): void {
+    try {
+      read()
+    } catch (error) {
+      this.close(`answer that can't be dealt with: ${(error as Error).message}`)
+    }
+  }
+
   // Where the last bytes and a reset arrive together, the runtime reports an ordinary end, and an answer without a
   // length would count as whole though it was broken off. A connection that was reset has no peer any more.
   private handleEnd (): void {
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -25,6 +25,8 @@
   readonly lines: string[] = []
   /** Changes that were handed on to the other hosts of the region. */
   readonly relayed: RelayedChanges[] = []
+  /** Taking in a record of a suspect throws. */
+  failsOnSuspects = false
   /** The hosts of the region rely on this one's watch. */
   isReliedOn = false
   readonly fleet = new FleetState({
@@ -50,7 +52,7 @@
     handleConfiguration: () => undefined,
     handleOwnEntryGone: () => undefined,
     handleDeclared: () => undefined,
-    handleSuspect: () => undefined,
+    handleSuspect: () => { if (this.failsOnSuspects) throw new Error('not to be dealt with') },
     handleSuspectGone: () => undefined,
     handleUnreadKeys: () => { this.unreadKeys += 1 }
   })
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -246,4 +246,15 @@
   await cut.stop()
 })
 
+// Guards against one value that no host can deal with: each would stop at it, read it again and never see what came after it.
+test('a change that can not be applied does not hold up those after it', async () => {
+  const { fleet, store, lines } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  followed.failsOnSuspects = true
+  store.write('suspect/f', { fingerprint: 'f', organisation: '', ended: [], cleared: [], trials: 0 })
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  assert.ok(lines.some((line) => line.includes('change of the store not applied')))
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -109,8 +109,18 @@
     }
   }
 
+  // One change that can't be applied would else hold up all that come after it, at every host and after each restart.
+  private applyDecoded (change: DecodedChange, isLapse: boolean): boolean {
+    try {
+      return this.applyOne(change, isLapse)
+    } catch (error) {
+      this.parts.log.logError(`change of the store not applied: ${describeSubject(change.change)}`, error as Error)
+      return false
+    }
+  }
+
   /** Returns whether a host decides otherwise after the change than before. */
-  private applyDecoded ({ change, revision, createdRevision }: DecodedChange, isLapse: boolean): boolean {
+  private applyOne ({ change, revision, createdRevision }: DecodedChange, isLapse: boolean): boolean {
     const { fleet, getNow } = this.parts
     const isNotable = isNotableChange(change, fleet, getNow())
     if (isNotable) fleet.notableRevision = Math.max(fleet.notableRevision, revision)
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/forward/__tests__/attempt.test.ts
@@ -0,0 +1,21 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeRequest } from '../../../connection/__fixtures__/makeRequest.js'
+import { PlainCodec } from '../../../connection/__fixtures__/plainCodec.js'
+import type { TargetPool } from '../../../connection/targetPool.js'
+import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
+import type { TargetChoice } from '../../../request/targetChoice.js'
+import { Attempt } from '../attempt.js'
+
+const test = suite('Attempt')
+const choice: TargetChoice = { target: makeTarget(), expectedMs: 1, costMs: 1, workMs: 1, waitMs: 0, tripMs: 0, rank: 0, outstanding: 0, isWarm: true }
+
+// Guards against a request or an entry at which sending throws: nobody waited for the error, and the process ended.
+test('what throws while a request is sent is the result of the attempt', async () => {
+  const attempt = new Attempt(makeRequest(), choice, { codec: new PlainCodec(), getNow: () => 0, isIdentified: () => true, isQuarantined: () => false })
+  const result = await attempt.run({ acquire: () => Promise.reject(new Error('no such port')) } as unknown as TargetPool)
+  assert.equal(result, { kind: 'not-sent', reason: 'failed in this host: no such port' })
+  assert.is(choice.target.inFlight, 0)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -37,6 +37,9 @@
     target.inFlight += 1
     try {
       return await this.exchange(pool)
+    } catch (error) {
+      const reason = `failed in this host: ${(error as Error).message}`
+      return this.sentAt === undefined ? { kind: 'not-sent', reason } : { kind: 'broken', reason }
     } finally {
       this.isEnded = true
       target.inFlight -= 1
--- a/packages/almondrelay-gateway/src/process/peers/peerSocket.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerSocket.ts
@@ -10,7 +10,14 @@
 
   /** Opens the port and hands each datagram on until the signal aborts. */
   listen (ip: string, port: number, handleDatagram: (bytes: Uint8Array, ip: string) => void, signal: AbortSignal): Promise<void> {
-    this.socket.on('message', (bytes, { address }) => { handleDatagram(bytes, address) })
+    this.socket.on('message', (bytes, { address }) => {
+      // Thrown out of here, the error would end the process, and the next datagram of this kind the next process.
+      try {
+        handleDatagram(bytes, address)
+      } catch (error) {
+        this.logError(error as Error)
+      }
+    })
     signal.addEventListener('abort', () => { this.socket.close() }, { once: true })
     return new Promise((resolve, reject) => {
       this.socket.once('error', reject)
