Write the record of a quarantined request again when it has lapsed in an outage

Change: each call for a quarantined request looks whether its record stands, two seconds after the quarantine at the earliest, as those that saw the ends write it first; a record that is missing in a full read counts as gone. Measured: two tests (fleetFollower: missing in a full read; quarantineInTrouble: all records lapse, then all hosts are restarted in turn).

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -59,6 +59,16 @@
     this.events.push({ kind: 'deleted', key, revision: this.revision })
   }
 
+  /** Everything that stands, at once. */
+  listItems (): StoreItem[] {
+    return [...this.items.keys()].flatMap((key) => this.findItem(key) ?? [])
+  }
+
+  /** Changes under a prefix after a revision, at once. */
+  listEvents (prefix: string, afterRevision: number): StoreEvent[] {
+    return this.events.filter((event) => getEventRevision(event) > afterRevision && getKey(event).startsWith(prefix))
+  }
+
   /** Forgets all changes so far. */
   dropHistory (): void {
     this.oldestEvent = this.revision
@@ -80,7 +90,7 @@
     await new Promise((resolve) => { setTimeout(resolve, 1) })
     if (this.isDown) return this.refuse('watch')
     if (afterRevision < this.oldestEvent) return { kind: 'history-gone' }
-    const events = this.isDeaf ? [] : this.events.filter((event) => getEventRevision(event) > afterRevision && getKey(event).startsWith(prefix))
+    const events = this.isDeaf ? [] : this.listEvents(prefix, afterRevision)
     return { kind: 'events', events, revision: this.isDeaf ? afterRevision : this.revision }
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -25,6 +25,8 @@
   readonly lines: string[] = []
   /** Changes that were handed on to the other hosts of the region. */
   readonly relayed: RelayedChanges[] = []
+  /** Fingerprints whose records have gone. */
+  readonly lapsedSuspects: string[] = []
   /** Taking in a record of a suspect throws. */
   failsOnSuspects = false
   /** The hosts of the region rely on this one's watch. */
@@ -53,7 +55,7 @@
     handleOwnEntryGone: () => undefined,
     handleDeclared: () => undefined,
     handleSuspect: () => { if (this.failsOnSuspects) throw new Error('not to be dealt with') },
-    handleSuspectGone: () => undefined,
+    handleSuspectGone: (fingerprint) => { this.lapsedSuspects.push(fingerprint) },
     handleUnreadKeys: () => { this.unreadKeys += 1 }
   })
 
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -257,4 +257,17 @@
   assert.ok(lines.some((line) => line.includes('change of the store not applied')))
 })
 
+// Guards against records that lapse while the store is away and forgets its history: nobody would write them again, and hosts that start
+// later would not know of the requests.
+test('a record of a suspect that is missing in a full read has gone', async () => {
+  const { fleet, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.write('suspect/f', { fingerprint: 'f', organisation: '', ended: [], cleared: [], trials: 0 })
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  store.remove('suspect/f')
+  store.dropHistory()
+  await followed.waitFor(() => followed.lapsedSuspects.includes('f'), 'the record that has gone')
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -46,6 +46,8 @@
   private readonly lapsing = new Map<string, number>()
   /** Revision at which each known target's entry came into being. */
   private readonly createdRevisions = new Map<string, number>()
+  /** Requests under which targets ended and that have a record. */
+  private readonly suspects = new Set<string>()
   private readonly latest = new LatestEntries()
   private readonly unusable = new RepeatFilter()
 
@@ -102,6 +104,7 @@
     const gone: FleetChange[] = [
       ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
       ...fleet.listHosts().map(({ name }): FleetChange => ({ kind: 'host-gone', name })),
+      ...[...this.suspects].map((fingerprint): FleetChange => ({ kind: 'suspect-gone', fingerprint })),
       ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
     ]
     for (const change of gone) {
@@ -162,8 +165,14 @@
         else fleet.removeHost(name)
       })
       .with({ kind: 'declared' }, ({ revision, body }) => { this.parts.handleDeclared(revision, body) })
-      .with({ kind: 'suspect' }, ({ record, revision }) => { this.parts.handleSuspect(record, revision) })
-      .with({ kind: 'suspect-gone' }, ({ fingerprint }) => { this.parts.handleSuspectGone(fingerprint) })
+      .with({ kind: 'suspect' }, ({ record, revision }) => {
+        this.suspects.add(record.fingerprint)
+        this.parts.handleSuspect(record, revision)
+      })
+      .with({ kind: 'suspect-gone' }, ({ fingerprint }) => {
+        this.suspects.delete(fingerprint)
+        this.parts.handleSuspectGone(fingerprint)
+      })
       .with({ kind: 'invalid' }, ({ key, reason }) => { this.reportUnusable(key, reason) })
       .exhaustive()
   }
--- a/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -43,6 +43,8 @@
   watchedRevision: number
   nextWatchAt: number
   upSince: number
+  /** It has read the store once; a host serves nothing before. */
+  isReady: boolean
   stop: AbortController
 }
 
@@ -71,6 +73,8 @@
   isDown?: (host: number, now: number) => boolean
   /** Part of the datagrams that is lost. */
   loss?: number
+  /** Milliseconds at which all records lapse with their leases; none where undefined. */
+  lapseAt?: number
   /** Part of the targets that end, each for another reason, at a time. */
   findCrashPart?: (now: number) => number
 }
@@ -104,6 +108,7 @@
     for (; this.now < untilMs; this.now += STEP_MS) {
       this.runDue()
       this.killTargets()
+      if (this.now === this.options.lapseAt) this.dropRecords()
       for (const host of this.hosts) this.advance(host)
       await new Promise((resolve) => { setImmediate(resolve) })
     }
@@ -142,7 +147,7 @@
       adopt: (record, revision) => { quarantine.adoptRecord(record, revision) }
     }, stop.signal)
     const quarantine: Quarantine = new Quarantine({ exchange: { announce: (suspect) => { this.announce(index, suspect) } }, store: suspects, log, metrics: new GatewayMetrics(), getNow: () => this.now, random })
-    return { index, quarantine, watchedRevision: 0, nextWatchAt: this.now + random() * WATCH_MS, upSince: this.now, stop }
+    return { index, quarantine, watchedRevision: 0, nextWatchAt: this.now + random() * WATCH_MS, upSince: this.now, isReady: false, stop }
   }
 
   /** The store as one host reaches it. */
@@ -200,21 +205,23 @@
       return
     }
     if (host.upSince === Infinity) Object.assign(host, this.makeHost(host.index))
-    if (this.now >= host.nextWatchAt) void this.watch(host)
+    if (this.now >= host.nextWatchAt) this.watch(host)
+    if (!host.isReady) return
     if (random() < poisonPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, POISON)
     for (let path = 0; path < hotPaths; path += 1) {
       if (random() < hotPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, `/hot/${path}`)
     }
   }
 
-  private async watch (host: ModelHost): Promise<void> {
-    host.nextWatchAt = this.now + WATCH_MS
+  private watch (host: ModelHost): void {
     if (!this.hasStore(host.index)) return
-    const result = await this.store.watch('', host.watchedRevision, 0, host.stop.signal)
-    if (result.kind !== 'events') return
-    host.watchedRevision = result.revision
-    for (const event of result.events) {
+    host.nextWatchAt = this.now + WATCH_MS
+    const events = host.isReady ? this.store.listEvents('', host.watchedRevision) : this.store.listItems().map((item) => ({ kind: 'written' as const, item }))
+    host.isReady = true
+    host.watchedRevision = this.store.latestRevision
+    for (const event of events) {
       const change = this.codec.decode(event)
+      if (change?.kind === 'suspect-gone') host.quarantine.dropRecord(change.fingerprint)
       if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, change.revision)
     }
   }
@@ -270,6 +277,10 @@
     })
   }
 
+  private dropRecords (): void {
+    for (const { key } of this.store.listItems()) this.store.remove(key)
+  }
+
   private killTargets (): void {
     const part = this.options.findCrashPart?.(this.now) ?? 0
     for (const target of this.targets) if (target.downUntil <= this.now && this.options.random() < part) this.stop(target)
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/quarantineInTrouble.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/quarantineInTrouble.test.ts
@@ -47,6 +47,16 @@
   })
 }
 
+// Guards against records that lapse while the store is away: hosts that are all restarted later would know nothing of the request.
+test('records that lapsed are written again before all hosts are restarted', async () => {
+  const random = createSeededRandom(9)
+  const fleet = new QuarantineFleet({ hosts: 8, targets: 14, random, poisonPerSecond: 6, hotPaths: 2, hotPerSecond: 10, lapseAt: 20_000, isDown: (host, now) => now >= 24_000 + host * 500 && now < 25_000 + host * 500 })
+  await fleet.run(DAY_MS)
+  const endsAfter = fleet.ends.filter((at) => at >= 24_000).length
+  assert.ok(endsAfter < 3, `${endsAfter} targets ended after the hosts were restarted`)
+  assert.ok(fleet.countLateSends(STABLE_WINDOW_MS) <= MOST_LATE_SENDS)
+})
+
 // Guards against objects of many callers that are refused since a third of the targets ends every two seconds, whatever they run.
 test('objects that are asked for often are served on while targets end for other reasons', async () => {
   const random = createSeededRandom(7)
--- a/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
@@ -13,6 +13,8 @@
 
 /** Ends under one request from which on its record is written: a single one is mere company of another request nearly always. */
 const ENDS_TO_SAVE = 2
+/** Milliseconds for which a host leaves it to those that saw the ends to write the record of a quarantined request. */
+const KEEP_AFTER_MS = 2_000
 /** Milliseconds before a host asks again for a trial that it didn't get. */
 const CLAIM_PAUSE_MS = 2_000
 /** Bounds, in milliseconds, of the time after which a refused caller is told to come back. */
@@ -54,8 +56,8 @@
     const suspect = this.ledger.match(name)
     if (suspect === undefined || !suspect.isQuarantined) return false
     suspect.touchedAt = now
+    if (now - suspect.quarantinedAt >= KEEP_AFTER_MS) this.parts.store.keep(suspect)
     if (now < suspect.trialAt) return false
-    this.parts.store.keep(suspect)
     suspect.trialAt = now + CLAIM_PAUSE_MS
     const isGranted = await this.parts.store.claimTrial(suspect)
     if (isGranted) this.report('trial of a quarantined request', suspect)
--- a/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
@@ -19,6 +19,8 @@
 /** A request under which targets ended, as one host knows it. */
 export class Suspect {
   trials = 0
+  /** Monotonic milliseconds at which this host came to hold it back. */
+  quarantinedAt = Infinity
   /** Monotonic milliseconds from which a host may ask for a trial. */
   trialAt = Infinity
   /** Monotonic milliseconds of the last news of it or call for it. */
@@ -83,6 +85,7 @@
 
   private resetTrials (now: number): void {
     this.setTrials(0, now)
+    this.quarantinedAt = this.isQuarantined ? now : Infinity
     if (!this.isQuarantined) this.trialAt = Infinity
   }
 
