--- a/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
@@ -23,7 +23,7 @@
 
 interface QuarantineParts {
   exchange: Pick<SuspectExchange, 'announce'>
-  store: Pick<SuspectStore, 'save' | 'keep' | 'claimTrial' | 'observeWritten'>
+  store: Pick<SuspectStore, 'save' | 'keep' | 'claimTrial'>
   log: EventLog
   metrics: GatewayMetrics
   getNow: () => number
@@ -100,7 +100,6 @@
   /** Takes in a record of the store. */
   adoptRecord (record: SuspectRecord, revision: number): void {
     const now = this.parts.getNow()
-    this.parts.store.observeWritten(record.fingerprint, now)
     this.update(record, now, (suspect) => suspect.adoptRecord(record, revision, now))
   }
 
@@ -110,8 +109,9 @@
     if (suspect !== undefined) suspect.recordRevision = undefined
   }
 
+  /** Requests under which targets ended, without a whole answer since. */
   list (): Suspect[] {
-    return this.ledger.list()
+    return this.ledger.list().filter((suspect) => suspect.countEnds() > 0)
   }
 
   private recordEnd (target: TargetState, name: SuspectName, now: number): void {
--- a/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
@@ -27,6 +27,8 @@
   touchedAt = 0
   /** Revision of its record in the store; undefined while none is known. */
   recordRevision: number | undefined
+  /** Monotonic milliseconds at which this host heard that the record was written. */
+  recordedAt = -Infinity
   /** In [0, 1), the same at all hosts. */
   private readonly place: number
   private readonly ended = new Set<number>()
@@ -59,6 +61,7 @@
   adoptRecord (record: SuspectRecord, revision: number, now: number): boolean {
     if (this.recordRevision !== undefined && revision <= this.recordRevision) return false
     this.recordRevision = revision
+    this.recordedAt = now
     const isNew = this.merge(record, now)
     if (record.trials !== this.trials && this.isQuarantined) this.setTrials(record.trials, now)
     return isNew
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
@@ -30,12 +30,15 @@
   adopt: (record: SuspectRecord, revision: number) => void
 }
 
+interface CommitOutcome {
+  isDone: boolean
+  /** The record as it stands; undefined where it isn't known. */
+  stored: SuspectRecord | undefined
+}
+
 /** Keeps what hosts agree on about suspects: records that outlive every host, and who may make a trial. */
 export class SuspectStore {
   private readonly waiting = new Set<Suspect>()
-  /** The record that another host wrote first, as last seen. */
-  private readonly stored = new WeakMap<Suspect, SuspectRecord>()
-  private readonly writtenAt = new Map<string, number>()
   private isSaving = false
 
   constructor (private readonly parts: StoreParts, private readonly signal: AbortSignal) {}
@@ -43,19 +46,13 @@
   /** Writes the record soon; again and again while the store is away. */
   save (suspect: Suspect): void {
     if (this.waiting.size < MOST_WAITING) this.waiting.add(suspect)
+    else this.parts.log.record('record of a suspect not written: too many wait', { fingerprint: suspect.fingerprint })
     if (!this.isSaving) void this.saveAll()
   }
 
   /** Writes the record where none is known, or where it would end though the request still comes. */
   keep (suspect: Suspect): void {
-    const age = this.parts.getNow() - (this.writtenAt.get(suspect.fingerprint) ?? -Infinity)
-    if (suspect.recordRevision === undefined || age > RENEW_AFTER_MS) this.save(suspect)
-  }
-
-  /** A record was written, by whatever host. */
-  observeWritten (fingerprint: string, now: number): void {
-    for (const [each, at] of this.writtenAt) if (now - at > RECORD_LIFE_MS) this.writtenAt.delete(each)
-    this.writtenAt.set(fingerprint, now)
+    if (suspect.recordRevision === undefined || this.parts.getNow() - suspect.recordedAt > RENEW_AFTER_MS) this.save(suspect)
   }
 
   /** Whether this host may send the request on once: of all hosts that ask after one pause, the store lets one. */
@@ -63,7 +60,8 @@
     if (suspect.recordRevision === undefined) return false
     try {
       const record = { ...suspect.describe(), trials: suspect.trials + 1 }
-      return await this.commit(suspect, record, AbortSignal.any([this.signal, AbortSignal.timeout(CLAIM_TIMEOUT_MS)]))
+      const { isDone } = await this.commit(suspect, record, AbortSignal.any([this.signal, AbortSignal.timeout(CLAIM_TIMEOUT_MS)]))
+      return isDone
     } catch (error) {
       this.parts.log.logError('trial of a quarantined request not claimed', error as Error)
       return false
@@ -86,38 +84,35 @@
   private async trySave (suspect: Suspect): Promise<boolean> {
     try {
       const record = { ...suspect.describe(), trials: suspect.trials }
-      return await this.commit(suspect, record, AbortSignal.any([this.signal, AbortSignal.timeout(SAVE_TIMEOUT_MS)])) || this.isStored(suspect)
+      const { isDone, stored } = await this.commit(suspect, record, AbortSignal.any([this.signal, AbortSignal.timeout(SAVE_TIMEOUT_MS)]))
+      return isDone || (stored !== undefined && suspect.isWithin(stored))
     } catch (error) {
       if (!this.signal.aborted) this.parts.log.logError('record of a suspect not written', error as Error)
       return false
     }
   }
 
-  /** Writes a record in place of the one that is known; false where another host was first, whose record is then known. */
-  private async commit (suspect: Suspect, record: SuspectRecord, signal: AbortSignal): Promise<boolean> {
-    const { store, codec } = this.parts
+  /** Writes a record in place of the one that is known; where another host was first, takes in what that one wrote. */
+  private async commit (suspect: Suspect, record: SuspectRecord, signal: AbortSignal): Promise<CommitOutcome> {
+    const { store, codec, adopt } = this.parts
     const { key, value } = codec.encodeSuspect(record)
     const leaseId = await store.grantLease(RECORD_LIFE_MS, signal)
     const result = await store.commit({ expected: [{ key, revision: suspect.recordRevision ?? 0 }], writes: [{ key, value, leaseId }], deletes: [] }, signal)
     if (result.kind === 'done') {
-      this.parts.adopt(record, result.revision)
-      return true
+      adopt(record, result.revision)
+      return { isDone: true, stored: record }
     }
     await store.releaseLease(leaseId, signal)
-    if (result.kind === 'conflict') this.adoptStored(suspect, result.items[0])
-    return false
+    return { isDone: false, stored: result.kind === 'conflict' ? this.adoptStored(suspect, result.items[0]) : undefined }
   }
 
-  private adoptStored (suspect: Suspect, item: StoreItem | undefined): void {
+  private adoptStored (suspect: Suspect, item: StoreItem | undefined): SuspectRecord | undefined {
     const change = item === undefined ? undefined : this.parts.codec.decode({ kind: 'written', item })
-    if (change?.kind === 'suspect') {
-      this.stored.set(suspect, change.record)
-      this.parts.adopt(change.record, change.revision)
-    } else suspect.recordRevision = item?.revision
-  }
-
-  private isStored (suspect: Suspect): boolean {
-    const record = this.stored.get(suspect)
-    return record !== undefined && suspect.isWithin(record)
+    if (change?.kind !== 'suspect') {
+      suspect.recordRevision = item?.revision
+      return undefined
+    }
+    this.parts.adopt(change.record, change.revision)
+    return change.record
   }
 }
