--- a/packages/almondrelay-gateway/src/connection/bodyMemory.ts
+++ b/packages/almondrelay-gateway/src/connection/bodyMemory.ts
@@ -4,9 +4,9 @@
 /**
  * Bytes of answers that this process holds, from their first byte until their caller has them.
  *
- * Guards against many large answers at once: each is read whole, so that a broken one can be asked for again, and fifty
- * downloads of 16 MB took 247 MB, at which the process is killed with every request that it has. From half of the bound
- * on new requests are refused before they run; an answer that would pass the bound is given up.
+ * Guards against many large answers at once: each is read whole, so that a broken one can be asked for again, and a process that
+ * takes too much memory is killed with every request that it has. From half of the bound on new requests are refused
+ * before they run; an answer that would pass the bound is given up.
  */
 export class BodyMemory {
   private held = 0
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -15,7 +15,7 @@
 
 /**
  * Wait of one watch of the hosts that watch for their region, in milliseconds: an empty answer to it shows that nothing
- * was missed, so this bounds the age of what a region believes. Changes of targets must be known within 2.5 s.
+ * was missed, so this bounds the age of what a region believes.
  */
 const WATCH_MS = 2_000
 /** The same where other hosts rely on this one's watch: the age of what it knows is the age of what they know. */
@@ -31,25 +31,21 @@
 const LONG_WATCH_MS = 15_000
 /**
  * Milliseconds for which peers may know of newer changes before a watch counts as silent: the pause after changes
- * and the interval of peers' reports. With it such a host is back in step 1.7 s after a change at the latest.
+ * and the interval of peers' reports.
  */
 const BEHIND_MS = 1_000
 /**
  * Pause after changes, in milliseconds: entries change in groups, as at a start or a release, and each answer
- * of a watch is a call that the platform counts. Buys a third of all calls of a quiet day.
+ * of a watch is a call that the platform counts.
  */
 const BATCH_MS = 500
-/**
- * Milliseconds between looks for entries that lapsed, for a change of who watches and for changes that don't come. Each wakes a
- * host that has nothing else to do; what they look for is judged by 300 ms and more.
- */
+/** Milliseconds between looks for entries that lapsed, for a change of who watches and for changes that don't come. */
 const CHECK_MS = 200
 /** Pause after a failed call, doubled up to the longest, spread by chance so that hosts don't return together. */
 const PAUSE = { firstMs: 200, longestMs: 500 }
 /**
  * The same for hosts of regions of many that leave watching to others: they go on by themselves only because those don't
- * reach the store either, and with their first word after its return they rely on them again. In an outage of five seconds
- * 195 hosts that all ask twice a second make 2,000 calls, each of them counted by the platform.
+ * reach the store either, and with their first word after its return they rely on them again.
  */
 const MANY_PAUSE = { firstMs: 1_000, longestMs: 8_000 }
 
@@ -235,8 +231,7 @@
    * Takes in what the region's watchers hand on, until a change that they know of doesn't come or none of them can be relied
    * on any more.
    *
-   * Answers fleets whose every host watches or asks: each change is then a call of every host, and the platform counts
-   * calls; with 70 hosts and 139 targets that was two calls for every three requests a host forwarded.
+   * Answers fleets whose every host watches or asks: each change is then a call of every host, and the platform counts calls.
    */
   private async waitForWord (signal: AbortSignal): Promise<void> {
     const { fleet, getNow, hasReliableWatchers } = this.parts
--- a/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
@@ -2,10 +2,7 @@
 import { putBounded } from '../../request/putBounded.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
 
-/**
- * Targets whose last entry is remembered, those that are gone included: a late write comes within seconds, in which a
- * fleet of 4,800 targets doesn't replace as many again. The one that was heard of longest ago is forgotten first.
- */
+/** Targets whose last entry is remembered, those that are gone included; the one that was heard of longest ago is forgotten first. */
 const MOST_REMEMBERED = 10_000
 
 /** The newest entry that each target has written, also after its key is gone: a late write may bring an older one back. */
--- a/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/regionPlanner.ts
@@ -9,10 +9,7 @@
 import type { ServiceRuntime } from './serviceRuntime.js'
 import { sumBusySlots } from './sumBusySlots.js'
 
-/**
- * Milliseconds between steps; demands of peers come once a second, and a step may catch up on half a second. Twice as many
- * steps move no faster and took 4 ms of processor time a second more with 195 hosts and 993 targets.
- */
+/** Milliseconds between steps; demands of peers come once a second. */
 const STEP_MS = 500
 
 interface PlannerParts {
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -30,8 +30,8 @@
 import { RequestRunner } from './requestRunner.js'
 
 /**
- * Milliseconds after the host's start in which requests wait for its first configuration: a connection and a read take two
- * round trips, of 110 ms each to a store in a region that is 55 ms away. After that the store is away, and the request is refused.
+ * Milliseconds after the host's start in which requests wait for its first configuration. After that the store is taken to be
+ * away, and the request is refused.
  */
 const STARTING_MS = 600
 const HASH_RANGE = 2 ** 32
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -16,7 +16,7 @@
 
 /** Retry-After, in milliseconds, of a host that knows no configuration yet. */
 const STARTING_RETRY_MS = 500
-/** Retry-After, in milliseconds on average, of a host that is full of answers: 24 MB go out over a link of 100 Mbit/s in two seconds. */
+/** Retry-After, in milliseconds on average, of a host that is full of answers. */
 const FULL_RETRY_MS = 1_000
 /** Retry-After, in milliseconds on average, of a host that is behind: another host that isn't is a new connection away. */
 const STALE_RETRY_MS = 200
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -12,6 +12,7 @@
 import { FleetFollower } from './fleet/fleetFollower.js'
 import { FleetState } from './fleet/fleetState.js'
 import { HostAnnouncer } from './fleet/hostAnnouncer.js'
+import { makeOwnEntry } from './fleet/makeOwnEntry.js'
 import type { HostEntry } from './fleet/hostEntry.js'
 import { ForwardState } from './forward/forwardState.js'
 import { runLoadSampler } from './forward/loadSampler.js'
@@ -29,9 +30,9 @@
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
-import { Quarantine } from './quarantine/quarantine.js'
-import { SuspectExchange } from './quarantine/suspectExchange.js'
-import { SuspectStore } from './quarantine/suspectStore.js'
+import { createQuarantine } from './quarantine/createQuarantine.js'
+import type { Quarantine } from './quarantine/quarantine.js'
+import type { SuspectExchange } from './quarantine/suspectExchange.js'
 import type { GatewaySettings } from './settings/gatewaySettings.js'
 import { StoreKeyValues } from './store/storeKeyValues.js'
 import type { StoreHealth } from './store/storeHealth.js'
@@ -44,10 +45,7 @@
 const GRACE_MARGIN_MS = 300
 /** Milliseconds for the last pages of the account, of the grace that is left. */
 const LAST_PAGES_MS = 1_000
-/**
- * Bytes of answers held at once: an answer is there twice while its parts are joined, and the smallest hosts have 250 MB,
- * of which 45 to 95 are used without large answers.
- */
+/** Bytes of answers held at once; an answer is there twice while its parts are joined. */
 const MOST_ANSWER_BYTES = 48 * 1024 * 1024
 /** Waits of all tasks at once that end with the process; above, the runtime warns of a leak. */
 const MOST_WAITS = 50
@@ -117,9 +115,9 @@
     this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, acceptRelayed: (changes) => { this.follower.acceptRelayed(changes) }, hearWatcher: (report, now) => { this.follower.hearWatcher(report.storeRevision, report.notableRevision, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isSumming: (now) => this.view.isSumming(now) })
     this.useExchange = new UseExchange({ own: this.own, fleet: this.fleet, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
-    this.suspectExchange = new SuspectExchange({ own: this.own, fleet: this.fleet, view: this.view, socket: this.socket, getNow, sleep: sleepFor, hear: (word, now) => this.quarantine.hear(word, now) }, this.owner.signal)
-    const suspectStore = new SuspectStore({ store: adapter.store, codec: adapter.fleet, log, getNow, random, sleep: sleepFor, adopt: (record, revision) => { this.quarantine.adoptRecord(record, revision) } }, this.owner.signal)
-    this.quarantine = new Quarantine({ exchange: this.suspectExchange, store: suspectStore, log, metrics, getNow, random })
+    const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, fleet: this.fleet, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.owner.signal)
+    this.quarantine = quarantine
+    this.suspectExchange = suspectExchange
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountKeeper({ own: this.own, values, clock, log, random })
@@ -148,7 +146,7 @@
       relay: (changes) => { if (this.view.isRelay(getNow())) this.exchange.relay(changes) },
       handleOwnEntryGone: () => { this.announcer.renewEntry() },
       handleDeclared: (revision, body) => { this.desk.acceptChange(revision, body) },
-      handleSuspect: (record, revision) => { this.quarantine.adoptRecord(record, revision) },
+      handleSuspect: (record, revision) => { this.quarantine.adoptRecord(record, revision, getNow()) },
       handleSuspectGone: (fingerprint) => { this.quarantine.dropRecord(fingerprint) },
       handleUnreadKeys: () => { this.desk.refresh() },
       handleConfiguration: () => {
@@ -247,13 +245,3 @@
     return unfinished
   }
 }
-
-const makeOwnEntry = (settings: GatewaySettings, incarnation: string): HostEntry => ({
-  name: settings.host.name,
-  incarnation,
-  availabilityZone: settings.host.availabilityZone,
-  region: settings.host.region,
-  ip: settings.host.ip,
-  callerPort: splitAddress(settings.listen.callers).port,
-  peerPort: settings.peerPorts[0]
-})
--- a/packages/almondrelay-gateway/src/process/peers/encodeValue.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeValue.ts
@@ -8,10 +8,7 @@
   deflated: boolean
 }
 
-/**
- * A value in the form in which it is handed on. A configuration with 80 organisations takes 24 KB as it is written and fits
- * into no datagram; each host of a region then asks the store for it by itself.
- */
+/** A value in the form in which it is handed on: compressed where that makes it fit into a datagram. */
 export function encodeValue (value: Buffer): EncodedValue {
   return value.byteLength < LEAST_DEFLATED_BYTES ? { value, deflated: false } : { value: deflateRawSync(value), deflated: true }
 }
--- a/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
@@ -13,11 +13,7 @@
 /** Hosts of an availability zone that sum up what its hosts tell: two, so that one that ends or stands still leaves no gap. */
 const SUMMING_HOSTS = 2
 
-/**
- * Milliseconds for which a list of live hosts holds while nothing is heard that changes it. Only silence goes unseen for so
- * long, and that is judged after seconds. Lists are asked for by every request to a cold target, every look-up and several times
- * a second by the tasks: with 195 hosts each list anew took 0.2 ms of a processor that has 270 ms a second.
- */
+/** Milliseconds for which a list of live hosts holds while nothing is heard that changes it: requests and look-ups ask for it. */
 const LIST_LIFE_MS = 250
 
 /** Which hosts are taken for live, and which of them do what for the others. */
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -12,34 +12,24 @@
 import type { ServiceDemand } from './serviceDemand.js'
 import { splitChanges } from './splitChanges.js'
 
-/**
- * Milliseconds between reports to the hosts of the same region. Targets' queues change within tens of
- * milliseconds; half of that interval is the mean age of a count.
- */
+/** Milliseconds between reports to the hosts of the same region. */
 const NEAR_INTERVAL_MS = 100
 /** Milliseconds between reports that also carry demands, to the same hosts. */
 const DEMAND_INTERVAL_MS = 1_000
-/**
- * The same in regions of many hosts: demands are most of what reading a report takes, and of the sum over 64 hosts a
- * second of one host is a small part.
- */
+/** The same in regions of many hosts, where demands are most of what reading reports takes. */
 const MANY_DEMAND_INTERVAL_MS = 2_000
 /** Milliseconds between the words of a region's speakers to all hosts of the others. */
 const FAR_INTERVAL_MS = 2_000
 /** Bytes a second that a host may spend on reports, of the 12 KB a second for all its control traffic. */
 const BYTES_PER_SECOND = 9_000
-/** An age above says nothing more: an hour. */
+/** Milliseconds above which an age says nothing more. */
 const LONGEST_AGE_MS = 3_600_000
 /**
- * Bytes of changes in one datagram: a configuration of a hundred organisations fits, as it is compressed. Longer datagrams are cut up on the way, and
- * with one part all of it is lost; then the receiver asks the store, as for a change that fits into none.
+ * Bytes of changes in one datagram. Longer ones are cut up on the way, and with one part all of it is lost; then the receiver
+ * asks the store, as for a change that fits into none.
  */
 const MOST_CHANGE_BYTES = 8_000
-/**
- * Hosts in a group, of which the first gets changes from the watcher and passes them on to the others. Sent to all 64 others
- * of a region, the entries of a thousand targets that start filled the link of a watcher (14 Mbit/s) for seconds, and its own
- * calls to the store found no room; with groups of eight a watcher sends an eighth.
- */
+/** Hosts in a group, of which the first gets changes from the watcher and passes them on: a watcher's own link is small. */
 const GROUP_SIZE = 8
 
 interface ExchangeParts {
@@ -121,10 +111,7 @@
     }
   }
 
-  /**
-   * Works on the targets that this report or the one before names, about a dozen, not on all there are: with 993 targets and
-   * 64 peers a count written at every target took a third of what a host does without requests.
-   */
+  /** Works on the targets that this report or the one before names, not on all there are. */
   private hearCounts ({ host, inFlight }: PeerReport, before: ReadonlyMap<number, number>, now: number): void {
     const { fleet } = this.parts
     for (const hash of before.keys()) {
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -17,13 +17,12 @@
  */
 const LEAST_TO_RELY = 8
 /**
- * Part of the time within which a change must be known that the word of a watcher may be old; the rest is for asking. Its watch
- * lasts a second and a half with its pause, and its reports come every 0.7 s: with a bound of three seconds and a smaller part all hosts of a
- * region asked the store every two seconds, each time that both watchers' words were at their oldest.
+ * Part of the time within which a change must be known that the word of a watcher may be old; the rest is for asking. Below
+ * the time of its watch and its reports together, all hosts of a region would ask the store again and again.
  */
 const RELIED_PART = 0.75
 
-/** Age of the first watcher's knowledge, in milliseconds, above which the second hands changes on: reports come every 1.2 s, watches end after 1 s. */
+/** Age of the first watcher's knowledge, in milliseconds, above which the second hands changes on. */
 const RELAY_SILENCE_MS = 2_500
 
 /** Senders and regions that are remembered: twice the hosts of the largest fleet. Anybody may send reports of any name. */
@@ -172,7 +171,7 @@
 
   /**
    * Whether this host is the one that hands changes on: the first that watches, or the second while the first isn't heard or doesn't
-   * reach the store. Of what both handed on half was for nothing: 0.06 GB between zones in half a minute with 195 hosts.
+   * reach the store. Of what both hand on half would be for nothing.
    */
   isRelay (now: number): boolean {
     const [first] = this.listSpeakers(now)
--- a/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -144,9 +144,9 @@
       getNow: () => this.now,
       random,
       sleep: (ms) => new Promise((resolve) => { this.schedule(ms, resolve) }),
-      adopt: (record, revision) => { quarantine.adoptRecord(record, revision) }
+      adopt: (record, revision) => { quarantine.adoptRecord(record, revision, this.now) }
     }, stop.signal)
-    const quarantine: Quarantine = new Quarantine({ exchange: { announce: (suspect) => { this.announce(index, suspect) } }, store: suspects, log, metrics: new GatewayMetrics(), getNow: () => this.now, random })
+    const quarantine: Quarantine = new Quarantine({ exchange: { announce: (suspect) => { this.announce(index, suspect) } }, store: suspects, log, metrics: new GatewayMetrics(), random })
     return { index, quarantine, watchedRevision: 0, nextWatchAt: this.now + random() * WATCH_MS, upSince: this.now, isReady: false, stop }
   }
 
@@ -222,7 +222,7 @@
     for (const event of events) {
       const change = this.codec.decode(event)
       if (change?.kind === 'suspect-gone') host.quarantine.dropRecord(change.fingerprint)
-      if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, change.revision)
+      if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, change.revision, this.now)
     }
   }
 
--- a/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
@@ -26,7 +26,6 @@
   store: Pick<SuspectStore, 'save' | 'keep' | 'claimTrial'>
   log: EventLog
   metrics: GatewayMetrics
-  getNow: () => number
   random: () => number
 }
 
@@ -98,8 +97,7 @@
   }
 
   /** Takes in a record of the store. */
-  adoptRecord (record: SuspectRecord, revision: number): void {
-    const now = this.parts.getNow()
+  adoptRecord (record: SuspectRecord, revision: number, now: number): void {
     this.update(record, now, (suspect) => suspect.adoptRecord(record, revision, now))
   }
 
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -23,8 +23,7 @@
 /**
  * The same for work anew at a target all of whose slots are busy; it grows with the square of their use. An idle target costs
  * next to nothing, so that a hot key or one whose own target is slow finds a second place; in an overload of all targets
- * keys stay where they are held. Days with a burst beside lost targets are worth 0.759 with this and 0.741 with a part of 1
- * (16 targets of 9 slots), 0.735 and 0.725 (14 of 6); with no second place at all 0.777 and 0.725, but then no key finds one.
+ * keys stay where they are held.
  */
 const BUSY_PLACE_PART = 8
 
--- a/packages/almondrelay-gateway/src/request/computeRegionParts.ts
+++ b/packages/almondrelay-gateway/src/request/computeRegionParts.ts
@@ -31,10 +31,8 @@
  * regions, a trip of some milliseconds away, have slots free. What doesn't fit is divided among the regions
  * with room, by their room; where none has any, it stays.
  *
- * Where the trip is short, parts that can be borne stay: a key that moves home saves 40 ms a request and is worked on
- * anew, at a cost of seconds for each request until that is done. In a region whose demand rose and fell by half, the
- * part served at home went from 0.39 to 0.60 within ten seconds, and 14% of its requests ended by their time limit where
- * 4% of the others' did (195 hosts, one day).
+ * Where the trip is short, parts that can be borne stay: a key that moves home saves a trip and is worked on anew, which takes
+ * far longer.
  */
 export function computeRegionParts ({ own, loads, tripPart, current }: PlanInput): Map<string, number> {
   const slots = loads.reduce((sum, each) => sum + each.slots, 0)
--- a/packages/almondrelay-gateway/src/request/decideAdmission.ts
+++ b/packages/almondrelay-gateway/src/request/decideAdmission.ts
@@ -2,11 +2,8 @@
 
 /**
  * Queue, in parts of the work on one request, that is accepted in any case: a request that can't be on time is served where
- * a slot is all but free. With a whole work in place of this, requests whose object is worked on anew filled the queues in
- * which those whose object is held, a third as long, would still have been on time: in six seconds of a burst with a zone
- * that came back cold 2,261 of 8,726 requests were answered on time, with a twentieth 4,033 (16 targets of 9 slots, one
- * run). At a twentieth keys that move to another region are refused there too often after a restart (experiment: worth
- * 0.882 where keys stay 0.883; at this 0.886 and 0.885), and under overload the experiment's worth is 0.57 for 0.36.
+ * a slot is all but free. With more, requests whose object is worked on anew fill the queues in which shorter ones, whose object
+ * is held, would still be on time; with less, keys that move to another region are refused there.
  */
 const LEAST_WAIT_PART = 0.15
 /** Part of the time left after trip and work that a request may spend in a queue and still be on time. */
--- a/packages/almondrelay-gateway/src/request/serviceTimes.ts
+++ b/packages/almondrelay-gateway/src/request/serviceTimes.ts
@@ -23,9 +23,7 @@
  * Milliseconds that targets work on one request, learnt from answers.
  *
  * Answers fleets of many hosts, each of which sees an object too seldom to know whether its target holds it: an answer
- * counts for the time that it is nearer to. Counted by what the host itself had asked for lately, all answers of a fleet of
- * 195 hosts were of objects not held, 900 ms in the middle of 770 and 3,000: second places then looked cheap, and
- * regions' demands came out at an eighth of what they were.
+ * counts for the time that it is nearer to.
  */
 export class ServiceTimes {
   private readonly warm = new RunningMean(GAIN)
