--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
@@ -24,6 +24,9 @@
   readonly sent: Array<{ to: string, report: SuspectReport }> = []
   readonly heard: SuspectWord[] = []
   readonly slept: number[] = []
+  readonly owner = new AbortController()
+  /** The port is closed with the host's end; sending throws then. */
+  isClosed = false
   private readonly own = ENTRIES[0] as HostEntry
   private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   readonly exchange: SuspectExchange
@@ -33,6 +36,7 @@
     this.fleet.isComplete = true
     const socket = {
       send: (bytes: Uint8Array, ip: string) => {
+        if (this.isClosed) throw new Error('not running')
         const message = decodeDatagram(bytes)
         const to = ENTRIES.find((entry) => entry.ip === ip)
         if (message?.kind === 'suspects' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
@@ -46,7 +50,7 @@
       getNow: () => 0,
       sleep: (ms) => { this.slept.push(ms); return Promise.resolve() },
       hear: (word) => { this.heard.push(word); return isNews }
-    }, new AbortController().signal)
+    }, this.owner.signal)
   }
 
   hear (report: Partial<SuspectReport>, ip = ENTRIES[4]?.ip as string): void {
@@ -94,6 +98,16 @@
   assert.ok(bytes / (rig.slept.reduce((sum, ms) => sum + ms, 0) / 1_000) <= 12_000)
 })
 
+// Guards against a planned stop that ends with an error as news was still to be sent.
+test('nothing is sent once the host ends', async () => {
+  const rig = new ExchangeRig()
+  rig.exchange.announce(new Suspect(FINGERPRINT, 'school'))
+  rig.owner.abort()
+  rig.isClosed = true
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.equal(rig.sent, [])
+})
+
 test('what is no report of a host says nothing', () => {
   const report = { host: 'a', incarnation: 'i1', suspects: [WORD], passesOn: false }
   assert.is(decodeDatagram(encodeSuspectReport(report))?.kind, 'suspects')
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
@@ -57,8 +57,9 @@
   private async sendAll (): Promise<void> {
     const { sleep } = this.parts
     this.isSending = true
-    while (this.sendsLeft.size > 0 && !this.signal.aborted) {
+    while (this.sendsLeft.size > 0) {
       await sleep(GATHER_MS, this.signal)
+      if (this.signal.aborted) return
       this.news = new AbortController()
       const bytes = this.sendRound()
       await sleep(bytes / BYTES_PER_SECOND * 1_000, this.signal)
