One check of who sent a report, one list of the hosts of a zone and of those that sum up elsewhere

Who may say what decides over refusals should stand once.

Change: PeerView.findSender, listZonePeers and listFarSumming serve both; neither exchange needs the fleet any more. No decision changes. Measured: build, lint of the gateway, the tests of both exchanges, of the peers and of the quarantine: 83 passed, 0 failed.

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -114,8 +114,8 @@
     this.socket = new PeerSocket(logError)
     this.exchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.desk.revision, hearRevision: (revision, notableRevision, now) => { this.follower.hearRevision(revision, notableRevision, now) }, acceptRelayed: (changes) => { this.follower.acceptRelayed(changes) }, hearWatcher: (report, now) => { this.follower.hearWatcher(report.storeRevision, report.notableRevision, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isSumming: (now) => this.view.isSumming(now) })
-    this.useExchange = new UseExchange({ own: this.own, fleet: this.fleet, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
-    const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, fleet: this.fleet, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.owner.signal)
+    this.useExchange = new UseExchange({ own: this.own, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
+    const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.owner.signal)
     this.quarantine = quarantine
     this.suspectExchange = suspectExchange
     const clock = new SystemClock()
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/useExchange.test.ts
@@ -41,7 +41,7 @@
         if (message?.kind === 'use' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
       }
     } as unknown as PeerSocket
-    this.exchange = new UseExchange({ own, fleet: this.fleet, view, allowances: this.allowances, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
+    this.exchange = new UseExchange({ own, view, allowances: this.allowances, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
   }
 
   async runOnce (): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/useExchange.ts
@@ -1,5 +1,4 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
-import type { FleetState } from '../fleet/fleetState.js'
 import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
@@ -16,7 +15,6 @@
 
 interface ExchangeParts {
   own: HostEntry
-  fleet: FleetState
   view: PeerView
   allowances: Allowances
   socket: PeerSocket
@@ -41,11 +39,10 @@
     }
   }
 
-  /** Anybody may send to the port, and what is said here decides who is refused: it counts only in the sender's present life and from its address. */
+  /** What is said here decides who is refused: it counts only from a host, of its own zone. */
   handleReport (report: UseReport, ip: string): void {
-    const entry = this.parts.fleet.findHost(report.host)
-    const isGenuine = entry?.incarnation === report.incarnation && entry.ip === ip && entry.availabilityZone === report.availabilityZone
-    if (isGenuine && entry.name !== this.parts.own.name) this.parts.allowances.hear(report, this.parts.getNow())
+    const { view, allowances, getNow } = this.parts
+    if (view.findSender(report, ip)?.availabilityZone === report.availabilityZone) allowances.hear(report, getNow())
   }
 
   private sendRound (): number {
@@ -59,13 +56,11 @@
   }
 
   private sendSums (isCalmOver: boolean, now: number): number {
-    const { own, view, allowances } = this.parts
+    const { view, allowances } = this.parts
     const zone = allowances.describeZone(now)
     const fleet = allowances.describeFleet(zone, now)
     if (fleet.uses.size === 0 && !isCalmOver) return 0
-    const others = view.listZones(now).filter((each) => each !== own.availabilityZone).flatMap((each) => view.listSumming(each, now))
-    const near = view.listLive(now).filter(({ availabilityZone }) => availabilityZone === own.availabilityZone)
-    return this.send(others, { zone }) + this.send(near, { fleet })
+    return this.send(view.listFarSumming(now), { zone }) + this.send(view.listZonePeers(now), { fleet })
   }
 
   /** Returns the bytes that it takes. */
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -132,6 +132,23 @@
     return this.live.find(now).summing.get(availabilityZone) ?? []
   }
 
+  /** Hosts that sum up for the other availability zones. */
+  listFarSumming (now: number): readonly HostEntry[] {
+    return this.listZones(now).filter((zone) => zone !== this.own.availabilityZone).flatMap((zone) => this.listSumming(zone, now))
+  }
+
+  /** The other live hosts of this host's availability zone. */
+  listZonePeers (now: number): readonly HostEntry[] {
+    return this.listLive(now).filter(({ name, availabilityZone }) => availabilityZone === this.own.availabilityZone && name !== this.own.name)
+  }
+
+  /** The other host whose report this is; undefined where it isn't of its present life or from its address, as anybody may send to the port. */
+  findSender ({ host, incarnation }: Pick<PeerReport, 'host' | 'incarnation'>, ip: string): HostEntry | undefined {
+    const entry = this.fleet.findHost(host)
+    const isGenuine = entry?.incarnation === incarnation && entry.ip === ip && entry.name !== this.own.name
+    return isGenuine ? entry : undefined
+  }
+
   isSumming (now: number): boolean {
     return this.listSumming(this.own.availabilityZone, now).some(({ name }) => name === this.own.name)
   }
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
@@ -44,7 +44,6 @@
     } as unknown as PeerSocket
     this.exchange = new SuspectExchange({
       own: this.own,
-      fleet: this.fleet,
       view: new PeerView(this.own, this.fleet),
       socket,
       getNow: () => 0,
--- a/packages/almondrelay-gateway/src/process/quarantine/createQuarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/createQuarantine.ts
@@ -1,6 +1,5 @@
 import { sleepFor } from 'almondrelay'
 import type { FleetCodec } from '../fleet/fleetCodec.js'
-import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
@@ -13,7 +12,6 @@
 
 interface QuarantineOptions {
   own: HostEntry
-  fleet: FleetState
   view: PeerView
   socket: PeerSocket
   store: RevisionStore
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
@@ -1,4 +1,3 @@
-import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
@@ -20,7 +19,6 @@
 
 interface ExchangeParts {
   own: HostEntry
-  fleet: FleetState
   view: PeerView
   socket: PeerSocket
   getNow: () => number
@@ -46,12 +44,11 @@
 
   /** It counts only in the sender's present life and from its address: what is said here decides who is refused. */
   handleReport (report: SuspectReport, ip: string): void {
-    const { own, fleet, hear, getNow } = this.parts
-    const entry = fleet.findHost(report.host)
-    if (entry?.incarnation !== report.incarnation || entry.ip !== ip || entry.name === own.name) return
+    const { view, hear, getNow } = this.parts
+    if (view.findSender(report, ip) === undefined) return
     const now = getNow()
-    const news = report.suspects.filter((word) => hear(word, now))
-    if (news.length > 0 && report.passesOn) this.send(this.listNear(now).filter(({ name }) => name !== report.host), news, false)
+    const news = report.suspects.filter((state) => hear(state, now))
+    if (news.length > 0 && report.passesOn) this.send(view.listZonePeers(now).filter(({ name }) => name !== report.host), news, false)
   }
 
   private async sendAll (): Promise<void> {
@@ -85,15 +82,9 @@
     return [...this.sendsLeft.values()].includes(SENDS)
   }
 
-  private sendToAll (words: readonly SuspectState[], now: number): number {
-    const { own, view } = this.parts
-    const far = view.listZones(now).filter((zone) => zone !== own.availabilityZone).flatMap((zone) => view.listSumming(zone, now))
-    return this.send(this.listNear(now), words, false) + this.send(far, words, true)
-  }
-
-  private listNear (now: number): HostEntry[] {
-    const { own, view } = this.parts
-    return view.listLive(now).filter(({ name, availabilityZone }) => availabilityZone === own.availabilityZone && name !== own.name)
+  private sendToAll (states: readonly SuspectState[], now: number): number {
+    const { view } = this.parts
+    return this.send(view.listZonePeers(now), states, false) + this.send(view.listFarSumming(now), states, true)
   }
 
   /** Returns the bytes that it takes. */
