Log and count what targets state of their request limit

What callers saw: nothing; two targets got more requests than the limit that they had named in their answers. No line and no metric said that a target names a limit, which, when, or which hosts were told, so that "nobody heeds it", "each host heeds it alone" and "something else adds requests" looked the same. Change: the header is decoded (a decimal number, one only), each change is logged with the id of the request whose answer stated it and counted, and an attempt's record says which limit of its target the host knew. Nothing is decided by it yet.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
@@ -21,7 +21,8 @@
       keepAliveMs: has('keep') ? Number(find('keep')) : undefined,
       closesConnection: !shouldKeepAlive,
       load: undefined,
-      coldForMs: undefined
+      coldForMs: undefined,
+      requestLimit: has('limit') ? Number(find('limit')) : Infinity
     }
   }
 }
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -0,0 +1,53 @@
+import { Writable } from 'node:stream'
+import bunyan from 'bunyan'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { makeAnswerHead } from '../../../connection/__fixtures__/makeAnswerHead.js'
+import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
+import { EventLog } from '../../observe/eventLog.js'
+import { GatewayMetrics } from '../../observe/gatewayMetrics.js'
+import { TargetAnnouncements } from '../targetAnnouncements.js'
+
+const test = suite('TargetAnnouncements')
+
+interface LogLine { msg: string, perSecond?: number | string, previous?: number | string, requestId?: string }
+
+const createAnnouncements = (): { announcements: TargetAnnouncements, lines: LogLine[] } => {
+  const lines: LogLine[] = []
+  const stream = new Writable({ write: (line: Buffer, _encoding, done) => { lines.push(JSON.parse(line.toString()) as LogLine); done() } })
+  const log = new EventLog(bunyan.createLogger({ name: 'test', stream }), () => 0)
+  return { announcements: new TargetAnnouncements({ log, metrics: new GatewayMetrics() }), lines }
+}
+
+test('each change of a request limit is logged once, with the request whose answer stated it', () => {
+  const { announcements, lines } = createAnnouncements()
+  const target = makeTarget()
+  announcements.observeAnswer(target, makeAnswerHead(), 0, 10)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5.7, requestId: 'first' }), 20, 30)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5.7 }), 40, 50)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: undefined }), 60, 70)
+  assert.equal(lines.map(({ msg }) => msg), ['request limit of a target', 'request limit of a target can\'t be read'])
+  assert.equal([lines[0]?.perSecond, lines[0]?.previous, lines[0]?.requestId], [5.7, 'none', 'first'])
+  assert.is(announcements.getRequestLimit(target), 5.7)
+})
+
+// Guards against a limit that is taken for lifted by an older answer that arrives later on another connection.
+test('an answer to a request that was sent before the limit arrived does not lift it', () => {
+  const { announcements } = createAnnouncements()
+  const target = makeTarget()
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 100, 200)
+  announcements.observeAnswer(target, makeAnswerHead(), 150, 300)
+  assert.is(announcements.getRequestLimit(target), 5)
+})
+
+test('answers of another target at the address and spoilt answers announce nothing', () => {
+  const { announcements } = createAnnouncements()
+  const target = makeTarget()
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isMisdirected: true, isNotRun: true }), 0, 10)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isGenuine: false }), 0, 10)
+  assert.is(announcements.getRequestLimit(target), Infinity)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isGenuine: false, isNotRun: true, status: 503 }), 0, 10)
+  assert.is(announcements.getRequestLimit(target), 5)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -5,6 +5,7 @@
 import { ShiftCapUsage } from '../../request/shiftCapUsage.js'
 import type { TargetState } from '../../request/targetState.js'
 import { DeclaredSteering } from '../../version/declaredSteering.js'
+import type { TargetAnnouncements } from '../announcements/targetAnnouncements.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
@@ -19,6 +20,7 @@
   peers: PeerView
   codec: TargetCodec
   memory: AnswerMemory
+  announcements: TargetAnnouncements
   getNow: () => number
   countOpened: (region: string) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
@@ -32,6 +34,7 @@
 /** State that all requests of a host share. */
 export class ForwardState {
   readonly fleet: FleetState
+  readonly announcements: TargetAnnouncements
   readonly roundTripTimes: RoundTripTimes
   readonly pools: TargetPools
   readonly prober: TargetProber
@@ -44,6 +47,7 @@
   constructor (private readonly parts: ForwardParts) {
     const { settings, fleet, codec, memory, getNow, signal } = parts
     this.fleet = fleet
+    this.announcements = parts.announcements
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
     this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, parts)
     this.prober = new TargetProber(this.pools, this.roundTripTimes, signal)
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -65,6 +65,7 @@
   /** Updates the target and the times from the result of an attempt. A cancelled attempt says nothing about its target. */
   observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
     const { target } = attempt.choice
+    if (result.kind === 'answered' && attempt.sentAt !== undefined) this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
     if (attempt.isCancelled || attempt.sentAt === undefined) return
     if (result.kind !== 'answered') {
       target.observeFailure(now)
@@ -93,6 +94,12 @@
     return current.kind === 'organisation' && current.organisation.name === identity.organisation.name
   }
 
+  /** Returns the requests per second that a target takes from all hosts together; undefined if it has announced no limit. */
+  findRequestLimit (target: TargetState): number | undefined {
+    const limit = this.state.announcements.getRequestLimit(target)
+    return limit === Infinity ? undefined : limit
+  }
+
   useRetry (now: number): boolean {
     return this.runtime.retryAllowance.use(now, this.state.countHosts())
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -7,6 +7,8 @@
   /** Estimated number of outstanding requests at the target, of all hosts. */
   outstanding: number
   expectedMs: number
+  /** Requests per second that the target takes from all hosts together; undefined if it has announced no limit. */
+  requestLimit: number | undefined
   /** `answered` with the status, or the reason why there was no answer. */
   result: string
   /** Milliseconds to the result from the send, or from the arrival of the request if it was not sent. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -228,6 +228,7 @@
       rank,
       outstanding,
       expectedMs: Math.round(expectedMs),
+      requestLimit: this.placement.findRequestLimit(target),
       result,
       ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
     })
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -9,6 +9,7 @@
 import { TurnQueue } from '../connection/turnQueue.js'
 import { HostLoad } from '../request/hostLoad.js'
 import type { TargetState } from '../request/targetState.js'
+import { TargetAnnouncements } from './announcements/targetAnnouncements.js'
 import { FleetFollower } from './fleet/fleetFollower.js'
 import { FleetState } from './fleet/fleetState.js'
 import { HostAnnouncer } from './fleet/hostAnnouncer.js'
@@ -110,7 +111,8 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, getNow, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
+    const announcements = new TargetAnnouncements({ log, metrics })
+    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -21,6 +21,7 @@
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets', labelNames: ['region'], registers: [this.registry] })
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
+  private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly workDelay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BUCKETS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
@@ -52,6 +53,10 @@
     this.quarantine.inc({ event })
   }
 
+  countRequestLimitChange (change: string): void {
+    this.requestLimits.inc({ change })
+  }
+
   countPlatformCall (call: string, outcome: string): void {
     this.platformCalls.inc({ call, outcome })
   }
--- a/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
@@ -19,4 +19,9 @@
   load: { running: number, waiting: number } | undefined
   /** Milliseconds for which the target says that it stays cold; undefined where it doesn't say. */
   coldForMs: number | undefined
+  /**
+   * Requests per second that the target takes from all hosts together; Infinity where it states no limit, undefined where it states
+   * one that can't be read.
+   */
+  requestLimit: number | undefined
 }
