Keep all hosts together to the request limit that a target states

Change: `SendLimiter` lets the first hosts by rendezvous hashing send, as many as the limit has requests a second and two more, with equal parts evenly spaced; asked at the choice and again beside the write. Limits are kept by incarnation, outlive a lapsed entry, rise only after four seconds and travel in the load reports. The rank among senders is shared with cold targets (`SenderRanks`). Beyond all limits callers hear 503 at once.

--- a/packages/almondrelay-experiment/src/steering/productWay.ts
+++ b/packages/almondrelay-experiment/src/steering/productWay.ts
@@ -91,6 +91,7 @@
       targetLatencyMs,
       isEligible: () => true,
       allowCold: () => true,
+      allowSend: () => true,
       isWarmUpRequest: true,
       canSpill: this.options.movesRegions && this.away.allow()
     })
--- a/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -40,6 +40,30 @@
   assert.is(announcements.getRequestLimit(target), 5)
 })
 
+// Guards against a limit that is forgotten because the entry of the target lapsed, as in an outage of the store, and came back.
+test('a limit outlives the entry of the target', () => {
+  const { announcements } = createAnnouncements()
+  announcements.observeAnswer(makeTarget({ incarnation: 1 }), makeAnswerHead({ requestLimit: 5 }), 0, 10)
+  assert.is(announcements.getRequestLimit(makeTarget({ incarnation: 1 })), 5)
+  assert.is(announcements.getRequestLimit(makeTarget({ incarnation: 2 })), Infinity)
+})
+
+test('a limit is reported to peers when it changes, again while answers state it, and by its newest answer', () => {
+  const { announcements } = createAnnouncements()
+  const target = makeTarget()
+  const takePerSecond = (now: number): number[] => announcements.takeLimitReports(now).map(({ perSecond }) => perSecond)
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 0, 10)
+  assert.equal(announcements.takeLimitReports(30), [{ incarnationHash: target.incarnationHash, perSecond: 5, ageMs: 20 }])
+  assert.equal(takePerSecond(3_000), [])
+  announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 3_000, 3_100)
+  assert.equal(takePerSecond(3_200), [5])
+  announcements.receiveLimit(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 500 }, 'other', 3_300)
+  assert.is(announcements.getRequestLimit(target), 5)
+  announcements.receiveLimit(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 10 }, 'other', 3_300)
+  assert.is(announcements.getRequestLimit(target), 2)
+  assert.equal(takePerSecond(9_000), [])
+})
+
 test('answers of another target at the address and spoilt answers announce nothing', () => {
   const { announcements } = createAnnouncements()
   const target = makeTarget()
--- a/packages/almondrelay-gateway/src/process/forward/__tests__/attempt.test.ts
+++ b/packages/almondrelay-gateway/src/process/forward/__tests__/attempt.test.ts
@@ -13,7 +13,7 @@
 // Guards against an exception while a request is sent, caused by the request or the target's entry: nothing handled the
 // rejection, and the process exited.
 test('an error thrown while a request is sent becomes the result of the attempt', async () => {
-  const attempt = new Attempt(makeRequest(), choice, { codec: new PlainTargetCodec(), getNow: () => 0, isIdentified: () => true, isQuarantined: () => false })
+  const attempt = new Attempt(makeRequest(), choice, { codec: new PlainTargetCodec(), getNow: () => 0, isIdentified: () => true, isQuarantined: () => false, claimSend: () => true })
   const result = await attempt.run({ acquire: () => Promise.reject(new Error('no such port')) } as unknown as TargetPool)
   assert.equal(result, { kind: 'not-sent', reason: 'failed in this host: no such port' })
   assert.is(choice.target.inFlight, 0)
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -15,6 +15,8 @@
   isIdentified: () => boolean
   /** Whether too many targets have meanwhile exited while running the request for it to be sent again. */
   isQuarantined: () => boolean
+  /** Claims the send within the request limit of the target; false if there is no room for it. */
+  claimSend: (now: number) => boolean
 }
 
 /** One send of a request to one target. */
@@ -62,7 +64,7 @@
     }
     const { connection } = opened
     const now = this.parts.getNow()
-    const stopReason = this.findStopReason(now)
+    const stopReason = this.findStopReason(now) ?? (this.parts.claimSend(now) ? undefined : 'the target has reached its request limit')
     if (stopReason !== undefined) {
       connection.release()
       return { kind: 'not-sent', reason: stopReason }
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -5,6 +5,7 @@
 import { ShiftCapUsage } from '../../request/shiftCapUsage.js'
 import type { TargetState } from '../../request/targetState.js'
 import { DeclaredSteering } from '../../version/declaredSteering.js'
+import { SendLimiter } from '../announcements/sendLimiter.js'
 import type { TargetAnnouncements } from '../announcements/targetAnnouncements.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerView } from '../peers/peerView.js'
@@ -22,6 +23,7 @@
   memory: AnswerMemory
   announcements: TargetAnnouncements
   getNow: () => number
+  random: () => number
   countOpened: (region: string) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
@@ -35,6 +37,7 @@
 export class ForwardState {
   readonly fleet: FleetState
   readonly announcements: TargetAnnouncements
+  readonly sendLimiter: SendLimiter
   readonly roundTripTimes: RoundTripTimes
   readonly pools: TargetPools
   readonly prober: TargetProber
@@ -45,13 +48,14 @@
   private readonly runtimes = new Map<string, ServiceRuntime>()
 
   constructor (private readonly parts: ForwardParts) {
-    const { settings, fleet, codec, memory, getNow, signal } = parts
+    const { settings, fleet, codec, memory, getNow, random, signal } = parts
     this.fleet = fleet
     this.announcements = parts.announcements
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
     this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, parts)
     this.prober = new TargetProber(this.pools, this.roundTripTimes, signal)
     this.coldAllowance = new ColdAllowance(settings.host.name)
+    this.sendLimiter = new SendLimiter({ ownHost: settings.host.name, announcements: parts.announcements, listSenders: (region, now) => parts.peers.listSenders(region, now), random })
   }
 
   getRuntime (service: string): ServiceRuntime {
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -159,7 +159,7 @@
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
     const placement = new RequestPlacement(forward, runtime, keyHash, request.allowedRegions, random() < WARM_UP_SHARE)
-    return new RequestRunner(request, placement, { codec: targetCodec, gate: new RequestGate(request, quarantine), getNow })
+    return new RequestRunner(request, placement, { codec: targetCodec, gate: new RequestGate(request, quarantine), getNow, random })
   }
 
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -24,11 +24,14 @@
 const LATE_ANSWER_TIMEOUT_MS = 400
 /** Default Retry-After in milliseconds: about the time of one answer. */
 const DEFAULT_RETRY_AFTER_MS = 150
+/** Maximum mean Retry-After, in milliseconds, where targets have reached their request limits: the limits may be lifted any time. */
+const MAX_LIMIT_RETRY_AFTER_MS = 1_000
 
 interface RunnerParts {
   codec: TargetCodec
   gate: RequestGate
   getNow: () => number
+  random: () => number
 }
 
 /** Runs one request until its final answer. A single task handles the events of all its attempts in sequence. */
@@ -186,7 +189,7 @@
   /** Returns the target for the request; undefined if there is none or if the request would wait there for too long to be on time. */
   private chooseAdmittedTarget (now: number): TargetChoice | undefined {
     const choice = this.placement.choose(this.request, this.triedIds, now)
-    if (choice === undefined) return undefined
+    if (choice === undefined) return this.refuseLimited(now)
     const retryAfterMs = this.decideAdmission(choice, now)
     if (retryAfterMs === 0) return choice
     this.refusal = { text: 'every target of the key is full', cause: RefusalReason.queueFull }
@@ -194,6 +197,15 @@
     return undefined
   }
 
+  // The Retry-After is drawn up to twice the wait, so that refused callers do not all return at the moment at which there is room for one.
+  private refuseLimited (now: number): undefined {
+    const waitMs = this.placement.computeLimitWait(now)
+    if (waitMs === undefined) return undefined
+    this.refusal = { text: 'every target that is left has reached its request limit', cause: RefusalReason.targetLimited }
+    this.retryAfterMs = Math.min(MAX_LIMIT_RETRY_AFTER_MS, Math.max(DEFAULT_RETRY_AFTER_MS, waitMs)) * (1 + this.parts.random())
+    return undefined
+  }
+
   private decideAdmission (choice: TargetChoice, now: number): number {
     const { arrivedAt, deadline, route } = this.request
     return decideAdmission({ choice, targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, remainingMs: deadline - now })
@@ -201,7 +213,7 @@
 
   private send (choice: TargetChoice, now: number): void {
     const { codec, gate, getNow } = this.parts
-    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked })
+    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -9,7 +9,7 @@
 
 const test = suite('PeerView')
 const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), changes: undefined, demands: [] })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], changes: undefined, demands: [] })
 
 const build = (): PeerView => {
   const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -9,7 +9,7 @@
 
 /** Decodes a host's load report. Returns undefined if it isn't valid, as anybody can send to the port. */
 export function decodeLoadReport (message: LoadReport): PeerReport | undefined {
-  if (!hasValidNames(message) || !hasValidRevisions(message) || !message.demands.every(hasValidNumbers)) return undefined
+  if (!hasValidNames(message) || !hasValidRevisions(message) || !message.demands.every(hasValidNumbers) || !message.requestLimits.every(hasValidLimit)) return undefined
   return {
     host: message.host,
     incarnation: message.incarnation,
@@ -30,6 +30,7 @@
       coldMs,
       parts: new Map(parts.map(({ region, part }) => [region, part]))
     })),
+    requestLimits: message.requestLimits.map(({ targetHash, perSecond, ageMs }) => ({ incarnationHash: targetHash, perSecond: perSecond === 0 ? Infinity : perSecond, ageMs })),
     changes: message.changes === undefined ? undefined : decodeChanges(message.changes)
   }
 }
@@ -57,3 +58,5 @@
 /** Returns whether all numbers are finite and not negative. A number that isn't finite would make every sum that includes it useless. */
 const hasValidNumbers = ({ perSecond, warmMs, coldMs, parts }: LoadReport['demands'][number]): boolean =>
   [perSecond, warmMs, coldMs, ...parts.map(({ part }) => part)].every((value) => Number.isFinite(value) && value >= 0)
+
+const hasValidLimit = ({ perSecond }: LoadReport['requestLimits'][number]): boolean => Number.isFinite(perSecond) && perSecond >= 0
--- a/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
@@ -30,6 +30,7 @@
         coldMs,
         parts: [...parts].map(([region, part]) => ({ region, part }))
       })),
+      requestLimits: report.requestLimits.map(({ incarnationHash, perSecond, ageMs }) => ({ targetHash: incarnationHash, perSecond: perSecond === Infinity ? 0 : perSecond, ageMs: Math.round(ageMs) })),
       ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
     })
   })
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -1,4 +1,5 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
+import type { RequestLimitReport } from './requestLimitReport.js'
 import type { ServiceDemand } from './serviceDemand.js'
 
 /** The load report that a host sends to its peers. */
@@ -24,6 +25,8 @@
   isRegional: boolean
   /** Empty in most reports. */
   demands: readonly ServiceDemand[]
+  /** Request limits that targets stated to the sender; empty in most reports. */
+  requestLimits: readonly RequestLimitReport[]
   /** Changes of the store that the sender relays; undefined in most reports. */
   changes: RelayedChanges | undefined
 }
--- a/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
@@ -13,6 +13,7 @@
     targetLatencyMs: 250,
     isEligible: () => true,
     allowCold: () => false,
+    allowSend: () => true,
     isWarmUpRequest: false,
     canSpill: true,
     ...context
--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -158,4 +158,20 @@
   assert.is.not(chooseTarget(targets, makeContext())?.target, first.target)
 })
 
+// Guards against a whole region's requests that leave it at once because its targets have reached their request limits.
+test('requests leave a region whose targets have reached their request limits only as far as spilling is allowed', () => {
+  const limited = makeTarget({ id: 'limited', region: 'akl' })
+  const remote = makeTarget({ id: 'remote', region: 'wlg' })
+  const allowSend = (target: TargetState): boolean => target !== limited
+  assert.is(chooseTarget([limited, remote], makeContext({ allowSend, canSpill: false })), undefined)
+  assert.is(chooseTarget([limited, remote], makeContext({ allowSend, canSpill: true }))?.target, remote)
+})
+
+test('a target that has reached its request limit leaves its keys to their next targets, which do not count as preferred', () => {
+  const targets = ['a', 'b', 'c'].map((id) => makeTarget({ id }))
+  const first = chooseTarget(targets, makeContext({}))?.target
+  const choice = chooseTarget(targets, makeContext({ allowSend: (target) => target !== first }))
+  assert.is(choice?.rank, 1)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -21,6 +21,8 @@
   isEligible: (target: TargetState) => boolean
   /** Whether this host may send one more request to a cold target. */
   allowCold: (target: TargetState) => boolean
+  /** Whether the request limit that the target has announced leaves room for one more request of this host. */
+  allowSend: (target: TargetState) => boolean
   /** Whether the request is used to warm up its key's preferred target, although another target has the object cached. */
   isWarmUpRequest: boolean
   /** Whether the request may leave its home region although usable targets are left there. */
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -46,6 +46,8 @@
   const homeTargets = usable.filter((target) => target.entry.region === context.homeRegion)
   const homeChoice = chooseAmong(homeTargets, context)
   if (homeChoice !== undefined && !context.canSpill) return homeChoice
+  // Targets that have no room because of their request limits still have part of it, so their region's requests don't all leave it.
+  if (homeChoice === undefined && !context.canSpill && homeTargets.some((target) => !context.allowSend(target))) return undefined
   const remoteChoice = chooseAmong(usable.filter((target) => target.entry.region !== context.homeRegion), context)
   if (homeChoice === undefined) return remoteChoice ?? chooseAmong(eligible, context)
   return remoteChoice !== undefined && remoteChoice.costMs < homeChoice.costMs ? remoteChoice : homeChoice
@@ -81,7 +83,7 @@
   return isPreferred ? estimateChoice(preferred.target, WARMING_UP_RANK, context) : undefined
 }
 
-const isAllowed = (target: TargetState, context: ChoiceContext): boolean => !target.isCold(context.now) || context.allowCold(target)
+const isAllowed = (target: TargetState, context: ChoiceContext): boolean => context.allowSend(target) && (!target.isCold(context.now) || context.allowCold(target))
 
 const findCheapest = (choices: readonly TargetChoice[]): TargetChoice | undefined => {
   let best: TargetChoice | undefined
--- a/packages/almondrelay-gateway/src/request/coldAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/coldAllowance.ts
@@ -1,5 +1,4 @@
-import { computePairHash } from '../version/computePairHash.js'
-import { computeHash } from '../version/computeHash.js'
+import { SenderRanks } from './senderRanks.js'
 import type { TargetState } from './targetState.js'
 
 /**
@@ -16,14 +15,15 @@
  */
 export class ColdAllowance {
   private readonly nextSendAt = new Map<string, number>()
-  /** Whether this host is the one that sends, by target id; valid for as long as the same list of hosts is given. */
-  private readonly senderByTarget = new Map<string, { hosts: readonly string[], isSender: boolean }>()
+  private readonly ranks: SenderRanks
 
-  constructor (private readonly ownHost: string) {}
+  constructor (ownHost: string) {
+    this.ranks = new SenderRanks(ownHost)
+  }
 
   /** @param hosts names of the live hosts that may send; undefined while they are unknown */
   allow (target: TargetState, perSecond: number, hosts: readonly string[] | undefined, now: number): boolean {
-    if (perSecond <= 0 || hosts === undefined || !this.isSender(target, hosts)) return false
+    if (perSecond <= 0 || hosts === undefined || this.ranks.findRank(target, hosts) > 0) return false
     return now >= (this.nextSendAt.get(target.entry.id) ?? 0)
   }
 
@@ -34,21 +34,6 @@
 
   drop (targetId: string): void {
     this.nextSendAt.delete(targetId)
-    this.senderByTarget.delete(targetId)
-  }
-
-  private isSender (target: TargetState, hosts: readonly string[]): boolean {
-    const { id } = target.entry
-    const known = this.senderByTarget.get(id)
-    if (known?.hosts === hosts) return known.isSender
-    const isSender = this.computeIsSender(target, hosts)
-    this.senderByTarget.set(id, { hosts, isSender })
-    return isSender
-  }
-
-  private computeIsSender (target: TargetState, hosts: readonly string[]): boolean {
-    const weigh = (host: string): number => computePairHash(computeHash(host), target.hash)
-    const own = weigh(this.ownHost)
-    return hosts.includes(this.ownHost) && hosts.every((host) => weigh(host) <= own)
+    this.ranks.drop(targetId)
   }
 }
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -51,6 +51,7 @@
         targetLatencyMs: 250,
         isEligible: () => true,
         allowCold: () => false,
+        allowSend: () => true,
         isWarmUpRequest: false,
         canSpill: true
       })
@@ -76,6 +77,7 @@
   isRegional: false,
   declaredRevision: 0,
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
+  requestLimits: [],
   changes: undefined,
   demands: []
 })
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -14,6 +14,7 @@
   hostOverloaded: 'host-overloaded',
   quarantined: 'quarantined',
   queueFull: 'queue-full',
+  targetLimited: 'target-limited',
   overFairShare: 'over-fair-share',
   deadlineUnreachable: 'deadline-unreachable',
   deadlinePassed: 'deadline-passed',
--- a/packages/almondrelay/src/request/refusalStatus.ts
+++ b/packages/almondrelay/src/request/refusalStatus.ts
@@ -16,6 +16,7 @@
   [RefusalReason.hostOverloaded]: 503,
   [RefusalReason.quarantined]: 503,
   [RefusalReason.queueFull]: 503,
+  [RefusalReason.targetLimited]: 503,
   [RefusalReason.overFairShare]: 429,
   [RefusalReason.deadlineUnreachable]: 503,
   [RefusalReason.deadlinePassed]: 504,
