Log and count departures that targets announce and pauses that they ask for

No line said that an answer announced a departure, nor whether and for how long a target that turned a request away asked for a pause, so "nobody reads it" and "heeded and forgotten" looked the same. Change: both headers are decoded, each departure and each begin of a pause is logged once with the id of the request whose answer said so, and counted. Nothing is decided by them yet.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/makeAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/makeAnswerHead.ts
@@ -13,5 +13,7 @@
   load: undefined,
   coldForMs: undefined,
   requestLimit: Infinity,
+  isLeaving: false,
+  pauseMs: 0,
   ...head
 })
--- a/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
@@ -22,7 +22,9 @@
       closesConnection: !shouldKeepAlive,
       load: undefined,
       coldForMs: undefined,
-      requestLimit: has('limit') ? Number(find('limit')) : Infinity
+      requestLimit: has('limit') ? Number(find('limit')) : Infinity,
+      isLeaving: has('leaving'),
+      pauseMs: has('pause') ? Number(find('pause')) : 0
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -31,6 +31,14 @@
   assert.is(announcements.getRequestLimit(target), 5.7)
 })
 
+test('a departure and the begin of a pause are logged once, with the request whose answer announced them', () => {
+  const { announcements, lines } = createAnnouncements()
+  const target = makeTarget()
+  for (const at of [10, 20]) announcements.observeAnswer(target, makeAnswerHead({ isLeaving: true, requestId: `leaving at ${at}` }), 0, at)
+  for (const at of [30, 40]) announcements.observeAnswer(target, makeAnswerHead({ status: 503, isNotRun: true, pauseMs: 3_000, requestId: `refused at ${at}` }), 0, at)
+  assert.equal(lines.map(({ msg, requestId }) => [msg, requestId]), [['target announced that it is leaving', 'leaving at 10'], ['target asked for a pause', 'refused at 30']])
+})
+
 // Guards against a limit that is taken for lifted by an older answer that arrives later on another connection.
 test('an answer to a request that was sent before the limit arrived does not lift it', () => {
   const { announcements } = createAnnouncements()
--- a/packages/almondrelay-gateway/src/process/announcements/targetAnnouncements.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/targetAnnouncements.ts
@@ -2,9 +2,10 @@
 import { putBounded } from '../../request/putBounded.js'
 import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
 import type { TargetState } from '../../request/targetState.js'
-import type { EventLog } from '../observe/eventLog.js'
-import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { RequestLimitReport } from '../peers/requestLimitReport.js'
+import { AnnouncedDepartures } from './announcedDepartures.js'
+import { AnnouncedPauses } from './announcedPauses.js'
+import type { AnnouncementsParts } from './announcementsParts.js'
 
 /** Maximum targets whose announcements are kept, several times those of the largest fleet; the oldest are dropped. */
 const MAX_TARGETS = 20_000
@@ -32,19 +33,19 @@
   peer?: string
 }
 
-interface AnnouncementsParts {
-  log: EventLog
-  metrics: GatewayMetrics
-}
-
 /**
  * What targets announce about themselves in their answers, by their incarnations. It is kept apart from the targets' entries, which may
  * lapse and come back while the target goes on.
  */
 export class TargetAnnouncements {
+  readonly departures: AnnouncedDepartures
+  readonly pauses: AnnouncedPauses
   private readonly limits = new Map<number, LimitEntry>()
 
-  constructor (private readonly parts: AnnouncementsParts) {}
+  constructor (private readonly parts: AnnouncementsParts) {
+    this.departures = new AnnouncedDepartures(parts)
+    this.pauses = new AnnouncedPauses(parts)
+  }
 
   /**
    * Records what the head of a target's answer announces.
@@ -53,7 +54,9 @@
    */
   observeAnswer (target: TargetState, head: TargetAnswerHead, sentAt: number, now: number): void {
     if (head.isMisdirected || (!head.isGenuine && !head.isNotRun)) return
-    const { requestLimit, requestId } = head
+    const { requestLimit, requestId, isLeaving, pauseMs } = head
+    if (isLeaving) this.departures.observe(target, requestId, now)
+    if (pauseMs > 0) this.pauses.observe(target, pauseMs, requestId, now)
     if (requestLimit === undefined) this.reportUnreadableLimit(target, requestId)
     else this.observeLimit(target, requestLimit, { sentAt, heardAt: now }, { requestId })
   }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -22,6 +22,7 @@
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
+  private readonly targetAnnouncements = new Counter({ name: 'almondrelay_target_announcements_total', help: 'Departures that targets announced and pauses that they asked for', labelNames: ['kind'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly workDelay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BUCKETS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
@@ -57,6 +58,10 @@
     this.requestLimits.inc({ change })
   }
 
+  countTargetAnnouncement (kind: string): void {
+    this.targetAnnouncements.inc({ kind })
+  }
+
   countPlatformCall (call: string, outcome: string): void {
     this.platformCalls.inc({ call, outcome })
   }
--- a/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
@@ -24,4 +24,8 @@
    * one that can't be read.
    */
   requestLimit: number | undefined
+  /** The target is leaving and takes no new requests. */
+  isLeaving: boolean
+  /** Milliseconds for which the target, turning a request away, wants no others of this host; 0 where it asks for no pause. */
+  pauseMs: number
 }
