Send a target nothing new once one of its answers has announced that it leaves

Cause: hypothesis 1, hosts knew of a departure from the target's entry in the store alone, and the store was away for 13 s. Hypothesis 2 is a second way to the same: with the store there, heartbeats say `ready` and each of them cleared a departure (second case of the test). Change: the first answer with the header marks the incarnation as leaving for good; the mark lives apart from the entry, is put back on a target whose entry lapsed and came back, and travels in the load reports to the hosts of the region. Attempts look at it again beside the write, as at a draining entry.

--- a/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -39,6 +39,33 @@
   assert.equal(lines.map(({ msg, requestId }) => [msg, requestId]), [['target announced that it is leaving', 'leaving at 10'], ['target asked for a pause', 'refused at 30']])
 })
 
+// Guards against a departure that is forgotten because the entry of the target lapsed and came back, or was written once more.
+test('a departure outlives the entry of the target, and not its incarnation', () => {
+  const { announcements } = createAnnouncements()
+  const target = makeTarget({ incarnation: 1 })
+  announcements.observeAnswer(target, makeAnswerHead({ isLeaving: true }), 0, 10)
+  target.updateEntry({ ...target.entry, sequence: 2 }, 20)
+  const returned = makeTarget({ incarnation: 1 })
+  const restarted = makeTarget({ incarnation: 2 })
+  for (const added of [returned, restarted]) announcements.departures.apply(added)
+  assert.equal([target, returned, restarted].map((each) => each.isLeaving()), [true, true, false])
+})
+
+test('a departure is reported to peers for a while, and stops a peer that did not hear of it itself', () => {
+  const { announcements } = createAnnouncements()
+  const { announcements: peer } = createAnnouncements()
+  const target = makeTarget()
+  announcements.observeAnswer(target, makeAnswerHead({ isLeaving: true }), 0, 10)
+  assert.equal(announcements.departures.takeReports(20), [target.incarnationHash])
+  assert.equal(announcements.departures.takeReports(1_000), [])
+  assert.equal(announcements.departures.takeReports(2_100), [target.incarnationHash])
+  assert.equal(announcements.departures.takeReports(30_000), [])
+  const known = makeTarget()
+  peer.departures.observe(known, { peer: 'front-1' }, 100)
+  assert.ok(known.isLeaving())
+  assert.equal(peer.departures.takeReports(200), [])
+})
+
 // Guards against a limit that is taken for lifted by an older answer that arrives later on another connection.
 test('an answer to a request that was sent before the limit arrived does not lift it', () => {
   const { announcements } = createAnnouncements()
--- a/packages/almondrelay-gateway/src/process/announcements/targetAnnouncements.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/targetAnnouncements.ts
@@ -55,7 +55,7 @@
   observeAnswer (target: TargetState, head: TargetAnswerHead, sentAt: number, now: number): void {
     if (head.isMisdirected || (!head.isGenuine && !head.isNotRun)) return
     const { requestLimit, requestId, isLeaving, pauseMs } = head
-    if (isLeaving) this.departures.observe(target, requestId, now)
+    if (isLeaving) this.departures.observe(target, { requestId }, now)
     if (pauseMs > 0) this.pauses.observe(target, pauseMs, requestId, now)
     if (requestLimit === undefined) this.reportUnreadableLimit(target, requestId)
     else this.observeLimit(target, requestLimit, { sentAt, heardAt: now }, { requestId })
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -33,6 +33,7 @@
   isReliedOn = false
   readonly fleet = new FleetState({
     targetRemoved: ({ entry }) => { this.removed.push(entry.id) },
+    targetAdded: () => undefined,
     targetRestarted: ({ entry }) => { this.restarted.push(entry.id) },
     hostRemoved: () => undefined
   })
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -7,6 +7,8 @@
 import type { HostEntry } from './hostEntry.js'
 
 interface FleetListener {
+  /** A target was added, or added again after its entry had lapsed. */
+  targetAdded: (target: TargetState) => void
   /** A target was removed: it gets no new requests, and those it is running continue. */
   targetRemoved: (target: TargetState) => void
   /** A target restarted: requests sent to its previous incarnation will never be answered. */
@@ -98,6 +100,7 @@
     this.targetsByIncarnation.set(target.incarnationHash, target)
     this.putAddress(target)
     this.targetsByService.set(entry.service, [...this.listTargets(entry.service), target])
+    this.listener.targetAdded(target)
   }
 
   private updateTarget (target: TargetState, entry: TargetEntry, now: number): void {
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -101,7 +101,9 @@
     const isLeaving = (): boolean => this.isLeaving
     this.turns = new TurnQueue(getNow)
     this.own = makeOwnEntry(settings, parts.incarnation)
+    const announcements = new TargetAnnouncements({ log, metrics })
     this.fleet = new FleetState({
+      targetAdded: (target) => { announcements.departures.apply(target) },
       targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) },
       targetRestarted: (target) => {
         this.forward.abortTarget(target.entry.id)
@@ -111,7 +113,6 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    const announcements = new TargetAnnouncements({ log, metrics })
     this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -25,7 +25,7 @@
   readonly exchange: UsageExchange
   now = 10_000
   sleep: (ms: number) => Promise<void> = () => Promise.resolve()
-  private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  private readonly fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
 
   constructor (name: string) {
     const entries = [...['a', 'b', 'c', 'd'].map((each) => makeEntry(each, 'one')), ...['x', 'y', 'z'].map((each) => makeEntry(each, 'two'))]
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -17,11 +17,11 @@
 const CHANGES = { afterRevision: 4, upToRevision: 6, events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }], forwardTo: [] }
 
 const makeEntry = (name: string, region = 'akl'): HostEntry => ({ name, incarnation: 'i1', availabilityZone: `${region}-a`, region, ip: ADDRESS, callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], changes: undefined, ...content })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], changes: undefined, ...content })
 
 /** One host in a fleet. Records the reports that it sends, and the reports and changes that it accepts from watchers. */
 class ExchangeRig {
-  readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  readonly fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   readonly sent: PeerReport[] = []
   readonly watched: PeerReport[] = []
   readonly accepted: RelayedChanges[] = []
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -9,10 +9,10 @@
 
 const test = suite('PeerView')
 const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], changes: undefined, demands: [] })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], leavingTargets: [], changes: undefined, demands: [] })
 
 const build = (): PeerView => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   for (const name of ['own', 'a', 'b']) fleet.putHost(makeEntry(name))
   fleet.isComplete = true
   return new PeerView(makeEntry('own'), fleet)
@@ -32,7 +32,7 @@
 // Guards against missed changes when both watchers of a region exit or are cut off from the store. The other hosts must notice this,
 // and still have time to ask the store, before the bound within which a target that leaves must be known.
 test('hosts rely on watchers while one of them has reported and was confirmed recently, in large regions', () => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'own']
   for (const name of names) fleet.putHost(makeEntry(name))
   const view = new PeerView(makeEntry('own'), fleet)
@@ -59,7 +59,7 @@
 // and their entries are removed after four, but they keep their callers. If they counted as exited, the others would use the whole
 // limit, and they their share in addition.
 test('a host whose entry is removed without an announcement still counts; one that announced its leave or came back does not count twice', () => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: (entry) => { view.observeEntryRemoved(entry, 1_000) } })
+  const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: (entry) => { view.observeEntryRemoved(entry, 1_000) } })
   const view = new PeerView(makeEntry('own'), fleet)
   for (const name of ['own', 'cut', 'leaving']) fleet.putHost(makeEntry(name))
   assert.is(view.countPossibleHosts(0), 3)
@@ -75,7 +75,7 @@
 })
 
 test('hosts that know the same hosts choose the same two aggregators of each zone', () => {
-  const fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   const view = new PeerView(makeEntry('c'), fleet)
   for (const name of ['d', 'c', 'b', 'a']) fleet.putHost(makeEntry(name))
   view.receiveReport(makeReport('a', 1, true), 0)
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -31,6 +31,7 @@
       parts: new Map(parts.map(({ region, part }) => [region, part]))
     })),
     requestLimits: message.requestLimits.map(({ targetHash, perSecond, ageMs }) => ({ incarnationHash: targetHash, perSecond: perSecond === 0 ? Infinity : perSecond, ageMs })),
+    leavingTargets: message.leavingTargets,
     changes: message.changes === undefined ? undefined : decodeChanges(message.changes)
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
@@ -31,6 +31,7 @@
         parts: [...parts].map(([region, part]) => ({ region, part }))
       })),
       requestLimits: report.requestLimits.map(({ incarnationHash, perSecond, ageMs }) => ({ targetHash: incarnationHash, perSecond: perSecond === Infinity ? 0 : perSecond, ageMs: Math.round(ageMs) })),
+      leavingTargets: [...report.leavingTargets],
       ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
     })
   })
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -53,7 +53,7 @@
   receiveWatcherReport: (report: PeerReport, now: number) => void
 }
 
-type ReportContent = Pick<PeerReport, 'isRegional' | 'demands' | 'declaredRevision' | 'requestLimits' | 'changes'>
+type ReportContent = Pick<PeerReport, 'isRegional' | 'demands' | 'declaredRevision' | 'requestLimits' | 'leavingTargets' | 'changes'>
 
 /** Sends load reports to the other hosts, applies the reports received from them, and relays changes of the store within the region. */
 export class PeerExchange {
@@ -93,7 +93,7 @@
     fleet.receivePeerConfirmation(report.notableRevision, now - report.storeAgeMs)
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
-    if (view.findSender(report, ip) !== undefined) this.receiveRequestLimits(report, now)
+    if (view.findSender(report, ip) !== undefined) this.receiveAnnouncements(report, now)
     if (isWatcher && report.changes === undefined) this.parts.receiveWatcherReport(report, now)
   }
 
@@ -101,7 +101,7 @@
   relay (changes: RelayedChanges): void {
     const groups = splitGroups(this.listPeers(({ region }) => region === this.parts.own.region), GROUP_SIZE)
     // Built only once: building it for each of dozens of datagrams would iterate over all targets each time.
-    const report = this.buildReport({ isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], changes: undefined })
+    const report = this.buildReport({ isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], leavingTargets: [], changes: undefined })
     for (const chunk of splitChanges(changes, MAX_CHANGE_BYTES)) {
       for (const [first, ...others] of groups) {
         const forwardTo = others.map(({ name }) => name)
@@ -128,8 +128,12 @@
     for (const [hash, count] of inFlight) fleet.findIncarnation(hash)?.receivePeerCount(host, count, now)
   }
 
-  private receiveRequestLimits ({ host, requestLimits }: PeerReport, now: number): void {
+  private receiveAnnouncements ({ host, requestLimits, leavingTargets }: PeerReport, now: number): void {
     const { fleet, forward } = this.parts
+    for (const incarnationHash of leavingTargets) {
+      const target = fleet.findIncarnation(incarnationHash)
+      if (target !== undefined) forward.announcements.departures.observe(target, { peer: host }, now)
+    }
     for (const limit of requestLimits) {
       const target = fleet.findIncarnation(limit.incarnationHash)
       if (target !== undefined) forward.announcements.receiveLimit(target, limit, host, now)
@@ -138,7 +142,7 @@
 
   /** Sends a report to every host immediately, for example when this host is about to leave. */
   announce (): void {
-    this.sendTo(() => true, { isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], changes: undefined })
+    this.sendTo(() => true, { isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], leavingTargets: [], changes: undefined })
   }
 
   private sendRound (): number {
@@ -147,10 +151,10 @@
     const declaredRevision = getDeclaredRevision()
     const withDemands = now - this.demandsSentAt >= (view.isLargeRegion() ? LARGE_REGION_DEMAND_INTERVAL_MS : DEMAND_INTERVAL_MS)
     if (withDemands) this.demandsSentAt = now
-    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.takeLimitReports(now), changes: undefined })
+    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.takeLimitReports(now), leavingTargets: forward.announcements.departures.takeReports(now), changes: undefined })
     if (now - this.regionalReportSentAt < OTHER_REGIONS_INTERVAL_MS || !view.isRepresentative(now)) return bytes
     this.regionalReportSentAt = now
-    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)), requestLimits: [], changes: undefined })
+    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)), requestLimits: [], leavingTargets: [], changes: undefined })
   }
 
   private listOwnDemands (now: number): ServiceDemand[] {
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -27,6 +27,8 @@
   demands: readonly ServiceDemand[]
   /** Request limits that targets stated to the sender; empty in most reports. */
   requestLimits: readonly RequestLimitReport[]
+  /** Hashes of the incarnations of targets that told the sender that they are leaving; empty in most reports. */
+  leavingTargets: readonly number[]
   /** Changes of the store that the sender relays; undefined in most reports. */
   changes: RelayedChanges | undefined
 }
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectExchange.test.ts
@@ -28,7 +28,7 @@
   /** Whether the port is closed, as when the host ends; sending then throws. */
   isClosed = false
   private readonly own = ENTRIES[0] as HostEntry
-  private readonly fleet = new FleetState({ targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  private readonly fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   readonly exchange: SuspectExchange
 
   constructor (isNew = true) {
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -43,6 +43,7 @@
   private suspensions = 0
   private coldUntil = -Infinity
   private departedAt: number | undefined
+  private hasAnnouncedLeaving = false
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
@@ -61,8 +62,13 @@
     this.departedAt ??= now
   }
 
+  /** Records that this incarnation of the target announced that it is leaving. No later entry of it takes that back. */
+  markLeaving (): void {
+    this.hasAnnouncedLeaving = true
+  }
+
   isLeaving (): boolean {
-    return this.entry.draining || this.departedAt !== undefined
+    return this.entry.draining || this.departedAt !== undefined || this.hasAnnouncedLeaving
   }
 
   isSuspended (now: number): boolean {
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -78,6 +78,7 @@
   declaredRevision: 0,
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
   requestLimits: [],
+  leavingTargets: [],
   changes: undefined,
   demands: []
 })
