Send a target nothing during a pause that it has asked this host for

Cause: hypothesis 1, nobody read the pause: a 503 was one failure among others, which makes a target dearer, but not more than full ones. Change: `AnnouncedPauses` keeps until when each target wants nothing of this host; `SendLimiter` looks at it at the choice and again beside the write. An older answer or a shorter pause ends none. Only limited targets, which take more in a moment, keep their region's requests at home; where all pause, they go elsewhere as when targets can't be reached.

--- a/packages/almondrelay-experiment/src/steering/productWay.ts
+++ b/packages/almondrelay-experiment/src/steering/productWay.ts
@@ -92,6 +92,7 @@
       isEligible: () => true,
       allowCold: () => true,
       allowSend: () => true,
+      isLimited: () => false,
       isWarmUpRequest: true,
       canSpill: this.options.movesRegions && this.away.allow()
     })
--- a/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -66,6 +66,19 @@
   assert.equal(peer.departures.takeReports(200), [])
 })
 
+// Guards against a pause that ends early because of an answer to an older request, or that one bad answer makes last for good.
+test('a pause ends by its own time only, and no pause lasts longer than five minutes', () => {
+  const { announcements } = createAnnouncements()
+  const target = makeTarget()
+  announcements.observeAnswer(target, makeAnswerHead({ status: 503, isNotRun: true, pauseMs: 3_000 }), 0, 100)
+  announcements.observeAnswer(target, makeAnswerHead({ status: 503, isNotRun: true, pauseMs: 500 }), 50, 200)
+  announcements.observeAnswer(target, makeAnswerHead(), 60, 300)
+  assert.is(announcements.pauses.computeWait(target, 1_100), 2_000)
+  assert.is(announcements.pauses.computeWait(target, 3_100), 0)
+  announcements.observeAnswer(target, makeAnswerHead({ status: 503, isNotRun: true, pauseMs: 1e12 }), 4_000, 4_000)
+  assert.is(announcements.pauses.computeWait(target, 4_000), 300_000)
+})
+
 // Guards against a limit that is taken for lifted by an older answer that arrives later on another connection.
 test('an answer to a request that was sent before the limit arrived does not lift it', () => {
   const { announcements } = createAnnouncements()
--- a/packages/almondrelay-gateway/src/process/announcements/announcedPauses.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/announcedPauses.ts
@@ -27,4 +27,9 @@
     this.parts.metrics.countTargetAnnouncement('pause')
     this.parts.log.record('target asked for a pause', { target: target.entry.id, service: target.entry.service, pauseMs, requestId })
   }
+
+  /** Returns the milliseconds until the target takes requests of this host again; 0 if it has asked for no pause. */
+  computeWait (target: TargetState, now: number): number {
+    return Math.max(0, (this.pausedUntil.get(target.incarnationHash) ?? -Infinity) - now)
+  }
 }
--- a/packages/almondrelay-gateway/src/process/announcements/sendLimiter.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/sendLimiter.ts
@@ -23,6 +23,12 @@
     return this.computeWait(target, now) <= 0
   }
 
+  /** Whether the target has announced a request limit, and has not asked this host for a pause. */
+  isLimited (target: TargetState, now: number): boolean {
+    const { announcements } = this.parts
+    return announcements.getRequestLimit(target) !== Infinity && announcements.pauses.computeWait(target, now) === 0
+  }
+
   /** Claims one send to the target, immediately before the request is written; false if the target doesn't take it. */
   claim (target: TargetState, now: number): boolean {
     if (!this.allow(target, now)) return false
@@ -33,9 +39,11 @@
 
   /** Returns the milliseconds until the target takes a request of this host; Infinity if it takes those of other hosts only. */
   computeWait (target: TargetState, now: number): number {
-    const perSecond = this.parts.announcements.getRequestLimit(target)
-    if (perSecond === Infinity) return 0
-    return Math.max(0, this.limitAllowance.computeWait(target, perSecond, this.listSenders(target, now), now))
+    const { announcements } = this.parts
+    const pauseMs = announcements.pauses.computeWait(target, now)
+    const perSecond = announcements.getRequestLimit(target)
+    if (perSecond === Infinity) return pauseMs
+    return Math.max(pauseMs, this.limitAllowance.computeWait(target, perSecond, this.listSenders(target, now), now))
   }
 
   private listSenders (target: TargetState, now: number): readonly string[] | undefined {
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -15,7 +15,7 @@
   isIdentified: () => boolean
   /** Whether too many targets have meanwhile exited while running the request for it to be sent again. */
   isQuarantined: () => boolean
-  /** Claims the send within the request limit of the target; false if there is no room for it. */
+  /** Claims the send; false if the target has reached its request limit or asked for a pause. */
   claimSend: (now: number) => boolean
 }
 
@@ -64,7 +64,7 @@
     }
     const { connection } = opened
     const now = this.parts.getNow()
-    const stopReason = this.findStopReason(now) ?? (this.parts.claimSend(now) ? undefined : 'the target has reached its request limit')
+    const stopReason = this.findStopReason(now) ?? (this.parts.claimSend(now) ? undefined : 'the target has reached its request limit or asked for a pause')
     if (stopReason !== undefined) {
       connection.release()
       return { kind: 'not-sent', reason: stopReason }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -46,6 +46,7 @@
       isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && !this.state.steering.isDrained(entry) && isRegionOpen(entry.region),
       allowCold: (target) => this.state.allowCold(target, now),
       allowSend: (target) => this.state.sendLimiter.allow(target, now),
+      isLimited: (target) => this.state.sendLimiter.isLimited(target, now),
       isWarmUpRequest: this.isWarmUpRequest,
       canSpill: this.declared?.spill !== false && this.runtime.spillAllowance.allow()
     })
@@ -101,14 +102,14 @@
     return limit === Infinity ? undefined : limit
   }
 
-  /** Claims a send to a target within the request limit that it has announced; false if there is no room for it. */
+  /** Claims a send to a target; false if the target has reached its request limit or asked for a pause. */
   claimSend (target: TargetState, now: number): boolean {
     return this.state.sendLimiter.claim(target, now)
   }
 
   /**
-   * Returns the milliseconds until one of the service's targets that have no room because of their request limits has room again;
-   * undefined if there are no such targets.
+   * Returns the milliseconds until one of the service's targets that have reached their request limits or asked for a pause takes a
+   * request again; undefined if there are no such targets.
    */
   computeLimitWait (now: number): number | undefined {
     const waits = this.state.fleet.listTargets(this.service).map((target) => this.state.sendLimiter.computeWait(target, now)).filter((waitMs) => waitMs > 0)
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -24,7 +24,10 @@
 const LATE_ANSWER_TIMEOUT_MS = 400
 /** Default Retry-After in milliseconds: about the time of one answer. */
 const DEFAULT_RETRY_AFTER_MS = 150
-/** Maximum mean Retry-After, in milliseconds, where targets have reached their request limits: the limits may be lifted any time. */
+/**
+ * Maximum mean Retry-After, in milliseconds, where targets have reached their request limits or asked for a pause: limits may be lifted
+ * any time, and a pause is that of one host only.
+ */
 const MAX_LIMIT_RETRY_AFTER_MS = 1_000
 
 interface RunnerParts {
@@ -201,7 +204,7 @@
   private refuseLimited (now: number): undefined {
     const waitMs = this.placement.computeLimitWait(now)
     if (waitMs === undefined) return undefined
-    this.refusal = { text: 'every target that is left has reached its request limit', cause: RefusalReason.targetLimited }
+    this.refusal = { text: 'every target that is left has reached its request limit or asked for a pause', cause: RefusalReason.targetLimited }
     this.retryAfterMs = Math.min(MAX_LIMIT_RETRY_AFTER_MS, Math.max(DEFAULT_RETRY_AFTER_MS, waitMs)) * (1 + this.parts.random())
     return undefined
   }
--- a/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/makeContext.ts
@@ -14,6 +14,7 @@
     isEligible: () => true,
     allowCold: () => false,
     allowSend: () => true,
+    isLimited: () => false,
     isWarmUpRequest: false,
     canSpill: true,
     ...context
--- a/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/chooseTarget.test.ts
@@ -162,9 +162,11 @@
 test('requests leave a region whose targets have reached their request limits only as far as spilling is allowed', () => {
   const limited = makeTarget({ id: 'limited', region: 'akl' })
   const remote = makeTarget({ id: 'remote', region: 'wlg' })
+  const isLimited = (target: TargetState): boolean => target === limited
   const allowSend = (target: TargetState): boolean => target !== limited
-  assert.is(chooseTarget([limited, remote], makeContext({ allowSend, canSpill: false })), undefined)
-  assert.is(chooseTarget([limited, remote], makeContext({ allowSend, canSpill: true }))?.target, remote)
+  assert.is(chooseTarget([limited, remote], makeContext({ isLimited, allowSend, canSpill: false })), undefined)
+  assert.is(chooseTarget([limited, remote], makeContext({ isLimited, allowSend, canSpill: true }))?.target, remote)
+  assert.is(chooseTarget([limited, remote], makeContext({ allowSend, canSpill: false }))?.target, remote)
 })
 
 test('a target that has reached its request limit leaves its keys to their next targets, which do not count as preferred', () => {
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -21,8 +21,10 @@
   isEligible: (target: TargetState) => boolean
   /** Whether this host may send one more request to a cold target. */
   allowCold: (target: TargetState) => boolean
-  /** Whether the request limit that the target has announced leaves room for one more request of this host. */
+  /** Whether the target takes a request of this host now, by the request limit that it has announced and the pauses that it has asked for. */
   allowSend: (target: TargetState) => boolean
+  /** Whether the target has announced a request limit, and takes requests of this host up to it. */
+  isLimited: (target: TargetState) => boolean
   /** Whether the request is used to warm up its key's preferred target, although another target has the object cached. */
   isWarmUpRequest: boolean
   /** Whether the request may leave its home region although usable targets are left there. */
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -46,8 +46,8 @@
   const homeTargets = usable.filter((target) => target.entry.region === context.homeRegion)
   const homeChoice = chooseAmong(homeTargets, context)
   if (homeChoice !== undefined && !context.canSpill) return homeChoice
-  // Targets that have no room because of their request limits still have part of it, so their region's requests don't all leave it.
-  if (homeChoice === undefined && !context.canSpill && homeTargets.some((target) => !context.allowSend(target))) return undefined
+  // Targets that have reached their request limits take more in a moment, so their region's requests don't all leave it.
+  if (homeChoice === undefined && !context.canSpill && homeTargets.some(context.isLimited)) return undefined
   const remoteChoice = chooseAmong(usable.filter((target) => target.entry.region !== context.homeRegion), context)
   if (homeChoice === undefined) return remoteChoice ?? chooseAmong(eligible, context)
   return remoteChoice !== undefined && remoteChoice.costMs < homeChoice.costMs ? remoteChoice : homeChoice
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -52,6 +52,7 @@
         isEligible: () => true,
         allowCold: () => false,
         allowSend: () => true,
+        isLimited: () => false,
         isWarmUpRequest: false,
         canSpill: true
       })
