Probe a target again if the connection of the probe has closed

The process closes its connections first and its port a moment later; the probe connected in between, which counted as a target that listens. Load isn't needed. Change: after a probe that connects, the prober waits its interval and probes again if no connection to the target is left.

--- a/packages/almondrelay-gateway/src/process/forward/targetProber.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetProber.ts
@@ -33,7 +33,12 @@
     const pool = this.pools.find(target)
     if (pool === undefined || this.signal.aborted) return true
     const result = await pool.probe(target.entry, PROBE_TIMEOUT_MS + 2 * this.roundTripTimes.find(target.entry.region))
-    if (result.kind === 'connected' || result.failure === ConnectFailure.targetLeft) return true
+    if (result.kind === 'connected') {
+      // A process that exits may close its connections before its port, and a probe connects in between.
+      await sleepFor(PROBE_INTERVAL_MS, this.signal)
+      return !pool.isUnconnected
+    }
+    if (result.failure === ConnectFailure.targetLeft) return true
     return result.failure === ConnectFailure.refused && pool.isUnconnected
   }
 }
