--- a/packages/almondrelay-gateway/src/process/announcements/__fixtures__/limitFleet.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__fixtures__/limitFleet.ts
@@ -138,7 +138,7 @@
 
   private report (host: ModelHost): void {
     host.nextReportAt = this.now + REPORT_INTERVAL_MS
-    const requestLimits: readonly RequestLimitReport[] = host.announcements.takeLimitReports(this.now)
+    const requestLimits: readonly RequestLimitReport[] = host.announcements.limits.takeReports(this.now)
     if (requestLimits.length === 0) return
     const bytes = encodeLoadReport({ host: host.name, incarnation: 'i', region: 'akl', sequence: 1, isLeaving: false, configurationVersion: 1, storeRevision: 1, notableRevision: 1, declaredRevision: 0, storeAgeMs: 0, isRegional: false, inFlight: new Map(), demands: [], requestLimits, leavingTargets: [], changes: undefined })
     for (const [to, other] of this.hosts.entries()) {
@@ -162,6 +162,6 @@
   private receive (host: ModelHost, bytes: Uint8Array): void {
     const message = decodeDatagram(bytes)
     if (message?.kind !== 'load' || host.upSince === Infinity) return
-    for (const limit of message.report.requestLimits) host.announcements.receiveLimit(host.target, limit, message.report.host, this.now)
+    for (const limit of message.report.requestLimits) host.announcements.limits.receive(host.target, limit, message.report.host, this.now)
   }
 }
--- a/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__tests__/targetAnnouncements.test.ts
@@ -28,7 +28,7 @@
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: undefined }), 60, 70)
   assert.equal(lines.map(({ msg }) => msg), ['request limit of a target', 'request limit of a target can\'t be read'])
   assert.equal([lines[0]?.perSecond, lines[0]?.previous, lines[0]?.requestId], [5.7, 'none', 'first'])
-  assert.is(announcements.getRequestLimit(target), 5.7)
+  assert.is(announcements.limits.get(target), 5.7)
 })
 
 test('a departure and the begin of a pause are logged once, with the request whose answer announced them', () => {
@@ -85,30 +85,30 @@
   const target = makeTarget()
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 100, 200)
   announcements.observeAnswer(target, makeAnswerHead(), 150, 300)
-  assert.is(announcements.getRequestLimit(target), 5)
+  assert.is(announcements.limits.get(target), 5)
 })
 
 // Guards against a limit that is forgotten because the entry of the target lapsed, as in an outage of the store, and came back.
 test('a limit outlives the entry of the target', () => {
   const { announcements } = createAnnouncements()
   announcements.observeAnswer(makeTarget({ incarnation: 1 }), makeAnswerHead({ requestLimit: 5 }), 0, 10)
-  assert.is(announcements.getRequestLimit(makeTarget({ incarnation: 1 })), 5)
-  assert.is(announcements.getRequestLimit(makeTarget({ incarnation: 2 })), Infinity)
+  assert.is(announcements.limits.get(makeTarget({ incarnation: 1 })), 5)
+  assert.is(announcements.limits.get(makeTarget({ incarnation: 2 })), Infinity)
 })
 
 test('a limit is reported to peers when it changes, again while answers state it, and by its newest answer', () => {
   const { announcements } = createAnnouncements()
   const target = makeTarget()
-  const takePerSecond = (now: number): number[] => announcements.takeLimitReports(now).map(({ perSecond }) => perSecond)
+  const takePerSecond = (now: number): number[] => announcements.limits.takeReports(now).map(({ perSecond }) => perSecond)
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 0, 10)
-  assert.equal(announcements.takeLimitReports(30), [{ incarnationHash: target.incarnationHash, perSecond: 5, ageMs: 20 }])
+  assert.equal(announcements.limits.takeReports(30), [{ incarnationHash: target.incarnationHash, perSecond: 5, ageMs: 20 }])
   assert.equal(takePerSecond(3_000), [])
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5 }), 3_000, 3_100)
   assert.equal(takePerSecond(3_200), [5])
-  announcements.receiveLimit(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 500 }, 'other', 3_300)
-  assert.is(announcements.getRequestLimit(target), 5)
-  announcements.receiveLimit(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 10 }, 'other', 3_300)
-  assert.is(announcements.getRequestLimit(target), 2)
+  announcements.limits.receive(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 500 }, 'other', 3_300)
+  assert.is(announcements.limits.get(target), 5)
+  announcements.limits.receive(target, { incarnationHash: target.incarnationHash, perSecond: 2, ageMs: 10 }, 'other', 3_300)
+  assert.is(announcements.limits.get(target), 2)
   assert.equal(takePerSecond(9_000), [])
 })
 
@@ -117,9 +117,9 @@
   const target = makeTarget()
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isMisdirected: true, isNotRun: true }), 0, 10)
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isGenuine: false }), 0, 10)
-  assert.is(announcements.getRequestLimit(target), Infinity)
+  assert.is(announcements.limits.get(target), Infinity)
   announcements.observeAnswer(target, makeAnswerHead({ requestLimit: 5, isGenuine: false, isNotRun: true, status: 503 }), 0, 10)
-  assert.is(announcements.getRequestLimit(target), 5)
+  assert.is(announcements.limits.get(target), 5)
 })
 
 test.run()
--- a/packages/almondrelay-gateway/src/process/announcements/announcedDepartures.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/announcedDepartures.ts
@@ -1,9 +1,8 @@
+import { MAX_TRACKED_TARGETS } from '../../request/maxTrackedTargets.js'
 import { putBounded } from '../../request/putBounded.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { AnnouncementsParts } from './announcementsParts.js'
 
-/** Maximum targets whose departures are kept, several times those of the largest fleet; the oldest are dropped. */
-const MAX_TARGETS = 20_000
 /**
  * Milliseconds for which a departure is kept. Entries of the target may come back for as long as its process runs, and outages of the store
  * may delay its last one.
@@ -39,7 +38,7 @@
   observe (target: TargetState, source: DepartureSource, now: number): void {
     target.markLeaving()
     if (this.departures.has(target.incarnationHash)) return
-    putBounded(this.departures, target.incarnationHash, { heardAt: now, isHeardHere: source.peer === undefined, reportedAt: -Infinity }, MAX_TARGETS)
+    putBounded(this.departures, target.incarnationHash, { heardAt: now, isHeardHere: source.peer === undefined, reportedAt: -Infinity }, MAX_TRACKED_TARGETS)
     this.parts.metrics.countTargetAnnouncement('leaving')
     this.parts.log.record('target announced that it is leaving', { target: target.entry.id, service: target.entry.service, ...source })
   }
--- a/packages/almondrelay-gateway/src/process/announcements/announcedPauses.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/announcedPauses.ts
@@ -1,9 +1,8 @@
+import { MAX_TRACKED_TARGETS } from '../../request/maxTrackedTargets.js'
 import { putBounded } from '../../request/putBounded.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { AnnouncementsParts } from './announcementsParts.js'
 
-/** Maximum targets whose pauses are kept, several times those of the largest fleet; the oldest are dropped. */
-const MAX_TARGETS = 20_000
 /** Maximum length of a pause in milliseconds, so that a single bad answer can't keep this host away from a target for good. */
 const MAX_PAUSE_MS = 300_000
 
@@ -22,7 +21,7 @@
     const until = this.pausedUntil.get(target.incarnationHash) ?? -Infinity
     const wasPaused = until > now
     // A shorter pause in the answer to another request that was sent before this pause doesn't end it.
-    putBounded(this.pausedUntil, target.incarnationHash, Math.max(until, now + Math.min(MAX_PAUSE_MS, pauseMs)), MAX_TARGETS)
+    putBounded(this.pausedUntil, target.incarnationHash, Math.max(until, now + Math.min(MAX_PAUSE_MS, pauseMs)), MAX_TRACKED_TARGETS)
     if (wasPaused) return
     this.parts.metrics.countTargetAnnouncement('pause')
     this.parts.log.record('target asked for a pause', { target: target.entry.id, service: target.entry.service, pauseMs, requestId })
--- a/packages/almondrelay-gateway/src/process/announcements/sendLimiter.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/sendLimiter.ts
@@ -26,13 +26,13 @@
   /** Whether the target has announced a request limit, and has not asked this host for a pause. */
   isLimited (target: TargetState, now: number): boolean {
     const { announcements } = this.parts
-    return announcements.getRequestLimit(target) !== Infinity && announcements.pauses.computeWait(target, now) === 0
+    return announcements.limits.get(target) !== Infinity && announcements.pauses.computeWait(target, now) === 0
   }
 
   /** Claims one send to the target, immediately before the request is written; false if the target doesn't take it. */
   claim (target: TargetState, now: number): boolean {
     if (!this.allow(target, now)) return false
-    const perSecond = this.parts.announcements.getRequestLimit(target)
+    const perSecond = this.parts.announcements.limits.get(target)
     if (perSecond !== Infinity) this.limitAllowance.observeSend(target, perSecond, this.listSenders(target, now), now)
     return true
   }
@@ -41,7 +41,7 @@
   computeWait (target: TargetState, now: number): number {
     const { announcements } = this.parts
     const pauseMs = announcements.pauses.computeWait(target, now)
-    const perSecond = announcements.getRequestLimit(target)
+    const perSecond = announcements.limits.get(target)
     if (perSecond === Infinity) return pauseMs
     return Math.max(pauseMs, this.limitAllowance.computeWait(target, perSecond, this.listSenders(target, now), now))
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -98,7 +98,7 @@
 
   /** Returns the requests per second that a target takes from all hosts together; undefined if it has announced no limit. */
   findRequestLimit (target: TargetState): number | undefined {
-    const limit = this.state.announcements.getRequestLimit(target)
+    const limit = this.state.announcements.limits.get(target)
     return limit === Infinity ? undefined : limit
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -136,7 +136,7 @@
     }
     for (const limit of requestLimits) {
       const target = fleet.findIncarnation(limit.incarnationHash)
-      if (target !== undefined) forward.announcements.receiveLimit(target, limit, host, now)
+      if (target !== undefined) forward.announcements.limits.receive(target, limit, host, now)
     }
   }
 
@@ -151,7 +151,7 @@
     const declaredRevision = getDeclaredRevision()
     const withDemands = now - this.demandsSentAt >= (view.isLargeRegion() ? LARGE_REGION_DEMAND_INTERVAL_MS : DEMAND_INTERVAL_MS)
     if (withDemands) this.demandsSentAt = now
-    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.takeLimitReports(now), leavingTargets: forward.announcements.departures.takeReports(now), changes: undefined })
+    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.limits.takeReports(now), leavingTargets: forward.announcements.departures.takeReports(now), changes: undefined })
     if (now - this.regionalReportSentAt < OTHER_REGIONS_INTERVAL_MS || !view.isRepresentative(now)) return bytes
     this.regionalReportSentAt = now
     return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)), requestLimits: [], leavingTargets: [], changes: undefined })
--- a/packages/almondrelay-gateway/src/request/limitAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/limitAllowance.ts
@@ -1,10 +1,9 @@
+import { MAX_TRACKED_TARGETS } from './maxTrackedTargets.js'
 import { putBounded } from './putBounded.js'
 import { SenderRanks } from './senderRanks.js'
 import type { TargetState } from './targetState.js'
 
 const SECOND_MS = 1_000
-/** Maximum targets whose next send is kept, several times those of the largest fleet. */
-const MAX_TARGETS = 20_000
 /** Hosts that share a limit of less than one request per second. */
 const MIN_SENDERS = 2
 /** Part of the interval between two sends by which a send may come early, so that a late one doesn't delay all those after it. */
@@ -47,7 +46,7 @@
   /** Records a request that is sent to the target now. */
   observeSend (target: TargetState, perSecond: number, hosts: readonly string[] | undefined, now: number): void {
     const intervalMs = computeInterval(perSecond, countSenders(perSecond, hosts))
-    putBounded(this.nextSendAt, target.entry.id, Math.max(now, this.findNextSendAt(target, intervalMs, now)) + intervalMs, MAX_TARGETS)
+    putBounded(this.nextSendAt, target.entry.id, Math.max(now, this.findNextSendAt(target, intervalMs, now)) + intervalMs, MAX_TRACKED_TARGETS)
   }
 
   // All hosts may learn of a limit at the same moment, so each begins at a random time of its first interval. After a change of the
@@ -56,7 +55,7 @@
     const { id } = target.entry
     const known = this.nextSendAt.get(id)
     const nextSendAt = known === undefined ? now + intervalMs * (MAX_EARLY_SHARE + this.random()) : Math.min(known, now + intervalMs * (1 + MAX_EARLY_SHARE))
-    putBounded(this.nextSendAt, id, nextSendAt, MAX_TARGETS)
+    putBounded(this.nextSendAt, id, nextSendAt, MAX_TRACKED_TARGETS)
     return nextSendAt
   }
 }
--- a/packages/almondrelay-gateway/src/request/senderRanks.ts
+++ b/packages/almondrelay-gateway/src/request/senderRanks.ts
@@ -1,11 +1,9 @@
 import { computeHash } from '../version/computeHash.js'
 import { computePairHash } from '../version/computePairHash.js'
+import { MAX_TRACKED_TARGETS } from './maxTrackedTargets.js'
 import { putBounded } from './putBounded.js'
 import type { TargetState } from './targetState.js'
 
-/** Maximum targets whose ranks are kept, several times those of the largest fleet. */
-const MAX_TARGETS = 20_000
-
 /** Ranks hosts by rendezvous hashing for each target, so that hosts that know the same hosts agree which of them may send to it. */
 export class SenderRanks {
   /** Rank of this host by target id; valid for as long as the same list of hosts is given. */
@@ -19,7 +17,7 @@
     const known = this.rankByTarget.get(id)
     if (known?.hosts === hosts) return known.rank
     const rank = this.computeRank(target, hosts)
-    putBounded(this.rankByTarget, id, { hosts, rank }, MAX_TARGETS)
+    putBounded(this.rankByTarget, id, { hosts, rank }, MAX_TRACKED_TARGETS)
     return rank
   }
 
