--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -42,6 +42,12 @@
   assert.match(rejected.stdout, 'no target asked; answered 404, because of: no route')
 })
 
+test('an attempt at a target that has stated a request limit names the limit', async () => {
+  const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request', time: '2026-03-04T09:00:00.009Z', id: '9c45', route: 'r-1', version: 7, key: '17', service: 'balances', homeRegion: 'akl', attempts: [{ target: 'i-1', region: 'akl', rank: 0, outstanding: 3, expectedMs: 110, requestLimit: 5.7, result: 'answered 200', ms: 40 }], outcome: '200', ms: 41 }))
+  const served = await runCommandLine(['explain', '9c45', '--log', log])
+  assert.match(served.stdout, 'answer expected after 110 ms, a limit of 5.7 requests a second): answered 200')
+})
+
 test('a refusal over an organisation\'s allowance names the organisation and the share of its requests that was admitted', async () => {
   const log = writeTemporaryFile([
     JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request refused', time: '2026-03-04T09:00:00.019Z', id: '9c43', route: 'r-1', version: 7, organisation: 'school', allowedPart: 0.254, kind: 'refused', cause: 'over-allowance', reason: 'the organisation has had its allowance of 20 requests a second' }),
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -20,5 +20,7 @@
   return `organisation ${organisation}${share}, `
 }
 
-const describeAttempt = (attempt: RequestLine['attempts'][number], index: number): string =>
-  `attempt ${index + 1} at ${attempt.target} in ${attempt.region} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms): ${attempt.result} after ${attempt.ms} ms`
+const describeAttempt = (attempt: RequestLine['attempts'][number], index: number): string => {
+  const limit = attempt.requestLimit === undefined ? '' : `, a limit of ${attempt.requestLimit} requests a second`
+  return `attempt ${index + 1} at ${attempt.target} in ${attempt.region} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms${limit}): ${attempt.result} after ${attempt.ms} ms`
+}
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -23,6 +23,8 @@
     rank: z.number(),
     outstanding: z.number(),
     expectedMs: z.number(),
+    /** Requests per second that the target stated that it takes from all hosts together. */
+    requestLimit: z.number().optional(),
     result: z.string(),
     ms: z.number()
   })).default([]),
