--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -64,7 +64,7 @@
     }
     const { connection } = opened
     const now = this.parts.getNow()
-    const stopReason = this.findStopReason(now) ?? (this.parts.claimSend(now) ? undefined : 'the target has reached its request limit or asked for a pause')
+    const stopReason = this.findStopReason(now) ?? this.claimSend(now)
     if (stopReason !== undefined) {
       connection.release()
       return { kind: 'not-sent', reason: stopReason }
@@ -74,6 +74,11 @@
     return connection.exchange(this.request, this.parts.codec.encodeHead(this.request, target.entry.id, Math.floor(this.request.deadline - now)))
   }
 
+  /** Claims the send at the target; returns the reason why the target takes none. */
+  private claimSend (now: number): string | undefined {
+    return this.parts.claimSend(now) ? undefined : 'the target has reached its request limit or asked for a pause'
+  }
+
   // While a connection was being opened, the target may have announced that it is leaving, or the deadline may have passed.
   private findStopReason (now: number): string | undefined {
     if (this.cancelled !== undefined) return this.cancelled
--- a/packages/almondrelay-gateway/src/request/limitAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/limitAllowance.ts
@@ -40,18 +40,18 @@
     const senders = countSenders(perSecond, hosts)
     if (hosts === undefined || this.ranks.findRank(target, hosts) >= senders) return Infinity
     const intervalMs = computeInterval(perSecond, senders)
-    return this.findNextSendAt(target, intervalMs, now) - intervalMs * MAX_EARLY_SHARE - now
+    return this.planNextSendAt(target, intervalMs, now) - intervalMs * MAX_EARLY_SHARE - now
   }
 
   /** Records a request that is sent to the target now. */
   observeSend (target: TargetState, perSecond: number, hosts: readonly string[] | undefined, now: number): void {
     const intervalMs = computeInterval(perSecond, countSenders(perSecond, hosts))
-    putBounded(this.nextSendAt, target.entry.id, Math.max(now, this.findNextSendAt(target, intervalMs, now)) + intervalMs, MAX_TRACKED_TARGETS)
+    putBounded(this.nextSendAt, target.entry.id, Math.max(now, this.planNextSendAt(target, intervalMs, now)) + intervalMs, MAX_TRACKED_TARGETS)
   }
 
   // All hosts may learn of a limit at the same moment, so each begins at a random time of its first interval. After a change of the
   // limit, the next send is at most one interval away.
-  private findNextSendAt (target: TargetState, intervalMs: number, now: number): number {
+  private planNextSendAt (target: TargetState, intervalMs: number, now: number): number {
     const { id } = target.entry
     const known = this.nextSendAt.get(id)
     const nextSendAt = known === undefined ? now + intervalMs * (MAX_EARLY_SHARE + this.random()) : Math.min(known, now + intervalMs * (1 + MAX_EARLY_SHARE))
