Log and count returns of the store from a copy, and relayed changes that hosts ignore

Nothing reads Store-Era, so that a return of the store from a copy leaves no line; a host that ignores what its watchers relay says nothing; and no line tells when a host takes its changes from watchers and when it asks the store.

Relayed changes that are ignored are logged with both revisions, and counted; a line at each change between watchers and the store tells the age of the state and what peers reported. A full read names the revision known before.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -51,6 +51,7 @@
     isWatcher: () => true,
     isReliedOn: () => this.isReliedOn,
     hasReliableWatchers: () => this.reliesOnWatchers,
+    handleRelayedChanges: () => undefined,
     relay: (changes) => { this.relayed.push(changes) },
     handleConfiguration: () => undefined,
     handleOwnEntryRemoved: () => undefined,
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -79,6 +79,8 @@
   isReliedOn: () => boolean
   /** Whether this host may rely on its region's watchers and query the store only for notable changes that they report. */
   hasReliableWatchers: () => boolean
+  /** Called with changes that a watcher relayed to this host: whether they were applied. */
+  handleRelayedChanges: (isApplied: boolean) => void
   /** Relays changes to the other hosts of the region. */
   relay: (changes: RelayedChanges) => void
 }
@@ -152,9 +154,14 @@
    * the reported revision then stays ahead of the state, and the store is queried for all of them.
    */
   applyRelayedChanges ({ afterRevision, upToRevision, events }: RelayedChanges): void {
-    const { fleet } = this.parts
-    if (!this.isRelyingOnWatchers || afterRevision > fleet.storeRevision || upToRevision <= fleet.storeRevision) return
+    const { fleet, log } = this.parts
     const knownRevision = fleet.storeRevision
+    const isApplied = this.isRelyingOnWatchers && afterRevision <= knownRevision && upToRevision > knownRevision
+    this.parts.handleRelayedChanges(isApplied)
+    if (!isApplied) {
+      log.record('relayed changes ignored', { afterRevision, upToRevision, revision: knownRevision, isRelyingOnWatchers: this.isRelyingOnWatchers })
+      return
+    }
     this.updater.applyEvents(events.filter((event) => getEventRevision(event) > knownRevision))
     fleet.storeRevision = upToRevision
     this.relayedRevision = upToRevision
@@ -200,6 +207,7 @@
   /** Reads all keys under a prefix and removes whatever is missing from them. Returns the revision from which to watch. */
   private async readAll (prefix: string, signal: AbortSignal): Promise<number> {
     const { fleet, log } = this.parts
+    const knownRevision = fleet.storeRevision
     const read = await readPrefix(this.parts.store, this.parts.codec, prefix, signal)
     const { keys, isLapse } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })))
     this.updater.applyEvents(read.events)
@@ -207,7 +215,7 @@
     fleet.storeRevision = Math.max(fleet.storeRevision, read.revision)
     // Deletions that the store's history no longer holds can't be relayed: the raised revision makes the other hosts query the store.
     fleet.notableRevision = Math.max(fleet.notableRevision, read.revision)
-    log.record('full read of the store applied', { prefix, revision: read.revision, keys, isLapse })
+    log.record('full read of the store applied', { prefix, revision: read.revision, knownRevision, keys, isLapse })
     // Account pages alone do not load the operator service: a restarting host has no time for it.
     if (read.hasOmittedKeys) this.parts.handleOmittedKeys()
     return read.revision
@@ -240,13 +248,15 @@
    * If every host watched or queried the store, each change would be a call of every host, and the platform counts calls.
    */
   private async waitForRelayedChanges (signal: AbortSignal): Promise<void> {
-    const { fleet, getNow, hasReliableWatchers } = this.parts
+    const { fleet, log, getNow, hasReliableWatchers } = this.parts
     const startedAt = getNow()
+    log.record('changes of the store are taken from watchers', { revision: fleet.storeRevision })
     const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < MAX_UNCONFIRMED_MS
     this.isRelyingOnWatchers = true
     while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await sleepFor(CHECK_INTERVAL_MS, signal)
     this.isRelyingOnWatchers = false
     this.hasToCatchUp = true
+    log.record('changes of the store are requested', { revision: fleet.storeRevision, notableRevision: this.reportedNotableRevision, ageMs: Math.round(getNow() - (fleet.confirmedAt ?? -Infinity)), hasReliableWatchers: hasReliableWatchers() })
   }
 
   /** Whether a notable change has been reported for too long without being received. */
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -149,6 +149,7 @@
       isWatcher: () => this.view.isRepresentative(getNow()),
       isReliedOn: () => this.view.isLargeRegion(),
       hasReliableWatchers: () => this.view.hasReliableWatchers(this.parts.settings.bounds.leavingInForce, getNow()),
+      handleRelayedChanges: (isApplied) => { metrics.countRelayedChanges(isApplied ? 'applied' : 'ignored') },
       relay: (changes) => { if (this.view.isRelay(getNow())) this.peerExchange.relay(changes) },
       handleOwnEntryRemoved: () => { this.announcer.restoreEntry() },
       handleDeclaredChange: (revision, body) => { this.operatorService.acceptChange(revision, body) },
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -24,6 +24,9 @@
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
   private readonly targetAnnouncements = new Counter({ name: 'almondrelay_target_announcements_total', help: 'Departures that targets announced and pauses that they asked for', labelNames: ['kind'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
+  private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
+  private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
+  private readonly relays = new Counter({ name: 'almondrelay_relayed_changes_total', help: 'Groups of changes of the store that watchers relayed to this host', labelNames: ['result'], registers: [this.registry] })
   private readonly workDelay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BUCKETS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
 
@@ -66,6 +69,18 @@
     this.platformCalls.inc({ call, outcome })
   }
 
+  setStoreEra (era: number): void {
+    this.storeEra.set(era)
+  }
+
+  countStoreReturn (): void {
+    this.storeReturns.inc()
+  }
+
+  countRelayedChanges (result: string): void {
+    this.relays.inc({ result })
+  }
+
   setVersion (version: number): void {
     this.version.set(version)
   }
