--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -5,10 +5,25 @@
 import type { StoreEvent } from '../../store/storeEvent.js'
 import type { StoreItem } from '../../store/storeItem.js'
 import { PageAge } from '../../store/pageAge.js'
+import type { StorePosition } from '../../store/storePosition.js'
 import type { StorePage } from '../../store/storePage.js'
 import type { StoreTransaction } from '../../store/storeTransaction.js'
 import type { WatchResult } from '../../store/watchResult.js'
 
+interface FakeItem {
+  value: Buffer
+  revision: number
+  createdRevision: number
+  leaseId: number
+}
+
+/** State of the store at one moment. */
+interface StoreCopy {
+  revision: number
+  leases: number
+  items: ReadonlyMap<string, FakeItem>
+}
+
 /** In-memory store with switches that simulate faults. */
 export class FakeRevisionStore extends RevisionStore {
   /** Maximum number of items on a page of a listing. */
@@ -33,7 +48,8 @@
   currentPages = 0
   private revision = 1
   private oldestRevision = 0
-  private readonly items = new Map<string, { value: Buffer, revision: number, createdRevision: number, leaseId: number }>()
+  private storeEra = 1
+  private items = new Map<string, FakeItem>()
   private events: StoreEvent[] = []
   private leases = 0
 
@@ -75,32 +91,50 @@
     this.events = []
   }
 
+  /** Returns a copy of the present state, from which the store may return later. */
+  copy (): StoreCopy {
+    return { revision: this.revision, leases: this.leases, items: new Map(this.items) }
+  }
+
+  /** Returns from a copy: what was written since is gone, and revisions and lease ids are given out again. */
+  returnFrom ({ revision, leases, items }: StoreCopy): void {
+    this.storeEra += 1
+    this.revision = revision
+    this.leases = leases
+    this.items = new Map(items)
+    this.events = this.events.filter((event) => getEventRevision(event) <= revision)
+  }
+
   override list (prefix: string, after: string, age: PageAge): Promise<StorePage> {
     if (this.isDown) return this.refuse('list')
+    this.era.observe(this.storeEra)
     if (age === PageAge.stale && this.stalePage !== undefined) return Promise.resolve(this.stalePage)
     this.currentPages += 1
     const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort()
     const items = keys.slice(0, this.pageItems).flatMap((key) => this.findItem(key) ?? [])
-    return Promise.resolve({ items, revision: this.revision, isTruncated: keys.length > items.length })
+    return Promise.resolve({ items, position: this.position, isTruncated: keys.length > items.length })
   }
 
-  override async watch (prefix: string, afterRevision: number, _waitMs: number, signal: AbortSignal): Promise<WatchResult> {
+  override async watch (prefix: string, after: StorePosition, _waitMs: number, signal: AbortSignal): Promise<WatchResult> {
     this.watches += 1
     if (this.isHung) await waitForAbort(signal)
     await new Promise((resolve) => { setTimeout(resolve, 1) })
     if (this.isDown) return this.refuse('watch')
-    if (afterRevision < this.oldestRevision) return { kind: 'history-gone' }
-    const events = this.hidesEvents ? [] : this.listEvents(prefix, afterRevision)
-    return { kind: 'events', events, revision: this.hidesEvents ? afterRevision : this.revision }
+    this.era.observe(this.storeEra)
+    if (after.revision < this.oldestRevision || after.revision > this.revision || after.era !== this.storeEra) return { kind: 'history-gone' }
+    const events = this.hidesEvents ? [] : this.listEvents(prefix, after.revision)
+    return { kind: 'events', events, position: this.hidesEvents ? after : this.position }
   }
 
   override get (key: string): Promise<StoreItem | undefined> {
     if (this.isDown) return this.refuse('get')
+    this.era.observe(this.storeEra)
     return Promise.resolve(this.findItem(key))
   }
 
   override commit ({ expected, writes, deletes }: StoreTransaction): Promise<CommitResult> {
     if (this.isDown) return this.refuse('commit')
+    this.era.observe(this.storeEra)
     const isMet = expected.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision)
     if (!isMet) return Promise.resolve({ kind: 'conflict', items: expected.flatMap(({ key }) => this.findItem(key) ?? []) })
     for (const { key, value, leaseId } of writes) this.writeBytes(key, value, leaseId)
@@ -111,12 +145,15 @@
 
   override grantLease (): Promise<number> {
     if (this.isDown) return this.refuse('grant lease')
+    this.era.observe(this.storeEra)
     this.leases += 1
     return Promise.resolve(this.leases)
   }
 
   override renewLease (): Promise<boolean> {
-    return this.isDown ? this.refuse('renew lease') : Promise.resolve(true)
+    if (this.isDown) return this.refuse('renew lease')
+    this.era.observe(this.storeEra)
+    return Promise.resolve(true)
   }
 
   override releaseLease (leaseId: number): Promise<void> {
@@ -128,6 +165,10 @@
     return Promise.resolve()
   }
 
+  get position (): StorePosition {
+    return { era: this.storeEra, revision: this.revision }
+  }
+
   get latestRevision (): number {
     return this.revision
   }
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -61,6 +61,10 @@
     handleOmittedKeys: () => { this.omittingReads += 1 }
   })
 
+  constructor () {
+    this.store.era.handleReturn = () => { this.follower.handleStoreReturn() }
+  }
+
   private running: Promise<void> | undefined
 
   /** Starts following a store that holds a configuration and two targets. */
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 import { FollowedFleet } from '../__fixtures__/followedFleet.js'
 
 const test = suite('FleetFollower')
@@ -121,9 +122,9 @@
   await new Promise((resolve) => { setTimeout(resolve, 700) })
   store.remove('target/1')
   store.isHung = false
-  follower.receivePeerRevision(store.latestRevision, 0, 10_000)
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(0), 10_000)
   assert.ok(fleet.findTarget('1') !== undefined)
-  follower.receivePeerRevision(store.latestRevision, 0, 11_000)
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(0), 11_000)
   await followed.waitFor(() => fleet.findTarget('1') === undefined, 'end of target 1')
 })
 
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -1,5 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { PageAge } from '../../store/pageAge.js'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 import { FollowedFleet } from '../__fixtures__/followedFleet.js'
 
 const test = suite('relayed changes and first reads')
@@ -12,7 +14,7 @@
   followed.reliesOnWatchers = true
   followed.store.write('evacuation/ended', {})
   followed.store.remove('evacuation/ended')
-  await followed.waitFor(() => followed.fleet.storeRevision === followed.store.latestRevision, 'the end of the pending watch')
+  await followed.waitFor(() => followed.fleet.storePosition.revision === followed.store.latestRevision, 'the end of the pending watch')
   await new Promise((resolve) => { setTimeout(resolve, 700) })
 }
 
@@ -29,19 +31,19 @@
   await startRelying()
   const { watches } = store
   followed.writeTarget('1', { sequence: 2 })
-  follower.receivePeerRevision(store.latestRevision, fleet.notableRevision, 0)
+  follower.receivePeerPosition(makePosition(store.latestRevision), fleet.notablePosition, 0)
   await waitForLooks()
   assert.is(store.watches, watches, 'the store is queried for a heartbeat')
   store.remove('target/1')
-  follower.receivePeerRevision(store.latestRevision, store.latestRevision, 0)
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(store.latestRevision), 0)
   await waitForLooks()
   assert.is(store.watches, watches, 'the store is queried for a change that may still be relayed')
   followed.now += LONG_PAST_MS
   await followed.waitFor(() => fleet.findTarget('1') === undefined, 'end of target 1')
   assert.is(store.watches, watches + 1)
-  assert.is(fleet.notableRevision, store.latestRevision)
+  assert.is(fleet.notablePosition.revision, store.latestRevision)
   const before = store.watches
-  follower.receivePeerRevision(store.latestRevision, store.latestRevision + 1_000, 0)
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(store.latestRevision + 1_000), 0)
   followed.now += LONG_PAST_MS
   await new Promise((resolve) => { setTimeout(resolve, 700) })
   assert.ok(store.watches - before <= 2, `${store.watches - before} calls for a revision that never comes`)
@@ -56,11 +58,11 @@
   const { fleet, store, follower } = followed
   await startRelying()
   const { watches } = store
-  const known = fleet.storeRevision
-  follower.applyRelayedChanges({ afterRevision: known, upToRevision: known + 5, events: [{ kind: 'deleted', key: 'target/1', revision: known + 2 }], forwardTo: [] })
+  const known = fleet.storePosition.revision
+  follower.applyRelayedChanges({ after: makePosition(known), upTo: makePosition(known + 5), events: [{ kind: 'deleted', key: 'target/1', revision: known + 2 }], forwardTo: [] })
   assert.is(fleet.findTarget('1'), undefined)
-  assert.is(fleet.storeRevision, known + 5)
-  follower.receivePeerRevision(known + 9, known + 2, followed.now)
+  assert.is(fleet.storePosition.revision, known + 5)
+  follower.receivePeerPosition(makePosition(known + 9), makePosition(known + 2), followed.now)
   followed.now += LONG_PAST_MS
   await waitForLooks()
   assert.is(store.watches, watches, 'the store is queried for a relayed change')
@@ -71,13 +73,13 @@
 test('a change after a lost one is not applied, and the store is queried for both', async () => {
   const { fleet, store, follower } = followed
   await startRelying()
-  const known = fleet.storeRevision
+  const known = fleet.storePosition.revision
   store.remove('target/1')
   store.remove('target/2')
-  follower.applyRelayedChanges({ afterRevision: known + 1, upToRevision: known + 2, events: [{ kind: 'deleted', key: 'target/2', revision: known + 2 }], forwardTo: [] })
+  follower.applyRelayedChanges({ after: makePosition(known + 1), upTo: makePosition(known + 2), events: [{ kind: 'deleted', key: 'target/2', revision: known + 2 }], forwardTo: [] })
   assert.ok(fleet.findTarget('2') !== undefined)
-  assert.is(fleet.storeRevision, known)
-  follower.receivePeerRevision(known + 2, known + 2, followed.now)
+  assert.is(fleet.storePosition.revision, known)
+  follower.receivePeerPosition(makePosition(known + 2), makePosition(known + 2), followed.now)
   await waitForLooks()
   followed.now += LONG_PAST_MS
   await followed.waitFor(() => fleet.listTargetIds().length === 0, 'both changes')
@@ -95,8 +97,8 @@
   followed.reliesOnWatchers = true
   await waitForLooks()
   const value = Buffer.from(JSON.stringify(entry))
-  const { storeRevision } = fleet
-  follower.applyRelayedChanges({ afterRevision: 0, upToRevision: storeRevision, events: [{ kind: 'written', item: { key: `target/${entry?.id ?? ''}`, value, revision: storeRevision - 1, createdRevision: 1 } }], forwardTo: [] })
+  const storeRevision = fleet.storePosition.revision
+  follower.applyRelayedChanges({ after: makePosition(0), upTo: makePosition(storeRevision), events: [{ kind: 'written', item: { key: `target/${entry?.id ?? ''}`, value, revision: storeRevision - 1, createdRevision: 1 } }], forwardTo: [] })
   assert.is(fleet.listTargetIds().length, 1)
 })
 
@@ -104,15 +106,15 @@
   const { fleet, store, relayed } = followed
   await followed.waitFor(() => fleet.isComplete, 'first read')
   followed.isReliedOn = true
-  const { notableRevision } = fleet
+  const { notablePosition } = fleet
   store.remove('target/1')
   await followed.waitFor(() => relayed.length === 1, 'the relayed change')
-  assert.is(relayed[0]?.afterRevision, notableRevision)
-  assert.is(relayed[0]?.upToRevision, store.latestRevision)
+  assert.equal(relayed[0]?.after, notablePosition)
+  assert.equal(relayed[0]?.upTo, makePosition(store.latestRevision))
   assert.equal(relayed[0]?.events, [{ kind: 'deleted', key: 'target/1', revision: store.latestRevision }])
   followed.writeTarget('2', { sequence: 7 })
   const { latestRevision } = store
-  await followed.waitFor(() => fleet.storeRevision >= latestRevision, 'the heartbeat')
+  await followed.waitFor(() => fleet.storePosition.revision >= latestRevision, 'the heartbeat')
   assert.is(relayed.length, 1)
 })
 
@@ -144,7 +146,66 @@
   store.isHung = false
   followed.follower.refresh('test')
   await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
-  assert.is(fleet.notableRevision, store.latestRevision)
+  assert.is(fleet.notablePosition.revision, store.latestRevision)
+})
+
+// Guards against hosts that ignore changes relayed after the store has returned from a copy, because their revisions are lower than
+// those before.
+test('changes relayed after the return of the store are applied', async () => {
+  const { fleet, store, follower } = followed
+  await startRelying()
+  const copy = store.copy()
+  for (let sequence = 2; sequence < 100; sequence += 1) followed.writeTarget('1', { sequence })
+  follower.receiveWatcherState(store.position, fleet.notablePosition, 0, followed.now)
+  assert.equal(fleet.storePosition, store.position)
+  store.returnFrom(copy)
+  await store.list('', '', PageAge.current)
+  await followed.waitFor(() => fleet.storePosition.era === store.position.era, 'the read after the return')
+  await new Promise((resolve) => { setTimeout(resolve, 700) })
+  const { watches } = store
+  const after = fleet.storePosition
+  const upTo = { ...after, revision: after.revision + 1 }
+  follower.applyRelayedChanges({ after, upTo, events: [{ kind: 'deleted', key: 'target/2', revision: upTo.revision }], forwardTo: [] })
+  assert.is(fleet.findTarget('2'), undefined)
+  follower.receivePeerPosition(upTo, upTo, followed.now)
+  followed.now += LONG_PAST_MS
+  await waitForLooks()
+  assert.is(store.watches, watches, 'the store is queried for a relayed change')
+})
+
+// Guards against a host that reads all keys in a loop, for as long as the store's revisions are below the one up to which watchers had
+// confirmed its state.
+test('a host that no longer relies on watchers after the return of the store reads all keys once', async () => {
+  const { fleet, store, follower } = followed
+  await startRelying()
+  const copy = store.copy()
+  for (let sequence = 2; sequence < 100; sequence += 1) followed.writeTarget('1', { sequence })
+  follower.receiveWatcherState(store.position, fleet.notablePosition, 0, followed.now)
+  store.returnFrom(copy)
+  const { currentPages } = store
+  followed.reliesOnWatchers = false
+  await followed.waitFor(() => fleet.storePosition.era === store.position.era, 'the read after the return')
+  await new Promise((resolve) => { setTimeout(resolve, 500) })
+  assert.ok(store.currentPages - currentPages <= 2, `${store.currentPages - currentPages} pages read`)
+})
+
+// Guards against a host whose state counts as current because a peer, which has not heard of the return of the store, says so.
+test('reports of an earlier era confirm nothing and bring nothing back', async () => {
+  const { fleet, store, follower } = followed
+  await startRelying()
+  const before = fleet.storePosition
+  store.returnFrom(store.copy())
+  await store.list('', '', PageAge.current)
+  await followed.waitFor(() => fleet.storePosition.era === store.position.era, 'the read after the return')
+  await new Promise((resolve) => { setTimeout(resolve, 700) })
+  const { confirmedAt, storePosition } = fleet
+  followed.now += 100
+  const later = { ...before, revision: before.revision + 500 }
+  follower.receiveWatcherState(later, before, 0, followed.now)
+  follower.applyRelayedChanges({ after: before, upTo: later, events: [{ kind: 'deleted', key: 'target/1', revision: later.revision }], forwardTo: [] })
+  assert.is(fleet.confirmedAt, confirmedAt)
+  assert.equal(fleet.storePosition, storePosition)
+  assert.ok(fleet.findTarget('1') !== undefined)
 })
 
 // All hosts restart, and each reads hundreds of keys at once. Stale pages cost a tenth of current ones; a target that has left since
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -3,9 +3,13 @@
 import type { EventLog } from '../observe/eventLog.js'
 import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import { CATCH_UP_MS } from '../store/catchUpMs.js'
+import { comparePositions } from '../store/comparePositions.js'
+import { findLaterPosition } from '../store/findLaterPosition.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import type { RevisionStore } from '../store/revisionStore.js'
+import { startPosition } from '../store/startPosition.js'
 import type { StoreHealth } from '../store/storeHealth.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { WatchResult } from '../store/watchResult.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
@@ -42,6 +46,7 @@
  * answer of a watch is a call that the platform counts.
  */
 const BATCH_DELAY_MS = 500
+const RETURN_REASON = 'the store has returned from a copy'
 /** Milliseconds between checks for lapsed entries, for a change of watchers and for relayed changes that are overdue. */
 const CHECK_INTERVAL_MS = 200
 /** Delay after a failed call, doubled up to the maximum, with jitter so that hosts don't reconnect all at once. */
@@ -52,6 +57,13 @@
  */
 const RELYING_RETRY_DELAY = { firstMs: 1_000, longestMs: 8_000 }
 
+/**
+ * Milliseconds per host of the fleet over which the hosts spread their full reads after the store has returned from a copy, and their
+ * maximum. All hosts learn of the return within moments, and each makes a few calls.
+ */
+const REREAD_SPREAD_PER_HOST_MS = 2
+const MAX_REREAD_SPREAD_MS = 1_000
+
 interface FollowerParts {
   store: RevisionStore
   codec: FleetCodec
@@ -95,16 +107,19 @@
   private pendingWatch: AbortController | undefined
   private isLongWatch = false
   private hasToCatchUp = false
-  private reportedRevision = 0
-  private reportedNotableRevision = 0
+  private reportedPosition = startPosition
+  private reportedNotablePosition = startPosition
   /** No watch is pending: this host waits for changes relayed by the watchers. */
   private isRelyingOnWatchers = false
   private behindSince: number | undefined
-  /** Revision up to which the state is complete by relayed changes and watchers' reports. */
-  private relayedRevision = 0
+  /** Position up to which the state is complete by relayed changes and watchers' reports. */
+  private relayedPosition = startPosition
   /** Since when a peer has reported a notable change that this host has not received. */
   private missingChangeSince: number | undefined
 
+  /** When this host reads all keys again because the store has returned from a copy. */
+  private rereadAt = -Infinity
+
   constructor (private readonly parts: FollowerParts) {
     this.updater = new FleetUpdater(parts)
   }
@@ -115,16 +130,27 @@
   }
 
   /**
-   * Records the revision up to which a peer knows all changes. If this host's state has been behind it for too long, its watch has
+   * Makes this host read all keys again, as the store has returned from a copy: changes that it had acknowledged may be gone from it.
+   * The watchers read at once, because the other hosts of the region rely on them.
+   */
+  handleStoreReturn (): void {
+    const { fleet, isWatcher, getNow, random } = this.parts
+    const spreadMs = isWatcher() ? 0 : Math.min(MAX_REREAD_SPREAD_MS, fleet.listHosts().length * REREAD_SPREAD_PER_HOST_MS)
+    this.rereadAt = getNow() + spreadMs * random()
+    if (spreadMs === 0) this.refresh(RETURN_REASON)
+  }
+
+  /**
+   * Records the position up to which a peer knows all changes. If this host's state has been behind it for too long, its watch has
    * stalled and is restarted. A host that relies on watchers has no watch: it may lack changes that are not notable, and querying the
    * store for them cost a call per second and host.
    *
-   * @param notableRevision revision of the last notable change that the peer knows
+   * @param notablePosition position of the last notable change that the peer knows
    */
-  receivePeerRevision (revision: number, notableRevision: number, now: number): void {
-    this.reportedRevision = Math.max(this.reportedRevision, revision)
-    this.reportedNotableRevision = Math.max(this.reportedNotableRevision, notableRevision)
-    if (this.isRelyingOnWatchers || this.parts.fleet.storeRevision >= this.reportedRevision) {
+  receivePeerPosition (position: StorePosition, notablePosition: StorePosition, now: number): void {
+    this.reportedPosition = findLaterPosition(this.reportedPosition, position)
+    this.reportedNotablePosition = findLaterPosition(this.reportedNotablePosition, notablePosition)
+    if (this.isRelyingOnWatchers || comparePositions(this.parts.fleet.storePosition, this.reportedPosition) >= 0) {
       this.behindSince = undefined
       return
     }
@@ -140,31 +166,31 @@
    *
    * @param ageMs milliseconds since the store confirmed the watcher's state
    */
-  receiveWatcherState (revision: number, notableRevision: number, ageMs: number, now: number): void {
+  receiveWatcherState (position: StorePosition, notablePosition: StorePosition, ageMs: number, now: number): void {
     const { fleet } = this.parts
-    if (!this.isRelyingOnWatchers || fleet.storeRevision < notableRevision) return
-    fleet.storeRevision = Math.max(fleet.storeRevision, revision)
-    this.relayedRevision = fleet.storeRevision
+    if (!this.isRelyingOnWatchers || !fleet.isCompleteUpTo(notablePosition)) return
+    fleet.storePosition = findLaterPosition(fleet.storePosition, position)
+    this.relayedPosition = fleet.storePosition
     fleet.confirmedAt = Math.max(fleet.confirmedAt ?? -Infinity, now - ageMs)
   }
 
   /**
    * Applies changes that a watcher of this region relays. They are ignored while a call of this host's own is pending, as its
-   * answer may be older and would undo them. They are also ignored if `afterRevision` shows that earlier changes were lost:
-   * the reported revision then stays ahead of the state, and the store is queried for all of them.
+   * answer may be older and would undo them. They are also ignored if `after` shows that earlier changes were lost:
+   * the reported position then stays ahead of the state, and the store is queried for all of them.
    */
-  applyRelayedChanges ({ afterRevision, upToRevision, events }: RelayedChanges): void {
+  applyRelayedChanges ({ after, upTo, events }: RelayedChanges): void {
     const { fleet, log } = this.parts
-    const knownRevision = fleet.storeRevision
-    const isApplied = this.isRelyingOnWatchers && afterRevision <= knownRevision && upToRevision > knownRevision
+    const known = fleet.storePosition
+    const isApplied = this.isRelyingOnWatchers && fleet.isCompleteUpTo(after) && comparePositions(upTo, known) > 0
     this.parts.handleRelayedChanges(isApplied)
     if (!isApplied) {
-      log.record('relayed changes ignored', { afterRevision, upToRevision, revision: knownRevision, isRelyingOnWatchers: this.isRelyingOnWatchers })
+      log.record('relayed changes ignored', { after, upTo, position: known, isRelyingOnWatchers: this.isRelyingOnWatchers })
       return
     }
-    this.updater.applyEvents(events.filter((event) => getEventRevision(event) > knownRevision))
-    fleet.storeRevision = upToRevision
-    this.relayedRevision = upToRevision
+    this.updater.applyEvents(events.filter((event) => getEventRevision(event) > known.revision), upTo.era)
+    fleet.storePosition = upTo
+    this.relayedPosition = upTo
   }
 
   /** Restarts the watch on another connection and requests at once the changes that were missed. */
@@ -172,16 +198,17 @@
     if (this.pendingWatch === undefined && !this.isRelyingOnWatchers) return
     this.hasToCatchUp = true
     if (this.pendingWatch === undefined) return
-    this.parts.log.record('store watch restarted', { reason, revision: this.parts.fleet.storeRevision })
+    this.parts.log.record('store watch restarted', { reason, position: this.parts.fleet.storePosition })
     this.pendingWatch.abort()
   }
 
   private async followPrefix (prefix: string, signal: AbortSignal): Promise<void> {
     let failures = 0
-    let revision: number | undefined
+    let position: StorePosition | undefined
     while (!signal.aborted) {
       try {
-        revision = revision === undefined ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, revision, signal)
+        await this.waitForRereadTurn(signal)
+        position = position?.era !== this.parts.store.era.current ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, position, signal)
         failures = 0
         this.parts.fleet.confirmedAt = this.parts.getNow()
       } catch (error) {
@@ -204,41 +231,43 @@
     while (!signal.aborted && !hasReliableWatchers() && getNow() < retryAt) await sleepFor(CHECK_INTERVAL_MS, signal)
   }
 
-  /** Reads all keys under a prefix and removes whatever is missing from them. Returns the revision from which to watch. */
-  private async readAll (prefix: string, signal: AbortSignal): Promise<number> {
+  /** Reads all keys under a prefix and removes whatever is missing from them. Returns the position from which to watch. */
+  private async readAll (prefix: string, signal: AbortSignal): Promise<StorePosition> {
     const { fleet, log } = this.parts
-    const knownRevision = fleet.storeRevision
+    const known = fleet.storePosition
     const read = await readPrefix(this.parts.store, this.parts.codec, prefix, signal)
-    const { keys, isLapse } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })))
-    this.updater.applyEvents(read.events)
+    const { keys, isLapse } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position.era)
+    this.updater.applyEvents(read.events, read.position.era)
     fleet.isComplete = true
-    fleet.storeRevision = Math.max(fleet.storeRevision, read.revision)
-    // Deletions that the store's history no longer holds can't be relayed: the raised revision makes the other hosts query the store.
-    fleet.notableRevision = Math.max(fleet.notableRevision, read.revision)
-    log.record('full read of the store applied', { prefix, revision: read.revision, knownRevision, keys, isLapse })
+    fleet.storePosition = findLaterPosition(fleet.storePosition, read.position)
+    // Deletions that the store's history no longer holds can't be relayed: the later position makes the other hosts query the store.
+    fleet.notablePosition = findLaterPosition(fleet.notablePosition, read.position)
+    log.record('full read of the store applied', { prefix, position: read.position, known, keys, isLapse })
     // Account pages alone do not load the operator service: a restarting host has no time for it.
     if (read.hasOmittedKeys) this.parts.handleOmittedKeys()
-    return read.revision
+    return read.position
   }
 
-  private async watchOnce (prefix: string, revision: number, signal: AbortSignal): Promise<number | undefined> {
-    const { fleet, log } = this.parts
+  /** Returns undefined if all keys have to be read again. */
+  private async watchOnce (prefix: string, position: StorePosition, signal: AbortSignal): Promise<StorePosition | undefined> {
+    const { fleet, log, store } = this.parts
     const reliesOnWatchers = this.parts.hasReliableWatchers()
     if (reliesOnWatchers) await this.waitForRelayedChanges(signal)
-    const knownRevision = Math.max(revision, this.relayedRevision)
-    const result = await this.waitForChanges(prefix, knownRevision, signal)
-    if (result === undefined) return knownRevision
+    const known = findLaterPosition(position, this.relayedPosition)
+    if (known.era !== store.era.current) return undefined
+    const result = await this.waitForChanges(prefix, known, signal)
+    if (result === undefined) return known
     if (result.kind === 'history-gone') {
-      log.report('history of the store no longer available, reading all keys again', { prefix, revision: knownRevision })
+      log.report('history of the store no longer available, reading all keys again', { prefix, position: known, era: store.era.current })
       return undefined
     }
-    const notableBefore = fleet.notableRevision
-    const notable = this.updater.applyEvents(result.events)
-    fleet.storeRevision = Math.max(fleet.storeRevision, result.revision)
-    if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ afterRevision: notableBefore, upToRevision: result.revision, events: notable, forwardTo: [] })
+    const notableBefore = fleet.notablePosition
+    const notable = this.updater.applyEvents(result.events, result.position.era)
+    fleet.storePosition = findLaterPosition(fleet.storePosition, result.position)
+    if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ after: notableBefore, upTo: result.position, events: notable, forwardTo: [] })
     // A host that relies on watchers always pauses: otherwise a false report of a future revision would make it query in a tight loop.
     if (result.events.length > 0 || reliesOnWatchers) await sleepFor(BATCH_DELAY_MS, signal)
-    return result.revision
+    return result.position
   }
 
   /**
@@ -250,18 +279,18 @@
   private async waitForRelayedChanges (signal: AbortSignal): Promise<void> {
     const { fleet, log, getNow, hasReliableWatchers } = this.parts
     const startedAt = getNow()
-    log.record('changes of the store are taken from watchers', { revision: fleet.storeRevision })
+    log.record('changes of the store are taken from watchers', { position: fleet.storePosition })
     const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < MAX_UNCONFIRMED_MS
     this.isRelyingOnWatchers = true
     while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await sleepFor(CHECK_INTERVAL_MS, signal)
     this.isRelyingOnWatchers = false
     this.hasToCatchUp = true
-    log.record('changes of the store are requested', { revision: fleet.storeRevision, notableRevision: this.reportedNotableRevision, ageMs: Math.round(getNow() - (fleet.confirmedAt ?? -Infinity)), hasReliableWatchers: hasReliableWatchers() })
+    log.record('changes of the store are requested', { position: fleet.storePosition, notablePosition: this.reportedNotablePosition, ageMs: Math.round(getNow() - (fleet.confirmedAt ?? -Infinity)), hasReliableWatchers: hasReliableWatchers() })
   }
 
   /** Whether a notable change has been reported for too long without being received. */
   private isChangeOverdue (now: number): boolean {
-    if (this.reportedNotableRevision <= this.parts.fleet.storeRevision) {
+    if (comparePositions(this.reportedNotablePosition, this.parts.fleet.storePosition) <= 0) {
       this.missingChangeSince = undefined
       return false
     }
@@ -270,7 +299,7 @@
   }
 
   /** Returns undefined if the watch was interrupted by a refresh. */
-  private async waitForChanges (prefix: string, revision: number, signal: AbortSignal): Promise<WatchResult | undefined> {
+  private async waitForChanges (prefix: string, after: StorePosition, signal: AbortSignal): Promise<WatchResult | undefined> {
     const watchController = new AbortController()
     const handleAbort = (): void => { watchController.abort() }
     signal.addEventListener('abort', handleAbort)
@@ -279,7 +308,7 @@
     const waitMs = this.chooseWatchTimeout()
     this.hasToCatchUp = false
     try {
-      return await this.parts.store.watch(prefix, revision, waitMs, watchController.signal)
+      return await this.parts.store.watch(prefix, after, waitMs, watchController.signal)
     } catch (error) {
       if (watchController.signal.aborted && !signal.aborted) return undefined
       throw error
@@ -296,10 +325,21 @@
     return this.parts.isReliedOn() ? RELIED_WATCH_TIMEOUT_MS : WATCH_TIMEOUT_MS
   }
 
+  private async waitForRereadTurn (signal: AbortSignal): Promise<void> {
+    const waitMs = this.rereadAt - this.parts.getNow()
+    if (waitMs > 0) await sleepFor(waitMs, signal)
+  }
+
+  private isRereadDue (): boolean {
+    const { fleet, store, getNow } = this.parts
+    return fleet.isComplete && fleet.storePosition.era !== store.era.current && getNow() >= this.rereadAt
+  }
+
   private async runChecks (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleepFor(CHECK_INTERVAL_MS, signal)
       this.updater.expireLapsed()
+      if (this.isRereadDue()) this.refresh(RETURN_REASON)
       if (this.isLongWatch && this.parts.isWatcher()) this.refresh('this host is now a watcher of its region')
     }
   }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -4,6 +4,8 @@
 import { RouteTable } from '../../version/routeTable.js'
 import type { ServiceDefinition } from '../../version/serviceDefinition.js'
 import type { SteeringConfiguration } from '../../version/steeringConfiguration.js'
+import { startPosition } from '../store/startPosition.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { HostEntry } from './hostEntry.js'
 
 interface FleetListener {
@@ -38,10 +40,10 @@
    * with a long watch timeout gets no answer from the store while nothing changes, although its state is up to date.
    */
   private peerConfirmedAt = -Infinity
-  /** Revision of the store up to which this state includes all changes. */
-  storeRevision = 0
-  /** Revision of the last notable change: one after which hosts decide differently than before. */
-  notableRevision = 0
+  /** Position of the store up to which this state includes all changes. */
+  storePosition: StorePosition = startPosition
+  /** Position of the last notable change: one after which hosts decide differently than before. */
+  notablePosition: StorePosition = startPosition
   /** The first full read of targets and hosts is done. */
   isComplete = false
 
@@ -69,13 +71,18 @@
   }
 
   /**
-   * Records a peer's report that the store had nothing newer at a given time.
+   * Records a peer's report that the store had nothing newer at a given time. A report of another era confirms nothing.
    *
-   * @param notableRevision revision of the last notable change that the peer knows
+   * @param notablePosition position of the last notable change that the peer knows
    * @param confirmedAt when the store confirmed the peer's state
    */
-  receivePeerConfirmation (notableRevision: number, confirmedAt: number): void {
-    if (this.storeRevision >= notableRevision) this.peerConfirmedAt = Math.max(this.peerConfirmedAt, confirmedAt)
+  receivePeerConfirmation (notablePosition: StorePosition, confirmedAt: number): void {
+    if (this.isCompleteUpTo(notablePosition)) this.peerConfirmedAt = Math.max(this.peerConfirmedAt, confirmedAt)
+  }
+
+  /** Returns whether this state has missed no notable change up to that of a peer, in the same era. */
+  isCompleteUpTo (notablePosition: StorePosition): boolean {
+    return notablePosition.era === this.storePosition.era && notablePosition.revision <= this.storePosition.revision
   }
 
   /** Returns the milliseconds since this state was last confirmed to be current, by the store or through a peer. */
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -3,8 +3,11 @@
 import type { EventLog } from '../observe/eventLog.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
 import type { SuspectRecord } from '../quarantine/suspectRecord.js'
+import { findLaterPosition } from '../store/findLaterPosition.js'
+import { getEventRevision } from '../store/getEventRevision.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreHealth } from '../store/storeHealth.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { FleetChange } from './fleetChange.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
@@ -34,8 +37,8 @@
 interface DecodedChange {
   change: FleetChange
   event: StoreEvent
-  /** Revision of the store at which the change was made. */
-  revision: number
+  /** Position of the store at which the change was made. */
+  position: StorePosition
   /** Revision at which the key was created; for a deletion, that of the deletion. */
   createdRevision: number
 }
@@ -56,11 +59,15 @@
 
   constructor (private readonly parts: UpdaterParts) {}
 
-  /** Applies a full read of a prefix: whatever is known under the prefix and is missing from the read is removed. */
-  applyFullRead (prefix: string, events: readonly StoreEvent[]): { keys: number, isLapse: boolean } {
+  /**
+   * Applies a full read of a prefix: whatever is known under the prefix and is missing from the read is removed.
+   *
+   * @param era era of the store in which the prefix was read
+   */
+  applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): { keys: number, isLapse: boolean } {
     const known = new Map(this.createdRevisions)
     const present = new Set<string>()
-    for (const decoded of events.flatMap((event) => this.decodeEvent(event))) {
+    for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
       this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
     }
@@ -70,8 +77,8 @@
   }
 
   /** Applies changes in order. Returns the notable ones. */
-  applyEvents (events: readonly StoreEvent[]): StoreEvent[] {
-    const changes = events.flatMap((event) => this.decodeEvent(event))
+  applyEvents (events: readonly StoreEvent[], era: number): StoreEvent[] {
+    const changes = events.flatMap((event) => this.decodeEvent(event, era))
     const isLapse = isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
     return changes.filter((change) => this.tryApplyChange(change, isLapse)).map(({ event }) => event)
   }
@@ -85,11 +92,11 @@
   }
 
   /** Returns an empty list for a key that hosts do not use. */
-  private decodeEvent (event: StoreEvent): DecodedChange[] {
+  private decodeEvent (event: StoreEvent, era: number): DecodedChange[] {
     const change = this.parts.codec.decode(event)
     if (change === undefined) return []
-    if (event.kind === 'deleted') return [{ change, event, revision: event.revision, createdRevision: event.revision }]
-    return [{ change, event, revision: event.item.revision, createdRevision: event.item.createdRevision }]
+    const position = { era, revision: getEventRevision(event) }
+    return [{ change, event, position, createdRevision: event.kind === 'deleted' ? event.revision : event.item.createdRevision }]
   }
 
   /** Lists the targets whose entries exist after these changes, with the revisions at which the entries were created. */
@@ -126,10 +133,10 @@
   }
 
   /** Returns whether the change is notable. */
-  private applyChange ({ change, revision, createdRevision }: DecodedChange, isLapse: boolean): boolean {
+  private applyChange ({ change, position, createdRevision }: DecodedChange, isLapse: boolean): boolean {
     const { fleet, getNow } = this.parts
     const isNotable = isNotableChange(change, fleet, getNow())
-    if (isNotable) fleet.notableRevision = Math.max(fleet.notableRevision, revision)
+    if (isNotable) fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
     this.apply(change, isLapse)
     if (change.kind === 'target' && this.parts.fleet.findTarget(change.entry.id) !== undefined) this.createdRevisions.set(change.entry.id, createdRevision)
     return isNotable
--- a/packages/almondrelay-gateway/src/process/fleet/readPrefix.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/readPrefix.ts
@@ -3,14 +3,16 @@
 import type { RevisionStore } from '../store/revisionStore.js'
 import type { StoreEvent } from '../store/storeEvent.js'
 import type { StoreItem } from '../store/storeItem.js'
+import { comparePositions } from '../store/comparePositions.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { FleetCodec } from './fleetCodec.js'
 
 /** All keys under a prefix, and the changes after them. */
 interface FullRead {
   items: StoreItem[]
   events: readonly StoreEvent[]
-  /** Revision up to which the items and the events together are complete. */
-  revision: number
+  /** Position up to which the items and the events together are complete. */
+  position: StorePosition
   /** The product's own keys were not read to their end. */
   hasOmittedKeys: boolean
 }
@@ -25,21 +27,23 @@
  */
 export async function readPrefix (store: RevisionStore, codec: FleetCodec, prefix: string, signal: AbortSignal): Promise<FullRead> {
   const read = await readPages(store, codec, prefix, PageAge.stale, signal)
-  const changes = await store.watch(prefix, read.revision, CATCH_UP_MS, signal)
+  const changes = await store.watch(prefix, read.position, CATCH_UP_MS, signal)
   if (changes.kind === 'history-gone') return await readPages(store, codec, prefix, PageAge.current, signal)
-  return { ...read, events: changes.events, revision: changes.revision }
+  return { ...read, events: changes.events, position: changes.position }
 }
 
 const readPages = async (store: RevisionStore, codec: FleetCodec, prefix: string, age: PageAge, signal: AbortSignal): Promise<FullRead> => {
   const items: StoreItem[] = []
-  let revision = Infinity
+  let position: StorePosition | undefined
   for (;;) {
     const page = await store.list(prefix, items.at(-1)?.key ?? '', age, signal)
-    // Stale pages may be from different times, in any order: the changes are requested from the oldest revision on.
-    revision = Math.min(revision, page.revision)
+    // Pages of two eras do not belong to one state.
+    if (position !== undefined && page.position.era !== position.era) return await readPages(store, codec, prefix, PageAge.current, signal)
+    // Stale pages may be from different times, in any order: the changes are requested from the oldest position on.
+    if (position === undefined || comparePositions(page.position, position) < 0) position = page.position
     items.push(...page.items)
     const hasOmittedKeys = page.isTruncated && items.at(-1)?.key.startsWith(codec.productPrefix) === true
-    if (!page.isTruncated || hasOmittedKeys) return { items, events: [], revision, hasOmittedKeys }
+    if (!page.isTruncated || hasOmittedKeys) return { items, events: [], position, hasOmittedKeys }
     // Listing after the same key again would return the same page for ever.
     if (page.items.length === 0) throw new Error('listing of the store is truncated at a page without readable items')
   }
--- a/packages/almondrelay-gateway/src/process/fleet/relayedChanges.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/relayedChanges.ts
@@ -1,11 +1,12 @@
 import type { StoreEvent } from '../store/storeEvent.js'
+import type { StorePosition } from '../store/storePosition.js'
 
 /** Changes of the store that a watcher relays to the other hosts of its region. */
 export interface RelayedChanges {
-  /** A host whose state includes this revision has missed no notable change before these. */
-  afterRevision: number
-  /** Revision up to which a host knows all notable changes once it has applied these. */
-  upToRevision: number
+  /** A host whose state includes this position has missed no notable change before these. */
+  after: StorePosition
+  /** Position up to which a host knows all notable changes once it has applied these; of the same era. */
+  upTo: StorePosition
   /** Changes in the order of their revisions. */
   events: readonly StoreEvent[]
   /** Names of the hosts to which the receiver forwards the changes. */
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
@@ -9,6 +9,7 @@
 import { encodeDatagram } from '../encodeDatagram.js'
 import { encodeLoadReport } from '../encodeLoadReport.js'
 import { splitChanges } from '../splitChanges.js'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 
 const test = suite('decodeLoadReport')
 const SEED = 20_261_203
@@ -45,7 +46,7 @@
   const organisations = Array.from({ length: 80 }, (_, index) => ({ name: `organisation-${index}`, keys: [createHash('sha1').update(String(index)).digest('hex').slice(0, 20)], priority: 1, ratePerSecond: 20, burst: 20 }))
   const value = Buffer.from(JSON.stringify({ organisations, routes: Array.from({ length: 40 }, (_, index) => ({ name: `r-${index}`, idempotent: true, targetLatencyMs: 316, pathPrefix: `/p${index}/` })) }))
   const events = [{ kind: 'written' as const, item: { key: 'configuration', revision: 5, createdRevision: 1, value } }]
-  const parts = splitChanges({ afterRevision: 4, upToRevision: 6, events, forwardTo: [] }, 8_000)
+  const parts = splitChanges({ after: makePosition(4), upTo: makePosition(6), events, forwardTo: [] }, 8_000)
   assert.ok(value.byteLength > 8_000)
   assert.equal(parts.map(({ events: each }) => each), [events])
   const plain = decodeLoad(encode({}))
@@ -65,8 +66,8 @@
 
 test('changes of the store decode to what was encoded', () => {
   const changes = {
-    afterRevision: 4,
-    upToRevision: 9,
+    after: makePosition(4),
+    upTo: makePosition(9),
     events: [
       { kind: 'written' as const, item: { key: 'target/1', value: Buffer.from('{}'), revision: 5, createdRevision: 2 } },
       { kind: 'deleted' as const, key: 'target/2', revision: 8 }
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -11,13 +11,15 @@
 import type { PeerReport } from '../peerReport.js'
 import type { PeerSocket } from '../peerSocket.js'
 import { PeerView } from '../peerView.js'
+import type { StorePosition } from '../../store/storePosition.js'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 
 const test = suite('PeerExchange')
 const ADDRESS = '10.0.0.2'
-const CHANGES = { afterRevision: 4, upToRevision: 6, events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }], forwardTo: [] }
+const CHANGES = { after: makePosition(4), upTo: makePosition(6), events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }], forwardTo: [] }
 
 const makeEntry = (name: string, region = 'akl'): HostEntry => ({ name, incarnation: 'i1', availabilityZone: `${region}-a`, region, ip: ADDRESS, callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], changes: undefined, ...content })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], changes: undefined, ...content })
 
 /** One host in a fleet. Records the reports that it sends, and the reports and changes that it accepts from watchers. */
 class ExchangeRig {
@@ -25,6 +27,7 @@
   readonly sent: PeerReport[] = []
   readonly watched: PeerReport[] = []
   readonly accepted: RelayedChanges[] = []
+  readonly positions: StorePosition[] = []
   readonly exchange: PeerExchange
 
   constructor () {
@@ -41,7 +44,7 @@
       getNow: () => 0,
       isLeaving: () => false,
       getDeclaredRevision: () => 0,
-      receiveRevision: () => undefined,
+      receivePosition: (position) => { this.positions.push(position) },
       acceptRelayedChanges: (changes) => { this.accepted.push(changes) },
       receiveWatcherReport: (report) => { this.watched.push(report) }
     })
@@ -94,6 +97,17 @@
   assert.equal(rig.watched.map(({ host }) => host), ['a'])
 })
 
+// Guards against forged reports of an era that the store never reaches, for which every host would ask the store again and again.
+test('the position in a report is accepted only from the sender\'s address', () => {
+  const rig = new ExchangeRig()
+  const storePosition = { era: 900, revision: 1 }
+  rig.receive(makeReport('a', 1, { storePosition, notablePosition: storePosition }), '10.9.9.9')
+  rig.receive(makeReport('stranger', 1, { storePosition, notablePosition: storePosition }))
+  assert.equal(rig.positions, [])
+  rig.receive(makeReport('b', 1, { storePosition: makePosition(7) }))
+  assert.equal(rig.positions, [makePosition(7)])
+})
+
 // Guards against a watcher that fills its own link. When a thousand targets' entries arrive at once and the watcher sends them to each of
 // 64 hosts itself, its calls to the store get no bandwidth. One host of each group forwards them to the rest of its group.
 test('changes reach every host of the region once, through one host of each group', () => {
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -6,10 +6,11 @@
 import { encodeLoadReport } from '../encodeLoadReport.js'
 import type { PeerReport } from '../peerReport.js'
 import { PeerView } from '../peerView.js'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 
 const test = suite('PeerView')
 const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storeRevision: 5, isRegional: false, declaredRevision: 0, notableRevision: 0, storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], leavingTargets: [], changes: undefined, demands: [] })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], leavingTargets: [], changes: undefined, demands: [] })
 
 const build = (): PeerView => {
   const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
@@ -50,8 +51,14 @@
   receive('a', 2, 4_000, 1_300)
   receive('b', 3, 4_000, 1_300)
   assert.not(isReliable(1_300), 'both cut off from the store')
+  fleet.storePosition = { era: 2, revision: 1 }
+  receive('a', 3, 0, 1_350)
+  receive('b', 4, 0, 1_350)
+  assert.not(isReliable(1_350), 'both have not noticed that the store has returned from a copy')
+  fleet.storePosition = makePosition(1)
+  assert.ok(isReliable(1_350))
   fleet.removeHost('g')
-  receive('b', 4, 0, 1_400)
+  receive('b', 5, 0, 1_400)
   assert.not(isReliable(1_400), 'few hosts: each watches')
 })
 
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -17,9 +17,9 @@
     sequence: message.sequence,
     isLeaving: message.leaving,
     configurationVersion: message.configurationVersion,
-    storeRevision: message.storeRevision,
+    storePosition: { era: message.storeEra, revision: message.storeRevision },
     declaredRevision: message.declaredRevision,
-    notableRevision: message.notableRevision,
+    notablePosition: { era: message.storeEra, revision: message.notableRevision },
     storeAgeMs: message.storeAgeMs,
     isRegional: message.regional,
     inFlight: new Map(message.targetHashes.map((hash, index) => [hash, message.inFlight[index] ?? 0])),
@@ -50,7 +50,8 @@
     revisions.every((revision, index) => isRevision(revision) && revision >= (revisions[index - 1] ?? afterRevision))
 }
 
-const decodeChanges = ({ afterRevision, upToRevision, changes, forwardTo }: StoreChanges): RelayedChanges => ({ afterRevision, upToRevision, events: changes.map(decodeChange), forwardTo })
+const decodeChanges = ({ era, afterRevision, upToRevision, changes, forwardTo }: StoreChanges): RelayedChanges =>
+  ({ after: { era, revision: afterRevision }, upTo: { era, revision: upToRevision }, events: changes.map(decodeChange), forwardTo })
 
 const decodeChange = ({ key, revision, deleted, value, createdRevision, deflated }: StoreChange): StoreEvent => deleted
   ? { kind: 'deleted', key, revision }
--- a/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
@@ -16,9 +16,10 @@
       sequence: report.sequence,
       leaving: report.isLeaving,
       configurationVersion: report.configurationVersion,
-      storeRevision: report.storeRevision,
+      storeEra: report.storePosition.era,
+      storeRevision: report.storePosition.revision,
       declaredRevision: report.declaredRevision,
-      notableRevision: report.notableRevision,
+      notableRevision: report.notablePosition.revision,
       storeAgeMs: report.storeAgeMs,
       regional: report.isRegional,
       targetHashes: [...report.inFlight.keys()],
@@ -37,8 +38,8 @@
   })
 }
 
-const encodeChanges = ({ afterRevision, upToRevision, events, forwardTo }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
-  ({ afterRevision, upToRevision, changes: events.map(encodeEvent), forwardTo: [...forwardTo] })
+const encodeChanges = ({ after, upTo, events, forwardTo }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
+  ({ era: upTo.era, afterRevision: after.revision, upToRevision: upTo.revision, changes: events.map(encodeEvent), forwardTo: [...forwardTo] })
 
 const encodeEvent = (event: StoreEvent): MessageInitShape<typeof StoreChangeSchema> => event.kind === 'deleted'
   ? { key: event.key, revision: event.revision, deleted: true }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -3,6 +3,7 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
+import type { StorePosition } from '../store/storePosition.js'
 import { computeMeanTimes } from './computeMeanTimes.js'
 import { DATAGRAM_OVERHEAD } from './datagramOverhead.js'
 import { encodeLoadReport } from './encodeLoadReport.js'
@@ -45,8 +46,8 @@
   isLeaving: () => boolean
   /** Revision of the operators' resources in force here. */
   getDeclaredRevision: () => number
-  /** Called with the revision of the store that a peer knows, and with the revision of the last change that affects its decisions. */
-  receiveRevision: (revision: number, notableRevision: number, now: number) => void
+  /** Called with the position of the store that a peer knows, and with that of the last change that affects its decisions. */
+  receivePosition: (position: StorePosition, notablePosition: StorePosition, now: number) => void
   /** Called with changes that a watcher of this region relays. */
   acceptRelayedChanges: (changes: RelayedChanges) => void
   /** Called with a report of a watcher of this region that contains no changes. */
@@ -78,7 +79,7 @@
    * @param ip address from which the report was sent
    */
   handleReport (report: PeerReport, ip: string): void {
-    const { own, fleet, view, getNow, receiveRevision } = this.parts
+    const { own, fleet, view, getNow, receivePosition } = this.parts
     if (report.host === own.name) return
     const now = getNow()
     const isWatcher = report.region === own.region && view.isReportFromWatcher(report, ip, now)
@@ -89,11 +90,14 @@
     }
     const previousCounts = view.findInFlightCounts(report.host)
     if (!view.receiveReport(report, now)) return
-    receiveRevision(report.storeRevision, report.notableRevision, now)
-    fleet.receivePeerConfirmation(report.notableRevision, now - report.storeAgeMs)
+    const isGenuine = view.findSender(report, ip) !== undefined
+    if (isGenuine) {
+      receivePosition(report.storePosition, report.notablePosition, now)
+      fleet.receivePeerConfirmation(report.notablePosition, now - report.storeAgeMs)
+    }
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
-    if (view.findSender(report, ip) !== undefined) this.receiveAnnouncements(report, now)
+    if (isGenuine) this.receiveAnnouncements(report, now)
     if (isWatcher && report.changes === undefined) this.parts.receiveWatcherReport(report, now)
   }
 
@@ -197,8 +201,8 @@
       region: own.region,
       isLeaving: isLeaving(),
       configurationVersion: fleet.configuration?.version ?? 0,
-      storeRevision: fleet.storeRevision,
-      notableRevision: fleet.notableRevision,
+      storePosition: fleet.storePosition,
+      notablePosition: fleet.notablePosition,
       storeAgeMs: Math.round(Math.min(MAX_AGE_MS, getNow() - (fleet.confirmedAt ?? -Infinity))),
       inFlight: new Map(busy.map((target) => [target.incarnationHash, target.inFlight])),
       ...content
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -1,5 +1,6 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { RequestLimitReport } from './requestLimitReport.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { ServiceDemand } from './serviceDemand.js'
 
 /** The load report that a host sends to its peers. */
@@ -13,10 +14,10 @@
   configurationVersion: number
   /** Requests of the host that are in progress at targets, by the hash of the target's incarnation. */
   inFlight: ReadonlyMap<number, number>
-  /** Revision of the platform's store up to which the host has seen all changes. */
-  storeRevision: number
-  /** Revision of the last change in the store that affects the host's decisions. */
-  notableRevision: number
+  /** Position of the platform's store up to which the host has seen all changes. */
+  storePosition: StorePosition
+  /** Position of the last change in the store that affects the host's decisions; of the same era. */
+  notablePosition: StorePosition
   /** Milliseconds since the store last confirmed that the host's state is current. */
   storeAgeMs: number
   /** Revision of the operators' resources in force at the host; in a regional report, the lowest revision among the region's hosts. */
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -200,14 +200,14 @@
   }
 
   /**
-   * Returns whether this host relays changes: it is the first watcher, or the second while the first sends no reports or doesn't reach
-   * the store. If both relayed changes all the time, half of the datagrams would be superfluous.
+   * Returns whether this host relays changes: it is the first watcher, or the second while the first sends no reports, doesn't reach
+   * the store or has not noticed that the store has returned from a copy. If both relayed changes all the time, half of the datagrams would be superfluous.
    */
   isRelay (now: number): boolean {
     const [first] = this.listRepresentatives(now)
     if (first === undefined || first === this.own.name) return true
     const peer = this.peers.get(first)
-    return peer === undefined || now - peer.receivedAt + peer.report.storeAgeMs > RELAY_TIMEOUT_MS
+    return peer === undefined || this.isOfEarlierEra(peer.report) || now - peer.receivedAt + peer.report.storeAgeMs > RELAY_TIMEOUT_MS
   }
 
   /** Returns whether this region has so many hosts that those that aren't watchers rely on the watchers. */
@@ -217,7 +217,7 @@
 
   /**
    * Returns whether this host may rely on the watchers of its region instead of watching the store itself: at least one has reported
-   * recently, and the store has confirmed its state recently.
+   * recently, and the store has confirmed its state recently, in the era of this host's state or a later one.
    *
    * @param boundMs time within which this host must know of a change
    */
@@ -227,10 +227,14 @@
     if (representatives.includes(this.own.name)) return false
     return representatives.some((name) => {
       const peer = this.peers.get(name)
-      return peer !== undefined && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_WATCHER_AGE_SHARE
+      return peer !== undefined && !this.isOfEarlierEra(peer.report) && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_WATCHER_AGE_SHARE
     })
   }
 
+  private isOfEarlierEra ({ storePosition }: PeerReport): boolean {
+    return storePosition.era < this.fleet.storePosition.era
+  }
+
   private listRepresentatives (now: number): readonly string[] {
     return this.live.findLists(now).representatives
   }
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -1,23 +1,24 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import type { StoreEvent } from '../store/storeEvent.js'
+import type { StorePosition } from '../store/storePosition.js'
 import { encodeValue } from './encodeValue.js'
 
 /** Bytes of an encoded change in addition to its key and value. */
 const CHANGE_OVERHEAD_BYTES = 24
 
 /**
- * Splits changes into chunks that each fit into a datagram. Every chunk names the revision with which the one before it ends, so that a
+ * Splits changes into chunks that each fit into a datagram. Every chunk names the position with which the one before it ends, so that a
  * receiver notices a lost chunk. The list ends before the first change that is too large for a chunk; the receiver asks the store for it.
  *
  * @param maxBytes maximum bytes of one chunk
  */
-export function splitChanges ({ afterRevision, upToRevision, events }: RelayedChanges, maxBytes: number): RelayedChanges[] {
+export function splitChanges ({ after, upTo, events }: RelayedChanges, maxBytes: number): RelayedChanges[] {
   const chunks: StoreEvent[][] = []
   let remainingBytes = 0
   for (const event of events) {
     const bytes = countBytes(event)
-    if (bytes > maxBytes) return makeChunks(chunks, afterRevision, undefined)
+    if (bytes > maxBytes) return makeChunks(chunks, after, undefined)
     if (bytes > remainingBytes) {
       chunks.push([])
       remainingBytes = maxBytes
@@ -25,15 +26,15 @@
     chunks.at(-1)?.push(event)
     remainingBytes -= bytes
   }
-  return makeChunks(chunks, afterRevision, upToRevision)
+  return makeChunks(chunks, after, upTo)
 }
 
-/** @param upToRevision revision that is known with the last chunk; undefined if changes after that chunk are left out */
-const makeChunks = (chunks: readonly StoreEvent[][], afterRevision: number, upToRevision: number | undefined): RelayedChanges[] => {
-  const ends = chunks.map((events) => getEventRevision(events.at(-1) as StoreEvent))
+/** @param upTo position that is known with the last chunk; undefined if changes after that chunk are left out */
+const makeChunks = (chunks: readonly StoreEvent[][], after: StorePosition, upTo: StorePosition | undefined): RelayedChanges[] => {
+  const ends = chunks.map((events) => ({ era: after.era, revision: getEventRevision(events.at(-1) as StoreEvent) }))
   return chunks.map((events, index) => ({
-    afterRevision: ends[index - 1] ?? afterRevision,
-    upToRevision: index === chunks.length - 1 && upToRevision !== undefined ? upToRevision : ends[index] as number,
+    after: ends[index - 1] ?? after,
+    upTo: index === chunks.length - 1 && upTo !== undefined ? upTo : ends[index] as StorePosition,
     events,
     forwardTo: []
   }))
--- a/packages/almondrelay-gateway/src/process/store/storeEra.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeEra.ts
@@ -5,19 +5,17 @@
 export class StoreEra {
   /** Era of the last answer; 0 for a store that states none. */
   current = 0
+  /** Called if the store has returned from a copy since an earlier answer. */
+  handleReturn: () => void = () => undefined
   private isKnown = false
 
-  /**
-   * Records the era that an answer states.
-   *
-   * @param handleChange called if the store has returned from a copy since an earlier answer, with the era before
-   */
-  observe (era: number, handleChange: (previous: number) => void): void {
-    const previous = this.current
-    if (this.isKnown && era <= previous) return
-    const isChange = this.isKnown
+  /** Records the era that an answer states. Returns whether the store has returned from a copy since an earlier answer. */
+  observe (era: number): boolean {
+    if (this.isKnown && era <= this.current) return false
+    const isReturn = this.isKnown
     this.isKnown = true
     this.current = era
-    if (isChange) handleChange(previous)
+    if (isReturn) this.handleReturn()
+    return isReturn
   }
 }
