Keep what was heard before the store returned from a copy until its writers have written it again

Callers would see: requests to targets that have left or in zones that are being evacuated, and fewer targets and hosts than there are, in the seconds after the store has returned from a copy.

Cause: a full read took the copy's word for the last one. What was written since the copy was taken for removed, and what was removed since was taken up again.

Change: after a return, targets that are missing count as lapsed (two seconds), hosts stay for 5 s and evacuations for 10 s; whatever the store says of them meanwhile goes first. A target that the store had removed in the last minute and holds again isn't used for 6 s, in which its entry expires if it has exited; after that the store's word holds. One log line tells what nobody wrote again.

Ruled out: keeping what is missing for good (nothing would ever say that it is gone); trusting the copy at once (an evacuation or a departure would be undone for seconds).

--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
@@ -0,0 +1,124 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PageAge } from '../../store/pageAge.js'
+import { FollowedFleet } from '../__fixtures__/followedFleet.js'
+
+const test = suite('state of the fleet after the store has returned from a copy')
+/** Milliseconds after which everything that is deferred is due. */
+const LONG_PAST_MS = 20_000
+let followed = new FollowedFleet()
+
+const peer = { name: 'peer', incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.2', callerPort: 1, peerPort: 2 }
+const waitForChecks = (): Promise<void> => new Promise((resolve) => { setTimeout(resolve, 500) })
+
+/** Makes the store return from a copy, and waits until the follower has read all keys again. */
+const returnFrom = async (copy: ReturnType<typeof followed.store.copy>): Promise<void> => {
+  followed.store.returnFrom(copy)
+  await followed.store.list('', '', PageAge.current)
+  await followed.waitFor(() => followed.fleet.storePosition.era === followed.store.position.era, 'the read after the return')
+}
+
+test.before.each(async () => {
+  followed = FollowedFleet.startWithTargets()
+  await followed.waitFor(() => followed.fleet.isComplete, 'first read')
+})
+test.after.each(() => followed.stop())
+
+// Guards against hosts that forget targets, hosts and evacuations whose writers have not yet written them again.
+test('what was written after the copy is kept until its writers had time to write it again', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  followed.writeTarget('3')
+  store.write('host/peer', peer)
+  store.write('evacuation/akl-a', {})
+  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'the evacuation')
+  await returnFrom(copy)
+  await waitForChecks()
+  assert.ok(fleet.findTarget('3') !== undefined)
+  assert.ok(fleet.findHost('peer') !== undefined)
+  assert.ok(fleet.isEvacuated('akl-a'))
+  store.write('evacuation/akl-a', {})
+  store.write('host/peer', peer)
+  followed.writeTarget('3', { sequence: 9 })
+  await followed.waitFor(() => fleet.storePosition.revision === store.latestRevision, 'what was written again')
+  followed.now += LONG_PAST_MS
+  await waitForChecks()
+  assert.ok(fleet.findTarget('3') !== undefined)
+  assert.ok(fleet.findHost('peer') !== undefined)
+  assert.ok(fleet.isEvacuated('akl-a'))
+})
+
+// Guards against targets, hosts and evacuations that stay for ever because nothing in the store says that they are gone.
+test('what was written after the copy and is not written again is removed in the end', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  followed.writeTarget('3')
+  store.write('host/peer', peer)
+  store.write('evacuation/akl-a', {})
+  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'the evacuation')
+  await returnFrom(copy)
+  followed.now += LONG_PAST_MS
+  await waitForChecks()
+  assert.is(fleet.findTarget('3'), undefined)
+  assert.is(fleet.findHost('peer'), undefined)
+  assert.not(fleet.isEvacuated('akl-a'))
+})
+
+// Guards against requests to a target that has left: the store had removed its entry, and holds it again after the return.
+test('a target that had left is not used again because of an entry from the copy', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  store.remove('target/1')
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  await returnFrom(copy)
+  await waitForChecks()
+  assert.is(fleet.findTarget('1'), undefined)
+  store.remove('target/1')
+  followed.now += LONG_PAST_MS
+  await waitForChecks()
+  assert.is(fleet.findTarget('1'), undefined)
+})
+
+// Guards against a target that is never used again although it runs: its entry had expired, and the one from the copy is right.
+test('a target whose entry from the copy stays in the store is used again', async () => {
+  const { fleet, store } = followed
+  followed.writeTarget('1', { sequence: 4 })
+  await followed.waitFor(() => fleet.findTarget('1')?.entry.sequence === 4, 'the entry')
+  const copy = store.copy()
+  followed.writeTarget('1', { sequence: 5 })
+  store.remove('target/1')
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  await returnFrom(copy)
+  followed.now += LONG_PAST_MS
+  await followed.waitFor(() => fleet.findTarget('1') !== undefined, 'target 1')
+})
+
+// Guards against a departure, or a configuration in force, that an older value from the copy takes back.
+test('older values from the copy replace nothing', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  followed.writeTarget('1', { sequence: 5, draining: true })
+  store.write('configuration', { version: 9 })
+  await followed.waitFor(() => fleet.configuration?.version === 9, 'version 9')
+  await returnFrom(copy)
+  followed.now += LONG_PAST_MS
+  await waitForChecks()
+  assert.ok(fleet.findTarget('1')?.isLeaving())
+  assert.is(fleet.configuration?.version, 9)
+})
+
+// Guards against a departure that is taken for a lapse, because entries that were written again have new revisions of creation.
+test('a target that leaves after the return is removed at once', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  followed.writeTarget('3')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+  await returnFrom(copy)
+  followed.writeTarget('4')
+  followed.writeTarget('3', { sequence: 9 })
+  store.remove('target/1')
+  await followed.waitFor(() => fleet.findTarget('4') !== undefined, 'target 4')
+  assert.is(fleet.findTarget('1'), undefined)
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -9,12 +9,26 @@
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { StorePosition } from '../store/storePosition.js'
 import type { FleetChange } from './fleetChange.js'
+import { DeferredChanges } from './deferredChanges.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 import { isNotableChange } from './isNotableChange.js'
 import { LatestEntries } from './latestEntries.js'
+import { RecentRemovals } from './recentRemovals.js'
 import { RepeatFilter } from './repeatFilter.js'
 
+/**
+ * Milliseconds for which a host or evacuation that a store lacks after its return from a copy is kept: a host renews its entry every
+ * 1.3 s, and operators write again what they wrote. Requests to a zone that is being evacuated do more harm than a zone left unused.
+ */
+const MISSING_HOST_GRACE_MS = 5_000
+const MISSING_EVACUATION_GRACE_MS = 10_000
+/**
+ * Milliseconds for which a target that the store had removed, and holds again after its return from a copy, is not used: its entry
+ * expires within three heartbeats if it has exited.
+ */
+const REMOVED_TARGET_HOLD_MS = 6_000
+
 interface UpdaterParts {
   codec: FleetCodec
   fleet: FleetState
@@ -55,6 +69,8 @@
   /** Fingerprints of the requests that have a suspect record. */
   private readonly suspects = new Set<string>()
   private readonly latestEntries = new LatestEntries()
+  private readonly deferred = new DeferredChanges()
+  private readonly removals = new RecentRemovals()
   private readonly unusableValues = new RepeatFilter()
 
   constructor (private readonly parts: UpdaterParts) {}
@@ -65,14 +81,16 @@
    * @param era era of the store in which the prefix was read
    */
   applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): { keys: number, isLapse: boolean } {
+    const { fleet } = this.parts
+    const hasReturned = fleet.isComplete && era !== fleet.storePosition.era
     const known = new Map(this.createdRevisions)
     const present = new Set<string>()
     for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
-      this.tryApplyChange(decoded, false)
+      if (!hasReturned || !this.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
     }
-    const isLapse = isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
-    this.removeAbsent(prefix, present, isLapse)
+    const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
+    this.removeAbsent(prefix, present, isLapse, hasReturned)
     return { keys: present.size, isLapse }
   }
 
@@ -83,12 +101,13 @@
     return changes.filter((change) => this.tryApplyChange(change, isLapse)).map(({ event }) => event)
   }
 
-  /** Removes the targets whose lapsed entries were not written again in time. */
+  /** Removes the targets whose lapsed entries were not written again in time, and applies deferred changes that are due. */
   expireLapsed (): void {
     const now = this.parts.getNow()
     for (const [id, end] of this.lapsing) {
       if (now >= end) this.removeTarget(id, now)
     }
+    for (const change of this.deferred.takeDue(now)) this.applyDeferred(change)
   }
 
   /** Returns an empty list for a key that hosts do not use. */
@@ -109,7 +128,7 @@
     return present
   }
 
-  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean): void {
+  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean, hasReturned: boolean): void {
     const { codec, fleet } = this.parts
     const removals: FleetChange[] = [
       ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
@@ -118,10 +137,38 @@
       ...fleet.listEvacuated().map((availabilityZone): FleetChange => ({ kind: 'evacuation', availabilityZone, isEvacuated: false }))
     ]
     for (const change of removals) {
-      if (codec.isUnder(prefix, change) && !present.has(describeSubject(change))) this.apply(change, isLapse)
+      if (!codec.isUnder(prefix, change) || present.has(describeSubject(change))) continue
+      if (hasReturned && this.scheduleRemoval(change)) continue
+      this.apply(change, isLapse)
     }
   }
 
+  /** Defers a removal that only the store's return from a copy suggests. Returns false if there is no reason to wait. */
+  private scheduleRemoval (change: FleetChange): boolean {
+    const now = this.parts.getNow()
+    // Its next entry is a new one: the revision at which the old one was created would make that look like a lapse.
+    if (change.kind === 'target-gone') this.createdRevisions.delete(change.id)
+    const graceMs = change.kind === 'evacuation' ? MISSING_EVACUATION_GRACE_MS : MISSING_HOST_GRACE_MS
+    const isDeferred = change.kind === 'evacuation' || (change.kind === 'host-gone' && change.name !== this.parts.ownName)
+    if (isDeferred) this.deferred.put(describeSubject(change), change, now + graceMs)
+    return isDeferred
+  }
+
+  /** Defers a target's entry that the store had removed before it returned from a copy. Returns false for all other changes. */
+  private scheduleRestored (change: FleetChange): boolean {
+    const { fleet, log, getNow } = this.parts
+    if (change.kind !== 'target' || fleet.findTarget(change.entry.id) !== undefined || !this.removals.has(describeSubject(change), getNow())) return false
+    this.deferred.put(describeSubject(change), change, getNow() + REMOVED_TARGET_HOLD_MS)
+    log.record('entry of a removed target is in the store again', { entry: change.entry })
+    return true
+  }
+
+  private applyDeferred (change: FleetChange): void {
+    if (change.kind === 'target') this.latestEntries.drop(change.entry.id)
+    this.parts.log.record('store has not changed after its return from a copy what is missing or restored there', { subject: describeSubject(change) })
+    this.apply(change, false)
+  }
+
   // Otherwise one change that can't be applied would block all later ones, on every host and again after each restart.
   private tryApplyChange (change: DecodedChange, isLapse: boolean): boolean {
     try {
@@ -136,6 +183,7 @@
   private applyChange ({ change, position, createdRevision }: DecodedChange, isLapse: boolean): boolean {
     const { fleet, getNow } = this.parts
     const isNotable = isNotableChange(change, fleet, getNow())
+    this.deferred.remove(describeSubject(change))
     if (isNotable) fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
     this.apply(change, isLapse)
     if (change.kind === 'target' && this.parts.fleet.findTarget(change.entry.id) !== undefined) this.createdRevisions.set(change.entry.id, createdRevision)
@@ -225,6 +273,7 @@
   private removeTarget (id: string, now: number): void {
     this.lapsing.delete(id)
     this.createdRevisions.delete(id)
+    this.removals.add(`target ${id}`, now)
     this.parts.fleet.removeTarget(id, now)
     this.parts.log.record('target removed', { target: id })
   }
--- a/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
@@ -9,6 +9,11 @@
 export class LatestEntries {
   private readonly entries = new Map<string, Pick<TargetEntry, 'incarnation' | 'sequence'>>()
 
+  /** Forgets a target: its next entry is accepted whatever it states. */
+  drop (id: string): void {
+    this.entries.delete(id)
+  }
+
   /** Records an entry; returns false if a newer one of the same target is known. */
   accept ({ id, incarnation, sequence }: TargetEntry): boolean {
     const known = this.entries.get(id)
