Tie leases and conditional writes to the era in which they were granted or read

Callers would see: hosts that no look-up names, or a stopped host that is named, after the store has returned from a copy.

Cause: a lease id that is given out again is another host's. A renewal that succeeds then says nothing of the own entry, and a planned stop releases the other host's lease. A commit may be compared with another value under the same revision.

Change: a lease is an id and an era. One of an earlier era counts as ended and is never renewed or released; the host's entry is written again under a new lease at once, spread over 5 ms a host, and states the era it was written in. A transaction names the era of its conditions; an answer of another one is 'era-ended': it may have taken effect.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -5,6 +5,7 @@
 import type { StoreEvent } from '../../store/storeEvent.js'
 import type { StoreItem } from '../../store/storeItem.js'
 import { PageAge } from '../../store/pageAge.js'
+import type { StoreLease } from '../../store/storeLease.js'
 import type { StorePosition } from '../../store/storePosition.js'
 import type { StorePage } from '../../store/storePage.js'
 import type { StoreTransaction } from '../../store/storeTransaction.js'
@@ -21,6 +22,7 @@
 interface StoreCopy {
   revision: number
   leases: number
+  liveLeases: ReadonlySet<number>
   items: ReadonlyMap<string, FakeItem>
 }
 
@@ -52,6 +54,7 @@
   private items = new Map<string, FakeItem>()
   private events: StoreEvent[] = []
   private leases = 0
+  private liveLeases = new Set<number>()
 
   write (key: string, value: object, leaseId = 0): void {
     this.writeBytes(key, Buffer.from(JSON.stringify(value)), leaseId)
@@ -93,14 +96,15 @@
 
   /** Returns a copy of the present state, from which the store may return later. */
   copy (): StoreCopy {
-    return { revision: this.revision, leases: this.leases, items: new Map(this.items) }
+    return { revision: this.revision, leases: this.leases, liveLeases: new Set(this.liveLeases), items: new Map(this.items) }
   }
 
   /** Returns from a copy: what was written since is gone, and revisions and lease ids are given out again. */
-  returnFrom ({ revision, leases, items }: StoreCopy): void {
+  returnFrom ({ revision, leases, liveLeases, items }: StoreCopy): void {
     this.storeEra += 1
     this.revision = revision
     this.leases = leases
+    this.liveLeases = new Set(liveLeases)
     this.items = new Map(items)
     this.events = this.events.filter((event) => getEventRevision(event) <= revision)
   }
@@ -132,36 +136,41 @@
     return Promise.resolve(this.findItem(key))
   }
 
-  override commit ({ expected, writes, deletes }: StoreTransaction): Promise<CommitResult> {
+  override commit ({ era, expected, writes, deletes }: StoreTransaction): Promise<CommitResult> {
     if (this.isDown) return this.refuse('commit')
+    const wasKnown = this.era.isKnown
     this.era.observe(this.storeEra)
     const isMet = expected.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision)
     if (!isMet) return Promise.resolve({ kind: 'conflict', items: expected.flatMap(({ key }) => this.findItem(key) ?? []) })
     for (const { key, value, leaseId } of writes) this.writeBytes(key, value, leaseId)
     for (const key of deletes) this.remove(key)
+    if (wasKnown && era !== this.storeEra) return Promise.resolve({ kind: 'era-ended' })
     if (!this.losesAnswers) return Promise.resolve({ kind: 'done', revision: this.revision })
     return Promise.reject(new StoreError('unknown', 'commit', 'answer lost'))
   }
 
-  override grantLease (): Promise<number> {
+  override grantLease (): Promise<StoreLease> {
     if (this.isDown) return this.refuse('grant lease')
     this.era.observe(this.storeEra)
     this.leases += 1
-    return Promise.resolve(this.leases)
+    this.liveLeases.add(this.leases)
+    return Promise.resolve({ id: this.leases, era: this.storeEra })
   }
 
-  override renewLease (): Promise<boolean> {
+  override renewLease ({ id, era }: StoreLease): Promise<boolean> {
     if (this.isDown) return this.refuse('renew lease')
     this.era.observe(this.storeEra)
-    return Promise.resolve(true)
+    return Promise.resolve(era === this.storeEra && this.liveLeases.has(id))
   }
 
-  override releaseLease (leaseId: number): Promise<void> {
+  override releaseLease ({ id, era }: StoreLease): Promise<void> {
+    if (era !== this.storeEra) return Promise.resolve()
     if (this.lostReleases > 0) {
       this.lostReleases -= 1
       return Promise.reject(new StoreError('unknown', 'release lease', 'no answer'))
     }
-    for (const [key, item] of this.items) if (item.leaseId === leaseId) this.remove(key)
+    this.liveLeases.delete(id)
+    for (const [key, item] of this.items) if (item.leaseId === id) this.remove(key)
     return Promise.resolve()
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/hostAnnouncer.ts
@@ -2,6 +2,7 @@
 import { computeRetryDelay } from '../../request/computeRetryDelay.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { RevisionStore } from '../store/revisionStore.js'
+import type { StoreLease } from '../store/storeLease.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { HostEntry } from './hostEntry.js'
 
@@ -19,6 +20,10 @@
 /** Maximum number of such calls: with the timeout above, all end before the host stops accepting callers. */
 const MAX_RELEASE_ATTEMPTS = 4
 
+/** Milliseconds per host over which the hosts spread their writes after the store has returned from a copy, and their maximum. */
+const RETURN_SPREAD_PER_HOST_MS = 5
+const MAX_RETURN_SPREAD_MS = 2_000
+
 interface AnnouncerParts {
   store: RevisionStore
   codec: FleetCodec
@@ -30,9 +35,11 @@
 /** Keeps this host's entry in the store for as long as the host serves. */
 export class HostAnnouncer {
   /** Lease of the entry; undefined while the entry is not known to exist. */
-  private leaseId: number | undefined
+  private lease: StoreLease | undefined
   /** The last lease granted: an entry may have been written under it even if the answer to the write was lost. */
-  private lastGrantedLease: number | undefined
+  private lastGrantedLease: StoreLease | undefined
+  /** Aborted to end the pause before the next renewal. */
+  private pause = new AbortController()
   private failures = 0
 
   constructor (private readonly parts: AnnouncerParts) {}
@@ -41,31 +48,44 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const pauseMs = await this.renewOrWriteEntry(signal)
-      await sleepFor(pauseMs, signal)
+      this.pause = new AbortController()
+      await sleepFor(pauseMs, AbortSignal.any([signal, this.pause.signal]))
     }
     await this.removeEntry()
   }
 
   /** Makes the next cycle write the entry again, as the entry was removed although its lease may still be valid. */
   restoreEntry (): void {
-    this.leaseId = undefined
+    this.lease = undefined
+  }
+
+  /**
+   * Writes the entry again, as the store has returned from a copy: the entry and its lease may be gone, and another host may have been
+   * granted a lease with the same id. The hosts of the fleet learn of the return together, and their writes are spread.
+   */
+  handleStoreReturn (hostCount: number): void {
+    this.restoreEntry()
+    const spreadMs = Math.min(MAX_RETURN_SPREAD_MS, hostCount * RETURN_SPREAD_PER_HOST_MS)
+    const { pause } = this
+    setTimeout(() => { pause.abort() }, spreadMs * this.parts.random()).unref()
   }
 
   private async renewOrWriteEntry (signal: AbortSignal): Promise<number> {
     const { store, codec, entry, log, random } = this.parts
     try {
-      if (this.leaseId !== undefined && await store.renewLease(this.leaseId, signal)) {
+      const { lease: known } = this
+      if (known !== undefined && await store.renewLease(known, signal) && this.lease === known) {
         this.failures = 0
         return RENEWAL_INTERVAL_MS
       }
-      const leaseId = await store.grantLease(LEASE_TTL_MS, signal)
-      this.lastGrantedLease = leaseId
-      const { key, value } = codec.encodeHost(entry)
-      const result = await store.commit({ expected: [], writes: [{ key, value, leaseId }], deletes: [] }, signal)
+      const lease = await store.grantLease(LEASE_TTL_MS, signal)
+      this.lastGrantedLease = lease
+      const { key, value } = codec.encodeHost({ ...entry, storeEra: lease.era })
+      const result = await store.commit({ era: lease.era, expected: [], writes: [{ key, value, leaseId: lease.id }], deletes: [] }, signal)
       if (result.kind !== 'done') return RETRY_DELAY.firstMs * random()
-      this.leaseId = leaseId
+      this.lease = lease
       this.failures = 0
-      log.report('entry of this host written', { leaseId })
+      log.report('entry of this host written', { lease })
       return RENEWAL_INTERVAL_MS
     } catch (error) {
       if (!signal.aborted) log.logError('entry of this host not renewed or written', error as Error)
--- a/packages/almondrelay-gateway/src/process/fleet/hostEntry.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/hostEntry.ts
@@ -10,4 +10,6 @@
   callerPort: number
   /** UDP port on which the host receives reports from its peers. */
   peerPort: number
+  /** Era of the store in which the entry was written; absent in the entries of hosts that don't know of eras. */
+  storeEra?: number | undefined
 }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -132,7 +132,10 @@
     this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
-    adapter.store.era.handleReturn = () => { this.follower.handleStoreReturn() }
+    adapter.store.era.handleReturn = () => {
+      this.follower.handleStoreReturn()
+      this.announcer.handleStoreReturn(this.fleet.listHosts().length)
+    }
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
   }
 
--- a/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -9,6 +9,7 @@
 import { GatewayMetrics } from '../../observe/gatewayMetrics.js'
 import { decodeDatagram } from '../../peers/decodeDatagram.js'
 import type { CommitResult } from '../../store/commitResult.js'
+import type { StoreLease } from '../../store/storeLease.js'
 import { StoreError } from '../../store/storeError.js'
 import type { StoreTransaction } from '../../store/storeTransaction.js'
 import { encodeSuspectReport } from '../encodeSuspectReport.js'
@@ -162,8 +163,8 @@
     }
     const view = Object.create(this.store) as FakeRevisionStore
     view.commit = (transaction: StoreTransaction): Promise<CommitResult> => callWithin('commit', () => this.store.commit(transaction))
-    view.grantLease = (): Promise<number> => callWithin('grant lease', () => this.store.grantLease())
-    view.releaseLease = (leaseId: number): Promise<void> => callWithin('release lease', () => this.store.releaseLease(leaseId))
+    view.grantLease = (): Promise<StoreLease> => callWithin('grant lease', () => this.store.grantLease())
+    view.releaseLease = (lease: StoreLease): Promise<void> => callWithin('release lease', () => this.store.releaseLease(lease))
     return view
   }
 
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
@@ -99,13 +99,13 @@
   private async commit (suspect: Suspect, record: SuspectRecord, signal: AbortSignal): Promise<CommitOutcome> {
     const { store, codec, adoptRecord } = this.parts
     const { key, value } = codec.encodeSuspect(record)
-    const leaseId = await store.grantLease(RECORD_LEASE_MS, signal)
-    const result = await store.commit({ expected: [{ key, revision: suspect.recordRevision ?? 0 }], writes: [{ key, value, leaseId }], deletes: [] }, signal)
+    const lease = await store.grantLease(RECORD_LEASE_MS, signal)
+    const result = await store.commit({ era: lease.era, expected: [{ key, revision: suspect.recordRevision ?? 0 }], writes: [{ key, value, leaseId: lease.id }], deletes: [] }, signal)
     if (result.kind === 'done') {
       adoptRecord(record, result.revision)
       return { isDone: true, stored: record }
     }
-    await store.releaseLease(leaseId, signal)
+    await store.releaseLease(lease, signal)
     return { isDone: false, stored: result.kind === 'conflict' ? this.adoptStored(suspect, result.items[0]) : undefined }
   }
 
--- a/packages/almondrelay-gateway/src/process/store/revisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/store/revisionStore.ts
@@ -3,6 +3,7 @@
 import type { PageAge } from './pageAge.js'
 import type { StorePage } from './storePage.js'
 import { StoreEra } from './storeEra.js'
+import type { StoreLease } from './storeLease.js'
 import type { StorePosition } from './storePosition.js'
 import type { StoreTransaction } from './storeTransaction.js'
 import type { WatchResult } from './watchResult.js'
@@ -22,9 +23,9 @@
   /** Waits up to `waitMs` milliseconds for changes under a prefix after a position. */
   abstract watch (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal): Promise<WatchResult>
   abstract commit (transaction: StoreTransaction, signal: AbortSignal): Promise<CommitResult>
-  /** Creates a lease and returns its id. */
-  abstract grantLease (ttlMs: number, signal: AbortSignal): Promise<number>
-  /** Returns false if the lease has expired or was released. */
-  abstract renewLease (leaseId: number, signal: AbortSignal): Promise<boolean>
-  abstract releaseLease (leaseId: number, signal: AbortSignal): Promise<void>
+  abstract grantLease (ttlMs: number, signal: AbortSignal): Promise<StoreLease>
+  /** Returns false if the lease has expired, was released or is of an earlier era. */
+  abstract renewLease (lease: StoreLease, signal: AbortSignal): Promise<boolean>
+  /** Releases a lease; has no effect on one of an earlier era. */
+  abstract releaseLease (lease: StoreLease, signal: AbortSignal): Promise<void>
 }
--- a/packages/almondrelay-gateway/src/process/store/storeEra.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeEra.ts
@@ -7,7 +7,8 @@
   current = 0
   /** Called if the store has returned from a copy since an earlier answer. */
   handleReturn: () => void = () => undefined
-  private isKnown = false
+  /** An answer has stated the era. */
+  isKnown = false
 
   /** Records the era that an answer states. Returns whether the store has returned from a copy since an earlier answer. */
   observe (era: number): boolean {
--- a/packages/almondrelay-gateway/src/process/store/storeKeyValues.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeKeyValues.ts
@@ -33,7 +33,8 @@
 
   private async commit (key: string, expectedVersion: number, change: Pick<Parameters<RevisionStore['commit']>[0], 'writes' | 'deletes'>, signal: AbortSignal): Promise<PlatformPutResult> {
     const expected = [{ key: this.prefix + key, revision: expectedVersion }]
-    const result = await callStore(this.store.commit({ expected, ...change }, signal))
+    const result = await callStore(this.store.commit({ era: this.store.era.current, expected, ...change }, signal))
+    if (result.kind === 'era-ended') throw makeUnavailable(`${key}: the store has returned from a copy in the meantime`)
     if (result.kind === 'done') return { stored: true, version: result.revision }
     return { stored: false, version: result.kind === 'conflict' ? result.items[0]?.revision ?? 0 : 0 }
   }
@@ -48,6 +49,9 @@
     return await call
   } catch (error) {
     if (!(error instanceof StoreError)) throw error
-    throw new AlmondrelayError({ kind: ErrorKind.platformUnavailable, message: error.message, remedy: 'try again; the write id tells later whether it was made', cause: error })
+    throw makeUnavailable(error.message, error)
   }
 }
+
+const makeUnavailable = (message: string, cause?: Error): AlmondrelayError =>
+  new AlmondrelayError({ kind: ErrorKind.platformUnavailable, message, remedy: 'try again; the write id tells later whether it was made', ...(cause === undefined ? {} : { cause }) })
