Read current pages for a while after the store has returned from a copy

Callers would see: requests to a target that left after the return, for as long as it runs.

Cause: a full read takes stale pages and the changes after their revision. A stale page from before the return names a revision that the store gives out again; the changes before that revision are missing then, and nothing shows it.

Evidence: a case of returnFromCopy.test.ts, which fails with stale pages.

Change: for 15 s after a host has learnt of a return it reads current pages. Not covered: a host that starts within seconds of the return can't know of it.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
@@ -121,4 +121,22 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// Guards against a stale page from before the return: the store has given out its revision again, and the changes after that revision
+// lack those before it.
+test('no stale page is used after the return', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  for (let sequence = 2; sequence < 10; sequence += 1) followed.writeTarget('1', { sequence })
+  const old = await store.list('', '', PageAge.current)
+  store.returnFrom(copy)
+  store.remove('target/2')
+  for (let sequence = 10; sequence < 30; sequence += 1) followed.writeTarget('1', { sequence })
+  store.stalePage = { ...old, position: { ...old.position, era: store.position.era } }
+  await store.list('', '', PageAge.current)
+  await followed.waitFor(() => fleet.storePosition.era === store.position.era, 'the read after the return')
+  assert.is(fleet.findTarget('1')?.entry.sequence, 29)
+  followed.now += 3_000
+  await followed.waitFor(() => fleet.findTarget('2') === undefined, 'the end of target 2')
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -6,6 +6,7 @@
 import { comparePositions } from '../store/comparePositions.js'
 import { findLaterPosition } from '../store/findLaterPosition.js'
 import { getEventRevision } from '../store/getEventRevision.js'
+import { PageAge } from '../store/pageAge.js'
 import type { RevisionStore } from '../store/revisionStore.js'
 import { startPosition } from '../store/startPosition.js'
 import type { StoreHealth } from '../store/storeHealth.js'
@@ -46,6 +47,8 @@
  * answer of a watch is a call that the platform counts.
  */
 const BATCH_DELAY_MS = 500
+/** Milliseconds for which stale pages may be from before the store returned from a copy: they are seconds old. */
+const MAX_STALE_PAGE_AGE_MS = 15_000
 const RETURN_REASON = 'the store has returned from a copy'
 /** Milliseconds between checks for lapsed entries, for a change of watchers and for relayed changes that are overdue. */
 const CHECK_INTERVAL_MS = 200
@@ -119,6 +122,8 @@
 
   /** When this host reads all keys again because the store has returned from a copy. */
   private rereadAt = -Infinity
+  /** When this host learnt of the last return of the store from a copy. */
+  private returnedAt = -Infinity
 
   constructor (private readonly parts: FollowerParts) {
     this.updater = new FleetUpdater(parts)
@@ -136,7 +141,8 @@
   handleStoreReturn (): void {
     const { fleet, isWatcher, getNow, random } = this.parts
     const spreadMs = isWatcher() ? 0 : Math.min(MAX_REREAD_SPREAD_MS, fleet.listHosts().length * REREAD_SPREAD_PER_HOST_MS)
-    this.rereadAt = getNow() + spreadMs * random()
+    this.returnedAt = getNow()
+    this.rereadAt = this.returnedAt + spreadMs * random()
     if (spreadMs === 0) this.refresh(RETURN_REASON)
   }
 
@@ -235,7 +241,8 @@
   private async readAll (prefix: string, signal: AbortSignal): Promise<StorePosition> {
     const { fleet, log } = this.parts
     const known = fleet.storePosition
-    const read = await readPrefix(this.parts.store, this.parts.codec, prefix, signal)
+    const age = this.parts.getNow() - this.returnedAt <= MAX_STALE_PAGE_AGE_MS ? PageAge.current : PageAge.stale
+    const read = await readPrefix(this.parts.store, this.parts.codec, prefix, age, signal)
     const { keys, isLapse } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position.era)
     this.updater.applyEvents(read.events, read.position.era)
     fleet.isComplete = true
--- a/packages/almondrelay-gateway/src/process/fleet/readPrefix.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/readPrefix.ts
@@ -24,9 +24,12 @@
  * Stale pages (up to seconds old) together with all changes since are as current as the store, at a tenth of the price of current
  * pages; when a whole fleet restarts, each host reads hundreds of keys. If the store no longer holds the changes since,
  * current pages are read instead.
+ *
+ * @param age current, if stale pages may be from before a return of the store from a copy: their revisions were given out again, and the
+ *   changes since would not be those that they lack
  */
-export async function readPrefix (store: RevisionStore, codec: FleetCodec, prefix: string, signal: AbortSignal): Promise<FullRead> {
-  const read = await readPages(store, codec, prefix, PageAge.stale, signal)
+export async function readPrefix (store: RevisionStore, codec: FleetCodec, prefix: string, age: PageAge, signal: AbortSignal): Promise<FullRead> {
+  const read = await readPages(store, codec, prefix, age, signal)
   const changes = await store.watch(prefix, read.position, CATCH_UP_MS, signal)
   if (changes.kind === 'history-gone') return await readPages(store, codec, prefix, PageAge.current, signal)
   return { ...read, events: changes.events, position: changes.position }
