Write suspect records again that the store has lost by its return from a copy

Callers would see: a request that ends its targets ends more of them after a restart of the hosts.

Cause: a record's revision was compared across the return, so that a host took its lost record for stored, replaced another under the same revision, or was granted a trial on it. Records that nobody asks for stayed lost.

Change: a record has a position; one of an earlier era is replaced only as if it were absent, and the record found instead is merged. Within 3 s, at a random time, a host writes what the store lacks of its suspects, unless another host has done so. A copy doesn't lower the number of trials.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -83,7 +83,7 @@
   /** Called with a change of the resources that operators declare. */
   handleDeclaredChange: (revision: number, body: Buffer) => void
   /** Called with the record of a request that was running when targets exited. */
-  handleSuspectRecord: (record: SuspectRecord, revision: number) => void
+  handleSuspectRecord: (record: SuspectRecord, position: StorePosition) => void
   /** Called when such a record was removed or has expired. */
   handleSuspectRecordRemoved: (fingerprint: string) => void
   /** Called after a full read that did not reach the end of the product's own keys: there may be changes among those left out. */
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -43,7 +43,7 @@
   /** Called with a change of the resources that operators declare. */
   handleDeclaredChange: (revision: number, body: Buffer) => void
   /** Called with the record of a request that was running when targets exited. */
-  handleSuspectRecord: (record: SuspectRecord, revision: number) => void
+  handleSuspectRecord: (record: SuspectRecord, position: StorePosition) => void
   /** Called when such a record was removed or has expired. */
   handleSuspectRecordRemoved: (fingerprint: string) => void
 }
@@ -68,6 +68,8 @@
   private readonly createdRevisions = new Map<string, number>()
   /** Fingerprints of the requests that have a suspect record. */
   private readonly suspects = new Set<string>()
+  /** Era of the changes that are being applied. */
+  private era = 0
   private readonly latestEntries = new LatestEntries()
   private readonly deferred = new DeferredChanges()
   private readonly removals = new RecentRemovals()
@@ -112,6 +114,7 @@
 
   /** Returns an empty list for a key that hosts do not use. */
   private decodeEvent (event: StoreEvent, era: number): DecodedChange[] {
+    this.era = era
     const change = this.parts.codec.decode(event)
     if (change === undefined) return []
     const position = { era, revision: getEventRevision(event) }
@@ -225,7 +228,7 @@
       .with({ kind: 'declared' }, ({ revision, body }) => { this.parts.handleDeclaredChange(revision, body) })
       .with({ kind: 'suspect' }, ({ record, revision }) => {
         this.suspects.add(record.fingerprint)
-        this.parts.handleSuspectRecord(record, revision)
+        this.parts.handleSuspectRecord(record, { era: this.era, revision })
       })
       .with({ kind: 'suspect-gone' }, ({ fingerprint }) => {
         this.suspects.delete(fingerprint)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -135,6 +135,7 @@
     adapter.store.era.handleReturn = () => {
       this.follower.handleStoreReturn()
       this.announcer.handleStoreReturn(this.fleet.listHosts().length)
+      this.quarantine.handleStoreReturn()
     }
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
   }
@@ -157,7 +158,7 @@
       relay: (changes) => { if (this.view.isRelay(getNow())) this.peerExchange.relay(changes) },
       handleOwnEntryRemoved: () => { this.announcer.restoreEntry() },
       handleDeclaredChange: (revision, body) => { this.operatorService.acceptChange(revision, body) },
-      handleSuspectRecord: (record, revision) => { this.quarantine.adoptRecord(record, revision, getNow()) },
+      handleSuspectRecord: (record, position) => { this.quarantine.adoptRecord(record, position, getNow()) },
       handleSuspectRecordRemoved: (fingerprint) => { this.quarantine.dropRecord(fingerprint) },
       handleOmittedKeys: () => { this.operatorService.refresh() },
       handleConfiguration: () => {
--- a/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -11,6 +11,7 @@
 import type { CommitResult } from '../../store/commitResult.js'
 import type { StoreLease } from '../../store/storeLease.js'
 import { StoreError } from '../../store/storeError.js'
+import type { StorePosition } from '../../store/storePosition.js'
 import type { StoreTransaction } from '../../store/storeTransaction.js'
 import { encodeSuspectReport } from '../encodeSuspectReport.js'
 import { Quarantine } from '../quarantine.js'
@@ -41,7 +42,7 @@
 interface ModelHost {
   index: number
   quarantine: Quarantine
-  watchedRevision: number
+  watched: StorePosition
   nextWatchAt: number
   upSince: number
   /** Whether the host has read the store once; before, it serves nothing. */
@@ -64,6 +65,8 @@
   random: () => number
   /** Rate per second of the request that makes its targets exit; 0 for none. */
   poisonPerSecond: number
+  /** Whether callers send no such request at a time. */
+  isPoisonPaused?: (now: number) => boolean
   /** Number of paths of other requests. */
   hotPaths: number
   /** Rate per second of the requests for each of these paths. */
@@ -77,6 +80,8 @@
   loss?: number
   /** Milliseconds at which all records lapse with their leases; undefined if none do. */
   lapseAt?: number
+  /** Times at which the store returns from a copy, and at which the copy was made. */
+  storeReturns?: ReadonlyArray<{ copiedAt: number, at: number }>
   /** Share of the targets that crash at a time for reasons other than the request. */
   findCrashShare?: (now: number) => number
 }
@@ -96,6 +101,7 @@
   now = 0
   private readonly store = new FakeRevisionStore()
   private readonly codec = new PlainFleetCodec()
+  private readonly copies = new Map<number, ReturnType<FakeRevisionStore['copy']>>()
   private readonly hosts: ModelHost[]
   private readonly targets: ModelTarget[]
   private scheduled: ScheduledTask[] = []
@@ -111,6 +117,7 @@
       this.runDue()
       this.killTargets()
       if (this.now === this.options.lapseAt) this.dropRecords()
+      this.returnStore()
       for (const host of this.hosts) this.advance(host)
       await new Promise((resolve) => { setImmediate(resolve) })
     }
@@ -149,10 +156,10 @@
       getNow: () => this.now,
       random,
       sleep: (ms) => new Promise((resolve) => { this.schedule(ms, resolve) }),
-      adoptRecord: (record, revision) => { quarantine.adoptRecord(record, revision, this.now) }
+      adoptRecord: (record, position) => { quarantine.adoptRecord(record, position, this.now) }
     }, stop.signal)
     const quarantine: Quarantine = new Quarantine({ exchange: { announce: (suspect) => { this.announce(index, suspect) } }, store: suspects, log, metrics: new GatewayMetrics(), random })
-    return { index, quarantine, watchedRevision: 0, nextWatchAt: this.now + random() * WATCH_INTERVAL_MS, upSince: this.now, isReady: false, stop }
+    return { index, quarantine, watched: this.store.position, nextWatchAt: this.now + random() * WATCH_INTERVAL_MS, upSince: this.now, isReady: false, stop }
   }
 
   /** Makes a view of the store that throws while the host cannot reach it. */
@@ -212,7 +219,7 @@
     if (host.upSince === Infinity) Object.assign(host, this.makeHost(host.index))
     if (this.now >= host.nextWatchAt) this.watch(host)
     if (!host.isReady) return
-    if (random() < poisonPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, POISON)
+    if (this.options.isPoisonPaused?.(this.now) !== true && random() < poisonPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, POISON)
     for (let path = 0; path < hotPaths; path += 1) {
       if (random() < hotPerSecond / hosts * STEP_MS / 1_000) void this.handle(host, `/hot/${path}`)
     }
@@ -221,16 +228,38 @@
   private watch (host: ModelHost): void {
     if (!this.hasStore(host.index)) return
     host.nextWatchAt = this.now + WATCH_INTERVAL_MS
-    const events = host.isReady ? this.store.listEvents('', host.watchedRevision) : this.store.listItems().map((item) => ({ kind: 'written' as const, item }))
+    const hasReturned = host.isReady && host.watched.era !== this.store.position.era
+    const readsAll = hasReturned || !host.isReady
+    const events = readsAll ? this.store.listItems().map((item) => ({ kind: 'written' as const, item })) : this.store.listEvents('', host.watched.revision)
     host.isReady = true
-    host.watchedRevision = this.store.latestRevision
+    host.watched = this.store.position
+    if (hasReturned) this.observeReturn(host)
     for (const event of events) {
       const change = this.codec.decode(event)
       if (change?.kind === 'suspect-gone') host.quarantine.dropRecord(change.fingerprint)
-      if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, change.revision, this.now)
+      if (change?.kind === 'suspect') host.quarantine.adoptRecord(change.record, { era: host.watched.era, revision: change.revision }, this.now)
     }
   }
 
+  private returnStore (): void {
+    for (const { copiedAt, at } of this.options.storeReturns ?? []) {
+      if (this.now === copiedAt) this.copies.set(copiedAt, this.store.copy())
+      const copy = this.copies.get(copiedAt)
+      if (this.now !== at || copy === undefined) continue
+      this.store.returnFrom(copy)
+      this.store.era.observe(this.store.position.era)
+    }
+  }
+
+  /** Does what a host does when it has read all keys again after the return of the store. */
+  private observeReturn ({ quarantine }: ModelHost): void {
+    const stored = new Set(this.store.listItems().map(({ key }) => key))
+    for (const { fingerprint } of quarantine.list()) {
+      if (!stored.has(`suspect/${fingerprint}`)) quarantine.dropRecord(fingerprint)
+    }
+    quarantine.handleStoreReturn()
+  }
+
   private async handle (host: ModelHost, url: string): Promise<void> {
     const gate = new RequestGate(makeRequest({ url }), host.quarantine)
     if (gate.isBlocked) await gate.claimTrial(this.now)
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/quarantineInTrouble.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/quarantineInTrouble.test.ts
@@ -57,6 +57,19 @@
   assert.ok(fleet.countLateSends(STABLE_WINDOW_MS) <= MAX_LATE_SENDS)
 })
 
+// Guards against records that are gone after the store has returned from a copy, while no caller sends the request: the hosts that start
+// later would not know it.
+test('records that the store has lost are written again before all hosts are restarted', async () => {
+  for (const seed of SEEDS.slice(0, 5)) {
+    const random = createSeededRandom(seed)
+    const fleet = new QuarantineFleet({ hosts: 8, targets: 14, random, poisonPerSecond: 6, hotPaths: 2, hotPerSecond: 10, isPoisonPaused: (now) => now >= 17_500 && now < 38_000, storeReturns: [{ copiedAt: 0, at: 18_000 }, { copiedAt: 18_500, at: 24_000 }], isDown: (host, now) => now >= 32_000 + host * 500 && now < 33_000 + host * 500 })
+    await fleet.run(RUN_MS)
+    const endsAfter = fleet.ends.filter((at) => at >= 32_000).length
+    assert.ok(endsAfter < 3, `${endsAfter} targets exited after the hosts were restarted, seed ${seed}`)
+    assert.ok(fleet.countLateSends(STABLE_WINDOW_MS) <= MAX_LATE_SENDS)
+  }
+})
+
 // Guards against refusing requests for popular objects because a third of the targets crashes every two seconds, whatever they run.
 test('frequently requested objects are still served while targets exit for other reasons', async () => {
   const random = createSeededRandom(7)
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspect.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspect.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { makePosition } from '../../store/__fixtures__/makePosition.js'
 import { Suspect } from '../suspect.js'
 import type { SuspectState } from '../suspectState.js'
 
@@ -60,11 +61,24 @@
 
 test('a record sets the number of trials, an older one changes nothing', () => {
   const suspect = makeSuspect([1, 2, 3])
-  suspect.adoptRecord({ ...suspect.describe(), trials: 2 }, 7, 0)
-  suspect.adoptRecord({ ...suspect.describe(), trials: 0 }, 6, 0)
+  suspect.adoptRecord({ ...suspect.describe(), trials: 2 }, makePosition(7), 0)
+  suspect.adoptRecord({ ...suspect.describe(), trials: 0 }, makePosition(6), 0)
   assert.is(suspect.trials, 2)
 })
 
+// Guards against a trial that is granted twice, because the record of the copy does not count the one granted since.
+test('the first record after the return of the store from a copy does not lower the number of trials', () => {
+  const suspect = makeSuspect([1, 2, 3])
+  const record = { ...suspect.describe(), trials: 2 }
+  suspect.adoptRecord(record, makePosition(7), 0)
+  suspect.adoptRecord({ ...record, trials: 1 }, { era: 2, revision: 3 }, 0)
+  assert.is(suspect.trials, 2)
+  assert.not(suspect.isStoredIn(2))
+  suspect.adoptRecord(record, { era: 2, revision: 4 }, 0)
+  assert.ok(suspect.isStoredIn(2))
+  assert.not(suspect.isStoredIn(3))
+})
+
 // Guards against one request filling the memory of all hosts with the target exits that it caused.
 test('the number of kept incarnations is bounded, and the request stays quarantined', () => {
   const suspect = makeSuspect()
--- a/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectStore.test.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__tests__/suspectStore.test.ts
@@ -23,7 +23,7 @@
     getNow: () => 0,
     random: () => 0,
     sleep: () => new Promise((resolve) => { setImmediate(resolve) }),
-    adoptRecord: (record, revision) => { suspect.adoptRecord(record, revision, 0) }
+    adoptRecord: (record, position) => { suspect.adoptRecord(record, position, 0) }
   }, new AbortController().signal)
   return { suspect, suspects }
 }
@@ -38,6 +38,25 @@
   assert.equal((await readRecord()).ended.sort(), [1, 2, 3])
 })
 
+// Guards against a trial that two hosts are granted, or another record that is overwritten: after the return from a copy the store gave the
+// revision of the known record to something else.
+test('a record of an earlier era is not replaced by its revision', async () => {
+  const copy = store.copy()
+  const { suspect, suspects } = makeHost([1, 2, 3])
+  suspects.save(suspect)
+  await waitForCalls()
+  store.returnFrom(copy)
+  const other = makeHost([4, 5, 6])
+  other.suspects.save(other.suspect)
+  await waitForCalls()
+  assert.is((await store.get(KEY))?.revision, suspect.recordPosition?.revision)
+  assert.not(await suspects.claimTrial(suspect))
+  suspects.save(suspect)
+  await waitForCalls()
+  assert.equal((await readRecord()).ended.sort(), [1, 2, 3, 4, 5, 6])
+  assert.is((await readRecord()).trials, 0)
+})
+
 // Guards against a record that stays missing because the store was unavailable when three targets had exited.
 test('a record that could not be written is written when the store answers again', async () => {
   const { suspect, suspects } = makeHost([1, 2, 3])
@@ -56,7 +75,7 @@
   await waitForCalls()
   store.losesAnswers = false
   await waitForCalls()
-  assert.is(suspect.recordRevision, (await store.get(KEY))?.revision)
+  assert.is(suspect.recordPosition?.revision, (await store.get(KEY))?.revision)
 })
 
 // Guards against a trial on each host: with 75 hosts, a quarantined request would make 75 more targets exit.
@@ -86,7 +105,7 @@
   suspects.save(suspect)
   await waitForCalls()
   store.remove(KEY)
-  suspect.recordRevision = undefined
+  suspect.recordPosition = undefined
   suspects.keep(suspect)
   await waitForCalls()
   assert.equal((await readRecord()).ended, [1, 2, 3])
--- a/packages/almondrelay-gateway/src/process/quarantine/createQuarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/createQuarantine.ts
@@ -27,7 +27,7 @@
 export function createQuarantine (options: QuarantineOptions, signal: AbortSignal): { quarantine: Quarantine, exchange: SuspectExchange } {
   const { getNow } = options
   const exchange: SuspectExchange = new SuspectExchange({ ...options, sleep: sleepFor, receiveState: (state, now) => quarantine.receiveState(state, now) }, signal)
-  const store = new SuspectStore({ ...options, sleep: sleepFor, adoptRecord: (record, revision) => { quarantine.adoptRecord(record, revision, getNow()) } }, signal)
+  const store = new SuspectStore({ ...options, sleep: sleepFor, adoptRecord: (record, position) => { quarantine.adoptRecord(record, position, getNow()) } }, signal)
   const quarantine: Quarantine = new Quarantine({ ...options, exchange, store })
   return { quarantine, exchange }
 }
--- a/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
@@ -7,6 +7,7 @@
 import { SuspectTable } from './suspectTable.js'
 import type { SuspectId } from './suspectId.js'
 import type { SuspectRecord } from './suspectRecord.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { SuspectStore } from './suspectStore.js'
 import type { SuspectState } from './suspectState.js'
 import { TargetExitTracker } from './targetExitTracker.js'
@@ -23,7 +24,7 @@
 
 interface QuarantineParts {
   exchange: Pick<SuspectExchange, 'announce'>
-  store: Pick<SuspectStore, 'save' | 'keep' | 'claimTrial'>
+  store: Pick<SuspectStore, 'save' | 'keep' | 'claimTrial' | 'restore'>
   log: EventLog
   metrics: GatewayMetrics
   random: () => number
@@ -97,14 +98,19 @@
   }
 
   /** Merges a record of the store. */
-  adoptRecord (record: SuspectRecord, revision: number, now: number): void {
-    this.update(record, now, (suspect) => suspect.adoptRecord(record, revision, now))
+  adoptRecord (record: SuspectRecord, position: StorePosition, now: number): void {
+    this.update(record, now, (suspect) => suspect.adoptRecord(record, position, now))
   }
 
   /** Handles the lapse of a request's record in the store; the state in this host's memory is kept. */
   dropRecord (fingerprint: string): void {
     const suspect = this.suspects.find(fingerprint)
-    if (suspect !== undefined) suspect.recordRevision = undefined
+    if (suspect !== undefined) suspect.recordPosition = undefined
+  }
+
+  /** Writes again what the store has lost by its return from a copy: records, trials that were granted, and quarantines that ended. */
+  handleStoreReturn (): void {
+    void this.parts.store.restore(() => this.suspects.list().filter((suspect) => suspect.countExits() >= MIN_EXITS_TO_SAVE || suspect.recordPosition !== undefined))
   }
 
   /** Lists the requests that were running when targets exited, without a whole answer since. */
@@ -125,7 +131,7 @@
     if (suspect.countExits() === 0) return
     this.update(suspect, now, () => { suspect.clear(now); return true })
     this.parts.exchange.announce(suspect)
-    if (suspect.recordRevision !== undefined) this.parts.store.save(suspect)
+    if (suspect.recordPosition !== undefined) this.parts.store.save(suspect)
   }
 
   private update ({ fingerprint, organisation }: SuspectId, now: number, change: (suspect: Suspect) => boolean): boolean {
--- a/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspect.ts
@@ -1,4 +1,6 @@
 import { computeHash } from '../../version/computeHash.js'
+import { comparePositions } from '../store/comparePositions.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { SuspectRecord } from './suspectRecord.js'
 import type { SuspectState } from './suspectState.js'
 
@@ -27,14 +29,16 @@
   trialAt = Infinity
   /** Monotonic milliseconds of the last report of the request or call for it. */
   touchedAt = 0
-  /** Revision of the suspect's record in the store; undefined while none is known. */
-  recordRevision: number | undefined
+  /** Position of the suspect's record in the store; undefined while none is known. */
+  recordPosition: StorePosition | undefined
   /** Monotonic milliseconds at which this host learnt that the record was written. */
   recordedAt = -Infinity
   /** Position of the fingerprint's hash in [0, 1), the same on all hosts; scales the extension of trial delays. */
   private readonly jitter: number
   private readonly ended = new Set<number>()
   private readonly cleared = new Set<number>()
+  /** The record last adopted. */
+  private record: SuspectRecord | undefined
 
   constructor (readonly fingerprint: string, readonly organisation: string) {
     this.jitter = computeHash(fingerprint) / HASH_RANGE
@@ -59,16 +63,28 @@
     return this.ended.size + this.cleared.size > before
   }
 
-  /** Merges the record of the store, the only source of the number of trials. Returns false if no exit in it is new. */
-  adoptRecord (record: SuspectRecord, revision: number, now: number): boolean {
-    if (this.recordRevision !== undefined && revision <= this.recordRevision) return false
-    this.recordRevision = revision
+  /**
+   * Merges the record of the store, the only source of the number of trials. Returns false if no exit in it is new.
+   *
+   * The first record of a new era may be from the copy, before trials that were granted since.
+   */
+  adoptRecord (record: SuspectRecord, position: StorePosition, now: number): boolean {
+    const known = this.recordPosition
+    if (known !== undefined && comparePositions(position, known) <= 0) return false
+    const mayBeRestored = known !== undefined && known.era !== position.era
+    this.recordPosition = position
     this.recordedAt = now
+    this.record = record
     const isNew = this.merge(record, now)
-    if (record.trials !== this.trials && this.isQuarantined) this.setTrials(record.trials, now)
+    if (record.trials !== this.trials && this.isQuarantined && !(mayBeRestored && record.trials < this.trials)) this.setTrials(record.trials, now)
     return isNew
   }
 
+  /** Returns whether the store holds all that is known here, as of an era. */
+  isStoredIn (era: number): boolean {
+    return this.recordPosition?.era === era && this.record !== undefined && this.record.trials >= this.trials && this.isContainedIn(this.record)
+  }
+
   /** Clears all known exits after a whole answer: those targets exited for another reason. */
   clear (now: number): void {
     this.merge({ ended: [], cleared: [...this.ended] }, now)
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectStore.ts
@@ -2,6 +2,7 @@
 import type { FleetCodec } from '../fleet/fleetCodec.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { RevisionStore } from '../store/revisionStore.js'
+import type { StorePosition } from '../store/storePosition.js'
 import type { StoreItem } from '../store/storeItem.js'
 import type { Suspect } from './suspect.js'
 import type { SuspectRecord } from './suspectRecord.js'
@@ -14,6 +15,8 @@
 const CLAIM_TIMEOUT_MS = 500
 /** Timeout in milliseconds for writing a record. */
 const SAVE_TIMEOUT_MS = 3_000
+/** Milliseconds over which the hosts spread their writes after the store has returned from a copy. */
+const RESTORE_SPREAD_MS = 3_000
 /** Delay in milliseconds before a failed write is retried, doubled with each failure up to the longest. */
 const RETRY_DELAY = { firstMs: 300, longestMs: 2_000 }
 /** Maximum number of records that wait to be written. */
@@ -27,7 +30,7 @@
   random: () => number
   sleep: (ms: number, signal: AbortSignal) => Promise<void>
   /** Called with a record as it is stored. */
-  adoptRecord: (record: SuspectRecord, revision: number) => void
+  adoptRecord: (record: SuspectRecord, position: StorePosition) => void
 }
 
 interface CommitOutcome {
@@ -55,12 +58,22 @@
 
   /** Writes the record if none is known, or if it would lapse although the request still arrives. */
   keep (suspect: Suspect): void {
-    if (suspect.recordRevision === undefined || this.parts.getNow() - suspect.recordedAt > RENEWAL_AGE_MS) this.save(suspect)
+    if (suspect.recordPosition === undefined || this.parts.getNow() - suspect.recordedAt > RENEWAL_AGE_MS) this.save(suspect)
+  }
+
+  /**
+   * Writes the records that the store has lost by its return from a copy. All hosts know them: each waits for a random time, in which it
+   * learns which of them others have written.
+   */
+  async restore (listSuspects: () => readonly Suspect[]): Promise<void> {
+    const { store, random, sleep } = this.parts
+    await sleep(RESTORE_SPREAD_MS * random(), this.signal)
+    for (const suspect of listSuspects()) if (!suspect.isStoredIn(store.era.current)) this.save(suspect)
   }
 
   /** Claims the right to send the request once. Of all hosts that claim a trial after the same delay, the store grants it to one. */
   async claimTrial (suspect: Suspect): Promise<boolean> {
-    if (suspect.recordRevision === undefined) return false
+    if (suspect.recordPosition === undefined) return false
     try {
       const record = { ...suspect.describe(), trials: suspect.trials + 1 }
       const { isDone } = await this.commit(suspect, record, AbortSignal.any([this.signal, AbortSignal.timeout(CLAIM_TIMEOUT_MS)]))
@@ -100,22 +113,24 @@
     const { store, codec, adoptRecord } = this.parts
     const { key, value } = codec.encodeSuspect(record)
     const lease = await store.grantLease(RECORD_LEASE_MS, signal)
-    const result = await store.commit({ era: lease.era, expected: [{ key, revision: suspect.recordRevision ?? 0 }], writes: [{ key, value, leaseId: lease.id }], deletes: [] }, signal)
+    const known = suspect.recordPosition
+    const revision = known?.era === lease.era ? known.revision : 0
+    const result = await store.commit({ era: lease.era, expected: [{ key, revision }], writes: [{ key, value, leaseId: lease.id }], deletes: [] }, signal)
     if (result.kind === 'done') {
-      adoptRecord(record, result.revision)
+      adoptRecord(record, { era: lease.era, revision: result.revision })
       return { isDone: true, stored: record }
     }
     await store.releaseLease(lease, signal)
-    return { isDone: false, stored: result.kind === 'conflict' ? this.adoptStored(suspect, result.items[0]) : undefined }
+    return { isDone: false, stored: result.kind === 'conflict' ? this.adoptStored(suspect, result.items[0], lease.era) : undefined }
   }
 
-  private adoptStored (suspect: Suspect, item: StoreItem | undefined): SuspectRecord | undefined {
+  private adoptStored (suspect: Suspect, item: StoreItem | undefined, era: number): SuspectRecord | undefined {
     const change = item === undefined ? undefined : this.parts.codec.decode({ kind: 'written', item })
     if (change?.kind !== 'suspect') {
-      suspect.recordRevision = item?.revision
+      suspect.recordPosition = item === undefined ? undefined : { era, revision: item.revision }
       return undefined
     }
-    this.parts.adoptRecord(change.record, change.revision)
+    this.parts.adoptRecord(change.record, { era, revision: change.revision })
     return change.record
   }
 }
