Write operators' changes again that the store has lost by its return from a copy

Operators would see: a drain, cap or policy that they were told is in force is unknown to every host that starts later; a write after the return takes a revision that leaves a gap in the log, or one that other hosts have in force with another content.

Cause: the log was taken for something that only grows. A revision that is in force was never looked at again.

Change: after a return each host compares its changes with the log, at a random time within 3 s, and writes what is missing under its revision, so that one host writes each. Where another change took a revision, the log goes first: the lost changes are made again at its end by their write ids, unless a change since then concerns the same resource, and the configuration is replaced in one step. What a gap hides is taken out and made again in order. A change under a known revision that differs from the known one starts the same. One log line names what was written, renumbered and dropped; the write id tells its writer.

Ruled out: leaving lost changes to the operators (they were told 'accepted'); each host writing its whole configuration (a newer declaration would be undone).

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -127,7 +127,7 @@
     const clock = new SystemClock()
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountRecorder({ own: this.own, values, clock, log, random })
-    this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, isLeaving }, this.abortController.signal)
+    this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
     this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
@@ -136,6 +136,7 @@
       this.follower.handleStoreReturn()
       this.announcer.handleStoreReturn(this.fleet.listHosts().length)
       this.quarantine.handleStoreReturn()
+      this.operatorService.handleStoreReturn()
     }
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
   }
--- a/packages/almondrelay-gateway/src/process/operators/lazyOperatorService.ts
+++ b/packages/almondrelay-gateway/src/process/operators/lazyOperatorService.ts
@@ -30,6 +30,11 @@
     this.run(async (service) => { await service.refresh() })
   }
 
+  /** Restores the operators' changes that the store has lost. A host that has never loaded any knows none. */
+  handleStoreReturn (): void {
+    if (this.service !== undefined) this.run(async (service) => { await service.restore() })
+  }
+
   private run (use: (service: OperatorService) => Promise<void>): void {
     this.load().then(use).catch((error: unknown) => {
       if (!this.signal.aborted) this.parts.logger.error({ err: error as Error }, 'operators\' API call failed')
--- a/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
+++ b/packages/almondrelay-gateway/src/process/operators/operatorParts.ts
@@ -18,5 +18,6 @@
   values: KeyValueStore
   clock: Clock
   logger: Logger
+  random: () => number
   isLeaving: () => boolean
 }
--- a/packages/almondrelay/src/process/configuration/changeLog.ts
+++ b/packages/almondrelay/src/process/configuration/changeLog.ts
@@ -9,6 +9,7 @@
 import { decideWrite } from './decideWrite.js'
 import { decodeChange } from './decodeChange.js'
 import { encodeChange } from './encodeChange.js'
+import { findTouchedResource } from './findTouchedResource.js'
 import { MAX_VALUE_BYTES } from './maxValueBytes.js'
 import { repairFromPlatform } from './repairFromPlatform.js'
 import type { Write } from './write.js'
@@ -90,7 +91,8 @@
       const creation = await this.create(decision.change, deadline, signal)
       if (creation.state === 'unknown') return this.keepUnresolved(writeId, decision.change.revision)
       if (creation.state === 'mine') this.adoptOwn(decision.change)
-      else store.adoptChange(creation.change, creation.body)
+      // The log belongs to another history; the write is made in that one once this host has adopted it.
+      else if (!store.adoptChange(creation.change, creation.body) && store.current.revision < creation.change.revision) return this.keepUnresolved(writeId, decision.change.revision)
     }
   }
 
@@ -110,10 +112,10 @@
 
   /** Finds the latest change to the same resource since the write began. */
   private findConflictingRevision (write: Write, begunAt: number): number | undefined {
-    const [kind, name] = write.action === 'put' ? [write.resource.kind, write.resource.name] : [write.kind, write.name]
+    const { kind, name } = findTouchedResource(write)
     const changes = this.options.store.listChanges(begunAt, Infinity) ?? []
     return changes.findLast(({ change }) => {
-      const touched = change.action === 'put' ? change.resource : change
+      const touched = findTouchedResource(change)
       return touched.kind === kind && touched.name === name
     })?.change.revision
   }
--- a/packages/almondrelay/src/process/configuration/configurationStore.ts
+++ b/packages/almondrelay/src/process/configuration/configurationStore.ts
@@ -18,7 +18,8 @@
 
 /**
  * The configuration in force on this host. Its revision only increases: change n+1 is adopted on revision n alone, and a
- * snapshot only if its revision is higher, so neither a late message nor a lagging peer can revert a revision.
+ * snapshot only if its revision is higher, so neither a late message nor a lagging peer can revert a revision. Only after the
+ * platform has lost changes may another history replace it.
  */
 export class ConfigurationStore {
   private configuration = Configuration.empty
@@ -55,8 +56,12 @@
     this.notifyListeners()
   }
 
-  /** Adopts the change if it directly follows the revision in force. */
+  /**
+   * Adopts the change if it directly follows the revision in force, and its write made no other change: a write that the log holds under a
+   * second revision belongs to another history.
+   */
   adoptChange (change: Change, body: string = encodeChange(change)): boolean {
+    if (this.writes.has(change.writeId)) return false
     const next = this.configuration.apply(change)
     if (next === undefined) return false
     this.configuration = next
@@ -77,6 +82,21 @@
     return true
   }
 
+  /** Replaces the configuration and its changes by those of another history of the platform, whatever its revision. */
+  adoptHistory (other: ConfigurationStore): void {
+    this.configuration = other.configuration
+    this.kept = [...other.kept]
+    this.keptBytes = other.keptBytes
+    this.writes.clear()
+    for (const [writeId, revision] of other.writes) this.keepWrite(writeId, revision)
+    this.notifyListeners()
+  }
+
+  /** Lists all changes that are kept, oldest first. */
+  listKept (): readonly EncodedChange[] {
+    return [...this.kept]
+  }
+
   buildSnapshot (): ConfigurationSnapshot {
     const writes = [...this.writes].slice(-MAX_SNAPSHOT_WRITES).map(([writeId, revision]) => ({ writeId, revision }))
     return { revision: this.configuration.revision, resources: this.configuration.listAll(), writes }
--- a/packages/almondrelay/src/process/platform/__fixtures__/fakePlatform.ts
+++ b/packages/almondrelay/src/process/platform/__fixtures__/fakePlatform.ts
@@ -113,6 +113,17 @@
     }
   }
 
+  /** Returns a copy of the present entries, from which the platform may return later. */
+  copy (): ReadonlyMap<string, PlatformEntry> {
+    return new Map(this.entries)
+  }
+
+  /** Returns from a copy: what was written since is gone. */
+  returnFrom (copy: ReadonlyMap<string, PlatformEntry>): void {
+    this.entries.clear()
+    for (const [key, entry] of copy) this.entries.set(key, entry)
+  }
+
   countCalls (): number {
     return [...this.calls.values()].reduce((sum, count) => sum + count, 0)
   }
