Write account pages again that the store has lost by its return from a copy

Managers would see: minutes that are missing in the account of hosts that run without a fault.

Cause: a page was dropped from memory once its write was acknowledged.

Evidence: a case of accountWriter.test.ts, with an outage right after the return; it fails where no page is written again.

Not covered: the last page of a host that stopped between the copy and the return.

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -137,6 +137,7 @@
       this.announcer.handleStoreReturn(this.fleet.listHosts().length)
       this.quarantine.handleStoreReturn()
       this.operatorService.handleStoreReturn()
+      this.account.handleStoreReturn()
     }
     this.announcer = new HostAnnouncer({ store: adapter.store, codec: adapter.fleet, entry: this.own, log, random })
   }
--- a/packages/almondrelay-gateway/src/process/observe/accountRecorder.ts
+++ b/packages/almondrelay-gateway/src/process/observe/accountRecorder.ts
@@ -45,6 +45,11 @@
     return await this.writer.finish(limitMs)
   }
 
+  /** Writes the last pages again, as the store has returned from a copy that may lack them. */
+  handleStoreReturn (): void {
+    this.writer.handlePlatformReturn()
+  }
+
   /** Counts a request that was refused before its service was determined. */
   recordRefusal (caller: string, reason: RefusalReason): void {
     const { own, clock } = this.parts
--- a/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
+++ b/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
@@ -170,4 +170,20 @@
   assert.instance(await reading, Error)
 })
 
+// Guards against minutes that are missing in the account although their pages were written, because the platform returned from a copy.
+test('pages that the platform has lost are written again, and none is counted twice', async () => {
+  const { clock, platform, run } = startRun()
+  const early = await run.runUntil(1.9 * MINUTE, 100)
+  const copy = platform.copy()
+  const late = await run.runUntil(3.9 * MINUTE, 100)
+  platform.returnFrom(copy)
+  run.writer.handlePlatformReturn()
+  platform.faults.outage = true
+  const during = await run.runUntil(4.6 * MINUTE, 100)
+  platform.faults.outage = false
+  const rest = await run.runUntil(7 * MINUTE, 100)
+  await run.writer.finish()
+  assert.is((await sumReport(platform, 0, 10 * MINUTE, clock.getNow())).total, early + late + during + rest)
+})
+
 test.run()
