Don't trust stale pages at a start until an entry of the present era proves them

Callers would see: requests to a target that left after the store's return, by a host that started moments after it, for as long as it runs.

Cause: such a host can't know of the return, and a stale page says nothing of the era that it is from.

Evidence: two cases of returnFromCopy.test.ts, which fail where stale pages are taken as they are.

One of the present era proves that the pages are from it; where there are only earlier ones, current pages are read; where there are none, the pages are read again 15 s later, when stale ones can't be from before any more.

Ruled out: current pages at every start (hundreds of hosts that start together would pass the store's reads, which stale pages don't count for).

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
@@ -7,6 +7,7 @@
 /** Milliseconds after which everything that is deferred is due. */
 const LONG_PAST_MS = 20_000
 let followed = new FollowedFleet()
+let started: FollowedFleet | undefined
 
 const peer = { name: 'peer', incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.2', callerPort: 1, peerPort: 2 }
 const waitForChecks = (): Promise<void> => new Promise((resolve) => { setTimeout(resolve, 500) })
@@ -22,7 +23,11 @@
   followed = FollowedFleet.startWithTargets()
   await followed.waitFor(() => followed.fleet.isComplete, 'first read')
 })
-test.after.each(() => followed.stop())
+test.after.each(async () => {
+  await followed.stop()
+  await started?.stop()
+  started = undefined
+})
 
 // Guards against hosts that forget targets, hosts and evacuations whose writers have not yet written them again.
 test('what was written after the copy is kept until its writers had time to write it again', async () => {
@@ -139,4 +144,44 @@
   await followed.waitFor(() => fleet.findTarget('2') === undefined, 'the end of target 2')
 })
 
+/** Prepares a store that has returned from a copy, and whose stale pages are from before. */
+const startWithStalePages = async (hasHosts: boolean): Promise<FollowedFleet> => {
+  const fresh = new FollowedFleet()
+  started = fresh
+  const { store } = fresh
+  fresh.writeTarget('1')
+  fresh.writeTarget('2')
+  if (hasHosts) store.write('host/peer', { ...peer, storeEra: 1 })
+  const copy = store.copy()
+  for (let sequence = 2; sequence < 10; sequence += 1) fresh.writeTarget('1', { sequence })
+  const old = await store.list('', '', PageAge.current)
+  store.returnFrom(copy)
+  store.remove('target/2')
+  if (hasHosts) store.write('host/peer', { ...peer, storeEra: 2 })
+  for (let sequence = 10; sequence < 30; sequence += 1) fresh.writeTarget('1', { sequence })
+  store.stalePage = { ...old, position: { ...old.position, era: 2 } }
+  fresh.start()
+  return fresh
+}
+
+// Guards against a host that starts right after the return, and takes pages from before for those of the present era.
+test('a host that starts after the return finds by the hosts\' entries that stale pages are from before', async () => {
+  const fresh = await startWithStalePages(true)
+  await fresh.waitFor(() => fresh.fleet.isComplete && fresh.fleet.findTarget('2') === undefined, 'the read of current pages')
+  assert.is(fresh.fleet.findTarget('1')?.entry.sequence, 29)
+  assert.is(fresh.store.currentPages, 2, 'one read for the stale page of this test and one by the host')
+})
+
+// Guards against the same where no host has an entry, as after a restart of all.
+test('stale pages without entries of hosts are read again later', async () => {
+  const fresh = await startWithStalePages(false)
+  await fresh.waitFor(() => fresh.fleet.isComplete, 'the first read')
+  fresh.store.stalePage = undefined
+  fresh.now += LONG_PAST_MS
+  await fresh.waitFor(() => fresh.fleet.findTarget('2') === undefined, 'the second read')
+  const { currentPages } = fresh.store
+  await waitForChecks()
+  assert.is(fresh.store.currentPages, currentPages, 'read again and again')
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -120,8 +120,8 @@
   /** Since when a peer has reported a notable change that this host has not received. */
   private missingChangeSince: number | undefined
 
-  /** When this host reads all keys again because the store has returned from a copy. */
-  private rereadAt = -Infinity
+  /** When this host reads all keys again, because the store has returned from a copy; Infinity if it need not. */
+  private rereadAt = Infinity
   /** When this host learnt of the last return of the store from a copy. */
   private returnedAt = -Infinity
 
@@ -214,7 +214,7 @@
     while (!signal.aborted) {
       try {
         await this.waitForRereadTurn(signal)
-        position = position?.era !== this.parts.store.era.current ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, position, signal)
+        position = position?.era !== this.parts.store.era.current || this.isRereadDue() ? await this.readAll(prefix, signal) : await this.watchOnce(prefix, position, signal)
         failures = 0
         this.parts.fleet.confirmedAt = this.parts.getNow()
       } catch (error) {
@@ -237,22 +237,42 @@
     while (!signal.aborted && !hasReliableWatchers() && getNow() < retryAt) await sleepFor(CHECK_INTERVAL_MS, signal)
   }
 
-  /** Reads all keys under a prefix and removes whatever is missing from them. Returns the position from which to watch. */
-  private async readAll (prefix: string, signal: AbortSignal): Promise<StorePosition> {
+  /**
+   * Reads all keys under a prefix and removes whatever is missing from them. Returns the position from which to watch; undefined if the
+   * pages were too old.
+   */
+  private async readAll (prefix: string, signal: AbortSignal): Promise<StorePosition | undefined> {
     const { fleet, log } = this.parts
     const known = fleet.storePosition
     const age = this.parts.getNow() - this.returnedAt <= MAX_STALE_PAGE_AGE_MS ? PageAge.current : PageAge.stale
     const read = await readPrefix(this.parts.store, this.parts.codec, prefix, age, signal)
-    const { keys, isLapse } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position.era)
+    this.rereadAt = Infinity
+    const { latestHostEra, ...result } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position.era)
     this.updater.applyEvents(read.events, read.position.era)
     fleet.isComplete = true
     fleet.storePosition = findLaterPosition(fleet.storePosition, read.position)
     // Deletions that the store's history no longer holds can't be relayed: the later position makes the other hosts query the store.
     fleet.notablePosition = findLaterPosition(fleet.notablePosition, read.position)
-    log.record('full read of the store applied', { prefix, position: read.position, known, keys, isLapse })
+    log.record('full read of the store applied', { prefix, position: read.position, known, ...result })
     // Account pages alone do not load the operator service: a restarting host has no time for it.
     if (read.hasOmittedKeys) this.parts.handleOmittedKeys()
-    return read.position
+    return age === PageAge.current || this.checkStalePages(read.position.era, latestHostEra) ? read.position : undefined
+  }
+
+  /**
+   * Returns whether stale pages can be used. A host that has just started can't know that the store returned from a copy a moment ago, and
+   * that the pages are from before. An entry of a host of the present era proves that they are not; if there are only entries of earlier
+   * eras, they may be, and without any entry the pages are read again once they can't be.
+   */
+  private checkStalePages (era: number, latestHostEra: number | undefined): boolean {
+    const now = this.parts.getNow()
+    if (!this.parts.store.era.isKnown || latestHostEra === era) return true
+    if (latestHostEra === undefined) {
+      this.rereadAt = now + MAX_STALE_PAGE_AGE_MS
+      return true
+    }
+    this.returnedAt = now
+    return false
   }
 
   /** Returns undefined if all keys have to be read again. */
@@ -333,13 +353,13 @@
   }
 
   private async waitForRereadTurn (signal: AbortSignal): Promise<void> {
-    const waitMs = this.rereadAt - this.parts.getNow()
-    if (waitMs > 0) await sleepFor(waitMs, signal)
+    const { fleet, store, getNow } = this.parts
+    const waitMs = this.rereadAt - getNow()
+    if (fleet.storePosition.era !== store.era.current && waitMs > 0 && waitMs < Infinity) await sleepFor(waitMs, signal)
   }
 
   private isRereadDue (): boolean {
-    const { fleet, store, getNow } = this.parts
-    return fleet.isComplete && fleet.storePosition.era !== store.era.current && getNow() >= this.rereadAt
+    return this.parts.fleet.isComplete && this.parts.getNow() >= this.rereadAt
   }
 
   private async runChecks (signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -57,6 +57,14 @@
   createdRevision: number
 }
 
+interface FullReadResult {
+  /** Number of keys read. */
+  keys: number
+  isLapse: boolean
+  /** The latest era in which one of the hosts' entries was written; undefined if there are none. */
+  latestHostEra: number | undefined
+}
+
 /**
  * Applies changes of the store to the fleet's state. Distinguishes a lapse, in which targets' entries expired because the store
  * was unavailable and may be written again, from targets that have left.
@@ -82,18 +90,20 @@
    *
    * @param era era of the store in which the prefix was read
    */
-  applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): { keys: number, isLapse: boolean } {
+  applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): FullReadResult {
     const { fleet } = this.parts
     const hasReturned = fleet.isComplete && era !== fleet.storePosition.era
+    let latestHostEra: number | undefined
     const known = new Map(this.createdRevisions)
     const present = new Set<string>()
     for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
       if (!hasReturned || !this.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
+      if (decoded.change.kind === 'host') latestHostEra = Math.max(latestHostEra ?? 0, decoded.change.entry.storeEra ?? 0)
     }
     const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
     this.removeAbsent(prefix, present, isLapse, hasReturned)
-    return { keys: present.size, isLapse }
+    return { keys: present.size, isLapse, latestHostEra }
   }
 
   /** Applies changes in order. Returns the notable ones. */
