--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -1,3 +1,4 @@
+import { sleepFor } from 'almondrelay'
 import bunyan from 'bunyan'
 import type { TargetEntry } from '../../../request/targetEntry.js'
 import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
@@ -47,6 +48,7 @@
     log: new EventLog(bunyan.createLogger({ name: 'test', streams: [{ type: 'raw', stream: { write: (line: { msg: string }) => { this.lines.push(line.msg) } } as unknown as NodeJS.WritableStream }] }), () => this.now),
     getNow: () => this.now,
     random: () => 0,
+    sleep: sleepFor,
     ownName: 'own',
     isWatcher: () => true,
     isReliedOn: () => this.isReliedOn,
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopyModel.test.ts
@@ -0,0 +1,37 @@
+import { createSeededRandom } from 'almondrelay'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ReturnFleet } from '../__fixtures__/returnFleet.js'
+
+const test = suite('a region that relies on watchers while the store returns from copies')
+const SEEDS = Array.from({ length: Number(process.env['MODEL_SEEDS'] ?? 8) }, (_, index) => index + 1)
+const RUN_MS = 70_000
+/** Milliseconds at the end of a day without any fault or change. */
+const CALM_MS = 22_000
+
+const build = (seed: number): ReturnFleet => {
+  const random = createSeededRandom(seed)
+  const fleet = new ReturnFleet(random, random() < 0.5 ? 0.1 : 0)
+  const pickTime = (): number => 8_000 + random() * (RUN_MS - CALM_MS - 12_000)
+  const returns = 1 + Math.floor(random() * 3)
+  for (let count = 0; count < returns; count += 1) fleet.returnStore(pickTime(), 500 + random() * 12_000, 200 + random() * 2_500)
+  for (let count = 0; count < random() * 3; count += 1) fleet.refuseStore(random() < 0.5 ? [0, 1] : [Math.floor(random() * 10)], pickTime(), 500 + random() * 5_000)
+  for (let count = 0; count < random() * 3; count += 1) fleet.restart(Math.floor(random() * 10), pickTime())
+  for (let count = 0; count < 20; count += 1) fleet.writeConfiguration(pickTime())
+  for (let id = 0; id < 6; id += 1) fleet.writeDeparture(id, pickTime())
+  fleet.writeEvacuation(0, pickTime(), 4_000 + random() * 10_000)
+  return fleet
+}
+
+// Guards against hosts that miss a change, or know one that is not in the store, because its history went back.
+for (const seed of SEEDS) {
+  test(`every host knows each change in time, and in the end what the store holds, seed ${seed}`, async () => {
+    const fleet = build(seed)
+    await fleet.run(RUN_MS)
+    assert.equal(fleet.violations, [])
+    assert.equal(fleet.listDifferences(), [])
+    assert.ok(fleet.store.pages < 400, `${fleet.store.pages} pages read`)
+  })
+}
+
+test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,4 +1,3 @@
-import { sleepFor } from 'almondrelay'
 import { computeRetryDelay } from '../../request/computeRetryDelay.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { SuspectRecord } from '../quarantine/suspectRecord.js'
@@ -75,6 +74,8 @@
   log: EventLog
   getNow: () => number
   random: () => number
+  /** Resolves after `ms` milliseconds, or when the signal aborts. */
+  sleep: (ms: number, signal: AbortSignal) => Promise<void>
   ownName: string
   /** Called after a new configuration has come into force. */
   handleConfiguration: () => void
@@ -229,12 +230,12 @@
   private async waitAfterFailure (failures: number, signal: AbortSignal): Promise<void> {
     const { fleet, getNow, random, isReliedOn, isWatcher, hasReliableWatchers } = this.parts
     if (!fleet.isComplete || !isReliedOn() || isWatcher()) {
-      await sleepFor(computeRetryDelay(RETRY_DELAY, failures, random()), signal)
+      await this.parts.sleep(computeRetryDelay(RETRY_DELAY, failures, random()), signal)
       return
     }
     const retryAt = getNow() + computeRetryDelay(RELYING_RETRY_DELAY, failures, random())
-    await sleepFor(RETRY_DELAY.longestMs, signal)
-    while (!signal.aborted && !hasReliableWatchers() && getNow() < retryAt) await sleepFor(CHECK_INTERVAL_MS, signal)
+    await this.parts.sleep(RETRY_DELAY.longestMs, signal)
+    while (!signal.aborted && !hasReliableWatchers() && getNow() < retryAt) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
   }
 
   /**
@@ -293,7 +294,7 @@
     fleet.storePosition = findLaterPosition(fleet.storePosition, result.position)
     if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ after: notableBefore, upTo: result.position, events: notable, forwardTo: [] })
     // A host that relies on watchers always pauses: otherwise a false report of a future revision would make it query in a tight loop.
-    if (result.events.length > 0 || reliesOnWatchers) await sleepFor(BATCH_DELAY_MS, signal)
+    if (result.events.length > 0 || reliesOnWatchers) await this.parts.sleep(BATCH_DELAY_MS, signal)
     return result.position
   }
 
@@ -309,7 +310,7 @@
     log.record('changes of the store are taken from watchers', { position: fleet.storePosition })
     const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < MAX_UNCONFIRMED_MS
     this.isRelyingOnWatchers = true
-    while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await sleepFor(CHECK_INTERVAL_MS, signal)
+    while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
     this.isRelyingOnWatchers = false
     this.hasToCatchUp = true
     log.record('changes of the store are requested', { position: fleet.storePosition, notablePosition: this.reportedNotablePosition, ageMs: Math.round(getNow() - (fleet.confirmedAt ?? -Infinity)), hasReliableWatchers: hasReliableWatchers() })
@@ -355,7 +356,7 @@
   private async waitForRereadTurn (signal: AbortSignal): Promise<void> {
     const { fleet, store, getNow } = this.parts
     const waitMs = this.rereadAt - getNow()
-    if (fleet.storePosition.era !== store.era.current && waitMs > 0 && waitMs < Infinity) await sleepFor(waitMs, signal)
+    if (fleet.storePosition.era !== store.era.current && waitMs > 0 && waitMs < Infinity) await this.parts.sleep(waitMs, signal)
   }
 
   private isRereadDue (): boolean {
@@ -364,7 +365,7 @@
 
   private async runChecks (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await sleepFor(CHECK_INTERVAL_MS, signal)
+      await this.parts.sleep(CHECK_INTERVAL_MS, signal)
       this.updater.expireLapsed()
       if (this.isRereadDue()) this.refresh(RETURN_REASON)
       if (this.isLongWatch && this.parts.isWatcher()) this.refresh('this host is now a watcher of its region')
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -118,7 +118,7 @@
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
     this.socket = new PeerSocket(logError)
-    this.peerExchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, isLeaving, getDeclaredRevision: () => this.operatorService.revision, receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) }, acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) }, receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) } })
+    this.peerExchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, sleep: sleepFor, isLeaving, getDeclaredRevision: () => this.operatorService.revision, receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) }, acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) }, receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isAggregator: (now) => this.view.isAggregator(now) })
     this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
     const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.abortController.signal)
@@ -152,6 +152,7 @@
       log,
       getNow,
       random,
+      sleep: sleepFor,
       ownName: this.own.name,
       isWatcher: () => this.view.isRepresentative(getNow()),
       isReliedOn: () => this.view.isLargeRegion(),
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -42,6 +42,7 @@
       view: new PeerView(own, this.fleet),
       socket,
       getNow: () => 0,
+      sleep: () => Promise.resolve(),
       isLeaving: () => false,
       getDeclaredRevision: () => 0,
       receivePosition: (position) => { this.positions.push(position) },
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -1,4 +1,3 @@
-import { sleepFor } from 'almondrelay'
 import type { ForwardState } from '../forward/forwardState.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
@@ -43,6 +42,8 @@
   view: PeerView
   socket: PeerSocket
   getNow: () => number
+  /** Resolves after `ms` milliseconds, or when the signal aborts. */
+  sleep: (ms: number, signal: AbortSignal) => Promise<void>
   isLeaving: () => boolean
   /** Revision of the operators' resources in force here. */
   getDeclaredRevision: () => number
@@ -69,7 +70,7 @@
     while (!signal.aborted) {
       const bytes = this.sendRound()
       const pauseMs = Math.max(OWN_REGION_INTERVAL_MS, bytes / MAX_BYTES_PER_SECOND * 1_000)
-      await sleepFor(pauseMs, signal)
+      await this.parts.sleep(pauseMs, signal)
     }
   }
 
