Relay what a watcher knew from before the store's return once the store states it again

Cause: a watcher relays what changes something for itself. It had heard version 21 before the return and kept it, so that the version was nothing new to it when it was written again; hosts that had missed it before were told that they knew everything.

Change: after a return a host notes what it knows that the copy lacks or states otherwise. The next statement of the store about it is notable, and is relayed.

Ruled out: relaying every change for a while (heartbeats of hundreds of targets would fill the links of the watchers).

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -13,6 +13,7 @@
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 import { isNotableChange } from './isNotableChange.js'
+import { isReflected } from './isReflected.js'
 import { LatestEntries } from './latestEntries.js'
 import { RecentRemovals } from './recentRemovals.js'
 import { RepeatFilter } from './repeatFilter.js'
@@ -81,6 +82,11 @@
   private readonly latestEntries = new LatestEntries()
   private readonly deferred = new DeferredChanges()
   private readonly removals = new RecentRemovals()
+  /**
+   * What this host knows from before the store's return from a copy, and the store has not stated since. The next statement about it is
+   * notable although nothing changes here: other hosts may not know it.
+   */
+  private readonly unconfirmed = new Set<string>()
   private readonly unusableValues = new RepeatFilter()
 
   constructor (private readonly parts: UpdaterParts) {}
@@ -99,6 +105,7 @@
     for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
       if (!hasReturned || !this.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
+      if (hasReturned && !isReflected(decoded.change, fleet)) this.unconfirmed.add(describeSubject(decoded.change))
       if (decoded.change.kind === 'host') latestHostEra = Math.max(latestHostEra ?? 0, decoded.change.entry.storeEra ?? 0)
     }
     const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
@@ -151,6 +158,7 @@
     ]
     for (const change of removals) {
       if (!codec.isUnder(prefix, change) || present.has(describeSubject(change))) continue
+      if (hasReturned) this.unconfirmed.add(describeSubject(change))
       if (hasReturned && this.scheduleRemoval(change)) continue
       this.apply(change, isLapse)
     }
@@ -195,8 +203,9 @@
   /** Returns whether the change is notable. */
   private applyChange ({ change, position, createdRevision }: DecodedChange, isLapse: boolean): boolean {
     const { fleet, getNow } = this.parts
-    const isNotable = isNotableChange(change, fleet, getNow())
+    const isNotable = isNotableChange(change, fleet, getNow()) || this.unconfirmed.has(describeSubject(change))
     this.deferred.remove(describeSubject(change))
+    this.unconfirmed.delete(describeSubject(change))
     if (isNotable) fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
     this.apply(change, isLapse)
     if (change.kind === 'target' && this.parts.fleet.findTarget(change.entry.id) !== undefined) this.createdRevisions.set(change.entry.id, createdRevision)
