What a host knows from before the store's return in a class of its own; the era in the line of a request

The updater had grown by a second matter. No behaviour changes but for the field storeEra in the log lines of requests, which explain and operators read.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -9,26 +9,13 @@
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { StorePosition } from '../store/storePosition.js'
 import type { FleetChange } from './fleetChange.js'
-import { DeferredChanges } from './deferredChanges.js'
+import { describeSubject } from './describeSubject.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 import { isNotableChange } from './isNotableChange.js'
-import { isReflected } from './isReflected.js'
 import { LatestEntries } from './latestEntries.js'
-import { RecentRemovals } from './recentRemovals.js'
 import { RepeatFilter } from './repeatFilter.js'
-
-/**
- * Milliseconds for which a host or evacuation that a store lacks after its return from a copy is kept: a host renews its entry every
- * 1.3 s, and operators write again what they wrote. Requests to a zone that is being evacuated do more harm than a zone left unused.
- */
-const MISSING_HOST_GRACE_MS = 5_000
-const MISSING_EVACUATION_GRACE_MS = 10_000
-/**
- * Milliseconds for which a target that the store had removed, and holds again after its return from a copy, is not used: its entry
- * expires within three heartbeats if it has exited.
- */
-const REMOVED_TARGET_HOLD_MS = 6_000
+import { ReturnMemory } from './returnMemory.js'
 
 interface UpdaterParts {
   codec: FleetCodec
@@ -80,16 +67,12 @@
   /** Era of the changes that are being applied. */
   private era = 0
   private readonly latestEntries = new LatestEntries()
-  private readonly deferred = new DeferredChanges()
-  private readonly removals = new RecentRemovals()
-  /**
-   * What this host knows from before the store's return from a copy, and the store has not stated since. The next statement about it is
-   * notable although nothing changes here: other hosts may not know it.
-   */
-  private readonly unconfirmed = new Set<string>()
+  private readonly returnMemory: ReturnMemory
   private readonly unusableValues = new RepeatFilter()
 
-  constructor (private readonly parts: UpdaterParts) {}
+  constructor (private readonly parts: UpdaterParts) {
+    this.returnMemory = new ReturnMemory(parts)
+  }
 
   /**
    * Applies a full read of a prefix: whatever is known under the prefix and is missing from the read is removed.
@@ -103,9 +86,9 @@
     const known = new Map(this.createdRevisions)
     const present = new Set<string>()
     for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
-      if (!hasReturned || !this.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
+      if (!hasReturned || !this.returnMemory.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
-      if (hasReturned && !isReflected(decoded.change, fleet)) this.unconfirmed.add(describeSubject(decoded.change))
+      if (hasReturned) this.returnMemory.checkCopy(decoded.change)
       if (decoded.change.kind === 'host') latestHostEra = Math.max(latestHostEra ?? 0, decoded.change.entry.storeEra ?? 0)
     }
     const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
@@ -126,7 +109,7 @@
     for (const [id, end] of this.lapsing) {
       if (now >= end) this.removeTarget(id, now)
     }
-    for (const change of this.deferred.takeDue(now)) this.applyDeferred(change)
+    for (const change of this.returnMemory.takeDue()) this.applyDeferred(change)
   }
 
   /** Returns an empty list for a key that hosts do not use. */
@@ -158,32 +141,13 @@
     ]
     for (const change of removals) {
       if (!codec.isUnder(prefix, change) || present.has(describeSubject(change))) continue
-      if (hasReturned) this.unconfirmed.add(describeSubject(change))
-      if (hasReturned && this.scheduleRemoval(change)) continue
+      // The revision at which the lost entry was created would make the next one look like a lapse.
+      if (hasReturned && change.kind === 'target-gone') this.createdRevisions.delete(change.id)
+      if (hasReturned && this.returnMemory.scheduleRemoval(change)) continue
       this.apply(change, isLapse)
     }
   }
 
-  /** Defers a removal that only the store's return from a copy suggests. Returns false if there is no reason to wait. */
-  private scheduleRemoval (change: FleetChange): boolean {
-    const now = this.parts.getNow()
-    // Its next entry is a new one: the revision at which the old one was created would make that look like a lapse.
-    if (change.kind === 'target-gone') this.createdRevisions.delete(change.id)
-    const graceMs = change.kind === 'evacuation' ? MISSING_EVACUATION_GRACE_MS : MISSING_HOST_GRACE_MS
-    const isDeferred = change.kind === 'evacuation' || (change.kind === 'host-gone' && change.name !== this.parts.ownName)
-    if (isDeferred) this.deferred.put(describeSubject(change), change, now + graceMs)
-    return isDeferred
-  }
-
-  /** Defers a target's entry that the store had removed before it returned from a copy. Returns false for all other changes. */
-  private scheduleRestored (change: FleetChange): boolean {
-    const { fleet, log, getNow } = this.parts
-    if (change.kind !== 'target' || fleet.findTarget(change.entry.id) !== undefined || !this.removals.has(describeSubject(change), getNow())) return false
-    this.deferred.put(describeSubject(change), change, getNow() + REMOVED_TARGET_HOLD_MS)
-    log.record('entry of a removed target is in the store again', { entry: change.entry })
-    return true
-  }
-
   private applyDeferred (change: FleetChange): void {
     if (change.kind === 'target') this.latestEntries.drop(change.entry.id)
     this.parts.log.record('store has not changed after its return from a copy what is missing or restored there', { subject: describeSubject(change) })
@@ -203,9 +167,8 @@
   /** Returns whether the change is notable. */
   private applyChange ({ change, position, createdRevision }: DecodedChange, isLapse: boolean): boolean {
     const { fleet, getNow } = this.parts
-    const isNotable = isNotableChange(change, fleet, getNow()) || this.unconfirmed.has(describeSubject(change))
-    this.deferred.remove(describeSubject(change))
-    this.unconfirmed.delete(describeSubject(change))
+    const isNotable = isNotableChange(change, fleet, getNow()) || this.returnMemory.isUnconfirmed(change)
+    this.returnMemory.acceptStatement(change)
     if (isNotable) fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
     this.apply(change, isLapse)
     if (change.kind === 'target' && this.parts.fleet.findTarget(change.entry.id) !== undefined) this.createdRevisions.set(change.entry.id, createdRevision)
@@ -295,23 +258,8 @@
   private removeTarget (id: string, now: number): void {
     this.lapsing.delete(id)
     this.createdRevisions.delete(id)
-    this.removals.add(`target ${id}`, now)
+    this.returnMemory.observeRemoval(id)
     this.parts.fleet.removeTarget(id, now)
     this.parts.log.record('target removed', { target: id })
   }
 }
-
-/** Returns a name for what a change concerns, the same for its creation and its removal. */
-const describeSubject = (change: FleetChange): string => change.kind === 'target' ? `target ${change.entry.id}` : describeOtherSubject(change)
-
-const describeOtherSubject = (change: Exclude<FleetChange, { kind: 'target' }>): string => match(change)
-  .with({ kind: 'configuration' }, () => 'configuration')
-  .with({ kind: 'target-gone' }, { kind: 'target-unreadable' }, ({ id }) => `target ${id}`)
-  .with({ kind: 'evacuation' }, ({ availabilityZone }) => `evacuation ${availabilityZone}`)
-  .with({ kind: 'host' }, ({ entry }) => `host ${entry.name}`)
-  .with({ kind: 'host-gone' }, ({ name }) => `host ${name}`)
-  .with({ kind: 'declared' }, ({ revision }) => `declared ${revision}`)
-  .with({ kind: 'suspect' }, ({ record }) => `suspect ${record.fingerprint}`)
-  .with({ kind: 'suspect-gone' }, ({ fingerprint }) => `suspect ${fingerprint}`)
-  .with({ kind: 'invalid' }, ({ key }) => `invalid ${key}`)
-  .exhaustive()
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -10,6 +10,7 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
+import type { RequestRecord } from './requestRecord.js'
 import { ServiceRuntime } from './serviceRuntime.js'
 import { TargetPools } from './targetPools.js'
 import { TargetProber } from './targetProber.js'
@@ -71,10 +72,10 @@
     return this.runtimes.values()
   }
 
-  /** Returns the ages of the state that choices are based on, in milliseconds; undefined before the first confirmation or report. */
-  describeAges (now: number): { storeAgeMs: number | undefined, peerAgeMs: number | undefined } {
+  /** Returns the era and the ages of the state that choices are based on; ages are undefined before the first confirmation or report. */
+  describeKnownState (now: number): Pick<RequestRecord, 'storeEra' | 'storeAgeMs' | 'peerAgeMs'> {
     const toAge = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.round(now - at)
-    return { storeAgeMs: toAge(this.fleet.confirmedAt), peerAgeMs: toAge(this.parts.peers.lastReportAt) }
+    return { storeEra: this.fleet.storePosition.era, storeAgeMs: toAge(this.fleet.confirmedAt), peerAgeMs: toAge(this.parts.peers.lastReportAt) }
   }
 
   get ownRegion (): string {
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -9,6 +9,7 @@
 import type { Attempt } from './attempt.js'
 import type { ForwardState } from './forwardState.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
+import type { RequestRecord } from './requestRecord.js'
 
 /** Chooses targets for one request from its service, its key and the state of the targets, and records the results of its attempts. */
 export class RequestPlacement {
@@ -24,9 +25,9 @@
     return this.runtime.name
   }
 
-  /** Returns the ages of the state that choices are based on, in milliseconds. */
-  describeAges (now: number): { storeAgeMs: number | undefined, peerAgeMs: number | undefined } {
-    return this.state.describeAges(now)
+  /** Returns the era and the ages of the state that choices are based on. */
+  describeKnownState (now: number): Pick<RequestRecord, 'storeEra' | 'storeAgeMs' | 'peerAgeMs'> {
+    return this.state.describeKnownState(now)
   }
 
   choose (request: CallerRequest, triedIds: ReadonlySet<string>, now: number): TargetChoice | undefined {
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -20,6 +20,8 @@
   service: string
   /** Home region of the request's key. */
   homeRegion: string
+  /** Era of the store that this host knew. */
+  storeEra: number
   /** Milliseconds since the store last confirmed the targets and the configuration that this host knows. */
   storeAgeMs: number | undefined
   /** Milliseconds since the last report of any peer; the load at targets is counted from these reports. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -55,7 +55,7 @@
   private retryAfterMs = DEFAULT_RETRY_AFTER_MS
 
   constructor (private readonly request: CallerRequest, private readonly placement: RequestPlacement, private readonly parts: RunnerParts) {
-    this.record = { service: placement.service, homeRegion: placement.homeRegion, ...placement.describeAges(request.arrivedAt), attempts: [] }
+    this.record = { service: placement.service, homeRegion: placement.homeRegion, ...placement.describeKnownState(request.arrivedAt), attempts: [] }
   }
 
   async run (callerLeft: AbortSignal): Promise<FinalAnswer> {
