--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
@@ -12,14 +12,14 @@
 import type { ModelStore } from './modelStore.js'
 import { ModelStoreView } from './modelStoreView.js'
 import { PlainFleetCodec } from './plainFleetCodec.js'
-import type { VirtualClock } from './virtualClock.js'
+import type { SuspendableClock } from './suspendableClock.js'
 
 const RENEWAL_INTERVAL_MS = 1_300
 
 interface HostParts {
   own: HostEntry
   store: ModelStore
-  clock: VirtualClock
+  clock: SuspendableClock
   random: () => number
   /** Milliseconds within which a change must be known. */
   boundMs: number
@@ -101,6 +101,11 @@
     if (message?.kind === 'load' && !this.stopping.signal.aborted) this.exchange.handleReport(message.report, fromIp)
   }
 
+  /** Reads what was missed, as a host does after it was suspended. */
+  handleGap (): void {
+    this.follower.refresh('this host was suspended')
+  }
+
   private writeEntry (): void {
     const { store, own, isReachable } = this.parts
     if (isReachable() && !this.stopping.signal.aborted) store.write(`host/${own.name}`, { ...own, storeEra: store.era })
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelStoreView.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelStoreView.ts
@@ -7,7 +7,7 @@
 import type { StorePosition } from '../../store/storePosition.js'
 import type { WatchResult } from '../../store/watchResult.js'
 import type { ModelStore } from './modelStore.js'
-import type { VirtualClock } from './virtualClock.js'
+import type { SuspendableClock } from './suspendableClock.js'
 
 const ONE_WAY_MS = 20
 const CALL_TIMEOUT_MS = 1_000
@@ -15,7 +15,7 @@
 
 /** One host's calls to the store of a model, with latency and with time-outs while the host doesn't reach it. */
 export class ModelStoreView extends RevisionStore {
-  constructor (private readonly store: ModelStore, private readonly clock: VirtualClock, private readonly isReachable: () => boolean) {
+  constructor (private readonly store: ModelStore, private readonly clock: SuspendableClock, private readonly isReachable: () => boolean) {
     super()
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/returnFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/returnFleet.ts
@@ -1,6 +1,7 @@
 import { makeTarget } from '../../../request/__fixtures__/makeTarget.js'
 import { ModelHost } from './modelHost.js'
 import { ModelStore } from './modelStore.js'
+import { SuspendableClock } from './suspendableClock.js'
 import { VirtualClock } from './virtualClock.js'
 
 const HOSTS = 10
@@ -20,11 +21,13 @@
 }
 
 interface Fault extends Span {
-  kind: 'outage' | 'cut' | 'restart'
+  kind: 'outage' | 'cut' | 'restart' | 'suspension'
   /** Hosts that are concerned; all for an outage. */
   hosts: readonly number[]
 }
 
+const HOST_FAULTS = ['cut', 'restart', 'suspension'] as const
+
 /** What each host must know from a time on. */
 interface Duty {
   at: number
@@ -79,6 +82,11 @@
     this.faults.push({ kind: 'cut', from, until: from + ms, hosts })
   }
 
+  suspend (index: number, from: number, ms: number): void {
+    this.faults.push({ kind: 'suspension', from, until: from + ms, hosts: [index] })
+    this.clock.schedule(from + ms + 10, () => { this.hosts[index]?.handleGap() })
+  }
+
   restart (index: number, at: number): void {
     this.faults.push({ kind: 'restart', from: at, until: at + 1_000, hosts: [index] })
     this.clock.schedule(at, () => { this.hosts[index]?.stop() })
@@ -127,10 +135,10 @@
     const host = new ModelHost({
       own,
       store: this.store,
-      clock: this.clock,
+      clock: new SuspendableClock(this.clock, () => this.isConcernedNow(index, 'suspension')),
       random: this.random,
       boundMs: BOUND_MS,
-      isReachable: () => !this.store.isDown && !this.isConcerned(index, 'cut', { from: this.clock.now, until: this.clock.now }),
+      isReachable: () => !this.store.isDown && !this.isConcernedNow(index, 'cut'),
       send: (bytes, toIp) => { this.send(bytes, own.ip, toIp) }
     })
     this.hosts[index] = host
@@ -139,7 +147,10 @@
 
   private send (bytes: Uint8Array, fromIp: string, toIp: string): void {
     if (this.random() < this.loss) return
-    this.clock.schedule(DATAGRAM_MS, () => { this.hosts[Number(toIp.split('.').at(-1))]?.receive(bytes, fromIp) })
+    const index = Number(toIp.split('.').at(-1))
+    this.clock.schedule(DATAGRAM_MS, () => {
+      if (!this.isConcernedNow(index, 'suspension')) this.hosts[index]?.receive(bytes, fromIp)
+    })
   }
 
   /** Writes, or writes later if the store is away. */
@@ -174,12 +185,16 @@
       const span = { from: at - STABLE_MS, until: at + BOUND_MS }
       if (duty.isVoid() || this.isConcerned(0, 'outage', span)) return
       for (const [index, host] of this.hosts.entries()) {
-        const isDisturbed = this.isConcerned(index, 'cut', span) || this.isConcerned(index, 'restart', span)
+        const isDisturbed = HOST_FAULTS.some((kind) => this.isConcerned(index, kind, span))
         if (!isDisturbed && !duty.isMet(host)) this.violations.push(`${at}: host ${index} doesn't know the ${duty.what}`)
       }
     })
   }
 
+  private isConcernedNow (index: number, kind: Fault['kind']): boolean {
+    return this.isConcerned(index, kind, { from: this.clock.now, until: this.clock.now })
+  }
+
   private isConcerned (index: number, kind: Fault['kind'], { from, until }: Span): boolean {
     return this.faults.some((fault) => fault.kind === kind && (kind === 'outage' || fault.hosts.includes(index)) && fault.from <= until && fault.until >= from)
   }
