Drop a restored entry of a target that a full read no longer contains

Cause: an entry that the store had removed, and held again after its return, is put aside for six seconds. Where the host learnt by a full read that it was gone again, nothing took it out, as a full read only removes what is in use.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
@@ -84,6 +84,26 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// Guards against a target that is used for ever although it has left: its entry was restored, was removed again, and the host learnt of that
+// by a full read, which does not tell of what is not there.
+test('a restored entry that a full read no longer contains is not taken up', async () => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  store.remove('target/1')
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  await returnFrom(copy)
+  store.isHung = true
+  await waitForChecks()
+  store.remove('target/1')
+  store.dropHistory()
+  store.isHung = false
+  followed.follower.refresh('test')
+  await waitForChecks()
+  followed.now += LONG_PAST_MS
+  await waitForChecks()
+  assert.is(fleet.findTarget('1'), undefined)
+})
+
 // Guards against a target that is never used again although it runs: its entry had expired, and the one from the copy is right.
 test('a target whose entry from the copy stays in the store is used again', async () => {
   const { fleet, store } = followed
--- a/packages/almondrelay-gateway/src/process/fleet/deferredChanges.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/deferredChanges.ts
@@ -23,6 +23,13 @@
     this.changes.delete(subject)
   }
 
+  /** Drops the deferred entries of targets that a full read does not contain: the store has removed them. */
+  removeAbsent (present: ReadonlySet<string>): void {
+    for (const [subject, { change }] of this.changes) {
+      if (change.kind === 'target' && !present.has(subject)) this.changes.delete(subject)
+    }
+  }
+
   /** Returns the changes that are due, and drops them here. */
   takeDue (now: number): FleetChange[] {
     const due = [...this.changes].filter(([, { dueAt }]) => now >= dueAt)
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -93,6 +93,7 @@
     }
     const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
     this.removeAbsent(prefix, present, isLapse, hasReturned)
+    this.returnMemory.removeAbsent(present)
     return { keys: present.size, isLapse, latestHostEra }
   }
 
--- a/packages/almondrelay-gateway/src/process/fleet/returnMemory.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/returnMemory.ts
@@ -80,6 +80,11 @@
     this.unconfirmed.delete(subject)
   }
 
+  /** Drops restored entries that a full read no longer contains. */
+  removeAbsent (present: ReadonlySet<string>): void {
+    this.deferred.removeAbsent(present)
+  }
+
   /** Returns the deferred changes that the store has not contradicted in time. */
   takeDue (): FleetChange[] {
     return this.deferred.takeDue(this.parts.getNow())
