Hear the positions of watchers that were started again, and don't rely on them before their entry is known

Callers saw (in the model): for four seconds after both watchers of a region had been started again, the other hosts missed a version.

Cause: two rules that need the sender's entry.

Cases of peerView.test.ts and peerExchange.test.ts check the two rules themselves.

Change: a position counts if it comes from the address of the host that it names, of whatever incarnation; a watcher of an incarnation that a host doesn't know is not relied on, so that the host asks the store.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
@@ -111,9 +111,14 @@
     if (isReachable() && !this.stopping.signal.aborted) store.write(`host/${own.name}`, { ...own, storeEra: store.era })
   }
 
+  private hasEntry (): boolean {
+    const { store, own } = this.parts
+    return (JSON.parse(store.read(`host/${own.name}`) ?? '{}') as Partial<HostEntry>).incarnation === own.incarnation
+  }
+
   private async renew (signal: AbortSignal): Promise<void> {
-    this.writeEntry()
     while (!signal.aborted) {
+      if (!this.hasEntry()) this.writeEntry()
       await this.parts.clock.sleep(RENEWAL_INTERVAL_MS, signal)
       await this.access.renewLease({ id: 1, era: this.access.era.current }, signal).catch(() => false)
     }
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopyModel.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopyModel.test.ts
@@ -6,7 +6,7 @@
 const test = suite('a region that relies on watchers while the store returns from copies')
 /** Seeds that have shown a fault, and the first ones; MODEL_SEEDS says how many of these. */
 const COUNT = Number(process.env['MODEL_SEEDS'] ?? 4)
-const SEEDS = [7, 63, 84, 93, 94, 112, 135, ...Array.from({ length: COUNT }, (_, index) => index + 1), ...Array.from({ length: COUNT }, (_, index) => 1_001 + index)]
+const SEEDS = [7, 63, 84, 93, 94, 112, 118, 135, ...Array.from({ length: COUNT }, (_, index) => index + 1), ...Array.from({ length: COUNT }, (_, index) => 1_001 + index)]
 /** Hosts are suspended on the days of higher seeds. */
 const SEEDS_WITHOUT_SUSPENSIONS = 1_000
 const RUN_MS = 70_000
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -107,6 +107,8 @@
   assert.equal(rig.positions, [])
   rig.receive(makeReport('b', 1, { storePosition: makePosition(7) }))
   assert.equal(rig.positions, [makePosition(7)])
+  rig.receive(makeReport('c', 1, { incarnation: 'i2', storePosition: makePosition(8) }))
+  assert.equal(rig.positions, [makePosition(7), makePosition(8)], 'a host that was started again, whose entry this host has not received')
 })
 
 // Guards against a watcher that fills its own link. When a thousand targets' entries arrive at once and the watcher sends them to each of
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -57,6 +57,12 @@
   assert.not(isReliable(1_350), 'both have not noticed that the store has returned from a copy')
   fleet.storePosition = makePosition(1)
   assert.ok(isReliable(1_350))
+  // Guards against hosts that wait for changes of watchers which were started again, and whose entries are among these changes.
+  view.receiveReport({ ...makeReport('a', 1), incarnation: 'i2' }, 1_360)
+  view.receiveReport({ ...makeReport('b', 1), incarnation: 'i2' }, 1_360)
+  assert.not(isReliable(1_360), 'both of an unknown incarnation')
+  receive('a', 6, 0, 1_370)
+  assert.ok(isReliable(1_370))
   fleet.removeHost('g')
   receive('b', 5, 0, 1_400)
   assert.not(isReliable(1_400), 'few hosts: each watches')
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -91,14 +91,13 @@
     }
     const previousCounts = view.findInFlightCounts(report.host)
     if (!view.receiveReport(report, now)) return
-    const isGenuine = view.findSender(report, ip) !== undefined
-    if (isGenuine) {
+    if (view.isFromKnownAddress(report, ip)) {
       receivePosition(report.storePosition, report.notablePosition, now)
       fleet.receivePeerConfirmation(report.notablePosition, now - report.storeAgeMs)
     }
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
-    if (isGenuine) this.receiveAnnouncements(report, now)
+    if (view.findSender(report, ip) !== undefined) this.receiveAnnouncements(report, now)
     if (isWatcher && report.changes === undefined) this.parts.receiveWatcherReport(report, now)
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -161,6 +161,14 @@
     return isGenuine ? entry : undefined
   }
 
+  /**
+   * Returns whether a report came from the address of the host that it names, of whatever incarnation: the entry of one that has just
+   * started may be among the changes that this host lacks.
+   */
+  isFromKnownAddress ({ host }: Pick<PeerReport, 'host'>, ip: string): boolean {
+    return host !== this.own.name && this.fleet.findHost(host)?.ip === ip
+  }
+
   /** Returns whether this host is an aggregator of its zone. */
   isAggregator (now: number): boolean {
     return this.listAggregators(this.own.availabilityZone, now).some(({ name }) => name === this.own.name)
@@ -217,7 +225,8 @@
 
   /**
    * Returns whether this host may rely on the watchers of its region instead of watching the store itself: at least one has reported
-   * recently, and the store has confirmed its state recently, in the era of this host's state or a later one.
+   * recently, and the store has confirmed its state recently, in the era of this host's state or a later one. Changes that a watcher relays
+   * are accepted only from the incarnation that this host knows.
    *
    * @param boundMs time within which this host must know of a change
    */
@@ -227,7 +236,7 @@
     if (representatives.includes(this.own.name)) return false
     return representatives.some((name) => {
       const peer = this.peers.get(name)
-      return peer !== undefined && !this.isOfEarlierEra(peer.report) && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_WATCHER_AGE_SHARE
+      return peer !== undefined && peer.incarnation === this.fleet.findHost(name)?.incarnation && !this.isOfEarlierEra(peer.report) && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_WATCHER_AGE_SHARE
     })
   }
 
