Read pages of the change log in one place

Change: listChangePage reads a page, changeKeys.parseRevision reads a key. Calls and their order stay.

--- a/packages/almondrelay/src/process/configuration/followPlatformChanges.ts
+++ b/packages/almondrelay/src/process/configuration/followPlatformChanges.ts
@@ -62,7 +62,7 @@
 }
 
 function tryAdopt (store: ConfigurationStore, key: string, value: string): boolean {
-  const revision = Number(key.slice(changeKeys.prefix.length))
+  const revision = changeKeys.parseRevision(key)
   if (revision !== store.current.revision + 1) return false
   return store.adoptChange(decodeChange(value, revision), value)
 }
--- a/packages/almondrelay/src/process/configuration/restoreChanges.ts
+++ b/packages/almondrelay/src/process/configuration/restoreChanges.ts
@@ -9,13 +9,12 @@
 import { decodeChange } from './decodeChange.js'
 import type { EncodedChange } from './encodedChange.js'
 import { findTouchedResource } from './findTouchedResource.js'
+import { listChangePage } from './listChangePage.js'
 import { repairFromPlatform } from './repairFromPlatform.js'
 import type { RestoredChanges } from './restoredChanges.js'
 import { takeChangesBeyondGap } from './takeChangesBeyondGap.js'
 import type { Write } from './write.js'
 
-const CHANGES_PER_PAGE = 32
-
 interface RestoreOptions {
   platform: KeyValueStore
   store: ConfigurationStore
@@ -52,15 +51,11 @@
 /** Returns the revision of each write that the platform's log holds after a revision, by its id. */
 const listStoredWrites = async (platform: KeyValueStore, afterRevision: number, signal: AbortSignal): Promise<Map<string, number>> => {
   const stored = new Map<string, number>()
-  let after = changeKeys.makeChangeKey(afterRevision)
-  for (;;) {
-    const entries = await platform.list(changeKeys.prefix, after, CHANGES_PER_PAGE, signal)
-    for (const { key, value } of entries) {
-      const revision = Number(key.slice(changeKeys.prefix.length))
-      stored.set(decodeChange(value, revision).writeId, revision)
-    }
-    after = entries.at(-1)?.key ?? after
-    if (entries.length < CHANGES_PER_PAGE) return stored
+  for (let after = afterRevision; ;) {
+    const { changes, isLast } = await listChangePage(platform, after, signal)
+    for (const { revision, body } of changes) stored.set(decodeChange(body, revision).writeId, revision)
+    if (isLast) return stored
+    after = changes.at(-1)?.revision ?? after
   }
 }
 
