--- a/packages/almondrelay-gateway/src/request/limitAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/limitAllowance.ts
@@ -27,15 +27,10 @@
   }
 
   /**
-   * Whether this host may send a request to the target now.
+   * Returns the milliseconds until this host may send a request to the target; Infinity if it isn't one of those that may.
    *
    * @param hosts names of the live hosts that may send; undefined while they are unknown
    */
-  allow (target: TargetState, perSecond: number, hosts: readonly string[] | undefined, now: number): boolean {
-    return this.computeWait(target, perSecond, hosts, now) <= 0
-  }
-
-  /** Returns the milliseconds until this host may send a request to the target; Infinity if it isn't one of those that may. */
   computeWait (target: TargetState, perSecond: number, hosts: readonly string[] | undefined, now: number): number {
     const senders = countSenders(perSecond, hosts)
     if (hosts === undefined || this.ranks.findRank(target, hosts) >= senders) return Infinity
