One content of a plain load report, and one check of a sender's address

Cause: the fields of a report without demands and announcements stood in four places, each new field in all of them; findSender repeated the check that isFromKnownAddress makes.

Change: PLAIN_CONTENT, and findSender on top of isFromKnownAddress. Reports are the same.

--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -57,6 +57,9 @@
 
 type ReportContent = Pick<PeerReport, 'isRegional' | 'demands' | 'declaredRevision' | 'requestLimits' | 'leavingTargets' | 'changes'>
 
+/** Content of a report that only tells the state of its sender. */
+const PLAIN_CONTENT: Omit<ReportContent, 'declaredRevision'> = { isRegional: false, demands: [], requestLimits: [], leavingTargets: [], changes: undefined }
+
 /** Sends load reports to the other hosts, applies the reports received from them, and relays changes of the store within the region. */
 export class PeerExchange {
   private sequence = 0
@@ -105,7 +108,7 @@
   relay (changes: RelayedChanges): void {
     const groups = splitGroups(this.listPeers(({ region }) => region === this.parts.own.region), GROUP_SIZE)
     // Built only once: building it for each of dozens of datagrams would iterate over all targets each time.
-    const report = this.buildReport({ isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], leavingTargets: [], changes: undefined })
+    const report = this.buildReport({ ...PLAIN_CONTENT, declaredRevision: this.parts.getDeclaredRevision() })
     for (const chunk of splitChanges(changes, MAX_CHANGE_BYTES)) {
       for (const [first, ...others] of groups) {
         const forwardTo = others.map(({ name }) => name)
@@ -146,7 +149,7 @@
 
   /** Sends a report to every host immediately, for example when this host is about to leave. */
   announce (): void {
-    this.sendTo(() => true, { isRegional: false, demands: [], declaredRevision: this.parts.getDeclaredRevision(), requestLimits: [], leavingTargets: [], changes: undefined })
+    this.sendTo(() => true, { ...PLAIN_CONTENT, declaredRevision: this.parts.getDeclaredRevision() })
   }
 
   private sendRound (): number {
@@ -155,10 +158,10 @@
     const declaredRevision = getDeclaredRevision()
     const withDemands = now - this.demandsSentAt >= (view.isLargeRegion() ? LARGE_REGION_DEMAND_INTERVAL_MS : DEMAND_INTERVAL_MS)
     if (withDemands) this.demandsSentAt = now
-    const bytes = this.sendTo((entry) => entry.region === own.region, { isRegional: false, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.limits.takeReports(now), leavingTargets: forward.announcements.departures.takeReports(now), changes: undefined })
+    const bytes = this.sendTo((entry) => entry.region === own.region, { ...PLAIN_CONTENT, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.limits.takeReports(now), leavingTargets: forward.announcements.departures.takeReports(now) })
     if (now - this.regionalReportSentAt < OTHER_REGIONS_INTERVAL_MS || !view.isRepresentative(now)) return bytes
     this.regionalReportSentAt = now
-    return bytes + this.sendTo((entry) => entry.region !== own.region, { isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)), requestLimits: [], leavingTargets: [], changes: undefined })
+    return bytes + this.sendTo((entry) => entry.region !== own.region, { ...PLAIN_CONTENT, isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)) })
   }
 
   private listOwnDemands (now: number): ServiceDemand[] {
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -155,10 +155,9 @@
    * Returns the entry of the peer that sent a report; undefined if the report isn't of the peer's current incarnation or didn't come from
    * its address, as anybody can send to the port.
    */
-  findSender ({ host, incarnation }: Pick<PeerReport, 'host' | 'incarnation'>, ip: string): HostEntry | undefined {
-    const entry = this.fleet.findHost(host)
-    const isGenuine = entry?.incarnation === incarnation && entry.ip === ip && entry.name !== this.own.name
-    return isGenuine ? entry : undefined
+  findSender (report: Pick<PeerReport, 'host' | 'incarnation'>, ip: string): HostEntry | undefined {
+    const entry = this.fleet.findHost(report.host)
+    return this.isFromKnownAddress(report, ip) && entry?.incarnation === report.incarnation ? entry : undefined
   }
 
   /**
@@ -209,7 +208,8 @@
 
   /**
    * Returns whether this host relays changes: it is the first watcher, or the second while the first sends no reports, doesn't reach
-   * the store or has not noticed that the store has returned from a copy. If both relayed changes all the time, half of the datagrams would be superfluous.
+   * the store or has not noticed that the store has returned from a copy. If both relayed changes all the time, half of the datagrams
+   * would be superfluous.
    */
   isRelay (now: number): boolean {
     const [first] = this.listRepresentatives(now)
