Set the era of changes where they are applied; a log line in plain words; skip known changes unread

Cause: decodeEvent set the era of the updater beside its job; the line of a deferred change could only be understood with its author; and a change of the operators that is in force and no longer kept was decompressed for nothing, at each full read.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -81,6 +81,7 @@
    */
   applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): FullReadResult {
     const { fleet } = this.parts
+    this.era = era
     const hasReturned = fleet.isComplete && era !== fleet.storePosition.era
     let latestHostEra: number | undefined
     const known = new Map(this.createdRevisions)
@@ -99,6 +100,7 @@
 
   /** Applies changes in order. Returns the notable ones. */
   applyEvents (events: readonly StoreEvent[], era: number): StoreEvent[] {
+    this.era = era
     const changes = events.flatMap((event) => this.decodeEvent(event, era))
     const isLapse = isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
     return changes.filter((change) => this.tryApplyChange(change, isLapse)).map(({ event }) => event)
@@ -115,7 +117,6 @@
 
   /** Returns an empty list for a key that hosts do not use. */
   private decodeEvent (event: StoreEvent, era: number): DecodedChange[] {
-    this.era = era
     const change = this.parts.codec.decode(event)
     if (change === undefined) return []
     const position = { era, revision: getEventRevision(event) }
@@ -151,7 +152,7 @@
 
   private applyDeferred (change: FleetChange): void {
     if (change.kind === 'target') this.latestEntries.drop(change.entry.id)
-    this.parts.log.record('store has not changed after its return from a copy what is missing or restored there', { subject: describeSubject(change) })
+    this.parts.log.record('deferred change applied after the return of the store', { subject: describeSubject(change) })
     this.apply(change, false)
   }
 
--- a/packages/almondrelay-gateway/src/process/operators/operatorService.ts
+++ b/packages/almondrelay-gateway/src/process/operators/operatorService.ts
@@ -62,8 +62,9 @@
    * under a revision that is in force shows that the store has lost changes.
    */
   async acceptChange (revision: number, body: Buffer): Promise<void> {
-    const text = await storedText.decode(body)
     const known = this.store.listChanges(revision - 1, 1)?.[0]?.change
+    if (known === undefined && revision <= this.revision) return
+    const text = await storedText.decode(body)
     this.latestSeenRevision = Math.max(this.latestSeenRevision, revision)
     if (known !== undefined && known.writeId !== decodeChange(text, revision).writeId) await this.restore()
     else if (revision === this.revision + 1 && revision === this.latestSeenRevision && this.store.isReady) this.store.adoptChange(decodeChange(text, revision), text)
