--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopy.test.ts
@@ -19,6 +19,17 @@
   await followed.waitFor(() => followed.fleet.storePosition.era === followed.store.position.era, 'the read after the return')
 }
 
+/** Writes a target, a host and an evacuation, which the follower learns of, and makes the store return from a copy without them. */
+const writeAndLose = async (): Promise<void> => {
+  const { fleet, store } = followed
+  const copy = store.copy()
+  followed.writeTarget('3')
+  store.write('host/peer', peer)
+  store.write('evacuation/akl-a', {})
+  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'the evacuation')
+  await returnFrom(copy)
+}
+
 test.before.each(async () => {
   followed = FollowedFleet.startWithTargets()
   await followed.waitFor(() => followed.fleet.isComplete, 'first read')
@@ -32,12 +43,7 @@
 // Guards against hosts that forget targets, hosts and evacuations whose writers have not yet written them again.
 test('what was written after the copy is kept until its writers had time to write it again', async () => {
   const { fleet, store } = followed
-  const copy = store.copy()
-  followed.writeTarget('3')
-  store.write('host/peer', peer)
-  store.write('evacuation/akl-a', {})
-  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'the evacuation')
-  await returnFrom(copy)
+  await writeAndLose()
   await waitForChecks()
   assert.ok(fleet.findTarget('3') !== undefined)
   assert.ok(fleet.findHost('peer') !== undefined)
@@ -55,13 +61,8 @@
 
 // Guards against targets, hosts and evacuations that stay for ever because nothing in the store says that they are gone.
 test('what was written after the copy and is not written again is removed in the end', async () => {
-  const { fleet, store } = followed
-  const copy = store.copy()
-  followed.writeTarget('3')
-  store.write('host/peer', peer)
-  store.write('evacuation/akl-a', {})
-  await followed.waitFor(() => fleet.isEvacuated('akl-a'), 'the evacuation')
-  await returnFrom(copy)
+  const { fleet } = followed
+  await writeAndLose()
   followed.now += LONG_PAST_MS
   await waitForChecks()
   assert.is(fleet.findTarget('3'), undefined)
