Log each failed connection to a target with the age of the last contact

What callers saw: refusals at hosts without links to targets. That the targets answered the other hosts all the while could only be seen by laying the logs of all hosts side by side.

Change: a line for each failed connection says why it failed, whether others to the target are open, and how long ago the target last answered this host or accepted a connection of it. Nothing decides by it yet.

--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -68,7 +68,10 @@
   /** Updates the target and the times from the result of an attempt. A cancelled attempt says nothing about its target. */
   observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
     const { target } = attempt.choice
-    if (result.kind === 'answered' && attempt.sentAt !== undefined) this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
+    if (result.kind === 'answered' && attempt.sentAt !== undefined) {
+      target.observeContact(now)
+      this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
+    }
     if (attempt.isCancelled || attempt.sentAt === undefined) return
     if (result.kind !== 'answered') {
       target.observeFailure(now)
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -23,7 +23,10 @@
     const pool = new TargetPool(this.parts, {
       countOpened: () => { this.observer.countOpened(region) },
       observeFailure: (failure, isUnconnected) => { this.observer.observeFailure(target, failure, isUnconnected) },
-      observeConnect: (durationMs) => { this.roundTripTimes.update(region, durationMs) }
+      observeConnect: (durationMs) => {
+        this.roundTripTimes.update(region, durationMs)
+        target.observeContact(this.parts.getNow())
+      }
     })
     this.pools.set(id, pool)
     return pool
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -230,8 +230,11 @@
 
   // The process of a target has exited if its address refuses connections and this host has no open connection to it.
   private observeFailure (target: TargetState, failure: ConnectFailure, isUnconnected: boolean): void {
+    const now = this.parts.getNow()
+    const contactAgeMs = target.computeContactAge(now)
     this.parts.metrics.countConnectFailure(target.entry.region, failure)
-    if (failure === ConnectFailure.refused && isUnconnected) this.quarantine.observeTargetExit(target, this.parts.getNow())
+    this.parts.log.record('connection to a target failed', { target: target.entry.id, availabilityZone: target.entry.availabilityZone, failure, isUnconnected, contactAgeMs: contactAgeMs === Infinity ? undefined : Math.round(contactAgeMs) })
+    if (failure === ConnectFailure.refused && isUnconnected) this.quarantine.observeTargetExit(target, now)
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -42,6 +42,8 @@
   private suspendedUntil = 0
   private suspensions = 0
   private coldUntil = -Infinity
+  /** Monotonic milliseconds of the last answer or new connection of the target at this host; -Infinity before the first. */
+  private contactAt = -Infinity
   private departedAt: number | undefined
   private hasAnnouncedLeaving = false
 
@@ -88,6 +90,16 @@
     return now < this.coldUntil + WARM_UP_MS
   }
 
+  /** Records that this host got an answer of the target or opened a connection to it. */
+  observeContact (now: number): void {
+    this.contactAt = now
+  }
+
+  /** Returns the milliseconds since the target last answered this host or accepted a connection of it; Infinity if it never has. */
+  computeContactAge (now: number): number {
+    return now - this.contactAt
+  }
+
   /** Counts the requests at the target from this host and from all peers whose counts are recent. */
   countOutstanding (now: number): number {
     let sum = this.inFlight
