--- a/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
@@ -1,10 +1,14 @@
-import type { CallerRequest } from '../../request/callerRequest.js'
 import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
 import { TargetCodec } from '../targetCodec.js'
 
 /** Target codec with simple headers for tests. */
 export class PlainTargetCodec extends TargetCodec {
-  override encodeHead (request: CallerRequest, targetId: string, leftMs: number): string {
+  override listForwardedHeaders (request: TargetRequest): string[] {
+    return [...request.rawHeaders]
+  }
+
+  override encodeHead (request: TargetRequest, targetId: string, leftMs: number): string {
     return `${request.method} ${request.url} HTTP/1.1\r\nid: ${request.id}\r\ntarget: ${targetId}\r\nleft: ${leftMs}\r\ncontent-length: ${request.body.length}\r\n\r\n`
   }
 
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from 'node:net'
 import type { AttemptResult } from '../request/attemptResult.js'
-import type { CallerRequest } from '../request/callerRequest.js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
+import type { TargetRequest } from '../request/targetRequest.js'
 import { AnswerReader } from './answerReader.js'
 import { ConnectFailure } from './connectFailure.js'
 import type { ConnectResult } from './connectResult.js'
@@ -80,7 +80,7 @@
   }
 
   /** Sends a request and waits for its answer. An answer to another request is discarded. */
-  exchange (request: CallerRequest, head: string): Promise<AttemptResult> {
+  exchange (request: Pick<TargetRequest, 'id' | 'method' | 'body'>, head: string): Promise<AttemptResult> {
     if (this.isDestroyed) return Promise.resolve({ kind: 'not-sent', reason: 'connection lost before the request' })
     return new Promise((resolve) => {
       this.pending = { requestId: request.id, finish: resolve }
@@ -98,9 +98,18 @@
 
   /** Closes the connection and abandons a pending request, which makes most targets abort it. */
   close (reason: string): void {
+    this.closeWith(reason, () => { this.socket.destroy() })
+  }
+
+  /** Closes the connection as `close` does, by a TCP reset: bytes that a link holds back are then not delivered later. */
+  reset (reason: string): void {
+    this.closeWith(reason, () => { this.socket.resetAndDestroy() })
+  }
+
+  private closeWith (reason: string, closeSocket: () => void): void {
     if (this.isDestroyed) return
     this.isDestroyed = true
-    this.socket.destroy()
+    closeSocket()
     this.reader.drop()
     this.finish({ kind: 'broken', reason })
     this.handleClose()
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -66,6 +66,13 @@
     }
   }
 
+  /** Closes the connections without a request, because the link to the target has failed. */
+  resetIdle (): void {
+    for (const connection of [...this.connections]) {
+      if (!connection.isBusy) connection.reset('link lost')
+    }
+  }
+
   /** Accepts no new requests; pending ones continue. */
   closeWhenFree (): void {
     this.isClosed = true
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -0,0 +1,111 @@
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import { CarryResponseSchema, type CarryRequest, type CarryResponse } from 'almondrelay-protocol'
+import type { TargetConnection } from '../../connection/targetConnection.js'
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import type { AttemptResult } from '../../request/attemptResult.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { TargetAnnouncements } from '../announcements/targetAnnouncements.js'
+import type { RoundTripTimes } from '../forward/roundTripTimes.js'
+import type { TargetPools } from '../forward/targetPools.js'
+import type { TargetProber } from '../forward/targetProber.js'
+import type { LinkMonitor } from '../links/linkMonitor.js'
+import type { Quarantine } from '../quarantine/quarantine.js'
+
+/** Milliseconds for opening a connection, on top of two round trips. */
+const CONNECT_TIMEOUT_MS = 300
+
+interface CarriedParts {
+  codec: TargetCodec
+  pools: TargetPools
+  prober: TargetProber
+  roundTripTimes: RoundTripTimes
+  announcements: TargetAnnouncements
+  links: LinkMonitor
+  quarantine: Quarantine
+  /** Whether operators' orders keep requests away from the target. */
+  isClosed: (target: TargetState) => boolean
+  getNow: () => number
+}
+
+type Result = MessageInitShape<typeof CarryResponseSchema>['result']
+
+/** One send of another host's request to one target, over a connection of this host. */
+export class CarriedAttempt {
+  private readonly deadline: number
+  private readonly targetRequest: TargetRequest
+  private connection: TargetConnection | undefined
+  private isCancelled = false
+
+  constructor (private readonly message: CarryRequest, private readonly target: TargetState, private readonly parts: CarriedParts) {
+    const { requestId, method, url, headers, body, remainingMs } = message
+    this.deadline = parts.getNow() + remainingMs
+    this.targetRequest = { id: requestId, method, url, rawHeaders: headers, body: Buffer.from(body), identity: { kind: 'unchecked' } }
+  }
+
+  /** Connects to the target, sends the request and waits for the answer. */
+  async run (): Promise<CarryResponse> {
+    return create(CarryResponseSchema, { result: await this.send() })
+  }
+
+  /** Gives up the attempt, as the host that sent it has done. */
+  cancel (): void {
+    this.isCancelled = true
+    this.connection?.close('the host that sent the attempt gave it up')
+  }
+
+  private async send (): Promise<Result> {
+    const { pools, links, roundTripTimes, codec, getNow } = this.parts
+    const { target } = this
+    if (links.isLost(target)) return refuse('the link to the target is lost here too', true)
+    const refusal = this.findRefusal(getNow())
+    if (refusal !== undefined) return refuse(refusal, false)
+    const opened = await pools.get(target).acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * roundTripTimes.find(target.entry.region))
+    if (opened.kind === 'failed') return refuse(opened.failure, await links.verifyLoss(target))
+    const { connection } = opened
+    const sentAt = getNow()
+    const lateRefusal = this.findRefusal(sentAt)
+    if (lateRefusal !== undefined) {
+      connection.release()
+      return refuse(lateRefusal, false)
+    }
+    this.connection = connection
+    const finishWaiting = links.addSend(target, sentAt)
+    const result = await connection.exchange(this.targetRequest, codec.encodeHead(this.targetRequest, target.entry.id, Math.floor(this.deadline - sentAt)))
+    finishWaiting()
+    this.observeResult(result, sentAt)
+    return encodeResult(result)
+  }
+
+  private findRefusal (now: number): string | undefined {
+    const { quarantine, announcements, isClosed } = this.parts
+    if (this.isCancelled) return 'given up before the request was sent'
+    if (now >= this.deadline) return 'no time left before the request was sent'
+    if (this.target.isLeaving() || isClosed(this.target)) return 'the target takes no new requests'
+    if (announcements.pauses.computeWait(this.target, now) > 0) return 'the target asked for a pause'
+    return !this.message.trial && quarantine.isHeldBack(this.message.fingerprint) ? 'quarantined' : undefined
+  }
+
+  private observeResult (result: AttemptResult, sentAt: number): void {
+    const { announcements, links, prober, quarantine, getNow } = this.parts
+    const { target, message: { fingerprint, organisation } } = this
+    const now = getNow()
+    if (result.kind === 'answered') {
+      target.observeContact(now)
+      links.observeAnswer(target, now)
+      announcements.observeAnswer(target, result.head, sentAt, now)
+    } else if (result.kind === 'broken' && !this.isCancelled) {
+      quarantine.observeUnanswered(target, { fingerprint, organisation }, now)
+      void prober.probe(target)
+    }
+  }
+}
+
+const refuse = (reason: string, tryElsewhere: boolean): Result => ({ case: 'notSent', value: { reason, tryElsewhere } })
+
+const encodeResult = (result: AttemptResult): Result => {
+  if (result.kind === 'not-sent') return refuse(result.reason, false)
+  if (result.kind === 'broken') return { case: 'broken', value: result.reason }
+  const { status, rawHeaders, closesConnection } = result.head
+  return { case: 'answered', value: { status, headers: [...rawHeaders], body: result.body, keepsAlive: !closesConnection } }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -0,0 +1,216 @@
+import { create, toBinary } from '@bufbuild/protobuf'
+import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryResponse, type CheckTargetResponse } from 'almondrelay-protocol'
+import { Agent } from 'node:http'
+import type { TargetCodec } from '../../connection/targetCodec.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
+import type { TargetState } from '../../request/targetState.js'
+import { computeHash } from '../../version/computeHash.js'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import type { RoundTripTimes } from '../forward/roundTripTimes.js'
+import { PeerWord } from '../links/peerWord.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { PeerView } from '../peers/peerView.js'
+import type { SuspectId } from '../quarantine/suspectId.js'
+import type { CarryOutcome } from './carryOutcome.js'
+import { chooseCarrier } from './chooseCarrier.js'
+import { decodeMessage } from './decodeMessage.js'
+import { describeDistance } from './describeDistance.js'
+import { describeMethod } from './describeMethod.js'
+import { PeerCallFailure } from './peerCallFailure.js'
+import { sendPeerCall } from './sendPeerCall.js'
+
+/** Milliseconds for opening a connection to another host, on top of two round trips. */
+const CONNECT_TIMEOUT_MS = 100
+/** Milliseconds within which a host must say whether it reaches a target, on top of its round trips: it may have to connect first. */
+const CHECK_TIMEOUT_MS = 400
+/** Maximum hosts that are asked to carry one attempt, and hosts that are asked about a target. */
+const MAX_CARRIERS = 3
+const MAX_ASKED = 3
+/** Milliseconds for which a host that could not carry an attempt is not asked again. */
+const BACKOFF_MS = 500
+
+interface ClientParts {
+  own: HostEntry
+  view: PeerView
+  codec: TargetCodec
+  roundTripTimes: RoundTripTimes
+  metrics: GatewayMetrics
+  getNow: () => number
+  random: () => number
+}
+
+/** An attempt to be sent to a target by way of another host. */
+interface IndirectAttempt {
+  request: TargetRequest
+  target: TargetState
+  /** Regions through which the request may pass; empty where all regions are allowed. */
+  allowedRegions: readonly string[]
+  /** Monotonic milliseconds. */
+  deadline: number
+  suspectId: SuspectId
+  /** Whether the store has granted this sending of a quarantined request. */
+  isTrial: boolean
+  /** Returns why the attempt must not be sent any more; undefined while it may. Called immediately before each send. */
+  findStopReason: (now: number) => string | undefined
+  /** Called when the attempt is written to another host. */
+  handleSend: (now: number) => void
+}
+
+/** Calls other hosts that may reach targets which this host doesn't. */
+export class CarrierClient {
+  private readonly agent = new Agent({ keepAlive: true, scheduling: 'lifo', noDelay: true })
+  private readonly carried = new Map<string, number>()
+  /** Monotonic milliseconds until which a host is not asked, by host name and availability zone of the target. */
+  private readonly backoffs = new Map<string, number>()
+
+  constructor (private readonly parts: ClientParts) {}
+
+  /** Whether there is a host that may carry a request to a target. */
+  hasCarrier (target: TargetState, allowedRegions: readonly string[], now: number): boolean {
+    return this.chooseHost(target, allowedRegions, new Set(), now) !== undefined
+  }
+
+  /** Sends an attempt to a target by way of another host; of several, one after the other, as long as nothing was sent to the target. */
+  async carry (attempt: IndirectAttempt, signal: AbortSignal): Promise<CarryOutcome> {
+    const asked = new Set<string>()
+    let reason = 'no other host may reach the target'
+    let carrier: string | undefined
+    while (asked.size < MAX_CARRIERS) {
+      const now = this.parts.getNow()
+      const stopReason = attempt.findStopReason(now)
+      if (stopReason !== undefined) return { result: { kind: 'not-sent', reason: stopReason }, carrier, isCarrierFault: false }
+      const host = this.chooseHost(attempt.target, attempt.allowedRegions, asked, now)
+      if (host === undefined) break
+      asked.add(host.name)
+      carrier = host.name
+      const outcome = await this.carryThrough(host, attempt, signal)
+      if (typeof outcome !== 'string') return outcome
+      reason = `${host.name} could not carry it: ${outcome}`
+    }
+    return { result: { kind: 'not-sent', reason }, carrier, isCarrierFault: false }
+  }
+
+  /** Asks other hosts whether they reach a target, now or at most `maxAgeMs` milliseconds ago. */
+  async askPeers (target: TargetState, maxAgeMs: number): Promise<PeerWord> {
+    const hosts = this.listHostsToAsk(target)
+    const answers = hosts.map(async (host) => this.checkTarget(host, target, maxAgeMs))
+    const firstReached = new Promise<PeerWord>((resolve) => {
+      for (const answer of answers) void answer.then((word) => { if (word === PeerWord.reached) resolve(word) })
+    })
+    const summary = Promise.all(answers).then((words) => words.includes(PeerWord.unreached) ? PeerWord.unreached : PeerWord.none)
+    return Promise.race([firstReached, summary])
+  }
+
+  close (): void {
+    this.agent.destroy()
+  }
+
+  /** Sends an attempt by way of one host. Returns the outcome, or the reason why the host can't send it. */
+  private async carryThrough (host: HostEntry, attempt: IndirectAttempt, signal: AbortSignal): Promise<CarryOutcome | string> {
+    const { metrics, getNow } = this.parts
+    const body = this.encodeAttempt(attempt, getNow())
+    this.carried.set(host.name, this.countCarried(host) + 1)
+    const reply = await this.call(host, CarrierService.method.carry, body, () => { attempt.handleSend(getNow()) }, signal).finally(() => { this.carried.set(host.name, this.countCarried(host) - 1) })
+    const distance = describeDistance(this.parts.own, host)
+    metrics.countIndirectBytes('sent', distance, body.byteLength + (reply.kind === 'answered' ? reply.body.byteLength : 0))
+    metrics.countIndirectAttempt('sent', reply.kind === 'answered' ? 'answered' : reply.failure)
+    if (reply.kind === 'failed') {
+      if (reply.failure === PeerCallFailure.answerLost) return { result: { kind: 'broken', reason: `${host.name} gave no answer: ${reply.reason}` }, carrier: host.name, isCarrierFault: true }
+      if (!signal.aborted) this.suspendHost(host, attempt.target)
+      return reply.reason
+    }
+    const response = decodeMessage(CarryResponseSchema, reply.body)
+    if (response === undefined) return { result: { kind: 'broken', reason: `${host.name} gave an answer that can't be read` }, carrier: host.name, isCarrierFault: true }
+    if (response.result.case === 'notSent' && response.result.value.tryElsewhere) {
+      this.suspendHost(host, attempt.target)
+      return response.result.value.reason
+    }
+    return { result: this.decodeResult(response.result), carrier: host.name, isCarrierFault: false }
+  }
+
+  private decodeResult (result: CarryResponse['result']): CarryOutcome['result'] {
+    if (result.case === 'notSent') return { kind: 'not-sent', reason: result.value.reason }
+    if (result.case !== 'answered') return { kind: 'broken', reason: result.case === 'broken' ? result.value : 'no result' }
+    const { status, headers, body, keepsAlive } = result.value
+    return { kind: 'answered', head: this.parts.codec.decodeAnswerHead(status, headers, keepsAlive), body: Buffer.from(body) }
+  }
+
+  private encodeAttempt ({ request, target, deadline, suspectId, isTrial }: IndirectAttempt, now: number): Uint8Array {
+    return toBinary(CarryRequestSchema, create(CarryRequestSchema, {
+      host: this.parts.own.name,
+      target: target.entry.id,
+      targetHash: target.incarnationHash,
+      requestId: request.id,
+      method: request.method,
+      url: request.url,
+      headers: this.parts.codec.listForwardedHeaders(request),
+      body: request.body,
+      remainingMs: Math.max(0, Math.floor(deadline - now)),
+      fingerprint: suspectId.fingerprint,
+      organisation: suspectId.organisation,
+      trial: isTrial
+    }))
+  }
+
+  private async checkTarget (host: HostEntry, target: TargetState, maxAgeMs: number): Promise<PeerWord> {
+    const { own, roundTripTimes } = this.parts
+    const body = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: own.name, target: target.entry.id, targetHash: target.incarnationHash, maxAgeMs }))
+    const timeoutMs = CHECK_TIMEOUT_MS + 2 * roundTripTimes.find(host.region) + 2 * roundTripTimes.find(target.entry.region)
+    const reply = await this.call(host, CarrierService.method.checkTarget, body, () => undefined, AbortSignal.timeout(Math.ceil(timeoutMs)))
+    const answer = reply.kind === 'answered' ? decodeMessage(CheckTargetResponseSchema, reply.body) : undefined
+    return describeAnswer(answer)
+  }
+
+  private call (host: HostEntry, method: typeof CarrierService.method.carry | typeof CarrierService.method.checkTarget, body: Uint8Array, handleSend: () => void, signal: AbortSignal): ReturnType<typeof sendPeerCall> {
+    const connectTimeoutMs = CONNECT_TIMEOUT_MS + 2 * this.parts.roundTripTimes.find(host.region)
+    return sendPeerCall(this.agent, { ip: host.ip, port: host.peerPort, path: describeMethod(method), body, connectTimeoutMs, handleSend }, signal)
+  }
+
+  private chooseHost ({ entry }: TargetState, allowedRegions: readonly string[], asked: ReadonlySet<string>, now: number): HostEntry | undefined {
+    const { own, view, random } = this.parts
+    return chooseCarrier(view.listLive(now), {
+      own,
+      target: entry,
+      allowedRegions,
+      isUsable: (host) => !asked.has(host.name) && this.isUsable(host, entry.availabilityZone, now),
+      countCarried: (host) => this.countCarried(host),
+      random
+    })
+  }
+
+  private isUsable (host: HostEntry, availabilityZone: string, now: number): boolean {
+    return now >= (this.backoffs.get(describeBackoff(host, availabilityZone)) ?? -Infinity) && !this.parts.view.findLostZones(host.name).includes(computeHash(availabilityZone))
+  }
+
+  private suspendHost (host: HostEntry, { entry }: TargetState): void {
+    this.backoffs.set(describeBackoff(host, entry.availabilityZone), this.parts.getNow() + BACKOFF_MS)
+  }
+
+  private countCarried ({ name }: HostEntry): number {
+    return this.carried.get(name) ?? 0
+  }
+
+  // Hosts of different availability zones are asked, because a cut often takes all hosts of one.
+  private listHostsToAsk ({ entry }: TargetState): HostEntry[] {
+    const { own, view, getNow, random } = this.parts
+    const now = getNow()
+    const rank = ({ availabilityZone, region }: HostEntry): number => {
+      if (availabilityZone !== own.availabilityZone && availabilityZone === entry.availabilityZone) return 0
+      return region === own.region ? 1 : 2
+    }
+    const hosts = view.listLive(now).filter((host) => host.name !== own.name && this.isUsable(host, entry.availabilityZone, now))
+      .map((host) => ({ host, order: rank(host) + random() }))
+      .sort((one, other) => one.order - other.order)
+      .map(({ host }) => host)
+    const byZone = new Map(hosts.toReversed().map((host) => [host.availabilityZone, host]))
+    const firstOfZones = hosts.filter((host) => byZone.get(host.availabilityZone) === host)
+    return [...new Set([...firstOfZones, ...hosts])].slice(0, MAX_ASKED)
+  }
+}
+
+const describeBackoff = ({ name }: HostEntry, availabilityZone: string): string => `${name} ${availabilityZone}`
+
+const describeAnswer = (answer: CheckTargetResponse | undefined): PeerWord => {
+  if (answer === undefined || answer.unknown) return PeerWord.none
+  return answer.reached ? PeerWord.reached : PeerWord.unreached
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -0,0 +1,56 @@
+import { request, type Agent } from 'node:http'
+import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
+import { PeerCallFailure } from './peerCallFailure.js'
+
+interface PeerCall {
+  ip: string
+  port: number
+  path: string
+  body: Uint8Array
+  /** Milliseconds within which the connection must be open. */
+  connectTimeoutMs: number
+  /** Called once the connection is open and the call is written. */
+  handleSend: () => void
+}
+
+type PeerReply =
+  | { kind: 'answered', body: Buffer }
+  | { kind: 'failed', failure: PeerCallFailure, reason: string }
+
+const OK_STATUS = 200
+
+/** Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection. */
+export function sendPeerCall (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend }: PeerCall, signal: AbortSignal): Promise<PeerReply> {
+  return new Promise((resolve) => {
+    const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength } })
+    let wasSent = false
+    const resolveFailure = (reason: string): void => {
+      clearTimeout(timer)
+      resolve({ kind: 'failed', failure: wasSent ? PeerCallFailure.answerLost : PeerCallFailure.notSent, reason })
+      outgoing.destroy()
+    }
+    const timer = setTimeout(() => { resolveFailure('connect timeout') }, connectTimeoutMs)
+    const write = (): void => {
+      clearTimeout(timer)
+      if (signal.aborted) return
+      wasSent = true
+      handleSend()
+      outgoing.end(body)
+    }
+    outgoing.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', write)
+      else write()
+    })
+    outgoing.on('error', (error) => { resolveFailure(error.message) })
+    outgoing.on('response', (response) => {
+      const chunks: Buffer[] = []
+      response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      response.on('error', (error) => { resolveFailure(error.message) })
+      response.on('close', () => {
+        if (!response.complete) resolveFailure('answer cut short')
+        else if (response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
+        else resolve({ kind: 'failed', failure: PeerCallFailure.refused, reason: `status ${response.statusCode}` })
+      })
+    })
+  })
+}
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
@@ -47,6 +47,7 @@
       own,
       fleet: this.fleet,
       forward: { listRuntimes: () => [], announcements: { limits: noReports, departures: noReports } } as unknown as ForwardState,
+      listLostZones: () => [],
       view: this.view,
       socket: { send: (bytes: Uint8Array, ip: string) => { parts.send(bytes, ip) } } as unknown as PeerSocket,
       getNow,
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -4,15 +4,22 @@
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
+import type { CarrierClient } from '../carriers/carrierClient.js'
+import type { LinkMonitor } from '../links/linkMonitor.js'
+import type { SuspectId } from '../quarantine/suspectId.js'
 
 /** Milliseconds for opening a connection, on top of two round trips; a target that takes longer is considered unreachable. */
 const CONNECT_TIMEOUT_MS = 300
 
 interface AttemptParts {
   codec: TargetCodec
+  links: Pick<LinkMonitor, 'isLost' | 'verifyLoss' | 'addSend'>
+  carriers: Pick<CarrierClient, 'carry'>
   getNow: () => number
   /** Whether the caller's key still belongs to its organisation. */
   isIdentified: () => boolean
+  /** Names the request for the host that carries it, and says whether this sending of it was granted although it is quarantined. */
+  describeSuspect: () => { suspectId: SuspectId, isTrial: boolean }
   /** Whether too many targets have meanwhile exited while running the request for it to be sent again. */
   isQuarantined: () => boolean
   /** Claims the send; false if the target has reached its request limit or asked for a pause. */
@@ -23,6 +30,11 @@
 export class Attempt {
   /** Monotonic milliseconds at which the first byte was sent; undefined before. */
   sentAt: number | undefined
+  /** Name of the host by way of which the request was sent; undefined if it was sent directly. */
+  carrier: string | undefined
+  /** Whether an answer was lost between this host and the one that carried the request, which says nothing about the target. */
+  isCarrierFault = false
+  private readonly abortController = new AbortController()
   private connection: TargetConnection | undefined
   private cancelled: string | undefined
   private isEnded = false
@@ -52,13 +64,23 @@
   cancel (reason: string): void {
     if (this.isEnded) return
     this.cancelled ??= reason
-    this.connection?.close(reason)
+    this.abortController.abort()
+    if (this.parts.links.isLost(this.choice.target)) this.connection?.reset(reason)
+    else this.connection?.close(reason)
+  }
+
+  /** Whether the request waits for an answer over a link that has been lost since. */
+  get isCutOff (): boolean {
+    return this.carrier === undefined && this.sentAt !== undefined && this.parts.links.isLost(this.choice.target)
   }
 
   private async exchange (pool: TargetPool): Promise<AttemptResult> {
     const { target, roundTripMs: tripMs } = this.choice
+    const { links } = this.parts
+    if (links.isLost(target)) return this.exchangeIndirectly()
     const opened = await pool.acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * tripMs)
     if (opened.kind === 'failed') {
+      if (this.cancelled === undefined && await links.verifyLoss(target)) return this.exchangeIndirectly()
       if (this.cancelled === undefined) target.suspend(this.parts.getNow())
       return { kind: 'not-sent', reason: this.cancelled ?? opened.failure }
     }
@@ -71,7 +93,32 @@
     }
     this.connection = connection
     this.sentAt = now
-    return connection.exchange(this.request, this.parts.codec.encodeHead(this.request, target.entry.id, Math.floor(this.request.deadline - now)))
+    const finishWaiting = links.addSend(target, now)
+    const result = await connection.exchange(this.request, this.parts.codec.encodeHead(this.request, target.entry.id, Math.floor(this.request.deadline - now)))
+    finishWaiting()
+    return result
+  }
+
+  private async exchangeIndirectly (): Promise<AttemptResult> {
+    const { request, choice: { target }, parts } = this
+    let isClaimed = false
+    const outcome = await parts.carriers.carry({
+      request,
+      target,
+      allowedRegions: request.allowedRegions,
+      deadline: request.deadline,
+      ...parts.describeSuspect(),
+      findStopReason: (now) => {
+        const stopReason = this.findStopReason(now)
+        if (stopReason !== undefined || isClaimed) return stopReason
+        isClaimed = true
+        return this.claimSend(now)
+      },
+      handleSend: (now) => { this.sentAt ??= now }
+    }, this.abortController.signal)
+    this.carrier = outcome.carrier
+    this.isCarrierFault = outcome.isCarrierFault
+    return outcome.result
   }
 
   /** Claims the send at the target; returns the reason why the target takes none. */
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -8,6 +8,11 @@
 import { SendLimiter } from '../announcements/sendLimiter.js'
 import type { TargetAnnouncements } from '../announcements/targetAnnouncements.js'
 import type { FleetState } from '../fleet/fleetState.js'
+import { CarrierClient } from '../carriers/carrierClient.js'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import { LinkMonitor } from '../links/linkMonitor.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { GatewaySettings } from '../settings/gatewaySettings.js'
 import type { RequestRecord } from './requestRecord.js'
@@ -17,6 +22,7 @@
 import { RoundTripTimes } from './roundTripTimes.js'
 
 interface ForwardParts {
+  own: HostEntry
   settings: GatewaySettings
   fleet: FleetState
   peers: PeerView
@@ -28,6 +34,13 @@
   countOpened: (region: string) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
+  /** Called when a target's process has exited. */
+  handleExit: (target: TargetState, now: number) => void
+  /** Called when links to targets count as lost. */
+  handleLinkLoss: () => void
+  log: EventLog
+  metrics: GatewayMetrics
+  sleep: (ms: number, signal: AbortSignal) => Promise<void>
   /** Called at the first request for a service. */
   startRuntime: (runtime: ServiceRuntime) => void
   /** Aborts when the host's own tasks are to end. */
@@ -42,6 +55,8 @@
   readonly roundTripTimes: RoundTripTimes
   readonly pools: TargetPools
   readonly prober: TargetProber
+  readonly links: LinkMonitor
+  readonly carriers: CarrierClient
   readonly shiftCapUsage = new ShiftCapUsage()
   /** Operators' declarations, of the newest revision that this host knows. */
   steering = DeclaredSteering.none
@@ -53,7 +68,16 @@
     this.fleet = fleet
     this.announcements = parts.announcements
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
-    this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, parts)
+    this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, {
+      countOpened: parts.countOpened,
+      observeConnect: (target) => { this.links.observeConnect(target, getNow()) },
+      observeFailure: (target, failure, isUnconnected) => {
+        parts.observeFailure(target, failure, isUnconnected)
+        this.links.handleConnectFailure(target, failure, isUnconnected)
+      }
+    })
+    this.carriers = new CarrierClient({ ...parts, view: parts.peers, roundTripTimes: this.roundTripTimes })
+    this.links = new LinkMonitor({ ...parts, pools: this.pools, roundTripTimes: this.roundTripTimes, listTargets: () => fleet.listAllTargets(), askPeers: (target, maxAgeMs) => this.carriers.askPeers(target, maxAgeMs), handleLoss: parts.handleLinkLoss })
     this.prober = new TargetProber(this.pools, this.roundTripTimes, signal)
     this.coldAllowance = new ColdAllowance(settings.host.name)
     this.sendLimiter = new SendLimiter({ ownHost: settings.host.name, announcements: parts.announcements, listSenders: (region, now) => parts.peers.listSenders(region, now), random })
@@ -88,6 +112,17 @@
     return this.shiftCapUsage.allow(this.steering, service, region, this.parts.peers.countRegionHosts())
   }
 
+  /** Whether a zone's evacuation or an operators' drain keeps new requests away from a target. */
+  isClosed ({ entry }: TargetState): boolean {
+    return this.fleet.isEvacuated(entry.availabilityZone) || this.steering.isDrained(entry)
+  }
+
+  /** Records that a target answered a request that this host sent to it directly. */
+  observeContact (target: TargetState, now: number): void {
+    target.observeContact(now)
+    this.links.observeAnswer(target, now)
+  }
+
   countHosts (): number | undefined {
     return this.parts.peers.countHosts()
   }
@@ -102,14 +137,16 @@
   }
 
   /** Stops sending requests to a target that takes no new ones; those that it is running continue. */
-  dropTarget (targetId: string): void {
-    this.coldAllowance.drop(targetId)
-    this.pools.remove(targetId)
+  dropTarget (target: TargetState): void {
+    this.links.drop(target)
+    this.coldAllowance.drop(target.entry.id)
+    this.pools.remove(target.entry.id)
   }
 
   /** Aborts the requests at a target that was restarted: its previous incarnation will never answer them. */
-  abortTarget (targetId: string): void {
-    this.coldAllowance.drop(targetId)
-    this.pools.abort(targetId)
+  abortTarget (target: TargetState): void {
+    this.links.drop(target)
+    this.coldAllowance.drop(target.entry.id)
+    this.pools.abort(target.entry.id)
   }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -88,6 +88,11 @@
     for (const runner of this.runners) runner.expire(now)
   }
 
+  /** Sends again the requests that wait for answers over links that count as lost. */
+  handleLinkLoss (): void {
+    for (const runner of this.runners) runner.handleLinkLoss()
+  }
+
   /** @param readAt monotonic milliseconds at which the request's head was read */
   async handle (message: IncomingMessage, callerLeft: AbortSignal, readAt: number): Promise<CallerAnswer | undefined> {
     const { load, getNow } = this.parts
@@ -159,7 +164,7 @@
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
     const placement = new RequestPlacement(forward, runtime, keyHash, request.allowedRegions, random() < WARM_UP_SHARE)
-    return new RequestRunner(request, placement, { codec: targetCodec, gate: new RequestGate(request, quarantine), getNow, random })
+    return new RequestRunner(request, placement, { codec: targetCodec, links: forward.links, carriers: forward.carriers, gate: new RequestGate(request, quarantine), getNow, random })
   }
 
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -35,6 +35,7 @@
     const { targetLatencyMs } = request.route
     const times = this.runtime.findTimes(request.route.name)
     const isRegionOpen = this.findOpenRegions(request.allowedRegions)
+    const canReach = this.findReachable(request.allowedRegions, now)
     return chooseTarget(fleet.listTargets(this.service), {
       now,
       keyHash: this.keyHash,
@@ -44,7 +45,7 @@
       coldMs: times.getColdMs(targetLatencyMs),
       meanMs: this.runtime.times.getMeanMs(targetLatencyMs),
       targetLatencyMs,
-      isEligible: ({ entry }) => !triedIds.has(entry.id) && !fleet.isEvacuated(entry.availabilityZone) && !this.state.steering.isDrained(entry) && isRegionOpen(entry.region),
+      isEligible: (target) => !triedIds.has(target.entry.id) && isRegionOpen(target.entry.region) && !this.state.isClosed(target) && canReach(target),
       allowCold: (target) => this.state.allowCold(target, now),
       allowSend: (target) => this.state.sendLimiter.allow(target, now),
       isLimited: (target) => this.state.sendLimiter.isLimited(target, now),
@@ -69,13 +70,12 @@
   observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
     const { target } = attempt.choice
     if (result.kind === 'answered' && attempt.sentAt !== undefined) {
-      target.observeContact(now)
+      if (attempt.carrier === undefined) this.state.observeContact(target, now)
       this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
     }
-    if (attempt.isCancelled || attempt.sentAt === undefined) return
+    if (attempt.isCancelled || attempt.sentAt === undefined || attempt.isCarrierFault) return
     if (result.kind !== 'answered') {
-      target.observeFailure(now)
-      void this.state.prober.probe(target)
+      this.observeUnanswered(attempt, now)
       return
     }
     if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
@@ -84,9 +84,16 @@
     else this.learnDuration(attempt, now - attempt.sentAt, now)
   }
 
+  // A host that carries an attempt probes the target itself. Over a lost link no failure is the target's.
+  private observeUnanswered ({ choice: { target }, carrier }: Attempt, now: number): void {
+    if (carrier === undefined && this.state.links.isLost(target)) return
+    target.observeFailure(now)
+    if (carrier === undefined) void this.state.prober.probe(target)
+  }
+
   /** Updates the times from an attempt that had no answer at the request's deadline. */
-  observeOverrun ({ choice, request, sentAt }: Attempt, now: number): void {
-    if (sentAt === undefined) return
+  observeOverrun ({ choice, request, sentAt, isCutOff }: Attempt, now: number): void {
+    if (sentAt === undefined || isCutOff) return
     const workMs = now - sentAt - choice.roundTripMs - choice.waitMs
     const { name, targetLatencyMs } = request.route
     this.runtime.findTimes(name).observeOverrun(workMs, targetLatencyMs)
@@ -132,6 +139,19 @@
     return this.state.steering.findWeights(this.service)
   }
 
+  /** Returns a check that looks for a host that could carry the request only once for each availability zone. */
+  private findReachable (allowedRegions: readonly string[], now: number): (target: TargetState) => boolean {
+    const { links, carriers } = this.state
+    const results = new Map<string, boolean>()
+    return (target) => {
+      if (!links.isLost(target)) return true
+      const { availabilityZone } = target.entry
+      const hasCarrier = results.get(availabilityZone) ?? carriers.hasCarrier(target, allowedRegions, now)
+      results.set(availabilityZone, hasCarrier)
+      return hasCarrier
+    }
+  }
+
   /** Returns a check that evaluates each region once per choice, because under a cap each evaluation sums up the requests running there. */
   private findOpenRegions (allowedRegions: readonly string[]): (region: string) => boolean {
     const { declared } = this
@@ -146,9 +166,11 @@
     }
   }
 
-  private learnDuration ({ choice, request }: Attempt, durationMs: number, now: number): void {
+  private learnDuration ({ choice, request, carrier }: Attempt, durationMs: number, now: number): void {
     const { name, targetLatencyMs } = request.route
-    const workMs = Math.max(1, durationMs - choice.roundTripMs - choice.waitMs)
+    const carrierRegion = carrier === undefined ? undefined : this.state.fleet.findHost(carrier)?.region
+    const detourMs = carrierRegion === undefined ? 0 : this.state.roundTripTimes.find(carrierRegion)
+    const workMs = Math.max(1, durationMs - choice.roundTripMs - choice.waitMs - detourMs)
     choice.target.observeAnswer(workMs / Math.max(1, choice.workMs / choice.target.getSlowness(now)), now)
     this.runtime.findTimes(name).observeAnswer(workMs, choice.isCached, targetLatencyMs)
     // Requests that name no object, such as checks of whether a route exists, say nothing about the work on objects.
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -9,6 +9,8 @@
   expectedMs: number
   /** Requests per second that the target takes from all hosts together; undefined if it has announced no limit. */
   requestLimit: number | undefined
+  /** Host by way of which the request was sent; undefined if it was sent directly. */
+  carrier: string | undefined
   /** `answered` with the status, or the reason why there was no answer. */
   result: string
   /** Milliseconds to the result from the send, or from the arrival of the request if it was not sent. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -9,6 +9,8 @@
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { NextStep } from '../../request/nextStep.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
+import type { CarrierClient } from '../carriers/carrierClient.js'
+import type { LinkMonitor } from '../links/linkMonitor.js'
 import type { RequestGate } from '../quarantine/requestGate.js'
 import { Attempt } from './attempt.js'
 import { EventQueue } from './eventQueue.js'
@@ -32,6 +34,8 @@
 
 interface RunnerParts {
   codec: TargetCodec
+  links: LinkMonitor
+  carriers: CarrierClient
   gate: RequestGate
   getNow: () => number
   random: () => number
@@ -77,6 +81,11 @@
     if (now >= this.request.deadline) this.events.push({ kind: 'deadline' })
   }
 
+  /** Sends the request again if it waits for an answer over a link that has been lost. */
+  handleLinkLoss (): void {
+    this.events.push({ kind: 'links-lost' })
+  }
+
   private async handleEvents (): Promise<FinalAnswer> {
     if (!this.startAttempt()) return this.refuse()
     for (;;) {
@@ -84,6 +93,7 @@
       const answer = match(event)
         .with({ kind: 'ended' }, ({ attempt, result }) => this.handleAttemptEnd(attempt, result))
         .with({ kind: 'overdue' }, () => this.handleOverdue())
+        .with({ kind: 'links-lost' }, () => this.handleLostLinks())
         .with({ kind: 'deadline' }, () => this.handleDeadline())
         .with({ kind: 'caller-left' }, () => this.handleCallerLeft())
         .exhaustive()
@@ -121,6 +131,10 @@
     return undefined
   }
 
+  private handleLostLinks (): undefined {
+    return [...this.running].every(({ isCutOff }) => isCutOff) ? this.handleOverdue() : undefined
+  }
+
   private handleDeadline (): FinalAnswer {
     const wasSent = [...this.running].some((attempt) => attempt.sentAt !== undefined) || this.uncertainFailure !== undefined
     for (const attempt of this.running) {
@@ -215,8 +229,9 @@
   }
 
   private send (choice: TargetChoice, now: number): void {
-    const { codec, gate, getNow } = this.parts
-    const attempt = new Attempt(this.request, choice, { codec, getNow, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
+    const { codec, gate, getNow, links, carriers } = this.parts
+    const describeSuspect = (): ReturnType<typeof gate.describe> => gate.describe()
+    const attempt = new Attempt(this.request, choice, { codec, links, carriers, getNow, describeSuspect, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
@@ -225,7 +240,7 @@
     void attempt.run(this.placement.getPool(choice.target)).then((result) => {
       this.placement.observeFinish(choice)
       this.placement.observeResult(attempt, result, this.parts.getNow())
-      if (attempt.sentAt !== undefined) gate.observeResult(choice.target, result, this.parts.getNow())
+      if (attempt.sentAt !== undefined && !attempt.isCarrierFault) gate.observeResult(choice.target, result, this.parts.getNow())
       this.events.push({ kind: 'ended', attempt, result })
     })
   }
@@ -244,6 +259,7 @@
       outstanding,
       expectedMs: Math.round(expectedMs),
       requestLimit: this.placement.findRequestLimit(target),
+      carrier: attempt.carrier,
       result,
       ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
     })
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -6,6 +6,7 @@
 
 interface PoolsObserver {
   countOpened: (region: string) => void
+  observeConnect: (target: TargetState) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
 }
@@ -26,6 +27,7 @@
       observeConnect: (durationMs) => {
         this.roundTripTimes.update(region, durationMs)
         target.observeContact(this.parts.getNow())
+        this.observer.observeConnect(target)
       }
     })
     this.pools.set(id, pool)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -10,6 +10,7 @@
 import { HostLoad } from '../request/hostLoad.js'
 import type { TargetState } from '../request/targetState.js'
 import { TargetAnnouncements } from './announcements/targetAnnouncements.js'
+import { CarrierServer } from './carriers/carrierServer.js'
 import { FleetFollower } from './fleet/fleetFollower.js'
 import { FleetState } from './fleet/fleetState.js'
 import { HostAnnouncer } from './fleet/hostAnnouncer.js'
@@ -84,6 +85,7 @@
   private readonly suspectExchange: SuspectExchange
   private readonly quarantine: Quarantine
   private readonly requestHandler: RequestHandler
+  private readonly carrierServer: CarrierServer
   private readonly callers: CallerServer
   private readonly lookups: LookupAnswers
   private readonly announcer: HostAnnouncer
@@ -104,21 +106,21 @@
     const announcements = new TargetAnnouncements({ log, metrics })
     this.fleet = new FleetState({
       targetAdded: (target) => { announcements.departures.apply(target) },
-      targetRemoved: (target) => { this.forward.dropTarget(target.entry.id) },
+      targetRemoved: (target) => { this.forward.dropTarget(target) },
       targetRestarted: (target) => {
-        this.forward.abortTarget(target.entry.id)
+        this.forward.abortTarget(target)
         this.quarantine.observeTargetExit(target, getNow())
       },
       hostRemoved: (entry) => { this.view.observeEntryRemoved(entry, getNow()) }
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
+    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: () => undefined, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, sleep: sleepFor, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
     this.socket = new PeerSocket(logError)
-    this.peerExchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, sleep: sleepFor, isLeaving, getDeclaredRevision: () => this.operatorService.revision, receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) }, acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) }, receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) } })
+    this.peerExchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, sleep: sleepFor, isLeaving, listLostZones: () => this.forward.links.listLostZones(), getDeclaredRevision: () => this.operatorService.revision, receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) }, acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) }, receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isAggregator: (now) => this.view.isAggregator(now) })
     this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
     const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.abortController.signal)
@@ -129,6 +131,7 @@
     this.account = new AccountRecorder({ own: this.own, values, clock, log, random })
     this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
     this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
     this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
@@ -211,6 +214,7 @@
     const readiness = splitAddress(settings.listen.readiness)
     const lookups = splitAddress(settings.listen.lookups)
     await this.callers.listen(callers.host, callers.port)
+    await this.carrierServer.listen(this.own.ip, this.own.peerPort, signal)
     await this.socket.listen(this.own.ip, this.own.peerPort, (bytes, ip) => { this.handleDatagram(bytes, ip) }, signal)
     await listenForGet(readiness.host, readiness.port, (path) => this.lookups.answerReadiness(path), logError)
     await listenForGet(lookups.host, lookups.port, (path, query) => this.lookups.answerLookup(path, query), logError)
@@ -228,7 +232,6 @@
     if (message?.kind === 'suspects') this.suspectExchange.handleReport(message.report, ip)
   }
 
-  // The process of a target has exited if its address refuses connections and this host has no open connection to it.
   private observeFailure (target: TargetState, failure: ConnectFailure, isUnconnected: boolean): void {
     const now = this.parts.getNow()
     const contactAgeMs = target.computeContactAge(now)
@@ -238,7 +241,7 @@
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.peerExchange.run(signal), this.usageExchange.run(signal), this.planner.run(signal), this.closeIdleConnections(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.peerExchange.run(signal), this.usageExchange.run(signal), this.planner.run(signal), this.forward.links.run(signal), this.closeIdleConnections(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
   }
 
   private async closeIdleConnections (signal: AbortSignal): Promise<void> {
@@ -261,7 +264,8 @@
     const neverAborted = new AbortController().signal
     await sleepFor(ACCEPT_AFTER_STOP_MS, neverAborted)
     this.callers.close()
-    while (this.callers.countUnanswered() > 0 && getNow() - stoppedAt < settings.bounds.stopGrace - STOP_GRACE_MARGIN_MS) await sleepFor(STOP_CHECK_INTERVAL_MS, neverAborted)
+    const countUnanswered = (): number => this.callers.countUnanswered() + this.carrierServer.countUnanswered()
+    while (countUnanswered() > 0 && getNow() - stoppedAt < settings.bounds.stopGrace - STOP_GRACE_MARGIN_MS) await sleepFor(STOP_CHECK_INTERVAL_MS, neverAborted)
     const unfinished = this.callers.countUnanswered()
     const remainingGraceMs = settings.bounds.stopGrace - STOP_GRACE_MARGIN_MS - (getNow() - stoppedAt)
     const unwrittenPages = await this.account.finish(Math.max(1, Math.min(MAX_ACCOUNT_FLUSH_MS, remainingGraceMs)))
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/links/peerWord.ts
@@ -0,0 +1,13 @@
+/** What the other hosts that were asked say of a target. */
+const PeerWord = {
+  /** At least one of them reaches it. */
+  reached: 'reached',
+  /** Some answered, and none reaches it. */
+  unreached: 'unreached',
+  /** None answered. */
+  none: 'none'
+} as const
+
+type PeerWord = (typeof PeerWord)[keyof typeof PeerWord]
+
+export { PeerWord }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -27,6 +27,9 @@
   private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
   private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
   private readonly relays = new Counter({ name: 'almondrelay_relayed_changes_total', help: 'Groups of changes of the store that watchers relayed to this host', labelNames: ['result'], registers: [this.registry] })
+  private readonly lostLinks = new Gauge({ name: 'almondrelay_lost_links', help: 'Targets, and availability zones with all their targets, that this host does not reach although other hosts do', labelNames: ['scope'], registers: [this.registry] })
+  private readonly indirectAttempts = new Counter({ name: 'almondrelay_indirect_attempts_total', help: 'Attempts sent to targets by way of another host, and those carried for other hosts', labelNames: ['role', 'result'], registers: [this.registry] })
+  private readonly indirectBytes = new Counter({ name: 'almondrelay_indirect_bytes_total', help: 'Bytes of such attempts between the two hosts, in messages of this host', labelNames: ['role', 'distance'], registers: [this.registry] })
   private readonly workDelay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BUCKETS, registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
 
@@ -81,6 +84,21 @@
     this.relays.inc({ result })
   }
 
+  setLostLinks (targets: number, availabilityZones: number): void {
+    this.lostLinks.set({ scope: 'target' }, targets)
+    this.lostLinks.set({ scope: 'availability_zone' }, availabilityZones)
+  }
+
+  /** @param role `sent` for attempts of this host, `carried` for those of other hosts */
+  countIndirectAttempt (role: 'sent' | 'carried', result: string): void {
+    this.indirectAttempts.inc({ role, result })
+  }
+
+  /** @param distance `zone`, `region` or `regions`: whether the other host is in the same availability zone, the same region or another one */
+  countIndirectBytes (role: 'sent' | 'carried', distance: string, bytes: number): void {
+    this.indirectBytes.inc({ role, distance }, bytes)
+  }
+
   setVersion (version: number): void {
     this.version.set(version)
   }
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -19,7 +19,7 @@
 const CHANGES = { after: makePosition(4), upTo: makePosition(6), events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }], forwardTo: [] }
 
 const makeEntry = (name: string, region = 'akl'): HostEntry => ({ name, incarnation: 'i1', availabilityZone: `${region}-a`, region, ip: ADDRESS, callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], changes: undefined, ...content })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], lostZones: [], changes: undefined, ...content })
 
 /** One host in a fleet. Records the reports that it sends, and the reports and changes that it accepts from watchers. */
 class ExchangeRig {
@@ -39,6 +39,7 @@
       own,
       fleet: this.fleet,
       forward: { listRuntimes: () => [] } as unknown as ForwardState,
+      listLostZones: () => [],
       view: new PeerView(own, this.fleet),
       socket,
       getNow: () => 0,
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -32,6 +32,7 @@
     })),
     requestLimits: message.requestLimits.map(({ targetHash, perSecond, ageMs }) => ({ incarnationHash: targetHash, perSecond: perSecond === 0 ? Infinity : perSecond, ageMs })),
     leavingTargets: message.leavingTargets,
+    lostZones: message.lostZones,
     changes: message.changes === undefined ? undefined : decodeChanges(message.changes)
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -1,3 +1,4 @@
+import { computeHash } from '../../version/computeHash.js'
 import type { ForwardState } from '../forward/forwardState.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
@@ -45,6 +46,8 @@
   /** Resolves after `ms` milliseconds, or when the signal aborts. */
   sleep: (ms: number, signal: AbortSignal) => Promise<void>
   isLeaving: () => boolean
+  /** Availability zones to whose targets this host has lost its links. */
+  listLostZones: () => string[]
   /** Revision of the operators' resources in force here. */
   getDeclaredRevision: () => number
   /** Called with the position of the store that a peer knows, and with that of the last change that affects its decisions. */
@@ -207,6 +210,7 @@
       storePosition: fleet.storePosition,
       notablePosition: fleet.notablePosition,
       storeAgeMs: Math.round(Math.min(MAX_AGE_MS, getNow() - (fleet.confirmedAt ?? -Infinity))),
+      lostZones: this.parts.listLostZones().map(computeHash),
       inFlight: new Map(busy.map((target) => [target.incarnationHash, target.inFlight])),
       ...content
     }
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -30,6 +30,8 @@
   requestLimits: readonly RequestLimitReport[]
   /** Hashes of the incarnations of targets that told the sender that they are leaving; empty in most reports. */
   leavingTargets: readonly number[]
+  /** Hashes of the names of availability zones to whose targets the sender has lost its links; empty in most reports. */
+  lostZones: readonly number[]
   /** Changes of the store that the sender relays; undefined in most reports. */
   changes: RelayedChanges | undefined
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -71,6 +71,11 @@
     return this.peers.get(host)?.report.inFlight ?? NO_COUNTS
   }
 
+  /** Returns the hashes of the names of availability zones to whose targets a host has lost its links, as it last reported. */
+  findLostZones (host: string): readonly number[] {
+    return this.peers.get(host)?.report.lostZones ?? []
+  }
+
   /** Returns the number of senders whose last report is kept. */
   countKnownSenders (): number {
     return this.peers.size
--- a/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/quarantine.ts
@@ -46,6 +46,11 @@
     return this.suspects.match(fingerprint)?.isQuarantined === true
   }
 
+  /** Whether the request with this fingerprint is quarantined. */
+  isHeldBack (fingerprint: string): boolean {
+    return this.suspects.find(fingerprint)?.isQuarantined === true
+  }
+
   computeRetryAfter (fingerprint: RequestFingerprint, now: number): number {
     const leftMs = (this.suspects.match(fingerprint)?.trialAt ?? now) - now
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, leftMs)) * (1 + this.parts.random() / 2)
--- a/packages/almondrelay-gateway/src/process/quarantine/requestGate.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/requestGate.ts
@@ -4,6 +4,7 @@
 import type { TargetState } from '../../request/targetState.js'
 import type { Quarantine } from './quarantine.js'
 import { RequestFingerprint } from './requestFingerprint.js'
+import type { SuspectId } from './suspectId.js'
 
 /** Checks one request against the quarantine, and records the results of its attempts there. */
 export class RequestGate {
@@ -21,6 +22,11 @@
     return this.name.text
   }
 
+  /** Returns what a host needs to know that sends the request to a target for this one. */
+  describe (): { suspectId: SuspectId, isTrial: boolean } {
+    return { suspectId: this.suspectId, isTrial: this.isTrial }
+  }
+
   /** Whether the request must not be sent: it is quarantined and has been granted no trial. */
   get isBlocked (): boolean {
     return !this.isTrial && this.quarantine.isQuarantined(this.name)
@@ -51,9 +57,13 @@
     this.quarantine.observeAnswer(this.name, this.unansweredBy, now)
   }
 
+  private get suspectId (): SuspectId {
+    return { fingerprint: this.name.text, organisation: this.name.organisation }
+  }
+
   private observeUnanswered (target: TargetState, now: number): void {
     if (this.hasAnswer) return
     this.unansweredBy.push(target)
-    this.quarantine.observeUnanswered(target, { fingerprint: this.name.text, organisation: this.name.organisation }, now)
+    this.quarantine.observeUnanswered(target, this.suspectId, now)
   }
 }
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -137,6 +137,13 @@
     this.suspendedUntil = now + suspensionMs
   }
 
+  /** Forgets failures and suspensions, which were those of the link to the target. */
+  clearFailures (): void {
+    this.failureShare = 0
+    this.suspensions = 0
+    this.suspendedUntil = 0
+  }
+
   getSlowness (now: number): number {
     return 1 + (this.slowness - 1) * this.computeDecay(now)
   }
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -80,6 +80,7 @@
   inFlight: new Map(Array.from({ length: busyTargets }, (_, index) => [Math.imul(index + 1, 0x9e3779b1) >>> 0, 1 + index % 3])),
   requestLimits: [],
   leavingTargets: [],
+  lostZones: [],
   changes: undefined,
   demands: []
 })
