Count an exit of a target only if no host reaches it and this host reaches others

What callers saw: nothing yet; a request that three targets 'exited' under is refused by all hosts.

Cause: a host whose connections are all reset and whose new ones are refused took that for the exit of each target.

Change: a refused connection counts as an exit only after the check of the link: no host that was asked reaches the target, and this host reaches another one. A host that can't tell counts nothing.

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -4,7 +4,7 @@
 import type Logger from 'bunyan'
 import { AnswerMemory } from '../connection/answerMemory.js'
 import { CallerServer } from '../connection/callerServer.js'
-import { ConnectFailure } from '../connection/connectFailure.js'
+import type { ConnectFailure } from '../connection/connectFailure.js'
 import { listenForGet } from '../connection/listenForGet.js'
 import { TurnQueue } from '../connection/turnQueue.js'
 import { HostLoad } from '../request/hostLoad.js'
@@ -115,7 +115,7 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: () => undefined, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, sleep: sleepFor, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
+    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: (target, now) => { this.quarantine.observeTargetExit(target, now) }, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, sleep: sleepFor, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
@@ -237,7 +237,6 @@
     const contactAgeMs = target.computeContactAge(now)
     this.parts.metrics.countConnectFailure(target.entry.region, failure)
     this.parts.log.record('connection to a target failed', { target: target.entry.id, availabilityZone: target.entry.availabilityZone, failure, isUnconnected, contactAgeMs: contactAgeMs === Infinity ? undefined : Math.round(contactAgeMs) })
-    if (failure === ConnectFailure.refused && isUnconnected) this.quarantine.observeTargetExit(target, now)
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
