Don't miss an exit of a target that is being probed for another host

What callers saw: nothing yet; a request that makes its targets exit could be sent on for longer.

Cause: the link monitor ignored every failed connection to a target while a probe of its own was under way. A host that had just lost a request to an exit is asked about that target by the others in the same moment, and then counted no exit.

Change: probes of the monitor don't report their failures to the observer of connections, so that it hears of all others.

Measured: 'a refused connection counts as an exit also while the target is being probed' failed before (4 of 5 pass), 5 of 5 after.

--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -33,12 +33,12 @@
     return { kind: 'connected', connection: free }
   }
 
-  private async open (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
+  private async open (entry: TargetEntry, timeoutMs: number, reportsFailure = true): Promise<ConnectResult> {
     this.observer.countOpened()
     const startedAt = this.parts.getNow()
     const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.parts, () => { this.pruneClosed() })
     if (opened.kind === 'failed') {
-      this.observer.observeFailure(opened.failure, this.isUnconnected)
+      if (reportsFailure) this.observer.observeFailure(opened.failure, this.isUnconnected)
       return opened
     }
     // The target left or restarted while the connection was being opened: no request may be sent on it.
@@ -51,10 +51,14 @@
     return opened
   }
 
-  /** Opens another connection to check whether the target is listening, and keeps it for later requests. */
-  async probe (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
+  /**
+   * Opens another connection to check whether the target is listening, and keeps it for later requests.
+   *
+   * @param reportsFailure whether the observer hears of a failure; otherwise only the caller does
+   */
+  async probe (entry: TargetEntry, timeoutMs: number, reportsFailure = true): Promise<ConnectResult> {
     if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
-    const opened = await this.open(entry, timeoutMs)
+    const opened = await this.open(entry, timeoutMs, reportsFailure)
     if (opened.kind === 'connected') opened.connection.release()
     return opened
   }
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -79,9 +79,9 @@
     this.table.observeContact(target, now)
   }
 
-  /** Records that a connection to a target failed. The failure of a probe of this class is left to whoever began the probe. */
+  /** Records that a connection to a target failed, other than a probe of this class. */
   handleConnectFailure (target: TargetState, failure: ConnectFailure, isUnconnected: boolean): void {
-    if (failure === ConnectFailure.targetLeft || this.probes.has(target) || this.table.isLost(target)) return
+    if (failure === ConnectFailure.targetLeft || this.table.isLost(target)) return
     const at = this.parts.getNow()
     const check = this.check(target)
     if (failure !== ConnectFailure.refused || !isUnconnected) return
@@ -106,7 +106,7 @@
     const running = this.probes.get(target)
     if (running !== undefined) return running
     const timeoutMs = PROBE_TIMEOUT_MS + 2 * this.parts.roundTripTimes.find(target.entry.region)
-    const probe = this.parts.pools.get(target).probe(target.entry, timeoutMs)
+    const probe = this.parts.pools.get(target).probe(target.entry, timeoutMs, false)
       .then(({ kind }) => kind === 'connected')
       .finally(() => { this.probes.delete(target) })
     this.probes.set(target, probe)
