--- a/packages/almondrelay-gateway/src/process/links/silenceDetector.ts
+++ b/packages/almondrelay-gateway/src/process/links/silenceDetector.ts
@@ -2,7 +2,7 @@
 import type { TargetState } from '../../request/targetState.js'
 
 /** Window in milliseconds over which the rate of answers is counted. */
-const RATE_WINDOW_MS = 2_000
+const RATE_WINDOW_MS = 4_000
 /** Silence, as a multiple of the mean time between two answers, that is suspicious: by chance it comes once in 400 such times. */
 const SUSPICIOUS_GAPS = 6
 /** Minimum of the suspicious silence in milliseconds. */
@@ -79,7 +79,7 @@
 
 const isSuspicious = ({ answers, contactAt, reportedAt }: Scope, sends: readonly WaitingSend[], now: number): boolean => {
   const secondOldest = sends[MIN_WAITING - 1]
-  if (secondOldest === undefined || now - reportedAt < REPEAT_MS) return false
+  if (secondOldest === undefined || (reportedAt > contactAt && now - reportedAt < REPEAT_MS)) return false
   const silentMs = now - Math.max(contactAt, secondOldest.sentAt)
   return silentMs >= Math.max(MIN_SILENCE_MS, SUSPICIOUS_GAPS * RATE_WINDOW_MS / answers.count(now))
 }
