Tests of attempts by way of another host

Guards: what counts as sent, who is blamed, cancellation, what the carrier knows better, regions, older builds, strangers' calls.

--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -0,0 +1,142 @@
+import { request } from 'node:http'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { startScriptedTarget } from '../../../connection/__fixtures__/scriptedTarget.js'
+import { CarrierRig } from '../__fixtures__/carrierRig.js'
+
+const test = suite('attempts by way of another host')
+const ANSWER = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nkeep: 10000\r\ncontent-length: 2\r\n\r\nok'
+const ALL_PATHS = ['/almondrelay.peer.v1.CarrierService/Carry', '/almondrelay.peer.v1.CarrierService/CheckTarget', '/']
+let owner = new AbortController()
+let rig: CarrierRig | undefined
+let heads: string[] = []
+
+const start = async (handleRequest: (write: (bytes: string) => void, close: () => void) => void = (write) => { write(ANSWER) }, originIp?: string): Promise<CarrierRig> => {
+  const port = await startScriptedTarget((socket) => { handleRequest((bytes) => { socket.write(bytes) }, () => { socket.destroy() }) }, owner.signal)
+  rig = await CarrierRig.start(port, originIp)
+  return rig
+}
+const waitUntil = async (check: () => boolean): Promise<void> => {
+  for (let poll = 0; poll < 200 && !check(); poll += 1) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  assert.ok(check())
+}
+
+test.before.each(() => {
+  owner = new AbortController()
+  heads = []
+})
+test.after.each(() => {
+  rig?.close()
+  owner.abort()
+})
+
+test('an attempt is answered through another host, with the time that is left', async () => {
+  const carrierRig = await start()
+  const { encodeHead } = carrierRig.codec
+  carrierRig.codec.encodeHead = (...parts) => {
+    heads.push(String(parts[2]))
+    return encodeHead.apply(carrierRig.codec, parts)
+  }
+  const { result, carrier } = await carrierRig.carry({ timeoutMs: 900 })
+  assert.is(carrier, 'carrier')
+  assert.is(result.kind === 'answered' && result.body.toString(), 'ok')
+  assert.ok(Number(heads[0]) <= 900 && Number(heads[0]) > 500)
+})
+
+// Guards against a refusal "not run" of a request that a carrier may have sent.
+test('an attempt whose answer is lost between the hosts may have run, and is not blamed on the target', async () => {
+  const carrierRig = await start(() => { rig?.stop.abort() })
+  const { result, isCarrierFault } = await carrierRig.carry()
+  assert.is(result.kind, 'broken')
+  assert.ok(isCarrierFault)
+})
+
+test('an attempt whose answer the target loses may have run, and the carrier remembers the request', async () => {
+  const carrierRig = await start((_, close) => { close() })
+  const { result, isCarrierFault } = await carrierRig.carry()
+  assert.is(result.kind, 'broken')
+  assert.not(isCarrierFault)
+  assert.is(carrierRig.unanswered.length, 1)
+})
+
+// Guards against work at a target for a caller who has left.
+test('an attempt that its host gives up is given up by the carrier', async () => {
+  let isClosed = false
+  const port = await startScriptedTarget((socket) => { socket.on('close', () => { isClosed = true }) }, owner.signal)
+  rig = await CarrierRig.start(port)
+  const abortController = new AbortController()
+  const outcome = rig.carry({ signal: abortController.signal })
+  await waitUntil(() => rig?.carried === 1)
+  await new Promise((resolve) => { setTimeout(resolve, 30) })
+  abortController.abort()
+  assert.is((await outcome).result.kind, 'broken')
+  await waitUntil(() => isClosed)
+})
+
+// Guards against promises that hold on the direct way only: departures, evacuations, pauses, quarantine, time that is up.
+test('the carrier refuses what it knows better, and says that it sent nothing', async () => {
+  const carrierRig = await start()
+  carrierRig.isClosed = true
+  assert.is((await carrierRig.carry()).result.kind, 'not-sent')
+  carrierRig.isClosed = false
+  carrierRig.isHeldBack = true
+  assert.equal((await carrierRig.carry()).result, { kind: 'not-sent', reason: 'quarantined' })
+  assert.is((await carrierRig.carry({ isTrial: true })).result.kind, 'answered')
+  carrierRig.isHeldBack = false
+  assert.equal((await carrierRig.carry({ timeoutMs: 0 })).result, { kind: 'not-sent', reason: 'no time left before the request was sent' })
+  carrierRig.announcements.pauses.observe(carrierRig.carrierTarget, 1_000, undefined, performance.now())
+  assert.equal((await carrierRig.carry()).result, { kind: 'not-sent', reason: 'the target asked for a pause' })
+  carrierRig.carrierTarget.markLeaving()
+  assert.equal((await carrierRig.carry()).result, { kind: 'not-sent', reason: 'the target takes no new requests' })
+})
+
+// Guards against chains of hosts, and against a host that serves others while it sheds requests of its own callers.
+test('a host that has lost the link too, is stopping or has no room is not asked again for a while', async () => {
+  for (const change of [(each: CarrierRig) => { each.isLostAtCarrier = true }, (each: CarrierRig) => { each.isLeaving = true }, (each: CarrierRig) => { each.load.observeDelay(1_000) }, (each: CarrierRig) => { each.memory.hold(900_000) }]) {
+    rig?.close()
+    const carrierRig = await start()
+    change(carrierRig)
+    assert.is((await carrierRig.carry()).result.kind, 'not-sent')
+    assert.not(carrierRig.client.hasCarrier(carrierRig.originTarget, [], performance.now()))
+  }
+})
+
+test('an attempt goes through no host of a region that is not allowed', async () => {
+  const carrierRig = await start()
+  assert.is((await carrierRig.carry({ allowedRegions: ['wlg'] })).carrier, undefined)
+})
+
+test('nothing was sent if the other host does not listen, as one of an older build', async () => {
+  const carrierRig = await start()
+  carrierRig.stop.abort()
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  let sends = 0
+  assert.is((await carrierRig.carry({ handleSend: () => { sends += 1 } })).result.kind, 'not-sent')
+  assert.is(sends, 0)
+})
+
+// Guards against a host that sends anybody's requests to its targets, or to any address.
+test('calls from an address that is no host\'s are refused, and so is whatever is no call', async () => {
+  const carrierRig = await start(undefined, '127.0.0.9')
+  assert.is((await carrierRig.carry()).result.kind, 'not-sent')
+  for (const path of ALL_PATHS) {
+    const status = await new Promise((resolve) => {
+      request({ host: '127.0.0.1', port: carrierRig.carrierPort, path, method: 'POST', headers: { 'Content-Type': 'application/proto' } }, (response) => {
+        response.resume()
+        resolve(response.statusCode)
+      }).end('no message')
+    })
+    assert.is(status, 400)
+  }
+})
+
+test('only targets that the carrier knows, in the same incarnation, get requests', async () => {
+  const carrierRig = await start()
+  const { entry } = carrierRig.originTarget
+  const stranger = Object.assign(Object.create(Object.getPrototypeOf(carrierRig.originTarget) as object) as object, carrierRig.originTarget, { incarnationHash: 1, entry })
+  Object.assign(carrierRig, { originTarget: stranger })
+  const { result } = await carrierRig.carry()
+  assert.is(result.kind === 'not-sent' && result.reason, 'carrier could not carry it: target not known here')
+})
+
+test.run()
