Count answers that pass between hosts in their memory; say in a refusal that links are lost; name the carrier in explain

Cause: answers of attempts by way of another host were held uncounted, at the carrier until the other host had read them and at the origin while they were received, up to 16 MB each. A refusal for lost links said 'no target'.

Change: both count, and an answer without room is lost as on a direct connection; the refusal has a reason of its own; explain prints 'by way of HOST'.

--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -48,6 +48,12 @@
   assert.match(served.stdout, 'answer expected after 110 ms, a limit of 5.7 requests a second): answered 200')
 })
 
+test('an attempt by way of another host names that host', async () => {
+  const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request', time: '2026-03-04T09:00:00.009Z', id: '9c46', route: 'r-1', version: 7, key: '17', service: 'balances', homeRegion: 'akl', attempts: [{ target: 'i-1', region: 'akl', rank: 0, outstanding: 3, expectedMs: 110, carrier: 'akl-b-1', result: 'answered 200', ms: 40 }], outcome: '200', ms: 41 }))
+  const served = await runCommandLine(['explain', '9c46', '--log', log])
+  assert.match(served.stdout, 'attempt 1 at i-1 in akl by way of akl-b-1 (rank 0')
+})
+
 test('a refusal over an organisation\'s allowance names the organisation and the share of its requests that was admitted', async () => {
   const log = writeTemporaryFile([
     JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request refused', time: '2026-03-04T09:00:00.019Z', id: '9c43', route: 'r-1', version: 7, organisation: 'school', allowedPart: 0.254, kind: 'refused', cause: 'over-allowance', reason: 'the organisation has had its allowance of 20 requests a second' }),
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -25,6 +25,8 @@
     expectedMs: z.number(),
     /** Requests per second that the target stated that it takes from all hosts together. */
     requestLimit: z.number().optional(),
+    /** Host by way of which the request was sent; absent if it was sent directly. */
+    carrier: z.string().optional(),
     result: z.string(),
     ms: z.number()
   })).default([]),
--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -35,6 +35,7 @@
   readonly announcements = new TargetAnnouncements({ log: this.log, metrics: this.metrics })
   readonly load = new HostLoad()
   readonly memory = new AnswerMemory(1_000_000)
+  readonly originMemory = new AnswerMemory(100_000)
   /** What the carrier's state says of the target. */
   isClosed = false
   isHeldBack = false
@@ -59,7 +60,7 @@
     this.carrierTarget = this.carrierFleet.findTarget(this.originTarget.entry.id) as TargetState
     const roundTripTimes = new RoundTripTimes('akl')
     const getNow = (): number => performance.now()
-    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, roundTripTimes, metrics: this.metrics, getNow, random: () => 0.5 })
+    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, roundTripTimes, metrics: this.metrics, getNow, random: () => 0.5 })
     const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
     this.server = new CarrierServer({
       own: carrier,
--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -101,6 +101,26 @@
   }
 })
 
+// Guards against hosts that are killed for their memory while large answers pass through them.
+test('answers count in the memory of both hosts while they pass, and an answer without room is lost', async () => {
+  for (const [bytes, kind] of [[50_000, 'answered'], [200_000, 'broken']] as const) {
+    rig?.close()
+    const carrierRig = await start((write) => { write(`HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nkeep: 10000\r\ncontent-length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`) })
+    let mostHeld = 0
+    for (const memory of [carrierRig.memory, carrierRig.originMemory]) {
+      const { hold } = memory
+      memory.hold = (held) => {
+        const hasRoom = hold.call(memory, held)
+        mostHeld = Math.max(mostHeld, memory.heldBytes)
+        return hasRoom
+      }
+    }
+    assert.is((await carrierRig.carry()).result.kind, kind)
+    assert.ok(mostHeld >= 50_000)
+    await waitUntil(() => carrierRig.memory.heldBytes === 0 && carrierRig.originMemory.heldBytes === 0)
+  }
+})
+
 test('an attempt goes through no host of a region that is not allowed', async () => {
   const carrierRig = await start()
   assert.is((await carrierRig.carry({ allowedRegions: ['wlg'] })).carrier, undefined)
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -1,6 +1,7 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryResponse, type CheckTargetResponse } from 'almondrelay-protocol'
 import { Agent } from 'node:http'
+import type { AnswerMemory } from '../../connection/answerMemory.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
 import type { TargetState } from '../../request/targetState.js'
@@ -33,6 +34,7 @@
   own: HostEntry
   view: PeerView
   codec: TargetCodec
+  memory: AnswerMemory
   roundTripTimes: RoundTripTimes
   metrics: GatewayMetrics
   getNow: () => number
@@ -163,7 +165,7 @@
 
   private call (host: HostEntry, method: typeof CarrierService.method.carry | typeof CarrierService.method.checkTarget, body: Uint8Array, handleSend: () => void, signal: AbortSignal): ReturnType<typeof sendPeerCall> {
     const connectTimeoutMs = CONNECT_TIMEOUT_MS + 2 * this.parts.roundTripTimes.find(host.region)
-    return sendPeerCall(this.agent, { ip: host.ip, port: host.peerPort, path: describeMethod(method), body, connectTimeoutMs, handleSend }, signal)
+    return sendPeerCall(this.agent, { ip: host.ip, port: host.peerPort, path: describeMethod(method), body, connectTimeoutMs, handleSend, memory: this.parts.memory }, signal)
   }
 
   private chooseHost ({ entry }: TargetState, allowedRegions: readonly string[], asked: ReadonlySet<string>, now: number): HostEntry | undefined {
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -87,8 +87,20 @@
     const read = await readBody(message, this.computeMaxBytes())
     if (read.kind === 'cut-short') return
     const answer = read.kind === 'whole' && message.headers['content-type'] === CARRIER_CONTENT_TYPE ? await this.answer({ message, body: read.body, signal: gone.signal }) : undefined
-    if (answer === undefined) response.writeHead(400).end()
-    else response.writeHead(200, { 'Content-Type': CARRIER_CONTENT_TYPE, 'Content-Length': answer.byteLength }).end(answer)
+    if (answer === undefined) {
+      response.writeHead(400).end()
+      return
+    }
+    this.holdUntilRead(response, answer.byteLength)
+    response.writeHead(200, { 'Content-Type': CARRIER_CONTENT_TYPE, 'Content-Length': answer.byteLength }).end(answer)
+  }
+
+  /** Counts an answer until the other host has received it or has closed the connection. */
+  private holdUntilRead (response: ServerResponse, bytes: number): void {
+    if (response.destroyed) return
+    this.parts.memory.hold(bytes)
+    const release = (): void => { this.parts.memory.release(bytes) }
+    response.once('close', release)
   }
 
   /** Returns the answer to a call; undefined if it is no call of a host of this deployment. */
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -1,4 +1,5 @@
 import { request, type Agent } from 'node:http'
+import type { AnswerMemory } from '../../connection/answerMemory.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
 import { PeerCallFailure } from './peerCallFailure.js'
 
@@ -11,6 +12,8 @@
   connectTimeoutMs: number
   /** Called once the connection is open and the call is written. */
   handleSend: () => void
+  /** Counts the bytes of the answer while they are received. */
+  memory: AnswerMemory
 }
 
 type PeerReply =
@@ -20,7 +23,7 @@
 const OK_STATUS = 200
 
 /** Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection. */
-export function sendPeerCall (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend }: PeerCall, signal: AbortSignal): Promise<PeerReply> {
+export function sendPeerCall (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> {
   return new Promise((resolve) => {
     const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength } })
     let wasSent = false
@@ -44,9 +47,15 @@
     outgoing.on('error', (error) => { resolveFailure(error.message) })
     outgoing.on('response', (response) => {
       const chunks: Buffer[] = []
-      response.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+      let bytes = 0
+      response.on('data', (chunk: Buffer) => {
+        bytes += chunk.byteLength
+        chunks.push(chunk)
+        if (!memory.hold(chunk.byteLength)) resolveFailure('the answer is larger than there is room for')
+      })
       response.on('error', (error) => { resolveFailure(error.message) })
       response.on('close', () => {
+        memory.release(bytes)
         if (!response.complete) resolveFailure('answer cut short')
         else if (response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
         else resolve({ kind: 'failed', failure: PeerCallFailure.refused, reason: `status ${response.statusCode}` })
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -127,6 +127,11 @@
     return waits.length === 0 ? undefined : Math.min(...waits)
   }
 
+  /** Whether the link to any target of the service is lost. */
+  hasLostLinks (): boolean {
+    return this.state.fleet.listTargets(this.service).some((target) => this.state.links.isLost(target))
+  }
+
   useRetry (now: number): boolean {
     return this.runtime.retryAllowance.use(now, this.state.countHosts())
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -206,7 +206,7 @@
   /** Returns the target for the request; undefined if there is none or if the request would wait there for too long to be on time. */
   private chooseAdmittedTarget (now: number): TargetChoice | undefined {
     const choice = this.placement.choose(this.request, this.triedIds, now)
-    if (choice === undefined) return this.refuseLimited(now)
+    if (choice === undefined) return this.refuseWithoutChoice(now)
     const retryAfterMs = this.decideAdmission(choice, now)
     if (retryAfterMs === 0) return choice
     this.refusal = { text: 'every target of the key is full', cause: RefusalReason.queueFull }
@@ -214,6 +214,11 @@
     return undefined
   }
 
+  private refuseWithoutChoice (now: number): undefined {
+    if (this.running.size === 0 && this.placement.hasLostLinks()) this.refusal = { text: 'the links to the targets that are left are lost, and no host that may carry the request reaches them', cause: RefusalReason.targetUnreachable }
+    return this.refuseLimited(now)
+  }
+
   // The Retry-After is drawn up to twice the wait, so that refused callers do not all return at the moment at which there is room for one.
   private refuseLimited (now: number): undefined {
     const waitMs = this.placement.computeLimitWait(now)
