--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -12,6 +12,7 @@
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { SuspectId } from '../quarantine/suspectId.js'
+import { askInRounds } from './askInRounds.js'
 import type { CarryOutcome } from './carryOutcome.js'
 import { chooseCarrier } from './chooseCarrier.js'
 import { decodeMessage } from './decodeMessage.js'
@@ -24,9 +25,8 @@
 const CONNECT_TIMEOUT_MS = 100
 /** Milliseconds within which a host must say whether it reaches a target, on top of its round trips: it may have to connect first. */
 const CHECK_TIMEOUT_MS = 400
-/** Maximum hosts that are asked to carry one attempt, and hosts that are asked about a target. */
+/** Maximum hosts that are asked to carry one attempt. */
 const MAX_CARRIERS = 3
-const MAX_ASKED = 3
 /** Milliseconds for which a host that could not carry an attempt is not asked again. */
 const BACKOFF_MS = 500
 
@@ -93,14 +93,8 @@
   }
 
   /** Asks other hosts whether they reach a target, now or at most `maxAgeMs` milliseconds ago. */
-  async askPeers (target: TargetState, maxAgeMs: number): Promise<PeerWord> {
-    const hosts = this.listHostsToAsk(target)
-    const answers = hosts.map(async (host) => this.checkTarget(host, target, maxAgeMs))
-    const firstReached = new Promise<PeerWord>((resolve) => {
-      for (const answer of answers) void answer.then((word) => { if (word === PeerWord.reached) resolve(word) })
-    })
-    const summary = Promise.all(answers).then((words) => words.includes(PeerWord.unreached) ? PeerWord.unreached : PeerWord.none)
-    return Promise.race([firstReached, summary])
+  askPeers (target: TargetState, maxAgeMs: number): Promise<PeerWord> {
+    return askInRounds(this.listHostsToAsk(target), (host) => this.checkTarget(host, target, maxAgeMs))
   }
 
   close (): void {
@@ -206,7 +200,7 @@
       .map(({ host }) => host)
     const byZone = new Map(hosts.toReversed().map((host) => [host.availabilityZone, host]))
     const firstOfZones = hosts.filter((host) => byZone.get(host.availabilityZone) === host)
-    return [...new Set([...firstOfZones, ...hosts])].slice(0, MAX_ASKED)
+    return [...new Set([...firstOfZones, ...hosts])]
   }
 }
 
