Remember for each target which hosts don't reach it

Cause: a host that could not carry an attempt was passed over for all targets of the zone, and only for half a second; with six of eight in the cut, three tries met hosts in the cut a third of the time.

Change: what a host doesn't reach is kept by target, for a second, from carried attempts and from answers to questions; a host without room is passed over for all targets for half a second as before. Four hosts are tried. Whether any host may carry to a target is asked without sorting all hosts.

--- a/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -57,17 +57,17 @@
   private async send (): Promise<Result> {
     const { pools, links, roundTripTimes, codec, getNow } = this.parts
     const { target } = this
-    if (links.isLost(target)) return refuse('the link to the target is lost here too', true)
+    if (links.isLost(target)) return refuseLost('the link to the target is lost here too')
     const refusal = this.findRefusal(getNow())
-    if (refusal !== undefined) return refuse(refusal, false)
+    if (refusal !== undefined) return refuse(refusal)
     const opened = await pools.get(target).acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * roundTripTimes.find(target.entry.region))
-    if (opened.kind === 'failed') return refuse(opened.failure, await links.verifyLoss(target))
+    if (opened.kind === 'failed') return await links.verifyLoss(target) ? refuseLost(opened.failure) : refuse(opened.failure)
     const { connection } = opened
     const sentAt = getNow()
     const lateRefusal = this.findRefusal(sentAt)
     if (lateRefusal !== undefined) {
       connection.release()
-      return refuse(lateRefusal, false)
+      return refuse(lateRefusal)
     }
     this.connection = connection
     const finishWaiting = links.addSend(target, sentAt)
@@ -101,10 +101,12 @@
   }
 }
 
-const refuse = (reason: string, tryElsewhere: boolean): Result => ({ case: 'notSent', value: { reason, tryElsewhere } })
+const refuse = (reason: string): Result => ({ case: 'notSent', value: { reason } })
+
+const refuseLost = (reason: string): Result => ({ case: 'notSent', value: { reason, tryElsewhere: true, linkLost: true } })
 
 const encodeResult = (result: AttemptResult): Result => {
-  if (result.kind === 'not-sent') return refuse(result.reason, false)
+  if (result.kind === 'not-sent') return refuse(result.reason)
   if (result.kind === 'broken') return { case: 'broken', value: result.reason }
   const { status, rawHeaders, closesConnection } = result.head
   return { case: 'answered', value: { status, headers: [...rawHeaders], body: result.body, keepsAlive: !closesConnection } }
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -3,6 +3,7 @@
 import { Agent } from 'node:http'
 import type { AnswerMemory } from '../../connection/answerMemory.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
+import type { TargetEntry } from '../../request/targetEntry.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
 import type { TargetState } from '../../request/targetState.js'
 import { computeHash } from '../../version/computeHash.js'
@@ -13,8 +14,10 @@
 import type { PeerView } from '../peers/peerView.js'
 import type { SuspectId } from '../quarantine/suspectId.js'
 import { askInRounds } from './askInRounds.js'
+import { CarrierMemory } from './carrierMemory.js'
 import type { CarryOutcome } from './carryOutcome.js'
 import { chooseCarrier } from './chooseCarrier.js'
+import { isAllowedRegion } from './isAllowedRegion.js'
 import { decodeMessage } from './decodeMessage.js'
 import { describeDistance } from './describeDistance.js'
 import { describeMethod } from './describeMethod.js'
@@ -26,9 +29,7 @@
 /** Milliseconds within which a host must say whether it reaches a target, on top of its round trips: it may have to connect first. */
 const CHECK_TIMEOUT_MS = 400
 /** Maximum hosts that are asked to carry one attempt. */
-const MAX_CARRIERS = 3
-/** Milliseconds for which a host that could not carry an attempt is not asked again. */
-const BACKOFF_MS = 500
+const MAX_CARRIERS = 4
 
 interface ClientParts {
   own: HostEntry
@@ -62,14 +63,14 @@
 export class CarrierClient {
   private readonly agent = new Agent({ keepAlive: true, scheduling: 'lifo', noDelay: true })
   private readonly carried = new Map<string, number>()
-  /** Monotonic milliseconds until which a host is not asked, by host name and availability zone of the target. */
-  private readonly backoffs = new Map<string, number>()
+  private readonly memory = new CarrierMemory()
 
   constructor (private readonly parts: ClientParts) {}
 
   /** Whether there is a host that may carry a request to a target. */
-  hasCarrier (target: TargetState, allowedRegions: readonly string[], now: number): boolean {
-    return this.chooseHost(target, allowedRegions, new Set(), now) !== undefined
+  hasCarrier ({ entry }: TargetState, allowedRegions: readonly string[], now: number): boolean {
+    const { own, view } = this.parts
+    return view.listLive(now).some((host) => host.name !== own.name && isAllowedRegion(host.region, allowedRegions) && this.isUsable(host, entry, now))
   }
 
   /** Sends an attempt to a target by way of another host; of several, one after the other, as long as nothing was sent to the target. */
@@ -112,13 +113,14 @@
     metrics.countIndirectAttempt('sent', reply.kind === 'answered' ? 'answered' : reply.failure)
     if (reply.kind === 'failed') {
       if (reply.failure === PeerCallFailure.answerLost) return { result: { kind: 'broken', reason: `${host.name} gave no answer: ${reply.reason}` }, carrier: host.name, isCarrierFault: true }
-      if (!signal.aborted) this.suspendHost(host, attempt.target)
+      if (!signal.aborted) this.memory.observeNoRoom(host.name, getNow())
       return reply.reason
     }
     const response = decodeMessage(CarryResponseSchema, reply.body)
     if (response === undefined) return { result: { kind: 'broken', reason: `${host.name} gave an answer that can't be read` }, carrier: host.name, isCarrierFault: true }
     if (response.result.case === 'notSent' && response.result.value.tryElsewhere) {
-      this.suspendHost(host, attempt.target)
+      if (response.result.value.linkLost) this.memory.observeNotReached(host.name, attempt.target.entry.id, getNow())
+      else this.memory.observeNoRoom(host.name, getNow())
       return response.result.value.reason
     }
     return { result: this.decodeResult(response.result), carrier: host.name, isCarrierFault: false }
@@ -154,7 +156,9 @@
     const timeoutMs = CHECK_TIMEOUT_MS + 2 * roundTripTimes.find(host.region) + 2 * roundTripTimes.find(target.entry.region)
     const reply = await this.call(host, CarrierService.method.checkTarget, body, () => undefined, AbortSignal.timeout(Math.ceil(timeoutMs)))
     const answer = reply.kind === 'answered' ? decodeMessage(CheckTargetResponseSchema, reply.body) : undefined
-    return describeAnswer(answer)
+    const word = describeAnswer(answer)
+    if (word === PeerWord.unreached) this.memory.observeNotReached(host.name, target.entry.id, this.parts.getNow())
+    return word
   }
 
   private call (host: HostEntry, method: typeof CarrierService.method.carry | typeof CarrierService.method.checkTarget, body: Uint8Array, handleSend: () => void, signal: AbortSignal): ReturnType<typeof sendPeerCall> {
@@ -168,18 +172,14 @@
       own,
       target: entry,
       allowedRegions,
-      isUsable: (host) => !asked.has(host.name) && this.isUsable(host, entry.availabilityZone, now),
+      isUsable: (host) => !asked.has(host.name) && this.isUsable(host, entry, now),
       countCarried: (host) => this.countCarried(host),
       random
     })
   }
 
-  private isUsable (host: HostEntry, availabilityZone: string, now: number): boolean {
-    return now >= (this.backoffs.get(describeBackoff(host, availabilityZone)) ?? -Infinity) && !this.parts.view.findLostZones(host.name).includes(computeHash(availabilityZone))
-  }
-
-  private suspendHost (host: HostEntry, { entry }: TargetState): void {
-    this.backoffs.set(describeBackoff(host, entry.availabilityZone), this.parts.getNow() + BACKOFF_MS)
+  private isUsable ({ name }: HostEntry, { id, availabilityZone }: TargetEntry, now: number): boolean {
+    return this.memory.isUsable(name, id, now) && !this.parts.view.findLostZones(name).includes(computeHash(availabilityZone))
   }
 
   private countCarried ({ name }: HostEntry): number {
@@ -194,7 +194,7 @@
       if (availabilityZone !== own.availabilityZone && availabilityZone === entry.availabilityZone) return 0
       return region === own.region ? 1 : 2
     }
-    const hosts = view.listLive(now).filter((host) => host.name !== own.name && this.isUsable(host, entry.availabilityZone, now))
+    const hosts = view.listLive(now).filter(({ name }) => name !== own.name && !view.findLostZones(name).includes(computeHash(entry.availabilityZone)))
       .map((host) => ({ host, order: rank(host) + random() }))
       .sort((one, other) => one.order - other.order)
       .map(({ host }) => host)
@@ -204,8 +204,6 @@
   }
 }
 
-const describeBackoff = ({ name }: HostEntry, availabilityZone: string): string => `${name} ${availabilityZone}`
-
 const describeAnswer = (answer: CheckTargetResponse | undefined): PeerWord => {
   if (answer === undefined || answer.unknown) return PeerWord.none
   return answer.reached ? PeerWord.reached : PeerWord.unreached
--- a/packages/almondrelay-gateway/src/process/carriers/chooseCarrier.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/chooseCarrier.ts
@@ -1,4 +1,5 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
+import { isAllowedRegion } from './isAllowedRegion.js'
 
 interface CarrierContext {
   own: HostEntry
@@ -22,7 +23,7 @@
  */
 export function chooseCarrier (hosts: readonly HostEntry[], context: CarrierContext): HostEntry | undefined {
   const { own, target, allowedRegions, isUsable } = context
-  const usable = hosts.filter((host) => host.name !== own.name && (allowedRegions.length === 0 || allowedRegions.includes(host.region)) && isUsable(host))
+  const usable = hosts.filter((host) => host.name !== own.name && isAllowedRegion(host.region, allowedRegions) && isUsable(host))
   const onTheWay = usable.filter(({ availabilityZone }) => availabilityZone === own.availabilityZone || availabilityZone === target.availabilityZone)
   if (onTheWay.length > 0) return pickLessLoaded(onTheWay, context)
   const nearby = usable.filter(({ region }) => region === own.region || region === target.region)
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -35,7 +35,6 @@
     const { targetLatencyMs } = request.route
     const times = this.runtime.findTimes(request.route.name)
     const isRegionOpen = this.findOpenRegions(request.allowedRegions)
-    const canReach = this.findReachable(request.allowedRegions, now)
     return chooseTarget(fleet.listTargets(this.service), {
       now,
       keyHash: this.keyHash,
@@ -45,7 +44,7 @@
       coldMs: times.getColdMs(targetLatencyMs),
       meanMs: this.runtime.times.getMeanMs(targetLatencyMs),
       targetLatencyMs,
-      isEligible: (target) => !triedIds.has(target.entry.id) && isRegionOpen(target.entry.region) && !this.state.isClosed(target) && canReach(target),
+      isEligible: (target) => !triedIds.has(target.entry.id) && isRegionOpen(target.entry.region) && !this.state.isClosed(target) && this.isReachable(target, request.allowedRegions, now),
       allowCold: (target) => this.state.allowCold(target, now),
       allowSend: (target) => this.state.sendLimiter.allow(target, now),
       isLimited: (target) => this.state.sendLimiter.isLimited(target, now),
@@ -144,17 +143,8 @@
     return this.state.steering.findWeights(this.service)
   }
 
-  /** Returns a check that looks for a host that could carry the request only once for each availability zone. */
-  private findReachable (allowedRegions: readonly string[], now: number): (target: TargetState) => boolean {
-    const { links, carriers } = this.state
-    const results = new Map<string, boolean>()
-    return (target) => {
-      if (!links.isLost(target)) return true
-      const { availabilityZone } = target.entry
-      const hasCarrier = results.get(availabilityZone) ?? carriers.hasCarrier(target, allowedRegions, now)
-      results.set(availabilityZone, hasCarrier)
-      return hasCarrier
-    }
+  private isReachable (target: TargetState, allowedRegions: readonly string[], now: number): boolean {
+    return !this.state.links.isLost(target) || this.state.carriers.hasCarrier(target, allowedRegions, now)
   }
 
   /** Returns a check that evaluates each region once per choice, because under a cap each evaluation sums up the requests running there. */
--- a/packages/almondrelay-gateway/src/process/links/__fixtures__/linkFleet.ts
+++ b/packages/almondrelay-gateway/src/process/links/__fixtures__/linkFleet.ts
@@ -9,6 +9,7 @@
 import { EventLog } from '../../observe/eventLog.js'
 import { GatewayMetrics } from '../../observe/gatewayMetrics.js'
 import { askInRounds } from '../../carriers/askInRounds.js'
+import { CarrierMemory } from '../../carriers/carrierMemory.js'
 import { LinkMonitor } from '../linkMonitor.js'
 import { PeerWord } from '../peerWord.js'
 
@@ -16,7 +17,7 @@
 const WORK_MS = 100
 const TIMEOUT_MS = 2_000
 const CONNECT_TIMEOUT_MS = 304
-const MAX_CARRIERS = 3
+const MAX_CARRIERS = 4
 const MAX_ATTEMPTS = 2
 /** Time that a request waits for the verdict on a link. */
 const VERDICT_MS = 30
@@ -47,6 +48,7 @@
   zone: number
   targets: TargetState[]
   monitor: LinkMonitor
+  memory: CarrierMemory
 }
 
 interface ModelRequest {
@@ -127,7 +129,7 @@
       getNow,
       sleep: this.clock.sleep
     })
-    return { index, zone: Math.floor(index / hostsPerZone), targets, monitor }
+    return { index, zone: Math.floor(index / hostsPerZone), targets, monitor, memory: new CarrierMemory() }
   }
 
   private findPath (host: number, target: number): Path {
@@ -157,10 +159,12 @@
   private askPeers (host: number, target: number): Promise<PeerWord> {
     const zone = Math.floor(target / this.options.targetsPerZone)
     const peers = this.sortRandomly(this.hosts.filter(({ index, monitor }) => index !== host && !monitor.listLostZones().includes(`z-${zone}`)))
-    return askInRounds(peers, async ({ monitor, targets }) => {
+    return askInRounds(peers, async ({ index, monitor, targets }) => {
       await this.clock.sleep(ROUND_TRIP_MS, this.stop.signal)
       const state = targets[target] as TargetState
-      return !monitor.isLost(state) && await monitor.probe(state) ? PeerWord.reached : PeerWord.unreached
+      if (!monitor.isLost(state) && await monitor.probe(state)) return PeerWord.reached
+      this.hosts[host]?.memory.observeNotReached(String(index), String(target), this.clock.now)
+      return PeerWord.unreached
     })
   }
 
@@ -211,8 +215,11 @@
   private async sendIndirectly (host: ModelHost, target: number, request: ModelRequest): Promise<boolean> {
     request.wasCarried = true
     const zone = `z-${Math.floor(target / this.options.targetsPerZone)}`
-    for (const peer of this.sortRandomly(this.hosts.filter(({ index, monitor }) => index !== host.index && !monitor.listLostZones().includes(zone))).slice(0, MAX_CARRIERS)) {
-      if (peer.monitor.isLost(peer.targets[target] as TargetState)) continue
+    for (const peer of this.sortRandomly(this.hosts.filter(({ index, monitor }) => index !== host.index && !monitor.listLostZones().includes(zone) && host.memory.isUsable(String(index), String(target), this.clock.now))).slice(0, MAX_CARRIERS)) {
+      if (peer.monitor.isLost(peer.targets[target] as TargetState)) {
+        host.memory.observeNotReached(String(peer.index), String(target), this.clock.now)
+        continue
+      }
       const path = this.findPath(peer.index, target)
       if (path === 'up') return true
       await this.handleFailure(peer, peer.targets[target] as TargetState, path === 'hang' ? ConnectFailure.timedOut : ConnectFailure.refused)
