Survive addresses that can't be connected to, and don't probe targets that leave

What callers saw: nothing yet; a host's process could end.

Cause: a probe or a call to another host throws at once for an impossible port, and nothing handled the rejection. A probe of a target that had left created a pool of connections for it that nothing removed.

Change: such a probe has failed, with a line in the log; nothing was sent by such a call; leaving targets count as not reached.

--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -50,7 +50,7 @@
   private readonly carrierFleet = new FleetState(FLEET_LISTENER)
   private readonly server: CarrierServer
 
-  private constructor (targetPort: number, private readonly carrier: HostEntry, ownIp: string) {
+  private constructor (targetPort: number, readonly carrier: HostEntry, ownIp: string) {
     const now = performance.now()
     const originFleet = new FleetState(FLEET_LISTENER)
     for (const host of [this.origin, carrier]) originFleet.putHost(host)
--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { startScriptedTarget } from '../../../connection/__fixtures__/scriptedTarget.js'
+import { PeerWord } from '../../links/peerWord.js'
 import { CarrierRig } from '../__fixtures__/carrierRig.js'
 
 const test = suite('attempts by way of another host')
@@ -135,6 +136,14 @@
   assert.is(sends, 0)
 })
 
+// Guards against a process that ends because a host's entry has an address that can't be connected to.
+test('nothing was sent if the address of the other host is none', async () => {
+  const carrierRig = await start()
+  carrierRig.carrier.peerPort = 70_000
+  assert.is((await carrierRig.carry()).result.kind, 'not-sent')
+  assert.is(await carrierRig.client.askPeers(carrierRig.originTarget, 0), PeerWord.none)
+})
+
 // Guards against a host that sends anybody's requests to its targets, or to any address.
 test('calls from an address that is no host\'s are refused, and so is whatever is no call', async () => {
   const carrierRig = await start(undefined, '127.0.0.9')
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -23,8 +23,17 @@
 const OK_STATUS = 200
 
 /** Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection. */
-export function sendPeerCall (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> {
-  return new Promise((resolve) => {
+export async function sendPeerCall (agent: Agent, call: PeerCall, signal: AbortSignal): Promise<PeerReply> {
+  try {
+    return await sendUnaryCall(agent, call, signal)
+  } catch (error) {
+    // The address in the other host's entry can't be connected to.
+    return { kind: 'failed', failure: PeerCallFailure.notSent, reason: (error as Error).message }
+  }
+}
+
+const sendUnaryCall = (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> =>
+  new Promise((resolve) => {
     const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength } })
     let wasSent = false
     const resolveFailure = (reason: string): void => {
@@ -62,4 +71,3 @@
       })
     })
   })
-}
--- a/packages/almondrelay-gateway/src/process/links/__tests__/linkMonitor.test.ts
+++ b/packages/almondrelay-gateway/src/process/links/__tests__/linkMonitor.test.ts
@@ -79,6 +79,21 @@
   assert.equal(exits, [target])
 })
 
+// Guards against a process that ends because a target's entry has an address that can't be connected to.
+test('an error while a target is probed counts as a failed probe', async () => {
+  const { monitor, targets: [target], exits } = createRig({ reaches: () => Promise.reject(new Error('no such port')), peerWord: PeerWord.unreached })
+  assert.not(await monitor.probe(target as TargetState))
+  monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
+  await waitForChecks()
+  assert.equal(exits, [])
+})
+
+test('a target that is leaving is not probed', async () => {
+  const { monitor, targets: [target] } = createRig({ reaches: () => true, peerWord: PeerWord.reached })
+  target?.markLeaving()
+  assert.not(await monitor.probe(target as TargetState))
+})
+
 // Guards against a flood of questions among hosts when many targets exit together.
 test('few targets are asked about at the same time, and each once within half a second', async () => {
   const { monitor, targets, questions } = createRig({ reaches: () => true, peerWord: PeerWord.unreached, targets: 40 })
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -105,10 +105,7 @@
   probe (target: TargetState): Promise<boolean> {
     const running = this.probes.get(target)
     if (running !== undefined) return running
-    const timeoutMs = PROBE_TIMEOUT_MS + 2 * this.parts.roundTripTimes.find(target.entry.region)
-    const probe = this.parts.pools.get(target).probe(target.entry, timeoutMs, false)
-      .then(({ kind }) => kind === 'connected')
-      .finally(() => { this.probes.delete(target) })
+    const probe = this.connect(target).finally(() => { this.probes.delete(target) })
     this.probes.set(target, probe)
     return probe
   }
@@ -127,6 +124,18 @@
     }
   }
 
+  private async connect (target: TargetState): Promise<boolean> {
+    if (target.isLeaving()) return false
+    const { pools, roundTripTimes, log } = this.parts
+    try {
+      const opened = await pools.get(target).probe(target.entry, PROBE_TIMEOUT_MS + 2 * roundTripTimes.find(target.entry.region), false)
+      return opened.kind === 'connected'
+    } catch (error) {
+      log.logError('a target could not be probed', error as Error)
+      return false
+    }
+  }
+
   private async probeSilent (target: TargetState): Promise<void> {
     if (this.table.isLost(target) || target.isLeaving() || await this.probe(target)) return
     await this.check(target)
