Drop a parameter of the question to other hosts that was always 0

Cause: the age up to which an earlier contact counts was never used: an answer must be newer than the failure it is about.

Change: the parameter and its field are gone; the zone's last contact is read in one place.

--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -141,7 +141,7 @@
   const carrierRig = await start()
   carrierRig.carrier.peerPort = 70_000
   assert.is((await carrierRig.carry()).result.kind, 'not-sent')
-  assert.is(await carrierRig.client.askPeers(carrierRig.originTarget, 0), PeerWord.none)
+  assert.is(await carrierRig.client.askPeers(carrierRig.originTarget), PeerWord.none)
 })
 
 // Guards against a host that sends anybody's requests to its targets, or to any address.
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -93,9 +93,9 @@
     return { result: { kind: 'not-sent', reason }, carrier, isCarrierFault: false }
   }
 
-  /** Asks other hosts whether they reach a target, now or at most `maxAgeMs` milliseconds ago. */
-  askPeers (target: TargetState, maxAgeMs: number): Promise<PeerWord> {
-    return askInRounds(this.listHostsToAsk(target), (host) => this.checkTarget(host, target, maxAgeMs))
+  /** Asks other hosts whether they reach a target. */
+  askPeers (target: TargetState): Promise<PeerWord> {
+    return askInRounds(this.listHostsToAsk(target), (host) => this.checkTarget(host, target))
   }
 
   close (): void {
@@ -150,9 +150,9 @@
     }))
   }
 
-  private async checkTarget (host: HostEntry, target: TargetState, maxAgeMs: number): Promise<PeerWord> {
+  private async checkTarget (host: HostEntry, target: TargetState): Promise<PeerWord> {
     const { own, roundTripTimes } = this.parts
-    const body = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: own.name, target: target.entry.id, targetHash: target.incarnationHash, maxAgeMs }))
+    const body = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: own.name, target: target.entry.id, targetHash: target.incarnationHash }))
     const timeoutMs = CHECK_TIMEOUT_MS + 2 * roundTripTimes.find(host.region) + 2 * roundTripTimes.find(target.entry.region)
     const reply = await this.call(host, CarrierService.method.checkTarget, body, () => undefined, AbortSignal.timeout(Math.ceil(timeoutMs)))
     const answer = reply.kind === 'answered' ? decodeMessage(CheckTargetResponseSchema, reply.body) : undefined
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -151,11 +151,10 @@
   }
 
   private async checkTarget (call: CheckTargetRequest): Promise<CheckTargetResponse> {
-    const { links, getNow } = this.parts
+    const { links } = this.parts
     const target = this.findTarget(call)
     if (target === undefined || target.isLeaving()) return create(CheckTargetResponseSchema, { unknown: true })
-    const isRecent = target.computeContactAge(getNow()) < call.maxAgeMs
-    return create(CheckTargetResponseSchema, { reached: !links.isLost(target) && (isRecent || await links.probe(target)) })
+    return create(CheckTargetResponseSchema, { reached: !links.isLost(target) && await links.probe(target) })
   }
 
   /** Finds the target of a call by its id and incarnation; its address is the one that this host knows. */
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -77,7 +77,7 @@
       }
     })
     this.carriers = new CarrierClient({ ...parts, view: parts.peers, roundTripTimes: this.roundTripTimes })
-    this.links = new LinkMonitor({ ...parts, pools: this.pools, roundTripTimes: this.roundTripTimes, listTargets: () => fleet.listAllTargets(), askPeers: (target, maxAgeMs) => this.carriers.askPeers(target, maxAgeMs), handleLoss: parts.handleLinkLoss })
+    this.links = new LinkMonitor({ ...parts, pools: this.pools, roundTripTimes: this.roundTripTimes, listTargets: () => fleet.listAllTargets(), askPeers: (target) => this.carriers.askPeers(target), handleLoss: parts.handleLinkLoss })
     this.prober = new TargetProber(this.pools, this.roundTripTimes, signal)
     this.coldAllowance = new ColdAllowance(settings.host.name)
     this.sendLimiter = new SendLimiter({ ownHost: settings.host.name, announcements: parts.announcements, listSenders: (region, now) => parts.peers.listSenders(region, now), random })
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -27,8 +27,8 @@
   pools: TargetPools
   roundTripTimes: RoundTripTimes
   listTargets: () => Iterable<TargetState>
-  /** Asks other hosts whether they reach a target, now or at most `maxAgeMs` milliseconds ago. */
-  askPeers: (target: TargetState, maxAgeMs: number) => Promise<PeerWord>
+  /** Asks other hosts whether they reach a target. */
+  askPeers: (target: TargetState) => Promise<PeerWord>
   /** Called when a target's process has exited: its address refuses connections and none is open. */
   handleExit: (target: TargetState, now: number) => void
   /** Called when links count as lost, for requests that wait for answers over them. */
@@ -163,7 +163,7 @@
 
   private async findVerdict (target: TargetState): Promise<LinkVerdict> {
     const startedAt = this.parts.getNow()
-    const word = await this.parts.askPeers(target, 0)
+    const word = await this.parts.askPeers(target)
     const hasControl = word === PeerWord.reached || await this.probeControls(target, startedAt)
     const now = this.parts.getNow()
     const verdict = this.decideVerdict(target, word, hasControl, now - startedAt)
--- a/packages/almondrelay-gateway/src/process/links/linkTable.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkTable.ts
@@ -56,11 +56,6 @@
     this.zoneContacts.set(target.entry.availabilityZone, now)
   }
 
-  /** Returns the time of the last contact with a target of an availability zone; -Infinity before the first. */
-  findZoneContact (availabilityZone: string): number {
-    return this.zoneContacts.get(availabilityZone) ?? -Infinity
-  }
-
   /** Records that the link to a target is lost. Returns the availability zones that count as lost from now on. */
   markLost (target: TargetState, now: number): string[] {
     if (this.isLost(target)) return []
@@ -114,7 +109,7 @@
     const lost = [...this.lostSinceContact.keys()]
     const zones = new Set(lost.map(({ entry }) => entry.availabilityZone))
     if (lost.length >= MIN_LINKS_OF_ALL && zones.size >= MIN_ZONES_OF_ALL) return this.listIntactZones()
-    const zoneContact = this.findZoneContact(availabilityZone)
+    const zoneContact = this.zoneContacts.get(availabilityZone) ?? -Infinity
     const inZone = [...this.lostTargets].filter(([target, { lostAt }]) => target.entry.availabilityZone === availabilityZone && lostAt > zoneContact)
     return inZone.length >= Math.min(MIN_LINKS_OF_ZONE, this.listZoneTargets(availabilityZone).length) ? [availabilityZone] : []
   }
