Call what other hosts say of a target its reach

Cause: 'word' says little to a reader who wasn't there.

Change: PeerWord is PeerReach; names in the two folders follow. Behaviour is as before.

Measured: the tests of process/links and process/carriers, 45 of 45.

--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -2,7 +2,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { startScriptedTarget } from '../../../connection/__fixtures__/scriptedTarget.js'
-import { PeerWord } from '../../links/peerWord.js'
+import { PeerReach } from '../../links/peerReach.js'
 import { CarrierRig } from '../__fixtures__/carrierRig.js'
 
 const test = suite('attempts by way of another host')
@@ -141,7 +141,7 @@
   const carrierRig = await start()
   carrierRig.carrier.peerPort = 70_000
   assert.is((await carrierRig.carry()).result.kind, 'not-sent')
-  assert.is(await carrierRig.client.askPeers(carrierRig.originTarget), PeerWord.none)
+  assert.is(await carrierRig.client.askPeers(carrierRig.originTarget), PeerReach.none)
 })
 
 // Guards against a host that sends anybody's requests to its targets, or to any address.
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -9,7 +9,7 @@
 import { computeHash } from '../../version/computeHash.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RoundTripTimes } from '../forward/roundTripTimes.js'
-import { PeerWord } from '../links/peerWord.js'
+import { PeerReach } from '../links/peerReach.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { SuspectId } from '../quarantine/suspectId.js'
@@ -94,7 +94,7 @@
   }
 
   /** Asks other hosts whether they reach a target. */
-  askPeers (target: TargetState): Promise<PeerWord> {
+  askPeers (target: TargetState): Promise<PeerReach> {
     return askInRounds(this.listHostsToAsk(target), (host) => this.checkTarget(host, target))
   }
 
@@ -150,15 +150,15 @@
     }))
   }
 
-  private async checkTarget (host: HostEntry, target: TargetState): Promise<PeerWord> {
+  private async checkTarget (host: HostEntry, target: TargetState): Promise<PeerReach> {
     const { own, roundTripTimes } = this.parts
     const body = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: own.name, target: target.entry.id, targetHash: target.incarnationHash }))
     const timeoutMs = CHECK_TIMEOUT_MS + 2 * roundTripTimes.find(host.region) + 2 * roundTripTimes.find(target.entry.region)
     const reply = await this.call(host, CarrierService.method.checkTarget, body, () => undefined, AbortSignal.timeout(Math.ceil(timeoutMs)))
     const answer = reply.kind === 'answered' ? decodeMessage(CheckTargetResponseSchema, reply.body) : undefined
-    const word = describeAnswer(answer)
-    if (word === PeerWord.unreached) this.memory.observeNotReached(host.name, target.entry.id, this.parts.getNow())
-    return word
+    const reach = describeAnswer(answer)
+    if (reach === PeerReach.unreached) this.memory.observeNotReached(host.name, target.entry.id, this.parts.getNow())
+    return reach
   }
 
   private call (host: HostEntry, method: typeof CarrierService.method.carry | typeof CarrierService.method.checkTarget, body: Uint8Array, handleSend: () => void, signal: AbortSignal): ReturnType<typeof sendPeerCall> {
@@ -204,7 +204,7 @@
   }
 }
 
-const describeAnswer = (answer: CheckTargetResponse | undefined): PeerWord => {
-  if (answer === undefined || answer.unknown) return PeerWord.none
-  return answer.reached ? PeerWord.reached : PeerWord.unreached
+const describeAnswer = (answer: CheckTargetResponse | undefined): PeerReach => {
+  if (answer === undefined || answer.unknown) return PeerReach.none
+  return answer.reached ? PeerReach.reached : PeerReach.unreached
 }
--- a/packages/almondrelay-gateway/src/process/links/__fixtures__/linkFleet.ts
+++ b/packages/almondrelay-gateway/src/process/links/__fixtures__/linkFleet.ts
@@ -11,7 +11,7 @@
 import { askInRounds } from '../../carriers/askInRounds.js'
 import { CarrierMemory } from '../../carriers/carrierMemory.js'
 import { LinkMonitor } from '../linkMonitor.js'
-import { PeerWord } from '../peerWord.js'
+import { PeerReach } from '../peerReach.js'
 
 const ROUND_TRIP_MS = 2
 const WORK_MS = 100
@@ -156,15 +156,15 @@
     monitor.observeConnect(state, this.clock.now)
   }
 
-  private askPeers (host: number, target: number): Promise<PeerWord> {
+  private askPeers (host: number, target: number): Promise<PeerReach> {
     const zone = Math.floor(target / this.options.targetsPerZone)
     const peers = this.sortRandomly(this.hosts.filter(({ index, monitor }) => index !== host && !monitor.listLostZones().includes(`z-${zone}`)))
     return askInRounds(peers, async ({ index, monitor, targets }) => {
       await this.clock.sleep(ROUND_TRIP_MS, this.stop.signal)
       const state = targets[target] as TargetState
-      if (!monitor.isLost(state) && await monitor.probe(state)) return PeerWord.reached
+      if (!monitor.isLost(state) && await monitor.probe(state)) return PeerReach.reached
       this.hosts[host]?.memory.observeNotReached(String(index), String(target), this.clock.now)
-      return PeerWord.unreached
+      return PeerReach.unreached
     })
   }
 
--- a/packages/almondrelay-gateway/src/process/links/__tests__/linkMonitor.test.ts
+++ b/packages/almondrelay-gateway/src/process/links/__tests__/linkMonitor.test.ts
@@ -9,18 +9,18 @@
 import { EventLog } from '../../observe/eventLog.js'
 import { GatewayMetrics } from '../../observe/gatewayMetrics.js'
 import { LinkMonitor } from '../linkMonitor.js'
-import { PeerWord } from '../peerWord.js'
+import { PeerReach } from '../peerReach.js'
 
 const test = suite('LinkMonitor')
 
 interface RigOptions {
   /** Whether this host reaches a target. */
   reaches: (target: TargetState) => boolean | Promise<boolean>
-  peerWord: PeerWord
+  peerReach: PeerReach
   targets?: number
 }
 
-const createRig = ({ reaches, peerWord, targets: count = 3 }: RigOptions): { monitor: LinkMonitor, targets: TargetState[], exits: TargetState[], questions: TargetState[] } => {
+const createRig = ({ reaches, peerReach, targets: count = 3 }: RigOptions): { monitor: LinkMonitor, targets: TargetState[], exits: TargetState[], questions: TargetState[] } => {
   const targets = Array.from({ length: count }, (_, index) => makeTarget({ id: `i-${index}` }))
   const exits: TargetState[] = []
   const questions: TargetState[] = []
@@ -32,7 +32,7 @@
     listTargets: () => targets,
     askPeers: async (target) => {
       questions.push(target)
-      return peerWord
+      return peerReach
     },
     handleExit: (target) => { exits.push(target) },
     handleLoss: () => undefined,
@@ -46,7 +46,7 @@
 const waitForChecks = async (): Promise<void> => { await new Promise((resolve) => { setTimeout(resolve, 5) }) }
 
 test('a target that refuses connections of this host and is reached by another one has a lost link, and has not exited', async () => {
-  const { monitor, targets: [target, other], exits } = createRig({ reaches: () => false, peerWord: PeerWord.reached })
+  const { monitor, targets: [target, other], exits } = createRig({ reaches: () => false, peerReach: PeerReach.reached })
   monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
   assert.ok(await monitor.verifyLoss(target as TargetState))
   await waitForChecks()
@@ -55,7 +55,7 @@
 })
 
 test('a target that no host reaches has exited if this host reaches another one', async () => {
-  const { monitor, targets: [target], exits } = createRig({ reaches: ({ entry }) => entry.id !== 'i-0', peerWord: PeerWord.unreached })
+  const { monitor, targets: [target], exits } = createRig({ reaches: ({ entry }) => entry.id !== 'i-0', peerReach: PeerReach.unreached })
   monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
   assert.not(await monitor.verifyLoss(target as TargetState))
   await waitForChecks()
@@ -64,7 +64,7 @@
 
 // Guards against innocent requests in quarantine while a host and the hosts that it asks are in the same cut.
 test('no exit is counted by a host that reaches no other target either', async () => {
-  const { monitor, targets: [target], exits } = createRig({ reaches: () => false, peerWord: PeerWord.unreached })
+  const { monitor, targets: [target], exits } = createRig({ reaches: () => false, peerReach: PeerReach.unreached })
   monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
   await waitForChecks()
   assert.equal(exits, [])
@@ -72,7 +72,7 @@
 
 // Guards against an exit that is missed because another host's question makes this host probe the target at that moment.
 test('a refused connection counts as an exit also while the target is being probed', async () => {
-  const { monitor, targets: [target], exits } = createRig({ reaches: ({ entry }) => entry.id === 'i-0' ? new Promise<boolean>(() => undefined) : true, peerWord: PeerWord.unreached })
+  const { monitor, targets: [target], exits } = createRig({ reaches: ({ entry }) => entry.id === 'i-0' ? new Promise<boolean>(() => undefined) : true, peerReach: PeerReach.unreached })
   void monitor.probe(target as TargetState)
   monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
   await waitForChecks()
@@ -81,7 +81,7 @@
 
 // Guards against a process that ends because a target's entry has an address that can't be connected to.
 test('an error while a target is probed counts as a failed probe', async () => {
-  const { monitor, targets: [target], exits } = createRig({ reaches: () => Promise.reject(new Error('no such port')), peerWord: PeerWord.unreached })
+  const { monitor, targets: [target], exits } = createRig({ reaches: () => Promise.reject(new Error('no such port')), peerReach: PeerReach.unreached })
   assert.not(await monitor.probe(target as TargetState))
   monitor.handleConnectFailure(target as TargetState, ConnectFailure.refused, true)
   await waitForChecks()
@@ -89,14 +89,14 @@
 })
 
 test('a target that is leaving is not probed', async () => {
-  const { monitor, targets: [target] } = createRig({ reaches: () => true, peerWord: PeerWord.reached })
+  const { monitor, targets: [target] } = createRig({ reaches: () => true, peerReach: PeerReach.reached })
   target?.markLeaving()
   assert.not(await monitor.probe(target as TargetState))
 })
 
 // Guards against a flood of questions among hosts when many targets exit together.
 test('few targets are asked about at the same time, and each once within half a second', async () => {
-  const { monitor, targets, questions } = createRig({ reaches: () => true, peerWord: PeerWord.unreached, targets: 40 })
+  const { monitor, targets, questions } = createRig({ reaches: () => true, peerReach: PeerReach.unreached, targets: 40 })
   for (const target of [...targets, ...targets]) monitor.handleConnectFailure(target, ConnectFailure.timedOut, false)
   await waitForChecks()
   for (const target of targets.slice(0, 4)) monitor.handleConnectFailure(target, ConnectFailure.timedOut, false)
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -6,7 +6,7 @@
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import { LinkTable } from './linkTable.js'
 import { LinkVerdict } from './linkVerdict.js'
-import { PeerWord } from './peerWord.js'
+import { PeerReach } from './peerReach.js'
 import { SilenceDetector } from './silenceDetector.js'
 
 /** Milliseconds between two looks for silent targets and due probes. */
@@ -19,7 +19,6 @@
 const MAX_CHECKS = 4
 /** Milliseconds for which a request waits for a verdict before it goes to another target. */
 const MAX_WAIT_MS = 150
-
 /** Other targets that are probed to see whether this host's own links work. */
 const MAX_CONTROLS = 3
 
@@ -28,7 +27,7 @@
   roundTripTimes: RoundTripTimes
   listTargets: () => Iterable<TargetState>
   /** Asks other hosts whether they reach a target. */
-  askPeers: (target: TargetState) => Promise<PeerWord>
+  askPeers: (target: TargetState) => Promise<PeerReach>
   /** Called when a target's process has exited: its address refuses connections and none is open. */
   handleExit: (target: TargetState, now: number) => void
   /** Called when links count as lost, for requests that wait for answers over them. */
@@ -163,20 +162,20 @@
 
   private async findVerdict (target: TargetState): Promise<LinkVerdict> {
     const startedAt = this.parts.getNow()
-    const word = await this.parts.askPeers(target)
-    const hasControl = word === PeerWord.reached || await this.probeControls(target, startedAt)
+    const reach = await this.parts.askPeers(target)
+    const hasControl = reach === PeerReach.reached || await this.probeControls(target, startedAt)
     const now = this.parts.getNow()
-    const verdict = this.decideVerdict(target, word, hasControl, now - startedAt)
+    const verdict = this.decideVerdict(target, reach, hasControl, now - startedAt)
     this.verdicts.set(target, { verdict, at: now })
     if (verdict === LinkVerdict.lost && !this.table.isLost(target)) this.markLost(target, now)
     return verdict
   }
 
-  private decideVerdict (target: TargetState, word: PeerWord, hasControl: boolean, durationMs: number): LinkVerdict {
+  private decideVerdict (target: TargetState, reach: PeerReach, hasControl: boolean, durationMs: number): LinkVerdict {
     if (this.table.isLost(target)) return LinkVerdict.lost
     if (target.isLeaving()) return LinkVerdict.targetDown
     if (target.computeContactAge(this.parts.getNow()) < durationMs) return LinkVerdict.up
-    if (word === PeerWord.reached) return LinkVerdict.lost
+    if (reach === PeerReach.reached) return LinkVerdict.lost
     return hasControl ? LinkVerdict.targetDown : LinkVerdict.unclear
   }
 
--- a/packages/almondrelay-gateway/src/process/links/peerWord.ts
+++ b/packages/almondrelay-gateway/src/process/links/peerReach.ts
@@ -1,5 +1,5 @@
 /** What the other hosts that were asked say of a target. */
-const PeerWord = {
+const PeerReach = {
   /** At least one of them reaches it. */
   reached: 'reached',
   /** Some answered, and none reaches it. */
@@ -8,6 +8,6 @@
   none: 'none'
 } as const
 
-type PeerWord = (typeof PeerWord)[keyof typeof PeerWord]
+type PeerReach = (typeof PeerReach)[keyof typeof PeerReach]
 
-export { PeerWord }
+export { PeerReach }
