--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -40,7 +40,6 @@
   handleLinkLoss: () => void
   log: EventLog
   metrics: GatewayMetrics
-  sleep: (ms: number, signal: AbortSignal) => Promise<void>
   /** Called at the first request for a service. */
   startRuntime: (runtime: ServiceRuntime) => void
   /** Aborts when the host's own tasks are to end. */
--- a/packages/almondrelay-gateway/src/process/forward/loadSampler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/loadSampler.ts
@@ -13,16 +13,19 @@
   log: EventLog
   metrics: GatewayMetrics
   getNow: () => number
+  /** Called with each measurement, for other work that is due several times a second: each timer of its own costs a wake-up. */
+  handleSample: (now: number) => void
 }
 
 /** Measures until the signal aborts how late a timer of this host fires and how long requests wait for their turn. */
-export async function runLoadSampler ({ load, turns, log, metrics, getNow }: SamplerParts, signal: AbortSignal): Promise<void> {
+export async function runLoadSampler ({ load, turns, log, metrics, getNow, handleSample }: SamplerParts, signal: AbortSignal): Promise<void> {
   while (!signal.aborted) {
     const dueAt = getNow() + SAMPLE_INTERVAL_MS
     await sleepFor(SAMPLE_INTERVAL_MS, signal)
     const now = getNow()
     const delayMs = Math.max(0, now - dueAt, turns.computeDelay(now))
     metrics.observeDelay(delayMs)
+    handleSample(now)
     const acceptDelayMs = turns.computeAcceptDelay(now)
     if (!load.observeDelay(delayMs, acceptDelayMs)) continue
     log.report(load.isShedding ? 'host overloaded, requests are shed' : 'host no longer overloaded', { delayMs: Math.round(delayMs), acceptDelayMs: Math.round(acceptDelayMs) })
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -115,7 +115,7 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: (target, now) => { this.quarantine.observeTargetExit(target, now) }, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, sleep: sleepFor, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
+    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region) => { metrics.countConnection(region) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: (target, now) => { this.quarantine.observeTargetExit(target, now) }, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
@@ -240,7 +240,7 @@
   }
 
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
-    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.peerExchange.run(signal), this.usageExchange.run(signal), this.planner.run(signal), this.forward.links.run(signal), this.closeIdleConnections(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, ...this.parts }, signal)])
+    return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.peerExchange.run(signal), this.usageExchange.run(signal), this.planner.run(signal), this.closeIdleConnections(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, handleSample: (now) => { this.forward.links.probeTargets(now) }, ...this.parts }, signal)])
   }
 
   private async closeIdleConnections (signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -9,8 +9,8 @@
 import { PeerReach } from './peerReach.js'
 import { SilenceDetector } from './silenceDetector.js'
 
-/** Milliseconds between two looks for silent targets and due probes. */
-const CHECK_INTERVAL_MS = 100
+/** Minimum milliseconds between two looks for silent targets and due probes. */
+const LOOK_INTERVAL_MS = 90
 /** Milliseconds within which a probe must connect, on top of two round trips. */
 const PROBE_TIMEOUT_MS = 300
 /** Milliseconds for which the verdict of a check is used again. */
@@ -35,7 +35,6 @@
   log: EventLog
   metrics: GatewayMetrics
   getNow: () => number
-  sleep: (ms: number, signal: AbortSignal) => Promise<void>
 }
 
 /**
@@ -49,6 +48,7 @@
   private readonly checks = new Map<TargetState, Promise<LinkVerdict>>()
   private readonly verdicts = new WeakMap<TargetState, { verdict: LinkVerdict, at: number }>()
   private readonly probes = new Map<TargetState, Promise<boolean>>()
+  private lookedAt = -Infinity
 
   constructor (private readonly parts: MonitorParts) {
     this.table = new LinkTable(parts.listTargets)
@@ -114,13 +114,12 @@
     this.table.drop(target)
   }
 
-  async run (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.parts.sleep(CHECK_INTERVAL_MS, signal)
-      const now = this.parts.getNow()
-      for (const target of this.silence.listSilentTargets(now)) void this.probeSilent(target)
-      for (const target of this.table.takeProbes(now)) void this.probeLost(target)
-    }
+  /** Probes silent targets and those with lost links, if the last look is long enough ago. Called by a timer that runs anyway. */
+  probeTargets (now: number): void {
+    if (now - this.lookedAt < LOOK_INTERVAL_MS) return
+    this.lookedAt = now
+    for (const target of this.silence.listSilentTargets(now)) void this.probeSilent(target)
+    for (const target of this.table.takeProbes(now)) void this.probeLost(target)
   }
 
   private async connect (target: TargetState): Promise<boolean> {
