--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -235,8 +235,7 @@
 
   private send (choice: TargetChoice, now: number): void {
     const { codec, gate, getNow, links, carriers } = this.parts
-    const describeSuspect = (): ReturnType<typeof gate.describe> => gate.describe()
-    const attempt = new Attempt(this.request, choice, { codec, links, carriers, getNow, describeSuspect, isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
+    const attempt = new Attempt(this.request, choice, { codec, links, carriers, getNow, describeSuspect: () => gate.describe(), isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
--- a/packages/almondrelay-gateway/src/process/links/linkTable.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkTable.ts
@@ -27,8 +27,8 @@
 export class LinkTable {
   private readonly lostTargets = new Map<TargetState, LostLink>()
   private readonly lostZones = new Map<string, LostLink>()
-  /** Targets whose links were lost since the last contact with any target, with the time of the loss. */
-  private readonly lostSinceContact = new Map<TargetState, number>()
+  /** Targets whose links were lost since the last contact with any target. */
+  private readonly lostSinceContact = new Set<TargetState>()
   private readonly zoneContacts = new Map<string, number>()
   private readonly recoveries = new Map<string, Recovery>()
   private probes = 0
@@ -60,7 +60,7 @@
   markLost (target: TargetState, now: number): string[] {
     if (this.isLost(target)) return []
     this.lostTargets.set(target, this.createLostLink(describeTarget(target), now))
-    this.lostSinceContact.set(target, now)
+    this.lostSinceContact.add(target)
     const zones = this.findLostZones(target.entry.availabilityZone)
     for (const zone of zones) this.markZoneLost(zone, now)
     return zones
@@ -106,9 +106,8 @@
   }
 
   private findLostZones (availabilityZone: string): string[] {
-    const lost = [...this.lostSinceContact.keys()]
-    const zones = new Set(lost.map(({ entry }) => entry.availabilityZone))
-    if (lost.length >= MIN_LINKS_OF_ALL && zones.size >= MIN_ZONES_OF_ALL) return this.listIntactZones()
+    const zones = new Set([...this.lostSinceContact].map(({ entry }) => entry.availabilityZone))
+    if (this.lostSinceContact.size >= MIN_LINKS_OF_ALL && zones.size >= MIN_ZONES_OF_ALL) return this.listIntactZones()
     const zoneContact = this.zoneContacts.get(availabilityZone) ?? -Infinity
     const inZone = [...this.lostTargets].filter(([target, { lostAt }]) => target.entry.availabilityZone === availabilityZone && lostAt > zoneContact)
     return inZone.length >= Math.min(MIN_LINKS_OF_ZONE, this.listZoneTargets(availabilityZone).length) ? [availabilityZone] : []
