One timeout of connections, one check of allowed regions, one place for contacts and for answers in memory

Cause: the 300 ms and two round trips for a connection stood in four places, the check of allowed regions in three, the record of a contact was made in pairs of calls in three, and the carrier counted its answers with a copy of the caller port's code that lacked the timeout: a host that stops reading would have held its memory for ever.

Change: computeConnectTimeout, isAllowedRegion and holdUntilRead serve all; the link monitor records contacts; CarriedParts has a file of its own.

--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -3,6 +3,7 @@
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { AnswerMemory } from './answerMemory.js'
 import type { CallerAnswer } from './callerAnswer.js'
+import { holdUntilRead } from './holdUntilRead.js'
 import { LISTEN_BACKLOG } from './listenBacklog.js'
 import type { TurnQueue } from './turnQueue.js'
 
@@ -10,10 +11,6 @@
 const CHECK_INTERVAL_MS = 1_000
 /** Milliseconds for which a connection is kept open beyond the configured limit: a caller's request may cross with the close. */
 const IDLE_MARGIN_MS = 1_000
-/** Size of an answer body, in bytes, from which it is counted: smaller ones fit into the kernel's buffer of a connection. */
-const MIN_COUNTED_BYTES = 16 * 1024
-/** Milliseconds within which a caller must have read its answer: twice as long as any caller waits for one. */
-const READ_TIMEOUT_MS = 30_000
 /** Milliseconds within which a whole request must arrive. */
 const REQUEST_TIMEOUT_MS = 60_000
 
@@ -129,21 +126,10 @@
     const isLast = this.isLeaving && connection.last === response
     if (isLast) connection.isClosing = true
     response.writeHead(answer.status, isLast ? [...answer.headers, 'Connection', 'close'] : answer.headers)
-    this.holdUntilRead(response, answer.body.length)
+    holdUntilRead(this.memory, response, answer.body.length)
     response.end(answer.body)
   }
 
-  /** Counts the body until the caller has received it. A caller that stops reading would otherwise hold the memory for ever. */
-  private holdUntilRead (response: ServerResponse, bytes: number): void {
-    if (bytes < MIN_COUNTED_BYTES) return
-    this.memory.hold(bytes)
-    const timer = setTimeout(() => { response.destroy() }, READ_TIMEOUT_MS)
-    response.once('close', () => {
-      clearTimeout(timer)
-      this.memory.release(bytes)
-    })
-  }
-
   private findOrAddConnection (socket: Socket): ConnectionState {
     const known = this.connections.get(socket)
     if (known !== undefined) return known
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/holdUntilRead.ts
@@ -0,0 +1,21 @@
+import type { ServerResponse } from 'node:http'
+import type { AnswerMemory } from './answerMemory.js'
+
+/** Size of an answer body, in bytes, from which it is counted: smaller ones fit into the kernel's buffer of a connection. */
+const MIN_COUNTED_BYTES = 16 * 1024
+/** Milliseconds within which an answer must have been read: twice as long as any caller waits for one. */
+const READ_TIMEOUT_MS = 30_000
+
+/**
+ * Counts the body of an answer until its receiver has it or has closed the connection. One that stops reading would otherwise hold the
+ * memory for ever: its connection is closed after the timeout.
+ */
+export function holdUntilRead (memory: AnswerMemory, response: ServerResponse, bytes: number, timeoutMs = READ_TIMEOUT_MS): void {
+  if (bytes < MIN_COUNTED_BYTES || response.destroyed) return
+  memory.hold(bytes)
+  const timer = setTimeout(() => { response.destroy() }, timeoutMs)
+  response.once('close', () => {
+    clearTimeout(timer)
+    memory.release(bytes)
+  })
+}
--- a/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -1,32 +1,11 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { CarryResponseSchema, type CarryRequest, type CarryResponse } from 'almondrelay-protocol'
+import { computeConnectTimeout } from '../../connection/computeConnectTimeout.js'
 import type { TargetConnection } from '../../connection/targetConnection.js'
-import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
 import type { TargetState } from '../../request/targetState.js'
-import type { TargetAnnouncements } from '../announcements/targetAnnouncements.js'
-import type { RoundTripTimes } from '../forward/roundTripTimes.js'
-import type { TargetPools } from '../forward/targetPools.js'
-import type { TargetProber } from '../forward/targetProber.js'
-import type { LinkMonitor } from '../links/linkMonitor.js'
-import type { Quarantine } from '../quarantine/quarantine.js'
-
-/** Milliseconds for opening a connection, on top of two round trips. */
-const CONNECT_TIMEOUT_MS = 300
-
-interface CarriedParts {
-  codec: TargetCodec
-  pools: TargetPools
-  prober: TargetProber
-  roundTripTimes: RoundTripTimes
-  announcements: TargetAnnouncements
-  links: LinkMonitor
-  quarantine: Quarantine
-  /** Whether operators' orders keep requests away from the target. */
-  isClosed: (target: TargetState) => boolean
-  getNow: () => number
-}
+import type { CarriedParts } from './carriedParts.js'
 
 type Result = MessageInitShape<typeof CarryResponseSchema>['result']
 
@@ -60,7 +39,7 @@
     if (links.isLost(target)) return refuseLost('the link to the target is lost here too')
     const refusal = this.findRefusal(getNow())
     if (refusal !== undefined) return refuse(refusal)
-    const opened = await pools.get(target).acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * roundTripTimes.find(target.entry.region))
+    const opened = await pools.get(target).acquire(target.entry, computeConnectTimeout(roundTripTimes.find(target.entry.region)))
     if (opened.kind === 'failed') return await links.verifyLoss(target) ? refuseLost(opened.failure) : refuse(opened.failure)
     const { connection } = opened
     const sentAt = getNow()
@@ -91,7 +70,6 @@
     const { target, message: { fingerprint, organisation } } = this
     const now = getNow()
     if (result.kind === 'answered') {
-      target.observeContact(now)
       links.observeAnswer(target, now)
       announcements.observeAnswer(target, result.head, sentAt, now)
     } else if (result.kind === 'broken' && !this.isCancelled) {
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -7,6 +7,7 @@
 import type { TargetRequest } from '../../request/targetRequest.js'
 import type { TargetState } from '../../request/targetState.js'
 import { computeHash } from '../../version/computeHash.js'
+import { isAllowedRegion } from '../../version/isAllowedRegion.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RoundTripTimes } from '../forward/roundTripTimes.js'
 import { PeerReach } from '../links/peerReach.js'
@@ -17,7 +18,6 @@
 import { CarrierMemory } from './carrierMemory.js'
 import type { CarryOutcome } from './carryOutcome.js'
 import { chooseCarrier } from './chooseCarrier.js'
-import { isAllowedRegion } from './isAllowedRegion.js'
 import { decodeMessage } from './decodeMessage.js'
 import { describeDistance } from './describeDistance.js'
 import { describeMethod } from './describeMethod.js'
@@ -179,7 +179,12 @@
   }
 
   private isUsable ({ name }: HostEntry, { id, availabilityZone }: TargetEntry, now: number): boolean {
-    return this.memory.isUsable(name, id, now) && !this.parts.view.findLostZones(name).includes(computeHash(availabilityZone))
+    return this.memory.isUsable(name, id, now) && !this.hasLostZone(name, availabilityZone)
+  }
+
+  /** Whether a host has reported that it has lost its links to the targets of an availability zone. */
+  private hasLostZone (host: string, availabilityZone: string): boolean {
+    return this.parts.view.findLostZones(host).includes(computeHash(availabilityZone))
   }
 
   private countCarried ({ name }: HostEntry): number {
@@ -194,7 +199,7 @@
       if (availabilityZone !== own.availabilityZone && availabilityZone === entry.availabilityZone) return 0
       return region === own.region ? 1 : 2
     }
-    const hosts = view.listLive(now).filter(({ name }) => name !== own.name && !view.findLostZones(name).includes(computeHash(entry.availabilityZone)))
+    const hosts = view.listLive(now).filter(({ name }) => name !== own.name && !this.hasLostZone(name, entry.availabilityZone))
       .map((host) => ({ host, order: rank(host) + random() }))
       .sort((one, other) => one.order - other.order)
       .map(({ host }) => host)
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { openServer } from 'almondrelay'
 import type { AnswerMemory } from '../../connection/answerMemory.js'
+import { holdUntilRead } from '../../connection/holdUntilRead.js'
 import { readBody } from '../../connection/readBody.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import type { TargetState } from '../../request/targetState.js'
@@ -14,6 +15,7 @@
 import { RequestFingerprint } from '../quarantine/requestFingerprint.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
 import { CarriedAttempt } from './carriedAttempt.js'
+import type { CarriedParts } from './carriedParts.js'
 import { decodeMessage } from './decodeMessage.js'
 import { describeDistance } from './describeDistance.js'
 import { describeMethod } from './describeMethod.js'
@@ -32,8 +34,6 @@
 /** Limits of requests before the first configuration is known. */
 const DEFAULT_MAX_BYTES = 1_048_576
 
-type CarriedParts = ConstructorParameters<typeof CarriedAttempt>[2]
-
 interface ServerParts extends CarriedParts {
   own: HostEntry
   fleet: FleetState
@@ -91,18 +91,10 @@
       response.writeHead(400).end()
       return
     }
-    this.holdUntilRead(response, answer.byteLength)
+    holdUntilRead(this.parts.memory, response, answer.byteLength)
     response.writeHead(200, { 'Content-Type': CARRIER_CONTENT_TYPE, 'Content-Length': answer.byteLength }).end(answer)
   }
 
-  /** Counts an answer until the other host has received it or has closed the connection. */
-  private holdUntilRead (response: ServerResponse, bytes: number): void {
-    if (response.destroyed) return
-    this.parts.memory.hold(bytes)
-    const release = (): void => { this.parts.memory.release(bytes) }
-    response.once('close', release)
-  }
-
   /** Returns the answer to a call; undefined if it is no call of a host of this deployment. */
   private async answer ({ message, body, signal }: PeerCall): Promise<Uint8Array | undefined> {
     if (message.url === describeMethod(CarrierService.method.carry)) {
@@ -135,8 +127,9 @@
 
   private async carryIfRoom (call: CarryRequest, signal: AbortSignal): Promise<CarryResponse> {
     const target = this.findTarget(call)
-    const refusal = target === undefined ? 'target not known here' : this.findHostRefusal()
-    if (target === undefined || refusal !== undefined) return create(CarryResponseSchema, { result: { case: 'notSent', value: { reason: refusal ?? '', tryElsewhere: true } } })
+    if (target === undefined) return refuseHere('target not known here')
+    const refusal = this.findHostRefusal()
+    if (refusal !== undefined) return refuseHere(refusal)
     const attempt = new CarriedAttempt(call, target, this.parts)
     signal.addEventListener('abort', () => { attempt.cancel() }, { once: true })
     this.carried += 1
@@ -174,6 +167,8 @@
   }
 }
 
+const refuseHere = (reason: string): CarryResponse => create(CarryResponseSchema, { result: { case: 'notSent', value: { reason, tryElsewhere: true } } })
+
 const describeReason = ({ result }: CarryResponse): string | undefined => {
   if (result.case === 'notSent') return result.value.reason
   return result.case === 'broken' ? result.value : undefined
--- a/packages/almondrelay-gateway/src/process/carriers/chooseCarrier.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/chooseCarrier.ts
@@ -1,5 +1,5 @@
+import { isAllowedRegion } from '../../version/isAllowedRegion.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
-import { isAllowedRegion } from './isAllowedRegion.js'
 
 interface CarrierContext {
   own: HostEntry
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -1,3 +1,4 @@
+import { computeConnectTimeout } from '../../connection/computeConnectTimeout.js'
 import type { TargetConnection } from '../../connection/targetConnection.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { TargetPool } from '../../connection/targetPool.js'
@@ -8,9 +9,6 @@
 import type { LinkMonitor } from '../links/linkMonitor.js'
 import type { SuspectId } from '../quarantine/suspectId.js'
 
-/** Milliseconds for opening a connection, on top of two round trips; a target that takes longer is considered unreachable. */
-const CONNECT_TIMEOUT_MS = 300
-
 interface AttemptParts {
   codec: TargetCodec
   links: Pick<LinkMonitor, 'isLost' | 'verifyLoss' | 'addSend'>
@@ -75,10 +73,10 @@
   }
 
   private async exchange (pool: TargetPool): Promise<AttemptResult> {
-    const { target, roundTripMs: tripMs } = this.choice
+    const { target, roundTripMs } = this.choice
     const { links } = this.parts
     if (links.isLost(target)) return this.exchangeIndirectly()
-    const opened = await pool.acquire(target.entry, CONNECT_TIMEOUT_MS + 2 * tripMs)
+    const opened = await pool.acquire(target.entry, computeConnectTimeout(roundTripMs))
     if (opened.kind === 'failed') {
       if (this.cancelled === undefined && await links.verifyLoss(target)) return this.exchangeIndirectly()
       if (this.cancelled === undefined) target.suspend(this.parts.getNow())
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -116,12 +116,6 @@
     return this.fleet.isEvacuated(entry.availabilityZone) || this.steering.isDrained(entry)
   }
 
-  /** Records that a target answered a request that this host sent to it directly. */
-  observeContact (target: TargetState, now: number): void {
-    target.observeContact(now)
-    this.links.observeAnswer(target, now)
-  }
-
   countHosts (): number | undefined {
     return this.parts.peers.countHosts()
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -6,6 +6,7 @@
 import type { TargetChoice } from '../../request/targetChoice.js'
 import type { TargetState } from '../../request/targetState.js'
 import { identifyCaller } from '../../version/identifyCaller.js'
+import { isAllowedRegion } from '../../version/isAllowedRegion.js'
 import type { Attempt } from './attempt.js'
 import type { ForwardState } from './forwardState.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
@@ -18,7 +19,7 @@
   /** @param usesWarmingTarget whether the request goes to its key's preferred target although that target is warming up */
   constructor (private readonly state: ForwardState, private readonly runtime: ServiceRuntime, private readonly keyHash: number, allowedRegions: readonly string[], private readonly isWarmUpRequest: boolean) {
     const plannedRegion = runtime.regionShares.findHomeRegion(keyHash)
-    this.homeRegion = allowedRegions.length === 0 || allowedRegions.includes(plannedRegion) ? plannedRegion : allowedRegions[keyHash % allowedRegions.length] as string
+    this.homeRegion = isAllowedRegion(plannedRegion, allowedRegions) ? plannedRegion : allowedRegions[keyHash % allowedRegions.length] as string
   }
 
   get service (): string {
@@ -69,7 +70,7 @@
   observeResult (attempt: Attempt, result: AttemptResult, now: number): void {
     const { target } = attempt.choice
     if (result.kind === 'answered' && attempt.sentAt !== undefined) {
-      if (attempt.carrier === undefined) this.state.observeContact(target, now)
+      if (attempt.carrier === undefined) this.state.links.observeAnswer(target, now)
       this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
     }
     if (attempt.isCancelled || attempt.sentAt === undefined || attempt.isCarrierFault) return
@@ -153,7 +154,7 @@
     const results = new Map<string, boolean>()
     return (region) => {
       const isOpen = results.get(region) ??
-        ((allowedRegions.length === 0 || allowedRegions.includes(region)) &&
+        (isAllowedRegion(region, allowedRegions) &&
         (declared === undefined || declared.spill || (declared.weights[region] ?? 0) > 0) &&
         this.state.allowRegion(this.service, region))
       results.set(region, isOpen)
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -26,7 +26,6 @@
       observeFailure: (failure, isUnconnected) => { this.observer.observeFailure(target, failure, isUnconnected) },
       observeConnect: (durationMs) => {
         this.roundTripTimes.update(region, durationMs)
-        target.observeContact(this.parts.getNow())
         this.observer.observeConnect(target)
       }
     })
--- a/packages/almondrelay-gateway/src/process/forward/targetProber.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetProber.ts
@@ -1,4 +1,5 @@
 import { sleepFor } from 'almondrelay'
+import { computeConnectTimeout } from '../../connection/computeConnectTimeout.js'
 import { ConnectFailure } from '../../connection/connectFailure.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { TargetPools } from './targetPools.js'
@@ -8,8 +9,6 @@
 const MAX_PROBES = 3
 /** Milliseconds between two probes. */
 const PROBE_INTERVAL_MS = 150
-/** Milliseconds within which a probe must connect, on top of two round trips. */
-const PROBE_TIMEOUT_MS = 300
 
 /** Probes whether a target that left a request unanswered still listens. The target's pool reports failures to its observer. */
 export class TargetProber {
@@ -32,7 +31,7 @@
   private async probeOnce (target: TargetState): Promise<boolean> {
     const pool = this.pools.find(target)
     if (pool === undefined || this.signal.aborted) return true
-    const result = await pool.probe(target.entry, PROBE_TIMEOUT_MS + 2 * this.roundTripTimes.find(target.entry.region))
+    const result = await pool.probe(target.entry, computeConnectTimeout(this.roundTripTimes.find(target.entry.region)))
     if (result.kind === 'connected') {
       // A process that exits may close its connections before its port, and a probe connects in between.
       await sleepFor(PROBE_INTERVAL_MS, this.signal)
--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -1,3 +1,4 @@
+import { computeConnectTimeout } from '../../connection/computeConnectTimeout.js'
 import { ConnectFailure } from '../../connection/connectFailure.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { RoundTripTimes } from '../forward/roundTripTimes.js'
@@ -11,8 +12,6 @@
 
 /** Minimum milliseconds between two looks for silent targets and due probes. */
 const LOOK_INTERVAL_MS = 90
-/** Milliseconds within which a probe must connect, on top of two round trips. */
-const PROBE_TIMEOUT_MS = 300
 /** Milliseconds for which the verdict of a check is used again. */
 const VERDICT_LIFE_MS = 500
 /** Maximum checks at the same time: when many targets exit together, each host would otherwise ask the others about each of them. */
@@ -68,12 +67,16 @@
     return this.silence.addSend(target, now)
   }
 
+  /** Records that a target answered a request that this host sent to it directly. */
   observeAnswer (target: TargetState, now: number): void {
+    target.observeContact(now)
     this.silence.observeAnswer(target, now)
     this.table.observeContact(target, now)
   }
 
+  /** Records that this host opened a connection to a target. */
   observeConnect (target: TargetState, now: number): void {
+    target.observeContact(now)
     this.silence.observeContact(target, now)
     this.table.observeContact(target, now)
   }
@@ -126,7 +129,7 @@
     if (target.isLeaving()) return false
     const { pools, roundTripTimes, log } = this.parts
     try {
-      const opened = await pools.get(target).probe(target.entry, PROBE_TIMEOUT_MS + 2 * roundTripTimes.find(target.entry.region), false)
+      const opened = await pools.get(target).probe(target.entry, computeConnectTimeout(roundTripTimes.find(target.entry.region)), false)
       return opened.kind === 'connected'
     } catch (error) {
       log.logError('a target could not be probed', error as Error)
@@ -143,8 +146,7 @@
     const isReached = await this.probe(target)
     const recovered = this.table.observeProbe(target, isReached, this.parts.getNow())
     if (recovered === undefined) return
-    this.parts.log.report('links to targets restored', { target: recovered.target?.entry.id, availabilityZone: recovered.availabilityZone, ...this.describe() })
-    this.parts.metrics.setLostLinks(this.table.countLostTargets(), this.table.listLostZones().length)
+    this.report('links to targets restored', { target: recovered.target?.entry.id, availabilityZone: recovered.availabilityZone })
   }
 
   /** Asks other hosts about a target to which a connection of this host has just failed. */
@@ -207,12 +209,14 @@
       other.clearFailures()
       this.parts.pools.find(other)?.resetIdle()
     }
-    this.parts.log.report('links to targets lost', { target: target.entry.id, availabilityZones: zones, contactAgeMs: Number.isFinite(contactAgeMs) ? Math.round(contactAgeMs) : undefined, ...this.describe() })
-    this.parts.metrics.setLostLinks(this.table.countLostTargets(), this.table.listLostZones().length)
+    this.report('links to targets lost', { target: target.entry.id, availabilityZones: zones, contactAgeMs: Number.isFinite(contactAgeMs) ? Math.round(contactAgeMs) : undefined })
     this.parts.handleLoss()
   }
 
-  private describe (): object {
-    return { lostZones: this.table.listLostZones(), lostTargets: this.table.countLostTargets() }
+  private report (event: string, fields: object): void {
+    const lostZones = this.table.listLostZones()
+    const lostTargets = this.table.countLostTargets()
+    this.parts.log.report(event, { ...fields, lostZones, lostTargets })
+    this.parts.metrics.setLostLinks(lostTargets, lostZones.length)
   }
 }
