--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
@@ -8,6 +8,7 @@
 import { decodeLoad } from '../__fixtures__/decodeLoad.js'
 import { encodeDatagram } from '../encodeDatagram.js'
 import { encodeLoadReport } from '../encodeLoadReport.js'
+import type { PeerReport } from '../peerReport.js'
 import { splitChanges } from '../splitChanges.js'
 import { makePosition } from '../../store/__fixtures__/makePosition.js'
 
@@ -99,4 +100,68 @@
   }
 })
 
+const arbitraryText = fc.string({ unit: 'grapheme', minLength: 1, maxLength: 60 })
+const arbitraryHash = fc.nat(0xffffffff)
+const arbitraryAmount = fc.float({ min: 0, max: 1e6, noNaN: true }).map((value) => Math.abs(value))
+const PLAIN = { noNullPrototype: true }
+const arbitraryPosition = fc.record({ era: fc.nat(0xffffffff), revision: fc.maxSafeNat() }, PLAIN)
+const arbitraryEvent = fc.record({ key: arbitraryText, value: fc.option(fc.uint8Array({ maxLength: 1_500 })), createdRevision: fc.maxSafeNat() })
+const arbitraryReport: fc.Arbitrary<PeerReport> = fc.record({
+  host: arbitraryText,
+  incarnation: fc.string(),
+  region: arbitraryText,
+  sequence: fc.nat(0xffffffff),
+  isLeaving: fc.boolean(),
+  configurationVersion: fc.nat(0xffffffff),
+  storePosition: arbitraryPosition,
+  notableRevision: fc.maxSafeNat(),
+  storeAgeMs: fc.nat(3_600_000),
+  declaredRevision: fc.maxSafeNat(),
+  isRegional: fc.boolean(),
+  inFlight: fc.array(fc.tuple(arbitraryHash, fc.nat(0xffffffff))).map((entries) => new Map(entries)),
+  demands: fc.array(fc.record({ service: fc.string(), perSecond: arbitraryAmount, warmMs: arbitraryAmount, coldMs: arbitraryAmount, parts: fc.array(fc.tuple(fc.string(), arbitraryAmount), { maxLength: 4 }).map((entries) => new Map(entries)) }, PLAIN), { maxLength: 4 }),
+  requestLimits: fc.array(fc.record({ incarnationHash: arbitraryHash, perSecond: fc.oneof(fc.constant(Infinity), fc.double({ min: 0.001, max: 1e9, noNaN: true })), ageMs: fc.nat(0xffffffff) }, PLAIN), { maxLength: 4 }),
+  leavingTargets: fc.array(arbitraryHash),
+  lostZones: fc.array(arbitraryHash),
+  changes: fc.option(fc.record({ era: fc.nat(0xffffffff), after: fc.nat(1_000), events: fc.array(arbitraryEvent, { maxLength: 5 }), forwardTo: fc.array(arbitraryText, { maxLength: 8 }) }), { nil: undefined })
+}).map(({ notableRevision, changes, ...report }) => ({
+  ...report,
+  notablePosition: { era: report.storePosition.era, revision: notableRevision },
+  changes: changes === undefined
+    ? undefined
+    : {
+        after: { era: changes.era, revision: changes.after },
+        upTo: { era: changes.era, revision: changes.after + changes.events.length },
+        events: changes.events.map(({ key, value, createdRevision }, index) => value === null
+          ? { kind: 'deleted' as const, key, revision: changes.after + index }
+          : { kind: 'written' as const, item: { key, revision: changes.after + index, createdRevision, value: Buffer.from(value) } }),
+        forwardTo: changes.forwardTo
+      }
+}))
+
+// Guards against a field that is read differently from how the protobuf library, and so every earlier build, writes it.
+test('every report decodes to what the protobuf library encoded', () => {
+  fc.assert(fc.property(arbitraryReport, (report) => { assert.equal(decodeLoad(encodeLoadReport(report)), report) }), { seed: SEED, numRuns: 500 })
+})
+
+// Guards against hosts that understand only reports of their own build: a later one adds fields, and protobuf allows lists without packing.
+test('unknown fields are ignored, also in nested messages and after the report, and lists may come unpacked', () => {
+  const unknown = [0xf8, 0x07, 0x96, 0x01, 0xf2, 0x07, 0x02, 0x61, 0x62, 0xf5, 0x07, 1, 2, 3, 4, 0xf1, 0x07, 1, 2, 3, 4, 5, 6, 7, 8]
+  const makeField = (tag: number, bytes: readonly number[]): number[] => [tag, bytes.length, ...bytes]
+  const report = [...makeField(10, [0x61]), ...unknown, ...makeField(26, [0x62]), 61, 1, 0, 0, 0, 64, 3, 61, 2, 0, 0, 0, 64, 4, 141, 1, 9, 0, 0, 0, ...makeField(74, [...makeField(10, [0x73]), ...unknown, ...makeField(34, [...makeField(10, [0x63]), ...unknown])])]
+  const decoded = decodeLoad(Uint8Array.from([10, report.length, ...report, ...unknown]))
+  assert.is(decoded?.host, 'a')
+  assert.is(decoded?.region, 'b')
+  assert.equal(decoded?.inFlight, new Map([[1, 3], [2, 4]]))
+  assert.equal(decoded?.leavingTargets, [9])
+  assert.equal(decoded?.demands, [{ service: 's', perSecond: 0, warmMs: 0, coldMs: 0, parts: new Map([['c', 0]]) }])
+})
+
+// Guards against reading beyond a report that was cut off, or whose nested lengths are false.
+test('a report that ends early is rejected', () => {
+  const whole = encode({ parts: [{ region: 'akl', part: 1 }] })
+  for (let length = 0; length < whole.length; length += 1) assert.is(decodeLoad(whole.subarray(0, length)), undefined, `${length} bytes`)
+  assert.ok(decodeLoad(whole) !== undefined)
+})
+
 test.run()
