Recompute the lists of live hosts only when a host's state changes

Cause: the lists were recomputed four times a second by the reports themselves, each report was cloned to keep its demands, and the list of all hosts was copied at each use. Change: lists are valid until a report or an entry changes who is live, or until the first moment at which a host has been silent for too long. They are then exact, where they were up to 250 ms old. A report of another incarnation also ends them. The list of all hosts and that of the region are kept until the hosts change; aggregators and representatives are found without sorting all hosts. Tests: a host falls silent, reports again, restarts; a new entry without reports; a region's demands don't count as the sender's.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -28,6 +28,8 @@
   private readonly targetsByService = new Map<string, TargetState[]>()
   private readonly evacuatedZones = new Set<string>()
   private readonly hosts = new Map<string, HostEntry>()
+  /** The hosts as a list, until the next change of them. */
+  private hostList: readonly HostEntry[] | undefined
   /** Targets by the hash that identifies their incarnation in reports between hosts. */
   private readonly targetsByIncarnation = new Map<number, TargetState>()
   private readonly targetsByAddress = new Map<string, Set<TargetState>>()
@@ -195,12 +197,14 @@
 
   putHost (entry: HostEntry): void {
     this.hosts.set(entry.name, entry)
+    this.hostList = undefined
     this.hostsRevision += 1
   }
 
   removeHost (name: string): HostEntry | undefined {
     const entry = this.hosts.get(name)
     this.hosts.delete(name)
+    this.hostList = undefined
     this.hostsRevision += 1
     if (entry !== undefined) this.listener.hostRemoved(entry)
     return entry
@@ -210,8 +214,9 @@
     return this.hosts.get(name)
   }
 
-  listHosts (): HostEntry[] {
-    return [...this.hosts.values()]
+  listHosts (): readonly HostEntry[] {
+    this.hostList ??= [...this.hosts.values()]
+    return this.hostList
   }
 
   // An entry of a service that is not configured comes from another writer of the store: it does not displace a target at its address.
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -123,6 +123,42 @@
   assert.equal(listNames(view, 4_000), ['own', 'a'])
 })
 
+// Guards against lists that are kept for too long: a killed host must be dropped at the moment at which its silence is too long, and come
+// back with its first report. The lists are otherwise kept, because every report, request and look-up asks for them.
+test('the list of live hosts is kept until a host falls silent, reports again or restarts', () => {
+  const view = build()
+  assert.equal(listNames(view, 0), ['own', 'a', 'b'])
+  view.receiveReport(makeReport('a', 1), 4_000)
+  view.receiveReport(makeReport('b', 1), 4_500)
+  const first = view.listLive(4_500)
+  view.receiveReport(makeReport('b', 2), 6_000)
+  assert.is(view.listLive(7_000), first)
+  assert.equal(listNames(view, 7_001), ['own', 'b'])
+  assert.equal(listNames(view, 9_000), ['own', 'b'])
+  view.receiveReport(makeReport('a', 2), 9_000)
+  assert.equal(listNames(view, 9_000), ['own', 'a', 'b'])
+  assert.equal(listNames(view, 9_001), ['own', 'a'])
+  assert.equal(listNames(view, 12_001), ['own', 'a', 'b'], 'cut off')
+  view.receiveReport(makeReport('a', 3, true), 12_100)
+  assert.equal(listNames(view, 12_100), ['own'])
+  view.receiveReport({ ...makeReport('a', 1, true), incarnation: 'i2' }, 12_200)
+  assert.equal(listNames(view, 12_200), ['own', 'a'], 'another incarnation than that of the entry announced that it leaves')
+})
+
+// Guards against a new host that counts as live for ever by its entry alone.
+test('a new entry counts as live for three seconds without a report', () => {
+  const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
+  for (const name of ['own', 'a']) fleet.putHost(makeEntry(name))
+  const view = new PeerView(makeEntry('own'), fleet)
+  assert.equal(listNames(view, 0), ['own', 'a'])
+  view.receiveReport(makeReport('a', 1), 1_000)
+  fleet.putHost(makeEntry('new'))
+  assert.equal(listNames(view, 1_000), ['own', 'a', 'new'])
+  view.receiveReport(makeReport('a', 2), 3_500)
+  assert.equal(listNames(view, 4_000), ['own', 'a', 'new'])
+  assert.equal(listNames(view, 4_001), ['own', 'a'])
+})
+
 test('a host that receives no reports lists hosts by their entries, as it is probably cut off itself', () => {
   const view = build()
   view.receiveReport(makeReport('a', 1), 0)
@@ -150,6 +186,8 @@
   view.receiveReport({ ...makeReport('a', 1), demands: [{ service: 's', perSecond: 3, warmMs: 90, coldMs: 300, parts: new Map([['akl', 1]]) }] }, 0)
   assert.equal(view.listDemands(10).map(({ region, demand }) => [region, demand.perSecond]), [['akl', 3], ['wlg', 40]])
   assert.equal(view.listDemands(10_000), [])
+  view.receiveReport({ ...makeReport('b', 1), isRegional: true, demands: far.demands }, 10_000)
+  assert.equal(view.listDemands(10_000), [], 'the regional demand of this host\'s own region is not that of the sender')
 })
 
 test('a region has two representatives; a host that receives no reports acts as one', () => {
--- a/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
@@ -16,14 +16,14 @@
 /** Number of hosts of an availability zone that aggregate its hosts' reports: two, so that there is no gap when one exits or hangs. */
 const AGGREGATORS_PER_ZONE = 2
 
-/** Milliseconds for which the lists of live hosts are reused if no report changes them, as each request and look-up needs them. */
-const MAX_LIST_AGE_MS = 250
-
 /** Determines which hosts are live, and which of them are representatives of this region or aggregators of their zones. */
 export class LiveHosts {
   /** Incremented by each report that changes which hosts are live. */
   private changes = 0
   private lists: LiveLists | undefined
+  private regionHosts: readonly HostEntry[] = []
+  /** Revision of the fleet's hosts from which `regionHosts` was computed. */
+  private regionHostsRevision = -1
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
 
   /** @param peers last report of each host, kept up to date by the caller */
@@ -35,21 +35,29 @@
    * @param known state from the sender's previous report; undefined before its first one
    */
   observeReport (known: PeerState | undefined, report: PeerReport, now: number): void {
-    if (known === undefined || now - known.receivedAt > REPORT_TIMEOUT_MS || known.report.isLeaving !== report.isLeaving) this.changes += 1
+    if (known === undefined || now - known.receivedAt > REPORT_TIMEOUT_MS || known.incarnation !== report.incarnation || known.report.isLeaving !== report.isLeaving) this.changes += 1
   }
 
-  /** Returns the lists for the present time, recomputed if they are outdated. */
+  /**
+   * Returns the lists for the present time. They are recomputed only when a report or an entry has changed them, or when a host may have
+   * been silent for too long: each report, request and look-up needs them.
+   */
   findLists (now: number): LiveLists {
     const { lists, changes, fleet: { hostsRevision } } = this
-    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && now - lists.createdAt < MAX_LIST_AGE_MS) return lists
+    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && now <= lists.validUntil) return lists
     const made = this.makeLists(now)
     this.lists = made
     return made
   }
 
   /** Returns the entries of the hosts of this region, including this host. */
-  listRegionHosts (): HostEntry[] {
-    return this.fleet.listHosts().filter((entry) => entry.region === this.own.region)
+  listRegionHosts (): readonly HostEntry[] {
+    const { fleet } = this
+    if (this.regionHostsRevision !== fleet.hostsRevision) {
+      this.regionHosts = fleet.listHosts().filter((entry) => entry.region === this.own.region)
+      this.regionHostsRevision = fleet.hostsRevision
+    }
+    return this.regionHosts
   }
 
   /** Returns whether any other host of this region has reported recently. */
@@ -64,21 +72,32 @@
   }
 
   private makeLists (now: number): LiveLists {
-    const hosts = this.fleet.listHosts()
-    for (const entry of hosts) this.observeEntry(entry, now)
     const isIsolated = !this.hasRecentReportInRegion(now)
-    const live = hosts.filter((entry) => entry.name === this.own.name || this.isLive(entry, now, isIsolated))
-    const regionHosts = live.filter((entry) => entry.region === this.own.region)
-    return {
-      createdAt: now,
-      changes: this.changes,
-      hostsRevision: this.fleet.hostsRevision,
-      live,
-      regionAddresses: new Set(regionHosts.map(({ ip }) => ip)),
-      representatives: regionHosts.map((entry) => entry.name).sort().slice(0, REPRESENTATIVES_PER_REGION),
-      aggregators: listFirstByZone(live, AGGREGATORS_PER_ZONE),
-      senders: new Map()
+    const live: HostEntry[] = []
+    const regionAddresses = new Set<string>()
+    const representatives: HostEntry[] = []
+    const aggregators = new Map<string, HostEntry[]>()
+    let validUntil = Infinity
+    for (const entry of this.fleet.listHosts()) {
+      this.observeEntry(entry, now)
+      const isOwn = entry.name === this.own.name
+      if (!isOwn && entry.region === this.own.region) validUntil = Math.min(validUntil, this.computeSilenceEnd(entry, now))
+      if (!isOwn && !this.isLive(entry, now, isIsolated)) continue
+      live.push(entry)
+      putFirst(aggregators, entry)
+      if (entry.region !== this.own.region) continue
+      regionAddresses.add(entry.ip)
+      addSorted(representatives, entry, REPRESENTATIVES_PER_REGION)
     }
+    return { validUntil, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, regionAddresses, representatives: representatives.map(({ name }) => name), aggregators, senders: new Map() }
+  }
+
+  /** Returns the last moment at which a host counts as live by its last report or by its entry; Infinity if that moment has passed. */
+  private computeSilenceEnd (entry: HostEntry, now: number): number {
+    const reportEnd = (this.peers.get(entry.name)?.receivedAt ?? -Infinity) + REPORT_TIMEOUT_MS
+    if (reportEnd >= now) return reportEnd
+    const entryEnd = (this.firstSeenAt.get(entry.name)?.at ?? now) + ENTRY_TRUST_MS
+    return entryEnd >= now ? entryEnd : Infinity
   }
 
   // A host that receives no reports is more likely cut off itself than the last live host; it then relies on the entries in the store.
@@ -94,12 +113,18 @@
   }
 }
 
-/** Returns the first hosts of each availability zone by name. */
-const listFirstByZone = (hosts: readonly HostEntry[], maxPerZone: number): Map<string, HostEntry[]> => {
-  const byZone = new Map<string, HostEntry[]>()
-  for (const entry of [...hosts].sort((one, other) => one.name < other.name ? -1 : 1)) {
-    const first = byZone.get(entry.availabilityZone) ?? []
-    if (first.length < maxPerZone) byZone.set(entry.availabilityZone, [...first, entry])
-  }
-  return byZone
+/** Puts a host among the aggregators of its availability zone, the first hosts of the zone by name. */
+const putFirst = (byZone: Map<string, HostEntry[]>, entry: HostEntry): void => {
+  const known = byZone.get(entry.availabilityZone)
+  if (known === undefined) byZone.set(entry.availabilityZone, [entry])
+  else addSorted(known, entry, AGGREGATORS_PER_ZONE)
+}
+
+/** Adds an entry to a list that is sorted by name, and drops those beyond `maxLength`. */
+const addSorted = (sorted: HostEntry[], entry: HostEntry, maxLength: number): void => {
+  let index = sorted.length
+  while (index > 0 && entry.name < (sorted[index - 1] as HostEntry).name) index -= 1
+  if (index === maxLength) return
+  sorted.splice(index, 0, entry)
+  if (sorted.length > maxLength) sorted.pop()
 }
--- a/packages/almondrelay-gateway/src/process/peers/liveLists.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveLists.ts
@@ -2,8 +2,8 @@
 
 /** Lists computed from the hosts that were live at one time. */
 export interface LiveLists {
-  /** Time at which the lists were computed, in monotonic milliseconds. */
-  createdAt: number
+  /** Monotonic milliseconds until which no host is silent for too long, or its entry too old, if no report arrives. */
+  validUntil: number
   /** Number of reports that had changed which hosts are live. */
   changes: number
   hostsRevision: number
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -103,7 +103,8 @@
     }
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
-    if (view.findSender(report, ip) !== undefined) this.receiveAnnouncements(report, now)
+    const hasAnnouncements = report.requestLimits.length > 0 || report.leavingTargets.length > 0
+    if (hasAnnouncements && view.findSender(report, ip) !== undefined) this.receiveAnnouncements(report, now)
     if (isWatcher && report.changes === undefined) this.parts.receiveWatcherReport(report, now)
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/peerState.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerState.ts
@@ -1,4 +1,5 @@
 import type { PeerReport } from './peerReport.js'
+import type { ServiceDemand } from './serviceDemand.js'
 
 /** State of another host, as of its last report. */
 export interface PeerState {
@@ -7,4 +8,6 @@
   /** Time at which the report was received, in monotonic milliseconds. */
   receivedAt: number
   report: PeerReport
+  /** Demands of the last report that had any and wasn't that of a region. */
+  demands: readonly ServiceDemand[]
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -31,6 +31,7 @@
 const MAX_REGIONS = 100
 
 const NO_COUNTS: ReadonlyMap<number, number> = new Map()
+const NO_DEMANDS: readonly ServiceDemand[] = []
 
 interface RegionReport {
   receivedAt: number
@@ -61,8 +62,8 @@
     this.live.observeReport(known, report, now)
     if (report.isRegional) putBounded(this.regions, report.region, { receivedAt: now, demands: report.demands, declaredRevision: report.declaredRevision }, MAX_REGIONS)
     const isOwnDemand = !report.isRegional && report.demands.length > 0
-    const demands = isOwnDemand ? report.demands : known?.report.demands ?? []
-    putBounded(this.peers, report.host, { incarnation: report.incarnation, sequence: report.sequence, receivedAt: now, report: { ...report, demands } }, MAX_PEERS)
+    const demands = isOwnDemand ? report.demands : known?.demands ?? NO_DEMANDS
+    putBounded(this.peers, report.host, { incarnation: report.incarnation, sequence: report.sequence, receivedAt: now, report, demands }, MAX_PEERS)
     return true
   }
 
@@ -87,7 +88,7 @@
     const regionPeers = [...this.peers.values()].filter((peer) => isFresh(peer) && peer.report.region === this.own.region)
     const otherRegions = [...this.regions].filter(([region, regionReport]) => isFresh(regionReport) && region !== this.own.region)
     return [
-      ...regionPeers.flatMap(({ report }) => report.demands.map((demand) => ({ region: report.region, demand }))),
+      ...regionPeers.flatMap(({ report, demands }) => demands.map((demand) => ({ region: report.region, demand }))),
       ...otherRegions.flatMap(([region, { demands }]) => demands.map((demand) => ({ region, demand })))
     ]
   }
