Count new connections to targets by cause

Cause: a host opens a connection for every second request, and nothing says why. Change: almondrelay_target_connections_total has a label cause: first, busy, idle, closed, failure, probe. The connection says with its close why the next one has to be opened. Test: each cause at a scripted target.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { makeTarget } from '../../request/__fixtures__/makeTarget.js'
@@ -6,6 +7,7 @@
 import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
 import { AnswerMemory } from '../answerMemory.js'
 import { ConnectFailure } from '../connectFailure.js'
+import { OpenCause } from '../openCause.js'
 import type { TargetConnection } from '../targetConnection.js'
 import { TargetPool } from '../targetPool.js'
 
@@ -21,6 +23,10 @@
   return { pool, connection: opened.connection }
 }
 
+const waitFor = async (isDone: () => boolean): Promise<void> => {
+  while (!isDone()) await new Promise((resolve) => { setTimeout(resolve, 5) })
+}
+
 test.before.each(() => { owner = new AbortController() })
 test.after.each(() => { owner.abort() })
 
@@ -50,4 +56,57 @@
   assert.ok(connection.isClosed)
 })
 
+// Guards against a metric that can't tell a target that closes connections from a host that gives them up too soon.
+test('new connections are counted by cause', async () => {
+  let isSilent = false
+  const sockets: Socket[] = []
+  const port = await startScriptedTarget((socket) => {
+    sockets.push(socket)
+    if (!isSilent) socket.write(ANSWER)
+  }, owner.signal)
+  const causes: OpenCause[] = []
+  let now = 0
+  const pool = new TargetPool({ codec, getNow: () => now, memory: new AnswerMemory(Infinity) }, { countOpened: (cause) => { causes.push(cause) }, observeConnect: () => undefined, observeFailure: () => undefined })
+  const { entry } = makeTarget({ port })
+  const exchange = async (): Promise<TargetConnection> => {
+    const opened = await pool.acquire(entry, 1_000)
+    if (opened.kind === 'failed') throw new Error(opened.failure)
+    await opened.connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+    return opened.connection
+  }
+  const takeCauses = (): OpenCause[] => causes.splice(0)
+  const first = await exchange()
+  assert.is(await exchange(), first)
+  assert.equal(takeCauses(), [OpenCause.first])
+  first.take()
+  const second = await exchange()
+  assert.equal(takeCauses(), [OpenCause.busy])
+  first.close('test')
+  now = 9_000
+  pool.closeIdle(now)
+  assert.not(second.isClosed, 'used 9 s ago, and kept for 9.25 s')
+  now = 9_500
+  sockets.length = 0
+  isSilent = true
+  const waiting = exchange()
+  await waitFor(() => sockets.length > 0)
+  assert.equal(takeCauses(), [OpenCause.idle])
+  pool.closeIdle(now)
+  sockets.at(-1)?.destroy()
+  await waiting
+  isSilent = false
+  const kept = await exchange()
+  assert.equal(takeCauses(), [OpenCause.failure])
+  sockets.at(-1)?.end()
+  await waitFor(() => kept.isClosed)
+  await exchange()
+  assert.equal(takeCauses(), [OpenCause.closed])
+  now = 30_000
+  pool.closeIdle(now)
+  await exchange()
+  assert.equal(takeCauses(), [OpenCause.idle])
+  await pool.probe(entry, 1_000)
+  assert.equal(takeCauses(), [OpenCause.probe])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -6,6 +6,7 @@
 import { ConnectFailure } from './connectFailure.js'
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
+import { OpenCause } from './openCause.js'
 
 /** Milliseconds for which an idle connection is reused if the target states no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 500
@@ -28,7 +29,7 @@
   private closeReason: string | undefined
   private unusableAt = Infinity
 
-  private constructor (private readonly socket: Socket, private readonly parts: ConnectionParts, private readonly handleClose: () => void) {
+  private constructor (private readonly socket: Socket, private readonly parts: ConnectionParts, private readonly handleClose: (cause: OpenCause) => void) {
     this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) })
     socket.setNoDelay(true)
     socket.on('data', (bytes: Buffer) => { this.readSafely(() => { if (!this.reader.acceptBytes(bytes)) this.close('bytes that are no answer, or more than there is room for') }) })
@@ -37,8 +38,12 @@
     socket.on('close', () => { this.close('closed') })
   }
 
-  /** Resolves once the connection is open, or with the reason why it could not be opened in time. */
-  static async open (ip: string, port: number, timeoutMs: number, parts: ConnectionParts, handleClose: () => void): Promise<ConnectResult> {
+  /**
+   * Resolves once the connection is open, or with the reason why it could not be opened in time.
+   *
+   * @param handleClose called when the connection closes, with the cause for which the next one has to be opened
+   */
+  static async open (ip: string, port: number, timeoutMs: number, parts: ConnectionParts, handleClose: (cause: OpenCause) => void): Promise<ConnectResult> {
     const socket = connect({ host: ip, port })
     const connection = new TargetConnection(socket, parts, handleClose)
     return new Promise((resolve) => {
@@ -98,21 +103,26 @@
 
   /** Closes the connection and abandons a pending request, which makes most targets abort it. */
   close (reason: string): void {
-    this.closeWith(reason, () => { this.socket.destroy() })
+    this.closeWith(reason, this.pending === undefined && this.isOpen ? OpenCause.closed : OpenCause.failure, () => { this.socket.destroy() })
+  }
+
+  /** Closes a connection that has been idle for too long. */
+  closeUnused (): void {
+    this.closeWith('unused', OpenCause.idle, () => { this.socket.destroy() })
   }
 
   /** Closes the connection as `close` does, by a TCP reset: bytes that a link holds back are then not delivered later. */
   reset (reason: string): void {
-    this.closeWith(reason, () => { this.socket.resetAndDestroy() })
+    this.closeWith(reason, OpenCause.failure, () => { this.socket.resetAndDestroy() })
   }
 
-  private closeWith (reason: string, closeSocket: () => void): void {
+  private closeWith (reason: string, cause: OpenCause, closeSocket: () => void): void {
     if (this.isDestroyed) return
     this.isDestroyed = true
     closeSocket()
     this.reader.drop()
     this.finish({ kind: 'broken', reason })
-    this.handleClose()
+    this.handleClose(cause)
   }
 
   // An answer whose handling throws must fail only its own request, and not end the process with all other requests.
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -2,10 +2,11 @@
 import { ConnectFailure } from './connectFailure.js'
 import type { ConnectionParts } from './connectionParts.js'
 import type { ConnectResult } from './connectResult.js'
+import { OpenCause } from './openCause.js'
 import { TargetConnection } from './targetConnection.js'
 
 interface PoolObserver {
-  countOpened: () => void
+  countOpened: (cause: OpenCause) => void
   /** Called with the milliseconds that opening a connection took. */
   observeConnect: (durationMs: number) => void
   /** @param isUnconnected whether no other connection to the target is open */
@@ -16,6 +17,8 @@
 export class TargetPool {
   private readonly connections: TargetConnection[] = []
   private isClosed = false
+  /** Why the next connection has to be opened if there is none. */
+  private closeCause: OpenCause = OpenCause.first
 
   constructor (private readonly parts: ConnectionParts, private readonly observer: PoolObserver) {}
 
@@ -28,15 +31,18 @@
   async acquire (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
     if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
     const free = this.findFree(this.parts.getNow())
-    if (free === undefined) return this.open(entry, timeoutMs)
+    if (free === undefined) return this.open(entry, timeoutMs, this.findOpenCause())
     free.take()
     return { kind: 'connected', connection: free }
   }
 
-  private async open (entry: TargetEntry, timeoutMs: number, reportsFailure = true): Promise<ConnectResult> {
-    this.observer.countOpened()
+  private async open (entry: TargetEntry, timeoutMs: number, cause: OpenCause, reportsFailure = true): Promise<ConnectResult> {
+    this.observer.countOpened(cause)
     const startedAt = this.parts.getNow()
-    const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.parts, () => { this.pruneClosed() })
+    const opened = await TargetConnection.open(entry.ip, entry.port, timeoutMs, this.parts, (closeCause) => {
+      this.closeCause = closeCause
+      this.pruneClosed()
+    })
     if (opened.kind === 'failed') {
       if (reportsFailure) this.observer.observeFailure(opened.failure, this.isUnconnected)
       return opened
@@ -58,7 +64,7 @@
    */
   async probe (entry: TargetEntry, timeoutMs: number, reportsFailure = true): Promise<ConnectResult> {
     if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
-    const opened = await this.open(entry, timeoutMs, reportsFailure)
+    const opened = await this.open(entry, timeoutMs, OpenCause.probe, reportsFailure)
     if (opened.kind === 'connected') opened.connection.release()
     return opened
   }
@@ -66,7 +72,7 @@
   /** Closes connections that have been idle for too long. */
   closeIdle (now: number): void {
     for (const connection of [...this.connections]) {
-      if (!connection.isBusy && !connection.isUsable(now)) connection.close('unused')
+      if (!connection.isBusy && !connection.isUsable(now)) connection.closeUnused()
     }
   }
 
@@ -97,6 +103,12 @@
     return undefined
   }
 
+  /** Returns why none of the connections can take a request. */
+  private findOpenCause (): OpenCause {
+    if (this.connections.length === 0) return this.closeCause
+    return this.connections.every(({ isBusy }) => isBusy) ? OpenCause.busy : OpenCause.idle
+  }
+
   private pruneClosed (): void {
     for (let index = this.connections.length - 1; index >= 0; index -= 1) {
       if (this.connections[index]?.isClosed === true) this.connections.splice(index, 1)
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -1,5 +1,6 @@
 import type { AnswerMemory } from '../../connection/answerMemory.js'
 import type { ConnectFailure } from '../../connection/connectFailure.js'
+import type { OpenCause } from '../../connection/openCause.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import { ColdAllowance } from '../../request/coldAllowance.js'
 import { ShiftCapUsage } from '../../request/shiftCapUsage.js'
@@ -31,7 +32,7 @@
   announcements: TargetAnnouncements
   getNow: () => number
   random: () => number
-  countOpened: (region: string) => void
+  countOpened: (region: string, cause: OpenCause) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
   /** Called when a target's process has exited. */
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -1,11 +1,12 @@
 import type { ConnectFailure } from '../../connection/connectFailure.js'
 import type { ConnectionParts } from '../../connection/connectionParts.js'
+import type { OpenCause } from '../../connection/openCause.js'
 import { TargetPool } from '../../connection/targetPool.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { RoundTripTimes } from './roundTripTimes.js'
 
 interface PoolsObserver {
-  countOpened: (region: string) => void
+  countOpened: (region: string, cause: OpenCause) => void
   observeConnect: (target: TargetState) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
@@ -22,7 +23,7 @@
     const known = this.pools.get(id)
     if (known !== undefined) return known
     const pool = new TargetPool(this.parts, {
-      countOpened: () => { this.observer.countOpened(region) },
+      countOpened: (cause) => { this.observer.countOpened(region, cause) },
       observeFailure: (failure, isUnconnected) => { this.observer.observeFailure(target, failure, isUnconnected) },
       observeConnect: (durationMs) => {
         this.roundTripTimes.update(region, durationMs)
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -18,7 +18,7 @@
   private readonly latency = new Histogram({ name: 'almondrelay_answer_seconds', help: 'Time from a request to its answer', labelNames: ['service'], buckets: LATENCY_BUCKETS, registers: [this.registry] })
   private readonly organisations = new Counter({ name: 'almondrelay_organisation_answers_total', help: 'Answers to the callers of each organisation', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
   private readonly labelledOrganisations = new Set<string>()
-  private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets', labelNames: ['region'], registers: [this.registry] })
+  private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets, by cause', labelNames: ['region', 'cause'], registers: [this.registry] })
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
@@ -48,8 +48,9 @@
     this.workDelay.observe(delayMs / 1_000)
   }
 
-  countConnection (region: string): void {
-    this.connections.inc({ region })
+  /** @param cause an `OpenCause` */
+  countConnection (region: string, cause: string): void {
+    this.connections.inc({ region, cause })
   }
 
   countConnectFailure (region: string, reason: string): void {
