--- a/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -1,25 +1,28 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import { PeerDatagramSchema, type PeerDatagram } from 'almondrelay-protocol'
-import { match } from 'ts-pattern'
 import { decodeUsageReport } from '../organisations/decodeUsageReport.js'
 import { decodeSuspectReport } from '../quarantine/decodeSuspectReport.js'
 import { decodeLoadReport } from './decodeLoadReport.js'
 import { FieldReader } from './fieldReader.js'
 import type { PeerMessage } from './peerMessage.js'
 
-/** Tag of the datagram's field with a load report: its number times 8 plus the wire type of a nested message. */
+/** Tags of the datagram's fields with frequent messages: the number times 8 plus the wire type of a nested message. */
 const LOAD_TAG = 10
+const USE_TAG = 18
 
-/** Decodes a datagram from another host. Returns undefined if it isn't a valid message, as anybody can send to the port. */
+/**
+ * Decodes a datagram from another host. Returns undefined if it isn't a valid message, as anybody can send to the port. Fields after the
+ * first one, which a later build may send, are ignored.
+ */
 export function decodeDatagram (bytes: Uint8Array): PeerMessage | undefined {
   try {
-    return bytes[0] === LOAD_TAG ? decodeLoad(bytes) : decodeContent(fromBinary(PeerDatagramSchema, bytes).content)
+    if (bytes[0] === LOAD_TAG) return decodeLoad(bytes)
+    return bytes[0] === USE_TAG ? decodeUse(bytes) : decodeContent(fromBinary(PeerDatagramSchema, bytes).content)
   } catch {
     return undefined
   }
 }
 
-/** Decodes a load report. Fields after it, which a later build may send, are ignored. */
 const decodeLoad = (bytes: Uint8Array): PeerMessage | undefined => {
   const reader = new FieldReader(bytes)
   reader.readTag()
@@ -27,13 +30,16 @@
   return report === undefined ? undefined : { kind: 'load', report }
 }
 
-const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined => match(content)
-  .with({ case: 'use' }, ({ value }) => {
-    const report = decodeUsageReport(value)
-    return report === undefined ? undefined : { kind: 'use' as const, report }
-  })
-  .with({ case: 'suspects' }, ({ value }) => {
-    const report = decodeSuspectReport(value)
-    return report === undefined ? undefined : { kind: 'suspects' as const, report }
-  })
-  .otherwise(() => undefined)
+const decodeUse = (bytes: Uint8Array): PeerMessage | undefined => {
+  const reader = new FieldReader(bytes)
+  reader.readTag()
+  const report = decodeUsageReport(reader, reader.readEnd())
+  return report === undefined ? undefined : { kind: 'use', report }
+}
+
+/** Decodes the rare messages with the protobuf library. */
+const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined => {
+  if (content.case !== 'suspects') return undefined
+  const report = decodeSuspectReport(content.value)
+  return report === undefined ? undefined : { kind: 'suspects', report }
+}
--- a/packages/almondrelay-gateway/src/process/peers/fieldReader.ts
+++ b/packages/almondrelay-gateway/src/process/peers/fieldReader.ts
@@ -72,6 +72,12 @@
     while (this.reader.pos < end) values.push(this.reader.fixed32())
   }
 
+  /** Adds the values of a packed list to `values`. */
+  readPackedFloat (values: number[]): void {
+    const end = this.readEnd()
+    while (this.reader.pos < end) values.push(this.reader.float())
+  }
+
   /** Passes over a field that this build doesn't know. */
   ignoreField (tag: number): void {
     this.reader.skip((tag & 7) as WireType, tag >>> 3)
