--- a/packages/almondrelay-gateway/src/process/store/storedText.ts
+++ b/packages/almondrelay-gateway/src/process/store/storedText.ts
@@ -1,8 +1,6 @@
 import { promisify } from 'node:util'
 import { gunzip, gzip } from 'node:zlib'
 
-const compress = promisify(gzip)
-const decompress = promisify(gunzip)
 /** First two bytes of every gzip stream; uncompressed texts of this product never begin with them. */
 const GZIP_MAGIC = [0x1f, 0x8b]
 /**
@@ -20,10 +18,10 @@
 export const storedText = {
   encode: async (text: string): Promise<Buffer> => {
     const bytes = Buffer.from(text)
-    return bytes.byteLength < MIN_COMPRESSED_BYTES ? bytes : await compress(bytes)
+    return bytes.byteLength < MIN_COMPRESSED_BYTES ? bytes : await promisify(gzip)(bytes)
   },
   decode: async (bytes: Buffer): Promise<string> => {
     const isCompressed = GZIP_MAGIC.every((byte, index) => bytes[index] === byte)
-    return (isCompressed ? await decompress(bytes, { maxOutputLength: MAX_TEXT_BYTES }) : bytes).toString()
+    return (isCompressed ? await promisify(gunzip)(bytes, { maxOutputLength: MAX_TEXT_BYTES }) : bytes).toString()
   }
 }
