--- a/deploy/snapshot.cjs
+++ b/deploy/snapshot.cjs
@@ -12,7 +12,7 @@
 /** Built-in modules that hold no state of a process. */
 const PURE_MODULES = ['assert', 'events', 'node:events', 'node:path', 'node:process', 'node:stream', 'node:util', 'stream', 'util']
 /** Built-in modules that the bundle loads where they are used. */
-const LAZY_MODULES = ['fs', 'node:child_process', 'node:crypto', 'node:dgram', 'node:fs', 'node:http', 'node:http2', 'node:net', 'node:os', 'node:perf_hooks', 'node:zlib', 'os']
+const LAZY_MODULES = ['fs', 'node:child_process', 'node:crypto', 'node:dgram', 'node:dns', 'node:fs', 'node:http', 'node:http2', 'node:net', 'node:os', 'node:perf_hooks', 'node:zlib', 'os']
 /** What differs between processes and must not be read while the bundle is loaded. */
 const GUARDED = [[Math, 'random'], [Date, 'now'], [performance, 'now'], [performance, 'timeOrigin'], [process, 'hrtime'], [process, 'uptime'], [process, 'cwd'], [process, 'pid'], [globalThis, 'crypto']]
 
