--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/statedLoad.ts
@@ -0,0 +1,69 @@
+import type { LoadStatement } from './loadStatement.js'
+
+/** Time, in milliseconds, in which the information in a statement falls to 1/e: slow targets change about every 0.6 s. */
+const COHERENCE_MS = 600
+/** Age, in milliseconds, above which a statement counts as unknown: it has lost 97% of its information. */
+const MAX_AGE_MS = 2_000
+const NORMAL_PERCENT = 100
+/** Bounds of the slowness that is used; the same as for measured slowness. */
+const MIN_SLOWNESS = 0.2
+const MAX_SLOWNESS = 20
+/** Sends kept since a statement; more than a target with its queue can hold. */
+const MAX_SENDS = 64
+
+/**
+ * What one incarnation of a target last stated about its load, how old that is, and this host's own sends since.
+ *
+ * Handles load that moves between targets faster than a host can measure it: of 100 targets 15 are 2.5 times as slow, which ones
+ * changes about every 0.6 s, and a host receives 4 to 20 answers a second from all of them together. Times are monotonic milliseconds.
+ */
+export class StatedLoad {
+  private statement: LoadStatement | undefined
+  private statedAt = -Infinity
+  private distrustedUntil = -Infinity
+  private sentAt: number[] = []
+
+  /** Takes over a statement made at the given time; false if it is no newer than the last one. */
+  receive (statement: LoadStatement, statedAt: number): boolean {
+    if (statedAt <= this.statedAt) return false
+    this.statement = statement
+    this.statedAt = statedAt
+    this.sentAt = this.sentAt.filter((at) => at > statedAt)
+    return true
+  }
+
+  /** Records that this host sends the target a request. */
+  observeSend (now: number): void {
+    if (this.sentAt.length === MAX_SENDS) this.sentAt.shift()
+    this.sentAt.push(now)
+  }
+
+  /** Returns the statement while it is recent and trusted. */
+  get (now: number): LoadStatement | undefined {
+    return this.computeAge(now) <= MAX_AGE_MS && now >= this.distrustedUntil ? this.statement : undefined
+  }
+
+  /** Returns the milliseconds since the last statement; Infinity before the first. */
+  computeAge (now: number): number {
+    return Math.max(0, now - this.statedAt)
+  }
+
+  /** Returns the factor by which work probably takes longer than usual now; undefined if there is no recent and trusted statement. */
+  getSlowness (now: number): number | undefined {
+    const statement = this.get(now)
+    if (statement === undefined) return undefined
+    const stated = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, statement.speedPercent / NORMAL_PERCENT))
+    return 1 + (stated - 1) * this.computeWeight(now)
+  }
+
+  /** Estimates the requests at the target by its statement and this host's sends since; undefined without a usable statement. */
+  estimateOutstanding (now: number): number | undefined {
+    const statement = this.get(now)
+    return statement === undefined ? undefined : statement.running + statement.waiting + this.sentAt.length
+  }
+
+  /** Returns how much a statement of this age still says, from 1 to 0. */
+  computeWeight (now: number): number {
+    return Math.exp(-this.computeAge(now) / COHERENCE_MS)
+  }
+}
--- a/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
@@ -1,3 +1,5 @@
+import type { AnnouncedLoad } from './announcedLoad.js'
+
 /** Decoded head of a target's answer. */
 export interface TargetAnswerHead {
   status: number
@@ -15,8 +17,8 @@
   keepAliveMs: number | undefined
   /** The target closes the connection after this answer. */
   closesConnection: boolean
-  /** Requests that run and that wait at the target; undefined where it doesn't report them. */
-  load: { running: number, waiting: number } | undefined
+  /** Load that the target states; undefined where it states none, or one that can't be read. */
+  load: AnnouncedLoad | undefined
   /** Milliseconds for which the target says that it stays cold; undefined where it doesn't say. */
   coldForMs: number | undefined
   /**
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -1,4 +1,6 @@
 import { computeHash } from '../version/computeHash.js'
+import type { LoadStatement } from './loadStatement.js'
+import { StatedLoad } from './statedLoad.js'
 import type { TargetEntry } from './targetEntry.js'
 import { WarmKeys } from './warmKeys.js'
 
@@ -46,6 +48,8 @@
   private contactAt = -Infinity
   private departedAt: number | undefined
   private hasAnnouncedLeaving = false
+  /** What this incarnation states about its load; undefined before it first stated its speed. */
+  stated: StatedLoad | undefined
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
@@ -148,6 +152,23 @@
     return 1 + (this.slowness - 1) * this.computeDecay(now)
   }
 
+  /**
+   * Receives what this incarnation of the target stated about its load, in an answer to this host or through a peer. Returns false if
+   * it is no newer than the last statement.
+   */
+  receiveStatement (statement: LoadStatement, statedAt: number): boolean {
+    this.stated ??= new StatedLoad()
+    return this.stated.receive(statement, statedAt)
+  }
+
+  /**
+   * Returns the factor by which work takes longer than usual, as the target stated it and as it probably is by now; undefined where no
+   * recent statement that is trusted is known. Faster than usual is below 1.
+   */
+  getStatedSlowness (now: number): number | undefined {
+    return this.stated?.getSlowness(now)
+  }
+
   getFailureShare (now: number): number {
     return this.failureShare * this.computeDecay(now)
   }
