Choose targets by the speed and the queue that they state

A host measures a target's slowness over some ten answers, of which it has 4 to 20 a second from all targets: it learns of slow targets when they are fast again. It also took work on cached objects at slow targets for work on uncached ones. Change: chooseTarget multiplies work and wait by the last statement, faded with its age, and takes the stated queue plus own sends, moving on to the hosts' counts as the statement ages. Hosts learn how often second targets have their objects and whether memory is full, and only where a target states its speed the cost of a second place follows from that. Times are learnt at the usual speed. Statements that contradict the times of answers aren't trusted for 5 s. Log fields and metrics.

--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -11,6 +11,7 @@
 import { CarrierClient } from '../carriers/carrierClient.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import { LinkMonitor } from '../links/linkMonitor.js'
+import { TargetLoads } from '../loads/targetLoads.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { PeerView } from '../peers/peerView.js'
@@ -56,6 +57,7 @@
   readonly prober: TargetProber
   readonly links: LinkMonitor
   readonly carriers: CarrierClient
+  readonly targetLoads: TargetLoads
   readonly shiftCapUsage = new ShiftCapUsage()
   /** Operators' declarations, of the newest revision that this host knows. */
   steering = DeclaredSteering.none
@@ -66,6 +68,7 @@
     const { settings, fleet, codec, memory, getNow, random, signal } = parts
     this.fleet = fleet
     this.announcements = parts.announcements
+    this.targetLoads = new TargetLoads({ fleet, metrics: parts.metrics })
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
     this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, {
       countOpened: parts.countOpened,
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -1,9 +1,12 @@
 import type { TargetPool } from '../../connection/targetPool.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
+import type { ChoiceContext } from '../../request/choiceContext.js'
 import { chooseTarget } from '../../request/chooseTarget.js'
 import { FIRST_FAILURE_STATUS } from '../../request/firstFailureStatus.js'
+import { observeWork } from '../../request/observeWork.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
+import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
 import type { TargetState } from '../../request/targetState.js'
 import { identifyCaller } from '../../version/identifyCaller.js'
 import { isAllowedRegion } from '../../version/isAllowedRegion.js'
@@ -36,7 +39,8 @@
     const { targetLatencyMs } = request.route
     const times = this.runtime.findTimes(request.route.name)
     const isRegionOpen = this.findOpenRegions(request.allowedRegions)
-    return chooseTarget(fleet.listTargets(this.service), {
+    const targets = fleet.listTargets(this.service)
+    const context: ChoiceContext = {
       now,
       keyHash: this.keyHash,
       homeRegion: this.homeRegion,
@@ -51,12 +55,16 @@
       isLimited: (target) => this.state.sendLimiter.isLimited(target, now),
       isWarmUpRequest: this.isWarmUpRequest,
       canSpill: this.declared?.spill !== false && this.runtime.spillAllowance.allow()
-    })
+    }
+    const choice = chooseTarget(targets, { ...context, places: this.runtime.places })
+    this.state.targetLoads.observeChoice(choice, () => chooseTarget(targets, { ...context, ignoresStatements: true }), now)
+    return choice
   }
 
   /** Records that the request is sent to a target now. Each call is paired with one of observeFinish. */
   observeSend (choice: TargetChoice, now: number): void {
     const { target } = choice
+    target.findStated(now)?.observeSend(now)
     this.state.shiftCapUsage.begin(this.service, target.entry.region)
     if (target.isCold(now)) this.state.observeColdSend(target, now)
     if (target.entry.region !== this.homeRegion) this.runtime.spillAllowance.use()
@@ -72,6 +80,7 @@
     if (result.kind === 'answered' && attempt.sentAt !== undefined) {
       if (attempt.carrier === undefined) this.state.links.observeAnswer(target, now)
       this.state.announcements.observeAnswer(target, result.head, attempt.sentAt, now)
+      this.state.targetLoads.observeAnswer(target, result.head, now)
     }
     if (attempt.isCancelled || attempt.sentAt === undefined || attempt.isCarrierFault) return
     if (result.kind !== 'answered') {
@@ -81,7 +90,7 @@
     if (result.head.coldForMs !== undefined) target.markCold(result.head.coldForMs, now)
     if (result.head.isMisdirected) this.state.fleet.removeMisdirected(target, now)
     else if (result.head.isNotRun || !result.head.isGenuine || result.head.status >= FIRST_FAILURE_STATUS) target.observeFailure(now)
-    else this.learnDuration(attempt, now - attempt.sentAt, now)
+    else this.learnDuration(attempt, result.head, now - attempt.sentAt, now)
   }
 
   // A host that carries an attempt probes the target itself. Over a lost link no failure is the target's.
@@ -162,16 +171,17 @@
     }
   }
 
-  private learnDuration ({ choice, request, carrier }: Attempt, durationMs: number, now: number): void {
+  private learnDuration ({ choice, request, carrier }: Attempt, { load }: TargetAnswerHead, durationMs: number, now: number): void {
     const { name, targetLatencyMs } = request.route
     const carrierRegion = carrier === undefined ? undefined : this.state.fleet.findHost(carrier)?.region
     const detourMs = carrierRegion === undefined ? 0 : this.state.roundTripTimes.find(carrierRegion)
     const workMs = Math.max(1, durationMs - choice.roundTripMs - choice.waitMs - detourMs)
-    choice.target.observeAnswer(workMs / Math.max(1, choice.workMs / choice.target.getSlowness(now)), now)
-    this.runtime.findTimes(name).observeAnswer(workMs, choice.isCached, targetLatencyMs)
+    const times = this.runtime.findTimes(name)
+    const usualMs = observeWork({ choice, workMs, speedPercent: load?.speedPercent, warmMs: times.getWarmMs(targetLatencyMs), coldMs: times.getColdMs(targetLatencyMs), places: this.runtime.places, now })
+    times.observeAnswer(usualMs, choice.isCached, targetLatencyMs)
     // Requests that name no object, such as checks of whether a route exists, say nothing about the work on objects.
     if (request.affinityKey === undefined) return
-    this.runtime.times.observeAnswer(workMs, choice.isCached, targetLatencyMs)
+    this.runtime.times.observeAnswer(usualMs, choice.isCached, targetLatencyMs)
     choice.target.warmKeys.add(this.keyHash)
   }
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -9,6 +9,12 @@
   expectedMs: number
   /** Requests per second that the target takes from all hosts together; undefined if it has announced no limit. */
   requestLimit: number | undefined
+  /**
+   * Factor by which the target's work takes longer by its last statement, faded with its age, and that age in milliseconds; undefined
+   * where it has stated no speed lately.
+   */
+  statedSlowness: number | undefined
+  statedAgeMs: number | undefined
   /** Host by way of which the request was sent; undefined if it was sent directly. */
   carrier: string | undefined
   /** `answered` with the status, or the reason why there was no answer. */
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -254,15 +254,17 @@
   }
 
   private recordAttempt (attempt: Attempt, result: string): void {
-    const { target, rank, outstanding, expectedMs } = attempt.choice
+    const { target, rank, outstanding, expectedMs, statedSlowness, statedAgeMs } = attempt.choice
     this.record.attempts.push({
       target: target.entry.id,
       region: target.entry.region,
       availabilityZone: target.entry.availabilityZone,
       rank,
-      outstanding,
+      outstanding: Math.round(outstanding),
       expectedMs: Math.round(expectedMs),
       requestLimit: this.placement.findRequestLimit(target),
+      statedSlowness: statedSlowness === undefined ? undefined : Math.round(statedSlowness * 100) / 100,
+      statedAgeMs: statedAgeMs === undefined ? undefined : Math.round(statedAgeMs),
       carrier: attempt.carrier,
       result,
       ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
--- a/packages/almondrelay-gateway/src/process/forward/serviceRuntime.ts
+++ b/packages/almondrelay-gateway/src/process/forward/serviceRuntime.ts
@@ -2,6 +2,7 @@
 import { putBounded } from '../../request/putBounded.js'
 import { RegionShares } from '../../request/regionShares.js'
 import { RetryAllowance } from '../../request/retryAllowance.js'
+import { SecondPlaces } from '../../request/secondPlaces.js'
 import { ServiceTimes } from '../../request/serviceTimes.js'
 import { SlidingWindowCounter } from '../../request/slidingWindowCounter.js'
 import type { ServiceDemand } from '../peers/serviceDemand.js'
@@ -18,6 +19,7 @@
 export class ServiceRuntime {
   /** Times over all routes to the service. */
   readonly times = new ServiceTimes()
+  readonly places = new SecondPlaces()
   readonly retryAllowance: RetryAllowance
   readonly regionShares: RegionShares
   readonly spillAllowance: SpillAllowance
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
@@ -0,0 +1,59 @@
+import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
+import type { TargetChoice } from '../../request/targetChoice.js'
+import type { TargetState } from '../../request/targetState.js'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { TargetStatement } from './targetStatement.js'
+
+/** Milliseconds after the last statement for which targets count as stating their speeds. */
+const ACTIVE_MS = 10_000
+
+interface LoadsParts {
+  fleet: Pick<FleetState, 'findIncarnation'>
+  metrics: Pick<GatewayMetrics, 'observeStatementAge' | 'countStatementChoice'>
+}
+
+/** Takes in what targets state about their load, from their answers to this host and through other hosts. */
+export class TargetLoads {
+  private lastStatedAt = -Infinity
+  /** Newest statements to this host that other hosts haven't been told of, by incarnation; a target has one at most. */
+  private readonly untold = new Map<number, TargetStatement>()
+
+  constructor (private readonly parts: LoadsParts) {}
+
+  /** Takes over the load that a target states in an answer to this host. */
+  observeAnswer (target: TargetState, { load, isMisdirected, isGenuine, isNotRun }: TargetAnswerHead, now: number): void {
+    if (load?.speedPercent === undefined || isMisdirected || (!isGenuine && !isNotRun)) return
+    const { running, waiting, speedPercent } = load
+    if (!target.receiveStatement({ running, waiting, speedPercent }, now)) return
+    this.lastStatedAt = now
+    this.untold.set(target.incarnationHash, { incarnationHash: target.incarnationHash, running, waiting, speedPercent, statedAt: now })
+  }
+
+  /** Takes over a statement that another host passed on; false if it is of no known target or no newer than the last one. */
+  receive (statement: TargetStatement, now: number): boolean {
+    const { incarnationHash, running, waiting, speedPercent, statedAt } = statement
+    const isNewer = this.parts.fleet.findIncarnation(incarnationHash)?.receiveStatement({ running, waiting, speedPercent }, statedAt) === true
+    if (isNewer) this.lastStatedAt = now
+    return isNewer
+  }
+
+  /** Returns the statements to this host since the last call. */
+  takeUntold (): TargetStatement[] {
+    const statements = [...this.untold.values()]
+    this.untold.clear()
+    return statements
+  }
+
+  /** Whether targets have stated speeds lately. */
+  isActive (now: number): boolean {
+    return now - this.lastStatedAt <= ACTIVE_MS
+  }
+
+  /** Counts a choice and whether statements changed it; does nothing while no target states its speed. */
+  observeChoice (choice: TargetChoice | undefined, chooseWithout: () => TargetChoice | undefined, now: number): void {
+    if (choice === undefined || !this.isActive(now)) return
+    if (choice.statedAgeMs !== undefined) this.parts.metrics.observeStatementAge(choice.statedAgeMs)
+    this.parts.metrics.countStatementChoice(chooseWithout()?.target === choice.target ? 'same' : 'changed')
+  }
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/loads/targetStatement.ts
@@ -0,0 +1,8 @@
+import type { LoadStatement } from '../../request/loadStatement.js'
+
+/** A statement of one incarnation of a target about its load. */
+export interface TargetStatement extends LoadStatement {
+  incarnationHash: number
+  /** Monotonic milliseconds at which it was made. */
+  statedAt: number
+}
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -6,6 +6,9 @@
 /** Histogram buckets in seconds for the delay with which the host does its own work; from 0.15 s on, requests are shed. */
 const DELAY_BUCKETS = [0.01, 0.05, 0.15, 0.5, 1.5]
 
+/** Histogram buckets in seconds for the age of targets' statements, which say little after the coherence time of 0.6 s. */
+const STATEMENT_AGE_BUCKETS = [0.1, 0.2, 0.4, 0.6, 1, 2]
+
 /** Maximum number of organisations with their own label value, first come, first served: each adds a time series per outcome and host. */
 const MAX_ORGANISATION_LABELS = 200
 /** Label value under which all further organisations are counted together. */
@@ -23,6 +26,8 @@
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
   private readonly targetAnnouncements = new Counter({ name: 'almondrelay_target_announcements_total', help: 'Departures that targets announced and pauses that they asked for', labelNames: ['kind'], registers: [this.registry] })
+  private readonly statementAge = new Histogram({ name: 'almondrelay_target_statement_age_seconds', help: 'Age of the statements of speed by which targets were chosen', buckets: STATEMENT_AGE_BUCKETS, registers: [this.registry] })
+  private readonly statementChoices = new Counter({ name: 'almondrelay_target_statement_choices_total', help: 'Choices while targets state their speeds, by whether statements changed them', labelNames: ['result'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
   private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
@@ -68,6 +73,15 @@
     this.targetAnnouncements.inc({ kind })
   }
 
+  observeStatementAge (ageMs: number): void {
+    this.statementAge.observe(ageMs / 1_000)
+  }
+
+  /** @param result `changed` if another target would have been chosen without statements, else `same` */
+  countStatementChoice (result: 'changed' | 'same'): void {
+    this.statementChoices.inc({ result })
+  }
+
   countPlatformCall (call: string, outcome: string): void {
     this.platformCalls.inc({ call, outcome })
   }
--- a/packages/almondrelay-gateway/src/request/choiceContext.ts
+++ b/packages/almondrelay-gateway/src/request/choiceContext.ts
@@ -1,3 +1,4 @@
+import type { SecondPlaces } from './secondPlaces.js'
 import type { TargetState } from './targetState.js'
 
 /** Everything that the choice of a target depends on besides the targets themselves. */
@@ -15,6 +16,10 @@
   coldMs: number
   /** Mean work, in milliseconds, on the requests that are ahead in a queue. */
   meanMs: number
+  /** What is known of keys' second targets; used only where a target states its speed. */
+  places?: SecondPlaces
+  /** Leaves out what targets state about their load, to find out what a statement changed. */
+  ignoresStatements?: boolean
   /** Latency target: milliseconds within which an answer has its full value. */
   targetLatencyMs: number
   /** Whether the target may get this request: it isn't evacuated, the route allows it, and it hasn't been tried yet. */
--- a/packages/almondrelay-gateway/src/request/chooseTarget.ts
+++ b/packages/almondrelay-gateway/src/request/chooseTarget.ts
@@ -1,6 +1,7 @@
 import type { ChoiceContext } from './choiceContext.js'
 import { computePairHash } from '../version/computePairHash.js'
 import { pickTargets } from './pickTargets.js'
+import type { StatedLoad } from './statedLoad.js'
 import type { TargetChoice } from './targetChoice.js'
 import type { TargetState } from './targetState.js'
 
@@ -95,18 +96,47 @@
 
 const estimateChoice = (target: TargetState, rank: number, context: ChoiceContext): TargetChoice => {
   const { now, warmMs, coldMs } = context
-  const outstanding = target.countOutstanding(now)
-  const slowness = target.getSlowness(now) * (target.isCold(now) ? COLD_TARGET_SLOWNESS : 1)
+  const stated = context.ignoresStatements === true ? undefined : target.findStated(now)
+  const statedSlowness = stated?.getSlowness(now)
+  const outstanding = estimateOutstanding(target, stated, now)
+  const slowness = target.getSlowness(now) * (target.isCold(now) ? COLD_TARGET_SLOWNESS : 1) * (statedSlowness ?? 1)
   const isCached = target.warmKeys.has(context.keyHash)
   const isWarmWork = (rank === 0 && target.entry.region === context.homeRegion) || isCached
-  const workMs = (isWarmWork ? warmMs : coldMs) * slowness
+  const cachedShare = isWarmWork ? 1 : stated === undefined ? 0 : estimateCachedShare(rank, context)
+  const workMs = (isWarmWork ? warmMs : coldMs - (coldMs - warmMs) * cachedShare) * slowness
   const ahead = Math.max(0, outstanding + 1 - target.entry.slots)
   const waitMs = ahead / target.entry.slots * context.meanMs * slowness
   const roundTripMs = context.findRoundTripMs(target.entry.region)
   const failureShare = Math.min(0.95, target.getFailureShare(now))
   const failureMs = failureShare / (1 - failureShare) * FAILURE_COST * context.targetLatencyMs
-  const laterCostMs = estimateLaterCost(isWarmWork, rank, outstanding / target.entry.slots, coldMs - warmMs)
-  return { target, expectedMs: roundTripMs + waitMs + workMs, costMs: roundTripMs + waitMs + workMs + failureMs + laterCostMs, workMs, waitMs, roundTripMs, rank, outstanding, isCached }
+  const secondCostShare = SECOND_TARGET_COST_SHARE * (stated === undefined ? 1 : context.places?.computeMemoryUse() ?? 1)
+  const laterCostMs = estimateLaterCost({ cachedShare, rank, usage: outstanding / target.entry.slots, extraColdMs: coldMs - warmMs, secondCostShare })
+  return { target, expectedMs: roundTripMs + waitMs + workMs, costMs: roundTripMs + waitMs + workMs + failureMs + laterCostMs, workMs, waitMs, roundTripMs, rank, outstanding, isCached, statedSlowness, statedAgeMs: statedSlowness === undefined ? undefined : stated?.computeAge(now) }
+}
+
+/**
+ * Estimates the requests at a target. What it stated is exact, but misses what other hosts have sent since; so with the age of the
+ * statement the estimate moves on to the counts that the hosts report. Otherwise all hosts that see the same idle target would choose it.
+ */
+const estimateOutstanding = (target: TargetState, stated: StatedLoad | undefined, now: number): number => {
+  const counted = target.countOutstanding(now)
+  const statedCount = stated?.estimateOutstanding(now)
+  return stated === undefined || statedCount === undefined ? counted : counted + (statedCount - counted) * stated.computeWeight(now)
+}
+
+/** Estimates the probability that a target that states its speed has a key's object cached. */
+const estimateCachedShare = (rank: number, { places, now }: ChoiceContext): number => rank === 0 ? 0 : places?.getCachedShare(now) ?? 0
+
+interface LaterCostInput {
+  /** Probability that the target has the object cached. */
+  cachedShare: number
+  rank: number
+  /** Requests at the target as a share of its slots. */
+  usage: number
+  /** Additional work on an uncached object. */
+  extraColdMs: number
+  /** Cost of a second place, as a share of that work: below SECOND_TARGET_COST_SHARE where targets have memory for two places a key. */
+  secondCostShare: number
 }
 
 /**
@@ -114,7 +144,7 @@
  * busier the target is. Caching an object at a second target evicts another object there: targets remember few objects, and with
  * every key at two targets the memory of a small region would be full and keep nothing for long.
  */
-const estimateLaterCost = (isWarmWork: boolean, rank: number, usage: number, extraColdMs: number): number => {
-  if (!isWarmWork) return extraColdMs * (SECOND_TARGET_COST_SHARE + BUSY_TARGET_COST_FACTOR * usage ** 2)
-  return rank === 0 ? 0 : extraColdMs * SECOND_TARGET_COST_SHARE
+const estimateLaterCost = ({ cachedShare, rank, usage, extraColdMs, secondCostShare }: LaterCostInput): number => {
+  if (cachedShare < 1) return extraColdMs * (secondCostShare + BUSY_TARGET_COST_FACTOR * usage ** 2 * (1 - cachedShare))
+  return rank === 0 ? 0 : extraColdMs * secondCostShare
 }
--- a/packages/almondrelay-gateway/src/request/statedLoad.ts
+++ b/packages/almondrelay-gateway/src/request/statedLoad.ts
@@ -8,9 +8,28 @@
 /** Bounds of the slowness that is used; the same as for measured slowness. */
 const MIN_SLOWNESS = 0.2
 const MAX_SLOWNESS = 20
+/**
+ * Bounds of measured work, as multiples of what a statement lets expect of the shortest and the longest work. Outside of them the
+ * measured time contradicts the statement. Work during which the speed changed lies outside at times, and so do single long requests.
+ */
+const MIN_WORK_RATIO = 0.6
+const MAX_WORK_RATIO = 1.6
+/** Contradictions, halved by each answer that agrees, at which a target's statements are no longer trusted, and for how long. */
+const MAX_CONTRADICTIONS = 3
+const DISTRUST_MS = 5_000
 /** Sends kept since a statement; more than a target with its queue can hold. */
 const MAX_SENDS = 64
 
+interface MeasuredWork {
+  /** Measured milliseconds of work, and the speed that the target stated with the answer. */
+  workMs: number
+  speedPercent: number
+  /** Expected work on a cached and on an uncached object at the usual speed, and the expected wait before it. */
+  warmMs: number
+  coldMs: number
+  waitMs: number
+}
+
 /**
  * What one incarnation of a target last stated about its load, how old that is, and this host's own sends since.
  *
@@ -21,6 +40,7 @@
   private statement: LoadStatement | undefined
   private statedAt = -Infinity
   private distrustedUntil = -Infinity
+  private contradictions = 0
   private sentAt: number[] = []
 
   /** Takes over a statement made at the given time; false if it is no newer than the last one. */
@@ -38,9 +58,30 @@
     this.sentAt.push(now)
   }
 
+  /** Compares the time of an answer with the speed that the target stated in it. */
+  observeWork ({ workMs, speedPercent, warmMs, coldMs, waitMs }: MeasuredWork, now: number): void {
+    const stated = speedPercent / NORMAL_PERCENT
+    const isTooFast = workMs < warmMs * stated * MIN_WORK_RATIO
+    // With a queue the time in it isn't known well enough to tell that the work took too long.
+    const isTooSlow = waitMs === 0 && workMs > coldMs * stated * MAX_WORK_RATIO
+    this.contradictions = isTooFast || isTooSlow ? this.contradictions + 1 : this.contradictions / 2
+    if (this.contradictions < MAX_CONTRADICTIONS) return
+    this.contradictions = 0
+    this.distrustedUntil = now + DISTRUST_MS
+  }
+
+  /** Returns the stated speed as a factor, within bounds; undefined while the target's statements aren't trusted. */
+  limitSlowness (speedPercent: number, now: number): number | undefined {
+    return this.isTrusted(now) ? Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, speedPercent / NORMAL_PERCENT)) : undefined
+  }
+
+  isTrusted (now: number): boolean {
+    return now >= this.distrustedUntil
+  }
+
   /** Returns the statement while it is recent and trusted. */
   get (now: number): LoadStatement | undefined {
-    return this.computeAge(now) <= MAX_AGE_MS && now >= this.distrustedUntil ? this.statement : undefined
+    return this.computeAge(now) <= MAX_AGE_MS && this.isTrusted(now) ? this.statement : undefined
   }
 
   /** Returns the milliseconds since the last statement; Infinity before the first. */
@@ -51,9 +92,8 @@
   /** Returns the factor by which work probably takes longer than usual now; undefined if there is no recent and trusted statement. */
   getSlowness (now: number): number | undefined {
     const statement = this.get(now)
-    if (statement === undefined) return undefined
-    const stated = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, statement.speedPercent / NORMAL_PERCENT))
-    return 1 + (stated - 1) * this.computeWeight(now)
+    const stated = statement === undefined ? undefined : this.limitSlowness(statement.speedPercent, now)
+    return stated === undefined ? undefined : 1 + (stated - 1) * this.computeWeight(now)
   }
 
   /** Estimates the requests at the target by its statement and this host's sends since; undefined without a usable statement. */
--- a/packages/almondrelay-gateway/src/request/targetChoice.ts
+++ b/packages/almondrelay-gateway/src/request/targetChoice.ts
@@ -7,6 +7,10 @@
   expectedMs: number
   /** `expectedMs` plus the cost of the target's failures and of the load on later requests; targets are compared by this. */
   costMs: number
+  /** Factor by which the target stated that its work takes longer, faded with the age of the statement; undefined where none is known. */
+  statedSlowness?: number | undefined
+  /** Age of that statement in milliseconds. */
+  statedAgeMs?: number | undefined
   /** Components of `expectedMs`: the work itself, the wait in the queue, and the round trip. */
   workMs: number
   waitMs: number
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -24,6 +24,8 @@
 const WARM_UP_MS = 8_000
 /** Age, in milliseconds, above which a peer's count of running requests is ignored as outdated. */
 const PEER_COUNT_MAX_AGE_MS = 1_500
+/** Milliseconds after its last statement for which a target counts as one that states its speed: longer than any pause between its answers. */
+const STATES_SPEED_MS = 10_000
 
 /**
  * State of one incarnation of a target as known to this host: its entry, its load and how it has answered. A restarted target has
@@ -48,8 +50,8 @@
   private contactAt = -Infinity
   private departedAt: number | undefined
   private hasAnnouncedLeaving = false
-  /** What this incarnation states about its load; undefined before it first stated its speed. */
-  stated: StatedLoad | undefined
+  /** What this incarnation has stated about its load; undefined before it first stated its speed. */
+  private stated: StatedLoad | undefined
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
@@ -161,12 +163,17 @@
     return this.stated.receive(statement, statedAt)
   }
 
+  /** Returns what is known of the target's statements; undefined where it states no speed, or no longer does. */
+  findStated (now: number): StatedLoad | undefined {
+    return this.stated !== undefined && this.stated.computeAge(now) <= STATES_SPEED_MS ? this.stated : undefined
+  }
+
   /**
    * Returns the factor by which work takes longer than usual, as the target stated it and as it probably is by now; undefined where no
    * recent statement that is trusted is known. Faster than usual is below 1.
    */
   getStatedSlowness (now: number): number | undefined {
-    return this.stated?.getSlowness(now)
+    return this.findStated(now)?.getSlowness(now)
   }
 
   getFailureShare (now: number): number {
