--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -48,6 +48,12 @@
   assert.match(served.stdout, 'answer expected after 110 ms, a limit of 5.7 requests a second): answered 200')
 })
 
+test('an attempt at a target that states its speed names the speed and the age of the statement', async () => {
+  const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request', time: '2026-03-04T09:00:00.009Z', id: '9c47', route: 'r-1', version: 7, key: '17', service: 'balances', homeRegion: 'akl', attempts: [{ target: 'i-1', region: 'akl', rank: 1, outstanding: 3, expectedMs: 110, statedSlowness: 1.8, statedAgeMs: 120, result: 'answered 200', ms: 40 }], outcome: '200', ms: 41 }))
+  const served = await runCommandLine(['explain', '9c47', '--log', log])
+  assert.match(served.stdout, 'answer expected after 110 ms, work there 1.8 times as long by a statement 120 ms old): answered 200')
+})
+
 test('an attempt by way of another host names that host', async () => {
   const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request', time: '2026-03-04T09:00:00.009Z', id: '9c46', route: 'r-1', version: 7, key: '17', service: 'balances', homeRegion: 'akl', attempts: [{ target: 'i-1', region: 'akl', rank: 0, outstanding: 3, expectedMs: 110, carrier: 'akl-b-1', result: 'answered 200', ms: 40 }], outcome: '200', ms: 41 }))
   const served = await runCommandLine(['explain', '9c46', '--log', log])
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -23,5 +23,6 @@
 const describeAttempt = (attempt: RequestLine['attempts'][number], index: number): string => {
   const limit = attempt.requestLimit === undefined ? '' : `, a limit of ${attempt.requestLimit} requests a second`
   const way = attempt.carrier === undefined ? '' : ` by way of ${attempt.carrier}`
-  return `attempt ${index + 1} at ${attempt.target} in ${attempt.region}${way} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms${limit}): ${attempt.result} after ${attempt.ms} ms`
+  const stated = attempt.statedSlowness === undefined ? '' : `, work there ${attempt.statedSlowness} times as long by a statement ${attempt.statedAgeMs ?? '?'} ms old`
+  return `attempt ${index + 1} at ${attempt.target} in ${attempt.region}${way} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms${limit}${stated}): ${attempt.result} after ${attempt.ms} ms`
 }
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -25,6 +25,9 @@
     expectedMs: z.number(),
     /** Requests per second that the target stated that it takes from all hosts together. */
     requestLimit: z.number().optional(),
+    /** Factor by which the target's work takes longer by its last statement, faded with its age, and that age in milliseconds. */
+    statedSlowness: z.number().optional(),
+    statedAgeMs: z.number().optional(),
     /** Host by way of which the request was sent; absent if it was sent directly. */
     carrier: z.string().optional(),
     result: z.string(),
--- a/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
@@ -7,6 +7,8 @@
 
 /** Milliseconds after the last statement for which targets count as stating their speeds. */
 const ACTIVE_MS = 10_000
+/** Choices of which one is made again without statements: a second choice doubles the time of the first. */
+const CHOICES_PER_COMPARISON = 8
 
 interface LoadsParts {
   fleet: Pick<FleetState, 'findIncarnation'>
@@ -18,6 +20,7 @@
   /** Called with each new statement to this host or of another one. */
   handleStatement: () => void = () => undefined
   private lastStatedAt = -Infinity
+  private choices = 0
   /** Newest statements to this host that other hosts haven't been told of, by incarnation; a target has one at most. */
   private readonly untold = new Map<number, TargetStatement>()
 
@@ -62,10 +65,11 @@
     return now - this.lastStatedAt <= ACTIVE_MS
   }
 
-  /** Counts a choice and whether statements changed it; does nothing while no target states its speed. */
+  /** Counts a choice and, of one in eight, whether statements changed it; does nothing while no target states its speed. */
   observeChoice (choice: TargetChoice | undefined, chooseWithout: () => TargetChoice | undefined, now: number): void {
     if (choice === undefined || !this.isActive(now)) return
     if (choice.statedAgeMs !== undefined) this.parts.metrics.observeStatementAge(choice.statedAgeMs)
-    this.parts.metrics.countStatementChoice(chooseWithout()?.target === choice.target ? 'same' : 'changed')
+    this.choices += 1
+    if (this.choices % CHOICES_PER_COMPARISON === 0) this.parts.metrics.countStatementChoice(chooseWithout()?.target === choice.target ? 'same' : 'changed')
   }
 }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -27,7 +27,7 @@
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
   private readonly targetAnnouncements = new Counter({ name: 'almondrelay_target_announcements_total', help: 'Departures that targets announced and pauses that they asked for', labelNames: ['kind'], registers: [this.registry] })
   private readonly statementAge = new Histogram({ name: 'almondrelay_target_statement_age_seconds', help: 'Age of the statements of speed by which targets were chosen', buckets: STATEMENT_AGE_BUCKETS, registers: [this.registry] })
-  private readonly statementChoices = new Counter({ name: 'almondrelay_target_statement_choices_total', help: 'Choices while targets state their speeds, by whether statements changed them', labelNames: ['result'], registers: [this.registry] })
+  private readonly statementChoices = new Counter({ name: 'almondrelay_target_statement_choices_total', help: 'One in eight choices while targets state their speeds, by whether statements changed it', labelNames: ['result'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
   private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
