--- a/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -1,5 +1,6 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import { PeerDatagramSchema, type PeerDatagram } from 'almondrelay-protocol'
+import { decodeTargetLoads } from '../loads/decodeTargetLoads.js'
 import { decodeUsageReport } from '../organisations/decodeUsageReport.js'
 import { decodeSuspectReport } from '../quarantine/decodeSuspectReport.js'
 import { decodeLoadReport } from './decodeLoadReport.js'
@@ -37,9 +38,13 @@
   return report === undefined ? undefined : { kind: 'use', report }
 }
 
-/** Decodes the rare messages with the protobuf library. */
+/** Decodes the other messages, of which a host receives fewer, with the protobuf library. */
 const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined => {
-  if (content.case !== 'suspects') return undefined
-  const report = decodeSuspectReport(content.value)
-  return report === undefined ? undefined : { kind: 'suspects', report }
+  if (content.case === 'suspects') {
+    const report = decodeSuspectReport(content.value)
+    return report === undefined ? undefined : { kind: 'suspects', report }
+  }
+  if (content.case !== 'targetLoads') return undefined
+  const report = decodeTargetLoads(content.value)
+  return report === undefined ? undefined : { kind: 'target-loads', report }
 }
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -1,4 +1,6 @@
 import { computeHash } from '../version/computeHash.js'
+import type { LoadStatement } from './loadStatement.js'
+import { StatedLoad } from './statedLoad.js'
 import type { TargetEntry } from './targetEntry.js'
 import { WarmKeys } from './warmKeys.js'
 
@@ -22,6 +24,8 @@
 const WARM_UP_MS = 8_000
 /** Age, in milliseconds, above which a peer's count of running requests is ignored as outdated. */
 const PEER_COUNT_MAX_AGE_MS = 1_500
+/** Milliseconds after its last statement for which a target counts as one that states its speed: longer than any pause between its answers. */
+const STATES_SPEED_MS = 10_000
 
 /**
  * State of one incarnation of a target as known to this host: its entry, its load and how it has answered. A restarted target has
@@ -46,6 +50,8 @@
   private contactAt = -Infinity
   private departedAt: number | undefined
   private hasAnnouncedLeaving = false
+  /** What this incarnation has stated about its load; undefined before it first stated its speed. */
+  private stated: StatedLoad | undefined
 
   constructor (public entry: TargetEntry, now: number) {
     this.hash = computeHash(entry.id)
@@ -148,6 +154,28 @@
     return 1 + (this.slowness - 1) * this.computeDecay(now)
   }
 
+  /**
+   * Receives what this incarnation of the target stated about its load, in an answer to this host or through a peer. Returns false if
+   * it is no newer than the last statement.
+   */
+  receiveStatement (statement: LoadStatement, statedAt: number): boolean {
+    this.stated ??= new StatedLoad()
+    return this.stated.receive(statement, statedAt)
+  }
+
+  /** Returns what is known of the target's statements; undefined where it states no speed, or no longer does. */
+  findStated (now: number): StatedLoad | undefined {
+    return this.stated !== undefined && this.stated.computeAge(now) <= STATES_SPEED_MS ? this.stated : undefined
+  }
+
+  /**
+   * Returns the factor by which work takes longer than usual, as the target stated it and as it probably is by now; undefined where no
+   * recent statement that is trusted is known. Faster than usual is below 1.
+   */
+  getStatedSlowness (now: number): number | undefined {
+    return this.findStated(now)?.getSlowness(now)
+  }
+
   getFailureShare (now: number): number {
     return this.failureShare * this.computeDecay(now)
   }
