Send a copy to a second target while it can still be on time

Cause: 3 of 100 requests take seven times as long as others, and slow targets 2.5 times. The second attempt of an idempotent request left at three times the expected time, 150 ms at the earliest: with cached work of 110 ms and a latency objective of 300 ms it was late itself. Ruled out: a copy at once for each request (twice the arrivals), a copy at a multiple of the expected time (late for the same reason). Change: where targets state their speed, a copy is due at the latest moment at which a second target that has the object cached would be on time; it is withheld if it would be late, wait in a queue, meet a full service or use the last third of the retry allowance.

--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { describeRequest } from '../describeRequest.js'
 import { runCommandLine } from '../../__fixtures__/runCommandLine.js'
 import { writeTemporaryFile } from '../../__fixtures__/writeTemporaryFile.js'
 
@@ -77,4 +78,11 @@
   assert.match(result.stderr, 'give the logs of every host')
 })
 
+test('a copy at a second target is named, and so is why none was sent', () => {
+  const attempt = { target: 'i-1', region: 'akl', rank: 0, outstanding: 0, expectedMs: 110, result: 'answered elsewhere', ms: 160 }
+  const line = { time: '2026-03-04T09:00:00.009Z', host: 'akl-a-1', msg: 'request' as const, id: '9c46', service: 'balances', homeRegion: 'akl', outcome: '200' }
+  assert.match(describeRequest({ ...line, attempts: [attempt, { ...attempt, target: 'i-2', isCopy: true, result: 'answered 200' }] }), 'copy 2 at i-2')
+  assert.match(describeRequest({ ...line, attempts: [attempt], withheldCopy: 'busy' }), 'no copy sent (busy)')
+})
+
 test.run()
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -6,10 +6,11 @@
   const route = line.route === undefined ? '' : `route ${line.route}${version}, `
   const placement = line.service === undefined ? '' : `service ${line.service}, key ${line.key ?? 'none'} with its place in ${line.homeRegion}; `
   const attempts = line.attempts.length === 0 ? 'no target asked' : line.attempts.map(describeAttempt).join('; ')
+  const copy = line.withheldCopy === undefined ? '' : `; no copy sent (${line.withheldCopy})`
   const reason = line.reason === undefined ? '' : `, because of: ${line.reason}`
   const duration = line.ms === undefined ? '' : `, after ${line.ms} ms`
   const fingerprint = line.fingerprint === undefined ? '' : `, fingerprint ${line.fingerprint}`
-  return `${route}${describeOrganisation(line)}${placement}${attempts}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}${fingerprint}`
+  return `${route}${describeOrganisation(line)}${placement}${attempts}${copy}; answered ${line.outcome ?? line.status ?? 'refused'}${reason}${duration}${fingerprint}`
 }
 
 const PERCENT = 100
@@ -24,5 +25,6 @@
   const limit = attempt.requestLimit === undefined ? '' : `, a limit of ${attempt.requestLimit} requests a second`
   const way = attempt.carrier === undefined ? '' : ` by way of ${attempt.carrier}`
   const stated = attempt.statedSlowness === undefined ? '' : `, work there ${attempt.statedSlowness} times as long by a statement ${attempt.statedAgeMs ?? '?'} ms old`
-  return `attempt ${index + 1} at ${attempt.target} in ${attempt.region}${way} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms${limit}${stated}): ${attempt.result} after ${attempt.ms} ms`
+  const kind = attempt.isCopy === true ? 'copy' : 'attempt'
+  return `${kind} ${index + 1} at ${attempt.target} in ${attempt.region}${way} (rank ${attempt.rank} of the key, ${attempt.outstanding} requests there, answer expected after ${attempt.expectedMs} ms${limit}${stated}): ${attempt.result} after ${attempt.ms} ms`
 }
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -30,9 +30,13 @@
     statedAgeMs: z.number().optional(),
     /** Host by way of which the request was sent; absent if it was sent directly. */
     carrier: z.string().optional(),
+    /** Whether the attempt was sent while another one was running, so as to be answered on time. */
+    isCopy: z.boolean().optional(),
     result: z.string(),
     ms: z.number()
   })).default([]),
+  /** Why no copy was sent to a second target when it was due. */
+  withheldCopy: z.string().optional(),
   outcome: z.string().optional(),
   status: z.number().optional(),
   reason: z.string().optional(),
--- a/packages/almondrelay-gateway/src/process/forward/requestEvent.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestEvent.ts
@@ -6,6 +6,8 @@
   | { kind: 'ended', attempt: Attempt, result: AttemptResult }
   /** A target takes longer than expected; the request may be hedged. */
   | { kind: 'overdue' }
+  /** The latest moment has come at which a copy at a second target could be on time. */
+  | { kind: 'copy-due' }
   /** Links to targets count as lost, perhaps that to a target whose answer the request waits for. */
   | { kind: 'links-lost' }
   | { kind: 'deadline' }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -158,13 +158,13 @@
   }
 
   private createRunner (request: CallerRequest): RequestRunner {
-    const { forward, targetCodec, quarantine, getNow, random } = this.parts
+    const { forward, targetCodec, quarantine, metrics, getNow, random } = this.parts
     const service = pickDestination(request.route.destinations, random()) ?? ''
     const runtime = forward.getRuntime(service)
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
     const placement = new RequestPlacement(forward, runtime, keyHash, request.allowedRegions, random() < WARM_UP_SHARE)
-    return new RequestRunner(request, placement, { codec: targetCodec, links: forward.links, carriers: forward.carriers, gate: new RequestGate(request, quarantine), getNow, random })
+    return new RequestRunner(request, placement, { codec: targetCodec, links: forward.links, carriers: forward.carriers, gate: new RequestGate(request, quarantine), metrics, getNow, random })
   }
 
   private report (request: CallerRequest, record: RequestRecord, answer: FinalAnswer): void {
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -2,6 +2,9 @@
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import type { ChoiceContext } from '../../request/choiceContext.js'
+import { computeCopyDelay } from '../../request/computeCopyDelay.js'
+import { CopyDecision } from '../../request/copyDecision.js'
+import { decideCopy } from '../../request/decideCopy.js'
 import { chooseTarget } from '../../request/chooseTarget.js'
 import { FIRST_FAILURE_STATUS } from '../../request/firstFailureStatus.js'
 import { observeWork } from '../../request/observeWork.js'
@@ -10,11 +13,15 @@
 import type { TargetState } from '../../request/targetState.js'
 import { identifyCaller } from '../../version/identifyCaller.js'
 import { isAllowedRegion } from '../../version/isAllowedRegion.js'
+import type { Route } from '../../version/route.js'
 import type { Attempt } from './attempt.js'
 import type { ForwardState } from './forwardState.js'
 import type { ServiceRuntime } from './serviceRuntime.js'
 import type { RequestRecord } from './requestRecord.js'
 
+/** Share of the retry allowance that copies leave to requests whose attempts fail. */
+const RESERVED_RETRY_SHARE = 1 / 3
+
 /** Chooses targets for one request from its service, its key and the state of the targets, and records the results of its attempts. */
 export class RequestPlacement {
   readonly homeRegion: string
@@ -145,6 +152,36 @@
     return this.runtime.retryAllowance.use(now, this.state.countHosts())
   }
 
+  /**
+   * Computes the milliseconds after which a copy of a request that was sent now is due; undefined where no copies are sent, as the target
+   * doesn't state its speed.
+   */
+  computeCopyDelay ({ arrivedAt, route }: CallerRequest, { target, expectedMs, roundTripMs }: TargetChoice, now: number): number | undefined {
+    if (target.findStated(now) === undefined) return undefined
+    const { targetLatencyMs } = route
+    return computeCopyDelay({ expectedMs, roundTripMs, warmMs: this.getWarmMs(route), targetLatencyMs, elapsedMs: now - arrivedAt })
+  }
+
+  /** Decides whether a copy of a request that is still unanswered is sent to the given second target, and uses the retry allowance for it. */
+  decideCopy ({ arrivedAt, route }: CallerRequest, second: TargetChoice | undefined, now: number): CopyDecision {
+    const usage = second === undefined ? 0 : this.computeUsage(second.target.entry.region, now)
+    const decision = decideCopy({ second, cachedShare: this.runtime.places.getCachedShare(now), warmMs: this.getWarmMs(route), targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, usage })
+    const isAllowed = decision !== CopyDecision.send || this.runtime.retryAllowance.use(now, this.state.countHosts(), RESERVED_RETRY_SHARE)
+    return isAllowed ? decision : CopyDecision.noAllowance
+  }
+
+  private getWarmMs ({ name, targetLatencyMs }: Route): number {
+    return this.runtime.findTimes(name).getWarmMs(targetLatencyMs)
+  }
+
+  /** Computes the share of the slots of the service's targets in a region that are busy, as far as known. */
+  private computeUsage (region: string, now: number): number {
+    const targets = this.state.fleet.listTargets(this.service).filter((target) => target.entry.region === region && !target.isLeaving())
+    const slots = targets.reduce((sum, target) => sum + target.entry.slots, 0)
+    const busy = targets.reduce((sum, target) => sum + Math.min(target.entry.slots, target.countOutstanding(now)), 0)
+    return slots === 0 ? 1 : busy / slots
+  }
+
   getPool (target: TargetState): TargetPool {
     return this.state.pools.get(target)
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRecord.ts
@@ -15,6 +15,8 @@
    */
   statedSlowness: number | undefined
   statedAgeMs: number | undefined
+  /** Whether the attempt was a copy, sent while another one was running so as to be answered on time. */
+  isCopy: true | undefined
   /** Host by way of which the request was sent; undefined if it was sent directly. */
   carrier: string | undefined
   /** `answered` with the status, or the reason why there was no answer. */
@@ -35,6 +37,8 @@
   /** Milliseconds since the last report of any peer; the load at targets is counted from these reports. */
   peerAgeMs: number | undefined
   attempts: AttemptRecord[]
+  /** Why no copy was sent at the latest moment at which it could have been on time; undefined where that moment didn't come. */
+  withheldCopy?: string
   /**
    * Fingerprint of the request, the same for all attempts of a caller; undefined unless a target gave no whole answer to the request or
    * the request is quarantined.
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -2,6 +2,7 @@
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
+import { CopyDecision } from '../../request/copyDecision.js'
 import { decideAdmission } from '../../request/decideAdmission.js'
 import { decideNextStep } from '../../request/decideNextStep.js'
 import { describeResult } from '../../request/describeResult.js'
@@ -10,6 +11,7 @@
 import type { TargetChoice } from '../../request/targetChoice.js'
 import type { CarrierClient } from '../carriers/carrierClient.js'
 import type { LinkMonitor } from '../links/linkMonitor.js'
+import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { RequestGate } from '../quarantine/requestGate.js'
 import { Attempt } from './attempt.js'
 import { EventQueue } from './eventQueue.js'
@@ -36,6 +38,7 @@
   links: LinkMonitor
   carriers: CarrierClient
   gate: RequestGate
+  metrics: Pick<GatewayMetrics, 'countCopy'>
   getNow: () => number
   random: () => number
 }
@@ -48,6 +51,8 @@
   private readonly triedIds = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
   private sends = 0
+  /** The attempt that was sent while the first one was running, so as to be answered on time. */
+  private copy: Attempt | undefined
   /** Failure answer of a target that is passed to the caller if no better answer arrives. */
   private fallbackAnswer: Extract<AttemptResult, { kind: 'answered' }> | undefined
   /** Last failure after which the request may have run, for the final answer; undefined if there was none. */
@@ -98,6 +103,7 @@
     switch (event.kind) {
       case 'ended': return this.handleAttemptEnd(event.attempt, event.result)
       case 'overdue': return this.handleOverdue()
+      case 'copy-due': return this.handleCopyDue()
       case 'links-lost': return this.handleLostLinks()
       case 'deadline': return this.handleDeadline()
       case 'caller-left': return this.handleCallerLeft()
@@ -110,9 +116,11 @@
     if (result.kind === 'broken') this.record.fingerprint ??= this.parts.gate.fingerprint
     this.recordAttempt(attempt, describeResult(result).text)
     if (step === NextStep.resend) this.sends -= 1
-    if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result)
+    if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result, attempt)
     if (step === NextStep.giveUp) return this.reportFailure(describeResult(result))
     this.recordFailure(result, step)
+    // The failure of a copy, or of the attempt that was copied, leaves the request to the other one.
+    if (this.copy !== undefined && this.running.size > 0) return undefined
     if (this.startAttempt() || this.running.size > 0) return undefined
     return this.finishWithoutAnswer()
   }
@@ -134,6 +142,23 @@
     return undefined
   }
 
+  // Once the first answer can no longer be awaited without being late, a second target may still give one on time.
+  private handleCopyDue (): undefined {
+    const now = this.parts.getNow()
+    if (this.running.size !== 1 || this.sends >= this.request.route.maxAttempts || !this.parts.gate.allowSend(this.sends)) return undefined
+    if (!this.placement.isIdentified(this.request)) return undefined
+    const second = this.placement.choose(this.request, this.triedIds, now)
+    const decision = this.placement.decideCopy(this.request, second, now)
+    if (decision !== CopyDecision.send) {
+      this.record.withheldCopy = decision
+      this.parts.metrics.countCopy(decision)
+    } else if (second !== undefined) {
+      this.parts.metrics.countCopy('sent')
+      this.copy = this.send(second, now)
+    }
+    return undefined
+  }
+
   private handleLostLinks (): undefined {
     return [...this.running].every(({ isCutOff }) => isCutOff) ? this.handleOverdue() : undefined
   }
@@ -168,8 +193,12 @@
     else setTimeout(() => { attempt.cancel('deadline') }, LATE_ANSWER_TIMEOUT_MS)
   }
 
-  private passAnswer (result: Extract<AttemptResult, { kind: 'answered' }>): FinalAnswer {
-    for (const attempt of this.running) attempt.cancel('answered elsewhere')
+  private passAnswer (result: Extract<AttemptResult, { kind: 'answered' }>, answered?: Attempt): FinalAnswer {
+    if (this.copy !== undefined) this.parts.metrics.countCopy(answered === this.copy ? 'won' : 'wasted')
+    for (const attempt of this.running) {
+      this.recordAttempt(attempt, 'answered elsewhere')
+      attempt.cancel('answered elsewhere')
+    }
     return { kind: 'passed', head: result.head, body: result.body }
   }
 
@@ -236,13 +265,14 @@
     return decideAdmission({ choice, targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, remainingMs: deadline - now })
   }
 
-  private send (choice: TargetChoice, now: number): void {
+  private send (choice: TargetChoice, now: number): Attempt {
     const { codec, gate, getNow, links, carriers } = this.parts
     const attempt = new Attempt(this.request, choice, { codec, links, carriers, getNow, describeSuspect: () => gate.describe(), isIdentified: () => this.placement.isIdentified(this.request), isQuarantined: () => gate.isBlocked, claimSend: (now) => this.placement.claimSend(choice.target, now) })
     this.sends += 1
     this.triedIds.add(choice.target.entry.id)
     this.running.add(attempt)
     this.placement.observeSend(choice, now)
+    if (this.request.route.idempotent && this.sends === 1) this.startCopyTimer(choice, now)
     if (this.request.route.idempotent) this.startTimer(Math.max(MIN_HEDGE_DELAY_MS, choice.expectedMs * HEDGE_DELAY_RATIO), { kind: 'overdue' })
     void attempt.run(this.placement.getPool(choice.target)).then((result) => {
       this.placement.observeFinish(choice)
@@ -250,6 +280,12 @@
       if (attempt.sentAt !== undefined && !attempt.isCarrierFault) gate.observeResult(choice.target, result, this.parts.getNow())
       this.events.push({ kind: 'ended', attempt, result })
     })
+    return attempt
+  }
+
+  private startCopyTimer (choice: TargetChoice, now: number): void {
+    const delayMs = this.placement.computeCopyDelay(this.request, choice, now)
+    if (delayMs !== undefined) this.startTimer(delayMs, { kind: 'copy-due' })
   }
 
   private startTimer (delayMs: number, event: RequestEvent): void {
@@ -268,6 +304,7 @@
       requestLimit: this.placement.findRequestLimit(target),
       statedSlowness: statedSlowness === undefined ? undefined : Math.round(statedSlowness * 100) / 100,
       statedAgeMs: statedAgeMs === undefined ? undefined : Math.round(statedAgeMs),
+      isCopy: attempt === this.copy ? true : undefined,
       carrier: attempt.carrier,
       result,
       ms: Math.round(this.parts.getNow() - (attempt.sentAt ?? this.request.arrivedAt))
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -28,6 +28,7 @@
   private readonly targetAnnouncements = new Counter({ name: 'almondrelay_target_announcements_total', help: 'Departures that targets announced and pauses that they asked for', labelNames: ['kind'], registers: [this.registry] })
   private readonly statementAge = new Histogram({ name: 'almondrelay_target_statement_age_seconds', help: 'Age of the statements of speed by which targets were chosen', buckets: STATEMENT_AGE_BUCKETS, registers: [this.registry] })
   private readonly statementChoices = new Counter({ name: 'almondrelay_target_statement_choices_total', help: 'One in eight choices while targets state their speeds, by whether statements changed it', labelNames: ['result'], registers: [this.registry] })
+  private readonly copies = new Counter({ name: 'almondrelay_copies_total', help: 'Copies of requests for second targets: sent, answered first, answered too late to be used, withheld by reason', labelNames: ['event'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
   private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
@@ -83,6 +84,11 @@
     this.statementChoices.inc({ result })
   }
 
+  /** @param event `sent`, `won` or `wasted`, or the reason why a copy was withheld */
+  countCopy (event: string): void {
+    this.copies.inc({ event })
+  }
+
   countPlatformCall (call: string, outcome: string): void {
     this.platformCalls.inc({ call, outcome })
   }
--- a/packages/almondrelay-gateway/src/request/retryAllowance.ts
+++ b/packages/almondrelay-gateway/src/request/retryAllowance.ts
@@ -35,16 +35,19 @@
     this.requests.add(now)
   }
 
-  /** @param hosts number of live hosts; undefined while it is unknown */
-  allow (now: number, hosts: number | undefined): boolean {
+  /**
+   * @param hosts number of live hosts; undefined while it is unknown
+   * @param reservedShare share of the retries that is kept for others
+   */
+  allow (now: number, hosts: number | undefined, reservedShare = 0): boolean {
     const extraShare = hosts === undefined ? 0 : this.bound.extra / hosts
     const allowed = (this.requests.count(now) * this.bound.ratio + extraShare) * USED_BOUND_SHARE
-    return this.retries.count(now) + 1 <= allowed
+    return this.retries.count(now) + 1 <= allowed * (1 - reservedShare)
   }
 
   /** Uses one retry; returns false where none is left. */
-  use (now: number, hosts: number | undefined): boolean {
-    if (!this.allow(now, hosts)) return false
+  use (now: number, hosts: number | undefined, reservedShare = 0): boolean {
+    if (!this.allow(now, hosts, reservedShare)) return false
     this.retries.add(now)
     return true
   }
