Give up on carriers that acknowledge no calls, and send their attempts through others

Cause: a call to another host counted as sent once its connection was open. The kernel of a stopped host opens connections and takes bytes, so attempts were given to it until it counted as dead (3 s), and ended at the route's timeout. Ruled out: load reports as evidence (they come every 100 ms to 1 s, later than an acknowledgement); a field in the messages (hosts of the present build would not answer it). Change: a call asks for '100 Continue', which every build's HTTP server sends, and its message is written only after that. A host that doesn't acknowledge within 100 ms and three round trips has certainly not sent the attempt: it goes to the next carrier without a retry. CarrierSilence decides when a host is silent; it then gets neither attempts nor questions, only one probe at a time, which waits in its kernel until it resumes. Idempotent requests that wait for answers by way of it are sent again within the retry allowance. What stops an attempt is checked again just before the message is written.

--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -41,6 +41,8 @@
   isHeldBack = false
   isLostAtCarrier = false
   isLeaving = false
+  /** Number of times that a host became silent. */
+  silences = 0
   readonly unanswered: SuspectId[] = []
   readonly stop = new AbortController()
   readonly originTarget: TargetState
@@ -60,7 +62,7 @@
     this.carrierTarget = this.carrierFleet.findTarget(this.originTarget.entry.id) as TargetState
     const roundTripTimes = new RoundTripTimes('akl')
     const getNow = (): number => performance.now()
-    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, roundTripTimes, metrics: this.metrics, getNow, random: () => 0.5 })
+    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, roundTripTimes, metrics: this.metrics, log: this.log, handleSilence: () => { this.silences += 1 }, getNow, random: () => 0.5 })
     const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
     this.server = new CarrierServer({
       own: carrier,
@@ -99,7 +101,7 @@
     return this.server.countUnanswered()
   }
 
-  carry (options: { timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, handleSend?: () => void } = {}): Promise<CarryOutcome> {
+  carry (options: { timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, handleSend?: () => void, findStopReason?: () => string | undefined } = {}): Promise<CarryOutcome> {
     return this.client.carry({
       request: makeRequest(),
       target: this.originTarget,
@@ -107,7 +109,7 @@
       deadline: performance.now() + (options.timeoutMs ?? 2_000),
       suspectId: SUSPECT_ID,
       isTrial: options.isTrial ?? false,
-      findStopReason: () => undefined,
+      findStopReason: options.findStopReason ?? (() => undefined),
       handleSend: options.handleSend ?? (() => undefined)
     }, options.signal ?? new AbortController().signal)
   }
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -1,6 +1,5 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryResponse, type CheckTargetResponse } from 'almondrelay-protocol'
-import { Agent } from 'node:http'
 import type { AnswerMemory } from '../../connection/answerMemory.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
@@ -11,6 +10,7 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { RoundTripTimes } from '../forward/roundTripTimes.js'
 import { PeerReach } from '../links/peerReach.js'
+import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { PeerView } from '../peers/peerView.js'
 import type { SuspectId } from '../quarantine/suspectId.js'
@@ -20,12 +20,9 @@
 import { chooseCarrier } from './chooseCarrier.js'
 import { decodeMessage } from './decodeMessage.js'
 import { describeDistance } from './describeDistance.js'
-import { describeMethod } from './describeMethod.js'
+import { PeerCaller } from './peerCaller.js'
 import { PeerCallFailure } from './peerCallFailure.js'
-import { sendPeerCall } from './sendPeerCall.js'
 
-/** Milliseconds for opening a connection to another host, on top of two round trips. */
-const CONNECT_TIMEOUT_MS = 100
 /** Milliseconds within which a host must say whether it reaches a target, on top of its round trips: it may have to connect first. */
 const CHECK_TIMEOUT_MS = 400
 /** Maximum hosts that are asked to carry one attempt. */
@@ -38,6 +35,9 @@
   memory: AnswerMemory
   roundTripTimes: RoundTripTimes
   metrics: GatewayMetrics
+  log: EventLog
+  /** Called when a host doesn't acknowledge calls any more, for requests that wait for answers by way of it. */
+  handleSilence: () => void
   getNow: () => number
   random: () => number
 }
@@ -55,17 +55,24 @@
   isTrial: boolean
   /** Returns why the attempt must not be sent any more; undefined while it may. Called immediately before each send. */
   findStopReason: (now: number) => string | undefined
-  /** Called when the attempt is written to another host. */
-  handleSend: (now: number) => void
+  /** Called when the attempt is written to another host, with that host's name. */
+  handleSend: (now: number, carrier: string) => void
 }
 
 /** Calls other hosts that may reach targets which this host doesn't. */
 export class CarrierClient {
-  private readonly agent = new Agent({ keepAlive: true, scheduling: 'lifo', noDelay: true })
   private readonly carried = new Map<string, number>()
   private readonly memory = new CarrierMemory()
+  private readonly caller: PeerCaller
 
-  constructor (private readonly parts: ClientParts) {}
+  constructor (private readonly parts: ClientParts) {
+    this.caller = new PeerCaller(parts)
+  }
+
+  /** Whether a host doesn't acknowledge calls, so that answers by way of it may not come. */
+  isSilent (host: string, now: number): boolean {
+    return this.caller.isSilent(host, now)
+  }
 
   /** Whether there is a host that may carry a request to a target. */
   hasCarrier ({ entry }: TargetState, allowedRegions: readonly string[], now: number): boolean {
@@ -86,7 +93,8 @@
       if (host === undefined) break
       asked.add(host.name)
       carrier = host.name
-      const outcome = await this.carryThrough(host, attempt, signal)
+      const isLast = asked.size === MAX_CARRIERS || this.chooseHost(attempt.target, attempt.allowedRegions, asked, now) === undefined
+      const outcome = await this.carryThrough(host, attempt, isLast, signal)
       if (typeof outcome !== 'string') return outcome
       reason = `${host.name} could not carry it: ${outcome}`
     }
@@ -99,21 +107,28 @@
   }
 
   close (): void {
-    this.agent.destroy()
+    this.caller.close()
   }
 
   /** Sends an attempt by way of one host. Returns the outcome, or the reason why the host can't send it. */
-  private async carryThrough (host: HostEntry, attempt: IndirectAttempt, signal: AbortSignal): Promise<CarryOutcome | string> {
+  private async carryThrough (host: HostEntry, attempt: IndirectAttempt, isLast: boolean, signal: AbortSignal): Promise<CarryOutcome | string> {
     const { metrics, getNow } = this.parts
     const body = this.encodeAttempt(attempt, getNow())
     this.carried.set(host.name, this.countCarried(host) + 1)
-    const reply = await this.call(host, CarrierService.method.carry, body, () => { attempt.handleSend(getNow()) }, signal).finally(() => { this.carried.set(host.name, this.countCarried(host) - 1) })
+    let stopReason: string | undefined
+    const handleSend = (): string | undefined => {
+      const now = getNow()
+      stopReason = attempt.findStopReason(now)
+      if (stopReason === undefined) attempt.handleSend(now, host.name)
+      return stopReason
+    }
+    const reply = await this.caller.call(host, { method: CarrierService.method.carry, body, isLast, handleSend }, signal).finally(() => { this.carried.set(host.name, this.countCarried(host) - 1) })
     const distance = describeDistance(this.parts.own, host)
     metrics.countIndirectBytes('sent', distance, body.byteLength + (reply.kind === 'answered' ? reply.body.byteLength : 0))
     metrics.countIndirectAttempt('sent', reply.kind === 'answered' ? 'answered' : reply.failure)
     if (reply.kind === 'failed') {
       if (reply.failure === PeerCallFailure.answerLost) return { result: { kind: 'broken', reason: `${host.name} gave no answer: ${reply.reason}` }, carrier: host.name, isCarrierFault: true }
-      if (!signal.aborted) this.memory.observeNoRoom(host.name, getNow())
+      if (!signal.aborted && stopReason === undefined && reply.failure !== PeerCallFailure.unacknowledged) this.memory.observeNoRoom(host.name, getNow())
       return reply.reason
     }
     const response = decodeMessage(CarryResponseSchema, reply.body)
@@ -154,18 +169,13 @@
     const { own, roundTripTimes } = this.parts
     const body = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: own.name, target: target.entry.id, targetHash: target.incarnationHash }))
     const timeoutMs = CHECK_TIMEOUT_MS + 2 * roundTripTimes.find(host.region) + 2 * roundTripTimes.find(target.entry.region)
-    const reply = await this.call(host, CarrierService.method.checkTarget, body, () => undefined, AbortSignal.timeout(Math.ceil(timeoutMs)))
+    const reply = await this.caller.call(host, { method: CarrierService.method.checkTarget, body, isLast: false, handleSend: () => undefined }, AbortSignal.timeout(Math.ceil(timeoutMs)))
     const answer = reply.kind === 'answered' ? decodeMessage(CheckTargetResponseSchema, reply.body) : undefined
     const reach = describeAnswer(answer)
     if (reach === PeerReach.unreached) this.memory.observeNotReached(host.name, target.entry.id, this.parts.getNow())
     return reach
   }
 
-  private call (host: HostEntry, method: typeof CarrierService.method.carry | typeof CarrierService.method.checkTarget, body: Uint8Array, handleSend: () => void, signal: AbortSignal): ReturnType<typeof sendPeerCall> {
-    const connectTimeoutMs = CONNECT_TIMEOUT_MS + 2 * this.parts.roundTripTimes.find(host.region)
-    return sendPeerCall(this.agent, { ip: host.ip, port: host.peerPort, path: describeMethod(method), body, connectTimeoutMs, handleSend, memory: this.parts.memory }, signal)
-  }
-
   private chooseHost ({ entry }: TargetState, allowedRegions: readonly string[], asked: ReadonlySet<string>, now: number): HostEntry | undefined {
     const { own, view, random } = this.parts
     return chooseCarrier(view.listLive(now), {
@@ -179,7 +189,7 @@
   }
 
   private isUsable ({ name }: HostEntry, { id, availabilityZone }: TargetEntry, now: number): boolean {
-    return this.memory.isUsable(name, id, now) && !this.hasLostZone(name, availabilityZone)
+    return this.memory.isUsable(name, id, now) && !this.isSilent(name, now) && !this.hasLostZone(name, availabilityZone)
   }
 
   /** Whether a host has reported that it has lost its links to the targets of an availability zone. */
@@ -199,7 +209,7 @@
       if (availabilityZone !== own.availabilityZone && availabilityZone === entry.availabilityZone) return 0
       return region === own.region ? 1 : 2
     }
-    const hosts = view.listLive(now).filter(({ name }) => name !== own.name && !this.hasLostZone(name, entry.availabilityZone))
+    const hosts = view.listLive(now).filter(({ name }) => name !== own.name && !this.isSilent(name, now) && !this.hasLostZone(name, entry.availabilityZone))
       .map((host) => ({ host, order: rank(host) + random() }))
       .sort((one, other) => one.order - other.order)
       .map(({ host }) => host)
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -2,27 +2,29 @@
 import type { AnswerMemory } from '../../connection/answerMemory.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
 import { PeerCallFailure } from './peerCallFailure.js'
+import type { PeerReply } from './peerReply.js'
 
 interface PeerCall {
   ip: string
   port: number
   path: string
   body: Uint8Array
-  /** Milliseconds within which the connection must be open. */
-  connectTimeoutMs: number
-  /** Called once the connection is open and the call is written. */
-  handleSend: () => void
+  /** Milliseconds within which the other host must have acknowledged the call. */
+  acknowledgeTimeoutMs: number
+  /** Called when the other host has acknowledged the call, before the message is written; returns a reason not to write it. */
+  handleAcknowledgement: () => string | undefined
   /** Counts the bytes of the answer while they are received. */
   memory: AnswerMemory
 }
 
-type PeerReply =
-  | { kind: 'answered', body: Buffer }
-  | { kind: 'failed', failure: PeerCallFailure, reason: string }
-
 const OK_STATUS = 200
 
-/** Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection. */
+/**
+ * Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection.
+ *
+ * The message is written only once the other host's process has answered the head with "100 Continue": the kernel of a stopped process
+ * accepts connections and bytes, so that without it nobody could tell whether the process will act on the call when it resumes.
+ */
 export async function sendPeerCall (agent: Agent, call: PeerCall, signal: AbortSignal): Promise<PeerReply> {
   try {
     return await sendUnaryCall(agent, call, signal)
@@ -32,29 +34,36 @@
   }
 }
 
-const sendUnaryCall = (agent: Agent, { ip, port, path, body, connectTimeoutMs, handleSend, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> =>
+const sendUnaryCall = (agent: Agent, { ip, port, path, body, acknowledgeTimeoutMs, handleAcknowledgement, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> =>
   new Promise((resolve) => {
-    const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength } })
+    const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength, Expect: '100-continue' } })
     let wasSent = false
-    const resolveFailure = (reason: string): void => {
+    let isAcknowledged = false
+    const resolveFailure = (reason: string, failure: PeerCallFailure = wasSent ? PeerCallFailure.answerLost : PeerCallFailure.notSent): void => {
       clearTimeout(timer)
-      resolve({ kind: 'failed', failure: wasSent ? PeerCallFailure.answerLost : PeerCallFailure.notSent, reason })
+      resolve({ kind: 'failed', failure, reason })
       outgoing.destroy()
     }
-    const timer = setTimeout(() => { resolveFailure('connect timeout') }, connectTimeoutMs)
-    const write = (): void => {
+    // Bytes that arrived while this process itself was delayed are read before the immediate runs.
+    const timer = setTimeout(() => {
+      setImmediate(() => { if (!isAcknowledged) resolveFailure('no acknowledgement in time', PeerCallFailure.unacknowledged) })
+    }, acknowledgeTimeoutMs)
+    outgoing.on('continue', () => {
       clearTimeout(timer)
+      isAcknowledged = true
       if (signal.aborted) return
+      const stopReason = handleAcknowledgement()
+      if (stopReason !== undefined) {
+        resolveFailure(stopReason)
+        return
+      }
       wasSent = true
-      handleSend()
       outgoing.end(body)
-    }
-    outgoing.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', write)
-      else write()
     })
     outgoing.on('error', (error) => { resolveFailure(error.message) })
     outgoing.on('response', (response) => {
+      clearTimeout(timer)
+      isAcknowledged = true
       const chunks: Buffer[] = []
       let bytes = 0
       response.on('data', (chunk: Buffer) => {
@@ -66,8 +75,9 @@
       response.on('close', () => {
         memory.release(bytes)
         if (!response.complete) resolveFailure('answer cut short')
-        else if (response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
-        else resolve({ kind: 'failed', failure: PeerCallFailure.refused, reason: `status ${response.statusCode}` })
+        else if (wasSent && response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
+        else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
       })
     })
+    outgoing.flushHeaders()
   })
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -12,7 +12,7 @@
 interface AttemptParts {
   codec: TargetCodec
   links: Pick<LinkMonitor, 'isLost' | 'verifyLoss' | 'addSend'>
-  carriers: Pick<CarrierClient, 'carry'>
+  carriers: Pick<CarrierClient, 'carry' | 'isSilent'>
   getNow: () => number
   /** Whether the caller's key still belongs to its organisation. */
   isIdentified: () => boolean
@@ -67,9 +67,11 @@
     else this.connection?.close(reason)
   }
 
-  /** Whether the request waits for an answer over a link that has been lost since. */
+  /** Whether the request waits for an answer over a link that has been lost since, or by way of a host that has become silent. */
   get isCutOff (): boolean {
-    return this.carrier === undefined && this.sentAt !== undefined && this.parts.links.isLost(this.choice.target)
+    const { links, carriers, getNow } = this.parts
+    if (this.sentAt === undefined) return false
+    return this.carrier === undefined ? links.isLost(this.choice.target) : carriers.isSilent(this.carrier, getNow())
   }
 
   private async exchange (pool: TargetPool): Promise<AttemptResult> {
@@ -112,7 +114,10 @@
         isClaimed = true
         return this.claimSend(now)
       },
-      handleSend: (now) => { this.sentAt ??= now }
+      handleSend: (now, carrier) => {
+        this.sentAt ??= now
+        this.carrier = carrier
+      }
     }, this.abortController.signal)
     this.carrier = outcome.carrier
     this.isCarrierFault = outcome.isCarrierFault
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -36,7 +36,7 @@
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
   /** Called when a target's process has exited. */
   handleExit: (target: TargetState, now: number) => void
-  /** Called when links to targets count as lost. */
+  /** Called when links to targets, or hosts that carry attempts, count as lost. */
   handleLinkLoss: () => void
   log: EventLog
   metrics: GatewayMetrics
@@ -75,7 +75,7 @@
         this.links.handleConnectFailure(target, failure, isUnconnected)
       }
     })
-    this.carriers = new CarrierClient({ ...parts, view: parts.peers, roundTripTimes: this.roundTripTimes })
+    this.carriers = new CarrierClient({ ...parts, view: parts.peers, roundTripTimes: this.roundTripTimes, handleSilence: parts.handleLinkLoss })
     this.links = new LinkMonitor({ ...parts, pools: this.pools, roundTripTimes: this.roundTripTimes, listTargets: () => fleet.listAllTargets(), askPeers: (target) => this.carriers.askPeers(target), handleLoss: parts.handleLinkLoss })
     this.prober = new TargetProber(this.pools, this.roundTripTimes, signal)
     this.coldAllowance = new ColdAllowance(settings.host.name)
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -88,7 +88,7 @@
     for (const runner of this.runners) runner.expire(now)
   }
 
-  /** Sends again the requests that wait for answers over links that count as lost. */
+  /** Sends again the requests that wait for answers over links that count as lost, or by way of hosts that have become silent. */
   handleLinkLoss (): void {
     for (const runner of this.runners) runner.handleLinkLoss()
   }
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -81,7 +81,7 @@
     if (now >= this.request.deadline) this.events.push({ kind: 'deadline' })
   }
 
-  /** Sends the request again if it waits for an answer over a link that has been lost. */
+  /** Sends the request again if it waits for an answer over a link that has been lost, or by way of a host that has become silent. */
   handleLinkLoss (): void {
     this.events.push({ kind: 'links-lost' })
   }
