Look for further links that hang once one is lost

Ruled out: the search after any lost link. Change: SuspectLinks. A lost link over which connections hang allows four probes of targets that had no contact since, in zones of which another target had; each further such loss allows four more.

--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -9,6 +9,7 @@
 import { LinkVerdict } from './linkVerdict.js'
 import { PeerReach } from './peerReach.js'
 import { SilenceDetector } from './silenceDetector.js'
+import { SuspectLinks } from './suspectLinks.js'
 
 /** Minimum milliseconds between two looks for silent targets and due probes. */
 const LOOK_INTERVAL_MS = 90
@@ -44,9 +45,12 @@
 export class LinkMonitor {
   private readonly table: LinkTable
   private readonly silence = new SilenceDetector()
+  private readonly suspects = new SuspectLinks()
   private readonly checks = new Map<TargetState, Promise<LinkVerdict>>()
   private readonly verdicts = new WeakMap<TargetState, { verdict: LinkVerdict, at: number }>()
   private readonly probes = new Map<TargetState, Promise<boolean>>()
+  /** How the last connection to a target failed. */
+  private readonly failures = new WeakMap<TargetState, ConnectFailure>()
   private lookedAt = -Infinity
 
   constructor (private readonly parts: MonitorParts) {
@@ -84,6 +88,7 @@
   /** Records that a connection to a target failed, other than a probe of this class. */
   handleConnectFailure (target: TargetState, failure: ConnectFailure, isUnconnected: boolean): void {
     if (failure === ConnectFailure.targetLeft || this.table.isLost(target)) return
+    this.failures.set(target, failure)
     const at = this.parts.getNow()
     const check = this.check(target)
     if (failure !== ConnectFailure.refused || !isUnconnected) return
@@ -117,11 +122,12 @@
     this.table.drop(target)
   }
 
-  /** Probes silent targets and those with lost links, if the last look is long enough ago. Called by a timer that runs anyway. */
+  /** Probes silent targets, those with lost links and those that may be in the same cut, if the last look is long enough ago. Called by a timer that runs anyway. */
   probeTargets (now: number): void {
     if (now - this.lookedAt < LOOK_INTERVAL_MS) return
     this.lookedAt = now
     for (const target of this.silence.listSilentTargets(now)) void this.probeSilent(target)
+    for (const target of this.suspects.takeProbes(() => this.listIntact(), now)) void this.probeSuspect(target)
     for (const target of this.table.takeProbes(now)) void this.probeLost(target)
   }
 
@@ -130,6 +136,7 @@
     const { pools, roundTripTimes, log } = this.parts
     try {
       const opened = await pools.get(target).probe(target.entry, computeConnectTimeout(roundTripTimes.find(target.entry.region)), false)
+      if (opened.kind === 'failed') this.failures.set(target, opened.failure)
       return opened.kind === 'connected'
     } catch (error) {
       log.logError('a target could not be probed', error as Error)
@@ -142,6 +149,16 @@
     await this.check(target)
   }
 
+  // Only links that hang are looked for: a target that refuses is noticed by the next request.
+  private async probeSuspect (target: TargetState): Promise<void> {
+    if (await this.probe(target) || this.failures.get(target) !== ConnectFailure.timedOut) return
+    await this.check(target)
+  }
+
+  private listIntact (): TargetState[] {
+    return [...this.parts.listTargets()].filter((target) => !this.table.isLost(target) && !target.isLeaving())
+  }
+
   private async probeLost (target: TargetState): Promise<void> {
     const isReached = await this.probe(target)
     const recovered = this.table.observeProbe(target, isReached, this.parts.getNow())
@@ -204,6 +221,7 @@
   private markLost (target: TargetState, now: number): void {
     const contactAgeMs = target.computeContactAge(now)
     const zones = this.table.markLost(target, now)
+    if (this.failures.get(target) === ConnectFailure.timedOut) this.suspects.observeLoss(now)
     for (const other of this.parts.listTargets()) {
       if (!this.table.isLost(other)) continue
       other.clearFailures()
