--- /dev/null
+++ b/packages/almondrelay-gateway/src/request/computeShareFraction.ts
@@ -0,0 +1,33 @@
+import type { OverloadPicture } from './overloadPicture.js'
+import type { ShareInput } from './shareInput.js'
+
+/**
+ * Computes the part of the requests of an organisation's route that is admitted while their service is overloaded.
+ *
+ * Load: two routes of different priority at one service, and organisations of different ranks. The organisation's rank and share come
+ * first; within its share its more urgent routes come first, and each route has a minimum. The organisation's requests are assumed to
+ * be spread over the routes as those of all organisations are: sums by organisation and route wouldn't fit into the hosts' reports.
+ */
+export function computeShareFraction (picture: OverloadPicture, input: ShareInput): number {
+  const route = picture.routes.get(input.route)
+  const share = computeOrganisationFraction(picture, input)
+  if (share >= 1 || route === undefined) return share
+  const fraction = computeRouteFraction(picture, share, input.routePriority)
+  return fraction + (1 - fraction) * route.floorFraction
+}
+
+const computeOrganisationFraction = ({ marginPriority, organisations }: OverloadPicture, { organisation, organisationPriority }: ShareInput): number => {
+  if (organisationPriority < marginPriority) return 1
+  if (organisationPriority > marginPriority) return 0
+  return organisations.get(organisation)?.fraction ?? 1
+}
+
+const computeRouteFraction = ({ routes }: OverloadPicture, share: number, priority: number): number => {
+  let earlier = 0
+  let same = 0
+  for (const route of routes.values()) {
+    if (route.priority < priority) earlier += route.mix
+    if (route.priority === priority) same += route.mix
+  }
+  return same === 0 ? share : Math.min(1, Math.max(0, (share - earlier) / same))
+}
