Hold fair shares at overloaded services where the platform's contract asks for it

Cause: shares are decided without I/O, but no host knew the sums. Change: WorkShares sums work by organisation and route of a region, sent with the usage reports; RequestHandler refuses requests beyond their share with 503 and reason over-share; log lines, metrics and explain name share and use. The daemon turns the contract pressure into the setting fairShares; without it no part of it exists.

--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -4,7 +4,7 @@
 export function describeRequest (line: RequestLine): string {
   const version = line.version === undefined ? '' : ` of version ${line.version}`
   const route = line.route === undefined ? '' : `route ${line.route}${version}, `
-  const placement = line.service === undefined ? '' : `service ${line.service}, key ${line.key ?? 'none'} with its place in ${line.homeRegion}; `
+  const placement = line.service === undefined || line.homeRegion === undefined ? '' : `service ${line.service}, key ${line.key ?? 'none'} with its place in ${line.homeRegion}; `
   const attempts = line.attempts.length === 0 ? 'no target asked' : line.attempts.map(describeAttempt).join('; ')
   const reason = line.reason === undefined ? '' : `, because of: ${line.reason}`
   const duration = line.ms === undefined ? '' : `, after ${line.ms} ms`
@@ -14,9 +14,10 @@
 
 const PERCENT = 100
 
-const describeOrganisation = ({ organisation, allowedPart }: RequestLine): string => {
+const describeOrganisation = ({ organisation, allowedPart, pictureAgeMs }: RequestLine): string => {
   if (organisation === undefined) return ''
-  const share = allowedPart === undefined ? '' : ` (${Math.round(allowedPart * PERCENT)}% of its requests let through)`
+  const age = pictureAgeMs === undefined ? '' : `, by counts of ${pictureAgeMs} ms before`
+  const share = allowedPart === undefined ? '' : ` (${Math.round(allowedPart * PERCENT)}% of its requests let through${age})`
   return `organisation ${organisation}${share}, `
 }
 
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -13,6 +13,11 @@
   organisation: z.string().optional(),
   /** Share of the organisation's requests that the host admitted. */
   allowedPart: z.number().optional(),
+  /** Milliseconds of work a second: the organisation's share of the overloaded service, and what it asked for. */
+  shareMs: z.number().optional(),
+  askedMs: z.number().optional(),
+  /** Milliseconds since the oldest of the counts that the share was computed from. */
+  pictureAgeMs: z.number().optional(),
   key: z.string().optional(),
   service: z.string().optional(),
   /** Home region of the key. */
--- a/packages/almondrelay-gateway/src/process/forward/earlyRefusal.ts
+++ b/packages/almondrelay-gateway/src/process/forward/earlyRefusal.ts
@@ -11,4 +11,11 @@
   organisation?: string | undefined
   /** Share of the organisation's requests that is admitted. */
   allowedPart?: number
+  /** Service that is overloaded. */
+  service?: string
+  /** Milliseconds of work a second: the organisation's share of the service, and what it asks for. */
+  shareMs?: number | undefined
+  askedMs?: number | undefined
+  /** Milliseconds since the oldest of the counts that the share was computed from. */
+  pictureAgeMs?: number
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import { RefusalReason } from 'almondrelay'
 import type { AnswerMemory } from '../../connection/answerMemory.js'
 import type { CallerAnswer } from '../../connection/callerAnswer.js'
 import type { CallerCodec } from '../../connection/callerCodec.js'
@@ -23,6 +24,8 @@
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 import type { Quarantine } from '../quarantine/quarantine.js'
 import { RequestGate } from '../quarantine/requestGate.js'
+import type { ShareMetrics } from '../observe/shareMetrics.js'
+import type { WorkShares } from '../shares/workShares.js'
 import type { ForwardState } from './forwardState.js'
 import { RequestRefuser } from './requestRefuser.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -46,6 +49,9 @@
   memory: AnswerMemory
   allowances: Allowances
   quarantine: Quarantine
+  /** Undefined where fair shares aren't held. */
+  shares: WorkShares | undefined
+  shareMetrics: ShareMetrics | undefined
   log: EventLog
   account: AccountRecorder
   metrics: GatewayMetrics
@@ -68,6 +74,12 @@
   callerLeft: AbortSignal
 }
 
+/** Service of a request, picked before its body is read where fair shares are held, and the expected work. */
+interface MeteredService {
+  name: string
+  workMs: number
+}
+
 interface ServedRequest {
   answer: CallerAnswer | undefined
   mayHaveRun: boolean
@@ -125,7 +137,45 @@
     const { method = 'GET', url = '/', rawHeaders } = message
     const { affinityKey, organisationKey } = head
     const draft = { id, method, url, rawHeaders, affinityKey, route, identity, organisationKey, allowedRegions, configurationVersion: configuration.version, arrivedAt, deadline }
-    return this.serveWithinAllowance(organisation, head, route, () => this.serve(message, configuration.limits.maxBodyBytes, draft, callerLeft))
+    const metered = this.pickService(route)
+    return this.serveWithinAllowance(organisation, head, route, async () => {
+      const refusal = metered === undefined ? undefined : this.refuseOverShare(head, draft, organisation, metered)
+      return refusal === undefined ? await this.serve(message, configuration.limits.maxBodyBytes, draft, callerLeft, metered) : { answer: refusal, mayHaveRun: false }
+    })
+  }
+
+  /** Picks the service of a request; undefined where fair shares aren't held. */
+  private pickService (route: Route): MeteredService | undefined {
+    const { shares, forward, random } = this.parts
+    if (shares === undefined) return undefined
+    const name = pickDestination(route.destinations, random()) ?? ''
+    return { name, workMs: forward.getRuntime(name).findTimes(route.name).getMeanMs(route.targetLatencyMs) }
+  }
+
+  /** Refuses a request beyond its share of an overloaded service, or that can't be served there in the time left; undefined if it is admitted. */
+  private refuseOverShare (head: CallerHead, draft: Omit<CallerRequest, 'body'>, organisation: Organisation | undefined, { name, workMs }: MeteredService): CallerAnswer | undefined {
+    const { shares, shareMetrics, forward, getNow, random } = this.parts
+    const { route, method, url, affinityKey, deadline } = draft
+    const now = getNow()
+    const remainingMs = deadline - now
+    const refusal = shares?.decide({
+      service: name,
+      organisation: organisation === undefined ? 0 : computeHash(organisation.name),
+      organisationPriority: organisation?.priority ?? 0,
+      route: computeHash(route.name),
+      routePriority: route.priority,
+      requestHash: computeHash(`${organisation?.name ?? ''} ${method} ${route.hostName} ${url} ${affinityKey ?? ''}`),
+      workMs,
+      remainingMs
+    }, now, random())
+    if (refusal !== undefined) {
+      shareMetrics?.countRefusal(name, RefusalReason.overShare)
+      return this.refuser.refuseOverShare(head, route, organisation?.name, name, refusal)
+    }
+    if (shares?.findPicture(name, now) === undefined) return undefined
+    if (remainingMs >= forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)) return undefined
+    shareMetrics?.countRefusal(name, RefusalReason.deadlineUnreachable)
+    return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs / 3))
   }
 
   /** Serves a request if its organisation's allowance admits it, and releases the allowance usage if the request was not run. */
@@ -141,25 +191,32 @@
     return answer
   }
 
-  private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, callerLeft: AbortSignal): Promise<ServedRequest> {
+  private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
     const read = await readBody(message, maxBodyBytes)
     if (read.kind === 'too-long') return { answer: this.refuser.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
     if (read.kind === 'cut-short') return { answer: undefined, mayHaveRun: false }
-    return this.forward({ ...draft, body: read.body }, callerLeft)
+    return this.forward({ ...draft, body: read.body }, callerLeft, metered)
   }
 
-  private async forward (request: CallerRequest, callerLeft: AbortSignal): Promise<ServedRequest> {
-    const runner = this.createRunner(request)
+  private async forward (request: CallerRequest, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
+    const runner = this.createRunner(request, metered?.name)
     this.runners.add(runner)
     const answer = await runner.run(callerLeft).finally(() => { this.runners.delete(runner) })
     this.report(request, runner.record, answer)
-    if (answer.kind === 'abandoned') return { answer: undefined, mayHaveRun: answer.wasSent }
-    return { answer: this.parts.callerCodec.encodeAnswer(answer, request.id), mayHaveRun: answer.kind === 'passed' || answer.kind === 'failed' }
+    const mayHaveRun = answer.kind === 'abandoned' ? answer.wasSent : answer.kind === 'passed' || answer.kind === 'failed'
+    if (metered !== undefined) this.observeOutcome(request, metered, runner, answer, mayHaveRun)
+    return { answer: answer.kind === 'abandoned' ? undefined : this.parts.callerCodec.encodeAnswer(answer, request.id), mayHaveRun }
+  }
+
+  private observeOutcome ({ route }: CallerRequest, { name, workMs }: MeteredService, { expectedWaitMs }: RequestRunner, answer: FinalAnswer, wasSent: boolean): void {
+    const wasTurnedAway = (answer.kind === 'refused' && answer.cause === RefusalReason.queueFull) || expectedWaitMs > route.targetLatencyMs
+    this.parts.shares?.observeOutcome(name, workMs, wasSent, wasTurnedAway, this.parts.getNow())
   }
 
-  private createRunner (request: CallerRequest): RequestRunner {
+  /** @param meteredService service that was picked already; undefined where fair shares aren't held */
+  private createRunner (request: CallerRequest, meteredService: string | undefined): RequestRunner {
     const { forward, targetCodec, quarantine, getNow, random } = this.parts
-    const service = pickDestination(request.route.destinations, random()) ?? ''
+    const service = meteredService ?? pickDestination(request.route.destinations, random()) ?? ''
     const runtime = forward.getRuntime(service)
     runtime.observeRequest(request.route.targetLatencyMs, getNow())
     const keyHash = request.affinityKey === undefined ? Math.floor(random() * HASH_RANGE) : computeHash(`${request.route.name} ${request.affinityKey}`)
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -12,6 +12,7 @@
 import type { AccountRecorder } from '../observe/accountRecorder.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
+import type { ShareRefusal } from '../shares/shareRefusal.js'
 import type { EarlyRefusal } from './earlyRefusal.js'
 
 /** Retry-After, in milliseconds, while this host has no configuration yet. */
@@ -71,6 +72,19 @@
     return this.refuse(head, route, { retryAfterMs, cause: RefusalReason.overAllowance, reason: `the organisation has had its allowance of ${ratePerSecond} requests a second`, organisation: name, allowedPart })
   }
 
+  refuseOverShare (head: CallerHead, route: Route, organisation: string | undefined, service: string, { shareMs, askedMs, ...refusal }: ShareRefusal): CallerAnswer {
+    const [share, asked] = [shareMs, askedMs].map((ms) => ms === undefined ? undefined : Math.round(ms))
+    const reason = asked === undefined
+      ? `${service} is overloaded, and requests of a higher rank need its capacity`
+      : `${service} is overloaded, and the organisation asks for ${asked} ms of work a second; its share is ${share ?? 0}`
+    return this.refuse(head, route, { ...refusal, shareMs: share, askedMs: asked, cause: RefusalReason.overShare, reason, organisation, service })
+  }
+
+  /** @param retryAfterMs milliseconds after which the caller may come back with a new deadline */
+  refuseUnreachableDeadline (head: CallerHead, route: Route, organisation: string | undefined, service: string, retryAfterMs: number): CallerAnswer {
+    return this.refuse(head, route, { retryAfterMs, cause: RefusalReason.deadlineUnreachable, reason: `${service} is overloaded, and less time is left than the work takes`, organisation, service })
+  }
+
   refuseOverloaded (head: CallerHead, route: Route, organisation: string | undefined): CallerAnswer {
     const { load, random } = this.parts
     return this.refuse(head, route, { retryAfterMs: load.computeRetryAfter(random()), cause: RefusalReason.hostOverloaded, reason: 'this host has no processor time left', organisation })
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -44,6 +44,8 @@
 /** Runs one request until its final answer. A single task handles the events of all its attempts in sequence. */
 export class RequestRunner {
   readonly record: RequestRecord
+  /** Expected milliseconds in the queue of the target that was chosen last. */
+  expectedWaitMs = 0
   private readonly events = new EventQueue<RequestEvent>()
   private readonly running = new Set<Attempt>()
   private readonly triedIds = new Set<string>()
@@ -207,6 +209,7 @@
   private chooseAdmittedTarget (now: number): TargetChoice | undefined {
     const choice = this.placement.choose(this.request, this.triedIds, now)
     if (choice === undefined) return this.refuseWithoutChoice(now)
+    this.expectedWaitMs = choice.waitMs
     const retryAfterMs = this.decideAdmission(choice, now)
     if (retryAfterMs === 0) return choice
     this.refusal = { text: 'every target of the key is full', cause: RefusalReason.queueFull }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -32,6 +32,7 @@
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
+import { createWorkShares } from './shares/createWorkShares.js'
 import { createQuarantine } from './quarantine/createQuarantine.js'
 import type { Quarantine } from './quarantine/quarantine.js'
 import type { SuspectExchange } from './quarantine/suspectExchange.js'
@@ -122,7 +123,9 @@
     this.socket = new PeerSocket(logError)
     this.peerExchange = new PeerExchange({ own: this.own, fleet: this.fleet, forward: this.forward, view: this.view, socket: this.socket, getNow, sleep: sleepFor, isLeaving, listLostZones: () => this.forward.links.listLostZones(), getDeclaredRevision: () => this.operatorService.revision, receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) }, acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) }, receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) } })
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isAggregator: (now) => this.view.isAggregator(now) })
-    this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, socket: this.socket, getNow, sleep: sleepFor })
+    const shareMetrics = settings.fairShares ? metrics.createShareMetrics() : undefined
+    const shares = shareMetrics === undefined ? undefined : createWorkShares({ own: this.own, view: this.view, fleet: this.fleet, log, shareMetrics, getNow })
+    this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, shares, socket: this.socket, getNow, sleep: sleepFor })
     const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.abortController.signal)
     this.quarantine = quarantine
     this.suspectExchange = suspectExchange
@@ -130,7 +133,7 @@
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountRecorder({ own: this.own, values, clock, log, random })
     this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
-    this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, shares, shareMetrics, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
     this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { ShareMetrics } from './shareMetrics.js'
 
 /** Histogram buckets in seconds: from the answer of a warm target nearby to the longest timeout of a route. */
 const LATENCY_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3]
@@ -44,6 +45,11 @@
     this.organisations.inc({ organisation: this.labelledOrganisations.has(organisation) ? organisation : OTHER_ORGANISATIONS, outcome })
   }
 
+  /** Adds the metrics of fair shares, which exist only where they are held. */
+  createShareMetrics (): ShareMetrics {
+    return new ShareMetrics(this.registry)
+  }
+
   observeDelay (delayMs: number): void {
     this.workDelay.observe(delayMs / 1_000)
   }
--- a/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
@@ -1,4 +1,5 @@
 import type { UseReport as Message, ZoneUse as ZoneMessage } from 'almondrelay-protocol'
+import { decodeWorkReport } from '../shares/decodeWorkReport.js'
 import type { UsageReport } from './usageReport.js'
 import type { ZoneUsage } from './zoneUsage.js'
 
@@ -16,6 +17,7 @@
   const hasValidNames = [host, availabilityZone].every((name) => name.length > 0 && name.length <= MAX_NAME_LENGTH)
   const hasCompleteCounts = asked.length === organisationHashes.length && letThrough.length === organisationHashes.length
   if (!hasValidNames || !hasCompleteCounts || ![zone, fleet].every((each) => each === undefined || isValidZone(each))) return undefined
+  const work = decodeWorkReport(message)
   return {
     host,
     incarnation,
@@ -23,7 +25,8 @@
     sequence,
     totals: new Map(organisationHashes.map((hash, index) => [hash, { asked: asked[index] as number, letThrough: letThrough[index] as number }])),
     zone: zone === undefined ? undefined : decodeZoneUsage(zone),
-    fleet: fleet === undefined ? undefined : decodeZoneUsage(fleet)
+    fleet: fleet === undefined ? undefined : decodeZoneUsage(fleet),
+    ...(work === undefined ? {} : { work })
   }
 }
 
--- a/packages/almondrelay-gateway/src/process/organisations/encodeUsageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/encodeUsageReport.ts
@@ -1,10 +1,11 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { UseReportSchema, type ZoneUseSchema } from 'almondrelay-protocol'
+import { encodeWorkReport } from '../shares/encodeWorkReport.js'
 import { encodeDatagram } from '../peers/encodeDatagram.js'
 import type { UsageReport } from './usageReport.js'
 import type { ZoneUsage } from './zoneUsage.js'
 
-export function encodeUsageReport ({ host, incarnation, availabilityZone, sequence, totals, zone, fleet }: UsageReport): Uint8Array {
+export function encodeUsageReport ({ host, incarnation, availabilityZone, sequence, totals, zone, fleet, work }: UsageReport): Uint8Array {
   const counts = [...totals.values()]
   return encodeDatagram({
     case: 'use',
@@ -17,7 +18,8 @@
       asked: counts.map(({ asked }) => asked),
       letThrough: counts.map(({ letThrough }) => letThrough),
       ...(zone === undefined ? {} : { zone: encodeZoneUsage(zone) }),
-      ...(fleet === undefined ? {} : { fleet: encodeZoneUsage(fleet) })
+      ...(fleet === undefined ? {} : { fleet: encodeZoneUsage(fleet) }),
+      ...(work === undefined ? {} : encodeWorkReport(work))
     })
   })
 }
--- a/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
@@ -2,6 +2,7 @@
 import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
+import type { WorkShares } from '../shares/workShares.js'
 import type { Allowances } from './allowances.js'
 import { encodeUsageReport } from './encodeUsageReport.js'
 import type { UsageReport } from './usageReport.js'
@@ -12,11 +13,18 @@
 const IDLE_REPORT_INTERVAL_MS = 500
 /** Maximum bytes per second that a host sends in these reports, out of 12 KB per second for all its control traffic. */
 const MAX_BYTES_PER_SECOND = 9_000
+/** Milliseconds between reports of work for fair shares, and between empty shares sent while no service is overloaded. */
+const WORK_INTERVAL_MS = 500
+const CALM_SHARES_INTERVAL_MS = 1_000
+/** Maximum bytes per second of these reports; the interval grows with their size. */
+const MAX_WORK_BYTES_PER_SECOND = 4_000
 
 interface ExchangeParts {
   own: HostEntry
   view: PeerView
   allowances: Allowances
+  /** Undefined where fair shares aren't held; then nothing of them is sent. */
+  shares?: WorkShares | undefined
   socket: PeerSocket
   getNow: () => number
   sleep: (ms: number, signal: AbortSignal) => Promise<void>
@@ -29,13 +37,15 @@
 export class UsageExchange {
   private sequence = 0
   private idleReportSentAt = -Infinity
+  private workDueAt = -Infinity
+  private sharesSentAt = -Infinity
 
   constructor (private readonly parts: ExchangeParts) {}
 
   /** Sends reports until the signal aborts. The interval grows with the number of receivers, which keeps the bytes per second bounded. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const bytes = this.parts.allowances.hasLimits ? this.sendRound() : 0
+      const bytes = (this.parts.allowances.hasLimits ? this.sendRound() : 0) + this.sendWork()
       // The interval is the same while no organisation has a limit. A host that has just started learns of the limits a moment later;
       // with a longer interval it would admit requests meanwhile that no other host knows of.
       await this.parts.sleep(Math.max(REPORT_INTERVAL_MS, bytes / MAX_BYTES_PER_SECOND * 1_000), signal)
@@ -47,8 +57,11 @@
    * ignored.
    */
   handleReport (report: UsageReport, ip: string): void {
-    const { view, allowances, getNow } = this.parts
-    if (view.findSender(report, ip)?.availabilityZone === report.availabilityZone) allowances.receiveReport(report, getNow())
+    const { view, allowances, shares, getNow } = this.parts
+    const sender = view.findSender(report, ip)
+    if (sender === undefined || sender.availabilityZone !== report.availabilityZone) return
+    if (report.work !== undefined) shares?.receiveReport(report.host, sender, report.work, getNow())
+    allowances.receiveReport(report, getNow())
   }
 
   private sendRound (): number {
@@ -69,6 +82,27 @@
     return this.send(view.listRemoteAggregators(now), { zone }) + this.send(view.listZonePeers(now), { fleet })
   }
 
+  /** Sends what fair shares are computed from and, as an aggregator, the shares. Their bytes per second are bounded by the interval. */
+  private sendWork (): number {
+    const { own, view, shares, getNow } = this.parts
+    const now = getNow()
+    if (shares === undefined || now < this.workDueAt) return 0
+    shares.update(now)
+    const bytes = this.send(view.listAggregators(own.availabilityZone, now), { work: shares.describeOwn(now) }) + (view.isAggregator(now) ? this.sendShares(shares, now) : 0)
+    this.workDueAt = now + Math.max(WORK_INTERVAL_MS, bytes / MAX_WORK_BYTES_PER_SECOND * 1_000)
+    return bytes
+  }
+
+  private sendShares (shares: WorkShares, now: number): number {
+    const { own, view } = this.parts
+    const regionAggregators = view.listRemoteAggregators(now).filter(({ region }) => region === own.region)
+    const bytes = this.send(regionAggregators, { work: shares.describeZone(now) })
+    const work = shares.describeShares(now)
+    if (work === undefined || (!shares.hasOverload(now) && now - this.sharesSentAt < CALM_SHARES_INTERVAL_MS)) return bytes
+    this.sharesSentAt = now
+    return bytes + this.send(view.listZonePeers(now), { work })
+  }
+
   /** Sends one report to all given hosts but this one, and returns the bytes sent, headers included. */
   private send (entries: readonly HostEntry[], content: Partial<UsageReport>): number {
     const { own, socket } = this.parts
--- a/packages/almondrelay-gateway/src/process/organisations/usageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageReport.ts
@@ -1,6 +1,7 @@
 import type { FleetUsage } from './fleetUsage.js'
 import type { UsageTotals } from '../../request/usageTotals.js'
 import type { ZoneUsage } from './zoneUsage.js'
+import type { WorkReport } from '../shares/workReport.js'
 
 /** A report of organisations' allowance usage from one host to another. */
 export interface UsageReport {
@@ -15,4 +16,6 @@
   zone: ZoneUsage | undefined
   /** Usage in all zones, sent to the hosts of the sender's zone. */
   fleet: FleetUsage | undefined
+  /** Work that callers ask of services, and shares of it; absent where fair shares aren't held. */
+  work?: WorkReport
 }
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -29,7 +29,9 @@
     address,
     writesPerSecond: z.number().positive(),
     readsPerSecond: z.number().positive(),
-    shortestLease: duration
+    shortestLease: duration,
+    /** Names of the contracts that the platform has with its customers; the platform's daemon derives settings from them. */
+    contracts: z.array(z.string()).nullish()
   }),
   bounds: z.object({
     /** Time from the stop signal until the process is killed. */
@@ -52,6 +54,11 @@
     /** Window over which the allowance of an organisation, its rate and its burst, is counted. */
     allowanceWindow: duration.default(DEFAULT_ALLOWANCE_WINDOW_MS)
   }),
+  /**
+   * Whether organisations get fair shares of a service that is overloaded: their ranks first, then max-min shares of the work. Otherwise
+   * whoever comes first is served.
+   */
+  fairShares: z.boolean().default(false),
   /** Port and path at which the metrics are served in the Prometheus text format. */
   metrics: z.object({ port: z.int().min(1).max(65_535), path: z.string().startsWith('/') }),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) })
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -0,0 +1,160 @@
+import { createSeededRandom } from 'almondrelay'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { computeHash } from '../../../version/computeHash.js'
+import type { WorkReport } from '../workReport.js'
+import { WorkShares } from '../workShares.js'
+
+const test = suite('WorkShares')
+const SERVICE = 'balances'
+const STEP_MS = 100
+const UPDATE_MS = 500
+const WORK_MS = 100
+const SEED = 5
+/** Requests a second of the region that find room at targets: the capacity. */
+const CAPACITY_PER_SECOND = 60
+const [LARGE, SMALL] = [computeHash('large'), computeHash('small')]
+
+interface RigHost { name: string, availabilityZone: string, region: string, isAggregator: boolean, isFirst: boolean, startedAt: number, shares: WorkShares, isUp: boolean, isHeard: boolean, refused: number[], admitted: number[], changes: string[] }
+
+/** Hosts of a region that exchange reports, in virtual time: one organisation asks for five times as much as another one. */
+class SharesRig {
+  now = 10_000
+  readonly hosts: RigHost[] = []
+  private readonly random = createSeededRandom(SEED)
+  private requests = 0
+
+  add (name: string, availabilityZone: string, rank: number, region = 'akl'): RigHost {
+    const changes: string[] = []
+    const host: RigHost = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, startedAt: this.now, isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => host.isAggregator, isFirstAggregator: () => host.isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } }) }
+    this.hosts.push(host)
+    return host
+  }
+
+  /** @param perSecond requests a second of all hosts together */
+  run (ms: number, perSecond: number): void {
+    for (const end = this.now + ms; this.now < end; this.now += STEP_MS) {
+      const up = this.hosts.filter(({ isUp, region }) => isUp && region === 'akl')
+      let room = CAPACITY_PER_SECOND * STEP_MS / 1_000
+      for (let request = 0; request < perSecond * STEP_MS / 1_000; request += 1) {
+        const host = up[Math.floor(this.random() * up.length)] as RigHost
+        if (this.call(host, this.requests % 6 === 0 ? SMALL : LARGE, room >= 1)) room -= 1
+      }
+      if (this.now % UPDATE_MS === 0) this.exchange()
+    }
+  }
+
+  private call (host: RigHost, organisation: number, hasRoom: boolean): boolean {
+    this.requests += 1
+    const refusal = host.shares.decide({ service: SERVICE, organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: computeHash(`request ${this.requests}`), workMs: WORK_MS, remainingMs: 2_000 }, this.now, this.random())
+    if (refusal !== undefined) {
+      host.refused.push(organisation)
+      return false
+    }
+    host.admitted.push(organisation)
+    host.shares.observeOutcome(SERVICE, WORK_MS, hasRoom, !hasRoom, this.now)
+    return hasRoom
+  }
+
+  private exchange (): void {
+    const up = this.hosts.filter(({ isUp }) => isUp)
+    for (const host of up) {
+      host.shares.update(this.now)
+      this.sendReport(host, host.shares.describeOwn(this.now), (other) => other.isAggregator && other.availabilityZone === host.availabilityZone)
+      if (!host.isAggregator) continue
+      this.sendReport(host, host.shares.describeZone(this.now), (other) => other.isAggregator && other.availabilityZone !== host.availabilityZone)
+      const report = host.shares.describeShares(this.now)
+      if (report !== undefined) this.sendReport(host, report, (other) => other.availabilityZone === host.availabilityZone)
+    }
+  }
+
+  private sendReport (from: RigHost, report: WorkReport, isReceiver: (host: RigHost) => boolean): void {
+    for (const to of this.hosts) if (to !== from && to.isUp && to.isHeard && from.isHeard && isReceiver(to)) to.shares.receiveReport(from.name, from, report, this.now)
+  }
+}
+
+const countOf = (list: readonly number[], organisation: number): number => list.filter((each) => each === organisation).length
+const makeRegion = (): { rig: SharesRig, host: RigHost } => {
+  const rig = new SharesRig()
+  for (const zone of ['one', 'two']) for (const rank of [1, 2, 3]) rig.add(`${zone}-${rank}`, zone, rank)
+  return { rig, host: rig.hosts[2] as RigHost }
+}
+
+test('hosts of both zones refuse the organisation that asks for more than its share, and serve the other', () => {
+  const { rig } = makeRegion()
+  rig.run(8_000, 100)
+  for (const { refused, changes } of rig.hosts) {
+    assert.ok(countOf(refused, LARGE) > 10)
+    assert.is(countOf(refused, SMALL), 0)
+    assert.equal(changes, ['began'])
+  }
+})
+
+test('nothing is refused while the service has room, and overload ends some seconds after demand has fallen', () => {
+  const { rig } = makeRegion()
+  rig.run(5_000, 50)
+  assert.is(rig.hosts.flatMap(({ refused }) => refused).length, 0)
+  rig.run(5_000, 100)
+  rig.run(8_000, 30)
+  for (const { changes } of rig.hosts) assert.equal(changes, ['began', 'ended'])
+})
+
+// Guards against shares that end, or stop the service, with the aggregator: the second one must take over from what it knows.
+test('when the first aggregator is killed, the second one sends the shares', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  const [first, second] = rig.hosts as [RigHost, RigHost]
+  first.isUp = false
+  rig.run(8_000, 100)
+  assert.ok(second.shares.describeShares(rig.now) !== undefined)
+  assert.ok((host.shares.findPicture(SERVICE, rig.now)?.ageMs ?? Infinity) <= 1_500)
+  assert.is(countOf(host.refused, SMALL), 0)
+})
+
+test('a host that hears from nobody keeps the last shares for five seconds, and then decides by its own counts', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  host.isHeard = false
+  rig.run(4_000, 100)
+  const aged = host.shares.findPicture(SERVICE, rig.now)
+  assert.ok(aged !== undefined && aged.ageMs >= 4_000 && aged.ageMs <= 5_600)
+  rig.run(8_000, 100)
+  const alone = host.shares.findPicture(SERVICE, rig.now)
+  // Its own callers ask for a sixth of the region's work.
+  assert.ok(alone !== undefined && alone.picture.capacityMs < CAPACITY_PER_SECOND * WORK_MS / 2, String(alone?.picture.capacityMs))
+})
+
+// Guards against a host that refuses by chance what it can't judge: it has started a moment ago and knows no counts.
+test('a host that has just started admits all until it hears the shares', () => {
+  const { rig } = makeRegion()
+  rig.run(5_000, 100)
+  const late = rig.add('one-4', 'one', 4)
+  assert.is(late.shares.findPicture(SERVICE, rig.now), undefined)
+  rig.run(1_000, 100)
+  assert.ok(late.shares.findPicture(SERVICE, rig.now) !== undefined)
+})
+
+// Guards against shares of another region: its overload says nothing about the targets of this one.
+test('reports of another region, and shares from another zone, are ignored', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  const report = rig.hosts[0]?.shares.describeShares(rig.now)
+  assert.ok(report !== undefined)
+  const fresh = rig.add('one-5', 'one', 5).shares
+  fresh.receiveReport('far', { availabilityZone: 'one', region: 'wlg' }, report, rig.now)
+  fresh.receiveReport('two-1', { availabilityZone: 'two', region: 'akl' }, report, rig.now)
+  assert.is(fresh.findPicture(SERVICE, rig.now), undefined)
+  fresh.receiveReport('one-1', host, report, rig.now)
+  assert.ok(fresh.findPicture(SERVICE, rig.now) !== undefined)
+})
+
+// Guards against reports that cost much while nothing is decided by them.
+test('a host reports no organisations of a service that turns nobody away', () => {
+  const { rig, host } = makeRegion()
+  rig.run(3_000, 50)
+  assert.is(host.shares.describeOwn(rig.now).own?.get(computeHash(SERVICE))?.work.organisations.size, 0)
+  rig.run(3_000, 100)
+  assert.is(host.shares.describeOwn(rig.now).own?.get(computeHash(SERVICE))?.work.organisations.size, 2)
+})
+
+test.run()
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/shares/createWorkShares.ts
@@ -0,0 +1,50 @@
+import { computeHash } from '../../version/computeHash.js'
+import type { FleetState } from '../fleet/fleetState.js'
+import type { HostEntry } from '../fleet/hostEntry.js'
+import type { EventLog } from '../observe/eventLog.js'
+import type { ShareMetrics } from '../observe/shareMetrics.js'
+import type { PeerView } from '../peers/peerView.js'
+import type { AgedPicture } from './agedPicture.js'
+import { WorkShares } from './workShares.js'
+
+interface WorkSharesParts {
+  own: HostEntry
+  view: PeerView
+  fleet: FleetState
+  log: EventLog
+  shareMetrics: ShareMetrics
+  getNow: () => number
+}
+
+/** Creates the fair shares of a host, with log lines at the begin and end of overload and metrics of the shares. */
+export function createWorkShares ({ own, view, fleet, log, shareMetrics, getNow }: WorkSharesParts): WorkShares {
+  const { availabilityZone, region } = own
+  const findName = (hash: number): string | undefined => fleet.organisations.list().find(({ name }) => computeHash(name) === hash)?.name
+  const listUses = ({ picture }: AgedPicture): Array<{ organisation: string, shareMs: number, askedMs: number }> => [...picture.organisations].flatMap(([hash, { askedMs }]) => {
+    const organisation = findName(hash)
+    return organisation === undefined ? [] : [{ organisation, shareMs: picture.shareMs, askedMs }]
+  })
+  const handlePicture = (service: string, aged: AgedPicture | undefined, hasBegun: boolean): void => {
+    if (aged === undefined) log.report('service no longer overloaded', { service, region })
+    else if (hasBegun) log.report('service overloaded, shares are held', describePicture(service, region, aged))
+    shareMetrics.setShares(service, aged === undefined ? undefined : listUses(aged), aged?.ageMs ?? 0)
+  }
+  return new WorkShares({
+    availabilityZone,
+    region,
+    startedAt: getNow(),
+    isAggregator: (now) => view.isAggregator(now),
+    isFirstAggregator: (now) => view.listAggregators(availabilityZone, now)[0]?.name === own.name,
+    handlePicture
+  })
+}
+
+const describePicture = (service: string, region: string, { picture, ageMs }: AgedPicture): object => ({
+  service,
+  region,
+  capacityMs: Math.round(picture.capacityMs),
+  shareMs: picture.shareMs === Infinity ? undefined : Math.round(picture.shareMs),
+  beyondShare: picture.organisations.size,
+  lastRank: picture.marginPriority === Infinity ? undefined : picture.marginPriority,
+  ageMs: Math.round(ageMs)
+})
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/shares/shareRequest.ts
@@ -0,0 +1,12 @@
+import type { ShareInput } from '../../request/shareInput.js'
+
+/** A request, as far as the decision about its share depends on it. */
+export interface ShareRequest extends ShareInput {
+  service: string
+  /** Hash of what all attempts of a caller have in common. */
+  requestHash: number
+  /** Expected milliseconds of work. */
+  workMs: number
+  /** Milliseconds until the caller stops waiting. */
+  remainingMs: number
+}
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -0,0 +1,222 @@
+import { computeShareDraw } from '../../request/computeShareDraw.js'
+import { computeShareFraction } from '../../request/computeShareFraction.js'
+import { computeShareRetryAfter } from '../../request/computeShareRetryAfter.js'
+import { putBounded } from '../../request/putBounded.js'
+import { ServiceShares } from '../../request/serviceShares.js'
+import { SHARE_SLOT_MS } from '../../request/shareSlotMs.js'
+import { sumWork } from '../../request/sumWork.js'
+import { WorkMeter } from '../../request/workMeter.js'
+import { computeHash } from '../../version/computeHash.js'
+import type { AgedPicture } from './agedPicture.js'
+import type { AgedWork } from './agedWork.js'
+import type { PictureReport } from './pictureReport.js'
+import type { ShareRefusal } from './shareRefusal.js'
+import type { ShareRequest } from './shareRequest.js'
+import type { WorkReport } from './workReport.js'
+
+/** Milliseconds for which the last picture received stays in force; after that a host decides by its own counts. */
+const PICTURE_LIFE_MS = 5_000
+/** Milliseconds without a picture from the first aggregator after which another one uses and sends its own. */
+const TAKE_OVER_MS = 1_500
+/** Milliseconds after which a host's or zone's counts are left out. */
+const WORK_LIFE_MS = 1_500
+/** Bounds of what is kept, as anybody can send reports. */
+const MAX_SERVICES = 20
+const MAX_SENDERS = 1_000
+/** Requests a second turned away below which a host reports no organisations and routes of a service, as nothing is decided by them. */
+const QUIET_TURNED_AWAY_PER_SECOND = 0.1
+
+interface SharesParts {
+  availabilityZone: string
+  region: string
+  /** Monotonic milliseconds at which the host started. */
+  startedAt: number
+  isAggregator: (now: number) => boolean
+  isFirstAggregator: (now: number) => boolean
+  /** Called with the shares in force of an overloaded service after each change of them, and with undefined when overload has ended. */
+  handlePicture: (service: string, aged: AgedPicture | undefined, hasBegun: boolean) => void
+}
+
+interface Sender { availabilityZone: string, region: string }
+interface ReceivedWork extends Sender { receivedAt: number, works: ReadonlyMap<number, AgedWork> }
+interface ReceivedPictures { receivedAt: number, pictures: ReadonlyMap<number, AgedPicture> }
+
+const NO_PICTURES: ReadonlyMap<number, AgedPicture> = new Map()
+
+/**
+ * Holds the fair shares of overloaded services, as far as this host knows.
+ *
+ * Each host reports what its callers ask for to the aggregators of its zone; these exchange their zones' sums within the region and compute
+ * the shares, which the first of them sends to the zone's hosts. A host that hears from nobody decides by the last shares it received, and
+ * after that by its own counts.
+ */
+export class WorkShares {
+  private readonly meters = new Map<number, { name: string, meter: WorkMeter }>()
+  private readonly hosts = new Map<string, ReceivedWork>()
+  private readonly zones = new Map<string, ReceivedWork>()
+  private readonly controls = new Map<number, ServiceShares>()
+  private computed: ReceivedPictures | undefined
+  private received: ReceivedPictures | undefined
+  private readonly overloaded = new Set<string>()
+  private clockOffsetMs = 0
+
+  constructor (private readonly parts: SharesParts) {}
+
+  /** Meters a request and decides about it; undefined if it is admitted. */
+  decide (request: ShareRequest, now: number, random: number): ShareRefusal | undefined {
+    const aged = this.findPicture(request.service, now)
+    const fraction = aged === undefined ? 1 : computeShareFraction(aged.picture, request)
+    const clockMs = now + this.clockOffsetMs
+    const isAdmitted = fraction >= 1 || computeShareDraw(request.requestHash, Math.floor(clockMs / SHARE_SLOT_MS)) < fraction
+    this.findOrCreateMeter(request.service).observeRequest(request, request.workMs, isAdmitted, now)
+    if (isAdmitted || aged === undefined) return undefined
+    const share = aged.picture.organisations.get(request.organisation)
+    const isOfMargin = request.organisationPriority === aged.picture.marginPriority
+    return {
+      retryAfterMs: computeShareRetryAfter({ fraction, requestHash: request.requestHash, clockMs, remainingMs: request.remainingMs, random }),
+      shareMs: isOfMargin ? aged.picture.shareMs : undefined,
+      askedMs: isOfMargin ? share?.askedMs : undefined,
+      allowedPart: fraction,
+      pictureAgeMs: Math.round(aged.ageMs)
+    }
+  }
+
+  /** Records what became of an admitted request. */
+  observeOutcome (service: string, workMs: number, wasSent: boolean, wasTurnedAway: boolean, now: number): void {
+    this.findOrCreateMeter(service).observeAdmitted(workMs, wasSent, wasTurnedAway, now)
+  }
+
+  /** Returns the shares of a service that are in force at this host; undefined if it isn't overloaded. */
+  findPicture (service: string, now: number): AgedPicture | undefined {
+    const source = this.findSource(now)
+    const aged = source?.pictures.get(computeHash(service))
+    return aged === undefined || source === undefined ? undefined : { picture: aged.picture, ageMs: aged.ageMs + now - source.receivedAt }
+  }
+
+  /** Computes the shares anew at an aggregator or, by its own counts alone, at a host that hears from nobody. Called twice a second. */
+  update (now: number): void {
+    if (this.parts.isAggregator(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.sumRegion(now), now) }
+    else if (this.isAlone(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.describeMeters(now, true), now) }
+    else {
+      this.computed = undefined
+      this.controls.clear()
+    }
+    this.reportChanges(now)
+  }
+
+  /** Returns what this host reports to the aggregators of its zone. */
+  describeOwn (now: number): WorkReport {
+    return { own: this.describeMeters(now, false), zone: undefined, shares: undefined }
+  }
+
+  /** Returns the sums of this zone, for the aggregators of the region's other zones. */
+  describeZone (now: number): WorkReport {
+    return { own: undefined, zone: this.sumZone(now), shares: undefined }
+  }
+
+  /** Returns the shares for the hosts of this zone; undefined if another aggregator sends them. */
+  describeShares (now: number): WorkReport | undefined {
+    if (this.computed === undefined || !this.isInCharge(now)) return undefined
+    return { own: undefined, zone: undefined, shares: { clockMs: now + this.clockOffsetMs, pictures: this.computed.pictures } }
+  }
+
+  /** Whether any service is overloaded, as far as this host knows. */
+  hasOverload (now: number): boolean {
+    return (this.findSource(now)?.pictures.size ?? 0) > 0
+  }
+
+  /** Applies a report of a host of this region. */
+  receiveReport (host: string, sender: Sender, { own, zone, shares }: WorkReport, now: number): void {
+    if (sender.region !== this.parts.region) return
+    const isOwnZone = sender.availabilityZone === this.parts.availabilityZone
+    if (own !== undefined && isOwnZone) putBounded(this.hosts, host, { ...sender, receivedAt: now, works: own }, MAX_SENDERS)
+    if (zone !== undefined && !isOwnZone) putBounded(this.zones, host, { ...sender, receivedAt: now, works: zone }, MAX_SENDERS)
+    if (shares !== undefined && isOwnZone) this.receiveShares(shares, now)
+  }
+
+  private receiveShares ({ clockMs, pictures }: PictureReport, now: number): void {
+    this.received = { receivedAt: now, pictures }
+    // Hosts follow the furthest clock, so that those of a region agree after one round of reports.
+    this.clockOffsetMs = Math.max(this.clockOffsetMs, clockMs - now)
+    this.reportChanges(now)
+  }
+
+  private findSource (now: number): ReceivedPictures | undefined {
+    if (this.isInCharge(now) || this.isAlone(now)) return this.computed
+    return this.received !== undefined && now - this.received.receivedAt <= PICTURE_LIFE_MS ? this.received : undefined
+  }
+
+  /** Whether this aggregator's own shares are in force: it is the first one, or hears none from the first one. */
+  private isInCharge (now: number): boolean {
+    if (!this.parts.isAggregator(now)) return false
+    return this.parts.isFirstAggregator(now) || now - (this.received?.receivedAt ?? this.parts.startedAt) > TAKE_OVER_MS
+  }
+
+  /** Whether this host has received no shares for so long that it decides by its own counts. */
+  private isAlone (now: number): boolean {
+    return now - (this.received?.receivedAt ?? this.parts.startedAt) > PICTURE_LIFE_MS
+  }
+
+  private computePictures (works: ReadonlyMap<number, AgedWork>, now: number): Map<number, AgedPicture> {
+    const pictures = new Map<number, AgedPicture>()
+    for (const [service, { work, ageMs }] of works) {
+      const control = this.controls.get(service) ?? new ServiceShares()
+      putBounded(this.controls, service, control, MAX_SERVICES)
+      const picture = control.update(work, now)
+      if (picture !== undefined) pictures.set(service, { picture, ageMs })
+    }
+    return pictures
+  }
+
+  private sumRegion (now: number): Map<number, AgedWork> {
+    const latest = new Map<string, ReceivedWork>()
+    // A zone has two aggregators that report the same sums; the later report counts.
+    for (const each of this.zones.values()) if ((latest.get(each.availabilityZone)?.receivedAt ?? -Infinity) <= each.receivedAt) latest.set(each.availabilityZone, each)
+    return sumReports([this.sumZone(now), ...listFresh(latest.values(), now)])
+  }
+
+  private sumZone (now: number): Map<number, AgedWork> {
+    return sumReports([this.describeMeters(now, true), ...listFresh(this.hosts.values(), now)])
+  }
+
+  /** @param isComplete whether organisations and routes of services that turn nobody away are contained too */
+  private describeMeters (now: number, isComplete: boolean): Map<number, AgedWork> {
+    const overloaded = this.findSource(now)?.pictures ?? NO_PICTURES
+    return new Map([...this.meters].map(([hash, { meter }]) => {
+      const work = meter.describe(now)
+      const isNeeded = isComplete || overloaded.has(hash) || work.turnedAwayPerSecond >= QUIET_TURNED_AWAY_PER_SECOND
+      return [hash, { ageMs: 0, work: isNeeded ? work : { ...work, organisations: new Map(), routes: new Map() } }]
+    }))
+  }
+
+  private reportChanges (now: number): void {
+    for (const { name } of this.meters.values()) {
+      const aged = this.findPicture(name, now)
+      const wasOverloaded = this.overloaded.has(name)
+      if (aged === undefined) this.overloaded.delete(name)
+      else this.overloaded.add(name)
+      if (aged !== undefined || wasOverloaded) this.parts.handlePicture(name, aged, !wasOverloaded)
+    }
+  }
+
+  private findOrCreateMeter (service: string): WorkMeter {
+    const hash = computeHash(service)
+    const known = this.meters.get(hash)
+    if (known !== undefined) return known.meter
+    const meter = new WorkMeter()
+    putBounded(this.meters, hash, { name: service, meter }, MAX_SERVICES)
+    return meter
+  }
+}
+
+const listFresh = (reports: Iterable<ReceivedWork>, now: number): Array<ReadonlyMap<number, AgedWork>> => [...reports]
+  .filter(({ receivedAt }) => now - receivedAt <= WORK_LIFE_MS)
+  .map(({ receivedAt, works }) => new Map([...works].filter(([, { ageMs }]) => ageMs <= PICTURE_LIFE_MS).map(([service, { work, ageMs }]) => [service, { work, ageMs: ageMs + now - receivedAt }])))
+
+const sumReports = (reports: ReadonlyArray<ReadonlyMap<number, AgedWork>>): Map<number, AgedWork> => {
+  const services = new Set(reports.flatMap((report) => [...report.keys()]))
+  return new Map([...services].map((service) => {
+    const parts = reports.flatMap((report) => report.get(service) ?? [])
+    return [service, { work: sumWork(parts.map(({ work }) => work)), ageMs: Math.max(...parts.map(({ ageMs }) => ageMs)) }]
+  }))
+}
--- a/packages/almondrelay/src/request/refusalReason.ts
+++ b/packages/almondrelay/src/request/refusalReason.ts
@@ -16,6 +16,7 @@
   queueFull: 'queue-full',
   targetLimited: 'target-limited',
   overFairShare: 'over-fair-share',
+  overShare: 'over-share',
   deadlineUnreachable: 'deadline-unreachable',
   deadlinePassed: 'deadline-passed',
   cancelled: 'cancelled',
--- a/packages/almondrelay/src/request/refusalStatus.ts
+++ b/packages/almondrelay/src/request/refusalStatus.ts
@@ -18,6 +18,7 @@
   [RefusalReason.queueFull]: 503,
   [RefusalReason.targetLimited]: 503,
   [RefusalReason.overFairShare]: 429,
+  [RefusalReason.overShare]: 503,
   [RefusalReason.deadlineUnreachable]: 503,
   [RefusalReason.deadlinePassed]: 504,
   [RefusalReason.cancelled]: 499,
