--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -3,9 +3,12 @@
 import * as assert from 'uvu/assert'
 import { FleetState } from '../../fleet/fleetState.js'
 import type { HostEntry } from '../../fleet/hostEntry.js'
+import { DATAGRAM_OVERHEAD } from '../../peers/datagramOverhead.js'
 import { decodeDatagram } from '../../peers/decodeDatagram.js'
 import type { PeerSocket } from '../../peers/peerSocket.js'
 import { PeerView } from '../../peers/peerView.js'
+import { computeHash } from '../../../version/computeHash.js'
+import { WorkShares } from '../../shares/workShares.js'
 import { Allowances } from '../allowances.js'
 import { encodeUsageReport } from '../encodeUsageReport.js'
 import { UsageExchange } from '../usageExchange.js'
@@ -23,12 +26,15 @@
   readonly sent: Array<{ to: string, report: UsageReport }> = []
   readonly allowances: Allowances
   readonly exchange: UsageExchange
+  readonly shares: WorkShares | undefined
+  bytes = 0
   now = 10_000
   sleep: (ms: number) => Promise<void> = () => Promise.resolve()
   private readonly fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
 
-  constructor (name: string) {
-    const entries = [...['a', 'b', 'c', 'd'].map((each) => makeEntry(each, 'one')), ...['x', 'y', 'z'].map((each) => makeEntry(each, 'two'))]
+  /** @param hasShares whether fair shares are held */
+  constructor (name: string, hasShares = false, hostsInZone = 4) {
+    const entries = [...['a', 'b', 'c', 'd'].map((each) => makeEntry(each, 'one')), ...['x', 'y', 'z'].map((each) => makeEntry(each, 'two')), ...(hasShares ? [{ ...makeEntry('v', 'three'), region: 'wlg' }] : []), ...Array.from({ length: hostsInZone - 4 }, (_, index) => ({ ...makeEntry(`e${index}`, 'one'), ip: `10.0.1.${index}` }))]
     for (const entry of entries) this.fleet.putHost(entry)
     this.fleet.isComplete = true
     const own = entries.find((entry) => entry.name === name) as HostEntry
@@ -36,12 +42,14 @@
     this.allowances = new Allowances({ availabilityZone: 'one', windowMs: 5_000, startedAt: 0, countHosts: () => entries.length, isAggregator: (now) => view.isAggregator(now) })
     const socket = {
       send: (bytes: Uint8Array, ip: string) => {
+        this.bytes += bytes.byteLength + DATAGRAM_OVERHEAD
         const message = decodeDatagram(bytes)
         const to = entries.find((entry) => entry.ip === ip)
         if (message?.kind === 'use' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
       }
     } as unknown as PeerSocket
-    this.exchange = new UsageExchange({ own, view, allowances: this.allowances, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
+    this.shares = hasShares ? new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: (now) => view.isAggregator(now), isFirstAggregator: () => name === 'a', handlePicture: () => undefined }) : undefined
+    this.exchange = new UsageExchange({ own, view, allowances: this.allowances, shares: this.shares, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
   }
 
   async runOnce (): Promise<void> {
@@ -149,6 +157,65 @@
   assert.ok((fleetUsage.usageByOrganisation.get(hash)?.letThrough ?? 0) > 7)
 })
 
+/** Sends requests of 73 organisations for a time, more than there is room for, and lets the host send its reports. */
+const runOverload = async (rig: UsageRig, ms: number): Promise<void> => {
+  const stop = new AbortController()
+  const end = rig.now + ms
+  let requests = 0
+  rig.sleep = (sleepMs) => {
+    for (let request = 0; request < sleepMs / 10; request += 1) {
+      requests += 1
+      const organisation = computeHash(`organisation ${requests % 73}`)
+      rig.shares?.decide({ service: 'balances', organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: requests, workMs: 100, remainingMs: 2_000 }, rig.now, 0.5)
+      rig.shares?.observeOutcome('balances', 100, requests % 3 === 0, requests % 3 !== 0, rig.now)
+    }
+    rig.now += sleepMs
+    if (rig.now >= end) stop.abort()
+    return Promise.resolve()
+  }
+  await rig.exchange.run(stop.signal)
+}
+
+test('where fair shares are held, work is reported to the zone\'s aggregators without limits too, sums within the region, shares to the zone', async () => {
+  const host = new UsageRig('c', true)
+  await runOverload(host, 3_000)
+  assert.equal(host.listReceivers(({ work }) => work?.own !== undefined), ['a', 'b'])
+  assert.equal(host.listReceivers(({ work }) => work?.zone !== undefined || work?.shares !== undefined), [])
+  const aggregator = new UsageRig('a', true)
+  await runOverload(aggregator, 5_000)
+  assert.equal(aggregator.listReceivers(({ work }) => work?.zone !== undefined), ['x', 'y'])
+  assert.equal(aggregator.listReceivers(({ work }) => (work?.shares?.pictures.size ?? 0) > 0), ['b', 'c', 'd'])
+})
+
+// Guards against control traffic that grows with the zone: 4 KB a second a host, whatever the number of hosts and organisations.
+test('reports of work stay within four kilobytes a second, at an aggregator of a zone of 13 and of 60 hosts too', async () => {
+  for (const [name, hosts] of [['c', 13], ['a', 13], ['a', 60]] as const) {
+    const rig = new UsageRig(name, true, hosts)
+    await runOverload(rig, 60_000)
+    assert.ok(rig.bytes / 60 <= 4_200, `${name} of ${hosts}: ${rig.bytes / 60}`)
+  }
+})
+
+// Guards against shares that are out of force between two reports: they last for five seconds.
+test('an aggregator of a zone of 60 hosts sends shares at least every three and a half seconds', async () => {
+  const rig = new UsageRig('a', true, 60)
+  await runOverload(rig, 30_000)
+  const sent = rig.sent.filter(({ to, report }) => to === 'b' && (report.work?.shares?.pictures.size ?? 0) > 0)
+  assert.ok(sent.length >= 28 / 3.5, String(sent.length))
+})
+
+// Guards against a mixed fleet that stops: hosts that hold no shares, as those of the build before, get reports with work.
+test('a host that holds no shares uses the rest of a report with work', () => {
+  const rig = new UsageRig('c')
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.claim('school', rig.now)
+  const [hash] = rig.allowances.takeChangedTotals().keys() as unknown as [number]
+  const fleet = { hosts: 8, unseenMs: 0, usageByOrganisation: new Map([[hash, { letThrough: 1_000, leavingPerSecond: 0, askedPerSecond: 200 }]]) }
+  const work = { own: new Map(), zone: undefined, shares: { clockMs: 1, pictures: new Map() } }
+  rig.exchange.handleReport(makeReport({ fleet, work }), makeEntry('a', 'one').ip)
+  assert.is(rig.allowances.claim('school', rig.now).allowedPart, 0)
+})
+
 test('reports contain no keys', () => {
   const rig = new UsageRig('c')
   rig.allowances.setOrganisations([SCHOOL])
--- a/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
@@ -18,6 +18,15 @@
 const CALM_SHARES_INTERVAL_MS = 1_000
 /** Maximum bytes per second of these reports; the interval grows with their size. */
 const MAX_WORK_BYTES_PER_SECOND = 4_000
+/**
+ * Bytes of the shares that an aggregator sends to all hosts of its zone at once: two seconds' worth. In a large zone they therefore contain
+ * fewer organisations, those that ask for most.
+ */
+const MAX_SHARES_BYTES = 8_000
+/** Approximate bytes of shares without organisations, with headers, and of one organisation in them. */
+const SHARES_BASE_BYTES = 130
+const SHARES_ORGANISATION_BYTES = 9
+const MIN_SHARES_ORGANISATIONS = 8
 
 interface ExchangeParts {
   own: HostEntry
@@ -37,6 +46,7 @@
 export class UsageExchange {
   private sequence = 0
   private idleReportSentAt = -Infinity
+  private sharesDueAt = -Infinity
   private workDueAt = -Infinity
   private sharesSentAt = -Infinity
 
@@ -86,8 +96,12 @@
   private sendWork (): number {
     const { own, view, shares, getNow } = this.parts
     const now = getNow()
-    if (shares === undefined || now < this.workDueAt) return 0
-    shares.update(now)
+    if (shares === undefined) return 0
+    if (now >= this.sharesDueAt) {
+      this.sharesDueAt = now + WORK_INTERVAL_MS
+      shares.update(now)
+    }
+    if (now < this.workDueAt) return 0
     const bytes = this.send(view.listAggregators(own.availabilityZone, now), { work: shares.describeOwn(now) }) + (view.isAggregator(now) ? this.sendShares(shares, now) : 0)
     this.workDueAt = now + Math.max(WORK_INTERVAL_MS, bytes / MAX_WORK_BYTES_PER_SECOND * 1_000)
     return bytes
@@ -97,10 +111,12 @@
     const { own, view } = this.parts
     const regionAggregators = view.listRemoteAggregators(now).filter(({ region }) => region === own.region)
     const bytes = this.send(regionAggregators, { work: shares.describeZone(now) })
-    const work = shares.describeShares(now)
+    const receivers = view.listZonePeers(now)
+    const organisations = (MAX_SHARES_BYTES / Math.max(1, receivers.length) - SHARES_BASE_BYTES) / SHARES_ORGANISATION_BYTES
+    const work = shares.describeShares(now, Math.max(MIN_SHARES_ORGANISATIONS, Math.floor(organisations)))
     if (work === undefined || (!shares.hasOverload(now) && now - this.sharesSentAt < CALM_SHARES_INTERVAL_MS)) return bytes
     this.sharesSentAt = now
-    return bytes + this.send(view.listZonePeers(now), { work })
+    return bytes + this.send(receivers, { work })
   }
 
   /** Sends one report to all given hosts but this one, and returns the bytes sent, headers included. */
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -114,10 +114,14 @@
     return { own: undefined, zone: this.sumZone(now), shares: undefined }
   }
 
-  /** Returns the shares for the hosts of this zone; undefined if another aggregator sends them. */
-  describeShares (now: number): WorkReport | undefined {
+  /**
+   * Returns the shares for the hosts of this zone; undefined if another aggregator sends them.
+   *
+   * @param maxOrganisations maximum organisations of each service, those that ask for most first
+   */
+  describeShares (now: number, maxOrganisations = Infinity): WorkReport | undefined {
     if (this.computed === undefined || !this.isInCharge(now)) return undefined
-    return { own: undefined, zone: undefined, shares: { clockMs: now + this.clockOffsetMs, pictures: this.computed.pictures } }
+    return { own: undefined, zone: undefined, shares: { clockMs: now + this.clockOffsetMs, pictures: new Map([...this.computed.pictures].map(([service, aged]) => [service, limitOrganisations(aged, maxOrganisations)])) } }
   }
 
   /** Whether any service is overloaded, as far as this host knows. */
@@ -209,6 +213,8 @@
   }
 }
 
+const limitOrganisations = ({ picture, ageMs }: AgedPicture, max: number): AgedPicture => ({ ageMs, picture: { ...picture, organisations: new Map([...picture.organisations].slice(0, max)) } })
+
 const listFresh = (reports: Iterable<ReceivedWork>, now: number): Array<ReadonlyMap<number, AgedWork>> => [...reports]
   .filter(({ receivedAt }) => now - receivedAt <= WORK_LIFE_MS)
   .map(({ receivedAt, works }) => new Map([...works].filter(([, { ageMs }]) => ageMs <= PICTURE_LIFE_MS).map(([service, { work, ageMs }]) => [service, { work, ageMs: ageMs + now - receivedAt }])))
