--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -148,6 +148,23 @@
   assert.ok(fresh.findPicture(SERVICE, rig.now) !== undefined)
 })
 
+// Guards against a caller that returns as told to a host of the other zone, and is drawn there by another clock.
+test('hosts of both zones count time slots by the same clock, whenever they started', () => {
+  const makeShares = (availabilityZone: string, isAggregator: boolean): WorkShares => new WorkShares({ availabilityZone, region: 'akl', startedAt: 0, isAggregator: () => isAggregator, isFirstAggregator: () => isAggregator, handlePicture: () => undefined })
+  const [early, late, other] = [makeShares('one', true), makeShares('two', true), makeShares('two', false)]
+  const [earlyNow, lateNow, otherNow] = [9_000_000, 5_000, 777]
+  for (const [shares, now] of [[early, earlyNow], [late, lateNow], [other, otherNow]] as const) shares.update(now)
+  late.receiveReport('one-1', { availabilityZone: 'one', region: 'akl' }, early.describeZone(earlyNow), lateNow)
+  early.receiveReport('two-1', { availabilityZone: 'two', region: 'akl' }, late.describeZone(lateNow), earlyNow)
+  const report = late.describeShares(lateNow)
+  assert.ok(report !== undefined)
+  other.receiveReport('two-1', { availabilityZone: 'two', region: 'akl' }, report, otherNow)
+  const readClock = (shares: WorkShares, now: number): number | undefined => shares.describeZone(now).shares?.clockMs
+  assert.is(readClock(early, earlyNow + 50), earlyNow + 50)
+  assert.is(readClock(late, lateNow + 50), earlyNow + 50)
+  assert.is(readClock(other, otherNow + 50), earlyNow + 50)
+})
+
 // Guards against reports that cost much while nothing is decided by them.
 test('a host reports no organisations of a service that turns nobody away', () => {
   const { rig, host } = makeRegion()
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -109,9 +109,9 @@
     return { own: this.describeMeters(now, false), zone: undefined, shares: undefined }
   }
 
-  /** Returns the sums of this zone, for the aggregators of the region's other zones. */
+  /** Returns the sums of this zone and the shared clock, for the aggregators of the region's other zones. */
   describeZone (now: number): WorkReport {
-    return { own: undefined, zone: this.sumZone(now), shares: undefined }
+    return { own: undefined, zone: this.sumZone(now), shares: { clockMs: now + this.clockOffsetMs, pictures: NO_PICTURES } }
   }
 
   /**
@@ -135,13 +135,14 @@
     const isOwnZone = sender.availabilityZone === this.parts.availabilityZone
     if (own !== undefined && isOwnZone) putBounded(this.hosts, host, { ...sender, receivedAt: now, works: own }, MAX_SENDERS)
     if (zone !== undefined && !isOwnZone) putBounded(this.zones, host, { ...sender, receivedAt: now, works: zone }, MAX_SENDERS)
-    if (shares !== undefined && isOwnZone) this.receiveShares(shares, now)
+    if (shares === undefined) return
+    // Hosts follow the furthest clock, so that those of a region agree after two rounds of reports.
+    this.clockOffsetMs = Math.max(this.clockOffsetMs, shares.clockMs - now)
+    if (isOwnZone) this.receivePictures(shares, now)
   }
 
-  private receiveShares ({ clockMs, pictures }: PictureReport, now: number): void {
+  private receivePictures ({ pictures }: PictureReport, now: number): void {
     this.received = { receivedAt: now, pictures }
-    // Hosts follow the furthest clock, so that those of a region agree after one round of reports.
-    this.clockOffsetMs = Math.max(this.clockOffsetMs, clockMs - now)
     this.reportChanges(now)
   }
 
