Keep shares in force when the host that computes them is restarted

Cause: the first aggregator of a zone came back without counts and sent empty shares at once, so that all hosts of its zone admitted everything. Change: a new first aggregator continues with the shares that it hears, and sends its own after 2.5 s. Measured: the new test (two restarts within an overload) fails without the change.

--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -25,12 +25,22 @@
   private requests = 0
 
   add (name: string, availabilityZone: string, rank: number, region = 'akl'): RigHost {
+    const place = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, startedAt: this.now }
     const changes: string[] = []
-    const host: RigHost = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, startedAt: this.now, isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => host.isAggregator, isFirstAggregator: () => host.isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } }) }
+    const host = { ...place, isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: this.makeShares(place, changes) }
     this.hosts.push(host)
     return host
   }
 
+  /** Replaces what a host knows, as a new process of it has. */
+  restart (host: RigHost): void {
+    host.shares = this.makeShares(host, host.changes)
+  }
+
+  private makeShares ({ availabilityZone, region, isAggregator, isFirst }: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
+    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => isAggregator, isFirstAggregator: () => isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
+  }
+
   /** @param perSecond requests a second of all hosts together */
   run (ms: number, perSecond: number): void {
     for (const end = this.now + ms; this.now < end; this.now += STEP_MS) {
@@ -111,6 +121,24 @@
   assert.is(countOf(host.refused, SMALL), 0)
 })
 
+// Guards against an overload that ends with each restart: the first aggregator comes back knowing nothing, and with the shares it sent at
+// once, all hosts would have admitted everything.
+test('when the first aggregator is restarted, the shares stay in force', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  const [first] = rig.hosts as [RigHost]
+  for (let restart = 0; restart < 2; restart += 1) {
+    first.isUp = false
+    rig.run(800, 100)
+    first.isUp = true
+    rig.restart(first)
+    rig.run(8_200, 100)
+  }
+  assert.equal(host.changes, ['began'])
+  assert.is(countOf(host.refused, SMALL), 0)
+  assert.ok(first.shares.describeShares(rig.now) !== undefined)
+})
+
 test('a host that hears from nobody keeps the last shares for five seconds, and then decides by its own counts', () => {
   const { rig, host } = makeRegion()
   rig.run(5_000, 100)
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -18,6 +18,8 @@
 const PICTURE_LIFE_MS = 5_000
 /** Milliseconds without a picture from the first aggregator after which another one uses and sends its own. */
 const TAKE_OVER_MS = 1_500
+/** Milliseconds after which a new first aggregator sends shares. By then it has heard those of the second one, which it continues with. */
+const SETTLE_MS = 2_500
 /** Milliseconds after which a host's or zone's counts are left out. */
 const WORK_LIFE_MS = 1_500
 /** Bounds of what is kept, as anybody can send reports. */
@@ -59,6 +61,7 @@
   private received: ReceivedPictures | undefined
   private readonly overloaded = new Set<string>()
   private clockOffsetMs = 0
+  private aggregatorSince: number | undefined
 
   constructor (private readonly parts: SharesParts) {}
 
@@ -95,6 +98,8 @@
 
   /** Computes the shares anew at an aggregator or, by its own counts alone, at a host that hears from nobody. Called twice a second. */
   update (now: number): void {
+    this.aggregatorSince = this.parts.isAggregator(now) ? this.aggregatorSince ?? now : undefined
+    if (this.aggregatorSince !== undefined) this.adoptPictures(now)
     if (this.parts.isAggregator(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.sumRegion(now), now) }
     else if (this.isAlone(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.describeMeters(now, true), now) }
     else {
@@ -154,7 +159,8 @@
   /** Whether this aggregator's own shares are in force: it is the first one, or hears none from the first one. */
   private isInCharge (now: number): boolean {
     if (!this.parts.isAggregator(now)) return false
-    return this.parts.isFirstAggregator(now) || now - (this.received?.receivedAt ?? this.parts.startedAt) > TAKE_OVER_MS
+    const isSettled = this.aggregatorSince !== undefined && now - this.aggregatorSince >= SETTLE_MS
+    return (isSettled && this.parts.isFirstAggregator(now)) || now - (this.received?.receivedAt ?? this.parts.startedAt) > TAKE_OVER_MS
   }
 
   /** Whether this host has received no shares for so long that it decides by its own counts. */
@@ -162,6 +168,16 @@
     return now - (this.received?.receivedAt ?? this.parts.startedAt) > PICTURE_LIFE_MS
   }
 
+  /** Continues with the shares of the aggregator in charge, where this one doesn't know of the overload yet. */
+  private adoptPictures (now: number): void {
+    if (this.received === undefined || this.isInCharge(now)) return
+    for (const [service, { picture }] of this.received.pictures) {
+      const control = this.controls.get(service) ?? new ServiceShares()
+      putBounded(this.controls, service, control, MAX_SERVICES)
+      if (!control.isOverloaded) control.adopt(picture)
+    }
+  }
+
   private computePictures (works: ReadonlyMap<number, AgedWork>, now: number): Map<number, AgedPicture> {
     const pictures = new Map<number, AgedPicture>()
     for (const [service, { work, ageMs }] of works) {
--- a/packages/almondrelay-gateway/src/request/overloadState.ts
+++ b/packages/almondrelay-gateway/src/request/overloadState.ts
@@ -27,6 +27,12 @@
     return this.overloaded
   }
 
+  /** Continues an overload that another host has noticed. */
+  adopt (): void {
+    this.overloaded = true
+    this.since = undefined
+  }
+
   /**
    * Returns whether overload begins or ends now.
    *
--- a/packages/almondrelay-gateway/src/request/serviceShares.ts
+++ b/packages/almondrelay-gateway/src/request/serviceShares.ts
@@ -56,6 +56,13 @@
     return undefined
   }
 
+  /** Continues with the shares that another host computed: without them, each restart of the host that computes them would end an overload. */
+  adopt ({ capacityMs, shareMs, organisations }: OverloadPicture): void {
+    this.state.adopt()
+    this.capacityMs = capacityMs
+    this.corrections = new Map([...organisations].map(([hash, { fraction, askedMs }]) => [hash, fraction * askedMs / Math.max(1, shareMs)]))
+  }
+
   private followCapacity (sums: WorkSums): void {
     const { sentMs, requestsPerSecond, turnedAwayPerSecond } = sums
     const turnedAway = turnedAwayPerSecond / Math.max(1, requestsPerSecond)
