--- a/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
@@ -1,6 +1,9 @@
+import { fromBinary } from '@bufbuild/protobuf'
+import { ServiceWorkSchema, SharePicturesSchema, type ServiceWork, type SharePictures } from 'almondrelay-protocol'
 import type { AllowanceUsage } from '../../request/allowanceUsage.js'
 import type { UsageTotals } from '../../request/usageTotals.js'
 import type { FieldReader } from '../peers/fieldReader.js'
+import { decodeWorkReport } from '../shares/decodeWorkReport.js'
 import type { UsageReport } from './usageReport.js'
 import type { ZoneUsage } from './zoneUsage.js'
 
@@ -29,6 +32,9 @@
   const letThrough: number[] = []
   let zone: ZoneUsage | undefined
   let fleet: ZoneUsage | undefined
+  const serviceWork: ServiceWork[] = []
+  const zoneWork: ServiceWork[] = []
+  let shares: SharePictures | undefined
   while (reader.hasMore(end)) {
     const tag = reader.readTag()
     switch (tag) {
@@ -44,13 +50,18 @@
       case 56: letThrough.push(reader.readUint32()); break
       case 66: zone = decodeZoneUsage(reader, reader.readEnd()); break
       case 74: fleet = decodeZoneUsage(reader, reader.readEnd()); break
+      // Sent only where fair shares are held; decoded by the protobuf library.
+      case 82: serviceWork.push(fromBinary(ServiceWorkSchema, reader.readBytes())); break
+      case 90: zoneWork.push(fromBinary(ServiceWorkSchema, reader.readBytes())); break
+      case 98: shares = fromBinary(SharePicturesSchema, reader.readBytes()); break
       default: reader.ignoreField(tag)
     }
   }
   if (!isName(host) || !isName(availabilityZone) || asked.length !== hashes.length || letThrough.length !== hashes.length) return undefined
   const totals = new Map<number, UsageTotals>()
   for (let index = 0; index < hashes.length; index += 1) totals.set(hashes[index] as number, { asked: asked[index] as number, letThrough: letThrough[index] as number })
-  return { host, incarnation, availabilityZone, sequence, totals, zone, fleet }
+  const work = decodeWorkReport({ work: serviceWork, zoneWork, shares })
+  return { host, incarnation, availabilityZone, sequence, totals, zone, fleet, ...(work === undefined ? {} : { work }) }
 }
 
 const isName = (name: string): boolean => name.length > 0 && name.length <= MAX_NAME_LENGTH
