--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -48,7 +48,7 @@
     const timer = setTimeout(() => {
       setImmediate(() => { if (!isAcknowledged) resolveFailure('no acknowledgement in time', PeerCallFailure.unacknowledged) })
     }, acknowledgeTimeoutMs)
-    outgoing.on('continue', () => {
+    outgoing.once('continue', () => {
       clearTimeout(timer)
       isAcknowledged = true
       if (signal.aborted) return
--- a/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
+++ b/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
@@ -14,6 +14,9 @@
 import { RequestRunner } from '../requestRunner.js'
 
 const test = suite('copies sent while the first attempt runs')
+/** Milliseconds after which an attempt counts as overdue here, with a margin. */
+const OVERDUE_MS = 200
+const SEND_TIMEOUT_MS = 3_000
 
 const answer = (text: string, status = 200): AttemptResult => ({ kind: 'answered', head: makeAnswerHead({ status }), body: Buffer.from(text) })
 const makeChoice = (target: TargetState): TargetChoice =>
@@ -29,6 +32,8 @@
   readonly sent: Sent[] = []
   readonly counted: string[] = []
   readonly left = new AbortController()
+  /** Ids of the targets to which the links are lost. */
+  readonly lost = new Set<string>()
   private readonly targets = ['one', 'two', 'three'].map((id) => makeTarget({ id }))
   readonly runner: RequestRunner
   readonly answered: ReturnType<RequestRunner['run']>
@@ -54,14 +59,18 @@
       getPool: () => ({ acquire: () => Promise.resolve({ kind: 'connected', connection: this.openConnection() }) })
     } as unknown as RequestPlacement
     const gate = { isBlocked: false, allowSend: () => true, describe: () => ({}), observeResult: () => undefined, fingerprint: '' } as unknown as RequestGate
-    const links = { isLost: () => false, verifyLoss: () => Promise.resolve(false), addSend: () => () => undefined }
+    const links = { isLost: ({ entry }: TargetState) => this.lost.has(entry.id), verifyLoss: () => Promise.resolve(false), addSend: () => () => undefined }
     this.runner = new RequestRunner(makeRequest({ arrivedAt: performance.now(), deadline: performance.now() + 2_000, route: makeRoute({ idempotent, maxAttempts }) }), placement, { codec: new PlainTargetCodec(), links: links as never, carriers: {} as never, gate, metrics: { countCopy: (event) => { this.counted.push(event) } }, getNow: () => performance.now(), random: () => 0 })
     this.answered = this.runner.run(this.left.signal)
   }
 
   /** Waits until so many attempts were sent. */
   async waitForSends (count: number): Promise<void> {
-    while (this.sent.length < count) await new Promise((resolve) => { setImmediate(resolve) })
+    const startedAt = performance.now()
+    while (this.sent.length < count) {
+      if (performance.now() - startedAt > SEND_TIMEOUT_MS) throw new Error(`${this.sent.length} of ${count} attempts were sent`)
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
   }
 
   async waitForTurns (): Promise<void> {
@@ -128,6 +137,33 @@
   assert.is((await rig.answered).kind, 'passed')
 })
 
+// Guards against a request that waits for its deadline at a copy's silent target after its first attempt has failed.
+test('the failure of the first attempt sends the request again where its copy is overdue', async () => {
+  const rig = new CopyRig()
+  await rig.waitForSends(2)
+  await new Promise((resolve) => { setTimeout(resolve, OVERDUE_MS) })
+  rig.sent[0]?.finish({ kind: 'broken', reason: 'closed' })
+  await rig.waitForSends(3)
+  rig.sent[2]?.finish(answer('third'))
+  const final = await rig.answered
+  assert.is(final.kind === 'passed' && final.body.toString(), 'third')
+})
+
+// Guards against a request that waits for its deadline because the links to both its targets are lost.
+test('a request whose attempt and copy are both cut off is sent again', async () => {
+  const rig = new CopyRig()
+  await rig.waitForSends(2)
+  rig.lost.add('one')
+  rig.runner.handleLinkLoss()
+  await rig.waitForTurns()
+  assert.is(rig.sent.length, 2)
+  rig.lost.add('two')
+  rig.runner.handleLinkLoss()
+  await rig.waitForSends(3)
+  rig.sent[2]?.finish(answer('third'))
+  assert.is((await rig.answered).kind, 'passed')
+})
+
 // Guards against work for a caller who is gone.
 test('both attempts are cancelled when the caller disconnects', async () => {
   const rig = new CopyRig()
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -53,6 +53,8 @@
   private readonly triedIds = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
   private sends = 0
+  /** Monotonic milliseconds from which on an attempt counts as overdue. */
+  private readonly overdueAt = new Map<Attempt, number>()
   /** The attempt that was sent while the first one was running, so as to be answered on time. */
   private copy: Attempt | undefined
   /** Failure answer of a target that is passed to the caller if no better answer arrives. */
@@ -121,12 +123,20 @@
     if (step === NextStep.deliver && result.kind === 'answered') return this.passAnswer(result, attempt)
     if (step === NextStep.giveUp) return this.reportFailure(describeResult(result))
     this.recordFailure(result, step)
-    // The failure of a copy, or of the attempt that was copied, leaves the request to the other one.
-    if (this.copy !== undefined && this.running.size > 0) return undefined
+    if (this.copy !== undefined && this.isAnswerExpected()) return undefined
     if (this.startAttempt() || this.running.size > 0) return undefined
     return this.finishWithoutAnswer()
   }
 
+  /**
+   * Whether an attempt runs that may still be answered in the usual time: the failure of a copy, or of the attempt that was copied, leaves
+   * the request to the other one, which is hedged once it is overdue.
+   */
+  private isAnswerExpected (): boolean {
+    const now = this.parts.getNow()
+    return [...this.running].some((attempt) => !attempt.isCutOff && now < (this.overdueAt.get(attempt) ?? -Infinity))
+  }
+
   private recordFailure (result: AttemptResult, step: NextStep): void {
     if (step === NextStep.retryMaybeRun) this.uncertainFailure = describeResult(result)
     else this.refusal = describeResult(result)
@@ -147,7 +157,7 @@
   // Once the first answer can no longer be awaited without being late, a second target may still give one on time.
   private handleCopyDue (): undefined {
     const now = this.parts.getNow()
-    if (this.running.size !== 1 || this.sends >= this.request.route.maxAttempts || !this.parts.gate.allowSend(this.sends)) return undefined
+    if (this.copy !== undefined || this.running.size !== 1 || this.sends >= this.request.route.maxAttempts || !this.parts.gate.allowSend(this.sends)) return undefined
     if (!this.placement.isIdentified(this.request)) return undefined
     const second = this.placement.choose(this.request, this.triedIds, now)
     const decision = this.placement.decideCopy(this.request, second, now)
@@ -162,7 +172,8 @@
   }
 
   private handleLostLinks (): undefined {
-    return [...this.running].every(({ isCutOff }) => isCutOff) ? this.handleOverdue() : undefined
+    if (this.request.route.idempotent && this.running.size > 0 && [...this.running].every(({ isCutOff }) => isCutOff)) this.startAttempt()
+    return undefined
   }
 
   private handleDeadline (): FinalAnswer {
@@ -276,7 +287,11 @@
     this.running.add(attempt)
     this.placement.observeSend(choice, now)
     if (this.request.route.idempotent && this.sends === 1) this.startCopyTimer(choice, now)
-    if (this.request.route.idempotent) this.startTimer(Math.max(MIN_HEDGE_DELAY_MS, choice.expectedMs * HEDGE_DELAY_RATIO), { kind: 'overdue' })
+    if (this.request.route.idempotent) {
+      const overdueMs = Math.max(MIN_HEDGE_DELAY_MS, choice.expectedMs * HEDGE_DELAY_RATIO)
+      this.overdueAt.set(attempt, now + overdueMs)
+      this.startTimer(overdueMs, { kind: 'overdue' })
+    }
     void attempt.run(this.placement.getPool(choice.target)).then((result) => {
       this.placement.observeFinish(choice)
       this.placement.observeResult(attempt, result, this.parts.getNow())
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -128,7 +128,7 @@
     const shareMetrics = settings.fairShares ? metrics.createShareMetrics() : undefined
     const shares = shareMetrics === undefined ? undefined : createWorkShares({ own: this.own, view: this.view, fleet: this.fleet, log, shareMetrics, getNow })
     this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, shares, socket: this.socket, getNow, sleep: sleepFor })
-    this.targetLoadExchange = new TargetLoadExchange({ own: this.own, fleet: this.fleet, view: this.view, loads: this.forward.targetLoads, socket: this.socket, getNow, sleep: sleepFor }, this.abortController.signal)
+    this.targetLoadExchange = new TargetLoadExchange({ own: this.own, fleet: this.fleet, view: this.view, loads: this.forward.targetLoads, socket: this.socket, getNow, sleep: sleepFor, logError }, this.abortController.signal)
     const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.abortController.signal)
     this.quarantine = quarantine
     this.suspectExchange = suspectExchange
--- a/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
+++ b/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
@@ -91,7 +91,7 @@
     const loads = new TargetLoads({ fleet, metrics: { observeStatementAge: () => undefined, countStatementChoice: () => undefined } })
     const socket = { send: (bytes: Uint8Array, ip: string) => { this.send(entry, bytes, ip) } }
     const host: FleetHost = { entry, fleet, view, loads, exchange: undefined as unknown as TargetLoadExchange, bytes: 0, sequence: 0, isStopped: false }
-    host.exchange = new TargetLoadExchange({ own: entry, fleet, view, loads, socket, getNow: () => this.now, sleep: (ms) => new Promise((resolve) => { this.waiting.push({ at: this.now + ms, host, resume: resolve }) }) }, this.abortController.signal)
+    host.exchange = new TargetLoadExchange({ own: entry, fleet, view, loads, socket, getNow: () => this.now, sleep: (ms) => new Promise((resolve) => { this.waiting.push({ at: this.now + ms, host, resume: resolve }) }), logError: (error) => { throw error } }, this.abortController.signal)
     this.hosts.push(host)
   }
 
--- a/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
@@ -37,6 +37,7 @@
   socket: Pick<PeerSocket, 'send'>
   getNow: () => number
   sleep: (ms: number, signal: AbortSignal) => Promise<void>
+  logError: (error: Error) => void
 }
 
 /**
@@ -109,7 +110,10 @@
   private start (): void {
     if (this.isRunning || this.signal.aborted) return
     this.isRunning = true
-    void this.run()
+    this.run().catch((error: Error) => {
+      this.isRunning = false
+      this.parts.logError(error)
+    })
   }
 
   private async run (): Promise<void> {
@@ -131,6 +135,7 @@
       for (const statement of untold) this.pool.put(statement, true)
       return now - this.spreadAt < SPREAD_INTERVAL_MS ? 0 : this.spread(now)
     }
+    this.pool.expire(now)
     const statements = untold.sort((one, other) => other.statedAt - one.statedAt).slice(0, MAX_STATEMENTS)
     const aggregators = this.parts.view.listAggregators(this.parts.own.availabilityZone, now)
     const receiver = first === undefined || this.isSilent(first, now) ? aggregators[1] : aggregators[0]
--- a/packages/almondrelay-gateway/src/request/__tests__/decideCopy.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/decideCopy.test.ts
@@ -16,7 +16,7 @@
 const makeSecond = (choice: Partial<TargetChoice> = {}): TargetChoice =>
   ({ target: makeTarget(), expectedMs: ROUND_TRIP_MS + WARM_MS, costMs: 0, workMs: WARM_MS, waitMs: 0, roundTripMs: ROUND_TRIP_MS, rank: 1, outstanding: 0, isCached: false, statedSlowness: 1, statedAgeMs: 100, ...choice })
 const decide = (input: Partial<Parameters<typeof decideCopy>[0]> = {}): CopyDecision =>
-  decideCopy({ second: makeSecond(), cachedShare: 0.9, warmMs: WARM_MS, targetLatencyMs: TARGET_LATENCY_MS, elapsedMs: 140, usage: 0.4, ...input })
+  decideCopy({ second: makeSecond(), cachedShare: 0.9, warmMs: WARM_MS, targetLatencyMs: TARGET_LATENCY_MS, elapsedMs: 140, findUsage: () => 0.4, ...input })
 const computeDelay = (input: Partial<Parameters<typeof computeCopyDelay>[0]> = {}): number =>
   computeCopyDelay({ expectedMs: WARM_MS + ROUND_TRIP_MS, roundTripMs: ROUND_TRIP_MS, warmMs: WARM_MS, targetLatencyMs: TARGET_LATENCY_MS, elapsedMs: 0, ...input })
 
@@ -37,7 +37,7 @@
 // Guards against a service that is full because every request runs twice.
 test('no copy goes to a target with a queue, to a full service or to a target of unknown speed', () => {
   assert.is(decide({ second: makeSecond({ waitMs: 1 }) }), CopyDecision.queue)
-  assert.is(decide({ usage: 0.8 }), CopyDecision.busy)
+  assert.is(decide({ findUsage: () => 0.8 }), CopyDecision.busy)
   assert.is(decide({ second: makeSecond({ statedSlowness: undefined }) }), CopyDecision.unstated)
   assert.is(decide({ second: undefined }), CopyDecision.noTarget)
 })
--- a/packages/almondrelay-gateway/src/request/__tests__/statementPool.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/statementPool.test.ts
@@ -56,4 +56,12 @@
   assert.is(pool.takeDue(64, 100).length, 36)
 })
 
+// Guards against a host that tells nobody and keeps a statement of each incarnation of a target for as long as it runs.
+test('statements that are too old for any comparison are dropped', () => {
+  const pool = new StatementPool()
+  for (let incarnationHash = 0; incarnationHash < 50; incarnationHash += 1) pool.observeTold(make({ incarnationHash, statedAt: incarnationHash * 1_000 }))
+  pool.expire(50_000)
+  assert.is(pool.size, 10)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/request/decideCopy.ts
+++ b/packages/almondrelay-gateway/src/request/decideCopy.ts
@@ -17,8 +17,8 @@
   targetLatencyMs: number
   /** Milliseconds since the request arrived. */
   elapsedMs: number
-  /** Share of the slots of the service's targets in the second target's region that are busy. */
-  usage: number
+  /** Returns the share of the slots of the service's targets in the second target's region that are busy; called last, as it visits them all. */
+  findUsage: (second: TargetChoice) => number
 }
 
 /**
@@ -27,12 +27,12 @@
  * Handles the same load as `computeCopyDelay`. Under overload, copies would double the load on a service that has no room for them, so
  * that every request becomes late: none is sent to a target with a queue or to a service whose slots are mostly busy.
  */
-export function decideCopy ({ second, cachedShare, warmMs, targetLatencyMs, elapsedMs, usage }: CopyInput): CopyDecision {
+export function decideCopy ({ second, cachedShare, warmMs, targetLatencyMs, elapsedMs, findUsage }: CopyInput): CopyDecision {
   if (second === undefined) return CopyDecision.noTarget
   if (second.statedSlowness === undefined) return CopyDecision.unstated
-  if (usage > MAX_USAGE) return CopyDecision.busy
   if (second.waitMs > 0) return CopyDecision.queue
   if (!second.isCached && cachedShare < MIN_CACHED_SHARE) return CopyDecision.uncached
   const expectedMs = second.roundTripMs + warmMs * second.statedSlowness
-  return elapsedMs + expectedMs > computeObjective(targetLatencyMs) ? CopyDecision.late : CopyDecision.send
+  if (elapsedMs + expectedMs > computeObjective(targetLatencyMs)) return CopyDecision.late
+  return findUsage(second) > MAX_USAGE ? CopyDecision.busy : CopyDecision.send
 }
--- a/packages/almondrelay-gateway/src/request/statementPool.ts
+++ b/packages/almondrelay-gateway/src/request/statementPool.ts
@@ -43,14 +43,20 @@
     if (known !== undefined && statement.statedAt >= (known.told?.statedAt ?? -Infinity)) known.told = statement
   }
 
+  /** Drops statements that are too old for any comparison. */
+  expire (now: number): void {
+    for (const [hash, { latest }] of this.statements) if (now - latest.statedAt > MAX_KEPT_MS) this.statements.delete(hash)
+  }
+
+  /** Returns the number of targets of which a statement is kept. */
+  get size (): number {
+    return this.statements.size
+  }
+
   /** Takes the statements to be told now, the newest first; more than the maximum wait for the next call. */
   takeDue (maxCount: number, now: number): Array<{ statement: TargetStatement, isOwnZone: boolean }> {
-    const due = []
-    for (const [hash, pooled] of this.statements) {
-      const ageMs = now - pooled.latest.statedAt
-      if (ageMs > MAX_KEPT_MS) this.statements.delete(hash)
-      else if (ageMs <= MAX_AGE_MS && isDue(pooled)) due.push(pooled)
-    }
+    this.expire(now)
+    const due = [...this.statements.values()].filter((pooled) => now - pooled.latest.statedAt <= MAX_AGE_MS && isDue(pooled))
     const taken = due.sort((one, other) => other.latest.statedAt - one.latest.statedAt).slice(0, maxCount)
     return taken.map((pooled) => {
       pooled.told = pooled.latest
