Round priorities in reports of work, and survive errors of usage reports

The configuration accepts any number as a priority. The encoder threw on 1.5 or -1, the exchange's promise was rejected and the process ended.

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -127,7 +127,7 @@
     this.allowances = new Allowances({ availabilityZone: this.own.availabilityZone, windowMs: settings.bounds.allowanceWindow, startedAt: getNow(), countHosts: () => this.view.countPossibleHosts(getNow()), isAggregator: (now) => this.view.isAggregator(now) })
     const shareMetrics = settings.fairShares ? metrics.createShareMetrics() : undefined
     const shares = shareMetrics === undefined ? undefined : createWorkShares({ own: this.own, view: this.view, fleet: this.fleet, log, shareMetrics, getNow })
-    this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, shares, socket: this.socket, getNow, sleep: sleepFor })
+    this.usageExchange = new UsageExchange({ own: this.own, view: this.view, allowances: this.allowances, shares, socket: this.socket, log, getNow, sleep: sleepFor })
     this.targetLoadExchange = new TargetLoadExchange({ own: this.own, fleet: this.fleet, view: this.view, loads: this.forward.targetLoads, socket: this.socket, getNow, sleep: sleepFor }, this.abortController.signal)
     const { quarantine, exchange: suspectExchange } = createQuarantine({ own: this.own, view: this.view, socket: this.socket, store: adapter.store, codec: adapter.fleet, log, metrics, getNow, random }, this.abortController.signal)
     this.quarantine = quarantine
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -27,6 +27,8 @@
   readonly allowances: Allowances
   readonly exchange: UsageExchange
   readonly shares: WorkShares | undefined
+  readonly errors: Error[] = []
+  sendError: Error | undefined
   bytes = 0
   now = 10_000
   sleep: (ms: number) => Promise<void> = () => Promise.resolve()
@@ -42,6 +44,7 @@
     this.allowances = new Allowances({ availabilityZone: 'one', windowMs: 5_000, startedAt: 0, countHosts: () => entries.length, isAggregator: (now) => view.isAggregator(now) })
     const socket = {
       send: (bytes: Uint8Array, ip: string) => {
+        if (this.sendError !== undefined) throw this.sendError
         this.bytes += bytes.byteLength + DATAGRAM_OVERHEAD
         const message = decodeDatagram(bytes)
         const to = entries.find((entry) => entry.ip === ip)
@@ -49,7 +52,7 @@
       }
     } as unknown as PeerSocket
     this.shares = hasShares ? new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: (now) => view.isAggregator(now), isFirstAggregator: () => name === 'a', handlePicture: () => undefined }) : undefined
-    this.exchange = new UsageExchange({ own, view, allowances: this.allowances, shares: this.shares, socket, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
+    this.exchange = new UsageExchange({ own, view, allowances: this.allowances, shares: this.shares, socket, log: { logError: (_, error) => { this.errors.push(error) } }, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
   }
 
   async runOnce (): Promise<void> {
@@ -216,6 +219,42 @@
   assert.is(rig.allowances.claim('school', rig.now).allowedPart, 0)
 })
 
+// Guards against a host that exits: an error of one round rejected the exchange's promise, and the process ended.
+test('an error of one round is logged, and the next round sends again', async () => {
+  const rig = new UsageRig('c', true)
+  rig.allowances.setOrganisations([SCHOOL])
+  rig.allowances.claim('school', rig.now)
+  rig.sendError = new Error('no route to host')
+  await rig.runOnce()
+  assert.equal(rig.errors.map(({ message }) => message), ['no route to host', 'no route to host'])
+  rig.sendError = undefined
+  rig.now += 1_000
+  await rig.runOnce()
+  assert.equal(rig.listReceivers(() => true), ['a', 'b'])
+})
+
+// Guards against priorities that reports can't hold: the configuration accepts any number.
+test('shares with priorities that are negative or have fractions are sent', async () => {
+  const rig = new UsageRig('a', true)
+  const stop = new AbortController()
+  const end = rig.now + 5_000
+  rig.sleep = (ms) => {
+    for (let request = 0; request < ms / 10; request += 1) {
+      for (const organisationPriority of [1.5, -1]) {
+        rig.shares?.decide({ service: 'balances', organisation: organisationPriority < 0 ? 11 : 12, organisationPriority, route: 1, routePriority: organisationPriority, requestHash: request, workMs: 100, remainingMs: 2_000 }, rig.now, 0.5)
+        rig.shares?.observeOutcome('balances', 100, request % 3 === 0, request % 3 !== 0, rig.now)
+      }
+    }
+    rig.now += ms
+    if (rig.now >= end) stop.abort()
+    return Promise.resolve()
+  }
+  await rig.exchange.run(stop.signal)
+  assert.equal(rig.errors, [])
+  const pictures = rig.sent.flatMap(({ report }) => [...(report.work?.shares?.pictures.values() ?? [])])
+  assert.ok(pictures.length > 0)
+})
+
 test('reports contain no keys', () => {
   const rig = new UsageRig('c')
   rig.allowances.setOrganisations([SCHOOL])
--- a/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
@@ -1,4 +1,5 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
+import type { EventLog } from '../observe/eventLog.js'
 import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
@@ -35,6 +36,7 @@
   /** Undefined where fair shares aren't held; then nothing of them is sent. */
   shares?: WorkShares | undefined
   socket: PeerSocket
+  log: Pick<EventLog, 'logError'>
   getNow: () => number
   sleep: (ms: number, signal: AbortSignal) => Promise<void>
 }
@@ -55,7 +57,7 @@
   /** Sends reports until the signal aborts. The interval grows with the number of receivers, which keeps the bytes per second bounded. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const bytes = (this.parts.allowances.hasLimits ? this.sendRound() : 0) + this.sendWork()
+      const bytes = (this.parts.allowances.hasLimits ? this.runStep(() => this.sendRound()) : 0) + this.runStep(() => this.sendWork())
       // The interval is the same while no organisation has a limit. A host that has just started learns of the limits a moment later;
       // with a longer interval it would admit requests meanwhile that no other host knows of.
       await this.parts.sleep(Math.max(REPORT_INTERVAL_MS, bytes / MAX_BYTES_PER_SECOND * 1_000), signal)
@@ -74,6 +76,16 @@
     allowances.receiveReport(report, getNow())
   }
 
+  /** Sends the reports of one kind. After an error the next round sends again, as a host that exits serves nobody. */
+  private runStep (send: () => number): number {
+    try {
+      return send()
+    } catch (error) {
+      this.parts.log.logError('usage reports of this round not sent', error as Error)
+      return 0
+    }
+  }
+
   private sendRound (): number {
     const { own, view, allowances, getNow } = this.parts
     const now = getNow()
@@ -102,6 +114,7 @@
       shares.update(now)
     }
     if (now < this.workDueAt) return 0
+    this.workDueAt = now + WORK_INTERVAL_MS
     const bytes = this.send(view.listAggregators(own.availabilityZone, now), { work: shares.describeOwn(now) }) + (view.isAggregator(now) ? this.sendShares(shares, now) : 0)
     this.workDueAt = now + Math.max(WORK_INTERVAL_MS, bytes / MAX_WORK_BYTES_PER_SECOND * 1_000)
     return bytes
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workReport.test.ts
@@ -45,6 +45,23 @@
   assert.is(decodeDatagram(encodeUsageReport(makeReport({ own: undefined, zone, shares: undefined })))?.kind, 'use')
 })
 
+// Guards against a host that exits: the configuration accepts any number as a priority, and the encoder throws on what a field can't hold.
+test('priorities that are no positive integers, and rates that aren\'t finite, are encoded as the nearest values', () => {
+  for (const [priority, encoded] of [[1.5, 2], [-1, 0], [1e12, 0xffffffff], [NaN, 0]] as const) {
+    const classes = new Map([[1, { priority, askedMs: 5, admittedMs: 5 }]])
+    const own = new Map([[7, { ageMs: 0, work: { organisations: classes, routes: classes, sentMs: 1, requestsPerSecond: Infinity, turnedAwayPerSecond: -1 } }]])
+    const picture = { capacityMs: 9, marginPriority: priority, shareMs: 8, organisations: new Map(), routes: new Map([[4, { priority, mix: 0.5, floorFraction: 0 }]]) }
+    const message = decodeDatagram(encodeUsageReport(makeReport({ own, zone: undefined, shares: { clockMs: 1, pictures: new Map([[7, { ageMs: 0, picture }]]) } })))
+    const work = message?.kind === 'use' ? message.report.work : undefined
+    const decoded = work?.own?.get(7)?.work
+    assert.is(decoded?.organisations.get(1)?.priority, encoded)
+    assert.is(decoded?.routes.get(1)?.priority, encoded)
+    assert.ok(Number.isFinite(decoded?.requestsPerSecond) && decoded?.turnedAwayPerSecond === 0)
+    assert.is(work?.shares?.pictures.get(7)?.picture.marginPriority, encoded)
+    assert.is(work?.shares?.pictures.get(7)?.picture.routes.get(4)?.priority, encoded)
+  }
+})
+
 // 4 KB a second a host: two reports of a zone a second to two aggregators, or shares to a zone's hosts at a longer interval.
 test('reports of 73 organisations fit into datagrams of some hundred bytes', () => {
   assert.ok(encodeUsageReport(makeReport({ own: makeWork(ORGANISATIONS), zone: undefined, shares: undefined })).byteLength < 900)
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -193,6 +193,15 @@
   assert.is(readClock(other, otherNow + 50), earlyNow + 50)
 })
 
+// Guards against an organisation of priority 1.5 that passes as more urgent than its rank, which reports contain as 2.
+test('a priority with a fraction counts as the rank that the shares contain', () => {
+  const { rig, host } = makeRegion()
+  const picture = { capacityMs: 1_000, marginPriority: 2, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const decide = (organisationPriority: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority, route: 1, routePriority: 0, requestHash: 1, workMs: 1, remainingMs: 2_000 }, rig.now, 0.5) === undefined
+  assert.equal([1, 1.5, 2].map(decide), [true, false, false])
+})
+
 // Guards against reports that cost much while nothing is decided by them.
 test('a host reports no organisations of a service that turns nobody away', () => {
   const { rig, host } = makeRegion()
--- a/packages/almondrelay-gateway/src/process/shares/encodeWorkReport.ts
+++ b/packages/almondrelay-gateway/src/process/shares/encodeWorkReport.ts
@@ -3,13 +3,14 @@
 import type { ClassWork } from '../../request/classWork.js'
 import type { AgedPicture } from './agedPicture.js'
 import type { AgedWork } from './agedWork.js'
+import { toUint32 } from './toUint32.js'
 import type { WorkReport } from './workReport.js'
 
 /** Organisations and routes of one service that are reported, those with most work first; it bounds the bytes of a report. */
 const MAX_CLASSES = 120
 const FRACTION_UNITS = 10_000
-/** Largest value of the integer fields; sums of reports from elsewhere may exceed it. */
-const MAX_INTEGER = 0xffffffff
+/** Largest value of the float fields. */
+const MAX_FLOAT = 3.4e38
 
 interface WorkFields {
   work: Array<MessageInitShape<typeof ServiceWorkSchema>>
@@ -26,25 +27,26 @@
   }
 }
 
-const toInteger = (value: number): number => Math.min(MAX_INTEGER, Math.max(0, Math.round(value)))
+/** Returns a value that the float fields can hold and that receivers accept: they ignore reports with negative or infinite rates. */
+const toRate = (value: number): number => Number.isNaN(value) ? 0 : Math.min(MAX_FLOAT, Math.max(0, value))
 
 const encodeWorks = (works: ReadonlyMap<number, AgedWork> | undefined): Array<MessageInitShape<typeof ServiceWorkSchema>> => [...(works ?? [])].map(([serviceHash, { work, ageMs }]) => ({
   serviceHash,
-  ageMs: toInteger(ageMs),
+  ageMs: toUint32(ageMs),
   organisations: encodeClasses(work.organisations),
   routes: encodeClasses(work.routes),
-  sentMs: toInteger(work.sentMs),
-  requestsPerSecond: work.requestsPerSecond,
-  turnedAwayPerSecond: work.turnedAwayPerSecond
+  sentMs: toUint32(work.sentMs),
+  requestsPerSecond: toRate(work.requestsPerSecond),
+  turnedAwayPerSecond: toRate(work.turnedAwayPerSecond)
 }))
 
 const encodeClasses = (classes: ReadonlyMap<number, ClassWork>): MessageInitShape<typeof WorkByClassSchema> => {
   const largest = [...classes].sort(([, first], [, second]) => second.askedMs - first.askedMs).slice(0, MAX_CLASSES)
   return {
     hashes: largest.map(([hash]) => hash),
-    priorities: largest.map(([, { priority }]) => priority),
-    askedMs: largest.map(([, { askedMs }]) => toInteger(askedMs)),
-    admittedMs: largest.map(([, { admittedMs }]) => toInteger(admittedMs))
+    priorities: largest.map(([, { priority }]) => toUint32(priority)),
+    askedMs: largest.map(([, { askedMs }]) => toUint32(askedMs)),
+    admittedMs: largest.map(([, { admittedMs }]) => toUint32(admittedMs))
   }
 }
 
@@ -54,15 +56,15 @@
   const routes = [...picture.routes]
   return {
     serviceHash,
-    ageMs: toInteger(ageMs),
-    capacityMs: toInteger(capacityMs),
-    ...(marginPriority === Infinity ? {} : { marginPriority, shareMs: toInteger(Math.min(shareMs, capacityMs)) }),
+    ageMs: toUint32(ageMs),
+    capacityMs: toUint32(capacityMs),
+    ...(marginPriority === Infinity ? {} : { marginPriority: toUint32(marginPriority), shareMs: toUint32(Math.min(shareMs, capacityMs)) }),
     organisationHashes: organisations.map(([hash]) => hash),
-    organisationFractions: organisations.map(([, { fraction }]) => toInteger(fraction * FRACTION_UNITS)),
-    organisationAskedMs: organisations.map(([, { askedMs }]) => toInteger(askedMs)),
+    organisationFractions: organisations.map(([, { fraction }]) => toUint32(fraction * FRACTION_UNITS)),
+    organisationAskedMs: organisations.map(([, { askedMs }]) => toUint32(askedMs)),
     routeHashes: routes.map(([hash]) => hash),
-    routePriorities: routes.map(([, { priority }]) => priority),
-    routeMixes: routes.map(([, { mix }]) => toInteger(mix * FRACTION_UNITS)),
-    routeFloors: routes.map(([, { floorFraction }]) => toInteger(floorFraction * FRACTION_UNITS))
+    routePriorities: routes.map(([, { priority }]) => toUint32(priority)),
+    routeMixes: routes.map(([, { mix }]) => toUint32(mix * FRACTION_UNITS)),
+    routeFloors: routes.map(([, { floorFraction }]) => toUint32(floorFraction * FRACTION_UNITS))
   }
 }
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -12,6 +12,7 @@
 import type { PictureReport } from './pictureReport.js'
 import type { ShareRefusal } from './shareRefusal.js'
 import type { ShareRequest } from './shareRequest.js'
+import { toUint32 } from './toUint32.js'
 import type { WorkReport } from './workReport.js'
 
 /** Milliseconds for which the last picture received stays in force; after that a host decides by its own counts. */
@@ -66,7 +67,9 @@
   constructor (private readonly parts: SharesParts) {}
 
   /** Meters a request and decides about it; undefined if it is admitted. */
-  decide (request: ShareRequest, now: number, random: number): ShareRefusal | undefined {
+  decide (asked: ShareRequest, now: number, random: number): ShareRefusal | undefined {
+    // Shares arrive with rounded priorities. An organisation of priority 1.5 would count as more urgent than the rank of 2 that it is in.
+    const request = { ...asked, organisationPriority: toUint32(asked.organisationPriority), routePriority: toUint32(asked.routePriority) }
     const aged = this.findPicture(request.service, now)
     const fraction = aged === undefined ? 1 : computeShareFraction(aged.picture, request)
     const clockMs = now + this.clockOffsetMs
