Bound how far the known capacity of an overloaded service is lowered

A capacity of 0 stayed 0, and the work sent follows a lowered capacity down. The capacity is now at least half of the most work that targets took during the overload, and no shares are held while that work is not known.

--- a/packages/almondrelay-gateway/src/request/__tests__/serviceShares.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/serviceShares.test.ts
@@ -65,6 +65,35 @@
   assert.ok((shares.update(makeSums(organisations, new Map(), 1_000, 30), 30_000)?.capacityMs ?? 0) >= 1_000)
 })
 
+// Guards against a service that stays refused: targets that stop for some seconds take no work, and the work sent follows the capacity down.
+test('the capacity doesn\'t fall below half of the most work that targets took during the overload', () => {
+  const shares = new ServiceShares()
+  const organisations = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 900 }], [2, { priority: 0, askedMs: 300, admittedMs: 300 }]])
+  for (let at = 0; at < 5_000; at += 500) shares.update(makeSums(organisations, new Map(), at === 4_000 ? 1_200 : 1_000, 30), at)
+  const refused = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 0 }]])
+  for (let at = 5_000; at < 60_000; at += 500) {
+    const capacityMs = shares.update(makeSums(refused, new Map(), 0, 90), at)?.capacityMs ?? 0
+    assert.ok(capacityMs >= 600, `${at}: ${capacityMs}`)
+  }
+})
+
+// Guards against a capacity of 0, which no factor raises: all requests would be refused until demand ends.
+test('no shares are held until targets have taken work, and then the capacity is what they take', () => {
+  const shares = new ServiceShares()
+  const organisations = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 2_000 }]])
+  for (let at = 0; at < 10_000; at += 500) assert.is(shares.update(makeSums(organisations, new Map(), 0, 90), at), undefined)
+  assert.ok(shares.isOverloaded)
+  for (const [index, sentMs] of [400, 700, 850].entries()) shares.update(makeSums(organisations, new Map(), sentMs, 60), 10_000 + index * 500)
+  assert.is(shares.update(makeSums(organisations, new Map(), 1_000, 60), 11_500)?.capacityMs, 1_000)
+})
+
+test('a capacity of 0 is not adopted from another host', () => {
+  const shares = new ServiceShares()
+  const organisations = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 0 }]])
+  shares.adopt({ capacityMs: 0, marginPriority: 0, shareMs: 0, organisations: new Map([[1, { fraction: 0, askedMs: 2_000 }]]), routes: new Map() })
+  assert.is(shares.update(makeSums(organisations, new Map(), 0, 0), 0), undefined)
+})
+
 test('the least urgent route of the least urgent organisation has a minimum', () => {
   const shares = new ServiceShares()
   const organisations = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 1_000 }], [2, { priority: 1, askedMs: 500, admittedMs: 0 }]])
--- a/packages/almondrelay-gateway/src/request/serviceShares.ts
+++ b/packages/almondrelay-gateway/src/request/serviceShares.ts
@@ -17,6 +17,13 @@
 const RAISE_FACTOR = 1.03
 /** Maximum of the known capacity as a multiple of the work sent, as what isn't used says nothing about more capacity. */
 const MAX_UNUSED_FACTOR = 1.2
+/**
+ * Minimum of the known capacity as a part of the most work that targets took since overload began. The work sent follows the capacity down,
+ * so that lowering it would otherwise have no end.
+ */
+const MIN_TAKEN_FACTOR = 0.5
+/** Milliseconds for which the work sent is observed before shares are held, where none was sent when overload began: its rate is a mean over about that time. */
+const LEARN_MS = 1_000
 /** Factor by which more than the capacity must be admitted to count as shares that aren't in force yet. */
 const EXCEEDED_FACTOR = 1.1
 /** Exponents with which an organisation's fraction follows the ratio of share and use. The rates lag by two steps; unused capacity costs more. */
@@ -39,6 +46,9 @@
 export class ServiceShares {
   private readonly state = new OverloadState()
   private capacityMs = 0
+  /** Most work a second that targets took since overload began; 0 while it isn't known. */
+  private mostTakenMs = 0
+  private takenSince: number | undefined
   /** Factors by which fractions differ from share divided by demand, by organisation. */
   private corrections = new Map<number, number>()
 
@@ -48,21 +58,28 @@
 
   /** Applies new sums, twice a second; returns the picture for the hosts, or undefined outside of overload. */
   update (sums: WorkSums, now: number): OverloadPicture | undefined {
-    if (!this.state.isOverloaded) this.capacityMs = sums.sentMs
+    if (!this.state.isOverloaded || this.mostTakenMs === 0) this.learnCapacity(sums, now)
     else this.followCapacity(sums)
     this.state.observe(sums, this.capacityMs, now)
-    if (this.state.isOverloaded) return this.describe(sums)
-    this.corrections = new Map()
-    return undefined
+    if (!this.state.isOverloaded) this.corrections = new Map()
+    return this.state.isOverloaded && this.mostTakenMs > 0 ? this.describe(sums) : undefined
   }
 
   /** Continues with the shares that another host computed: without them, each restart of the host that computes them would end an overload. */
   adopt ({ capacityMs, shareMs, organisations }: OverloadPicture): void {
     this.state.adopt()
     this.capacityMs = capacityMs
+    this.mostTakenMs = capacityMs
     this.corrections = new Map([...organisations].map(([hash, { fraction, askedMs }]) => [hash, fraction * askedMs / Math.max(1, shareMs)]))
   }
 
+  /** Takes the work sent as the capacity: before overload, and during it until targets have taken work. */
+  private learnCapacity ({ sentMs }: WorkSums, now: number): void {
+    this.capacityMs = sentMs
+    this.takenSince = sentMs > 0 ? this.takenSince ?? now : undefined
+    this.mostTakenMs = this.takenSince !== undefined && now - this.takenSince >= LEARN_MS ? sentMs : 0
+  }
+
   private followCapacity (sums: WorkSums): void {
     const { sentMs, requestsPerSecond, turnedAwayPerSecond } = sums
     const turnedAway = turnedAwayPerSecond / Math.max(1, requestsPerSecond)
@@ -70,6 +87,8 @@
     const isExceeded = sumAdmitted(sums) > this.capacityMs * EXCEEDED_FACTOR
     if (turnedAway > HIGH_TURNED_AWAY_SHARE) this.capacityMs = Math.max(sentMs, this.capacityMs * (isExceeded ? 1 : LOWER_FACTOR))
     else if (turnedAway < LOW_TURNED_AWAY_SHARE) this.capacityMs = Math.max(this.capacityMs, Math.min(this.capacityMs * RAISE_FACTOR, sentMs * MAX_UNUSED_FACTOR))
+    this.mostTakenMs = Math.max(this.mostTakenMs, sentMs)
+    this.capacityMs = Math.max(this.capacityMs, this.mostTakenMs * MIN_TAKEN_FACTOR)
   }
 
   private describe (sums: WorkSums): OverloadPicture {
