Continue with the shares held when a host comes in charge of a zone

A host that became the zone's aggregator in charge, or became it again, sent empty shares although it held valid ones, which ended the overload in its zone. It comes in charge in updates only and adopts the shares first; until the hosts' counts have arrived it sends those.

--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -15,7 +15,7 @@
 const CAPACITY_PER_SECOND = 60
 const [LARGE, SMALL] = [computeHash('large'), computeHash('small')]
 
-interface RigHost { name: string, availabilityZone: string, region: string, isAggregator: boolean, isFirst: boolean, startedAt: number, shares: WorkShares, isUp: boolean, isHeard: boolean, refused: number[], admitted: number[], changes: string[] }
+interface RigHost { name: string, availabilityZone: string, region: string, isAggregator: boolean, isFirst: boolean, offsetMs: number, startedAt: number, shares: WorkShares, isUp: boolean, isHeard: boolean, refused: number[], admitted: number[], changes: string[] }
 
 /** Hosts of a region that exchange reports, in virtual time: one organisation asks for five times as much as another one. */
 class SharesRig {
@@ -25,9 +25,9 @@
   private requests = 0
 
   add (name: string, availabilityZone: string, rank: number, region = 'akl'): RigHost {
-    const place = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, startedAt: this.now }
+    const place = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, offsetMs: 0, startedAt: this.now }
     const changes: string[] = []
-    const host = { ...place, isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: this.makeShares(place, changes) }
+    const host = Object.assign(place, { isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: this.makeShares(place, changes) })
     this.hosts.push(host)
     return host
   }
@@ -37,8 +37,9 @@
     host.shares = this.makeShares(host, host.changes)
   }
 
-  private makeShares ({ availabilityZone, region, isAggregator, isFirst }: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
-    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => isAggregator, isFirstAggregator: () => isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
+  private makeShares (place: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
+    const { availabilityZone, region } = place
+    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => place.isAggregator, isFirstAggregator: () => place.isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
   }
 
   /** @param perSecond requests a second of all hosts together */
@@ -50,7 +51,7 @@
         const host = up[Math.floor(this.random() * up.length)] as RigHost
         if (this.call(host, this.requests % 6 === 0 ? SMALL : LARGE, room >= 1)) room -= 1
       }
-      if (this.now % UPDATE_MS === 0) this.exchange()
+      this.exchange()
     }
   }
 
@@ -68,7 +69,7 @@
 
   private exchange (): void {
     const up = this.hosts.filter(({ isUp }) => isUp)
-    for (const host of up) {
+    for (const host of up.filter(({ offsetMs }) => (this.now - offsetMs) % UPDATE_MS === 0)) {
       host.shares.update(this.now)
       this.sendReport(host, host.shares.describeOwn(this.now), (other) => other.isAggregator && other.availabilityZone === host.availabilityZone)
       if (!host.isAggregator) continue
@@ -139,6 +140,61 @@
   assert.ok(first.shares.describeShares(rig.now) !== undefined)
 })
 
+// Guards against an overload that ends when a restarted aggregator comes in charge just after it has heard shares, or before the second one has
+// taken over. With restarts that were aligned to the updates of the other hosts neither was seen.
+test('when the first aggregator is restarted at any moment, the shares stay in force', () => {
+  for (let downMs = 300; downMs <= 800; downMs += 100) {
+    for (let offsetMs = 0; offsetMs < UPDATE_MS; offsetMs += 100) {
+      const { rig, host } = makeRegion()
+      rig.run(5_000, 100)
+      const [first, second] = rig.hosts as [RigHost, RigHost]
+      first.isUp = false
+      rig.run(downMs, 100)
+      first.isUp = true
+      first.offsetMs = offsetMs
+      second.offsetMs = 200
+      rig.restart(first)
+      rig.run(8_000, 100)
+      const place = `down ${downMs}, offset ${offsetMs}`
+      assert.equal(host.changes, ['began'], place)
+      assert.equal(second.changes, ['began'], place)
+      assert.ok(first.shares.describeShares(rig.now) !== undefined, place)
+    }
+  }
+})
+
+// Guards against hosts that become aggregators when both are killed: they came in charge knowing no overload, and ended it in the zone.
+test('when both aggregators are killed, the ones that follow continue with the shares that they hold', () => {
+  for (let unseenMs = 1_000; unseenMs <= 4_000; unseenMs += 300) {
+    const { rig } = makeRegion()
+    const followers = [rig.hosts[2] as RigHost, ...[4, 5, 6].map((rank) => rig.add(`one-${rank}`, 'one', rank))]
+    rig.run(5_000, 100)
+    for (const each of rig.hosts.slice(0, 2)) Object.assign(each, { isUp: false, isAggregator: false, isFirst: false })
+    for (const [index, each] of followers.entries()) each.offsetMs = index * 100
+    rig.run(unseenMs, 100)
+    Object.assign(followers[0] as RigHost, { isAggregator: true, isFirst: true })
+    Object.assign(followers[1] as RigHost, { isAggregator: true })
+    rig.run(8_000, 100)
+    for (const { name, changes, refused } of followers) {
+      assert.equal(changes, ['began'], `${name}, unseen ${unseenMs}`)
+      assert.is(countOf(refused, SMALL), 0)
+    }
+  }
+})
+
+// Guards against a change of the fleet's view for a moment, after which the aggregator in charge knew of no overload.
+test('an aggregator that comes in charge again continues with the shares that it sent', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  const [first, second] = rig.hosts as [RigHost, RigHost]
+  second.isUp = false
+  for (const isFirst of [false, true]) {
+    Object.assign(first, { isAggregator: isFirst, isFirst })
+    rig.run(isFirst ? 8_000 : 1_000, 100)
+  }
+  for (const { changes } of [first, host]) assert.equal(changes, ['began'])
+})
+
 test('a host that hears from nobody keeps the last shares for five seconds, and then decides by its own counts', () => {
   const { rig, host } = makeRegion()
   rig.run(5_000, 100)
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -19,8 +19,13 @@
 const PICTURE_LIFE_MS = 5_000
 /** Milliseconds without a picture from the first aggregator after which another one uses and sends its own. */
 const TAKE_OVER_MS = 1_500
-/** Milliseconds after which a new first aggregator sends shares. By then it has heard those of the second one, which it continues with. */
+/**
+ * Milliseconds after which a new first aggregator, or one that has heard no shares since its start, sends shares. By then it has heard those
+ * of the second one, which takes over within it, and continues with them.
+ */
 const SETTLE_MS = 2_500
+/** Milliseconds after which a new aggregator has the counts of its zone's hosts, which report twice a second. */
+const COUNTS_MS = 1_000
 /** Milliseconds after which a host's or zone's counts are left out. */
 const WORK_LIFE_MS = 1_500
 /** Bounds of what is kept, as anybody can send reports. */
@@ -63,6 +68,8 @@
   private readonly overloaded = new Set<string>()
   private clockOffsetMs = 0
   private aggregatorSince: number | undefined
+  /** Whether this host was in charge at its last update. It comes in charge in updates only, so that it adopts shares before it sends any. */
+  private wasInCharge = false
 
   constructor (private readonly parts: SharesParts) {}
 
@@ -101,9 +108,12 @@
 
   /** Computes the shares anew at an aggregator or, by its own counts alone, at a host that hears from nobody. Called twice a second. */
   update (now: number): void {
-    this.aggregatorSince = this.parts.isAggregator(now) ? this.aggregatorSince ?? now : undefined
-    if (this.aggregatorSince !== undefined) this.adoptPictures(now)
-    if (this.parts.isAggregator(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.sumRegion(now), now) }
+    const isAggregator = this.parts.isAggregator(now)
+    this.aggregatorSince = isAggregator ? this.aggregatorSince ?? now : undefined
+    if (!isAggregator && this.wasInCharge) this.keepComputed()
+    if (isAggregator && !this.wasInCharge) this.adoptPictures(now)
+    this.wasInCharge = this.isDueInCharge(now)
+    if (this.aggregatorSince !== undefined) this.computed = { receivedAt: now, pictures: this.computeRegion(this.aggregatorSince, now) }
     else if (this.isAlone(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.describeMeters(now, true), now) }
     else {
       this.computed = undefined
@@ -151,19 +161,30 @@
 
   private receivePictures ({ pictures }: PictureReport, now: number): void {
     this.received = { receivedAt: now, pictures }
+    this.wasInCharge = this.isInCharge(now)
     this.reportChanges(now)
   }
 
   private findSource (now: number): ReceivedPictures | undefined {
     if (this.isInCharge(now) || this.isAlone(now)) return this.computed
+    return this.findReceived(now)
+  }
+
+  private findReceived (now: number): ReceivedPictures | undefined {
     return this.received !== undefined && now - this.received.receivedAt <= PICTURE_LIFE_MS ? this.received : undefined
   }
 
-  /** Whether this aggregator's own shares are in force: it is the first one, or hears none from the first one. */
+  /** Whether this aggregator's own shares are in force. */
   private isInCharge (now: number): boolean {
+    return this.wasInCharge && this.isDueInCharge(now)
+  }
+
+  /** Whether this aggregator is the first one, or hears no shares from the first one. */
+  private isDueInCharge (now: number): boolean {
     if (!this.parts.isAggregator(now)) return false
     const isSettled = this.aggregatorSince !== undefined && now - this.aggregatorSince >= SETTLE_MS
-    return (isSettled && this.parts.isFirstAggregator(now)) || now - (this.received?.receivedAt ?? this.parts.startedAt) > TAKE_OVER_MS
+    if (isSettled && this.parts.isFirstAggregator(now)) return true
+    return this.received === undefined ? now - this.parts.startedAt > SETTLE_MS : now - this.received.receivedAt > TAKE_OVER_MS
   }
 
   /** Whether this host has received no shares for so long that it decides by its own counts. */
@@ -171,16 +192,32 @@
     return now - (this.received?.receivedAt ?? this.parts.startedAt) > PICTURE_LIFE_MS
   }
 
-  /** Continues with the shares of the aggregator in charge, where this one doesn't know of the overload yet. */
+  /** Keeps the shares that this host sent while it was in charge as the last ones received, where it has received none since. */
+  private keepComputed (): void {
+    if (this.computed !== undefined && this.computed.receivedAt > (this.received?.receivedAt ?? -Infinity)) this.received = this.computed
+  }
+
+  /** Continues with the last shares received, where this aggregator doesn't know of the overload yet. */
   private adoptPictures (now: number): void {
-    if (this.received === undefined || this.isInCharge(now)) return
-    for (const [service, { picture }] of this.received.pictures) {
+    for (const [service, { picture }] of this.findReceived(now)?.pictures ?? NO_PICTURES) {
       const control = this.controls.get(service) ?? new ServiceShares()
       putBounded(this.controls, service, control, MAX_SERVICES)
       if (!control.isOverloaded) control.adopt(picture)
     }
   }
 
+  /**
+   * Computes the shares at an aggregator. Where the hosts' counts can't have arrived yet, the last shares received continue: counts of a few
+   * hosts would show no overload, and the shares computed from them would end it at all hosts of the zone.
+   */
+  private computeRegion (aggregatorSince: number, now: number): Map<number, AgedPicture> {
+    const received = this.findReceived(now)
+    const held = new Map([...(received?.pictures ?? [])].map(([service, { picture, ageMs }]) => [service, { picture, ageMs: ageMs + now - (received?.receivedAt ?? now) }]))
+    if (held.size > 0 && now - aggregatorSince < COUNTS_MS) return held
+    const works = this.sumRegion(now)
+    return new Map([...[...held].filter(([service]) => !works.has(service)), ...this.computePictures(works, now)])
+  }
+
   private computePictures (works: ReadonlyMap<number, AgedWork>, now: number): Map<number, AgedPicture> {
     const pictures = new Map<number, AgedPicture>()
     for (const [service, { work, ageMs }] of works) {
