--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -140,22 +140,47 @@
   assert.ok(first.shares.describeShares(rig.now) !== undefined)
 })
 
-// Guards against an overload that ends when a restarted aggregator comes in charge just after it has heard shares, or before the second one has
-// taken over. With restarts that were aligned to the updates of the other hosts neither was seen.
-test('when the first aggregator is restarted at any moment, the shares stay in force', () => {
-  for (let downMs = 300; downMs <= 800; downMs += 100) {
-    for (let offsetMs = 0; offsetMs < UPDATE_MS; offsetMs += 100) {
+// Guards against an overload that a restarted aggregator ends. It counted 1.5 s from its start, the second one from the last shares, so that
+// it was in charge before it could hear the second one.
+test('a restarted first aggregator that has heard no shares sends none until the second one can have taken over', () => {
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  for (let now = 100; now <= 2_400; now += 100) {
+    if (now % UPDATE_MS === 100) shares.update(now)
+    assert.is(shares.describeShares(now), undefined, String(now))
+  }
+  shares.update(2_700)
+  assert.ok(shares.describeShares(2_700) !== undefined)
+})
+
+// Guards against empty shares of a host that has received shares since its last update and then comes in charge.
+test('shares received just before an aggregator comes in charge are continued with', () => {
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  for (let now = 0; now <= 2_000; now += UPDATE_MS) shares.update(now)
+  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.1, askedMs: 900 }]]), routes: new Map() }
+  shares.receiveReport('one-2', { availabilityZone: 'one', region: 'akl' }, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, 2_400)
+  for (const now of [2_500, 2_510, 2_600]) {
+    assert.ok(shares.findPicture(SERVICE, now) !== undefined)
+    assert.is.not(shares.describeShares(now)?.shares?.pictures.size, 0)
+  }
+  shares.update(2_610)
+  assert.is(shares.describeShares(2_610)?.shares?.pictures.size, 1)
+})
+
+// The moments at which the second one takes over, and at which the restarted one comes in charge, then fall in any order.
+test('when the first aggregator is restarted 0.3 to 0.8 s after its last shares, they stay in force', () => {
+  for (let downMs = 200; downMs <= 700; downMs += 100) {
+    for (let offset = 0; offset < 10; offset += 1) {
       const { rig, host } = makeRegion()
-      rig.run(5_000, 100)
+      rig.run(5_100, 100)
       const [first, second] = rig.hosts as [RigHost, RigHost]
       first.isUp = false
       rig.run(downMs, 100)
       first.isUp = true
-      first.offsetMs = offsetMs
-      second.offsetMs = 200
+      first.offsetMs = offset % 5 * 100
+      second.offsetMs = offset < 5 ? 0 : 400
       rig.restart(first)
-      rig.run(8_000, 100)
-      const place = `down ${downMs}, offset ${offsetMs}`
+      rig.run(8_000, 75)
+      const place = `down ${downMs}, offset ${offset}`
       assert.equal(host.changes, ['began'], place)
       assert.equal(second.changes, ['began'], place)
       assert.ok(first.shares.describeShares(rig.now) !== undefined, place)
