--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -158,6 +158,7 @@
     const { route, method, url, affinityKey, deadline } = draft
     const now = getNow()
     const remainingMs = deadline - now
+    const neededMs = forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)
     const refusal = shares?.decide({
       service: name,
       organisation: organisation === undefined ? 0 : computeHash(organisation.name),
@@ -166,14 +167,14 @@
       routePriority: route.priority,
       requestHash: computeHash(`${organisation?.name ?? ''} ${method} ${route.hostName} ${url} ${affinityKey ?? ''}`),
       workMs,
-      remainingMs
+      remainingMs,
+      neededMs
     }, now, random())
     if (refusal !== undefined) {
       shareMetrics?.countRefusal(name, RefusalReason.overShare)
       return this.refuser.refuseOverShare(head, route, organisation?.name, name, refusal)
     }
-    if (shares?.findPicture(name, now) === undefined) return undefined
-    if (remainingMs >= forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)) return undefined
+    if (remainingMs >= neededMs || shares?.findPicture(name, now) === undefined) return undefined
     shareMetrics?.countRefusal(name, RefusalReason.deadlineUnreachable)
     return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs / 3))
   }
--- a/packages/almondrelay-gateway/src/process/shares/shareRequest.ts
+++ b/packages/almondrelay-gateway/src/process/shares/shareRequest.ts
@@ -9,4 +9,6 @@
   workMs: number
   /** Milliseconds until the caller stops waiting. */
   remainingMs: number
+  /** Milliseconds that a warm target needs; with less left the request is refused although it is within its share. */
+  neededMs: number
 }
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -81,7 +81,9 @@
     const fraction = aged === undefined ? 1 : computeShareFraction(aged.picture, request)
     const clockMs = now + this.clockOffsetMs
     const isAdmitted = fraction >= 1 || computeShareDraw(request.requestHash, Math.floor(clockMs / SHARE_SLOT_MS)) < fraction
-    this.findOrCreateMeter(request.service).observeRequest(request, request.workMs, isAdmitted, now)
+    // What is refused for want of time takes no capacity. Counted as admitted, it would lower its organisation's fraction.
+    const isCounted = isAdmitted && (aged === undefined || request.remainingMs >= request.neededMs)
+    this.findOrCreateMeter(request.service).observeRequest(request, request.workMs, isCounted, now)
     if (isAdmitted || aged === undefined) return undefined
     const share = aged.picture.organisations.get(request.organisation)
     const isOfMargin = request.organisationPriority === aged.picture.marginPriority
