--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -155,7 +155,7 @@
   /** Refuses a request beyond its share of an overloaded service, or that can't be served there in the time left; undefined if it is admitted. */
   private refuseOverShare (head: CallerHead, draft: Omit<CallerRequest, 'body'>, organisation: Organisation | undefined, { name, workMs }: MeteredService): CallerAnswer | undefined {
     const { shares, shareMetrics, forward, getNow, random } = this.parts
-    const { route, method, url, affinityKey, deadline } = draft
+    const { route, method, url, affinityKey, arrivedAt, deadline } = draft
     const now = getNow()
     const remainingMs = deadline - now
     const neededMs = forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)
@@ -166,6 +166,7 @@
       route: computeHash(route.name),
       routePriority: route.priority,
       requestHash: computeHash(`${organisation?.name ?? ''} ${method} ${route.hostName} ${url} ${affinityKey ?? ''}`),
+      arrivedAt,
       workMs,
       remainingMs,
       neededMs
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -169,7 +169,7 @@
     for (let request = 0; request < sleepMs / 10; request += 1) {
       requests += 1
       const organisation = computeHash(`organisation ${requests % 73}`)
-      rig.shares?.decide({ service: 'balances', organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: requests, workMs: 100, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5)
+      rig.shares?.decide({ service: 'balances', organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: requests, arrivedAt: rig.now, workMs: 100, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5)
       rig.shares?.observeOutcome('balances', 100, requests % 3 === 0, requests % 3 !== 0, rig.now)
     }
     rig.now += sleepMs
@@ -241,7 +241,7 @@
   rig.sleep = (ms) => {
     for (let request = 0; request < ms / 10; request += 1) {
       for (const organisationPriority of [1.5, -1]) {
-        rig.shares?.decide({ service: 'balances', organisation: organisationPriority < 0 ? 11 : 12, organisationPriority, route: 1, routePriority: organisationPriority, requestHash: request, workMs: 100, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5)
+        rig.shares?.decide({ service: 'balances', organisation: organisationPriority < 0 ? 11 : 12, organisationPriority, route: 1, routePriority: organisationPriority, requestHash: request, arrivedAt: rig.now, workMs: 100, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5)
         rig.shares?.observeOutcome('balances', 100, request % 3 === 0, request % 3 !== 0, rig.now)
       }
     }
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -57,7 +57,7 @@
 
   private call (host: RigHost, organisation: number, hasRoom: boolean): boolean {
     this.requests += 1
-    const refusal = host.shares.decide({ service: SERVICE, organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: computeHash(`request ${this.requests}`), workMs: WORK_MS, remainingMs: 2_000, neededMs: 100 }, this.now, this.random())
+    const refusal = host.shares.decide({ service: SERVICE, organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: computeHash(`request ${this.requests}`), arrivedAt: this.now, workMs: WORK_MS, remainingMs: 2_000, neededMs: 100 }, this.now, this.random())
     if (refusal !== undefined) {
       host.refused.push(organisation)
       return false
@@ -279,14 +279,14 @@
   const { rig, host } = makeRegion()
   const picture = { capacityMs: 1_000, marginPriority: 2, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0, askedMs: 900 }]]), routes: new Map() }
   host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
-  const decide = (organisationPriority: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority, route: 1, routePriority: 0, requestHash: 1, workMs: 1, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5) === undefined
+  const decide = (organisationPriority: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority, route: 1, routePriority: 0, requestHash: 1, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5) === undefined
   assert.equal([1, 1.5, 2].map(decide), [true, false, false])
 })
 
 // Guards against a fraction that is lowered by requests that never ran: an organisation with short deadlines would get less than its share.
 test('during overload a request that can\'t be served in the time left is counted as asked, not as admitted', () => {
   const { rig, host } = makeRegion()
-  const decide = (remainingMs: number): void => { host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash: 1, workMs: WORK_MS, remainingMs, neededMs: 100 }, rig.now, 0.5) }
+  const decide = (remainingMs: number): void => { host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash: 1, arrivedAt: rig.now, workMs: WORK_MS, remainingMs, neededMs: 100 }, rig.now, 0.5) }
   const readWork = (): object | undefined => {
     host.shares.observeOutcome(SERVICE, 0, false, true, rig.now)
     return host.shares.describeOwn(rig.now).own?.get(computeHash(SERVICE))?.work.organisations.get(LARGE)
@@ -299,6 +299,18 @@
   assert.equal(readWork(), { priority: 0, askedMs: 4 * WORK_MS, admittedMs: 2 * WORK_MS })
 })
 
+// Guards against a caller that comes back as told and is refused, as a slow host handles its request in a later slot than it arrived in.
+test('a request is drawn in the slot in which it arrived, however late it is handled', () => {
+  const { rig, host } = makeRegion()
+  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.5, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const decide = (requestHash: number, now: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, now, 0.5) === undefined
+  const hashes = Array.from({ length: 100 }, (_, index) => computeHash(`request ${index}`))
+  const draws = hashes.map((hash) => decide(hash, rig.now))
+  assert.ok(new Set(draws).size === 2)
+  assert.equal(hashes.map((hash) => decide(hash, rig.now + 150)), draws)
+})
+
 // Guards against reports that cost much while nothing is decided by them.
 test('a host reports no organisations of a service that turns nobody away', () => {
   const { rig, host } = makeRegion()
--- a/packages/almondrelay-gateway/src/process/shares/shareRequest.ts
+++ b/packages/almondrelay-gateway/src/process/shares/shareRequest.ts
@@ -5,6 +5,8 @@
   service: string
   /** Hash of what all attempts of a caller have in common. */
   requestHash: number
+  /** Monotonic milliseconds at which the request arrived; its draw is that of this moment. */
+  arrivedAt: number
   /** Expected milliseconds of work. */
   workMs: number
   /** Milliseconds until the caller stops waiting. */
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -79,8 +79,9 @@
     const request = { ...asked, organisationPriority: toUint32(asked.organisationPriority), routePriority: toUint32(asked.routePriority) }
     const aged = this.findPicture(request.service, now)
     const fraction = aged === undefined ? 1 : computeShareFraction(aged.picture, request)
-    const clockMs = now + this.clockOffsetMs
-    const isAdmitted = fraction >= 1 || computeShareDraw(request.requestHash, Math.floor(clockMs / SHARE_SLOT_MS)) < fraction
+    // A caller that came back as told would miss the slot that it was told, if a slow host drew by the time at which it handles the request.
+    const slot = Math.floor((request.arrivedAt + this.clockOffsetMs) / SHARE_SLOT_MS)
+    const isAdmitted = fraction >= 1 || computeShareDraw(request.requestHash, slot) < fraction
     // What is refused for want of time takes no capacity. Counted as admitted, it would lower its organisation's fraction.
     const isCounted = isAdmitted && (aged === undefined || request.remainingMs >= request.neededMs)
     this.findOrCreateMeter(request.service).observeRequest(request, request.workMs, isCounted, now)
@@ -88,7 +89,7 @@
     const share = aged.picture.organisations.get(request.organisation)
     const isOfMargin = request.organisationPriority === aged.picture.marginPriority
     return {
-      retryAfterMs: computeShareRetryAfter({ fraction, requestHash: request.requestHash, clockMs, remainingMs: request.remainingMs, random }),
+      retryAfterMs: computeShareRetryAfter({ fraction, requestHash: request.requestHash, clockMs: now + this.clockOffsetMs, remainingMs: request.remainingMs, random }),
       shareMs: isOfMargin ? aged.picture.shareMs : undefined,
       askedMs: isOfMargin ? share?.askedMs : undefined,
       allowedPart: fraction,
