--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -161,7 +161,7 @@
 })
 
 /** Sends requests of 73 organisations for a time, more than there is room for, and lets the host send its reports. */
-const runOverload = async (rig: UsageRig, ms: number): Promise<void> => {
+const runOverload = async (rig: UsageRig, ms: number, handleRound: () => void = () => undefined): Promise<void> => {
   const stop = new AbortController()
   const end = rig.now + ms
   let requests = 0
@@ -172,6 +172,7 @@
       rig.shares?.decide({ service: 'balances', organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: requests, arrivedAt: rig.now, workMs: 100, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5)
       rig.shares?.observeOutcome('balances', 100, requests % 3 === 0, requests % 3 !== 0, rig.now)
     }
+    handleRound()
     rig.now += sleepMs
     if (rig.now >= end) stop.abort()
     return Promise.resolve()
@@ -199,6 +200,18 @@
   }
 })
 
+// Guards against limits that are held less exactly where fair shares are held: the bytes of shares lengthened the interval of their reports.
+test('reports of limits are as frequent with fair shares as without them', async () => {
+  const countReports = async (hasShares: boolean): Promise<number> => {
+    const rig = new UsageRig('a', hasShares, 60)
+    rig.allowances.setOrganisations([SCHOOL])
+    await runOverload(rig, 30_000, () => { rig.allowances.observeAdmitted(rig.allowances.claim('school', rig.now), rig.now) })
+    return rig.sent.filter(({ to, report }) => to === 'b' && report.fleet !== undefined).length
+  }
+  const [without, withShares] = [await countReports(false), await countReports(true)]
+  assert.ok(without > 30 && withShares >= without * 0.95, `${withShares} instead of ${without}`)
+})
+
 // Guards against shares that are out of force between two reports: they last for five seconds.
 test('an aggregator of a zone of 60 hosts sends shares at least every three and a half seconds', async () => {
   const rig = new UsageRig('a', true, 60)
--- a/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
@@ -12,12 +12,12 @@
 const REPORT_INTERVAL_MS = 250
 /** Milliseconds between reports while no counts have changed. They are still sent, so that peers know that this host is running. */
 const IDLE_REPORT_INTERVAL_MS = 500
-/** Maximum bytes per second that a host sends in these reports, out of 12 KB per second for all its control traffic. */
+/** Maximum bytes per second that a host sends in reports of limits, out of 12 KB per second for all its control traffic. */
 const MAX_BYTES_PER_SECOND = 9_000
 /** Milliseconds between reports of work for fair shares, and between empty shares sent while no service is overloaded. */
 const WORK_INTERVAL_MS = 500
 const CALM_SHARES_INTERVAL_MS = 1_000
-/** Maximum bytes per second of these reports; the interval grows with their size. */
+/** Maximum bytes per second of these reports, apart from those of limits; the interval grows with their size. */
 const MAX_WORK_BYTES_PER_SECOND = 4_000
 /**
  * Bytes of the shares that an aggregator sends to all hosts of its zone at once: two seconds' worth. In a large zone they therefore contain
@@ -57,7 +57,9 @@
   /** Sends reports until the signal aborts. The interval grows with the number of receivers, which keeps the bytes per second bounded. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const bytes = (this.parts.allowances.hasLimits ? this.runStep(() => this.sendRound()) : 0) + this.runStep(() => this.sendWork())
+      // Reports of work are paced by themselves: their bytes would delay those of limits, and hosts would admit more that no other host knows of.
+      const bytes = this.parts.allowances.hasLimits ? this.runStep(() => this.sendRound()) : 0
+      this.runStep(() => this.sendWork())
       // The interval is the same while no organisation has a limit. A host that has just started learns of the limits a moment later;
       // with a longer interval it would admit requests meanwhile that no other host knows of.
       await this.parts.sleep(Math.max(REPORT_INTERVAL_MS, bytes / MAX_BYTES_PER_SECOND * 1_000), signal)
