--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -161,9 +161,9 @@
     const neededMs = forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)
     const refusal = shares?.decide({
       service: name,
-      organisation: organisation === undefined ? 0 : computeHash(organisation.name),
+      organisation: organisation === undefined ? 0 : forward.fleet.organisations.nameHashes.getHash(organisation.name),
       organisationPriority: organisation?.priority ?? 0,
-      route: computeHash(route.name),
+      route: forward.fleet.routes.nameHashes.getHash(route.name),
       routePriority: route.priority,
       requestHash: computeHash(`${organisation?.name ?? ''} ${method} ${route.hostName} ${url} ${affinityKey ?? ''}`),
       arrivedAt,
--- a/packages/almondrelay-gateway/src/process/shares/createWorkShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/createWorkShares.ts
@@ -1,4 +1,3 @@
-import { computeHash } from '../../version/computeHash.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { EventLog } from '../observe/eventLog.js'
@@ -19,9 +18,8 @@
 /** Creates the fair shares of a host, with log lines at the begin and end of overload and metrics of the shares. */
 export function createWorkShares ({ own, view, fleet, log, shareMetrics, getNow }: WorkSharesParts): WorkShares {
   const { availabilityZone, region } = own
-  const findName = (hash: number): string | undefined => fleet.organisations.list().find(({ name }) => computeHash(name) === hash)?.name
   const listUses = ({ picture }: AgedPicture): Array<{ organisation: string, shareMs: number, askedMs: number }> => [...picture.organisations].flatMap(([hash, { askedMs }]) => {
-    const organisation = findName(hash)
+    const organisation = fleet.organisations.nameHashes.findName(hash)
     return organisation === undefined ? [] : [{ organisation, shareMs: picture.shareMs, askedMs }]
   })
   const handlePicture = (service: string, aged: AgedPicture | undefined, hasBegun: boolean): void => {
--- a/packages/almondrelay-gateway/src/version/organisationTable.ts
+++ b/packages/almondrelay-gateway/src/version/organisationTable.ts
@@ -1,12 +1,15 @@
+import { NameHashes } from './nameHashes.js'
 import type { Organisation } from './organisation.js'
 
 /** Organisations of one configuration version, indexed by key. */
 export class OrganisationTable {
+  readonly nameHashes: NameHashes
   private readonly byKey = new Map<string, Organisation>()
   private readonly maxPriority: number
 
   /** @param organisations undefined where the operators declare none, so that callers need no key */
   constructor (private readonly organisations: readonly Organisation[] | undefined) {
+    this.nameHashes = new NameHashes(organisations ?? [])
     this.maxPriority = (organisations ?? []).reduce((last, { priority }) => Math.max(last, priority), 0)
     for (const organisation of organisations ?? []) {
       for (const key of organisation.keys) this.byKey.set(key, organisation)
--- a/packages/almondrelay-gateway/src/version/routeTable.ts
+++ b/packages/almondrelay-gateway/src/version/routeTable.ts
@@ -1,11 +1,14 @@
+import { NameHashes } from './nameHashes.js'
 import type { Route } from './route.js'
 
 /** Routes of one configuration version, indexed by host name and path prefix. */
 export class RouteTable {
+  readonly nameHashes: NameHashes
   private readonly prefixesByHost = new Map<string, Map<string, Route>>()
   private readonly maxPriority: number
 
   constructor (routes: readonly Route[]) {
+    this.nameHashes = new NameHashes(routes)
     this.maxPriority = routes.reduce((last, { priority }) => Math.max(last, priority), 0)
     for (const route of routes) {
       const prefixes = this.prefixesByHost.get(route.hostName) ?? new Map<string, Route>()
