--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -155,25 +155,27 @@
   /** Refuses a request beyond its share of an overloaded service, or that can't be served there in the time left; undefined if it is admitted. */
   private refuseOverShare (head: CallerHead, draft: Omit<CallerRequest, 'body'>, organisation: Organisation | undefined, { name, workMs }: MeteredService): CallerAnswer | undefined {
     const { shares, shareMetrics, forward, getNow, random } = this.parts
-    const { route, method, url, affinityKey, deadline } = draft
+    const { route, method, url, affinityKey, arrivedAt, deadline } = draft
     const now = getNow()
     const remainingMs = deadline - now
+    const neededMs = forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)
     const refusal = shares?.decide({
       service: name,
-      organisation: organisation === undefined ? 0 : computeHash(organisation.name),
+      organisation: organisation === undefined ? 0 : forward.fleet.organisations.nameHashes.getHash(organisation.name),
       organisationPriority: organisation?.priority ?? 0,
-      route: computeHash(route.name),
+      route: forward.fleet.routes.nameHashes.getHash(route.name),
       routePriority: route.priority,
       requestHash: computeHash(`${organisation?.name ?? ''} ${method} ${route.hostName} ${url} ${affinityKey ?? ''}`),
+      arrivedAt,
       workMs,
-      remainingMs
+      remainingMs,
+      neededMs
     }, now, random())
     if (refusal !== undefined) {
       shareMetrics?.countRefusal(name, RefusalReason.overShare)
       return this.refuser.refuseOverShare(head, route, organisation?.name, name, refusal)
     }
-    if (shares?.findPicture(name, now) === undefined) return undefined
-    if (remainingMs >= forward.getRuntime(name).findTimes(route.name).getWarmMs(route.targetLatencyMs)) return undefined
+    if (remainingMs >= neededMs || shares?.findPicture(name, now) === undefined) return undefined
     shareMetrics?.countRefusal(name, RefusalReason.deadlineUnreachable)
     return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs / 3))
   }
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -15,7 +15,7 @@
 const CAPACITY_PER_SECOND = 60
 const [LARGE, SMALL] = [computeHash('large'), computeHash('small')]
 
-interface RigHost { name: string, availabilityZone: string, region: string, isAggregator: boolean, isFirst: boolean, startedAt: number, shares: WorkShares, isUp: boolean, isHeard: boolean, refused: number[], admitted: number[], changes: string[] }
+interface RigHost { name: string, availabilityZone: string, region: string, isAggregator: boolean, isFirst: boolean, offsetMs: number, startedAt: number, shares: WorkShares, isUp: boolean, isHeard: boolean, refused: number[], admitted: number[], changes: string[] }
 
 /** Hosts of a region that exchange reports, in virtual time: one organisation asks for five times as much as another one. */
 class SharesRig {
@@ -25,9 +25,9 @@
   private requests = 0
 
   add (name: string, availabilityZone: string, rank: number, region = 'akl'): RigHost {
-    const place = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, startedAt: this.now }
+    const place = { name, availabilityZone, region, isAggregator: rank <= 2, isFirst: rank === 1, offsetMs: 0, startedAt: this.now }
     const changes: string[] = []
-    const host = { ...place, isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: this.makeShares(place, changes) }
+    const host = Object.assign(place, { isUp: true, isHeard: true, refused: [], admitted: [], changes, shares: this.makeShares(place, changes) })
     this.hosts.push(host)
     return host
   }
@@ -37,8 +37,9 @@
     host.shares = this.makeShares(host, host.changes)
   }
 
-  private makeShares ({ availabilityZone, region, isAggregator, isFirst }: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
-    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => isAggregator, isFirstAggregator: () => isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
+  private makeShares (place: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
+    const { availabilityZone, region } = place
+    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => place.isAggregator, isFirstAggregator: () => place.isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
   }
 
   /** @param perSecond requests a second of all hosts together */
@@ -50,13 +51,13 @@
         const host = up[Math.floor(this.random() * up.length)] as RigHost
         if (this.call(host, this.requests % 6 === 0 ? SMALL : LARGE, room >= 1)) room -= 1
       }
-      if (this.now % UPDATE_MS === 0) this.exchange()
+      this.exchange()
     }
   }
 
   private call (host: RigHost, organisation: number, hasRoom: boolean): boolean {
     this.requests += 1
-    const refusal = host.shares.decide({ service: SERVICE, organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: computeHash(`request ${this.requests}`), workMs: WORK_MS, remainingMs: 2_000 }, this.now, this.random())
+    const refusal = host.shares.decide({ service: SERVICE, organisation, organisationPriority: 0, route: 1, routePriority: 0, requestHash: computeHash(`request ${this.requests}`), arrivedAt: this.now, workMs: WORK_MS, remainingMs: 2_000, neededMs: 100 }, this.now, this.random())
     if (refusal !== undefined) {
       host.refused.push(organisation)
       return false
@@ -68,7 +69,7 @@
 
   private exchange (): void {
     const up = this.hosts.filter(({ isUp }) => isUp)
-    for (const host of up) {
+    for (const host of up.filter(({ offsetMs }) => (this.now - offsetMs) % UPDATE_MS === 0)) {
       host.shares.update(this.now)
       this.sendReport(host, host.shares.describeOwn(this.now), (other) => other.isAggregator && other.availabilityZone === host.availabilityZone)
       if (!host.isAggregator) continue
@@ -139,6 +140,86 @@
   assert.ok(first.shares.describeShares(rig.now) !== undefined)
 })
 
+// Guards against an overload that a restarted aggregator ends. It counted 1.5 s from its start, the second one from the last shares, so that
+// it was in charge before it could hear the second one.
+test('a restarted first aggregator that has heard no shares sends none until the second one can have taken over', () => {
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  for (let now = 100; now <= 2_400; now += 100) {
+    if (now % UPDATE_MS === 100) shares.update(now)
+    assert.is(shares.describeShares(now), undefined, String(now))
+  }
+  shares.update(2_700)
+  assert.ok(shares.describeShares(2_700) !== undefined)
+})
+
+// Guards against empty shares of a host that has received shares since its last update and then comes in charge.
+test('shares received just before an aggregator comes in charge are continued with', () => {
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  for (let now = 0; now <= 2_000; now += UPDATE_MS) shares.update(now)
+  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.1, askedMs: 900 }]]), routes: new Map() }
+  shares.receiveReport('one-2', { availabilityZone: 'one', region: 'akl' }, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, 2_400)
+  for (const now of [2_500, 2_510, 2_600]) {
+    assert.ok(shares.findPicture(SERVICE, now) !== undefined)
+    assert.is.not(shares.describeShares(now)?.shares?.pictures.size, 0)
+  }
+  shares.update(2_610)
+  assert.is(shares.describeShares(2_610)?.shares?.pictures.size, 1)
+})
+
+// The moments at which the second one takes over, and at which the restarted one comes in charge, then fall in any order.
+test('when the first aggregator is restarted 0.3 to 0.8 s after its last shares, they stay in force', () => {
+  for (let downMs = 200; downMs <= 700; downMs += 100) {
+    for (let offset = 0; offset < 10; offset += 1) {
+      const { rig, host } = makeRegion()
+      rig.run(5_100, 100)
+      const [first, second] = rig.hosts as [RigHost, RigHost]
+      first.isUp = false
+      rig.run(downMs, 100)
+      first.isUp = true
+      first.offsetMs = offset % 5 * 100
+      second.offsetMs = offset < 5 ? 0 : 400
+      rig.restart(first)
+      rig.run(8_000, 75)
+      const place = `down ${downMs}, offset ${offset}`
+      assert.equal(host.changes, ['began'], place)
+      assert.equal(second.changes, ['began'], place)
+      assert.ok(first.shares.describeShares(rig.now) !== undefined, place)
+    }
+  }
+})
+
+// Guards against hosts that become aggregators when both are killed: they came in charge knowing no overload, and ended it in the zone.
+test('when both aggregators are killed, the ones that follow continue with the shares that they hold', () => {
+  for (let unseenMs = 1_000; unseenMs <= 4_000; unseenMs += 300) {
+    const { rig } = makeRegion()
+    const followers = [rig.hosts[2] as RigHost, ...[4, 5, 6].map((rank) => rig.add(`one-${rank}`, 'one', rank))]
+    rig.run(5_000, 100)
+    for (const each of rig.hosts.slice(0, 2)) Object.assign(each, { isUp: false, isAggregator: false, isFirst: false })
+    for (const [index, each] of followers.entries()) each.offsetMs = index * 100
+    rig.run(unseenMs, 100)
+    Object.assign(followers[0] as RigHost, { isAggregator: true, isFirst: true })
+    Object.assign(followers[1] as RigHost, { isAggregator: true })
+    rig.run(8_000, 100)
+    for (const { name, changes, refused } of followers) {
+      assert.equal(changes, ['began'], `${name}, unseen ${unseenMs}`)
+      assert.is(countOf(refused, SMALL), 0)
+    }
+  }
+})
+
+// Guards against a change of the fleet's view for a moment, after which the aggregator in charge knew of no overload.
+test('an aggregator that comes in charge again continues with the shares that it sent', () => {
+  const { rig, host } = makeRegion()
+  rig.run(5_000, 100)
+  const [first, second] = rig.hosts as [RigHost, RigHost]
+  second.isUp = false
+  for (const isFirst of [false, true]) {
+    Object.assign(first, { isAggregator: isFirst, isFirst })
+    rig.run(isFirst ? 8_000 : 1_000, 100)
+  }
+  for (const { changes } of [first, host]) assert.equal(changes, ['began'])
+})
+
 test('a host that hears from nobody keeps the last shares for five seconds, and then decides by its own counts', () => {
   const { rig, host } = makeRegion()
   rig.run(5_000, 100)
@@ -193,6 +274,43 @@
   assert.is(readClock(other, otherNow + 50), earlyNow + 50)
 })
 
+// Guards against an organisation of priority 1.5 that passes as more urgent than its rank, which reports contain as 2.
+test('a priority with a fraction counts as the rank that the shares contain', () => {
+  const { rig, host } = makeRegion()
+  const picture = { capacityMs: 1_000, marginPriority: 2, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const decide = (organisationPriority: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority, route: 1, routePriority: 0, requestHash: 1, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5) === undefined
+  assert.equal([1, 1.5, 2].map(decide), [true, false, false])
+})
+
+// Guards against a fraction that is lowered by requests that never ran: an organisation with short deadlines would get less than its share.
+test('during overload a request that can\'t be served in the time left is counted as asked, not as admitted', () => {
+  const { rig, host } = makeRegion()
+  const decide = (remainingMs: number): void => { host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash: 1, arrivedAt: rig.now, workMs: WORK_MS, remainingMs, neededMs: 100 }, rig.now, 0.5) }
+  const readWork = (): object | undefined => {
+    host.shares.observeOutcome(SERVICE, 0, false, true, rig.now)
+    return host.shares.describeOwn(rig.now).own?.get(computeHash(SERVICE))?.work.organisations.get(LARGE)
+  }
+  const picture = { capacityMs: 1_000, marginPriority: 1, shareMs: 100, organisations: new Map(), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  decide(99)
+  assert.equal(readWork(), { priority: 0, askedMs: 2 * WORK_MS, admittedMs: 0 })
+  decide(100)
+  assert.equal(readWork(), { priority: 0, askedMs: 4 * WORK_MS, admittedMs: 2 * WORK_MS })
+})
+
+// Guards against a caller that comes back as told and is refused, as a slow host handles its request in a later slot than it arrived in.
+test('a request is drawn in the slot in which it arrived, however late it is handled', () => {
+  const { rig, host } = makeRegion()
+  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.5, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const decide = (requestHash: number, now: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, now, 0.5) === undefined
+  const hashes = Array.from({ length: 100 }, (_, index) => computeHash(`request ${index}`))
+  const draws = hashes.map((hash) => decide(hash, rig.now))
+  assert.ok(new Set(draws).size === 2)
+  assert.equal(hashes.map((hash) => decide(hash, rig.now + 150)), draws)
+})
+
 // Guards against reports that cost much while nothing is decided by them.
 test('a host reports no organisations of a service that turns nobody away', () => {
   const { rig, host } = makeRegion()
