--- a/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
+++ b/packages/almondrelay-cli/src/explain/__tests__/explain.test.ts
@@ -73,7 +73,7 @@
 })
 
 test('a refusal at an overloaded service names share, use and the age of the counts', async () => {
-  const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request refused', time: '2026-03-04T09:00:00.019Z', id: '9c47', route: 'r-1', version: 7, organisation: 'school', service: 'balances', allowedPart: 0.204, shareMs: 800, askedMs: 2340, pictureAgeMs: 310, kind: 'refused', cause: 'over-share', reason: 'balances is overloaded, and the organisation asks for 2340 ms of work a second; its share is 800' }))
+  const log = writeTemporaryFile(JSON.stringify({ name: 'almondrelayd', host: 'akl-a-1', msg: 'request refused', time: '2026-03-04T09:00:00.019Z', id: '9c47', route: 'r-1', version: 7, organisation: 'school', service: 'balances', allowedPart: 0.204, shareMs: 800, askedMs: 2340, snapshotAgeMs: 310, kind: 'refused', cause: 'over-share', reason: 'balances is overloaded, and the organisation asks for 2340 ms of work a second; its share is 800' }))
   const refused = await runCommandLine(['explain', '9c47', '--log', log])
   assert.match(refused.stdout, 'organisation school (20% of its requests let through, by counts of 310 ms before)')
   assert.match(refused.stdout, 'because of: balances is overloaded, and the organisation asks for 2340 ms of work a second; its share is 800')
--- a/packages/almondrelay-cli/src/explain/describeRequest.ts
+++ b/packages/almondrelay-cli/src/explain/describeRequest.ts
@@ -15,9 +15,9 @@
 
 const PERCENT = 100
 
-const describeOrganisation = ({ organisation, allowedPart, pictureAgeMs }: RequestLine): string => {
+const describeOrganisation = ({ organisation, allowedPart, snapshotAgeMs }: RequestLine): string => {
   if (organisation === undefined) return ''
-  const age = pictureAgeMs === undefined ? '' : `, by counts of ${pictureAgeMs} ms before`
+  const age = snapshotAgeMs === undefined ? '' : `, by counts of ${snapshotAgeMs} ms before`
   const share = allowedPart === undefined ? '' : ` (${Math.round(allowedPart * PERCENT)}% of its requests let through${age})`
   return `organisation ${organisation}${share}, `
 }
--- a/packages/almondrelay-cli/src/trace/requestLine.ts
+++ b/packages/almondrelay-cli/src/trace/requestLine.ts
@@ -17,7 +17,7 @@
   shareMs: z.number().optional(),
   askedMs: z.number().optional(),
   /** Milliseconds since the oldest of the counts that the share was computed from. */
-  pictureAgeMs: z.number().optional(),
+  snapshotAgeMs: z.number().optional(),
   key: z.string().optional(),
   service: z.string().optional(),
   /** Home region of the key. */
--- a/packages/almondrelay-gateway/src/process/forward/earlyRefusal.ts
+++ b/packages/almondrelay-gateway/src/process/forward/earlyRefusal.ts
@@ -17,5 +17,5 @@
   shareMs?: number | undefined
   askedMs?: number | undefined
   /** Milliseconds since the oldest of the counts that the share was computed from. */
-  pictureAgeMs?: number
+  snapshotAgeMs?: number
 }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -175,7 +175,7 @@
       shareMetrics?.countRefusal(name, RefusalReason.overShare)
       return this.refuser.refuseOverShare(head, route, organisation?.name, name, refusal)
     }
-    if (remainingMs >= neededMs || shares?.findPicture(name, now) === undefined) return undefined
+    if (remainingMs >= neededMs || shares?.findSnapshot(name, now) === undefined) return undefined
     shareMetrics?.countRefusal(name, RefusalReason.deadlineUnreachable)
     return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs / 3))
   }
--- a/packages/almondrelay-gateway/src/process/loads/__tests__/targetLoads.test.ts
+++ b/packages/almondrelay-gateway/src/process/loads/__tests__/targetLoads.test.ts
@@ -31,10 +31,10 @@
   const { loads, target } = makeLoads()
   loads.observeAnswer(target, makeAnswerHead({ load: LOAD }), 0)
   loads.observeAnswer(target, makeAnswerHead({ load: { ...LOAD, speedPercent: 100 } }), 10)
-  assert.equal(loads.takeUntold().map(({ speedPercent }) => speedPercent), [100])
-  assert.is(loads.takeUntold().length, 0)
+  assert.equal(loads.takeUnsent().map(({ speedPercent }) => speedPercent), [100])
+  assert.is(loads.takeUnsent().length, 0)
   assert.ok(loads.receive({ incarnationHash: target.incarnationHash, running: 1, waiting: 0, speedPercent: 200, statedAt: 20 }, 30))
-  assert.is(loads.takeUntold().length, 0, 'what another host told is not told again')
+  assert.is(loads.takeUnsent().length, 0, 'what another host told is not told again')
 })
 
 test('a statement of an unknown target or incarnation changes nothing', () => {
--- a/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
@@ -68,7 +68,7 @@
     const statements = report.statements.map(({ ageMs, ...statement }) => ({ ...statement, statedAt: now - ageMs }))
     if (sender.availabilityZone !== own.availabilityZone) this.receiveRemote(report, statements, now)
     else if (report.origin === 0) this.receiveCollected(statements, now)
-    else this.receiveTold(report, statements, now)
+    else this.receiveSpread(report, statements, now)
   }
 
   private receiveRemote ({ host, passesOn }: TargetLoadReport, statements: readonly TargetStatement[], now: number): void {
@@ -85,15 +85,15 @@
     for (const statement of statements) {
       this.receive(statement, (known) => {
         this.pool.put(known, true)
-        if (!isSpreader) this.parts.loads.receiveUntold(known, now)
+        if (!isSpreader) this.parts.loads.receiveForRelay(known, now)
       }, now)
     }
   }
 
-  private receiveTold ({ host, origin, forwardTo, statements: sent }: TargetLoadReport, statements: readonly TargetStatement[], now: number): void {
+  private receiveSpread ({ host, origin, forwardTo, statements: sent }: TargetLoadReport, statements: readonly TargetStatement[], now: number): void {
     const first = this.findFirstAggregator(now)
     if (first?.name === host) first.heardAt = now
-    for (const statement of statements) this.receive(statement, (known) => { this.pool.observeTold(known) }, now)
+    for (const statement of statements) this.receive(statement, (known) => { this.pool.observeSent(known) }, now)
     if (forwardTo.length === 0) return
     const receivers = this.parts.view.listZonePeers(now).filter(({ name }) => forwardTo.includes(computeHash(name)))
     this.forwardedBytes += this.send(receivers.slice(0, MAX_GROUP_SIZE), { origin, statements: sent })
@@ -129,14 +129,14 @@
   }
 
   private sendRound (now: number): number {
-    const untold = this.parts.loads.takeUntold()
+    const unsent = this.parts.loads.takeUnsent()
     const first = this.findFirstAggregator(now)
     if (this.isSpreader(now)) {
-      for (const statement of untold) this.pool.put(statement, true)
+      for (const statement of unsent) this.pool.put(statement, true)
       return now - this.spreadAt < SPREAD_INTERVAL_MS ? 0 : this.spread(now)
     }
     this.pool.expire(now)
-    const statements = untold.sort((one, other) => other.statedAt - one.statedAt).slice(0, MAX_STATEMENTS)
+    const statements = unsent.sort((one, other) => other.statedAt - one.statedAt).slice(0, MAX_STATEMENTS)
     const aggregators = this.parts.view.listAggregators(this.parts.own.availabilityZone, now)
     const receiver = first === undefined || this.isSilent(first, now) ? aggregators[1] : aggregators[0]
     return receiver === undefined || statements.length === 0 ? 0 : this.send([receiver], { statements: describeAges(statements, now) })
--- a/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
@@ -22,7 +22,7 @@
   private lastStatedAt = -Infinity
   private choices = 0
   /** Newest statements to this host that other hosts haven't been told of, by incarnation; a target has one at most. */
-  private readonly untold = new Map<number, TargetStatement>()
+  private readonly unsent = new Map<number, TargetStatement>()
 
   constructor (private readonly parts: LoadsParts) {}
 
@@ -32,7 +32,7 @@
     const { running, waiting, speedPercent } = load
     if (!target.receiveStatement({ running, waiting, speedPercent }, now)) return
     this.lastStatedAt = now
-    this.untold.set(target.incarnationHash, { incarnationHash: target.incarnationHash, running, waiting, speedPercent, statedAt: now })
+    this.unsent.set(target.incarnationHash, { incarnationHash: target.incarnationHash, running, waiting, speedPercent, statedAt: now })
     this.handleStatement()
   }
 
@@ -47,16 +47,16 @@
   }
 
   /** Takes over a statement that another host received and that this host is to pass on. */
-  receiveUntold (statement: TargetStatement, now: number): void {
+  receiveForRelay (statement: TargetStatement, now: number): void {
     this.receive(statement, now)
-    const known = this.untold.get(statement.incarnationHash)
-    if (known === undefined || known.statedAt < statement.statedAt) this.untold.set(statement.incarnationHash, statement)
+    const known = this.unsent.get(statement.incarnationHash)
+    if (known === undefined || known.statedAt < statement.statedAt) this.unsent.set(statement.incarnationHash, statement)
   }
 
   /** Returns the statements to this host since the last call. */
-  takeUntold (): TargetStatement[] {
-    const statements = [...this.untold.values()]
-    this.untold.clear()
+  takeUnsent (): TargetStatement[] {
+    const statements = [...this.unsent.values()]
+    this.unsent.clear()
     return statements
   }
 
--- a/packages/almondrelay-gateway/src/process/observe/shareMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/shareMetrics.ts
@@ -13,7 +13,7 @@
 export class ShareMetrics {
   private readonly refusals: Counter
   private readonly overload: Gauge
-  private readonly pictureAge: Gauge
+  private readonly snapshotAge: Gauge
   private readonly work: Gauge
   private readonly shown = new Map<string, string[]>()
 
@@ -21,7 +21,7 @@
     const registers = [registry]
     this.refusals = new Counter({ name: 'almondrelay_share_refusals_total', help: 'Requests refused because their service is overloaded', labelNames: ['service', 'reason'], registers })
     this.overload = new Gauge({ name: 'almondrelay_service_overloaded', help: 'Whether a service is overloaded in the region of this host', labelNames: ['service'], registers })
-    this.pictureAge = new Gauge({ name: 'almondrelay_share_picture_age_seconds', help: 'Age of the counts from which the shares of an overloaded service were computed', labelNames: ['service'], registers })
+    this.snapshotAge = new Gauge({ name: 'almondrelay_share_snapshot_age_seconds', help: 'Age of the counts from which the shares of an overloaded service were computed', labelNames: ['service'], registers })
     this.work = new Gauge({ name: 'almondrelay_organisation_work', help: 'Milliseconds of work a second that an organisation beyond its share of an overloaded service asks for, and its share', labelNames: ['service', 'organisation', 'kind'], registers })
   }
 
@@ -32,7 +32,7 @@
   /** @param uses organisations beyond their share; undefined if the service isn't overloaded */
   setShares (service: string, uses: readonly OrganisationUse[] | undefined, ageMs: number): void {
     this.overload.set({ service }, uses === undefined ? 0 : 1)
-    this.pictureAge.set({ service }, ageMs / 1_000)
+    this.snapshotAge.set({ service }, ageMs / 1_000)
     for (const organisation of this.shown.get(service) ?? []) for (const kind of ['share', 'use']) this.work.remove({ service, organisation, kind })
     const largest = [...uses ?? []].sort((first, second) => second.askedMs - first.askedMs).slice(0, MAX_ORGANISATIONS)
     for (const { organisation, shareMs, askedMs } of largest) {
--- a/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/__tests__/usageExchange.test.ts
@@ -51,7 +51,7 @@
         if (message?.kind === 'use' && to !== undefined) this.sent.push({ to: to.name, report: message.report })
       }
     } as unknown as PeerSocket
-    this.shares = hasShares ? new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: (now) => view.isAggregator(now), isFirstAggregator: () => name === 'a', handlePicture: () => undefined }) : undefined
+    this.shares = hasShares ? new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: (now) => view.isAggregator(now), isFirstAggregator: () => name === 'a', handleSnapshot: () => undefined }) : undefined
     this.exchange = new UsageExchange({ own, view, allowances: this.allowances, shares: this.shares, socket, log: { logError: (_, error) => { this.errors.push(error) } }, getNow: () => this.now, sleep: (ms) => this.sleep(ms) })
   }
 
@@ -188,7 +188,7 @@
   const aggregator = new UsageRig('a', true)
   await runOverload(aggregator, 5_000)
   assert.equal(aggregator.listReceivers(({ work }) => work?.zone !== undefined), ['x', 'y'])
-  assert.equal(aggregator.listReceivers(({ work }) => (work?.shares?.pictures.size ?? 0) > 0), ['b', 'c', 'd'])
+  assert.equal(aggregator.listReceivers(({ work }) => (work?.shares?.snapshots.size ?? 0) > 0), ['b', 'c', 'd'])
 })
 
 // Guards against control traffic that grows with the zone: 4 KB a second a host, whatever the number of hosts and organisations.
@@ -216,7 +216,7 @@
 test('an aggregator of a zone of 60 hosts sends shares at least every three and a half seconds', async () => {
   const rig = new UsageRig('a', true, 60)
   await runOverload(rig, 30_000)
-  const sent = rig.sent.filter(({ to, report }) => to === 'b' && (report.work?.shares?.pictures.size ?? 0) > 0)
+  const sent = rig.sent.filter(({ to, report }) => to === 'b' && (report.work?.shares?.snapshots.size ?? 0) > 0)
   assert.ok(sent.length >= 28 / 3.5, String(sent.length))
 })
 
@@ -227,7 +227,7 @@
   rig.allowances.claim('school', rig.now)
   const [hash] = rig.allowances.takeChangedTotals().keys() as unknown as [number]
   const fleet = { hosts: 8, unseenMs: 0, usageByOrganisation: new Map([[hash, { letThrough: 1_000, leavingPerSecond: 0, askedPerSecond: 200 }]]) }
-  const work = { own: new Map(), zone: undefined, shares: { clockMs: 1, pictures: new Map() } }
+  const work = { own: new Map(), zone: undefined, shares: { clockMs: 1, snapshots: new Map() } }
   rig.exchange.handleReport(makeReport({ fleet, work }), makeEntry('a', 'one').ip)
   assert.is(rig.allowances.claim('school', rig.now).allowedPart, 0)
 })
@@ -264,8 +264,8 @@
   }
   await rig.exchange.run(stop.signal)
   assert.equal(rig.errors, [])
-  const pictures = rig.sent.flatMap(({ report }) => [...(report.work?.shares?.pictures.values() ?? [])])
-  assert.ok(pictures.length > 0)
+  const snapshots = rig.sent.flatMap(({ report }) => [...(report.work?.shares?.snapshots.values() ?? [])])
+  assert.ok(snapshots.length > 0)
 })
 
 test('reports contain no keys', () => {
--- a/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
@@ -1,5 +1,5 @@
 import { fromBinary } from '@bufbuild/protobuf'
-import { ServiceWorkSchema, SharePicturesSchema, type ServiceWork, type SharePictures } from 'almondrelay-protocol'
+import { ServiceWorkSchema, ShareSnapshotsSchema, type ServiceWork, type ShareSnapshots } from 'almondrelay-protocol'
 import type { AllowanceUsage } from '../../request/allowanceUsage.js'
 import type { UsageTotals } from '../../request/usageTotals.js'
 import type { FieldReader } from '../peers/fieldReader.js'
@@ -34,7 +34,7 @@
   let fleet: ZoneUsage | undefined
   const serviceWork: ServiceWork[] = []
   const zoneWork: ServiceWork[] = []
-  let shares: SharePictures | undefined
+  let shares: ShareSnapshots | undefined
   while (reader.hasMore(end)) {
     const tag = reader.readTag()
     switch (tag) {
@@ -53,7 +53,7 @@
       // Sent only where fair shares are held; decoded by the protobuf library.
       case 82: serviceWork.push(fromBinary(ServiceWorkSchema, reader.readBytes())); break
       case 90: zoneWork.push(fromBinary(ServiceWorkSchema, reader.readBytes())); break
-      case 98: shares = fromBinary(SharePicturesSchema, reader.readBytes()); break
+      case 98: shares = fromBinary(ShareSnapshotsSchema, reader.readBytes()); break
       default: reader.ignoreField(tag)
     }
   }
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/createWorkShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/createWorkShares.test.ts
@@ -29,8 +29,8 @@
   for (const prefix of ['old', 'new']) {
     if (prefix === 'new') fleet.organisations = makeTable(prefix)
     const organisations = new Map(Array.from({ length: LISTED }, (_, index) => [computeHash(`${prefix} ${index}`), { fraction: 0.5, askedMs: 100 + index }]))
-    const pictures = new Map([[computeHash(SERVICE), { ageMs: 0, picture: { capacityMs: 1_000, marginPriority: 0, shareMs: 50, organisations, routes: new Map() } }]])
-    for (let round = 0; round < 10; round += 1) shares.receiveReport('a', own, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures } }, round * 10)
+    const snapshots = new Map([[computeHash(SERVICE), { ageMs: 0, snapshot: { capacityMs: 1_000, marginPriority: 0, shareMs: 50, organisations, routes: new Map() } }]])
+    for (let round = 0; round < 10; round += 1) shares.receiveReport('a', own, { own: undefined, zone: undefined, shares: { clockMs: 1, snapshots } }, round * 10)
     assert.match(await registry.metrics(), `organisation="${prefix} ${LISTED - 1}"`)
   }
   assert.is(reads, 2 * ORGANISATIONS)
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workReport.test.ts
@@ -13,7 +13,7 @@
 
 const makeWork = (organisations: number): WorkReport['own'] => new Map([[7, { ageMs: 120, work: { organisations: new Map(Array.from({ length: organisations }, (_, index) => [0x80000000 + index, { priority: 1, askedMs: 900 + index, admittedMs: 300 }])), routes: new Map([[4, { priority: 0, askedMs: 900, admittedMs: 300 }]]), sentMs: 300, requestsPerSecond: 8, turnedAwayPerSecond: 2 } }]])
 const makeReport = (work?: WorkReport): UsageReport => ({ host: 'a', incarnation: 'i1', availabilityZone: 'one', sequence: 1, totals: new Map(), zone: undefined, fleet: undefined, ...(work === undefined ? {} : { work }) })
-const makeShares = (organisations: number): WorkReport['shares'] => ({ clockMs: 123_456.5, pictures: new Map([[7, { ageMs: 300, picture: { capacityMs: 60_000, marginPriority: 1, shareMs: 800, organisations: new Map(Array.from({ length: organisations }, (_, index) => [0x80000000 + index, { fraction: 0.25, askedMs: 900 + index }])), routes: new Map([[4, { priority: 0, mix: 0.5, floorFraction: 0 }]]) } }]]) })
+const makeShares = (organisations: number): WorkReport['shares'] => ({ clockMs: 123_456.5, snapshots: new Map([[7, { ageMs: 300, snapshot: { capacityMs: 60_000, marginPriority: 1, shareMs: 800, organisations: new Map(Array.from({ length: organisations }, (_, index) => [0x80000000 + index, { fraction: 0.25, askedMs: 900 + index }])), routes: new Map([[4, { priority: 0, mix: 0.5, floorFraction: 0 }]]) } }]]) })
 
 test('reports decode to what was encoded', () => {
   const report = makeReport({ own: makeWork(3), zone: makeWork(2), shares: makeShares(2) })
@@ -34,7 +34,7 @@
     const message = decodeDatagram(changed.subarray(0, length))
     const work = message?.kind === 'use' ? message.report.work : undefined
     const rates = [...(work?.own?.values() ?? [])].flatMap(({ work }) => [work.requestsPerSecond, work.turnedAwayPerSecond])
-    const fractions = [...(work?.shares?.pictures.values() ?? [])].flatMap(({ picture }) => [...picture.organisations.values()].map(({ fraction }) => fraction))
+    const fractions = [...(work?.shares?.snapshots.values() ?? [])].flatMap(({ snapshot }) => [...snapshot.organisations.values()].map(({ fraction }) => fraction))
     return rates.every((rate) => Number.isFinite(rate) && rate >= 0) && fractions.every((fraction) => fraction >= 0 && fraction <= 1)
   }), { seed: SEED, numRuns: 3_000 })
 })
@@ -50,15 +50,15 @@
   for (const [priority, encoded] of [[1.5, 2], [-1, 0], [1e12, 0xffffffff], [NaN, 0]] as const) {
     const classes = new Map([[1, { priority, askedMs: 5, admittedMs: 5 }]])
     const own = new Map([[7, { ageMs: 0, work: { organisations: classes, routes: classes, sentMs: 1, requestsPerSecond: Infinity, turnedAwayPerSecond: -1 } }]])
-    const picture = { capacityMs: 9, marginPriority: priority, shareMs: 8, organisations: new Map(), routes: new Map([[4, { priority, mix: 0.5, floorFraction: 0 }]]) }
-    const message = decodeDatagram(encodeUsageReport(makeReport({ own, zone: undefined, shares: { clockMs: 1, pictures: new Map([[7, { ageMs: 0, picture }]]) } })))
+    const snapshot = { capacityMs: 9, marginPriority: priority, shareMs: 8, organisations: new Map(), routes: new Map([[4, { priority, mix: 0.5, floorFraction: 0 }]]) }
+    const message = decodeDatagram(encodeUsageReport(makeReport({ own, zone: undefined, shares: { clockMs: 1, snapshots: new Map([[7, { ageMs: 0, snapshot }]]) } })))
     const work = message?.kind === 'use' ? message.report.work : undefined
     const decoded = work?.own?.get(7)?.work
     assert.is(decoded?.organisations.get(1)?.priority, encoded)
     assert.is(decoded?.routes.get(1)?.priority, encoded)
     assert.ok(Number.isFinite(decoded?.requestsPerSecond) && decoded?.turnedAwayPerSecond === 0)
-    assert.is(work?.shares?.pictures.get(7)?.picture.marginPriority, encoded)
-    assert.is(work?.shares?.pictures.get(7)?.picture.routes.get(4)?.priority, encoded)
+    assert.is(work?.shares?.snapshots.get(7)?.snapshot.marginPriority, encoded)
+    assert.is(work?.shares?.snapshots.get(7)?.snapshot.routes.get(4)?.priority, encoded)
   }
 })
 
--- a/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
+++ b/packages/almondrelay-gateway/src/process/shares/__tests__/workShares.test.ts
@@ -39,7 +39,7 @@
 
   private makeShares (place: Pick<RigHost, 'availabilityZone' | 'region' | 'isAggregator' | 'isFirst'>, changes: string[]): WorkShares {
     const { availabilityZone, region } = place
-    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => place.isAggregator, isFirstAggregator: () => place.isFirst, handlePicture: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
+    return new WorkShares({ availabilityZone, region, startedAt: this.now, isAggregator: () => place.isAggregator, isFirstAggregator: () => place.isFirst, handleSnapshot: (_, aged, hasBegun) => { if (aged === undefined || hasBegun) changes.push(aged === undefined ? 'ended' : 'began') } })
   }
 
   /** @param perSecond requests a second of all hosts together */
@@ -118,7 +118,7 @@
   first.isUp = false
   rig.run(8_000, 100)
   assert.ok(second.shares.describeShares(rig.now) !== undefined)
-  assert.ok((host.shares.findPicture(SERVICE, rig.now)?.ageMs ?? Infinity) <= 1_500)
+  assert.ok((host.shares.findSnapshot(SERVICE, rig.now)?.ageMs ?? Infinity) <= 1_500)
   assert.is(countOf(host.refused, SMALL), 0)
 })
 
@@ -143,7 +143,7 @@
 // Guards against an overload that a restarted aggregator ends. It counted 1.5 s from its start, the second one from the last shares, so that
 // it was in charge before it could hear the second one.
 test('a restarted first aggregator that has heard no shares sends none until the second one can have taken over', () => {
-  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handleSnapshot: () => undefined })
   for (let now = 100; now <= 2_400; now += 100) {
     if (now % UPDATE_MS === 100) shares.update(now)
     assert.is(shares.describeShares(now), undefined, String(now))
@@ -154,16 +154,16 @@
 
 // Guards against empty shares of a host that has received shares since its last update and then comes in charge.
 test('shares received just before an aggregator comes in charge are continued with', () => {
-  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handlePicture: () => undefined })
+  const shares = new WorkShares({ availabilityZone: 'one', region: 'akl', startedAt: 0, isAggregator: () => true, isFirstAggregator: () => true, handleSnapshot: () => undefined })
   for (let now = 0; now <= 2_000; now += UPDATE_MS) shares.update(now)
-  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.1, askedMs: 900 }]]), routes: new Map() }
-  shares.receiveReport('one-2', { availabilityZone: 'one', region: 'akl' }, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, 2_400)
+  const snapshot = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.1, askedMs: 900 }]]), routes: new Map() }
+  shares.receiveReport('one-2', { availabilityZone: 'one', region: 'akl' }, { own: undefined, zone: undefined, shares: { clockMs: 1, snapshots: new Map([[computeHash(SERVICE), { snapshot, ageMs: 0 }]]) } }, 2_400)
   for (const now of [2_500, 2_510, 2_600]) {
-    assert.ok(shares.findPicture(SERVICE, now) !== undefined)
-    assert.is.not(shares.describeShares(now)?.shares?.pictures.size, 0)
+    assert.ok(shares.findSnapshot(SERVICE, now) !== undefined)
+    assert.is.not(shares.describeShares(now)?.shares?.snapshots.size, 0)
   }
   shares.update(2_610)
-  assert.is(shares.describeShares(2_610)?.shares?.pictures.size, 1)
+  assert.is(shares.describeShares(2_610)?.shares?.snapshots.size, 1)
 })
 
 // The moments at which the second one takes over, and at which the restarted one comes in charge, then fall in any order.
@@ -225,12 +225,12 @@
   rig.run(5_000, 100)
   host.isHeard = false
   rig.run(4_000, 100)
-  const aged = host.shares.findPicture(SERVICE, rig.now)
+  const aged = host.shares.findSnapshot(SERVICE, rig.now)
   assert.ok(aged !== undefined && aged.ageMs >= 4_000 && aged.ageMs <= 5_600)
   rig.run(8_000, 100)
-  const alone = host.shares.findPicture(SERVICE, rig.now)
+  const alone = host.shares.findSnapshot(SERVICE, rig.now)
   // Its own callers ask for a sixth of the region's work.
-  assert.ok(alone !== undefined && alone.picture.capacityMs < CAPACITY_PER_SECOND * WORK_MS / 2, String(alone?.picture.capacityMs))
+  assert.ok(alone !== undefined && alone.snapshot.capacityMs < CAPACITY_PER_SECOND * WORK_MS / 2, String(alone?.snapshot.capacityMs))
 })
 
 // Guards against a host that refuses by chance what it can't judge: it has started a moment ago and knows no counts.
@@ -238,9 +238,9 @@
   const { rig } = makeRegion()
   rig.run(5_000, 100)
   const late = rig.add('one-4', 'one', 4)
-  assert.is(late.shares.findPicture(SERVICE, rig.now), undefined)
+  assert.is(late.shares.findSnapshot(SERVICE, rig.now), undefined)
   rig.run(1_000, 100)
-  assert.ok(late.shares.findPicture(SERVICE, rig.now) !== undefined)
+  assert.ok(late.shares.findSnapshot(SERVICE, rig.now) !== undefined)
 })
 
 // Guards against shares of another region: its overload says nothing about the targets of this one.
@@ -252,14 +252,14 @@
   const fresh = rig.add('one-5', 'one', 5).shares
   fresh.receiveReport('far', { availabilityZone: 'one', region: 'wlg' }, report, rig.now)
   fresh.receiveReport('two-1', { availabilityZone: 'two', region: 'akl' }, report, rig.now)
-  assert.is(fresh.findPicture(SERVICE, rig.now), undefined)
+  assert.is(fresh.findSnapshot(SERVICE, rig.now), undefined)
   fresh.receiveReport('one-1', host, report, rig.now)
-  assert.ok(fresh.findPicture(SERVICE, rig.now) !== undefined)
+  assert.ok(fresh.findSnapshot(SERVICE, rig.now) !== undefined)
 })
 
 // Guards against a caller that returns as told to a host of the other zone, and is drawn there by another clock.
 test('hosts of both zones count time slots by the same clock, whenever they started', () => {
-  const makeShares = (availabilityZone: string, isAggregator: boolean): WorkShares => new WorkShares({ availabilityZone, region: 'akl', startedAt: 0, isAggregator: () => isAggregator, isFirstAggregator: () => isAggregator, handlePicture: () => undefined })
+  const makeShares = (availabilityZone: string, isAggregator: boolean): WorkShares => new WorkShares({ availabilityZone, region: 'akl', startedAt: 0, isAggregator: () => isAggregator, isFirstAggregator: () => isAggregator, handleSnapshot: () => undefined })
   const [early, late, other] = [makeShares('one', true), makeShares('two', true), makeShares('two', false)]
   const [earlyNow, lateNow, otherNow] = [9_000_000, 5_000, 777]
   for (const [shares, now] of [[early, earlyNow], [late, lateNow], [other, otherNow]] as const) shares.update(now)
@@ -277,8 +277,8 @@
 // Guards against an organisation of priority 1.5 that passes as more urgent than its rank, which reports contain as 2.
 test('a priority with a fraction counts as the rank that the shares contain', () => {
   const { rig, host } = makeRegion()
-  const picture = { capacityMs: 1_000, marginPriority: 2, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0, askedMs: 900 }]]), routes: new Map() }
-  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const snapshot = { capacityMs: 1_000, marginPriority: 2, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, snapshots: new Map([[computeHash(SERVICE), { snapshot, ageMs: 0 }]]) } }, rig.now)
   const decide = (organisationPriority: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority, route: 1, routePriority: 0, requestHash: 1, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, rig.now, 0.5) === undefined
   assert.equal([1, 1.5, 2].map(decide), [true, false, false])
 })
@@ -291,8 +291,8 @@
     host.shares.observeOutcome(SERVICE, 0, false, true, rig.now)
     return host.shares.describeOwn(rig.now).own?.get(computeHash(SERVICE))?.work.organisations.get(LARGE)
   }
-  const picture = { capacityMs: 1_000, marginPriority: 1, shareMs: 100, organisations: new Map(), routes: new Map() }
-  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const snapshot = { capacityMs: 1_000, marginPriority: 1, shareMs: 100, organisations: new Map(), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, snapshots: new Map([[computeHash(SERVICE), { snapshot, ageMs: 0 }]]) } }, rig.now)
   decide(99)
   assert.equal(readWork(), { priority: 0, askedMs: 2 * WORK_MS, admittedMs: 0 })
   decide(100)
@@ -302,8 +302,8 @@
 // Guards against a caller that comes back as told and is refused, as a slow host handles its request in a later slot than it arrived in.
 test('a request is drawn in the slot in which it arrived, however late it is handled', () => {
   const { rig, host } = makeRegion()
-  const picture = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.5, askedMs: 900 }]]), routes: new Map() }
-  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, pictures: new Map([[computeHash(SERVICE), { picture, ageMs: 0 }]]) } }, rig.now)
+  const snapshot = { capacityMs: 1_000, marginPriority: 0, shareMs: 100, organisations: new Map([[LARGE, { fraction: 0.5, askedMs: 900 }]]), routes: new Map() }
+  host.shares.receiveReport('one-1', host, { own: undefined, zone: undefined, shares: { clockMs: 1, snapshots: new Map([[computeHash(SERVICE), { snapshot, ageMs: 0 }]]) } }, rig.now)
   const decide = (requestHash: number, now: number): boolean => host.shares.decide({ service: SERVICE, organisation: LARGE, organisationPriority: 0, route: 1, routePriority: 0, requestHash, arrivedAt: rig.now, workMs: 1, remainingMs: 2_000, neededMs: 100 }, now, 0.5) === undefined
   const hashes = Array.from({ length: 100 }, (_, index) => computeHash(`request ${index}`))
   const draws = hashes.map((hash) => decide(hash, rig.now))
--- a/packages/almondrelay-gateway/src/process/shares/decodeWorkReport.ts
+++ b/packages/almondrelay-gateway/src/process/shares/decodeWorkReport.ts
@@ -1,8 +1,8 @@
-import type { ServiceWork, SharePicture, SharePictures, UseReport, WorkByClass } from 'almondrelay-protocol'
+import type { ServiceWork, ShareSnapshot, ShareSnapshots, UseReport, WorkByClass } from 'almondrelay-protocol'
 import type { ClassWork } from '../../request/classWork.js'
-import type { AgedPicture } from './agedPicture.js'
+import type { AgedSnapshot } from './agedSnapshot.js'
 import type { AgedWork } from './agedWork.js'
-import type { PictureReport } from './pictureReport.js'
+import type { SnapshotReport } from './snapshotReport.js'
 import type { WorkReport } from './workReport.js'
 
 const FRACTION_UNITS = 10_000
@@ -13,7 +13,7 @@
 const MAX_CLOCK_MS = 3e13
 
 /** Decodes the part of a usage report that is about fair shares; undefined if it has none or a host can't have sent it. */
-export function decodeWorkReport ({ work, zoneWork, shares }: Pick<UseReport, 'work' | 'zoneWork'> & { shares: SharePictures | undefined }): WorkReport | undefined {
+export function decodeWorkReport ({ work, zoneWork, shares }: Pick<UseReport, 'work' | 'zoneWork'> & { shares: ShareSnapshots | undefined }): WorkReport | undefined {
   if (work.length === 0 && zoneWork.length === 0 && shares === undefined) return undefined
   if (![...work, ...zoneWork].every(isValidWork) || (shares !== undefined && !isValidShares(shares))) return undefined
   return {
@@ -31,9 +31,9 @@
 const isValidClasses = ({ hashes, priorities, askedMs, admittedMs }: WorkByClass): boolean =>
   hashes.length <= MAX_CLASSES && [priorities, askedMs, admittedMs].every(({ length }) => length === hashes.length)
 
-const isValidShares = ({ clockMs, pictures }: SharePictures): boolean => isRate(clockMs) && clockMs <= MAX_CLOCK_MS && pictures.length <= MAX_SERVICES && pictures.every(isValidPicture)
+const isValidShares = ({ clockMs, snapshots }: ShareSnapshots): boolean => isRate(clockMs) && clockMs <= MAX_CLOCK_MS && snapshots.length <= MAX_SERVICES && snapshots.every(isValidSnapshot)
 
-const isValidPicture = ({ organisationHashes, organisationFractions, organisationAskedMs, routeHashes, routePriorities, routeMixes, routeFloors }: SharePicture): boolean =>
+const isValidSnapshot = ({ organisationHashes, organisationFractions, organisationAskedMs, routeHashes, routePriorities, routeMixes, routeFloors }: ShareSnapshot): boolean =>
   organisationHashes.length <= MAX_CLASSES && [organisationFractions, organisationAskedMs].every(({ length }) => length === organisationHashes.length) &&
   routeHashes.length <= MAX_CLASSES && [routePriorities, routeMixes, routeFloors].every(({ length }) => length === routeHashes.length) &&
   [organisationFractions, routeMixes, routeFloors].every((units) => units.every((unit) => unit <= FRACTION_UNITS))
@@ -45,11 +45,11 @@
 
 const decodeClasses = (classes: WorkByClass | undefined): Map<number, ClassWork> => new Map(classes?.hashes.map((hash, index) => [hash, { priority: classes.priorities[index] as number, askedMs: classes.askedMs[index] as number, admittedMs: classes.admittedMs[index] as number }]))
 
-const decodeShares = ({ clockMs, pictures }: SharePictures): PictureReport => ({ clockMs, pictures: new Map(pictures.map((each) => [each.serviceHash, decodePicture(each)])) })
+const decodeShares = ({ clockMs, snapshots }: ShareSnapshots): SnapshotReport => ({ clockMs, snapshots: new Map(snapshots.map((each) => [each.serviceHash, decodeSnapshot(each)])) })
 
-const decodePicture = (each: SharePicture): AgedPicture => ({
+const decodeSnapshot = (each: ShareSnapshot): AgedSnapshot => ({
   ageMs: each.ageMs,
-  picture: {
+  snapshot: {
     capacityMs: each.capacityMs,
     marginPriority: each.marginPriority ?? Infinity,
     shareMs: each.marginPriority === undefined ? Infinity : each.shareMs,
--- a/packages/almondrelay-gateway/src/process/shares/encodeWorkReport.ts
+++ b/packages/almondrelay-gateway/src/process/shares/encodeWorkReport.ts
@@ -1,7 +1,7 @@
 import type { MessageInitShape } from '@bufbuild/protobuf'
-import type { SharePictureSchema, SharePicturesSchema, ServiceWorkSchema, WorkByClassSchema } from 'almondrelay-protocol'
+import type { ShareSnapshotSchema, ShareSnapshotsSchema, ServiceWorkSchema, WorkByClassSchema } from 'almondrelay-protocol'
 import type { ClassWork } from '../../request/classWork.js'
-import type { AgedPicture } from './agedPicture.js'
+import type { AgedSnapshot } from './agedSnapshot.js'
 import type { AgedWork } from './agedWork.js'
 import { toUint32 } from './toUint32.js'
 import type { WorkReport } from './workReport.js'
@@ -15,7 +15,7 @@
 interface WorkFields {
   work: Array<MessageInitShape<typeof ServiceWorkSchema>>
   zoneWork: Array<MessageInitShape<typeof ServiceWorkSchema>>
-  shares?: MessageInitShape<typeof SharePicturesSchema>
+  shares?: MessageInitShape<typeof ShareSnapshotsSchema>
 }
 
 /** Returns the fields of a usage report that are about fair shares. */
@@ -23,7 +23,7 @@
   return {
     work: encodeWorks(own),
     zoneWork: encodeWorks(zone),
-    ...(shares === undefined ? {} : { shares: { clockMs: shares.clockMs, pictures: [...shares.pictures].map(([hash, aged]) => encodePicture(hash, aged)) } })
+    ...(shares === undefined ? {} : { shares: { clockMs: shares.clockMs, snapshots: [...shares.snapshots].map(([hash, aged]) => encodeSnapshot(hash, aged)) } })
   }
 }
 
@@ -50,10 +50,10 @@
   }
 }
 
-const encodePicture = (serviceHash: number, { picture, ageMs }: AgedPicture): MessageInitShape<typeof SharePictureSchema> => {
-  const { capacityMs, marginPriority, shareMs } = picture
-  const organisations = [...picture.organisations]
-  const routes = [...picture.routes]
+const encodeSnapshot = (serviceHash: number, { snapshot, ageMs }: AgedSnapshot): MessageInitShape<typeof ShareSnapshotSchema> => {
+  const { capacityMs, marginPriority, shareMs } = snapshot
+  const organisations = [...snapshot.organisations]
+  const routes = [...snapshot.routes]
   return {
     serviceHash,
     ageMs: toUint32(ageMs),
--- a/packages/almondrelay-gateway/src/process/shares/shareRefusal.ts
+++ b/packages/almondrelay-gateway/src/process/shares/shareRefusal.ts
@@ -7,5 +7,5 @@
   /** Part of the requests of the organisation's route that is admitted. */
   allowedPart: number
   /** Milliseconds since the oldest of the counts that the share was computed from. */
-  pictureAgeMs: number
+  snapshotAgeMs: number
 }
--- a/packages/almondrelay-gateway/src/process/shares/workReport.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workReport.ts
@@ -1,5 +1,5 @@
 import type { AgedWork } from './agedWork.js'
-import type { PictureReport } from './pictureReport.js'
+import type { SnapshotReport } from './snapshotReport.js'
 
 /** The part of a usage report that is about fair shares. Maps are by the hash of the service's name. */
 export interface WorkReport {
@@ -7,5 +7,5 @@
   own: ReadonlyMap<number, AgedWork> | undefined
   /** Work that the callers of all hosts of the sender's zone ask for. */
   zone: ReadonlyMap<number, AgedWork> | undefined
-  shares: PictureReport | undefined
+  shares: SnapshotReport | undefined
 }
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -7,17 +7,17 @@
 import { sumWork } from '../../request/sumWork.js'
 import { WorkMeter } from '../../request/workMeter.js'
 import { computeHash } from '../../version/computeHash.js'
-import type { AgedPicture } from './agedPicture.js'
+import type { AgedSnapshot } from './agedSnapshot.js'
 import type { AgedWork } from './agedWork.js'
-import type { PictureReport } from './pictureReport.js'
+import type { SnapshotReport } from './snapshotReport.js'
 import type { ShareRefusal } from './shareRefusal.js'
 import type { ShareRequest } from './shareRequest.js'
 import { toUint32 } from './toUint32.js'
 import type { WorkReport } from './workReport.js'
 
-/** Milliseconds for which the last picture received stays in force; after that a host decides by its own counts. */
+/** Milliseconds for which the last snapshot received stays in force; after that a host decides by its own counts. */
 const PICTURE_LIFE_MS = 5_000
-/** Milliseconds without a picture from the first aggregator after which another one uses and sends its own. */
+/** Milliseconds without a snapshot from the first aggregator after which another one uses and sends its own. */
 const TAKE_OVER_MS = 1_500
 /**
  * Milliseconds after which a new first aggregator, or one that has heard no shares since its start, sends shares. By then it has heard those
@@ -42,14 +42,14 @@
   isAggregator: (now: number) => boolean
   isFirstAggregator: (now: number) => boolean
   /** Called with the shares in force of an overloaded service after each change of them, and with undefined when overload has ended. */
-  handlePicture: (service: string, aged: AgedPicture | undefined, hasBegun: boolean) => void
+  handleSnapshot: (service: string, aged: AgedSnapshot | undefined, hasBegun: boolean) => void
 }
 
 interface Sender { availabilityZone: string, region: string }
 interface ReceivedWork extends Sender { receivedAt: number, works: ReadonlyMap<number, AgedWork> }
-interface ReceivedPictures { receivedAt: number, pictures: ReadonlyMap<number, AgedPicture> }
+interface ReceivedSnapshots { receivedAt: number, snapshots: ReadonlyMap<number, AgedSnapshot> }
 
-const NO_PICTURES: ReadonlyMap<number, AgedPicture> = new Map()
+const NO_PICTURES: ReadonlyMap<number, AgedSnapshot> = new Map()
 
 /**
  * Holds the fair shares of overloaded services, as far as this host knows.
@@ -63,8 +63,8 @@
   private readonly hosts = new Map<string, ReceivedWork>()
   private readonly zones = new Map<string, ReceivedWork>()
   private readonly controls = new Map<number, ServiceShares>()
-  private computed: ReceivedPictures | undefined
-  private received: ReceivedPictures | undefined
+  private computed: ReceivedSnapshots | undefined
+  private received: ReceivedSnapshots | undefined
   private readonly overloaded = new Set<string>()
   private clockOffsetMs = 0
   private aggregatorSince: number | undefined
@@ -77,8 +77,8 @@
   decide (asked: ShareRequest, now: number, random: number): ShareRefusal | undefined {
     // Shares arrive with rounded priorities. An organisation of priority 1.5 would count as more urgent than the rank of 2 that it is in.
     const request = { ...asked, organisationPriority: toUint32(asked.organisationPriority), routePriority: toUint32(asked.routePriority) }
-    const aged = this.findPicture(request.service, now)
-    const fraction = aged === undefined ? 1 : computeShareFraction(aged.picture, request)
+    const aged = this.findSnapshot(request.service, now)
+    const fraction = aged === undefined ? 1 : computeShareFraction(aged.snapshot, request)
     // A caller that came back as told would miss the slot that it was told, if a slow host drew by the time at which it handles the request.
     const slot = Math.floor((request.arrivedAt + this.clockOffsetMs) / SHARE_SLOT_MS)
     const isAdmitted = fraction >= 1 || computeShareDraw(request.requestHash, slot) < fraction
@@ -86,14 +86,14 @@
     const isCounted = isAdmitted && (aged === undefined || request.remainingMs >= request.neededMs)
     this.findOrCreateMeter(request.service).observeRequest(request, request.workMs, isCounted, now)
     if (isAdmitted || aged === undefined) return undefined
-    const share = aged.picture.organisations.get(request.organisation)
-    const isOfMargin = request.organisationPriority === aged.picture.marginPriority
+    const share = aged.snapshot.organisations.get(request.organisation)
+    const isOfMargin = request.organisationPriority === aged.snapshot.marginPriority
     return {
       retryAfterMs: computeShareRetryAfter({ fraction, requestHash: request.requestHash, clockMs: now + this.clockOffsetMs, remainingMs: request.remainingMs, random }),
-      shareMs: isOfMargin ? aged.picture.shareMs : undefined,
+      shareMs: isOfMargin ? aged.snapshot.shareMs : undefined,
       askedMs: isOfMargin ? share?.askedMs : undefined,
       allowedPart: fraction,
-      pictureAgeMs: Math.round(aged.ageMs)
+      snapshotAgeMs: Math.round(aged.ageMs)
     }
   }
 
@@ -103,10 +103,10 @@
   }
 
   /** Returns the shares of a service that are in force at this host; undefined if it isn't overloaded. */
-  findPicture (service: string, now: number): AgedPicture | undefined {
+  findSnapshot (service: string, now: number): AgedSnapshot | undefined {
     const source = this.findSource(now)
-    const aged = source?.pictures.get(computeHash(service))
-    return aged === undefined || source === undefined ? undefined : { picture: aged.picture, ageMs: aged.ageMs + now - source.receivedAt }
+    const aged = source?.snapshots.get(computeHash(service))
+    return aged === undefined || source === undefined ? undefined : { snapshot: aged.snapshot, ageMs: aged.ageMs + now - source.receivedAt }
   }
 
   /** Computes the shares anew at an aggregator or, by its own counts alone, at a host that hears from nobody. Called twice a second. */
@@ -114,10 +114,10 @@
     const isAggregator = this.parts.isAggregator(now)
     this.aggregatorSince = isAggregator ? this.aggregatorSince ?? now : undefined
     if (!isAggregator && this.wasInCharge) this.keepComputed()
-    if (isAggregator && !this.wasInCharge) this.adoptPictures(now)
+    if (isAggregator && !this.wasInCharge) this.adoptSnapshots(now)
     this.wasInCharge = this.isDueInCharge(now)
-    if (this.aggregatorSince !== undefined) this.computed = { receivedAt: now, pictures: this.computeRegion(this.aggregatorSince, now) }
-    else if (this.isAlone(now)) this.computed = { receivedAt: now, pictures: this.computePictures(this.describeMeters(now, true), now) }
+    if (this.aggregatorSince !== undefined) this.computed = { receivedAt: now, snapshots: this.computeRegion(this.aggregatorSince, now) }
+    else if (this.isAlone(now)) this.computed = { receivedAt: now, snapshots: this.computeSnapshots(this.describeMeters(now, true), now) }
     else {
       this.computed = undefined
       this.controls.clear()
@@ -132,7 +132,7 @@
 
   /** Returns the sums of this zone and the shared clock, for the aggregators of the region's other zones. */
   describeZone (now: number): WorkReport {
-    return { own: undefined, zone: this.sumZone(now), shares: { clockMs: now + this.clockOffsetMs, pictures: NO_PICTURES } }
+    return { own: undefined, zone: this.sumZone(now), shares: { clockMs: now + this.clockOffsetMs, snapshots: NO_PICTURES } }
   }
 
   /**
@@ -142,12 +142,12 @@
    */
   describeShares (now: number, maxOrganisations = Infinity): WorkReport | undefined {
     if (this.computed === undefined || !this.isInCharge(now)) return undefined
-    return { own: undefined, zone: undefined, shares: { clockMs: now + this.clockOffsetMs, pictures: new Map([...this.computed.pictures].map(([service, aged]) => [service, limitOrganisations(aged, maxOrganisations)])) } }
+    return { own: undefined, zone: undefined, shares: { clockMs: now + this.clockOffsetMs, snapshots: new Map([...this.computed.snapshots].map(([service, aged]) => [service, limitOrganisations(aged, maxOrganisations)])) } }
   }
 
   /** Whether any service is overloaded, as far as this host knows. */
   hasOverload (now: number): boolean {
-    return (this.findSource(now)?.pictures.size ?? 0) > 0
+    return (this.findSource(now)?.snapshots.size ?? 0) > 0
   }
 
   /** Applies a report of a host of this region. */
@@ -159,21 +159,21 @@
     if (shares === undefined) return
     // Hosts follow the furthest clock, so that those of a region agree after two rounds of reports.
     this.clockOffsetMs = Math.max(this.clockOffsetMs, shares.clockMs - now)
-    if (isOwnZone) this.receivePictures(shares, now)
+    if (isOwnZone) this.receiveSnapshots(shares, now)
   }
 
-  private receivePictures ({ pictures }: PictureReport, now: number): void {
-    this.received = { receivedAt: now, pictures }
+  private receiveSnapshots ({ snapshots }: SnapshotReport, now: number): void {
+    this.received = { receivedAt: now, snapshots }
     this.wasInCharge = this.isInCharge(now)
     this.reportChanges(now)
   }
 
-  private findSource (now: number): ReceivedPictures | undefined {
+  private findSource (now: number): ReceivedSnapshots | undefined {
     if (this.isInCharge(now) || this.isAlone(now)) return this.computed
     return this.findReceived(now)
   }
 
-  private findReceived (now: number): ReceivedPictures | undefined {
+  private findReceived (now: number): ReceivedSnapshots | undefined {
     return this.received !== undefined && now - this.received.receivedAt <= PICTURE_LIFE_MS ? this.received : undefined
   }
 
@@ -201,11 +201,11 @@
   }
 
   /** Continues with the last shares received, where this aggregator doesn't know of the overload yet. */
-  private adoptPictures (now: number): void {
-    for (const [service, { picture }] of this.findReceived(now)?.pictures ?? NO_PICTURES) {
+  private adoptSnapshots (now: number): void {
+    for (const [service, { snapshot }] of this.findReceived(now)?.snapshots ?? NO_PICTURES) {
       const control = this.controls.get(service) ?? new ServiceShares()
       putBounded(this.controls, service, control, MAX_SERVICES)
-      if (!control.isOverloaded) control.adopt(picture)
+      if (!control.isOverloaded) control.adopt(snapshot)
     }
   }
 
@@ -213,23 +213,23 @@
    * Computes the shares at an aggregator. Where the hosts' counts can't have arrived yet, the last shares received continue: counts of a few
    * hosts would show no overload, and the shares computed from them would end it at all hosts of the zone.
    */
-  private computeRegion (aggregatorSince: number, now: number): Map<number, AgedPicture> {
+  private computeRegion (aggregatorSince: number, now: number): Map<number, AgedSnapshot> {
     const received = this.findReceived(now)
-    const held = new Map([...(received?.pictures ?? [])].map(([service, { picture, ageMs }]) => [service, { picture, ageMs: ageMs + now - (received?.receivedAt ?? now) }]))
+    const held = new Map([...(received?.snapshots ?? [])].map(([service, { snapshot, ageMs }]) => [service, { snapshot, ageMs: ageMs + now - (received?.receivedAt ?? now) }]))
     if (held.size > 0 && now - aggregatorSince < COUNTS_MS) return held
     const works = this.sumRegion(now)
-    return new Map([...[...held].filter(([service]) => !works.has(service)), ...this.computePictures(works, now)])
+    return new Map([...[...held].filter(([service]) => !works.has(service)), ...this.computeSnapshots(works, now)])
   }
 
-  private computePictures (works: ReadonlyMap<number, AgedWork>, now: number): Map<number, AgedPicture> {
-    const pictures = new Map<number, AgedPicture>()
+  private computeSnapshots (works: ReadonlyMap<number, AgedWork>, now: number): Map<number, AgedSnapshot> {
+    const snapshots = new Map<number, AgedSnapshot>()
     for (const [service, { work, ageMs }] of works) {
       const control = this.controls.get(service) ?? new ServiceShares()
       putBounded(this.controls, service, control, MAX_SERVICES)
-      const picture = control.update(work, now)
-      if (picture !== undefined) pictures.set(service, { picture, ageMs })
+      const snapshot = control.update(work, now)
+      if (snapshot !== undefined) snapshots.set(service, { snapshot, ageMs })
     }
-    return pictures
+    return snapshots
   }
 
   private sumRegion (now: number): Map<number, AgedWork> {
@@ -245,7 +245,7 @@
 
   /** @param isComplete whether organisations and routes of services that turn nobody away are contained too */
   private describeMeters (now: number, isComplete: boolean): Map<number, AgedWork> {
-    const overloaded = this.findSource(now)?.pictures ?? NO_PICTURES
+    const overloaded = this.findSource(now)?.snapshots ?? NO_PICTURES
     return new Map([...this.meters].map(([hash, { meter }]) => {
       const work = meter.describe(now)
       const isNeeded = isComplete || overloaded.has(hash) || work.turnedAwayPerSecond >= QUIET_TURNED_AWAY_PER_SECOND
@@ -255,11 +255,11 @@
 
   private reportChanges (now: number): void {
     for (const { name } of this.meters.values()) {
-      const aged = this.findPicture(name, now)
+      const aged = this.findSnapshot(name, now)
       const wasOverloaded = this.overloaded.has(name)
       if (aged === undefined) this.overloaded.delete(name)
       else this.overloaded.add(name)
-      if (aged !== undefined || wasOverloaded) this.parts.handlePicture(name, aged, !wasOverloaded)
+      if (aged !== undefined || wasOverloaded) this.parts.handleSnapshot(name, aged, !wasOverloaded)
     }
   }
 
@@ -273,7 +273,7 @@
   }
 }
 
-const limitOrganisations = ({ picture, ageMs }: AgedPicture, max: number): AgedPicture => ({ ageMs, picture: { ...picture, organisations: new Map([...picture.organisations].slice(0, max)) } })
+const limitOrganisations = ({ snapshot, ageMs }: AgedSnapshot, max: number): AgedSnapshot => ({ ageMs, snapshot: { ...snapshot, organisations: new Map([...snapshot.organisations].slice(0, max)) } })
 
 const listFresh = (reports: Iterable<ReceivedWork>, now: number): Array<ReadonlyMap<number, AgedWork>> => [...reports]
   .filter(({ receivedAt }) => now - receivedAt <= WORK_LIFE_MS)
--- a/packages/almondrelay-gateway/src/request/__fixtures__/modelOptions.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/modelOptions.ts
@@ -12,6 +12,6 @@
   leavingShare?: number
   /** Factor by which a class's load is multiplied at a time. */
   findFactor?: (each: ModelClass, at: number) => number
-  /** Whether the hosts receive pictures at a time. */
+  /** Whether the hosts receive snapshots at a time. */
   isLinked?: (at: number) => boolean
 }
--- a/packages/almondrelay-gateway/src/request/__fixtures__/overloadModel.ts
+++ b/packages/almondrelay-gateway/src/request/__fixtures__/overloadModel.ts
@@ -2,7 +2,7 @@
 import { computeShareDraw } from '../computeShareDraw.js'
 import { computeShareFraction } from '../computeShareFraction.js'
 import { computeShareRetryAfter } from '../computeShareRetryAfter.js'
-import type { OverloadPicture } from '../overloadPicture.js'
+import type { OverloadSnapshot } from '../overloadSnapshot.js'
 import { ServiceShares } from '../serviceShares.js'
 import { SHARE_SLOT_MS } from '../shareSlotMs.js'
 import { sumWork } from '../sumWork.js'
@@ -20,13 +20,13 @@
 const WORK_SPREAD = 0.5
 const OBJECTIVE_MS = 300
 const TIMEOUT_MS = 2_000
-/** Milliseconds between two updates, and from the sums to the picture at each host: two datagrams and half an interval each. */
+/** Milliseconds between two updates, and from the sums to the snapshot at each host: two datagrams and half an interval each. */
 const UPDATE_INTERVAL_MS = 500
 const PICTURE_DELAY_MS = 300
 const MIN_RETRY_AFTER_MS = 40
 const REPEATS = 3
 const REPEAT_DELAY_MS = 5
-/** Seconds at the start that don't count for the result, until the first picture. */
+/** Seconds at the start that don't count for the result, until the first snapshot. */
 const WARM_UP_MS = 5_000
 /** Load rises to that of the pattern within this time, from this part of it. */
 const RAMP_MS = 3_000
@@ -77,7 +77,7 @@
   private readonly targets = Array.from({ length: TARGETS }, () => new ModelTarget())
   private readonly shares = new ServiceShares()
   private readonly threshold: PriorityThreshold
-  private picture: OverloadPicture | undefined
+  private snapshot: OverloadSnapshot | undefined
 
   constructor (private readonly options: ModelOptions) {
     this.random = createSeededRandom(options.seed)
@@ -150,8 +150,8 @@
       this.threshold.observeLevel(level, MEAN_WORK_MS)
       return level < this.threshold.threshold ? 0 : Math.max(MIN_RETRY_AFTER_MS, (caller.leavesAt - this.now) * (1 + this.random()) / 6)
     }
-    if (way === 'none' || this.picture === undefined) return 0
-    const fraction = computeShareFraction(this.picture, caller.each)
+    if (way === 'none' || this.snapshot === undefined) return 0
+    const fraction = computeShareFraction(this.snapshot, caller.each)
     if (computeShareDraw(caller.hash, slot) < fraction) return 0
     const afterMs = computeShareRetryAfter({ fraction, requestHash: caller.hash, clockMs: this.now, remainingMs: caller.leavesAt - this.now, random: this.random() })
     caller.cameAsTold = !caller.repeats && computeShareDraw(caller.hash, Math.floor((this.now + afterMs) / SHARE_SLOT_MS)) < fraction
@@ -212,8 +212,8 @@
     const wasOverloaded = this.shares.isOverloaded
     if (this.options.way === 'threshold') this.threshold.update(sums, this.now)
     if (this.options.way === 'shares') {
-      const picture = this.shares.update(sums, this.now)
-      if (this.options.isLinked?.(this.now) !== false) this.events.push(this.now + PICTURE_DELAY_MS, () => { this.picture = picture })
+      const snapshot = this.shares.update(sums, this.now)
+      if (this.options.isLinked?.(this.now) !== false) this.events.push(this.now + PICTURE_DELAY_MS, () => { this.snapshot = snapshot })
     }
     if (this.shares.isOverloaded !== wasOverloaded) this.changes += 1
     this.events.push(this.now + UPDATE_INTERVAL_MS, () => { this.update() })
--- a/packages/almondrelay-gateway/src/request/__tests__/serviceShares.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/serviceShares.test.ts
@@ -51,8 +51,8 @@
   assert.ok(more > less + 0.05 && less > 0.4, `${more} ${less}`)
 })
 
-// Guards against shares that stop the service: pictures no longer arrive, and the last one stays in force.
-test('targets stay busy while no new pictures arrive', () => {
+// Guards against shares that stop the service: snapshots no longer arrive, and the last one stays in force.
+test('targets stay busy while no new snapshots arrive', () => {
   assert.ok(runModel('surge', 'shares', { isLinked: (at) => at < 10_000 }).usedShare > 0.85)
 })
 
@@ -98,10 +98,10 @@
   const shares = new ServiceShares()
   const organisations = new Map([[1, { priority: 0, askedMs: 2_000, admittedMs: 1_000 }], [2, { priority: 1, askedMs: 500, admittedMs: 0 }]])
   const routes = new Map([[8, { priority: 0, askedMs: 1_900, admittedMs: 900 }], [9, { priority: 3, askedMs: 600, admittedMs: 0 }]])
-  let picture = shares.update(makeSums(organisations, routes, 1_000, 30), 0)
-  for (let at = 500; at < 3_000; at += 500) picture = shares.update(makeSums(organisations, routes, 1_000, 30), at)
-  assert.ok(picture !== undefined)
-  const fraction = computeShareFraction(picture, { organisation: 2, organisationPriority: 1, route: 9, routePriority: 3 })
+  let snapshot = shares.update(makeSums(organisations, routes, 1_000, 30), 0)
+  for (let at = 500; at < 3_000; at += 500) snapshot = shares.update(makeSums(organisations, routes, 1_000, 30), at)
+  assert.ok(snapshot !== undefined)
+  const fraction = computeShareFraction(snapshot, { organisation: 2, organisationPriority: 1, route: 9, routePriority: 3 })
   assert.ok(fraction > 0.04 && fraction < 0.2, String(fraction))
   assert.ok(fraction * 600 >= 1_000 * 0.05 * 0.9)
 })
--- a/packages/almondrelay-gateway/src/request/__tests__/statementPool.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/statementPool.test.ts
@@ -11,9 +11,9 @@
 test('only significant changes are told', () => {
   const pool = new StatementPool()
   const steps: Array<[Partial<TargetStatement>, boolean]> = [[{}, false], [{ speedPercent: 250 }, true], [{ speedPercent: 240 }, false], [{ speedPercent: 100 }, true], [{ speedPercent: 110 }, false], [{ waiting: 2 }, true], [{ waiting: 3 }, false], [{ waiting: 0 }, true], [{ running: 3 }, false]]
-  for (const [index, [content, isTold]] of steps.entries()) {
+  for (const [index, [content, isSent]] of steps.entries()) {
     pool.put(make({ ...content, statedAt: index * 10 }), true)
-    assert.is(pool.takeDue(64, index * 10).length, isTold ? 1 : 0, JSON.stringify(content))
+    assert.is(pool.takeDue(64, index * 10).length, isSent ? 1 : 0, JSON.stringify(content))
     assert.is(pool.takeDue(64, index * 10).length, 0)
   }
 })
@@ -41,7 +41,7 @@
 test('what another host told is not told again', () => {
   const pool = new StatementPool()
   pool.put(make({ speedPercent: 250 }), true)
-  pool.observeTold(make({ speedPercent: 250 }))
+  pool.observeSent(make({ speedPercent: 250 }))
   assert.equal(takeSpeeds(pool, 0), [])
   pool.put(make({ speedPercent: 100, statedAt: 10 }), true)
   assert.equal(takeSpeeds(pool, 10), [100])
@@ -59,7 +59,7 @@
 // Guards against a host that tells nobody and keeps a statement of each incarnation of a target for as long as it runs.
 test('statements that are too old for any comparison are dropped', () => {
   const pool = new StatementPool()
-  for (let incarnationHash = 0; incarnationHash < 50; incarnationHash += 1) pool.observeTold(make({ incarnationHash, statedAt: incarnationHash * 1_000 }))
+  for (let incarnationHash = 0; incarnationHash < 50; incarnationHash += 1) pool.observeSent(make({ incarnationHash, statedAt: incarnationHash * 1_000 }))
   pool.expire(50_000)
   assert.is(pool.size, 10)
 })
--- a/packages/almondrelay-gateway/src/request/computeShareFraction.ts
+++ b/packages/almondrelay-gateway/src/request/computeShareFraction.ts
@@ -1,4 +1,4 @@
-import type { OverloadPicture } from './overloadPicture.js'
+import type { OverloadSnapshot } from './overloadSnapshot.js'
 import type { ShareInput } from './shareInput.js'
 
 /**
@@ -8,21 +8,21 @@
  * first; within its share its more urgent routes come first, and each route has a minimum. The organisation's requests are assumed to
  * be spread over the routes as those of all organisations are: sums by organisation and route wouldn't fit into the hosts' reports.
  */
-export function computeShareFraction (picture: OverloadPicture, input: ShareInput): number {
-  const route = picture.routes.get(input.route)
-  const share = computeOrganisationFraction(picture, input)
+export function computeShareFraction (snapshot: OverloadSnapshot, input: ShareInput): number {
+  const route = snapshot.routes.get(input.route)
+  const share = computeOrganisationFraction(snapshot, input)
   if (share >= 1 || route === undefined) return share
-  const fraction = computeRouteFraction(picture, share, input.routePriority)
+  const fraction = computeRouteFraction(snapshot, share, input.routePriority)
   return fraction + (1 - fraction) * route.floorFraction
 }
 
-const computeOrganisationFraction = ({ marginPriority, organisations }: OverloadPicture, { organisation, organisationPriority }: ShareInput): number => {
+const computeOrganisationFraction = ({ marginPriority, organisations }: OverloadSnapshot, { organisation, organisationPriority }: ShareInput): number => {
   if (organisationPriority < marginPriority) return 1
   if (organisationPriority > marginPriority) return 0
   return organisations.get(organisation)?.fraction ?? 1
 }
 
-const computeRouteFraction = ({ routes }: OverloadPicture, share: number, priority: number): number => {
+const computeRouteFraction = ({ routes }: OverloadSnapshot, share: number, priority: number): number => {
   let earlier = 0
   let same = 0
   for (const route of routes.values()) {
--- a/packages/almondrelay-gateway/src/request/overloadPicture.ts
+++ b/packages/almondrelay-gateway/src/request/overloadSnapshot.ts
@@ -2,7 +2,7 @@
 import type { RouteShare } from './routeShare.js'
 
 /** What the hosts of a region need to know to hold the shares of one overloaded service. */
-export interface OverloadPicture {
+export interface OverloadSnapshot {
   /** Milliseconds of work a second that the region's targets take. */
   capacityMs: number
   /** Organisations of a more urgent rank are served in full, those of a less urgent one only up to the routes' minimum. */
--- a/packages/almondrelay-gateway/src/request/serviceShares.ts
+++ b/packages/almondrelay-gateway/src/request/serviceShares.ts
@@ -2,7 +2,7 @@
 import { computeFairShares } from './computeFairShares.js'
 import type { FairShares } from './fairShares.js'
 import type { OrganisationShare } from './organisationShare.js'
-import type { OverloadPicture } from './overloadPicture.js'
+import type { OverloadSnapshot } from './overloadSnapshot.js'
 import { OverloadState } from './overloadState.js'
 import type { RouteShare } from './routeShare.js'
 import type { WorkSums } from './workSums.js'
@@ -33,7 +33,7 @@
 const MAX_CORRECTION_STEP = 1.3
 /** Lowest fraction as a part of share divided by demand. Returning callers are admitted more often than others. */
 const MIN_CORRECTION = 0.3
-/** Maximum organisations in a picture, those that ask for most first; it bounds the bytes of a report. */
+/** Maximum organisations in a snapshot, those that ask for most first; it bounds the bytes of a report. */
 const MAX_ORGANISATIONS = 64
 
 /**
@@ -56,8 +56,8 @@
     return this.state.isOverloaded
   }
 
-  /** Applies new sums, twice a second; returns the picture for the hosts, or undefined outside of overload. */
-  update (sums: WorkSums, now: number): OverloadPicture | undefined {
+  /** Applies new sums, twice a second; returns the snapshot for the hosts, or undefined outside of overload. */
+  update (sums: WorkSums, now: number): OverloadSnapshot | undefined {
     if (!this.state.isOverloaded || this.mostTakenMs === 0) this.learnCapacity(sums, now)
     else this.followCapacity(sums)
     this.state.observe(sums, this.capacityMs, now)
@@ -66,7 +66,7 @@
   }
 
   /** Continues with the shares that another host computed: without them, each restart of the host that computes them would end an overload. */
-  adopt ({ capacityMs, shareMs, organisations }: OverloadPicture): void {
+  adopt ({ capacityMs, shareMs, organisations }: OverloadSnapshot): void {
     this.state.adopt()
     this.capacityMs = capacityMs
     this.mostTakenMs = capacityMs
@@ -91,7 +91,7 @@
     this.capacityMs = Math.max(this.capacityMs, this.mostTakenMs * MIN_TAKEN_FACTOR)
   }
 
-  private describe (sums: WorkSums): OverloadPicture {
+  private describe (sums: WorkSums): OverloadSnapshot {
     const floors = this.computeFloors(sums, computeFairShares(sums.organisations, this.capacityMs))
     const fair = computeFairShares(sums.organisations, this.capacityMs - floors.reservedMs)
     return { capacityMs: this.capacityMs, marginPriority: fair.marginPriority, shareMs: fair.shareMs, organisations: this.computeFractions(sums.organisations, fair), routes: floors.routes }
--- a/packages/almondrelay-gateway/src/request/shareInput.ts
+++ b/packages/almondrelay-gateway/src/request/shareInput.ts
@@ -1,4 +1,4 @@
-/** What the decision about a request at an overloaded service depends on besides the picture of the service. */
+/** What the decision about a request at an overloaded service depends on besides the snapshot of the service. */
 export interface ShareInput {
   /** Hash of the organisation's name; 0 without one. */
   organisation: number
--- a/packages/almondrelay-gateway/src/request/statementPool.ts
+++ b/packages/almondrelay-gateway/src/request/statementPool.ts
@@ -15,7 +15,7 @@
 interface PooledStatement {
   latest: TargetStatement
   /** The statement that hosts were told last. */
-  told: TargetStatement | undefined
+  lastSent: TargetStatement | undefined
   /** A host of the own availability zone received it from the target. */
   isOwnZone: boolean
 }
@@ -33,14 +33,14 @@
   put (statement: TargetStatement, isOwnZone: boolean): void {
     const known = this.statements.get(statement.incarnationHash)
     if (known !== undefined && known.latest.statedAt >= statement.statedAt) return
-    this.statements.set(statement.incarnationHash, { latest: statement, told: known?.told, isOwnZone })
+    this.statements.set(statement.incarnationHash, { latest: statement, lastSent: known?.lastSent, isOwnZone })
   }
 
   /** Records that another host told this statement to the hosts of the zone. */
-  observeTold (statement: TargetStatement): void {
+  observeSent (statement: TargetStatement): void {
     this.put(statement, false)
     const known = this.statements.get(statement.incarnationHash)
-    if (known !== undefined && statement.statedAt >= (known.told?.statedAt ?? -Infinity)) known.told = statement
+    if (known !== undefined && statement.statedAt >= (known.lastSent?.statedAt ?? -Infinity)) known.lastSent = statement
   }
 
   /** Drops statements that are too old for any comparison. */
@@ -59,16 +59,16 @@
     const due = [...this.statements.values()].filter((pooled) => now - pooled.latest.statedAt <= MAX_AGE_MS && isDue(pooled))
     const taken = due.sort((one, other) => other.latest.statedAt - one.latest.statedAt).slice(0, maxCount)
     return taken.map((pooled) => {
-      pooled.told = pooled.latest
+      pooled.lastSent = pooled.latest
       return { statement: pooled.latest, isOwnZone: pooled.isOwnZone }
     })
   }
 }
 
-const isDue = ({ latest, told }: PooledStatement): boolean => {
-  if (told === latest) return false
-  if (told === undefined || latest.statedAt - told.statedAt > MAX_AGE_MS) return isSignificant(latest, USUAL)
-  return isSignificant(latest, told) || (isSignificant(latest, USUAL) && latest.statedAt - told.statedAt >= REPEAT_MS)
+const isDue = ({ latest, lastSent }: PooledStatement): boolean => {
+  if (lastSent === latest) return false
+  if (lastSent === undefined || latest.statedAt - lastSent.statedAt > MAX_AGE_MS) return isSignificant(latest, USUAL)
+  return isSignificant(latest, lastSent) || (isSignificant(latest, USUAL) && latest.statedAt - lastSent.statedAt >= REPEAT_MS)
 }
 
 const isSignificant = (one: Figures, other: Figures): boolean => {
