--- a/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
+++ b/packages/almondrelay-gateway/src/process/links/linkMonitor.ts
@@ -122,7 +122,10 @@
     this.table.drop(target)
   }
 
-  /** Probes silent targets, those with lost links and those that may be in the same cut, if the last look is long enough ago. Called by a timer that runs anyway. */
+  /**
+   * Probes silent targets, those with lost links and those that may be in the same cut, if the last look is long enough ago. Called by a
+   * timer that runs anyway.
+   */
   probeTargets (now: number): void {
     if (now - this.lookedAt < LOOK_INTERVAL_MS) return
     this.lookedAt = now
--- a/packages/almondrelay-gateway/src/process/links/suspectLinks.ts
+++ b/packages/almondrelay-gateway/src/process/links/suspectLinks.ts
@@ -12,8 +12,8 @@
 
 /**
  * Decides which links to probe once a link is lost: a cut often takes further ones, in zones of which other targets answer, and requests on
- * their open connections would hang. Links that refuse or reset connections show by themselves with the next request. Each link that turns out to be lost allows more probes, so that a cut of many links is found at a
- * growing rate.
+ * their open connections would hang. Links that refuse or reset connections show by themselves with the next request. Each link that turns
+ * out to be lost allows more probes, so that a cut of many links is found at a growing rate.
  */
 export class SuspectLinks {
   private allowed = 0
@@ -33,8 +33,8 @@
 
   /**
    * Takes the targets to probe now: those without contact since the first of the losses, in availability zones of which another target
-   * was in contact since: of a zone without any contact two lost links are enough for the link table. Those with running requests come first, then those
-   * with the oldest contact; targets that this host hasn't used come last.
+   * was in contact since. Of a zone without any contact two lost links are enough for the link table. Those with running requests come
+   * first, then those with the oldest contact; targets that this host hasn't used come last.
    *
    * @param listTargets the targets whose links aren't lost
    */
--- a/packages/almondrelay-gateway/src/process/shares/workShares.ts
+++ b/packages/almondrelay-gateway/src/process/shares/workShares.ts
@@ -16,7 +16,7 @@
 import type { WorkReport } from './workReport.js'
 
 /** Milliseconds for which the last snapshot received stays in force; after that a host decides by its own counts. */
-const PICTURE_LIFE_MS = 5_000
+const SNAPSHOT_LIFE_MS = 5_000
 /** Milliseconds without a snapshot from the first aggregator after which another one uses and sends its own. */
 const TAKE_OVER_MS = 1_500
 /**
@@ -49,7 +49,7 @@
 interface ReceivedWork extends Sender { receivedAt: number, works: ReadonlyMap<number, AgedWork> }
 interface ReceivedSnapshots { receivedAt: number, snapshots: ReadonlyMap<number, AgedSnapshot> }
 
-const NO_PICTURES: ReadonlyMap<number, AgedSnapshot> = new Map()
+const NO_SNAPSHOTS: ReadonlyMap<number, AgedSnapshot> = new Map()
 
 /**
  * Holds the fair shares of overloaded services, as far as this host knows.
@@ -132,7 +132,7 @@
 
   /** Returns the sums of this zone and the shared clock, for the aggregators of the region's other zones. */
   describeZone (now: number): WorkReport {
-    return { own: undefined, zone: this.sumZone(now), shares: { clockMs: now + this.clockOffsetMs, snapshots: NO_PICTURES } }
+    return { own: undefined, zone: this.sumZone(now), shares: { clockMs: now + this.clockOffsetMs, snapshots: NO_SNAPSHOTS } }
   }
 
   /**
@@ -174,7 +174,7 @@
   }
 
   private findReceived (now: number): ReceivedSnapshots | undefined {
-    return this.received !== undefined && now - this.received.receivedAt <= PICTURE_LIFE_MS ? this.received : undefined
+    return this.received !== undefined && now - this.received.receivedAt <= SNAPSHOT_LIFE_MS ? this.received : undefined
   }
 
   /** Whether this aggregator's own shares are in force. */
@@ -192,7 +192,7 @@
 
   /** Whether this host has received no shares for so long that it decides by its own counts. */
   private isAlone (now: number): boolean {
-    return now - (this.received?.receivedAt ?? this.parts.startedAt) > PICTURE_LIFE_MS
+    return now - (this.received?.receivedAt ?? this.parts.startedAt) > SNAPSHOT_LIFE_MS
   }
 
   /** Keeps the shares that this host sent while it was in charge as the last ones received, where it has received none since. */
@@ -202,7 +202,7 @@
 
   /** Continues with the last shares received, where this aggregator doesn't know of the overload yet. */
   private adoptSnapshots (now: number): void {
-    for (const [service, { snapshot }] of this.findReceived(now)?.snapshots ?? NO_PICTURES) {
+    for (const [service, { snapshot }] of this.findReceived(now)?.snapshots ?? NO_SNAPSHOTS) {
       const control = this.controls.get(service) ?? new ServiceShares()
       putBounded(this.controls, service, control, MAX_SERVICES)
       if (!control.isOverloaded) control.adopt(snapshot)
@@ -245,7 +245,7 @@
 
   /** @param isComplete whether organisations and routes of services that turn nobody away are contained too */
   private describeMeters (now: number, isComplete: boolean): Map<number, AgedWork> {
-    const overloaded = this.findSource(now)?.snapshots ?? NO_PICTURES
+    const overloaded = this.findSource(now)?.snapshots ?? NO_SNAPSHOTS
     return new Map([...this.meters].map(([hash, { meter }]) => {
       const work = meter.describe(now)
       const isNeeded = isComplete || overloaded.has(hash) || work.turnedAwayPerSecond >= QUIET_TURNED_AWAY_PER_SECOND
@@ -277,7 +277,7 @@
 
 const listFresh = (reports: Iterable<ReceivedWork>, now: number): Array<ReadonlyMap<number, AgedWork>> => [...reports]
   .filter(({ receivedAt }) => now - receivedAt <= WORK_LIFE_MS)
-  .map(({ receivedAt, works }) => new Map([...works].filter(([, { ageMs }]) => ageMs <= PICTURE_LIFE_MS).map(([service, { work, ageMs }]) => [service, { work, ageMs: ageMs + now - receivedAt }])))
+  .map(({ receivedAt, works }) => new Map([...works].filter(([, { ageMs }]) => ageMs <= SNAPSHOT_LIFE_MS).map(([service, { work, ageMs }]) => [service, { work, ageMs: ageMs + now - receivedAt }])))
 
 const sumReports = (reports: ReadonlyArray<ReadonlyMap<number, AgedWork>>): Map<number, AgedWork> => {
   const services = new Set(reports.flatMap((report) => [...report.keys()]))
