One time for stating a speed, one longest Retry-After; drop what nothing calls

Cause: three constants of 10 s said for how long a target counts as one that states its speed; the third of a caller's time left stood as a literal beside its constant; a statement to be passed on was taken over twice; getStatedSlowness was called by tests only; decideCopy of the placement uses the retry allowance, which a name with decide excludes. Change: STATES_SPEED_MS and MAX_RETRY_AFTER_SHARE; addUnsent only queues; tests call what the choice calls; admitCopy.

--- a/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
+++ b/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
@@ -45,7 +45,7 @@
       describeKnownState: () => ({}),
       choose: (request: unknown, triedIds: ReadonlySet<string>) => this.targets.filter(({ entry }) => !triedIds.has(entry.id)).map(makeChoice)[0],
       computeCopyDelay: () => 0,
-      decideCopy: () => decision,
+      admitCopy: () => decision,
       isIdentified: () => true,
       claimSend: () => true,
       useRetry: () => true,
--- a/packages/almondrelay-gateway/src/process/forward/requestEvent.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestEvent.ts
@@ -8,7 +8,7 @@
   | { kind: 'overdue' }
   /** The latest moment has come at which a copy at a second target could be on time. */
   | { kind: 'copy-due' }
-  /** Links to targets count as lost, perhaps that to a target whose answer the request waits for. */
+  /** Links to targets count as lost, or a host that carries attempts as silent; the request may wait for an answer by that way. */
   | { kind: 'links-lost' }
   | { kind: 'deadline' }
   | { kind: 'caller-left' }
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -8,6 +8,7 @@
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
+import { MAX_RETRY_AFTER_SHARE } from '../../request/maxRetryAfterShare.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import { computeHash } from '../../version/computeHash.js'
 import { findCommonRegions } from '../../version/findCommonRegions.js'
@@ -177,7 +178,7 @@
     }
     if (remainingMs >= neededMs || shares?.findSnapshot(name, now) === undefined) return undefined
     shareMetrics?.countRefusal(name, RefusalReason.deadlineUnreachable)
-    return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs / 3))
+    return this.refuser.refuseUnreachableDeadline(head, route, organisation?.name, name, Math.max(1, remainingMs * MAX_RETRY_AFTER_SHARE))
   }
 
   /** Serves a request if its organisation's allowance admits it, and releases the allowance usage if the request was not run. */
--- a/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestPlacement.ts
@@ -162,8 +162,8 @@
     return computeCopyDelay({ expectedMs, roundTripMs, warmMs: this.getWarmMs(route), targetLatencyMs, elapsedMs: now - arrivedAt })
   }
 
-  /** Decides whether a copy of a request that is still unanswered is sent to the given second target, and uses the retry allowance for it. */
-  decideCopy ({ arrivedAt, route }: CallerRequest, second: TargetChoice | undefined, now: number): CopyDecision {
+  /** Admits a copy of a request that is still unanswered to the given second target, and uses the retry allowance for it; else says why not. */
+  admitCopy ({ arrivedAt, route }: CallerRequest, second: TargetChoice | undefined, now: number): CopyDecision {
     const decision = decideCopy({ second, cachedShare: this.runtime.places.getCachedShare(now), warmMs: this.getWarmMs(route), targetLatencyMs: route.targetLatencyMs, elapsedMs: now - arrivedAt, findUsage: ({ target }) => this.computeUsage(target.entry.region, now) })
     const isAllowed = decision !== CopyDecision.send || this.runtime.retryAllowance.use(now, this.state.countHosts(), RESERVED_RETRY_SHARE)
     return isAllowed ? decision : CopyDecision.noAllowance
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -160,7 +160,7 @@
     if (this.copy !== undefined || this.running.size !== 1 || this.sends >= this.request.route.maxAttempts || !this.parts.gate.allowSend(this.sends)) return undefined
     if (!this.placement.isIdentified(this.request)) return undefined
     const second = this.placement.choose(this.request, this.triedIds, now)
-    const decision = this.placement.decideCopy(this.request, second, now)
+    const decision = this.placement.admitCopy(this.request, second, now)
     if (decision !== CopyDecision.send) {
       this.record.withheldCopy = decision
       this.parts.metrics.countCopy(decision)
--- a/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
+++ b/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
@@ -55,7 +55,7 @@
   }
 
   getSlowness (host: number, target: number): number | undefined {
-    return this.find(host).fleet.findTarget(`target-${target}`)?.getStatedSlowness(this.now)
+    return this.find(host).fleet.findTarget(`target-${target}`)?.findStated(this.now)?.getSlowness(this.now)
   }
 
   /** Lets time pass; `handleStep` is called every 10 ms. */
--- a/packages/almondrelay-gateway/src/process/loads/__tests__/targetLoads.test.ts
+++ b/packages/almondrelay-gateway/src/process/loads/__tests__/targetLoads.test.ts
@@ -19,11 +19,11 @@
   const { loads, target } = makeLoads()
   for (const head of [{ isMisdirected: true }, { isGenuine: false }, { load: undefined }, { load: { ...LOAD, speedPercent: undefined } }]) {
     loads.observeAnswer(target, makeAnswerHead({ load: LOAD, ...head }), 0)
-    assert.is(target.getStatedSlowness(0), undefined, JSON.stringify(head))
+    assert.is(target.findStated(0)?.getSlowness(0), undefined, JSON.stringify(head))
   }
   assert.not(loads.isActive(0))
   loads.observeAnswer(target, makeAnswerHead({ load: LOAD, isGenuine: false, isNotRun: true }), 0)
-  assert.is(target.getStatedSlowness(0), 2.5)
+  assert.is(target.findStated(0)?.getSlowness(0), 2.5)
   assert.ok(loads.isActive(0))
 })
 
--- a/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
@@ -85,7 +85,7 @@
     for (const statement of statements) {
       this.receive(statement, (known) => {
         this.pool.put(known, true)
-        if (!isSpreader) this.parts.loads.receiveForRelay(known, now)
+        if (!isSpreader) this.parts.loads.addUnsent(known)
       }, now)
     }
   }
--- a/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoads.ts
@@ -1,3 +1,4 @@
+import { STATES_SPEED_MS } from '../../request/statesSpeedMs.js'
 import type { TargetAnswerHead } from '../../request/targetAnswerHead.js'
 import type { TargetChoice } from '../../request/targetChoice.js'
 import type { TargetState } from '../../request/targetState.js'
@@ -5,8 +6,6 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { GatewayMetrics } from '../observe/gatewayMetrics.js'
 
-/** Milliseconds after the last statement for which targets count as stating their speeds. */
-const ACTIVE_MS = 10_000
 /** Choices of which one is made again without statements: a second choice doubles the time of the first. */
 const CHOICES_PER_COMPARISON = 8
 
@@ -46,9 +45,8 @@
     return true
   }
 
-  /** Takes over a statement that another host received and that this host is to pass on. */
-  receiveForRelay (statement: TargetStatement, now: number): void {
-    this.receive(statement, now)
+  /** Adds a statement that another host received to those that this host sends. */
+  addUnsent (statement: TargetStatement): void {
     const known = this.unsent.get(statement.incarnationHash)
     if (known === undefined || known.statedAt < statement.statedAt) this.unsent.set(statement.incarnationHash, statement)
   }
@@ -62,7 +60,7 @@
 
   /** Whether targets have stated speeds lately. */
   isActive (now: number): boolean {
-    return now - this.lastStatedAt <= ACTIVE_MS
+    return now - this.lastStatedAt <= STATES_SPEED_MS
   }
 
   /** Counts a choice and, of one in eight, whether statements changed it; does nothing while no target states its speed. */
--- a/packages/almondrelay-gateway/src/process/store/storedText.ts
+++ b/packages/almondrelay-gateway/src/process/store/storedText.ts
@@ -14,7 +14,10 @@
  */
 const MAX_TEXT_BYTES = 16 * 1024 * 1024
 
-/** Encodes texts for the store and decodes them, compressed from a minimum length on. */
+/**
+ * Encodes texts for the store and decodes them, compressed from a minimum length on. The functions of node:zlib are looked up at each use:
+ * they must not be loaded while the startup snapshot is built.
+ */
 export const storedText = {
   encode: async (text: string): Promise<Buffer> => {
     const bytes = Buffer.from(text)
--- a/packages/almondrelay-gateway/src/request/__tests__/statedLoad.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/statedLoad.test.ts
@@ -72,8 +72,8 @@
 test('a new incarnation starts without statements', () => {
   const first = makeTarget({ incarnation: 1 })
   first.receiveStatement(SLOW, 0)
-  assert.is(first.getStatedSlowness(0), 2.5)
-  assert.is(makeTarget({ incarnation: 2 }).getStatedSlowness(0), undefined)
+  assert.is(first.findStated(0)?.getSlowness(0), 2.5)
+  assert.is(makeTarget({ incarnation: 2 }).findStated(0)?.getSlowness(0), undefined)
 })
 
 test('a target that no longer states its speed counts as one that never did', () => {
--- a/packages/almondrelay-gateway/src/request/computeShareRetryAfter.ts
+++ b/packages/almondrelay-gateway/src/request/computeShareRetryAfter.ts
@@ -1,8 +1,7 @@
 import { computeShareDraw } from './computeShareDraw.js'
+import { MAX_RETRY_AFTER_SHARE } from './maxRetryAfterShare.js'
 import { SHARE_SLOT_MS } from './shareSlotMs.js'
 
-/** Maximum part of a caller's time left after which it is told to come back. */
-const MAX_REMAINING_SHARE = 1 / 3
 /** Part of the admitted fraction with which a later slot is promised, as the fraction may have fallen by then. */
 const PROMISED_FRACTION = 0.9
 /** Earliest part of a slot that is told: clocks of a region's hosts differ by the way of a datagram. */
@@ -29,7 +28,7 @@
  * at random over that third.
  */
 export function computeShareRetryAfter ({ fraction, requestHash, clockMs, remainingMs, random }: ShareRetryInput): number {
-  const maxMs = Math.max(0, remainingMs * MAX_REMAINING_SHARE)
+  const maxMs = Math.max(0, remainingMs * MAX_RETRY_AFTER_SHARE)
   const current = Math.floor(clockMs / SHARE_SLOT_MS)
   for (let slot = current + 1; ; slot += 1) {
     const afterMs = (slot + SLOT_MARGIN + (1 - 2 * SLOT_MARGIN) * random) * SHARE_SLOT_MS - clockMs
--- a/packages/almondrelay-gateway/src/request/secondPlaces.ts
+++ b/packages/almondrelay-gateway/src/request/secondPlaces.ts
@@ -1,3 +1,5 @@
+import { STATES_SPEED_MS } from './statesSpeedMs.js'
+
 /** Weight of one answer in the share of cached objects at second targets: about the last ten answers count. */
 const SECOND_GAIN = 0.1
 /** Weight of one answer in the share of misses at preferred targets, which get most requests. */
@@ -15,8 +17,6 @@
  */
 const SUFFICIENT_MISS_SHARE = 0.08
 const FULL_MISS_SHARE = 0.2
-/** Milliseconds after the last answer with a speed for which targets count as stating theirs. */
-const ACTIVE_MS = 10_000
 /** Work that takes longer than this multiple of that on an uncached object is one of the few long requests, and says nothing. */
 const MAX_COLD_RATIO = 1.3
 
@@ -59,7 +59,7 @@
 
   /** Whether targets of the service have stated their speeds to this host lately. */
   isActive (now: number): boolean {
-    return now - this.statedAt <= ACTIVE_MS
+    return now - this.statedAt <= STATES_SPEED_MS
   }
 
   /** Returns the share of the work at second targets that finds its object cached. */
--- a/packages/almondrelay-gateway/src/request/targetState.ts
+++ b/packages/almondrelay-gateway/src/request/targetState.ts
@@ -1,6 +1,7 @@
 import { computeHash } from '../version/computeHash.js'
 import type { LoadStatement } from './loadStatement.js'
 import { StatedLoad } from './statedLoad.js'
+import { STATES_SPEED_MS } from './statesSpeedMs.js'
 import type { TargetEntry } from './targetEntry.js'
 import { WarmKeys } from './warmKeys.js'
 
@@ -24,8 +25,6 @@
 const WARM_UP_MS = 8_000
 /** Age, in milliseconds, above which a peer's count of running requests is ignored as outdated. */
 const PEER_COUNT_MAX_AGE_MS = 1_500
-/** Milliseconds after its last statement for which a target counts as one that states its speed: longer than any pause between its answers. */
-const STATES_SPEED_MS = 10_000
 
 /**
  * State of one incarnation of a target as known to this host: its entry, its load and how it has answered. A restarted target has
@@ -168,14 +167,6 @@
     return this.stated !== undefined && this.stated.computeAge(now) <= STATES_SPEED_MS ? this.stated : undefined
   }
 
-  /**
-   * Returns the factor by which work takes longer than usual, as the target stated it and as it probably is by now; undefined where no
-   * recent statement that is trusted is known. Faster than usual is below 1.
-   */
-  getStatedSlowness (now: number): number | undefined {
-    return this.findStated(now)?.getSlowness(now)
-  }
-
   getFailureShare (now: number): number {
     return this.failureShare * this.computeDecay(now)
   }
