--- a/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/decodeUsageReport.ts
@@ -3,12 +3,11 @@
 import type { AllowanceUsage } from '../../request/allowanceUsage.js'
 import type { UsageTotals } from '../../request/usageTotals.js'
 import type { FieldReader } from '../peers/fieldReader.js'
+import { isValidName } from '../peers/isValidName.js'
 import { decodeWorkReport } from '../shares/decodeWorkReport.js'
 import type { UsageReport } from './usageReport.js'
 import type { ZoneUsage } from './zoneUsage.js'
 
-/** Maximum length of a host's or zone's name. Reports with longer names are rejected, as they can't come from a host. */
-const MAX_NAME_LENGTH = 200
 /** Twice the number of hosts of the largest fleet. A sum over more hosts can't be genuine. */
 const MAX_HOSTS = 10_000
 
@@ -57,15 +56,13 @@
       default: reader.ignoreField(tag)
     }
   }
-  if (!isName(host) || !isName(availabilityZone) || asked.length !== hashes.length || letThrough.length !== hashes.length) return undefined
+  if (!isValidName(host) || !isValidName(availabilityZone) || asked.length !== hashes.length || letThrough.length !== hashes.length) return undefined
   const totals = new Map<number, UsageTotals>()
   for (let index = 0; index < hashes.length; index += 1) totals.set(hashes[index] as number, { asked: asked[index] as number, letThrough: letThrough[index] as number })
   const work = decodeWorkReport({ work: serviceWork, zoneWork, shares })
   return { host, incarnation, availabilityZone, sequence, totals, zone, fleet, ...(work === undefined ? {} : { work }) }
 }
 
-const isName = (name: string): boolean => name.length > 0 && name.length <= MAX_NAME_LENGTH
-
 /** @throws Error if a host can't have sent such a sum */
 const decodeZoneUsage = (reader: FieldReader, end: number): ZoneUsage => {
   let hosts = 0
--- a/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeDatagram.ts
@@ -19,9 +19,9 @@
 export function decodeDatagram (bytes: Uint8Array): PeerMessage | undefined {
   try {
     switch (bytes[0]) {
-      case LOAD_TAG: return decodeLoad(bytes)
-      case USE_TAG: return decodeUse(bytes)
-      case TARGET_LOADS_TAG: return decodeLoads(bytes)
+      case LOAD_TAG: return makeMessage('load', readReport(bytes, decodeLoadReport))
+      case USE_TAG: return makeMessage('use', readReport(bytes, decodeUsageReport))
+      case TARGET_LOADS_TAG: return makeMessage('target-loads', readReport(bytes, decodeTargetLoads))
       default: return decodeContent(fromBinary(PeerDatagramSchema, bytes).content)
     }
   } catch {
@@ -29,30 +29,16 @@
   }
 }
 
-const decodeLoad = (bytes: Uint8Array): PeerMessage | undefined => {
+/** Reads the report in a datagram by its own decoder; undefined if no host can have sent it. */
+const readReport = <Report>(bytes: Uint8Array, decode: (reader: FieldReader, end: number) => Report | undefined): Report | undefined => {
   const reader = new FieldReader(bytes)
   reader.readTag()
-  const report = decodeLoadReport(reader, reader.readEnd())
-  return report === undefined ? undefined : { kind: 'load', report }
+  return decode(reader, reader.readEnd())
 }
 
-const decodeUse = (bytes: Uint8Array): PeerMessage | undefined => {
-  const reader = new FieldReader(bytes)
-  reader.readTag()
-  const report = decodeUsageReport(reader, reader.readEnd())
-  return report === undefined ? undefined : { kind: 'use', report }
-}
-
-const decodeLoads = (bytes: Uint8Array): PeerMessage | undefined => {
-  const reader = new FieldReader(bytes)
-  reader.readTag()
-  const report = decodeTargetLoads(reader, reader.readEnd())
-  return report === undefined ? undefined : { kind: 'target-loads', report }
-}
+const makeMessage = <Kind extends PeerMessage['kind'], Report>(kind: Kind, report: Report | undefined): { kind: Kind, report: Report } | undefined =>
+  report === undefined ? undefined : { kind, report }
 
 /** Decodes the rare messages with the protobuf library. */
-const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined => {
-  if (content.case !== 'suspects') return undefined
-  const report = decodeSuspectReport(content.value)
-  return report === undefined ? undefined : { kind: 'suspects', report }
-}
+const decodeContent = (content: PeerDatagram['content']): PeerMessage | undefined =>
+  content.case === 'suspects' ? makeMessage('suspects', decodeSuspectReport(content.value)) : undefined
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -1,12 +1,10 @@
 import { decodeStoreChanges } from './decodeStoreChanges.js'
 import type { FieldReader } from './fieldReader.js'
+import { isValidName } from './isValidName.js'
 import type { PeerReport } from './peerReport.js'
 import type { RequestLimitReport } from './requestLimitReport.js'
 import type { ServiceDemand } from './serviceDemand.js'
 
-/** Maximum length of a host's or region's name. Reports with longer names are rejected, as they can't come from a host. */
-const MAX_NAME_LENGTH = 200
-
 /**
  * Decodes a host's load report. Returns undefined if it isn't valid, as anybody can send to the port.
  *
@@ -66,7 +64,7 @@
       default: reader.ignoreField(tag)
     }
   }
-  if (!isName(host) || !isName(region) || !isRevision(storeRevision) || !isRevision(notableRevision) || !isRevision(declaredRevision)) return undefined
+  if (!isValidName(host) || !isValidName(region) || !isRevision(storeRevision) || !isRevision(notableRevision) || !isRevision(declaredRevision)) return undefined
   const inFlight = new Map<number, number>()
   for (let index = 0; index < targetHashes.length; index += 1) inFlight.set(targetHashes[index] as number, counts[index] ?? 0)
   return {
@@ -90,8 +88,6 @@
   }
 }
 
-const isName = (name: string): boolean => name.length > 0 && name.length <= MAX_NAME_LENGTH
-
 const isRevision = (value: number): boolean => Number.isSafeInteger(value) && value >= 0
 
 const decodeDemand = (reader: FieldReader, end: number): ServiceDemand => {
