One sum by priority, one way to send a datagram to several hosts

Cause: the work of the more urgent routes was summed by the same loop in two modules, and four exchanges sent their reports by the same two lines. Change: splitByPriority and sendToHosts. What is computed and sent is the same.

--- a/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
+++ b/packages/almondrelay-gateway/src/process/loads/targetLoadExchange.ts
@@ -3,9 +3,9 @@
 import type { TargetStatement } from '../../request/targetStatement.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
-import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
+import { sendToHosts } from '../peers/sendToHosts.js'
 import { encodeTargetLoads } from './encodeTargetLoads.js'
 import { MAX_STATEMENTS } from './maxStatements.js'
 import type { TargetLoadReport } from './targetLoadReport.js'
@@ -193,8 +193,7 @@
     const receivers = entries.filter(({ name }) => name !== own.name)
     if (receivers.length === 0) return 0
     const bytes = encodeTargetLoads({ host: own.name, incarnation: own.incarnation, origin: 0, passesOn: false, forwardTo: [], ...content })
-    for (const { ip, peerPort } of receivers) socket.send(bytes, ip, peerPort)
-    return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
+    return sendToHosts(socket, receivers, bytes)
   }
 }
 
--- a/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
+++ b/packages/almondrelay-gateway/src/process/organisations/usageExchange.ts
@@ -1,8 +1,8 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
 import type { EventLog } from '../observe/eventLog.js'
-import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
+import { sendToHosts } from '../peers/sendToHosts.js'
 import type { WorkShares } from '../shares/workShares.js'
 import type { Allowances } from './allowances.js'
 import { encodeUsageReport } from './encodeUsageReport.js'
@@ -141,7 +141,6 @@
     if (receivers.length === 0) return 0
     this.sequence += 1
     const bytes = encodeUsageReport({ host: own.name, incarnation: own.incarnation, availabilityZone: own.availabilityZone, sequence: this.sequence, totals: new Map(), zone: undefined, fleet: undefined, ...content })
-    for (const { ip, peerPort } of receivers) socket.send(bytes, ip, peerPort)
-    return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
+    return sendToHosts(socket, receivers, bytes)
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -5,11 +5,11 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
 import type { StorePosition } from '../store/storePosition.js'
 import { computeMeanTimes } from './computeMeanTimes.js'
-import { DATAGRAM_OVERHEAD } from './datagramOverhead.js'
 import { encodeLoadReport } from './encodeLoadReport.js'
 import type { PeerReport } from './peerReport.js'
 import type { PeerSocket } from './peerSocket.js'
 import type { PeerView } from './peerView.js'
+import { sendToHosts } from './sendToHosts.js'
 import type { ServiceDemand } from './serviceDemand.js'
 import { splitChanges } from './splitChanges.js'
 
@@ -195,8 +195,7 @@
   private send (receivers: readonly HostEntry[], report: Omit<PeerReport, 'sequence'>): number {
     this.sequence += 1
     const bytes = encodeLoadReport({ ...report, sequence: this.sequence })
-    for (const entry of receivers) this.parts.socket.send(bytes, entry.ip, entry.peerPort)
-    return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
+    return sendToHosts(this.parts.socket, receivers, bytes)
   }
 
   private buildReport (content: ReportContent): Omit<PeerReport, 'sequence'> {
--- a/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/suspectExchange.ts
@@ -1,7 +1,7 @@
 import type { HostEntry } from '../fleet/hostEntry.js'
-import { DATAGRAM_OVERHEAD } from '../peers/datagramOverhead.js'
 import type { PeerSocket } from '../peers/peerSocket.js'
 import type { PeerView } from '../peers/peerView.js'
+import { sendToHosts } from '../peers/sendToHosts.js'
 import { encodeSuspectReport } from './encodeSuspectReport.js'
 import type { Suspect } from './suspect.js'
 import type { SuspectReport } from './suspectReport.js'
@@ -97,7 +97,6 @@
     const { own, socket } = this.parts
     if (receivers.length === 0) return 0
     const bytes = encodeSuspectReport({ host: own.name, incarnation: own.incarnation, suspects, passesOn })
-    for (const { ip, peerPort } of receivers) socket.send(bytes, ip, peerPort)
-    return receivers.length * (bytes.byteLength + DATAGRAM_OVERHEAD)
+    return sendToHosts(socket, receivers, bytes)
   }
 }
--- a/packages/almondrelay-gateway/src/request/computeShareFraction.ts
+++ b/packages/almondrelay-gateway/src/request/computeShareFraction.ts
@@ -1,5 +1,6 @@
 import type { OverloadSnapshot } from './overloadSnapshot.js'
 import type { ShareInput } from './shareInput.js'
+import { splitByPriority } from './splitByPriority.js'
 
 /**
  * Computes the part of the requests of an organisation's route that is admitted while their service is overloaded.
@@ -23,11 +24,6 @@
 }
 
 const computeRouteFraction = ({ routes }: OverloadSnapshot, share: number, priority: number): number => {
-  let earlier = 0
-  let same = 0
-  for (const route of routes.values()) {
-    if (route.priority < priority) earlier += route.mix
-    if (route.priority === priority) same += route.mix
-  }
+  const { earlier, same } = splitByPriority(routes.values(), priority, ({ mix }) => mix)
   return same === 0 ? share : Math.min(1, Math.max(0, (share - earlier) / same))
 }
--- a/packages/almondrelay-gateway/src/request/serviceShares.ts
+++ b/packages/almondrelay-gateway/src/request/serviceShares.ts
@@ -5,6 +5,7 @@
 import type { OverloadSnapshot } from './overloadSnapshot.js'
 import { OverloadState } from './overloadState.js'
 import type { RouteShare } from './routeShare.js'
+import { splitByPriority } from './splitByPriority.js'
 import type { WorkSums } from './workSums.js'
 
 /** Minimum of each route, as a part of the capacity. */
@@ -144,13 +145,8 @@
 
 /** Returns the part of a route's work that is served if the more urgent routes come first. */
 const computeRouteFraction = (routes: ReadonlyMap<number, ClassWork>, servedMs: number, priority: number): number => {
-  let earlierMs = 0
-  let sameMs = 0
-  for (const route of routes.values()) {
-    if (route.priority < priority) earlierMs += route.askedMs
-    if (route.priority === priority) sameMs += route.askedMs
-  }
-  return Math.min(1, Math.max(0, (servedMs - earlierMs) / Math.max(1, sameMs)))
+  const { earlier, same } = splitByPriority(routes.values(), priority, ({ askedMs }) => askedMs)
+  return Math.min(1, Math.max(0, (servedMs - earlier) / Math.max(1, same)))
 }
 
 const sumAdmitted = ({ organisations }: WorkSums): number => {
