Keep the platform's contracts out of the product's settings

Cause: the settings schema of the gateway had a list of contracts, a word of the platform; only platform/ translates it into fairShares.

--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -29,9 +29,7 @@
     address,
     writesPerSecond: z.number().positive(),
     readsPerSecond: z.number().positive(),
-    shortestLease: duration,
-    /** Names of the contracts that the platform has with its customers; the platform's daemon derives settings from them. */
-    contracts: z.array(z.string()).nullish()
+    shortestLease: duration
   }),
   bounds: z.object({
     /** Time from the stop signal until the process is killed. */
