--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -2,6 +2,7 @@
 import { writeFileSync } from 'node:fs'
 import path from 'node:path'
 import { Host } from './host.mjs'
+import { Link } from './link.mjs'
 import { Store } from './store.mjs'
 import { Upstream } from './upstream.mjs'
 
@@ -36,9 +37,28 @@
     return upstream
   }
 
-  async addHost (bounds) {
+  /** Adds a host with a link of its own to each upstream that there is now. */
+  async addLinkedHost () {
     const n = this.hosts.length
-    const host = new Host(`front-${n + 1}`, this.ip(10 + n), { zone: Object.keys(ZONES)[n % 2], region: 'tpe', zones: ZONES, storeAddress: this.store.address, bounds })
+    const links = await Promise.all(this.upstreams.map(async ({ address }) => {
+      const link = new Link(this.ip(200 + n), address)
+      await link.start()
+      return link
+    }))
+    const translate = (item) => {
+      if (!item.key.startsWith('servers/')) return item
+      const entry = JSON.parse(Buffer.from(item.value, 'base64').toString())
+      const address = links.find(({ target }) => target === entry.address)?.address ?? entry.address
+      return { ...item, value: Buffer.from(JSON.stringify({ ...entry, address })).toString('base64') }
+    }
+    const host = await this.addHost(undefined, await this.store.listen(this.ip(1), translate))
+    host.links = links
+    return host
+  }
+
+  async addHost (bounds, storeAddress = this.store.address) {
+    const n = this.hosts.length
+    const host = new Host(`front-${n + 1}`, this.ip(10 + n), { zone: Object.keys(ZONES)[n % 2], region: 'tpe', zones: ZONES, storeAddress, bounds })
     this.hosts.push(host)
     await host.start()
     this.record(`${host.name} is ready, process ${host.pid}`)
@@ -61,6 +81,7 @@
 
   async stop () {
     for (const host of this.hosts) await host.remove()
+    for (const { links } of this.hosts) links?.forEach((link) => { link.stop() })
     for (const upstream of this.upstreams) upstream.stop()
     this.store.stop()
     writeFileSync(path.join(this.folder, 'record.txt'), `${this.#lines.join('\n')}\n`)
--- a/review/lib/host.mjs
+++ b/review/lib/host.mjs
@@ -10,12 +10,13 @@
 const REPOSITORY = fileURLToPath(new URL('../../', import.meta.url))
 const START_TIMEOUT_MS = 10_000
 
-async function findFreePort (ip) {
-  const server = createServer()
-  await new Promise((resolve, reject) => { server.once('error', reject).listen(0, ip, resolve) })
-  const { port } = server.address()
-  await new Promise((resolve) => { server.close(resolve) })
-  return port
+/** Finds different free ports: all are held until the last one is found. */
+async function findFreePorts (ip, count) {
+  const servers = Array.from({ length: count }, () => createServer())
+  for (const server of servers) await new Promise((resolve, reject) => { server.once('error', reject).listen(0, ip, resolve) })
+  const ports = servers.map((server) => server.address().port)
+  for (const server of servers) await new Promise((resolve) => { server.close(resolve) })
+  return ports
 }
 
 export class Host {
@@ -33,7 +34,8 @@
   async start () {
     const { ip } = this
     const { zone, region, zones, storeAddress, bounds } = this.deployment
-    this.ports ??= { front: await findFreePort(ip), ready: await findFreePort(ip), directory: await findFreePort(ip), inner: [await findFreePort(ip), await findFreePort(ip)] }
+    const [front, ready, directory, ...inner] = await findFreePorts(ip, 5)
+    this.ports ??= { front, ready, directory, inner }
     const { ports } = this
     const fields = {
       node_name: this.name,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -4,23 +4,34 @@
 const PAGE_SIZE = 500
 
 export class Store {
+  /** Whether calls are read and not answered. */
+  isSilent = false
   #revision = 1
   #items = new Map()
   #events = []
   #leases = new Map()
   #nextLease = 1
   #waiting = new Set()
-  #server = createServer((message, response) => { this.#serve(message, response).catch(() => { response.destroy() }) })
+  #servers = []
 
   async start (ip) {
-    await new Promise((resolve) => { this.#server.listen(0, ip, resolve) })
-    this.address = `${ip}:${this.#server.address().port}`
+    this.address = await this.listen(ip, (item) => item)
+  }
+
+  /** Opens one more port, at which items are read as `translate` returns them; resolves with its address. */
+  async listen (ip, translate) {
+    const server = createServer((message, response) => { this.#serve(message, response, translate).catch(() => { response.destroy() }) })
+    this.#servers.push(server)
+    await new Promise((resolve) => { server.listen(0, ip, resolve) })
+    return `${ip}:${server.address().port}`
   }
 
   stop () {
     for (const { timer } of this.#leases.values()) clearTimeout(timer)
-    this.#server.closeAllConnections()
-    this.#server.close()
+    for (const server of this.#servers) {
+      server.closeAllConnections()
+      server.close()
+    }
   }
 
   write (key, value, lease = 0) {
@@ -45,13 +56,15 @@
     for (const wake of [...this.#waiting]) wake()
   }
 
-  async #serve (message, response) {
+  async #serve (message, response, translate) {
     const chunks = []
     for await (const chunk of message) chunks.push(chunk)
+    if (this.isSilent) return
     const url = new URL(message.url, 'http://store')
     const body = chunks.length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString())
     const [status, answer] = await this.#answer(message.method, url, body)
-    response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(answer))
+    const translateAll = (list) => list?.map((item) => item.value === undefined ? item : translate(item))
+    response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify({ ...answer, items: translateAll(answer.items), events: translateAll(answer.events) }))
   }
 
   async #answer (method, { pathname, searchParams }, body) {
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -3,6 +3,8 @@
 import { createServer } from 'node:net'
 
 const HEAD_END = '\r\n\r\n'
+/** Among the parts of an answer: the connection is closed here. */
+export const BREAK_OFF = Symbol('break off')
 
 export class Upstream {
   #server = createServer((socket) => { this.#accept(socket) })
@@ -59,6 +61,10 @@
       isBusy = false
       if (bytes === undefined || socket.destroyed) return
       for (const part of [bytes].flat()) {
+        if (part === BREAK_OFF) {
+          socket.destroy()
+          return
+        }
         socket.write(part)
         await new Promise((resolve) => { setTimeout(resolve, 5) })
       }
