--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -20,8 +20,9 @@
 const FIRST_LOOKUPS = 4
 const FURTHER_LOOKUPS = 8
 const FURTHER_AFTER_MS = 1_000
-/** The client's send buffer: it writes what it sends in pieces of this size, one right after the other. */
+/** The client writes what it sends in pieces of this size, as its send buffer has room, with a short pause between two. */
 const PIECE_BYTES = 1_000
+const PIECE_GAP_MS = 25
 
 const PROMISES = [408, 421, 429, 503]
 
@@ -60,7 +61,7 @@
     const bytes = furtherIds.map(encodeLookupRequest).join('')
     for (let at = 0; at < bytes.length; at += PIECE_BYTES) {
       connection.write(bytes.slice(at, at + PIECE_BYTES))
-      await sleep(5)
+      await sleep(PIECE_GAP_MS)
     }
     record(`client ${number} has sent ${FURTHER_LOOKUPS} further lookups behind them`)
     const answers = await Promise.all(answered)
