Answer a request that can't be read only after those before it

Cause: Node's HTTP server answers a late head with 408, and bytes that are no request with 400, straight on the socket, whatever requests before it are running. The head was late through the host itself: Node stops reading a connection while 16 KB of answers wait behind the first one.

Change: CallerConnection is the only writer and closer of a caller's connection. Answers wait there until their turn, at most 64 requests of a connection are handled at once, and a request that can't be read gets its status after the answers before it. A late one has another second once nothing else is to be answered. Why it holds: no other code writes to the socket, as a listener for 'clientError' keeps Node from it, and a missing Host header goes to the request handler.

Related: the port on which hosts call each other closes such a connection without an answer, as a status there counts as a refusal of a call that may be running. A request whose body turns out unreadable isn't handled further.

--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
@@ -0,0 +1,124 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { HeldServer } from '../__fixtures__/heldServer.js'
+import { ReadFailure } from '../readFailure.js'
+
+const test = suite('CallerConnection')
+const { read, waitFor } = HeldServer
+
+/** Longer than the time after which the server reports a late head, with the margin that it adds and the interval of its checks. */
+const LATE_MS = 2_600
+const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 100, idleTimeoutMs: 60_000 }
+
+let owner = new AbortController()
+
+test.before.each(() => { owner = new AbortController() })
+test.after.each(() => { owner.abort() })
+
+const makeGet = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
+const listStatuses = (text: string): string[] => [...text.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(([, status]) => status ?? '')
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
+
+// Guards against a 408 in place of the answer to a request that is running, because of a later request on its connection.
+test('a late head behind a running request waits for the answer to that request', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  held.server.setLimits(LIMITS)
+  const received = read(socket)
+  socket.write(`${makeGet('/1')}GET /2 HTTP/1.1\r\nHo`)
+  await waitFor(() => held.paths.length === 1, 'the first request')
+  await sleep(LATE_MS)
+  assert.is(received.text, '')
+  held.answer('/1')
+  await waitFor(() => received.text.includes('answer to /1;'), 'the answer')
+  socket.write('st: a.example\r\n\r\n')
+  await waitFor(() => held.paths.length === 2, 'the second request')
+  held.answer('/2')
+  await waitFor(() => received.text.includes('answer to /2;'), 'the second answer')
+  assert.equal(listStatuses(received.text), ['200', '200'])
+})
+
+test('a head that stays late is answered 408 after the answers to the requests before it', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  held.server.setLimits(LIMITS)
+  const received = read(socket)
+  socket.write(`${makeGet('/1')}GET /2 HTTP/1.1\r\nHo`)
+  await waitFor(() => held.paths.length === 1, 'the first request')
+  await sleep(LATE_MS)
+  held.answer('/1')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(listStatuses(received.text), ['200', '408'])
+  assert.match(received.text, /answer to \/1;HTTP\/1\.1 408 [^]*Connection: close/)
+})
+
+test('a late head on a connection without other requests is answered 408', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  held.server.setLimits(LIMITS)
+  const received = read(socket)
+  socket.write('GET /1 HTTP/1.1\r\nHo')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(listStatuses(received.text), ['408'])
+  assert.equal(held.paths, [])
+})
+
+// Guards against a 400 in place of the answer to a request that is running, because of bytes behind it that are no request.
+test('bytes that are no request are answered 400 after the answers to the requests before them', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write(`${makeGet('/1')}${makeGet('/2')}no request\r\n\r\n`)
+  await waitFor(() => held.paths.length === 2, 'the requests')
+  await sleep(20)
+  assert.is(received.text, '')
+  held.answer('/2')
+  held.answer('/1')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(listStatuses(received.text), ['200', '200', '400'])
+  assert.equal(held.readFailures.map(({ failure, waiting }) => ({ failure, waiting })), [{ failure: ReadFailure.malformed, waiting: 2 }])
+  assert.equal(held.abortedPaths, [])
+})
+
+// Guards against a 400 in place of the answer to a request that asked for its connection to be closed.
+test('bytes behind a request that closes its connection are not answered', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write('GET /1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\n')
+  await waitFor(() => held.paths.length === 1, 'the request')
+  await sleep(20)
+  held.answer('/1')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(listStatuses(received.text), ['200'])
+  assert.match(received.text, /Connection: close[^]*answer to \/1;$/)
+})
+
+test('a body that is no body is answered 400, and its request is not handled further', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write(`${makeGet('/1')}POST /2 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n`)
+  await waitFor(() => held.paths.length === 2, 'the requests')
+  socket.write('no size\r\n')
+  await waitFor(() => held.abortedPaths.length === 1, 'the abort of the second request')
+  held.answer('/1')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(listStatuses(received.text), ['200', '400'])
+  assert.equal(held.abortedPaths, ['/2'])
+})
+
+// Guards against a connection that is left open, or a process that ends, after a caller's reset.
+test('a caller that resets its connection aborts its requests', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  socket.on('error', () => undefined)
+  socket.write(makeGet('/1') + makeGet('/2'))
+  await waitFor(() => held.paths.length === 2, 'the requests')
+  socket.resetAndDestroy()
+  await waitFor(() => held.abortedPaths.length === 2, 'the abort of the requests')
+  assert.is(held.server.countUnanswered(), 0)
+})
+
+test('a caller that ends its connection in the middle of a head gets no answer to it', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.end('GET /1 HTT')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.equal(held.paths, [])
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
@@ -1,55 +1,15 @@
 import { connect, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { CallerAnswer } from '../callerAnswer.js'
-import { AnswerMemory } from '../answerMemory.js'
-import { CallerServer } from '../callerServer.js'
-import { TurnQueue } from '../turnQueue.js'
+import { HeldServer } from '../__fixtures__/heldServer.js'
 
 const test = suite('CallerServer')
 
 /** More bytes than the socket buffers of both sides hold. */
 const LARGE_ANSWER_BYTES = 16 * 1024 * 1024
 
-/** Server that holds requests until the test answers them, in any order. */
-class HeldServer {
-  port = 0
-  readonly paths: string[] = []
-  /** Paths of the requests whose signal reported that the caller disconnected. */
-  readonly abortedPaths: string[] = []
-  private readonly finishers = new Map<string, (answer: CallerAnswer) => void>()
-  readonly memory = new AnswerMemory(Infinity)
-  readonly server = new CallerServer((message, left) => new Promise((resolve) => {
-    this.paths.push(message.url ?? '')
-    left.addEventListener('abort', () => { this.abortedPaths.push(message.url ?? '') })
-    this.finishers.set(message.url ?? '', resolve)
-  }), new TurnQueue(() => performance.now()), this.memory, (error) => { throw error })
-
-  answer (path: string, text = `answer to ${path};`): void {
-    const body = Buffer.from(text)
-    this.finishers.get(path)?.({ status: 200, headers: ['Content-Length', String(body.length)], body })
-  }
-}
-
-const read = (socket: Socket): { text: string, isEnded: boolean } => {
-  const seen = { text: '', isEnded: false }
-  socket.on('data', (bytes) => { seen.text += bytes.toString() })
-  socket.on('close', () => { seen.isEnded = true })
-  return seen
-}
-const waitFor = async (check: () => boolean, what: string): Promise<void> => {
-  for (let look = 0; look < 1_000; look += 1) {
-    if (check()) return
-    await new Promise((resolve) => { setTimeout(resolve, 5) })
-  }
-  throw new Error(`timed out waiting for ${what}`)
-}
-const start = async (): Promise<{ held: HeldServer, socket: Socket }> => {
-  const held = new HeldServer()
-  held.port = await held.server.listen('127.0.0.1', 0)
-  const socket = connect(held.port, '127.0.0.1')
-  return { held, socket }
-}
+const { read, waitFor } = HeldServer
+const start = async (): Promise<{ held: HeldServer, socket: Socket }> => HeldServer.start()
 const makeGet = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
 
 // A host stops while a caller has two requests on one connection, and the target answers the second one first. With a decision by
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -0,0 +1,211 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { AnswerMemory } from './answerMemory.js'
+import type { CallerAnswer } from './callerAnswer.js'
+import { encodeReadFailure } from './encodeReadFailure.js'
+import { findReadFailure } from './findReadFailure.js'
+import { ReadFailure } from './readFailure.js'
+import type { ReadFailureReport } from './readFailureReport.js'
+
+/** Requests of one connection that are handled at the same time; further ones are read once earlier ones have been answered. */
+const MAX_WAITING = 64
+/** Size of an answer body, in bytes, from which the caller must read it within a limited time: smaller ones fit into the kernel's buffer. */
+const MIN_TIMED_BYTES = 16 * 1024
+/** Milliseconds within which an answer must have been read: twice as long as any caller waits for one. */
+const READ_TIMEOUT_MS = 30_000
+/**
+ * Milliseconds that a late request still has once the connection has nothing else to answer: the rest of it may have arrived while
+ * this process was stopped, or while it did not read the connection because of answers that the caller had not read.
+ */
+const LATE_REQUEST_MARGIN_MS = 1_000
+
+/** One request of a connection, from its head to the end of its answer. */
+interface Exchange {
+  message: IncomingMessage
+  response: ServerResponse
+  callerLeft: AbortController
+  answer: CallerAnswer | undefined
+  /** The answer is the last one on the connection, and says so. */
+  isLast: boolean
+  isWritten: boolean
+}
+
+interface ConnectionParts {
+  memory: AnswerMemory
+  reportReadFailure: (report: ReadFailureReport) => void
+  handleClose: () => void
+}
+
+/**
+ * A caller's connection: the only place that writes to it, closes it, or decides whether a request on it is handled.
+ *
+ * Answers are written in the order of their requests, each once those before it have been sent. A request that can't be read is answered
+ * in its turn too: any status written earlier would be taken for the answer to a request that is running.
+ */
+export class CallerConnection {
+  private readonly exchanges: Exchange[] = []
+  private isLeaving = false
+  /** No further requests are handled: the connection ends after the answers to those that were read. */
+  private isEnding = false
+  /** The request whose head was read last; it may have been answered. */
+  private last: Exchange | undefined
+  /** Why what follows on the connection can't be read. */
+  private failure: ReadFailure | undefined
+  /** Whether the server has reported that a head, or the body of the last request, hasn't arrived in time. */
+  private isLate = false
+  private isLateInBody = false
+  private lateTimer: NodeJS.Timeout | undefined
+  /** Bytes read on the connection when the last answer was sent; any beyond them are the beginning of another request. */
+  private bytesReadAtLastAnswer = 0
+
+  constructor (private readonly socket: Socket, private readonly parts: ConnectionParts) {
+    // Listens on the socket and not on each response: one that is queued behind another gets no event when the caller disconnects.
+    socket.once('end', () => { this.abortAll() })
+    socket.once('close', () => { this.handleClose() })
+  }
+
+  /** Number of requests that were read and whose answers have not been sent in full. */
+  get unanswered (): number {
+    return this.exchanges.length
+  }
+
+  /** Whether no request has been read on the connection. */
+  get isUnused (): boolean {
+    return this.last === undefined
+  }
+
+  /** Takes in a request; undefined if it is not to be handled. */
+  accept (message: IncomingMessage, response: ServerResponse): Exchange | undefined {
+    this.clearLate()
+    // The caller assumes that requests after the last answer were not read and sends them again: if handled here, they would run twice.
+    if (this.socket.destroyed || this.isEnding) return undefined
+    const exchange = { message, response, callerLeft: new AbortController(), answer: undefined, isLast: false, isWritten: false }
+    this.exchanges.push(exchange)
+    this.last = exchange
+    if (this.exchanges.length >= MAX_WAITING) this.socket.pause()
+    response.once('finish', () => { this.finish(exchange) })
+    return exchange
+  }
+
+  /** Gives a request its answer; without one the connection ends. Nothing happens if its caller has left. */
+  answer (exchange: Exchange, answer: CallerAnswer | undefined): void {
+    if (exchange.answer !== undefined || !this.exchanges.includes(exchange)) return
+    if (answer === undefined) {
+      this.socket.destroy()
+      return
+    }
+    exchange.answer = answer
+    exchange.isLast = this.isLeaving && this.last === exchange && this.failure === undefined
+    if (exchange.isLast) this.isEnding = true
+    this.parts.memory.hold(answer.body.length)
+    this.writeNext()
+  }
+
+  /** Makes the answer to the last request close the connection, so that the caller connects to another host. */
+  leave (): void {
+    this.isLeaving = true
+  }
+
+  /**
+   * Handles no requests but those that were read; closes an idle connection. A request of which a part has been received is read to its
+   * end and answered.
+   */
+  close (): void {
+    const hasBegun = this.socket.bytesRead > this.bytesReadAtLastAnswer
+    this.isEnding = this.exchanges.length > 0 || !hasBegun
+    if (this.exchanges.length === 0 && !hasBegun) this.socket.destroySoon()
+  }
+
+  /** Handles an error of the socket or of reading the next request. */
+  handleError (error: NodeJS.ErrnoException): void {
+    const failure = findReadFailure(error.code)
+    if (failure === undefined || this.socket.readableEnded) {
+      this.socket.destroy()
+    } else if (failure === ReadFailure.late) {
+      this.isLate = true
+      this.isLateInBody = this.isReadingBody
+      this.startLateTimer()
+    } else if (failure !== ReadFailure.afterLast) {
+      this.handleReadFailure(failure)
+    }
+  }
+
+  private get isReadingBody (): boolean {
+    return this.last !== undefined && !this.last.message.complete
+  }
+
+  private handleReadFailure (failure: ReadFailure): void {
+    if (this.failure !== undefined) return
+    this.failure = failure
+    this.isEnding = true
+    this.clearLate()
+    if (this.isReadingBody && this.last?.answer === undefined) {
+      this.last?.callerLeft.abort()
+      this.exchanges.pop()
+    }
+    this.parts.reportReadFailure({ failure, waiting: this.exchanges.length, ip: this.socket.remoteAddress })
+    this.closeUnreadable()
+  }
+
+  /** Writes the next answer if it is known and those before it have been sent. */
+  private writeNext (): void {
+    const [exchange] = this.exchanges
+    if (exchange?.answer === undefined || exchange.isWritten) return
+    exchange.isWritten = true
+    const { response, answer: { status, headers, body }, isLast } = exchange
+    if (body.length >= MIN_TIMED_BYTES) this.startReadTimer(response)
+    response.writeHead(status, isLast ? [...headers, 'Connection', 'close'] : headers)
+    response.end(body)
+  }
+
+  private startReadTimer (response: ServerResponse): void {
+    const timer = setTimeout(() => { this.socket.destroy() }, READ_TIMEOUT_MS)
+    response.once('close', () => { clearTimeout(timer) })
+  }
+
+  private finish (exchange: Exchange): void {
+    const index = this.exchanges.indexOf(exchange)
+    if (index < 0) return
+    this.exchanges.splice(index, 1)
+    this.parts.memory.release(exchange.answer?.body.length ?? 0)
+    this.bytesReadAtLastAnswer = this.socket.bytesRead
+    if (this.exchanges.length === MAX_WAITING - 1) this.socket.resume()
+    this.startLateTimer()
+    this.closeUnreadable()
+    this.writeNext()
+  }
+
+  /** Answers a request that could not be read, once the requests before it have been answered, and closes the connection. */
+  private closeUnreadable (): void {
+    if (this.failure === undefined || this.exchanges.length > 0) return
+    // The request was answered before its body was read: a second answer would belong to no request.
+    const isAnswered = this.isReadingBody && this.last?.answer !== undefined
+    if (!isAnswered && this.socket.writable) this.socket.write(encodeReadFailure(this.failure))
+    this.socket.destroySoon()
+  }
+
+  private startLateTimer (): void {
+    const [exchange] = this.exchanges
+    if (!this.isLate || this.lateTimer !== undefined || exchange?.message.complete === true) return
+    this.lateTimer = setTimeout(() => {
+      if (!this.isLateInBody || this.isReadingBody) this.handleReadFailure(ReadFailure.late)
+    }, LATE_REQUEST_MARGIN_MS)
+  }
+
+  private clearLate (): void {
+    this.isLate = false
+    clearTimeout(this.lateTimer)
+    this.lateTimer = undefined
+  }
+
+  private abortAll (): void {
+    for (const { callerLeft } of this.exchanges) callerLeft.abort()
+  }
+
+  private handleClose (): void {
+    this.clearLate()
+    this.abortAll()
+    for (const { answer } of this.exchanges.splice(0)) this.parts.memory.release(answer?.body.length ?? 0)
+    this.parts.handleClose()
+  }
+}
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -3,8 +3,9 @@
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { AnswerMemory } from './answerMemory.js'
 import type { CallerAnswer } from './callerAnswer.js'
-import { holdUntilRead } from './holdUntilRead.js'
+import { CallerConnection } from './callerConnection.js'
 import { LISTEN_BACKLOG } from './listenBacklog.js'
+import type { ReadFailureReport } from './readFailureReport.js'
 import type { TurnQueue } from './turnQueue.js'
 
 /** Milliseconds between checks for connections whose request heads have not arrived in time. */
@@ -14,44 +15,42 @@
 /** Milliseconds within which a whole request must arrive. */
 const REQUEST_TIMEOUT_MS = 60_000
 
+/** Answer to a request whose handling failed in this host: it may have run. */
+const INTERNAL_ERROR: CallerAnswer = { status: 500, headers: ['Content-Length', '0'], body: Buffer.alloc(0) }
+
 /**
  * Handles one request; resolves with undefined if the caller gets no answer. The signal aborts when the caller disconnects;
  * `arrivedAt` is when the head of the request was read, in monotonic milliseconds.
  */
 type HandleRequest = (message: IncomingMessage, callerLeft: AbortSignal, arrivedAt: number) => Promise<CallerAnswer | undefined>
 
-interface ConnectionState {
-  /** Response to the request that was read last; responses are sent in the order of their requests. */
-  last: ServerResponse | undefined
-  /** No further requests are handled: the connection ends after the answer to the last one. */
-  isClosing: boolean
-  /** Requests that were read and whose answers have not been sent in full; aborted when the caller disconnects. */
-  unanswered: Set<AbortController>
-  /** Bytes read on the connection when the last answer was sent; any beyond them are the beginning of another request. */
-  bytesReadAtLastAnswer: number
-}
-
-interface AcceptedRequest {
-  message: IncomingMessage
-  response: ServerResponse
-  connection: ConnectionState
-  callerLeft: AbortSignal
-  arrivedAt: number
+interface ServerParts {
+  turns: TurnQueue
+  memory: AnswerMemory
+  logError: (error: Error) => void
+  reportReadFailure: (report: ReadFailureReport) => void
 }
 
 /** HTTP server for callers' requests. */
 export class CallerServer {
   private readonly server: Server
   private isLeaving = false
-  private readonly connections = new Map<Socket, ConnectionState>()
+  private readonly connections = new Map<Socket, CallerConnection>()
 
-  constructor (private readonly handleRequest: HandleRequest, private readonly turns: TurnQueue, private readonly memory: AnswerMemory, private readonly logError: (error: Error) => void) {
-    this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true })
+  constructor (private readonly handleRequest: HandleRequest, private readonly parts: ServerParts) {
+    // A missing Host header is answered by the handler of requests, in the turn of its request.
+    this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true, requireHostHeader: false })
     this.server.on('connection', (socket: Socket) => {
-      turns.observeAccept()
-      this.findOrAddConnection(socket)
+      parts.turns.observeAccept()
+      this.addConnection(socket)
     })
     this.server.on('request', (message, response) => { this.accept(message, response) })
+    // Without a listener Node answers 408 or 400 by itself, in place of the answer to a request that is running.
+    this.server.on('clientError', (error, socket) => {
+      const connection = this.connections.get(socket as Socket)
+      if (connection === undefined) socket.destroy()
+      else connection.handleError(error)
+    })
   }
 
   /** Starts listening on a port, or on a free one if it is 0, and resolves with the port. */
@@ -60,7 +59,7 @@
       this.server.once('error', reject)
       this.server.listen(port, ip, LISTEN_BACKLOG, () => {
         this.server.off('error', reject)
-        this.server.on('error', this.logError)
+        this.server.on('error', this.parts.logError)
         const address = this.server.address()
         resolve(typeof address === 'object' && address !== null ? address.port : port)
       })
@@ -75,79 +74,48 @@
 
   /** Returns the number of requests that were read and whose answers have not been sent in full. */
   countUnanswered (): number {
-    return [...this.connections.values()].reduce((sum, { unanswered }) => sum + unanswered.size, 0)
+    return [...this.connections.values()].reduce((sum, { unanswered }) => sum + unanswered, 0)
   }
 
   /** Makes each answer from now on close its connection, so that callers connect to other hosts. */
   leave (): void {
     this.isLeaving = true
+    for (const connection of this.connections.values()) connection.leave()
   }
 
   /**
-   * Stops accepting connections, closes idle ones, and handles no further requests on the others. A request of which a part has
-   * been received is read to its end and answered.
+   * Stops accepting connections, closes idle ones, and handles no further requests on the others.
    *
    * Node's own `Server.close` treats a connection as idle as soon as its answer has been written, and destroys it: a caller that was
    * still receiving a large answer got it truncated. Here a connection ends only after all data has been sent.
    */
   close (): void {
-    for (const [socket, connection] of this.connections) {
-      const hasBegun = socket.bytesRead > connection.bytesReadAtLastAnswer
-      connection.isClosing = connection.unanswered.size > 0 || !hasBegun
-      if (connection.unanswered.size === 0 && !hasBegun) socket.destroySoon()
-    }
+    for (const connection of this.connections.values()) connection.close()
     NetServer.prototype.close.call(this.server)
   }
 
   private accept (message: IncomingMessage, response: ServerResponse): void {
-    if (message.socket.destroyed) return
-    const connection = this.findOrAddConnection(message.socket)
-    // The caller assumes that requests after the last answer were not read and sends them again: if handled here, they would run twice.
-    if (connection.isClosing) return
-    const callerLeft = new AbortController()
-    const isFirst = connection.last === undefined
-    connection.last = response
-    connection.unanswered.add(callerLeft)
-    response.once('finish', () => {
-      connection.unanswered.delete(callerLeft)
-      connection.bytesReadAtLastAnswer = message.socket.bytesRead
-    })
-    this.turns.push((arrivedAt) => {
-      this.serve({ message, response, connection, callerLeft: callerLeft.signal, arrivedAt }).catch((error: Error) => { this.abortAnswer(response, error) })
+    const connection = this.connections.get(message.socket)
+    const isFirst = connection?.isUnused === true
+    const exchange = connection?.accept(message, response)
+    if (connection === undefined || exchange === undefined) return
+    const { callerLeft } = exchange
+    this.parts.turns.push((arrivedAt) => {
+      // The caller disconnected while its request was queued: handling it would only delay requests whose callers still wait.
+      if (callerLeft.signal.aborted) return
+      this.handleRequest(message, callerLeft.signal, arrivedAt).then(
+        (answer) => { connection.answer(exchange, answer) },
+        (error: Error) => {
+          this.parts.logError(error)
+          connection.answer(exchange, INTERNAL_ERROR)
+        })
     }, isFirst)
   }
 
-  private async serve ({ message, response, connection, callerLeft, arrivedAt }: AcceptedRequest): Promise<void> {
-    // The caller disconnected while its request was queued: handling it would only delay requests whose callers still wait.
-    if (callerLeft.aborted) return
-    const answer = await this.handleRequest(message, callerLeft, arrivedAt)
-    if (answer === undefined || response.destroyed) return
-    // Of two requests on a connection the second may be answered first: closing after the first one's answer would cut off the second's.
-    const isLast = this.isLeaving && connection.last === response
-    if (isLast) connection.isClosing = true
-    response.writeHead(answer.status, isLast ? [...answer.headers, 'Connection', 'close'] : answer.headers)
-    holdUntilRead(this.memory, response, answer.body.length)
-    response.end(answer.body)
-  }
-
-  private findOrAddConnection (socket: Socket): ConnectionState {
-    const known = this.connections.get(socket)
-    if (known !== undefined) return known
-    const state = { last: undefined, isClosing: false, unanswered: new Set<AbortController>(), bytesReadAtLastAnswer: 0 }
-    this.connections.set(socket, state)
-    // Listens on the socket and not on each response: a response that is queued behind another one on a connection with several
-    // pending requests gets no event when the caller disconnects, and its request would go on although nobody waits for it.
-    const abortAll = (): void => { for (const callerLeft of state.unanswered) callerLeft.abort() }
-    socket.once('end', abortAll)
-    socket.once('close', () => {
-      this.connections.delete(socket)
-      abortAll()
-    })
-    return state
-  }
-
-  private abortAnswer (response: ServerResponse, error: Error): void {
-    this.logError(error)
-    response.destroy()
+  private addConnection (socket: Socket): void {
+    const { memory, reportReadFailure } = this.parts
+    const connection = new CallerConnection(socket, { memory, reportReadFailure, handleClose: () => { this.connections.delete(socket) } })
+    this.connections.set(socket, connection)
+    if (this.isLeaving) connection.leave()
   }
 }
--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -1,4 +1,5 @@
 import { request } from 'node:http'
+import { connect } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { startScriptedTarget } from '../../../connection/__fixtures__/scriptedTarget.js'
@@ -168,4 +169,15 @@
   assert.is(result.kind === 'not-sent' && result.reason, 'carrier could not carry it: target not known here')
 })
 
+// Guards against a status of Node's own, which the other host would take for the refusal of a call that is running.
+test('bytes that are no call close their connection without an answer', async () => {
+  const { carrierPort } = await start()
+  const socket = connect(carrierPort, '127.0.0.1')
+  let text = ''
+  socket.on('data', (bytes) => { text += bytes.toString() })
+  socket.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n')
+  await new Promise((resolve) => { socket.once('close', resolve) })
+  assert.is(text, '')
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -66,6 +66,8 @@
   constructor (private readonly parts: ServerParts) {
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MS
     this.server.maxConnections = MAX_CONNECTIONS
+    // The other host takes any status for a refusal, and one that Node writes by itself says nothing of calls that are running.
+    this.server.on('clientError', (_, socket) => { socket.destroy() })
   }
 
   async listen (ip: string, port: number, signal: AbortSignal): Promise<void> {
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -117,6 +117,7 @@
     if (callerLeft.aborted) return undefined
     const { configuration, routes, organisations } = fleet
     if (configuration === undefined) return this.refuser.refuseUnconfigured(head)
+    if (message.headers.host === undefined) return this.refuser.reject(message, head.id, 400, 'no Host header')
     const route = routes.findRoute(getHostName(message), getPath(message))
     if (route === undefined) return this.refuser.reject(message, head.id, 404, 'no route')
     const identity = identifyCaller(organisations, head.organisationKey, route)
@@ -197,7 +198,7 @@
   private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
     const read = await readBody(message, maxBodyBytes)
     if (read.kind === 'too-long') return { answer: this.refuser.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
-    if (read.kind === 'cut-short') return { answer: undefined, mayHaveRun: false }
+    if (read.kind === 'cut-short' || callerLeft.aborted) return { answer: undefined, mayHaveRun: false }
     return this.forward({ ...draft, body: read.body }, callerLeft, metered)
   }
 
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -6,6 +6,7 @@
 import { CallerServer } from '../connection/callerServer.js'
 import type { ConnectFailure } from '../connection/connectFailure.js'
 import { listenForGet } from '../connection/listenForGet.js'
+import type { ReadFailureReport } from '../connection/readFailureReport.js'
 import { TurnQueue } from '../connection/turnQueue.js'
 import { HostLoad } from '../request/hostLoad.js'
 import type { TargetState } from '../request/targetState.js'
@@ -138,7 +139,7 @@
     this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
     this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, shares, shareMetrics, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
-    this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), this.turns, this.memory, logError)
+    this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), { turns: this.turns, memory: this.memory, logError, reportReadFailure: (report) => { this.reportReadFailure(report) } })
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
     adapter.store.era.handleReturn = () => {
@@ -246,6 +247,11 @@
     this.parts.log.record('connection to a target failed', { target: target.entry.id, availabilityZone: target.entry.availabilityZone, failure, isUnconnected, contactAgeMs: contactAgeMs === Infinity ? undefined : Math.round(contactAgeMs) })
   }
 
+  private reportReadFailure ({ failure, waiting, ip }: ReadFailureReport): void {
+    this.parts.metrics.countReadFailure(failure)
+    this.parts.log.record('request could not be read', { failure, waiting, ip })
+  }
+
   private startTasks (signal: AbortSignal, leaving: AbortSignal): Promise<unknown> {
     return Promise.all([this.follower.run(signal), this.announcer.run(leaving), this.peerExchange.run(signal), this.usageExchange.run(signal), this.planner.run(signal), this.closeIdleConnections(signal), this.account.run(leaving), runLoadSampler({ load: this.load, turns: this.turns, handleSample: (now) => { this.forward.links.probeTargets(now) }, ...this.parts }, signal)])
   }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -20,6 +20,7 @@
   private readonly registry = new Registry()
   private readonly answers = new Counter({ name: 'almondrelay_answers_total', help: 'Answers to callers', labelNames: ['service', 'outcome'], registers: [this.registry] })
   private readonly latency = new Histogram({ name: 'almondrelay_answer_seconds', help: 'Time from a request to its answer', labelNames: ['service'], buckets: LATENCY_BUCKETS, registers: [this.registry] })
+  private readonly readFailures = new Counter({ name: 'almondrelay_unreadable_requests_total', help: 'Requests on connections of callers that could not be read', labelNames: ['failure'], registers: [this.registry] })
   private readonly organisations = new Counter({ name: 'almondrelay_organisation_answers_total', help: 'Answers to the callers of each organisation', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
   private readonly labelledOrganisations = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets, by cause', labelNames: ['region', 'cause'], registers: [this.registry] })
@@ -51,6 +52,11 @@
     this.organisations.inc({ organisation: this.labelledOrganisations.has(organisation) ? organisation : OTHER_ORGANISATIONS, outcome })
   }
 
+  /** @param failure a `ReadFailure` */
+  countReadFailure (failure: string): void {
+    this.readFailures.inc({ failure })
+  }
+
   /** Adds the metrics of fair shares, which exist only where they are held. */
   createShareMetrics (): ShareMetrics {
     return new ShareMetrics(this.registry)
