Decide when an answer is written whether it closes its connection

Cause: whether an answer closes its connection was decided when it became ready. One that was ready before the signal, behind another one, said keep-alive; when the port closed its connection was marked to take no more requests, and nothing closed it.

Three new tests failed before: an answer that was ready before the stop; one that was being written; a request behind an answer that was being written.

Change: the decision is made when the head is written. A request is dropped only behind an answer that says close or will say so, and a connection on which nothing is to be answered is closed as soon as the host takes no more requests. Why it holds: CallerConnection alone writes heads, so what it has told the caller and what it drops can't differ.

--- a/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
@@ -8,6 +8,8 @@
 
 /** Longer than the time after which the server reports a late head, with the margin that it adds and the interval of its checks. */
 const LATE_MS = 2_600
+/** More bytes than the socket buffers of both sides hold. */
+const LARGE_ANSWER_BYTES = 16 * 1024 * 1024
 const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 100, idleTimeoutMs: 60_000 }
 
 let owner = new AbortController()
@@ -121,4 +123,54 @@
   assert.equal(held.paths, [])
 })
 
+// Guards against an order that is read and dropped on a connection that says keep-alive, although its host is stopping.
+test('at a planned stop, a connection ends although its last answer was ready before the stop began', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write(makeGet('/1') + makeGet('/2'))
+  await waitFor(() => held.paths.length === 2, 'the requests')
+  held.answer('/2')
+  await sleep(20)
+  held.server.leave()
+  held.server.close()
+  held.answer('/1')
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.match(received.text, /answer to \/1;HTTP[^]*Connection: close[^]*answer to \/2;$/)
+})
+
+test('at a planned stop, a connection ends once an answer that was being written has been sent', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  socket.pause()
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
+  await sleep(20)
+  held.server.leave()
+  held.server.close()
+  await sleep(20)
+  const received = read(socket)
+  socket.resume()
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.ok(received.text.length > LARGE_ANSWER_BYTES)
+})
+
+// Guards against a request that is dropped behind an answer which said keep-alive before the stop began.
+test('at a planned stop, a request behind an answer that is being written is answered', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  socket.pause()
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
+  await sleep(20)
+  held.server.leave()
+  held.server.close()
+  socket.write(makeGet('/2'))
+  await waitFor(() => held.paths.length === 2, 'the second request')
+  held.answer('/2')
+  const received = read(socket)
+  socket.resume()
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  assert.match(received.text, /Connection: close[^]*answer to \/2;$/)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -25,8 +25,6 @@
   response: ServerResponse
   callerLeft: AbortController
   answer: CallerAnswer | undefined
-  /** The answer is the last one on the connection, and says so. */
-  isLast: boolean
   isWritten: boolean
 }
 
@@ -45,7 +43,8 @@
 export class CallerConnection {
   private readonly exchanges: Exchange[] = []
   private isLeaving = false
-  /** No further requests are handled: the connection ends after the answers to those that were read. */
+  private isClosed = false
+  /** Whether the caller has been told that the connection ends: by an answer that says so, or by its end. */
   private isEnding = false
   /** The request whose head was read last; it may have been answered. */
   private last: Exchange | undefined
@@ -78,8 +77,8 @@
   accept (message: IncomingMessage, response: ServerResponse): Exchange | undefined {
     this.clearLate()
     // The caller assumes that requests after the last answer were not read and sends them again: if handled here, they would run twice.
-    if (this.socket.destroyed || this.isEnding) return undefined
-    const exchange = { message, response, callerLeft: new AbortController(), answer: undefined, isLast: false, isWritten: false }
+    if (this.socket.destroyed || this.isEnding || this.isLastDue) return undefined
+    const exchange = { message, response, callerLeft: new AbortController(), answer: undefined, isWritten: false }
     this.exchanges.push(exchange)
     this.last = exchange
     if (this.exchanges.length >= MAX_WAITING) this.socket.pause()
@@ -95,8 +94,6 @@
       return
     }
     exchange.answer = answer
-    exchange.isLast = this.isLeaving && this.last === exchange && this.failure === undefined
-    if (exchange.isLast) this.isEnding = true
     this.parts.memory.hold(answer.body.length)
     this.writeNext()
   }
@@ -112,8 +109,9 @@
    */
   close (): void {
     const hasBegun = this.socket.bytesRead > this.bytesReadAtLastAnswer
-    this.isEnding = this.exchanges.length > 0 || !hasBegun
-    if (this.exchanges.length === 0 && !hasBegun) this.socket.destroySoon()
+    this.isLeaving = true
+    this.isClosed = this.exchanges.length > 0 || !hasBegun
+    this.closeUnused()
   }
 
   /** Handles an error of the socket or of reading the next request. */
@@ -152,7 +150,10 @@
     const [exchange] = this.exchanges
     if (exchange?.answer === undefined || exchange.isWritten) return
     exchange.isWritten = true
-    const { response, answer: { status, headers, body }, isLast } = exchange
+    const { response, answer: { status, headers, body } } = exchange
+    // Decided only now, as the host may have begun to stop, or a further request may have arrived, since the answer was ready.
+    const isLast = this.isLeaving && this.exchanges.length === 1 && this.failure === undefined
+    if (isLast) this.isEnding = true
     if (body.length >= MIN_TIMED_BYTES) this.startReadTimer(response)
     response.writeHead(status, isLast ? [...headers, 'Connection', 'close'] : headers)
     response.end(body)
@@ -172,9 +173,22 @@
     if (this.exchanges.length === MAX_WAITING - 1) this.socket.resume()
     this.startLateTimer()
     this.closeUnreadable()
+    this.closeUnused()
     this.writeNext()
   }
 
+  /** Whether the last request that was read will be told that the connection ends. */
+  private get isLastDue (): boolean {
+    return this.isClosed && this.exchanges.at(-1)?.isWritten === false
+  }
+
+  /** Closes the connection of a host that takes no more requests if nothing is to be answered on it. */
+  private closeUnused (): void {
+    if (!this.isClosed || this.isEnding || this.exchanges.length > 0) return
+    this.isEnding = true
+    this.socket.destroySoon()
+  }
+
   /** Answers a request that could not be read, once the requests before it have been answered, and closes the connection. */
   private closeUnreadable (): void {
     if (this.failure === undefined || this.exchanges.length > 0) return
