Check the length of an answer before its body, and count bytes that are there

Cause: the parser turned "9000~" into NaN and reported pieces of NaN bytes. The sum of held bytes, shared by all connections, became NaN for good, and NaN is never within the bound.

Change: an answer whose length isn't one whole number within the bound is unsound before a byte of its body is read; held bytes are counted from the bytes received, by owners that release what they hold once; AnswerMemory refuses a count that is no whole number. Reasons of unsound answers are counted and stand in the request's log line. Why it holds: no stated figure reaches the sum any more, and an unsound answer closes its connection.

--- a/packages/almondrelay-gateway/src/connection/__tests__/answerMemory.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerMemory.test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { AnswerMemory } from '../answerMemory.js'
+import { HeldBytes } from '../heldBytes.js'
 
 const test = suite('AnswerMemory')
 
@@ -22,4 +23,21 @@
   assert.ok(memory.hold(100))
 })
 
+// Guards against one wrong count that makes the sum for all answers of the process no number for good.
+test('a count that is no whole number is refused and leaves the sum as it was', () => {
+  const memory = new AnswerMemory(100)
+  memory.hold(40)
+  for (const bytes of [NaN, -1, 0.5, Infinity]) assert.throws(() => memory.hold(bytes), RangeError as never)
+  assert.is(memory.heldBytes, 40)
+})
+
+test('bytes of an owner are released once', () => {
+  const memory = new AnswerMemory(100)
+  const held = new HeldBytes(memory)
+  held.hold(30)
+  held.release()
+  held.release()
+  assert.is(memory.heldBytes, 0)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -16,7 +16,7 @@
 let memory = new AnswerMemory(Infinity)
 
 const open = async (port: number): Promise<TargetConnection> => {
-  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined)
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   return opened.connection
 }
@@ -62,6 +62,21 @@
   assert.is(memory.heldBytes, 0)
 })
 
+// Guards against one wrong length after which every answer that comes in more than one piece is dropped, of whatever target.
+test('after an answer with a wrong length, answers in pieces are passed on', async () => {
+  memory = new AnswerMemory(1_000)
+  const spoiled = await startScriptedTarget((socket) => { socket.write(ANSWER_TO_FIRST.replace('content-length: 5', 'content-length: ~')) }, owner.signal)
+  const sound = await startScriptedTarget((socket) => {
+    socket.write(ANSWER_TO_FIRST.slice(0, -2))
+    setTimeout(() => { socket.write(ANSWER_TO_FIRST.slice(-2)) }, 20)
+  }, owner.signal)
+  const first = await (await open(spoiled)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  const second = await (await open(sound)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.is(first.kind, 'broken')
+  assert.is(second.kind === 'answered' && second.body.toString(), 'first')
+  assert.is(memory.heldBytes, 0)
+})
+
 test('a truncated answer counts as broken', async () => {
   const port = await startScriptedTarget((socket) => { socket.end(ANSWER_TO_FIRST.slice(0, -2)) }, owner.signal)
   const result = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
@@ -100,7 +115,7 @@
   const port = await startScriptedTarget(() => undefined, owner.signal)
   owner.abort()
   await new Promise((resolve) => { setImmediate(resolve) })
-  assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
+  assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
 })
 
 // Guards against an answer that ends the process, and with it all requests of the host.
@@ -108,7 +123,7 @@
   const port = await startScriptedTarget((socket) => { socket.write(ANSWER_TO_FIRST) }, owner.signal)
   const failing = new PlainTargetCodec()
   failing.decodeAnswerHead = () => { throw new Error('not to be dealt with') }
-  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec: failing, getNow: () => 0, memory }, () => undefined)
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec: failing, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   const result = await opened.connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
   assert.equal(result, { kind: 'broken', reason: 'answer that can\'t be dealt with: not to be dealt with' })
--- a/packages/almondrelay-gateway/src/connection/answerMemory.ts
+++ b/packages/almondrelay-gateway/src/connection/answerMemory.ts
@@ -13,8 +13,13 @@
 
   constructor (private readonly maxBytes: number) {}
 
-  /** Counts bytes; returns false if the sum exceeds the bound. In either case they count until they are released. */
+  /**
+   * Counts bytes; returns false if the sum exceeds the bound. In either case they count until they are released.
+   *
+   * @throws RangeError if the count is no whole number, which would spoil the sum for all answers of the process
+   */
   hold (bytes: number): boolean {
+    if (!Number.isSafeInteger(bytes) || bytes < 0) throw new RangeError(`${bytes} is no count of bytes: count what was received`)
     this.held += bytes
     return this.held <= this.maxBytes
   }
--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -1,10 +1,13 @@
 import { HTTPParser } from 'http-parser-js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
 import type { AnswerMemory } from './answerMemory.js'
+import { checkLengths } from './checkLengths.js'
+import { HeldBytes } from './heldBytes.js'
+import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
 import type { TargetCodec } from './targetCodec.js'
+import { UnsoundAnswer } from './unsoundAnswer.js'
+import { UnsoundReason } from './unsoundReason.js'
 
-/** Maximum size of an answer in bytes; a longer one is dropped, so that a single target can't exhaust the host's memory. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024
 /** First status of a final answer: lower ones are interim, and the final answer follows. */
 const FIRST_FINAL_STATUS = 200
 
@@ -18,36 +21,42 @@
   private readonly parser = new HTTPParser(HTTPParser.RESPONSE)
   private head: TargetAnswerHead | undefined
   private chunks: Buffer[] = []
-  private bytes = 0
-  private isWithinMemory = true
+  private readonly held: HeldBytes
   /** Whether the answer to the pending request has no body, as for HEAD. */
   isBodiless = false
 
-  constructor (codec: TargetCodec, private readonly memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void) {
+  constructor (codec: TargetCodec, memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void) {
+    this.held = new HeldBytes(memory)
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      checkLengths(info.headers, !this.isBodiless)
       if (info.statusCode < FIRST_FINAL_STATUS) return 1
       this.head = codec.decodeAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive)
       return this.isBodiless ? 1 : 0
     }
     this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
-      this.bytes += length
-      if (!this.memory.hold(length)) this.isWithinMemory = false
-      this.chunks.push(chunk.subarray(offset, offset + length))
+      const bytes = chunk.subarray(offset, offset + length)
+      this.chunks.push(bytes)
+      const hasRoom = this.held.hold(bytes.length)
+      if (this.held.count > MAX_ANSWER_BYTES) throw new UnsoundAnswer(UnsoundReason.tooLong, `it has more than ${MAX_ANSWER_BYTES} bytes`)
+      if (!hasRoom) throw new UnsoundAnswer(UnsoundReason.noRoom, 'this host has no room for it')
     }
     this.parser[HTTPParser.kOnMessageComplete] = () => { this.finishAnswer() }
   }
 
-  /** Parses received bytes; returns false if they are not a valid answer, or if the answer exceeds a size or memory bound. */
-  acceptBytes (bytes: Buffer): boolean {
-    return typeof this.parser.execute(bytes) === 'number' && this.bytes <= MAX_ANSWER_BYTES && this.isWithinMemory
+  /**
+   * Parses received bytes.
+   *
+   * @throws UnsoundAnswer if they are no answer, or one that exceeds a bound; the connection is then to be closed
+   */
+  acceptBytes (bytes: Buffer): void {
+    const parsed = this.parser.execute(bytes)
+    if (typeof parsed !== 'number') throw new UnsoundAnswer(UnsoundReason.syntax, 'its bytes are not HTTP')
   }
 
   /** Drops a partially received answer. */
   drop (): void {
-    this.memory.release(this.bytes)
+    this.held.release()
     this.chunks = []
-    this.bytes = 0
-    this.isWithinMemory = true
   }
 
   /** Handles the end of the connection: it completes an answer without a length and truncates any other one. */
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -4,6 +4,7 @@
 import type { CallerAnswer } from './callerAnswer.js'
 import { encodeReadFailure } from './encodeReadFailure.js'
 import { findReadFailure } from './findReadFailure.js'
+import { HeldBytes } from './heldBytes.js'
 import { ReadFailure } from './readFailure.js'
 import type { ReadFailureReport } from './readFailureReport.js'
 
@@ -24,6 +25,7 @@
   message: IncomingMessage
   response: ServerResponse
   callerLeft: AbortController
+  held: HeldBytes
   answer: CallerAnswer | undefined
   isWritten: boolean
 }
@@ -78,7 +80,7 @@
     this.clearLate()
     // The caller assumes that requests after the last answer were not read and sends them again: if handled here, they would run twice.
     if (this.socket.destroyed || this.isEnding || this.isLastDue) return undefined
-    const exchange = { message, response, callerLeft: new AbortController(), answer: undefined, isWritten: false }
+    const exchange = { message, response, callerLeft: new AbortController(), held: new HeldBytes(this.parts.memory), answer: undefined, isWritten: false }
     this.exchanges.push(exchange)
     this.last = exchange
     if (this.exchanges.length >= MAX_WAITING) this.socket.pause()
@@ -94,7 +96,7 @@
       return
     }
     exchange.answer = answer
-    this.parts.memory.hold(answer.body.length)
+    exchange.held.hold(answer.body.length)
     this.writeNext()
   }
 
@@ -168,7 +170,7 @@
     const index = this.exchanges.indexOf(exchange)
     if (index < 0) return
     this.exchanges.splice(index, 1)
-    this.parts.memory.release(exchange.answer?.body.length ?? 0)
+    exchange.held.release()
     this.bytesReadAtLastAnswer = this.socket.bytesRead
     if (this.exchanges.length === MAX_WAITING - 1) this.socket.resume()
     this.startLateTimer()
@@ -219,7 +221,7 @@
   private handleClose (): void {
     this.clearLate()
     this.abortAll()
-    for (const { answer } of this.exchanges.splice(0)) this.parts.memory.release(answer?.body.length ?? 0)
+    for (const { held } of this.exchanges.splice(0)) held.release()
     this.parts.handleClose()
   }
 }
--- a/packages/almondrelay-gateway/src/connection/connectionParts.ts
+++ b/packages/almondrelay-gateway/src/connection/connectionParts.ts
@@ -1,5 +1,6 @@
 import type { AnswerMemory } from './answerMemory.js'
 import type { TargetCodec } from './targetCodec.js'
+import type { UnsoundReason } from './unsoundReason.js'
 
 /** Dependencies shared by all connections to targets. */
 export interface ConnectionParts {
@@ -7,4 +8,6 @@
   /** Monotonic milliseconds. */
   getNow: () => number
   memory: AnswerMemory
+  /** Called with each answer of a target that is not sound, or that there is no room for. */
+  observeUnsound: (reason: UnsoundReason) => void
 }
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -7,6 +7,7 @@
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
 import { OpenCause } from './openCause.js'
+import { UnsoundAnswer } from './unsoundAnswer.js'
 
 /** Milliseconds for which an idle connection is reused if the target states no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 500
@@ -32,7 +33,7 @@
   private constructor (private readonly socket: Socket, private readonly parts: ConnectionParts, private readonly handleClose: (cause: OpenCause) => void) {
     this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) })
     socket.setNoDelay(true)
-    socket.on('data', (bytes: Buffer) => { this.readSafely(() => { if (!this.reader.acceptBytes(bytes)) this.close('bytes that are no answer, or more than there is room for') }) })
+    socket.on('data', (bytes: Buffer) => { this.readSafely(() => { this.reader.acceptBytes(bytes) }) })
     socket.on('end', () => { this.readSafely(() => { this.handleEnd() }) })
     socket.on('error', (error: NodeJS.ErrnoException) => { this.close(error.code ?? error.message) })
     socket.on('close', () => { this.close('closed') })
@@ -130,7 +131,8 @@
     try {
       read()
     } catch (error) {
-      this.close(`answer that can't be dealt with: ${(error as Error).message}`)
+      if (error instanceof UnsoundAnswer) this.parts.observeUnsound(error.reason)
+      this.close(error instanceof UnsoundAnswer ? error.message : `answer that can't be dealt with: ${(error as Error).message}`)
     }
   }
 
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -1,5 +1,6 @@
 import { request, type Agent } from 'node:http'
 import type { AnswerMemory } from '../../connection/answerMemory.js'
+import { HeldBytes } from '../../connection/heldBytes.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
 import { PeerCallFailure } from './peerCallFailure.js'
 import type { PeerReply } from './peerReply.js'
@@ -65,15 +66,14 @@
       clearTimeout(timer)
       isAcknowledged = true
       const chunks: Buffer[] = []
-      let bytes = 0
+      const held = new HeldBytes(memory)
       response.on('data', (chunk: Buffer) => {
-        bytes += chunk.byteLength
         chunks.push(chunk)
-        if (!memory.hold(chunk.byteLength)) resolveFailure('the answer is larger than there is room for')
+        if (!held.hold(chunk.byteLength)) resolveFailure('the answer is larger than there is room for')
       })
       response.on('error', (error) => { resolveFailure(error.message) })
       response.on('close', () => {
-        memory.release(bytes)
+        held.release()
         if (!response.complete) resolveFailure('answer cut short')
         else if (wasSent && response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
         else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -71,7 +71,7 @@
     this.announcements = parts.announcements
     this.targetLoads = new TargetLoads({ fleet, metrics: parts.metrics })
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
-    this.pools = new TargetPools({ codec, getNow, memory }, this.roundTripTimes, {
+    this.pools = new TargetPools({ codec, getNow, memory, observeUnsound: (reason) => { parts.metrics.countUnsoundAnswer(reason) } }, this.roundTripTimes, {
       countOpened: parts.countOpened,
       observeConnect: (target) => { this.links.observeConnect(target, getNow()) },
       observeFailure: (target, failure, isUnconnected) => {
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -24,6 +24,7 @@
   private readonly organisations = new Counter({ name: 'almondrelay_organisation_answers_total', help: 'Answers to the callers of each organisation', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
   private readonly labelledOrganisations = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets, by cause', labelNames: ['region', 'cause'], registers: [this.registry] })
+  private readonly unsoundAnswers = new Counter({ name: 'almondrelay_target_unsound_answers_total', help: 'Answers of targets that are not sound, or that there is no room for', labelNames: ['reason'], registers: [this.registry] })
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
@@ -75,6 +76,11 @@
     this.connectFailures.inc({ region, reason })
   }
 
+  /** @param reason an `UnsoundReason` */
+  countUnsoundAnswer (reason: string): void {
+    this.unsoundAnswers.inc({ reason })
+  }
+
   countQuarantineEvent (event: string): void {
     this.quarantine.inc({ event })
   }
