Check the headers of an answer, and confine one that can't be written to its request

Cause: writeHead throws, and the handler of the error destroyed the response and with it the connection. The parser decoded header bytes as ASCII, which turns lawful bytes from 0x80 up into control characters.

Change: header names and values are checked where answers are read, and bytes are decoded one to one. An answer that Node doesn't write all the same is replaced by 502 in its own turn. A failure of the handling is answered 500 instead of closing the connection.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/heldServer.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/heldServer.ts
@@ -18,16 +18,17 @@
   /** Paths of the requests whose signal reported that the caller disconnected. */
   readonly abortedPaths: string[] = []
   readonly memory = new AnswerMemory(Infinity)
+  readonly errors: Error[] = []
   readonly readFailures: ReadFailureReport[] = []
   readonly server: CallerServer
-  private readonly finishers = new Map<string, (answer: CallerAnswer) => void>()
+  private readonly finishers = new Map<string, (answer: CallerAnswer | Promise<CallerAnswer>) => void>()
 
   constructor () {
     this.server = new CallerServer((message, left) => new Promise((resolve) => {
       this.paths.push(message.url ?? '')
       left.addEventListener('abort', () => { this.abortedPaths.push(message.url ?? '') })
       this.finishers.set(message.url ?? '', resolve)
-    }), { turns: new TurnQueue(() => performance.now()), memory: this.memory, logError: (error) => { throw error }, reportReadFailure: (report) => { this.readFailures.push(report) } })
+    }), { turns: new TurnQueue(() => performance.now()), memory: this.memory, logError: (error) => { this.errors.push(error) }, reportReadFailure: (report) => { this.readFailures.push(report) } })
   }
 
   /** Starts a server and connects a caller; both end when the signal aborts. */
@@ -42,9 +43,14 @@
     return { held, socket }
   }
 
-  answer (path: string, text = `answer to ${path};`): void {
+  answer (path: string, text = `answer to ${path};`, headers: string[] = []): void {
     const body = Buffer.from(text)
-    this.finishers.get(path)?.({ status: 200, headers: ['Content-Length', String(body.length)], body })
+    this.finishers.get(path)?.({ status: 200, headers: [...headers, 'Content-Length', String(body.length)], body })
+  }
+
+  /** Makes the handling of a request fail. */
+  abort (path: string): void {
+    this.finishers.get(path)?.(Promise.reject(new Error('handling failed')))
   }
 
   static read (socket: Socket): Received {
--- a/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
@@ -43,4 +43,14 @@
   assert.is(read('HTTP/1.1 200 OK\r\nContent-Length: 16777217\r\n\r\n').reason, 'too-long')
 })
 
+// Guards against a header that can't be sent on: it cost the caller's connection with all requests on it.
+test('a header with a control character is unsound, and one in UTF-8 passes unchanged', () => {
+  assert.is(read('HTTP/1.1 200 OK\r\nX-Note: a\u0001b\r\nContent-Length: 5\r\n\r\nfirst').reason, 'header')
+  const name = Buffer.from('filename="M\u0101ori.pdf"').toString('latin1')
+  let rawHeaders: readonly string[] = []
+  const reader = new AnswerReader(new PlainTargetCodec(), new AnswerMemory(Infinity), (answer) => { ({ rawHeaders } = answer.head) })
+  reader.acceptBytes(Buffer.from(`HTTP/1.1 200 OK\r\nContent-Disposition: ${name}\r\nContent-Length: 0\r\n\r\n`, 'latin1'))
+  assert.is(rawHeaders[1], name)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
@@ -173,4 +173,29 @@
   assert.match(received.text, /Connection: close[^]*answer to \/2;$/)
 })
 
+// Guards against a header of one answer that closes the connection under the other requests on it.
+test('an answer whose header can\'t be written costs its own request alone', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write(makeGet('/1') + makeGet('/2') + makeGet('/3'))
+  await waitFor(() => held.paths.length === 3, 'the requests')
+  held.answer('/2', 'unwritable', ['X-Note', 'a\u0001b'])
+  held.answer('/1')
+  held.answer('/3')
+  await waitFor(() => received.text.includes('answer to /3;'), 'the last answer')
+  assert.equal(listStatuses(received.text), ['200', '502', '200'])
+  assert.is(held.errors.length, 1)
+  await waitFor(() => held.memory.heldBytes === 0, 'the release of the bytes')
+})
+
+test('a failure of the handling is answered 500', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.abort('/1')
+  await waitFor(() => received.text.endsWith('\r\n\r\n'), 'the answer')
+  assert.equal(listStatuses(received.text), ['500'])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -1,6 +1,7 @@
 import { HTTPParser } from 'http-parser-js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
 import type { AnswerMemory } from './answerMemory.js'
+import { checkHeaders } from './checkHeaders.js'
 import { checkLengths } from './checkLengths.js'
 import { HeldBytes } from './heldBytes.js'
 import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
@@ -8,6 +9,9 @@
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
 
+// The parser's default, ASCII, drops the highest bit of each byte, which makes control characters of names in UTF-8.
+HTTPParser.encoding = 'latin1'
+
 /** First status of a final answer: lower ones are interim, and the final answer follows. */
 const FIRST_FINAL_STATUS = 200
 
@@ -28,6 +32,7 @@
   constructor (codec: TargetCodec, memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void) {
     this.held = new HeldBytes(memory)
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      checkHeaders(info.headers)
       checkLengths(info.headers, !this.isBodiless)
       if (info.statusCode < FIRST_FINAL_STATUS) return 1
       this.head = codec.decodeAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive)
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -20,6 +20,9 @@
  */
 const LATE_REQUEST_MARGIN_MS = 1_000
 
+/** Status in place of an answer that can't be written. */
+const UNWRITABLE_STATUS = 502
+
 /** One request of a connection, from its head to the end of its answer. */
 interface Exchange {
   message: IncomingMessage
@@ -34,6 +37,7 @@
   memory: AnswerMemory
   reportReadFailure: (report: ReadFailureReport) => void
   handleClose: () => void
+  logError: (error: Error) => void
 }
 
 /**
@@ -157,8 +161,15 @@
     const isLast = this.isLeaving && this.exchanges.length === 1 && this.failure === undefined
     if (isLast) this.isEnding = true
     if (body.length >= MIN_TIMED_BYTES) this.startReadTimer(response)
-    response.writeHead(status, isLast ? [...headers, 'Connection', 'close'] : headers)
-    response.end(body)
+    try {
+      response.writeHead(status, isLast ? [...headers, 'Connection', 'close'] : headers)
+      response.end(body)
+    } catch (error) {
+      // Headers that Node doesn't write cost their own request alone, and not the others on the connection.
+      this.parts.logError(error as Error)
+      response.writeHead(UNWRITABLE_STATUS, ['Content-Length', '0', ...(isLast ? ['Connection', 'close'] : [])])
+      response.end()
+    }
   }
 
   private startReadTimer (response: ServerResponse): void {
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -103,18 +103,15 @@
     this.parts.turns.push((arrivedAt) => {
       // The caller disconnected while its request was queued: handling it would only delay requests whose callers still wait.
       if (callerLeft.signal.aborted) return
-      this.handleRequest(message, callerLeft.signal, arrivedAt).then(
-        (answer) => { connection.answer(exchange, answer) },
-        (error: Error) => {
-          this.parts.logError(error)
-          connection.answer(exchange, INTERNAL_ERROR)
-        })
+      this.handleRequest(message, callerLeft.signal, arrivedAt).catch((error: Error) => {
+        this.parts.logError(error)
+        return INTERNAL_ERROR
+      }).then((answer) => { connection.answer(exchange, answer) }, this.parts.logError)
     }, isFirst)
   }
 
   private addConnection (socket: Socket): void {
-    const { memory, reportReadFailure } = this.parts
-    const connection = new CallerConnection(socket, { memory, reportReadFailure, handleClose: () => { this.connections.delete(socket) } })
+    const connection = new CallerConnection(socket, { ...this.parts, handleClose: () => { this.connections.delete(socket) } })
     this.connections.set(socket, connection)
     if (this.isLeaving) connection.leave()
   }
