Answer a request target that can't be parsed with 400 instead of ending the process

What was seen: one `GET //` at the port of look-ups, readiness or metrics ended the process with an uncaught TypeError (review, lookupPath).

Cause: `new URL` throws on such a target, in a listener without a boundary. Errors thrown before the handler's first await had the same way out.

Change: targets are taken in origin or absolute form only, all others get 400; whatever the handler throws is logged and answered 500.

--- a/packages/almondrelay-gateway/src/connection/listenForGet.ts
+++ b/packages/almondrelay-gateway/src/connection/listenForGet.ts
@@ -1,17 +1,28 @@
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import { parseRequestTarget } from './parseRequestTarget.js'
 import type { PlainAnswer } from './plainAnswer.js'
 
+type AnswerGet = (path: string, query: URLSearchParams) => Promise<PlainAnswer>
+
+const BAD_REQUEST: PlainAnswer = { status: 400, type: 'text/plain', body: '' }
+const FAILED: PlainAnswer = { status: 500, type: 'text/plain', body: '' }
+
 /** Starts an HTTP server for GET requests: readiness, look-ups and metrics. */
-export function listenForGet (ip: string, port: number, answerGet: (path: string, query: URLSearchParams) => Promise<PlainAnswer>, logError: (error: Error) => void): Promise<Server> {
+export function listenForGet (ip: string, port: number, answerGet: AnswerGet, logError: (error: Error) => void): Promise<Server> {
   const server = createServer((message, response) => {
-    const url = new URL(message.url ?? '/', 'http://host')
     message.resume()
-    answerGet(url.pathname, url.searchParams).then(
-      (answer) => { response.writeHead(answer.status, { 'Content-Type': answer.type }).end(answer.body) },
-      (error: Error) => { logError(error); response.writeHead(500).end() })
+    answerMessage(message, answerGet).catch((error: Error) => {
+      logError(error)
+      return FAILED
+    }).then(({ status, type, body }) => { response.writeHead(status, { 'Content-Type': type }).end(body) }, logError)
   })
   return new Promise((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, ip, () => { resolve(server) })
   })
 }
+
+const answerMessage = async (message: IncomingMessage, answerGet: AnswerGet): Promise<PlainAnswer> => {
+  const url = parseRequestTarget(message.url ?? '')
+  return url === undefined ? BAD_REQUEST : await answerGet(url.pathname, url.searchParams)
+}
