Take a time limit with a fraction for writing the last account page

Cause: the time left of the grace period has a fraction, and AbortSignal.timeout takes whole milliseconds only.

Change: the limit is rounded down where the timer is made, and one that is over counts as 0.

--- a/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
+++ b/packages/almondrelay/src/process/account/__tests__/accountWriter.test.ts
@@ -66,6 +66,15 @@
   assert.ok(await platform.get('account/akl-a-1/1/0000000005', never))
 })
 
+// Guards against a last page that is not written, and a process that ends with an error, because of a time limit with a fraction.
+test('a time limit with a fraction, or one that is over, is no error', async () => {
+  const { run } = startRun()
+  await run.runUntil(5 * MINUTE, 7_000)
+  assert.is(await run.writer.finish(987.6543), 0)
+  await run.runUntil(7 * MINUTE, 7_000)
+  assert.ok(await run.writer.finish(-0.5) >= 0)
+})
+
 // Counts must not be lost when the platform is unavailable for ten minutes while requests are served: the pages are
 // kept and written after the outage.
 test('pages are kept through an outage', async () => {
--- a/packages/almondrelay/src/process/account/accountWriter.ts
+++ b/packages/almondrelay/src/process/account/accountWriter.ts
@@ -52,11 +52,11 @@
    * Writes all remaining pages. Called during a planned stop, after the last request has finished.
    * Returns the number of pages that could not be written.
    *
-   * @param limitMs Time limit in milliseconds.
+   * @param limitMs Time limit in milliseconds; the timer takes whole ones.
    */
   async finish (limitMs = FINAL_WRITE_TIMEOUT_MS): Promise<number> {
     this.ledger.closeLast(this.options.wallNow())
-    await this.writePages([...this.ledger.listPages()], AbortSignal.timeout(limitMs))
+    await this.writePages([...this.ledger.listPages()], AbortSignal.timeout(Math.max(0, Math.floor(limitMs))))
     return this.ledger.listPages().length
   }
 
