Take on no request at a planned stop that can't be answered before the process ends

Cause: the stop waited for requests that had been read and not for those that were arriving, and nothing refused requests afterwards.

Change: PlannedStop owns the end of a host's requests. From the stop signal on a request is taken on only if its time is over before the process ends or if its kind usually takes less; arriving requests are awaited for a second after the port has closed; then every request is refused 503 before a target gets it, and only then is the last page written. Why it holds: the check stands before the choice of a target, and again after the body has been read, with nothing to wait for in between.

--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -69,9 +69,14 @@
     socket.once('close', () => { this.handleClose() })
   }
 
-  /** Number of requests that were read and whose answers have not been sent in full. */
+  /** Number of requests that were read in full and whose answers have not been sent in full. */
   get unanswered (): number {
-    return this.exchanges.length
+    return this.exchanges.filter(({ message, answer }) => message.complete || answer !== undefined).length
+  }
+
+  /** Whether a part of a request has been received. */
+  get isArriving (): boolean {
+    return this.exchanges.length === 0 ? this.socket.bytesRead > this.bytesReadAtLastAnswer : this.unanswered < this.exchanges.length
   }
 
   /** Whether no request has been read on the connection. */
@@ -114,9 +119,8 @@
    * end and answered.
    */
   close (): void {
-    const hasBegun = this.socket.bytesRead > this.bytesReadAtLastAnswer
     this.isLeaving = true
-    this.isClosed = this.exchanges.length > 0 || !hasBegun
+    this.isClosed = this.exchanges.length > 0 || !this.isArriving
     this.closeUnused()
   }
 
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -72,11 +72,16 @@
     this.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS
   }
 
-  /** Returns the number of requests that were read and whose answers have not been sent in full. */
+  /** Returns the number of requests that were read in full and whose answers have not been sent in full. */
   countUnanswered (): number {
     return [...this.connections.values()].reduce((sum, { unanswered }) => sum + unanswered, 0)
   }
 
+  /** Returns the number of connections on which a part of a request has been received. */
+  countArriving (): number {
+    return [...this.connections.values()].filter(({ isArriving }) => isArriving).length
+  }
+
   /** Makes each answer from now on close its connection, so that callers connect to other hosts. */
   leave (): void {
     this.isLeaving = true
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -6,6 +6,7 @@
 import type { CallerHead } from '../../connection/callerHead.js'
 import { readBody } from '../../connection/readBody.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
+import { allowBeforeStop } from '../../request/allowBeforeStop.js'
 import type { CallerRequest } from '../../request/callerRequest.js'
 import type { FinalAnswer } from '../../request/finalAnswer.js'
 import { MAX_RETRY_AFTER_SHARE } from '../../request/maxRetryAfterShare.js'
@@ -27,6 +28,7 @@
 import { RequestGate } from '../quarantine/requestGate.js'
 import type { ShareMetrics } from '../observe/shareMetrics.js'
 import type { WorkShares } from '../shares/workShares.js'
+import type { PlannedStop } from '../stop/plannedStop.js'
 import type { ForwardState } from './forwardState.js'
 import { RequestRefuser } from './requestRefuser.js'
 import { RequestPlacement } from './requestPlacement.js'
@@ -56,6 +58,7 @@
   log: EventLog
   account: AccountRecorder
   metrics: GatewayMetrics
+  plannedStop: Pick<PlannedStop, 'endsAt' | 'isFinishing'>
   /** Age of this host's state, in milliseconds, above which a newer configuration may already be binding. */
   staleAfterMs: number
   /** Monotonic milliseconds at which the host started. */
@@ -135,6 +138,7 @@
     const deadline = arrivedAt + Math.min(route.timeoutMs, head.callerTimeoutMs ?? route.timeoutMs)
     const patience = organisations.computeRelativePriority(organisation, routes.computeRelativePriority(route))
     if (deadline <= getNow() || !load.allow(patience, random())) return this.refuser.refuseOverloaded(head, route, organisation?.name)
+    if (!this.allowBeforeStop(route, deadline)) return this.refuser.refuseStopping(head, route, organisation?.name)
     if (memory.isFilling) return this.refuser.refuseMemoryFull(head, route, organisation?.name)
     const { method = 'GET', url = '/', rawHeaders } = message
     const { affinityKey, organisationKey } = head
@@ -142,10 +146,18 @@
     const metered = this.pickService(route)
     return this.serveWithinAllowance(organisation, head, route, async () => {
       const refusal = metered === undefined ? undefined : this.refuseOverShare(head, draft, organisation, metered)
-      return refusal === undefined ? await this.serve(message, configuration.limits.maxBodyBytes, draft, callerLeft, metered) : { answer: refusal, mayHaveRun: false }
+      return refusal === undefined ? await this.serve(message, head, configuration.limits.maxBodyBytes, draft, callerLeft, metered) : { answer: refusal, mayHaveRun: false }
     })
   }
 
+  private allowBeforeStop (route: Route, deadline: number): boolean {
+    const { plannedStop: { endsAt, isFinishing }, forward, getNow } = this.parts
+    if (isFinishing) return false
+    if (endsAt === Infinity) return true
+    const expectedMs = Math.max(...route.destinations.map(({ service }) => forward.getRuntime(service).findTimes(route.name).getMeanMs(route.targetLatencyMs)))
+    return allowBeforeStop({ now: getNow(), deadline, expectedMs, endsAt })
+  }
+
   /** Picks the service of a request; undefined where fair shares aren't held. */
   private pickService (route: Route): MeteredService | undefined {
     const { shares, forward, random } = this.parts
@@ -195,10 +207,11 @@
     return answer
   }
 
-  private async serve (message: IncomingMessage, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
+  private async serve (message: IncomingMessage, head: CallerHead, maxBodyBytes: number, draft: Omit<CallerRequest, 'body'>, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
     const read = await readBody(message, maxBodyBytes)
     if (read.kind === 'too-long') return { answer: this.refuser.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
     if (read.kind === 'cut-short' || callerLeft.aborted) return { answer: undefined, mayHaveRun: false }
+    if (!this.allowBeforeStop(draft.route, draft.deadline)) return { answer: this.refuser.refuseStopping(head, draft.route, findOrganisation(draft.identity)?.name), mayHaveRun: false }
     return this.forward({ ...draft, body: read.body }, callerLeft, metered)
   }
 
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -23,6 +23,8 @@
 const STALE_RETRY_AFTER_MS = 200
 /** Mean Retry-After, in milliseconds, if only a new configuration can make the request succeed. */
 const NO_COMMON_REGION_RETRY_AFTER_MS = 2_000
+/** Mean Retry-After, in milliseconds, of a host that is being stopped. */
+const STOPPING_RETRY_AFTER_MS = 100
 /** Status of the answer to a caller without an organisation's key. */
 const UNIDENTIFIED_STATUS = 401
 
@@ -94,6 +96,11 @@
     return this.refuse(head, route, { retryAfterMs: this.addJitter(MEMORY_FULL_RETRY_AFTER_MS), cause: RefusalReason.hostOverloaded, reason: 'answers that are on their way fill the memory of this host', organisation })
   }
 
+  /** The caller's next connection reaches another host, so it may come back soon. */
+  refuseStopping (head: CallerHead, route: Route, organisation: string | undefined): CallerAnswer {
+    return this.refuse(head, route, { retryAfterMs: this.addJitter(STOPPING_RETRY_AFTER_MS), cause: RefusalReason.leaving, reason: 'this host is being stopped, and the request may take longer than the time that is left', organisation })
+  }
+
   refuseUnconfigured (head: CallerHead): CallerAnswer {
     const answer = { kind: 'refused' as const, retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS, reason: 'no configuration yet', cause: RefusalReason.notReady }
     this.parts.log.record('request refused', { id: head.id, ...answer })
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -34,6 +34,7 @@
 import { PeerExchange } from './peers/peerExchange.js'
 import { PeerSocket } from './peers/peerSocket.js'
 import { PeerView } from './peers/peerView.js'
+import { PlannedStop } from './stop/plannedStop.js'
 import { createWorkShares } from './shares/createWorkShares.js'
 import { createQuarantine } from './quarantine/createQuarantine.js'
 import type { Quarantine } from './quarantine/quarantine.js'
@@ -44,21 +45,12 @@
 
 /** Milliseconds between checks for connections to targets that have been idle for too long. */
 const IDLE_CHECK_INTERVAL_MS = 1_000
-/**
- * Milliseconds after the stop signal during which the caller port still accepts connections, for callers that use an earlier
- * look-up answer: the time to live of such an answer plus the time of a look-up.
- */
-const ACCEPT_AFTER_STOP_MS = 3_000
-/** Milliseconds of the grace period that are reserved for writing the last answers before the process is killed. */
-const STOP_GRACE_MARGIN_MS = 300
 /** Maximum milliseconds, within the remaining grace period, for writing the last account pages at a planned stop. */
 const MAX_ACCOUNT_FLUSH_MS = 1_000
 /** Maximum bytes of answers held in memory at once; an answer takes twice its size while its chunks are concatenated. */
 const MAX_ANSWER_BYTES = 48 * 1024 * 1024
 /** Abort listeners that the tasks may register at the same time; above this number Node.js warns of a listener leak. */
 const MAX_ABORT_LISTENERS = 50
-/** Milliseconds between checks for unanswered requests during a planned stop. */
-const STOP_CHECK_INTERVAL_MS = 50
 
 interface GatewayParts {
   settings: GatewaySettings
@@ -91,6 +83,7 @@
   private readonly requestHandler: RequestHandler
   private readonly carrierServer: CarrierServer
   private readonly callers: CallerServer
+  private readonly plannedStop: PlannedStop
   private readonly lookups: LookupAnswers
   private readonly announcer: HostAnnouncer
   private readonly follower: FleetFollower
@@ -137,9 +130,10 @@
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountRecorder({ own: this.own, values, clock, log, random })
     this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
-    this.requestHandler = new RequestHandler({ startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, shares, shareMetrics, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
-    this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
     this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), { turns: this.turns, memory: this.memory, logError, reportReadFailure: (report) => { this.reportReadFailure(report) } })
+    this.plannedStop = new PlannedStop({ callers: this.callers, countCarried: () => this.carrierServer.countUnanswered(), graceMs: settings.bounds.stopGrace, getNow })
+    this.requestHandler = new RequestHandler({ plannedStop: this.plannedStop, startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, shares, shareMetrics, load: this.load, memory: this.memory, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
+    this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
     this.lookups = new LookupAnswers({ codec: adapter.lookups, fleet: this.fleet, view: this.view, ownRegion: this.own.region, maxTtlMs: settings.bounds.longestLookupLife, log, getNow, isLeaving })
     this.follower = this.createFollower()
     adapter.store.era.handleReturn = () => {
@@ -266,21 +260,14 @@
   // Callers cache look-up answers for some seconds, so requests still arrive after the stop signal. They are served, and each
   // answer closes its connection, so that the caller reconnects to another host.
   private async stop (leaving: AbortController): Promise<number> {
-    const { settings, getNow, log } = this.parts
-    const stoppedAt = getNow()
+    const { getNow, log } = this.parts
     this.isLeaving = true
-    this.callers.leave()
     this.peerExchange.announce()
     leaving.abort()
     log.report('planned stop', { unanswered: this.callers.countUnanswered() })
-    const neverAborted = new AbortController().signal
-    await sleepFor(ACCEPT_AFTER_STOP_MS, neverAborted)
-    this.callers.close()
-    const countUnanswered = (): number => this.callers.countUnanswered() + this.carrierServer.countUnanswered()
-    while (countUnanswered() > 0 && getNow() - stoppedAt < settings.bounds.stopGrace - STOP_GRACE_MARGIN_MS) await sleepFor(STOP_CHECK_INTERVAL_MS, neverAborted)
+    await this.plannedStop.run()
     const unfinished = this.callers.countUnanswered()
-    const remainingGraceMs = settings.bounds.stopGrace - STOP_GRACE_MARGIN_MS - (getNow() - stoppedAt)
-    const unwrittenPages = await this.account.finish(Math.max(1, Math.min(MAX_ACCOUNT_FLUSH_MS, remainingGraceMs)))
+    const unwrittenPages = await this.account.finish(Math.min(MAX_ACCOUNT_FLUSH_MS, this.plannedStop.endsAt - getNow()))
     log.report('host stopped', { unfinished, unwrittenPages })
     return unfinished
   }
