Check each line of an answer before the parser acts on it

Cause: the parser reads sizes by parseInt and takes what is no number for the last chunk; it leaves out lines of the head that are no headers, and bounds neither size lines nor trailers.

Change: the parser gets each line through one hook that checks it against RFC 9112 first. A length beside chunks, other transfer encodings, interim answers without end and a change of protocol are unsound; answers 204 and 304 end with their head. Small pieces of a body are copied together, as one in chunks of a byte took a hundred times its size.

--- a/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
@@ -53,4 +53,75 @@
   assert.is(rawHeaders[1], name)
 })
 
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+// Guards against a part of an answer that is passed on as a whole one, because one byte of the size of a chunk is wrong.
+for (const size of ['~', '', '5~', 'g', '-5', '+5', ' 5', '5 5', '0x5', '5\r', '11111111111111111', '5\u0000']) {
+  test(`a chunk size of ${JSON.stringify(size)} is no size`, () => {
+    assert.equal(read(`${CHUNKED}5\r\nfirst\r\n${size}\r\n other\r\n0\r\n\r\n`), { bodies: [], reason: 'chunk' })
+    assert.equal(read(`${CHUNKED}5\r\nfirst\r\n${size}\r\n other\r\n0\r\n\r\n`, 1), { bodies: [], reason: 'chunk' })
+  })
+}
+
+test('a chunk that is longer than its size is unsound', () => {
+  assert.is(read(`${CHUNKED}4\r\nfirst\r\n0\r\n\r\n`).reason, 'chunk')
+  assert.is(read(`${CHUNKED}4\r\nfirst!`, 1).reason, 'chunk')
+})
+
+test('chunks with extensions, leading zeros and trailers are passed on', () => {
+  assert.equal(read(`${CHUNKED}005;name="a b"\r\nfirst\r\n6 \r\n other\r\n0\r\nX-Sum: 7\r\n\r\n`), { bodies: ['first other'], reason: undefined })
+  assert.equal(read(`${CHUNKED}A\r\n0123456789\r\n00\r\n\r\n`, 1), { bodies: ['0123456789'], reason: undefined })
+})
+
+test('a body has a length or chunks, and no other encoding', () => {
+  assert.is(read('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nfirst\r\n0\r\n\r\n').reason, 'encoding')
+  assert.is(read('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n').reason, 'encoding')
+  assert.is(read('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkee\r\n\r\n5\r\nfirst\r\n0\r\n\r\n').reason, 'encoding')
+})
+
+// Guards against a length that is left out with its line, so that the body seems to end with the connection.
+test('a line of the head that is no header is unsound', () => {
+  for (const line of ['Content-Length~ 5', 'Content-Length : 5', ': 5', ' folded']) assert.is(read(`HTTP/1.1 200 OK\r\n${line}\r\n\r\nfirst`).reason, 'header')
+  assert.equal(read('HTTP/1.1 200 OK\r\nX-Note: a\r\n\tb\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
+})
+
+test('statuses outside 100 to 599, and first lines that are none, are unsound', () => {
+  for (const line of ['HTTP/1.1 099 OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 20 OK', 'HTTP/2.0 200 OK', 'HTTP/1.1 200OK', 'http/1.1 200 OK']) assert.is(read(`${line}\r\nContent-Length: 0\r\n\r\n`).reason, 'syntax')
+  assert.equal(read('HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
+  assert.equal(read('HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
+})
+
+test('answers without a body end with their head, whatever length they state', () => {
+  assert.equal(read('HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\nHTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['', '', 'first'])
+})
+
+test('interim answers are passed over, but not without end, and none may change the protocol', () => {
+  const interim = 'HTTP/1.1 100 Continue\r\n\r\n'
+  assert.equal(read(`${interim}${interim}HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst`).bodies, ['first'])
+  assert.is(read(interim.repeat(20)).reason, 'interim')
+  assert.is(read('HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n').reason, 'interim')
+})
+
+// Guards against bytes without end that fill the memory, or keep the process busy.
+test('a head, a size, trailers, a body or empty lines without end are given up', () => {
+  const endless: Array<[string, string]> = [
+    ['HTTP/1.1 200 OK', 'x'.repeat(1_000)],
+    ['HTTP/1.1 200 OK\r\n', 'X-Note: x\r\n'.repeat(100)],
+    ['HTTP/1.1 200 OK\r\nX-Note: ', 'x'.repeat(1_000)],
+    [`${CHUNKED}5;`, 'x'.repeat(1_000)],
+    [`${CHUNKED}5\r\nfirst\r\n0\r\n`, 'X-Note: x\r\n'.repeat(100)],
+    [`${CHUNKED}5\r\nfirst\r\n0\r\nX-Note: `, 'x'.repeat(1_000)],
+    [CHUNKED, '1\r\nx\r\n'.repeat(6_000)],
+    ['HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(10_000)],
+    ['', '\r\n'.repeat(100)],
+    ['', '\n'.repeat(100)]
+  ]
+  for (const [begin, more] of endless) {
+    const memory = new AnswerMemory(1_000_000)
+    const { bodies, reason } = read(begin + more.repeat(200), 65_536, memory)
+    assert.equal(bodies, [])
+    assert.ok(reason !== undefined, begin)
+  }
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -1,19 +1,24 @@
 import { HTTPParser } from 'http-parser-js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
 import type { AnswerMemory } from './answerMemory.js'
+import { BodyBuffer } from './bodyBuffer.js'
 import { checkHeaders } from './checkHeaders.js'
 import { checkLengths } from './checkLengths.js'
+import { createAnswerParser } from './createAnswerParser.js'
 import { HeldBytes } from './heldBytes.js'
 import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
 import type { TargetCodec } from './targetCodec.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
 
-// The parser's default, ASCII, drops the highest bit of each byte, which makes control characters of names in UTF-8.
-HTTPParser.encoding = 'latin1'
-
 /** First status of a final answer: lower ones are interim, and the final answer follows. */
 const FIRST_FINAL_STATUS = 200
+/** Status by which a target would change the protocol, which no request asks for. */
+const SWITCHING_STATUS = 101
+/** Statuses of answers that have no body, whatever length they state (RFC 9112, section 6.3). */
+const BODILESS_STATUSES = [204, 304]
+/** Interim answers before a final one. */
+const MAX_INTERIM = 16
 
 interface CompleteAnswer {
   head: TargetAnswerHead
@@ -22,9 +27,10 @@
 
 /** Parses successive HTTP answers from the bytes of a connection to a target. */
 export class AnswerReader {
-  private readonly parser = new HTTPParser(HTTPParser.RESPONSE)
+  private readonly parser = createAnswerParser()
   private head: TargetAnswerHead | undefined
-  private chunks: Buffer[] = []
+  private interim = 0
+  private readonly body = new BodyBuffer()
   private readonly held: HeldBytes
   /** Whether the answer to the pending request has no body, as for HEAD. */
   isBodiless = false
@@ -32,15 +38,17 @@
   constructor (codec: TargetCodec, memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void) {
     this.held = new HeldBytes(memory)
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
+      const hasBody = !this.isBodiless && !BODILESS_STATUSES.includes(info.statusCode)
       checkHeaders(info.headers)
-      checkLengths(info.headers, !this.isBodiless)
-      if (info.statusCode < FIRST_FINAL_STATUS) return 1
+      checkLengths(info.headers, hasBody)
+      if (info.statusCode < FIRST_FINAL_STATUS) return this.passInterim(info.statusCode)
+      this.interim = 0
       this.head = codec.decodeAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive)
-      return this.isBodiless ? 1 : 0
+      return hasBody ? 0 : 1
     }
     this.parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
       const bytes = chunk.subarray(offset, offset + length)
-      this.chunks.push(bytes)
+      this.body.append(bytes)
       const hasRoom = this.held.hold(bytes.length)
       if (this.held.count > MAX_ANSWER_BYTES) throw new UnsoundAnswer(UnsoundReason.tooLong, `it has more than ${MAX_ANSWER_BYTES} bytes`)
       if (!hasRoom) throw new UnsoundAnswer(UnsoundReason.noRoom, 'this host has no room for it')
@@ -55,13 +63,14 @@
    */
   acceptBytes (bytes: Buffer): void {
     const parsed = this.parser.execute(bytes)
+    if (parsed instanceof UnsoundAnswer) throw parsed
     if (typeof parsed !== 'number') throw new UnsoundAnswer(UnsoundReason.syntax, 'its bytes are not HTTP')
   }
 
   /** Drops a partially received answer. */
   drop (): void {
     this.held.release()
-    this.chunks = []
+    this.body.clear()
   }
 
   /** Handles the end of the connection: it completes an answer without a length and truncates any other one. */
@@ -69,10 +78,16 @@
     this.parser.finish()
   }
 
+  private passInterim (status: number): number {
+    this.interim += 1
+    if (status === SWITCHING_STATUS || this.interim > MAX_INTERIM) throw new UnsoundAnswer(UnsoundReason.interim, 'an interim answer that no request asks for')
+    return 1
+  }
+
   private finishAnswer (): void {
     const { head } = this
     if (head === undefined) return
-    const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks)
+    const body = this.body.take()
     this.head = undefined
     this.drop()
     this.handleAnswer({ head, body })
--- a/packages/almondrelay-gateway/src/connection/unsoundReason.ts
+++ b/packages/almondrelay-gateway/src/connection/unsoundReason.ts
@@ -2,6 +2,11 @@
 const UnsoundReason = {
   syntax: 'syntax',
   header: 'header',
+  chunk: 'chunk',
+  /** A transfer encoding other than chunked, or chunked beside another one or a length. */
+  encoding: 'encoding',
+  /** More interim answers than any target has to send. */
+  interim: 'interim',
   /** A length that is no whole number, several different ones, or one beside a transfer encoding. */
   length: 'length',
   tooLong: 'too-long',
