Give up answers of the target that holds most before others are refused

Cause: from half of the memory for answers on a host refuses all new requests, whoever holds the memory; each answer may hold 16 MB.

Change: under that pressure the largest answer of the target that holds most is given up, as long as the target holds more than a twelfth of the memory. A connection without a request is closed after 64 KB: no deadline bounded what it holds. Why it holds: room is made as the bytes are counted, so no request is decided in between, and a target within its share loses nothing.

--- a/packages/almondrelay-gateway/src/connection/__tests__/answerMemory.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerMemory.test.ts
@@ -40,4 +40,32 @@
   assert.is(memory.heldBytes, 0)
 })
 
+// Guards against a few targets with answers without end that make a host refuse the requests of all services.
+test('while the memory is filling, the largest answer of the target that holds most is given up', () => {
+  const memory = new AnswerMemory(1_200)
+  const aborted: string[] = []
+  const receive = (target: string, name: string): HeldBytes => new HeldBytes(memory, { target, abort: () => { aborted.push(name) } })
+  const [first, second, sound] = [receive('a', 'first'), receive('a', 'second'), receive('b', 'sound')]
+  assert.ok(sound.hold(90))
+  assert.ok(first.hold(200))
+  assert.ok(second.hold(300))
+  assert.equal(aborted, [])
+  assert.ok(first.hold(20))
+  assert.equal(aborted, ['second'])
+  assert.not(memory.isFilling)
+  assert.is(memory.heldBytes, 310)
+  assert.not(first.hold(400))
+  assert.equal(aborted, ['second', 'first'])
+  assert.is(memory.heldBytes, 90)
+})
+
+test('answers of targets within their share are kept, and answers that wait for their callers', () => {
+  const memory = new AnswerMemory(1_200)
+  const aborted: string[] = []
+  new HeldBytes(memory).hold(500)
+  for (const target of ['a', 'b', 'c']) new HeldBytes(memory, { target, abort: () => { aborted.push(target) } }).hold(90)
+  assert.ok(memory.isFilling)
+  assert.equal(aborted, [])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -77,6 +77,20 @@
   assert.is(memory.heldBytes, 0)
 })
 
+// Guards against bytes without end on an idle connection, which no deadline closes.
+test('a connection without a request is closed if bytes go on arriving', async () => {
+  const port = await startScriptedTarget((socket) => {
+    const timer = setInterval(() => { socket.write('x'.repeat(10_000)) }, 1)
+    socket.on('close', () => { clearInterval(timer) })
+    socket.write(`${ANSWER_TO_FIRST}HTTP/1.1 200 OK\r\n\r\n`)
+  }, owner.signal)
+  const connection = await open(port)
+  assert.is((await connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))).kind, 'answered')
+  for (let look = 0; look < 500 && !connection.isClosed; look += 1) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  assert.ok(connection.isClosed)
+  assert.is(memory.heldBytes, 0)
+})
+
 test('a truncated answer counts as broken', async () => {
   const port = await startScriptedTarget((socket) => { socket.end(ANSWER_TO_FIRST.slice(0, -2)) }, owner.signal)
   const result = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -35,8 +35,9 @@
   /** Whether the answer to the pending request has no body, as for HEAD. */
   isBodiless = false
 
-  constructor (codec: TargetCodec, memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void) {
-    this.held = new HeldBytes(memory)
+  /** @param target address of the target, and what gives up the connection to make room for answers of others */
+  constructor (codec: TargetCodec, memory: AnswerMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void, target?: ConstructorParameters<typeof HeldBytes>[1]) {
+    this.held = new HeldBytes(memory, target)
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const hasBody = !this.isBodiless && !BODILESS_STATUSES.includes(info.statusCode)
       checkHeaders(info.headers)
--- a/packages/almondrelay-gateway/src/connection/heldBytes.ts
+++ b/packages/almondrelay-gateway/src/connection/heldBytes.ts
@@ -1,25 +1,48 @@
 import type { AnswerMemory } from './answerMemory.js'
 
+/** An answer that is being received, and can be given up to make room. */
+interface Receiving {
+  /** Address of the target that sends it. */
+  target: string
+  abort: () => void
+}
+
 /** Bytes that one owner holds. They are released once and together, so that the sum of all owners can't become wrong. */
 export class HeldBytes {
   private bytes = 0
+  private isAborted = false
 
-  constructor (private readonly memory: AnswerMemory) {}
+  /** @param receiving undefined for bytes that have been received in full */
+  constructor (private readonly memory: AnswerMemory, private readonly receiving?: Receiving) {}
 
   get count (): number {
     return this.bytes
   }
 
-  /** Counts further bytes; returns false if all owners together exceed the bound. They count in either case. */
+  /** Address of the target that the bytes are being received from; undefined for bytes that have been received in full. */
+  get target (): string | undefined {
+    return this.receiving?.target
+  }
+
+  /** Counts further bytes; returns false if there is no room for them, or none any more for those that were held. */
   hold (bytes: number): boolean {
     const hasRoom = this.memory.hold(bytes)
     this.bytes += bytes
-    return hasRoom
+    if (this.receiving !== undefined) this.memory.addReceiver(this)
+    return hasRoom && !this.isAborted
   }
 
   release (): void {
     const { bytes } = this
     this.bytes = 0
+    this.memory.removeReceiver(this)
     this.memory.release(bytes)
   }
+
+  /** Gives up the answer that is being received. */
+  abort (): void {
+    this.isAborted = true
+    this.release()
+    this.receiving?.abort()
+  }
 }
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -8,12 +8,16 @@
 import type { ConnectionParts } from './connectionParts.js'
 import { OpenCause } from './openCause.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
+import { UnsoundReason } from './unsoundReason.js'
 
 /** Milliseconds for which an idle connection is reused if the target states no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 500
 /** Milliseconds subtracted from a target's keep-alive timeout: the target's close and the next request may cross on the network. */
 const IDLE_MARGIN_MS = 750
 
+/** Bytes that may arrive while no request is pending: more than a small answer that is sent twice. */
+const MAX_UNREQUESTED_BYTES = 64 * 1024
+
 interface PendingRequest {
   requestId: string
   finish: (result: AttemptResult) => void
@@ -26,14 +30,16 @@
   private isOpen = false
   private isDestroyed = false
   private isReserved = false
+  /** Bytes received since the last answer while no request is pending. */
+  private unrequestedBytes = 0
   /** Why the connection closes after its next answer; undefined while it may be reused. */
   private closeReason: string | undefined
   private unusableAt = Infinity
 
-  private constructor (private readonly socket: Socket, private readonly parts: ConnectionParts, private readonly handleClose: (cause: OpenCause) => void) {
-    this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) })
+  private constructor (private readonly socket: Socket, address: string, private readonly parts: ConnectionParts, private readonly handleClose: (cause: OpenCause) => void) {
+    this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) }, { target: address, abort: () => { this.closeUnsound(new UnsoundAnswer(UnsoundReason.noRoom, 'its target holds most of the memory for answers')) } })
     socket.setNoDelay(true)
-    socket.on('data', (bytes: Buffer) => { this.readSafely(() => { this.reader.acceptBytes(bytes) }) })
+    socket.on('data', (bytes: Buffer) => { this.readSafely(() => { this.acceptBytes(bytes) }) })
     socket.on('end', () => { this.readSafely(() => { this.handleEnd() }) })
     socket.on('error', (error: NodeJS.ErrnoException) => { this.close(error.code ?? error.message) })
     socket.on('close', () => { this.close('closed') })
@@ -46,7 +52,7 @@
    */
   static async open (ip: string, port: number, timeoutMs: number, parts: ConnectionParts, handleClose: (cause: OpenCause) => void): Promise<ConnectResult> {
     const socket = connect({ host: ip, port })
-    const connection = new TargetConnection(socket, parts, handleClose)
+    const connection = new TargetConnection(socket, `${ip}:${port}`, parts, handleClose)
     return new Promise((resolve) => {
       let failure: ConnectFailure = ConnectFailure.lost
       const timer = setTimeout(() => { failure = ConnectFailure.timedOut; connection.close(failure) }, timeoutMs)
@@ -131,11 +137,23 @@
     try {
       read()
     } catch (error) {
-      if (error instanceof UnsoundAnswer) this.parts.observeUnsound(error.reason)
-      this.close(error instanceof UnsoundAnswer ? error.message : `answer that can't be dealt with: ${(error as Error).message}`)
+      if (error instanceof UnsoundAnswer) this.closeUnsound(error)
+      else this.close(`answer that can't be dealt with: ${(error as Error).message}`)
     }
   }
 
+  private closeUnsound ({ reason, message }: UnsoundAnswer): void {
+    if (!this.isDestroyed) this.parts.observeUnsound(reason)
+    this.close(message)
+  }
+
+  // A late answer to an earlier request is passed over, but not bytes without end: no deadline closes a connection without a request.
+  private acceptBytes (bytes: Buffer): void {
+    this.unrequestedBytes = this.pending === undefined ? this.unrequestedBytes + bytes.length : 0
+    if (this.unrequestedBytes > MAX_UNREQUESTED_BYTES) throw new UnsoundAnswer(UnsoundReason.unrequested, 'bytes that no request asked for')
+    this.reader.acceptBytes(bytes)
+  }
+
   // If the last bytes and a reset arrive together, Node reports an ordinary end of the stream, and a truncated answer without a
   // length would count as complete. A socket that was reset no longer has a remote address.
   private handleEnd (): void {
--- a/packages/almondrelay-gateway/src/connection/unsoundReason.ts
+++ b/packages/almondrelay-gateway/src/connection/unsoundReason.ts
@@ -10,6 +10,8 @@
   /** A length that is no whole number, several different ones, or one beside a transfer encoding. */
   length: 'length',
   tooLong: 'too-long',
+  /** Bytes without end on a connection without a request. */
+  unrequested: 'unrequested',
   /** All answers together fill the memory of this host. */
   noRoom: 'no-room'
 } as const
