Release what a caller holds in one place, and keep the deadline of an order whose caller left

By reading: an order whose caller left was awaited without a time limit, so that one on a silent connection counted as running at its target for as long as the process lived.

Cause: bytes were released by an event of the response, which doesn't come for a response that never had its connection; the timers of a request were cleared when its caller left, with the deadline among them.

Metrics show what is held, unanswered and running.

--- a/packages/almondrelay-gateway/src/connection/__tests__/holdUntilRead.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/holdUntilRead.test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import { connect, type AddressInfo } from 'node:net'
+import { connect, type AddressInfo, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { AnswerMemory } from '../answerMemory.js'
@@ -32,4 +32,28 @@
   assert.is(memory.heldBytes, 0)
 })
 
+// Guards against answers that count as held for ever, because their receiver left while they waited behind another one.
+test('an answer that waits behind another one is released when its receiver leaves', async () => {
+  const memory = new AnswerMemory(Infinity)
+  const closed = new Promise<void>((resolve) => {
+    const server = createServer((message, response) => {
+      if (message.url === '/first') return
+      holdUntilRead(memory, response, BODY.length)
+      response.end(BODY)
+      message.socket.once('close', () => {
+        server.close()
+        resolve()
+      })
+      socket.destroy()
+    })
+    let socket: Socket
+    server.listen(0, '127.0.0.1', () => {
+      socket = connect((server.address() as AddressInfo).port, '127.0.0.1', () => { socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n') })
+      socket.on('error', () => { socket.destroy() })
+    })
+  })
+  await closed
+  assert.is(memory.heldBytes, 0)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/holdUntilRead.ts
+++ b/packages/almondrelay-gateway/src/connection/holdUntilRead.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { AnswerMemory } from './answerMemory.js'
+import { HeldBytes } from './heldBytes.js'
 
 /** Size of an answer body, in bytes, from which it is counted: smaller ones fit into the kernel's buffer of a connection. */
 const MIN_COUNTED_BYTES = 16 * 1024
@@ -12,10 +13,17 @@
  */
 export function holdUntilRead (memory: AnswerMemory, response: ServerResponse, bytes: number, timeoutMs = READ_TIMEOUT_MS): void {
   if (bytes < MIN_COUNTED_BYTES || response.destroyed) return
-  memory.hold(bytes)
+  const held = new HeldBytes(memory)
+  held.hold(bytes)
+  const { socket } = response.req
   const timer = setTimeout(() => { response.destroy() }, timeoutMs)
-  response.once('close', () => {
+  const release = (): void => {
     clearTimeout(timer)
-    memory.release(bytes)
-  })
+    held.release()
+    response.off('close', release)
+    socket.off('close', release)
+  }
+  response.once('close', release)
+  // A response that waits behind another one on its connection gets no event when the connection ends.
+  socket.once('close', release)
 }
--- a/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
+++ b/packages/almondrelay-gateway/src/process/forward/__tests__/copies.test.ts
@@ -38,7 +38,7 @@
   readonly runner: RequestRunner
   readonly answered: ReturnType<RequestRunner['run']>
 
-  constructor (decision: CopyDecision = CopyDecision.send, idempotent = true, maxAttempts = 3) {
+  constructor (decision: CopyDecision = CopyDecision.send, idempotent = true, maxAttempts = 3, timeoutMs = 2_000) {
     const placement = {
       service: 'balances',
       homeRegion: 'akl',
@@ -60,7 +60,7 @@
     } as unknown as RequestPlacement
     const gate = { isBlocked: false, allowSend: () => true, describe: () => ({}), observeResult: () => undefined, fingerprint: '' } as unknown as RequestGate
     const links = { isLost: ({ entry }: TargetState) => this.lost.has(entry.id), verifyLoss: () => Promise.resolve(false), addSend: () => () => undefined }
-    this.runner = new RequestRunner(makeRequest({ arrivedAt: performance.now(), deadline: performance.now() + 2_000, route: makeRoute({ idempotent, maxAttempts }) }), placement, { codec: new PlainTargetCodec(), links: links as never, carriers: {} as never, gate, metrics: { countCopy: (event) => { this.counted.push(event) } }, getNow: () => performance.now(), random: () => 0 })
+    this.runner = new RequestRunner(makeRequest({ arrivedAt: performance.now(), deadline: performance.now() + timeoutMs, route: makeRoute({ idempotent, maxAttempts }) }), placement, { codec: new PlainTargetCodec(), links: links as never, carriers: {} as never, gate, metrics: { countCopy: (event) => { this.counted.push(event) } }, getNow: () => performance.now(), random: () => 0 })
     this.answered = this.runner.run(this.left.signal)
   }
 
@@ -195,4 +195,15 @@
   assert.is(rig.runner.record.withheldCopy, 'late')
 })
 
+// Guards against a request that counts as running at its target for ever, because its caller left and its connection went silent.
+test('a request that may run once is awaited until its deadline after its caller left', async () => {
+  const rig = new CopyRig(CopyDecision.send, false, 3, 100)
+  await rig.waitForSends(1)
+  rig.left.abort()
+  assert.is((await rig.answered).kind, 'abandoned')
+  assert.not(rig.sent[0]?.isClosed)
+  for (let look = 0; look < 600 && rig.sent[0]?.isClosed !== true; look += 1) await new Promise((resolve) => { setTimeout(resolve, 5) })
+  assert.ok(rig.sent[0]?.isClosed)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -190,12 +190,14 @@
   }
 
   // An idempotent request is cancelled at once: running it again costs only a target's time, and the target is freed. A request that
-  // may run only once continues, because cancelling it would leave its outcome unknown.
+  // may run only once continues until its deadline, because cancelling it would leave its outcome unknown. Without that limit, one on a
+  // connection that has gone silent would count as running at its target for ever.
   private handleCallerLeft (): FinalAnswer {
     const wasSent = [...this.running].some((attempt) => attempt.sentAt !== undefined) || this.uncertainFailure !== undefined
     for (const attempt of this.running) {
       this.recordAttempt(attempt, 'caller left')
       if (this.request.route.idempotent || attempt.sentAt === undefined) attempt.cancel('caller left')
+      else setTimeout(() => { attempt.cancel('deadline') }, Math.max(0, this.request.deadline - this.parts.getNow()) + LATE_ANSWER_TIMEOUT_MS)
     }
     return { kind: 'abandoned', reason: 'caller left', wasSent, cause: RefusalReason.cancelled }
   }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -209,7 +209,7 @@
   }
 
   private async openPorts (signal: AbortSignal): Promise<void> {
-    const { settings, metrics, log } = this.parts
+    const { settings, log } = this.parts
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
     const callers = splitAddress(settings.listen.callers)
     const readiness = splitAddress(settings.listen.readiness)
@@ -222,10 +222,17 @@
     const operators = createServer((request, response) => { this.operatorService.answer(request, response) })
     await openServer(operators, `${this.own.ip}:${settings.peerPorts[1]}`)
     await listenForGet(settings.host.ip, settings.metrics.port, async (path) => path === settings.metrics.path
-      ? { status: 200, type: 'text/plain', body: await metrics.render() }
+      ? { status: 200, type: 'text/plain', body: await this.renderMetrics() }
       : { status: 404, type: 'text/plain', body: '' }, logError)
   }
 
+  private renderMetrics (): Promise<string> {
+    const { metrics } = this.parts
+    const running = [...this.fleet.listAllTargets()].reduce((sum, { inFlight }) => sum + inFlight, 0)
+    metrics.setInProgress({ heldBytes: this.memory.heldBytes, unanswered: this.callers.countUnanswered(), running })
+    return metrics.render()
+  }
+
   private handleDatagram (bytes: Uint8Array, ip: string): void {
     const message = decodeDatagram(bytes)
     if (message?.kind === 'load') this.peerExchange.handleReport(message.report, ip)
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -40,6 +40,9 @@
   private readonly indirectAttempts = new Counter({ name: 'almondrelay_indirect_attempts_total', help: 'Attempts sent to targets by way of another host, and those carried for other hosts', labelNames: ['role', 'result'], registers: [this.registry] })
   private readonly indirectBytes = new Counter({ name: 'almondrelay_indirect_bytes_total', help: 'Bytes of such attempts between the two hosts, in messages of this host', labelNames: ['role', 'distance'], registers: [this.registry] })
   private readonly workDelay = new Histogram({ name: 'almondrelay_work_delay_seconds', help: 'Lateness of a timer of this host', buckets: DELAY_BUCKETS, registers: [this.registry] })
+  private readonly heldBytes = new Gauge({ name: 'almondrelay_held_answer_bytes', help: 'Bytes of answers that are being received, or wait for their callers', registers: [this.registry] })
+  private readonly unanswered = new Gauge({ name: 'almondrelay_unanswered_requests', help: 'Requests of callers that were read and whose answers have not been sent in full', registers: [this.registry] })
+  private readonly running = new Gauge({ name: 'almondrelay_attempts_at_targets', help: 'Attempts of this host that targets have not answered', registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
 
   observeAnswer (service: string, outcome: string, durationMs: number): void {
@@ -53,6 +56,13 @@
     this.organisations.inc({ organisation: this.labelledOrganisations.has(organisation) ? organisation : OTHER_ORGANISATIONS, outcome })
   }
 
+  /** Sets what is in progress at this host. */
+  setInProgress ({ heldBytes, unanswered, running }: { heldBytes: number, unanswered: number, running: number }): void {
+    this.heldBytes.set(heldBytes)
+    this.unanswered.set(unanswered)
+    this.running.set(running)
+  }
+
   /** @param failure a `ReadFailure` */
   countReadFailure (failure: string): void {
     this.readFailures.inc({ failure })
