Read a connection to its end after its last answer

What callers saw: found in a test only. At a planned stop, a caller that reads a large answer slowly and sends further requests behind it got 64 to 196 KB of 3 MB and a reset.

Cause: after an answer that says close Node destroys the socket as soon as the kernel has the last byte. Requests behind it were unread, and closing a socket with unread bytes resets it.

Change: CallerConnection ends its side after the last answer, and reads and drops what comes until the caller ends the other, for 5 s and 1 MB at most. A planned stop waits half a second for that. Errors of what stands behind the last answer write nothing any more. Why it holds: with everything read, the kernel goes on sending after the close.

--- a/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
@@ -188,6 +188,45 @@
   await waitFor(() => held.memory.heldBytes === 0, 'the release of the bytes')
 })
 
+// Guards against a last answer that is cut short, because further requests behind it are unread when its connection is closed.
+test('the last answer arrives in full, whatever its caller sends behind it', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  let received = 0
+  socket.on('data', (bytes) => {
+    received += bytes.length
+    socket.pause()
+    setTimeout(() => { socket.resume() }, 1)
+  })
+  const ended = new Promise<string>((resolve) => {
+    socket.once('end', () => { resolve('end') })
+    socket.once('error', (error) => { resolve(error.message) })
+  })
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.server.leave()
+  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES / 4))
+  const timer = setInterval(() => { socket.write(makeGet('/2').repeat(20)) }, 2)
+  const outcome = await ended
+  clearInterval(timer)
+  assert.is(outcome, 'end')
+  assert.ok(received > LARGE_ANSWER_BYTES / 4)
+  assert.equal(held.paths, ['/1'])
+})
+
+test('a caller that goes on sending after its last answer is cut off', async () => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  const received = read(socket)
+  socket.on('error', () => undefined)
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.server.leave()
+  held.answer('/1')
+  const timer = setInterval(() => { socket.write(`${'x'.repeat(50_000)}\r\n`) }, 1)
+  await waitFor(() => received.isEnded, 'the end of the connection')
+  clearInterval(timer)
+  assert.equal(listStatuses(received.text), ['200'])
+})
+
 test('a failure of the handling is answered 500', async () => {
   const { held, socket } = await HeldServer.start(owner.signal)
   const received = read(socket)
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -19,7 +19,10 @@
  * this process was stopped, or while it did not read the connection because of answers that the caller had not read.
  */
 const LATE_REQUEST_MARGIN_MS = 1_000
-
+/** Milliseconds for which a connection is read after its last answer, unless the caller closes it before. */
+const LINGER_TIMEOUT_MS = 5_000
+/** Bytes that are read and dropped in that time. */
+const MAX_LINGER_BYTES = 1024 * 1024
 /** Status in place of an answer that can't be written. */
 const UNWRITABLE_STATUS = 502
 
@@ -62,8 +65,12 @@
   private lateTimer: NodeJS.Timeout | undefined
   /** Bytes read on the connection when the last answer was sent; any beyond them are the beginning of another request. */
   private bytesReadAtLastAnswer = 0
+  private lingerTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly socket: Socket, private readonly parts: ConnectionParts) {
+    // Node calls this method after an answer that says "Connection: close". Its own destroys the socket as soon as the answer is in the
+    // kernel's buffer, and closing a socket with unread bytes, such as further requests, resets it: what is left of the answer is lost.
+    socket.destroySoon = () => { this.closeLingering() }
     // Listens on the socket and not on each response: one that is queued behind another gets no event when the caller disconnects.
     socket.once('end', () => { this.abortAll() })
     socket.once('close', () => { this.handleClose() })
@@ -79,6 +86,11 @@
     return this.exchanges.length === 0 ? this.socket.bytesRead > this.bytesReadAtLastAnswer : this.unanswered < this.exchanges.length
   }
 
+  /** Whether the last answer has been written and the caller has not ended the connection. */
+  get isLingering (): boolean {
+    return this.lingerTimer !== undefined
+  }
+
   /** Whether no request has been read on the connection. */
   get isUnused (): boolean {
     return this.last === undefined
@@ -143,7 +155,8 @@
   }
 
   private handleReadFailure (failure: ReadFailure): void {
-    if (this.failure !== undefined) return
+    // Behind an answer that closes the connection nothing is a request, and nothing more is written.
+    if (this.isEnding) return
     this.failure = failure
     this.isEnding = true
     this.clearLate()
@@ -203,7 +216,18 @@
   private closeUnused (): void {
     if (!this.isClosed || this.isEnding || this.exchanges.length > 0) return
     this.isEnding = true
-    this.socket.destroySoon()
+    // Not read any further: a request that crosses with the end is then known to its caller not to have been read.
+    this.socket.end(() => { this.socket.destroy() })
+  }
+
+  /** Ends the connection on this side, and reads and drops what the caller still sends until it ends its own. */
+  private closeLingering (): void {
+    if (this.lingerTimer !== undefined || this.socket.destroyed) return
+    this.isEnding = true
+    this.socket.end()
+    const bytesRead = this.socket.bytesRead
+    this.socket.on('data', () => { if (this.socket.bytesRead - bytesRead > MAX_LINGER_BYTES) this.socket.destroy() })
+    this.lingerTimer = setTimeout(() => { this.socket.destroy() }, LINGER_TIMEOUT_MS)
   }
 
   /** Answers a request that could not be read, once the requests before it have been answered, and closes the connection. */
@@ -235,6 +259,7 @@
 
   private handleClose (): void {
     this.clearLate()
+    clearTimeout(this.lingerTimer)
     this.abortAll()
     for (const { held } of this.exchanges.splice(0)) held.release()
     this.parts.handleClose()
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -82,6 +82,11 @@
     return [...this.connections.values()].filter(({ isArriving }) => isArriving).length
   }
 
+  /** Returns the number of connections whose last answer has been written and whose callers have not ended them. */
+  countLingering (): number {
+    return [...this.connections.values()].filter(({ isLingering }) => isLingering).length
+  }
+
   /** Makes each answer from now on close its connection, so that callers connect to other hosts. */
   leave (): void {
     this.isLeaving = true
--- a/packages/almondrelay-gateway/src/process/stop/__tests__/plannedStop.test.ts
+++ b/packages/almondrelay-gateway/src/process/stop/__tests__/plannedStop.test.ts
@@ -5,14 +5,15 @@
 const test = suite('PlannedStop')
 
 /** Runs a stop with the numbers of requests that are running, arriving and carried for other hosts at each check. */
-const run = async (graceMs: number, counts: { unanswered?: () => number, arriving?: () => number, carried?: () => number }): Promise<{ calls: string[], tookMs: number }> => {
+const run = async (graceMs: number, counts: { unanswered?: () => number, arriving?: () => number, carried?: () => number, lingering?: () => number }): Promise<{ calls: string[], tookMs: number }> => {
   const calls: string[] = []
   const stop = new PlannedStop({
     callers: {
       leave: () => { calls.push('leave') },
       close: () => { calls.push('close') },
       countUnanswered: counts.unanswered ?? (() => 0),
-      countArriving: counts.arriving ?? (() => 0)
+      countArriving: counts.arriving ?? (() => 0),
+      countLingering: counts.lingering ?? (() => 0)
     },
     countCarried: counts.carried ?? (() => 0),
     graceMs,
@@ -46,4 +47,12 @@
   assert.is(carried, 0)
 })
 
+// Guards against a last answer that is cut off in the kernel's buffer by the end of the process.
+test('a stop waits for callers that are receiving their last answers, but not for ever', async () => {
+  let looks = 0
+  await run(6_000, { lingering: () => { looks += 1; return looks < 3 ? 1 : 0 } })
+  assert.is(looks, 3)
+  await run(6_000, { lingering: () => 1 })
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/stop/plannedStop.ts
+++ b/packages/almondrelay-gateway/src/process/stop/plannedStop.ts
@@ -10,11 +10,13 @@
 const ARRIVAL_TIMEOUT_MS = 1_000
 /** Milliseconds of the grace period that are reserved for writing the last answers before the process is killed. */
 const GRACE_MARGIN_MS = 300
+/** Milliseconds for which callers may still receive their last answers: the end of the process resets connections with unread bytes. */
+const LINGER_MS = 500
 /** Milliseconds between checks for unanswered requests. */
 const CHECK_INTERVAL_MS = 50
 
 interface StopParts {
-  callers: Pick<CallerServer, 'leave' | 'close' | 'countUnanswered' | 'countArriving'>
+  callers: Pick<CallerServer, 'leave' | 'close' | 'countUnanswered' | 'countArriving' | 'countLingering'>
   /** Number of attempts that this host carries for others. */
   countCarried: () => number
   /** Milliseconds from the stop signal after which the process is killed. */
@@ -42,6 +44,8 @@
     const arrivalEndsAt = getNow() + ARRIVAL_TIMEOUT_MS
     while (this.isBusy(arrivalEndsAt, getNow())) await sleepFor(CHECK_INTERVAL_MS, neverAborted)
     this.isFinishing = true
+    const lingerEndsAt = Math.min(getNow() + LINGER_MS, this.endsAt)
+    while (callers.countLingering() > 0 && getNow() < lingerEndsAt) await sleepFor(CHECK_INTERVAL_MS, neverAborted)
   }
 
   private isBusy (arrivalEndsAt: number, now: number): boolean {
