--- a/packages/almondrelay-gateway/src/connection/answerReader.ts
+++ b/packages/almondrelay-gateway/src/connection/answerReader.ts
@@ -1,12 +1,13 @@
 import { HTTPParser } from 'http-parser-js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
-import type { MessageMemory } from './messageMemory.js'
 import { BodyBuffer } from './bodyBuffer.js'
 import { checkHeaders } from './checkHeaders.js'
 import { checkLengths } from './checkLengths.js'
 import { createAnswerParser } from './createAnswerParser.js'
 import { HeldBytes } from './heldBytes.js'
 import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
+import type { MessageMemory } from './messageMemory.js'
+import type { Receiving } from './receiving.js'
 import type { TargetCodec } from './targetCodec.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
@@ -36,7 +37,7 @@
   isBodiless = false
 
   /** @param receiving address of the target, and what gives up the connection to make room for answers of others */
-  constructor (codec: TargetCodec, memory: MessageMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void, receiving?: ConstructorParameters<typeof HeldBytes>[1]) {
+  constructor (codec: TargetCodec, memory: MessageMemory, private readonly handleAnswer: (answer: CompleteAnswer) => void, receiving?: Receiving) {
     this.held = new HeldBytes(memory, receiving)
     this.parser[HTTPParser.kOnHeadersComplete] = (info) => {
       const hasBody = !this.isBodiless && !BODILESS_STATUSES.includes(info.statusCode)
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { MessageMemory } from './messageMemory.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { encodeReadFailure } from './encodeReadFailure.js'
 import { findReadFailure } from './findReadFailure.js'
 import { HeldBytes } from './heldBytes.js'
+import type { MessageMemory } from './messageMemory.js'
 import { ReadFailure } from './readFailure.js'
 import type { ReadFailureReport } from './readFailureReport.js'
 
@@ -36,7 +36,7 @@
   isWritten: boolean
 }
 
-interface ConnectionParts {
+interface CallerConnectionParts {
   memory: MessageMemory
   reportReadFailure: (report: ReadFailureReport) => void
   handleClose: () => void
@@ -51,7 +51,9 @@
  */
 export class CallerConnection {
   private readonly exchanges: Exchange[] = []
+  /** The host is being stopped: the answer to the last request that was read closes the connection. */
   private isLeaving = false
+  /** The host takes no more requests but those that have arrived, at least in part. */
   private isClosed = false
   /** Whether the caller has been told that the connection ends: by an answer that says so, or by its end. */
   private isEnding = false
@@ -65,9 +67,10 @@
   private lateTimer: NodeJS.Timeout | undefined
   /** Bytes read on the connection when the last answer was sent; any beyond them are the beginning of another request. */
   private bytesReadAtLastAnswer = 0
+  /** Set while the connection is read after its last answer. */
   private lingerTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly socket: Socket, private readonly parts: ConnectionParts) {
+  constructor (private readonly socket: Socket, private readonly parts: CallerConnectionParts) {
     // Node calls this method after an answer that says "Connection: close". Its own destroys the socket as soon as the answer is in the
     // kernel's buffer, and closing a socket with unread bytes, such as further requests, resets it: what is left of the answer is lost.
     socket.destroySoon = () => { this.closeLingering() }
--- a/packages/almondrelay-gateway/src/connection/heldBytes.ts
+++ b/packages/almondrelay-gateway/src/connection/heldBytes.ts
@@ -1,11 +1,5 @@
 import type { MessageMemory } from './messageMemory.js'
-
-/** A message that is being received, and can be given up to make room. */
-interface Receiving {
-  /** Address of the target or caller that sends it. */
-  sender: string
-  abort: () => void
-}
+import type { Receiving } from './receiving.js'
 
 /** Bytes that one owner holds. They are released once and together, so that the sum of all owners can't become wrong. */
 export class HeldBytes {
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -50,7 +50,7 @@
 /** Maximum bytes of answers held in memory at once; an answer takes twice its size while its chunks are concatenated. */
 const MAX_ANSWER_BYTES = 48 * 1024 * 1024
 const MB = 1024 * 1024
-/** Share of the process's memory that bodies of requests may take together. */
+/** Share of the process's memory that bodies of requests may take together: one of 64 MB fits into 250 MB. */
 const BODIES_SHARE = 0.3
 /** Abort listeners that the tasks may register at the same time; above this number Node.js warns of a listener leak. */
 const MAX_ABORT_LISTENERS = 50
