--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -71,9 +71,6 @@
   private lingerTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly socket: Socket, private readonly parts: CallerConnectionParts) {
-    // Node calls this method after an answer that says "Connection: close". Its own destroys the socket as soon as the answer is in the
-    // kernel's buffer, and closing a socket with unread bytes, such as further requests, resets it: what is left of the answer is lost.
-    socket.destroySoon = () => { this.closeLingering() }
     // Listens on the socket and not on each response: one that is queued behind another gets no event when the caller disconnects.
     socket.once('end', () => { this.abortAll() })
     socket.once('close', () => { this.handleClose() })
@@ -179,7 +176,7 @@
     const { response, answer: { status, headers, body } } = exchange
     // Decided only now, as the host may have begun to stop, or a further request may have arrived, since the answer was ready.
     const isLast = this.isLeaving && this.exchanges.length === 1 && this.failure === undefined
-    if (isLast) this.isEnding = true
+    if (isLast) this.closeWithAnswer()
     if (body.length >= MIN_TIMED_BYTES) this.startReadTimer(response)
     try {
       response.writeHead(status, isLast ? [...headers, 'Connection', 'close'] : headers)
@@ -192,6 +189,13 @@
     }
   }
 
+  // Node calls `destroySoon` after an answer that says "Connection: close". Its own destroys the socket as soon as the answer is in the
+  // kernel's buffer, and closing a socket with unread bytes, such as further requests, resets it: what is left of the answer is lost.
+  private closeWithAnswer (): void {
+    this.isEnding = true
+    this.socket.destroySoon = () => { this.closeLingering() }
+  }
+
   private startReadTimer (response: ServerResponse): void {
     const timer = setTimeout(() => { this.socket.destroy() }, READ_TIMEOUT_MS)
     response.once('close', () => { clearTimeout(timer) })
@@ -239,7 +243,7 @@
     // The request was answered before its body was read: a second answer would belong to no request.
     const isAnswered = this.isReadingBody && this.last?.answer !== undefined
     if (!isAnswered && this.socket.writable) this.socket.write(encodeReadFailure(this.failure))
-    this.socket.destroySoon()
+    this.closeLingering()
   }
 
   private startLateTimer (): void {
--- a/packages/almondrelay-gateway/src/connection/messageMemory.ts
+++ b/packages/almondrelay-gateway/src/connection/messageMemory.ts
@@ -37,9 +37,13 @@
     this.held -= bytes
   }
 
-  /** Adds a message that is being received, and gives up the largest ones if they fill the memory. */
+  /** Adds a message that is being received. */
   addReceiver (receiver: HeldBytes): void {
     this.receivers.add(receiver)
+  }
+
+  /** Gives up the largest messages that are being received while they fill the memory. */
+  abortLargest (): void {
     while (this.isFilling) {
       const largest = this.findLargestReceiver()
       if (largest === undefined) return
--- a/packages/almondrelay-gateway/src/connection/readBody.ts
+++ b/packages/almondrelay-gateway/src/connection/readBody.ts
@@ -18,7 +18,11 @@
       if (result.kind !== 'whole') held.release()
       resolve(result)
     }
-    const held = new HeldBytes(memory, { sender: message.socket.remoteAddress ?? '', abort: () => { finish({ kind: 'no-room' }) } })
+    const held = new HeldBytes(memory, {
+      // A system call, which a request without a body is spared.
+      get sender () { return message.socket.remoteAddress ?? '' },
+      abort: () => { finish({ kind: 'no-room' }) }
+    })
     message.on('data', (chunk: Buffer) => {
       if (isFinished) return
       if (held.count + chunk.byteLength > maxBytes) {
