Read the change again: release a carried body in any case, one read timeout, order of imports

Cause: on the port of other hosts the body of a call stayed counted for good when its handling failed, as its release stood behind the handling and not in a finally. A piece without bytes could have left an owner among the receivers.

Change: the release stands in a finally; the timeout and the tests' beginning are shared. Nothing else behaves differently; no bound and no assertion changed.

Measured: the new test of carriers.test.ts fails with the release behind the handling, and passes. Tests of connection/ and of the carriers: 131 passed; compiler and linter clean.

--- a/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerConnection.test.ts
@@ -21,6 +21,19 @@
 const listStatuses = (text: string): string[] => [...text.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(([, status]) => status ?? '')
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => { setTimeout(resolve, ms) })
 
+/** Starts a server that is being stopped while it writes a large answer, which its caller doesn't read yet. */
+const stopDuringAnswer = async (): ReturnType<typeof HeldServer.start> => {
+  const { held, socket } = await HeldServer.start(owner.signal)
+  socket.pause()
+  socket.write(makeGet('/1'))
+  await waitFor(() => held.paths.length === 1, 'the request')
+  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
+  await sleep(20)
+  held.server.leave()
+  held.server.close()
+  return { held, socket }
+}
+
 // Guards against a 408 in place of the answer to a request that is running, because of a later request on its connection.
 test('a late head behind a running request waits for the answer to that request', async () => {
   const { held, socket } = await HeldServer.start(owner.signal)
@@ -139,14 +152,7 @@
 })
 
 test('at a planned stop, a connection ends once an answer that was being written has been sent', async () => {
-  const { held, socket } = await HeldServer.start(owner.signal)
-  socket.pause()
-  socket.write(makeGet('/1'))
-  await waitFor(() => held.paths.length === 1, 'the request')
-  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
-  await sleep(20)
-  held.server.leave()
-  held.server.close()
+  const { socket } = await stopDuringAnswer()
   await sleep(20)
   const received = read(socket)
   socket.resume()
@@ -156,14 +162,7 @@
 
 // Guards against a request that is dropped behind an answer which said keep-alive before the stop began.
 test('at a planned stop, a request behind an answer that is being written is answered', async () => {
-  const { held, socket } = await HeldServer.start(owner.signal)
-  socket.pause()
-  socket.write(makeGet('/1'))
-  await waitFor(() => held.paths.length === 1, 'the request')
-  held.answer('/1', 'x'.repeat(LARGE_ANSWER_BYTES))
-  await sleep(20)
-  held.server.leave()
-  held.server.close()
+  const { held, socket } = await stopDuringAnswer()
   socket.write(makeGet('/2'))
   await waitFor(() => held.paths.length === 2, 'the second request')
   held.answer('/2')
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -7,13 +7,12 @@
 import type { MessageMemory } from './messageMemory.js'
 import { ReadFailure } from './readFailure.js'
 import type { ReadFailureReport } from './readFailureReport.js'
+import { READ_TIMEOUT_MS } from './readTimeoutMs.js'
 
 /** Requests of one connection that are handled at the same time; further ones are read once earlier ones have been answered. */
 const MAX_WAITING = 64
 /** Size of an answer body, in bytes, from which the caller must read it within a limited time: smaller ones fit into the kernel's buffer. */
 const MIN_TIMED_BYTES = 16 * 1024
-/** Milliseconds within which an answer must have been read: twice as long as any caller waits for one. */
-const READ_TIMEOUT_MS = 30_000
 /**
  * Milliseconds that a late request still has once the connection has nothing else to answer: the rest of it may have arrived while
  * this process was stopped, or while it did not read the connection because of answers that the caller had not read.
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -1,10 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
 import type { RequestLimits } from '../version/requestLimits.js'
-import type { MessageMemory } from './messageMemory.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { CallerConnection } from './callerConnection.js'
 import { LISTEN_BACKLOG } from './listenBacklog.js'
+import type { MessageMemory } from './messageMemory.js'
 import type { ReadFailureReport } from './readFailureReport.js'
 import type { TurnQueue } from './turnQueue.js'
 
--- a/packages/almondrelay-gateway/src/connection/heldBytes.ts
+++ b/packages/almondrelay-gateway/src/connection/heldBytes.ts
@@ -21,7 +21,7 @@
   /** Counts further bytes; returns false if there is no room for them, or none any more for those that were held. */
   hold (bytes: number): boolean {
     const hasRoom = this.memory.hold(bytes)
-    if (this.bytes === 0 && this.receiving !== undefined) this.memory.addReceiver(this)
+    if (this.bytes === 0 && bytes > 0 && this.receiving !== undefined) this.memory.addReceiver(this)
     this.bytes += bytes
     if (this.receiving !== undefined && this.memory.isFilling) this.memory.abortLargest()
     return hasRoom && !this.isAborted
--- a/packages/almondrelay-gateway/src/connection/holdUntilRead.ts
+++ b/packages/almondrelay-gateway/src/connection/holdUntilRead.ts
@@ -1,11 +1,10 @@
 import type { ServerResponse } from 'node:http'
-import type { MessageMemory } from './messageMemory.js'
 import { HeldBytes } from './heldBytes.js'
+import type { MessageMemory } from './messageMemory.js'
+import { READ_TIMEOUT_MS } from './readTimeoutMs.js'
 
 /** Size of an answer body, in bytes, from which it is counted: smaller ones fit into the kernel's buffer of a connection. */
 const MIN_COUNTED_BYTES = 16 * 1024
-/** Milliseconds within which an answer must have been read: twice as long as any caller waits for one. */
-const READ_TIMEOUT_MS = 30_000
 
 /**
  * Counts the body of an answer until its receiver has it or has closed the connection. One that stops reading would otherwise hold the
--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -35,6 +35,7 @@
   readonly announcements = new TargetAnnouncements({ log: this.log, metrics: this.metrics })
   readonly load = new HostLoad()
   readonly memory = new MessageMemory(1_000_000)
+  readonly bodies = new MessageMemory(1_000_000)
   readonly originMemory = new MessageMemory(100_000)
   /** What the carrier's state says of the target. */
   isClosed = false
@@ -70,7 +71,7 @@
       view: new PeerView(carrier, this.carrierFleet),
       load: this.load,
       memory: this.memory,
-      bodies: new MessageMemory(1_000_000),
+      bodies: this.bodies,
       log: this.log,
       metrics: this.metrics,
       codec: this.codec,
--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -180,4 +180,13 @@
   assert.is(text, '')
 })
 
+// Guards against bodies that count as held for ever, because the handling of their calls failed.
+test('the body of a call whose handling fails is released', async () => {
+  const carrierRig = await start()
+  Object.defineProperty(carrierRig.load, 'isShedding', { get: () => { throw new Error('handling failed') } })
+  const { result } = await carrierRig.carry()
+  assert.is(result.kind, 'broken')
+  assert.is(carrierRig.bodies.heldBytes, 0)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -2,8 +2,9 @@
 import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryRequest, type CarryResponse, type CheckTargetRequest, type CheckTargetResponse } from 'almondrelay-protocol'
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { openServer } from 'almondrelay'
-import type { MessageMemory } from '../../connection/messageMemory.js'
+import type { BodyReadResult } from '../../connection/bodyReadResult.js'
 import { holdUntilRead } from '../../connection/holdUntilRead.js'
+import type { MessageMemory } from '../../connection/messageMemory.js'
 import { readBody } from '../../connection/readBody.js'
 import type { HostLoad } from '../../request/hostLoad.js'
 import type { TargetState } from '../../request/targetState.js'
@@ -90,8 +91,7 @@
     response.once('close', () => { gone.abort() })
     const read = await readBody(message, this.computeMaxBytes(), this.parts.bodies)
     if (read.kind === 'cut-short') return
-    const answer = read.kind === 'whole' && message.headers['content-type'] === CARRIER_CONTENT_TYPE ? await this.answer({ message, body: read.body, signal: gone.signal }) : undefined
-    if (read.kind === 'whole') read.held.release()
+    const answer = read.kind === 'whole' ? await this.answerWhole(message, read, gone.signal) : undefined
     if (answer === undefined) {
       response.writeHead(400).end()
       return
@@ -100,6 +100,15 @@
     response.writeHead(200, { 'Content-Type': CARRIER_CONTENT_TYPE, 'Content-Length': answer.byteLength }).end(answer)
   }
 
+  /** Answers a call whose body was read to its end, and releases the body. */
+  private async answerWhole (message: IncomingMessage, { body, held }: Extract<BodyReadResult, { kind: 'whole' }>, signal: AbortSignal): Promise<Uint8Array | undefined> {
+    try {
+      return message.headers['content-type'] === CARRIER_CONTENT_TYPE ? await this.answer({ message, body, signal }) : undefined
+    } finally {
+      held.release()
+    }
+  }
+
   /** Returns the answer to a call; undefined if it is no call of a host of this deployment. */
   private async answer ({ message, body, signal }: PeerCall): Promise<Uint8Array | undefined> {
     if (message.url === describeMethod(CarrierService.method.carry)) {
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -1,6 +1,6 @@
 import { request, type Agent } from 'node:http'
-import type { MessageMemory } from '../../connection/messageMemory.js'
 import { HeldBytes } from '../../connection/heldBytes.js'
+import type { MessageMemory } from '../../connection/messageMemory.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
 import { PeerCallFailure } from './peerCallFailure.js'
 import type { PeerReply } from './peerReply.js'
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -1,5 +1,5 @@
-import type { MessageMemory } from '../../connection/messageMemory.js'
 import type { ConnectFailure } from '../../connection/connectFailure.js'
+import type { MessageMemory } from '../../connection/messageMemory.js'
 import type { OpenCause } from '../../connection/openCause.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import { ColdAllowance } from '../../request/coldAllowance.js'
