--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -11,7 +11,10 @@
 const record = fileURLToPath(new URL('record.txt', import.meta.url))
 const DRAIN_MS = 2_500
 const STEPS = 10
-const STEP_MS = 5_000
+const STEP_MS = 4_500
+/** Lookups come in bursts: one in the middle of each step, and one just after an upstream that has left may get none any more. */
+const BURST = 60
+const BURST_AFTER_MS = DRAIN_MS + 5
 /** How long an upstream that restarts is down. */
 const RESTART_MS = 200
 
@@ -28,7 +31,8 @@
 }))
 const targets = []
 const startTarget = async (id, service, port) => {
-  const target = await new Target({ id, service, zone: 'akl-a', handle: (request) => { setTimeout(() => { request.reply('ok') }, 20) } }).start(port)
+  // An upstream that leaves says so in all its answers.
+  const target = await new Target({ id, service, zone: 'akl-a', isLeaving: false, handle: (request) => { setTimeout(() => { request.reply('ok', { extra: target.isLeaving ? 'Server-Leaving: 1\r\n' : '' }) }, 60) } }).start(port)
   targets.push(target)
   store.put(`servers/${id}`, target.describe())
   return target
@@ -44,18 +48,24 @@
 const state = { isEnding: false }
 let count = 0
 const answers = new Map()
-const clients = (async () => {
+const sendOne = (method, path) => {
+  count += 1
+  send(host.callerAddress, { method, path: `/${path}/${count}`, deadlineMs: 2_000, headers: { 'Affinity-Key': String(count) } }).then((result) => {
+    sentAt.set(result.id, result.sentAt)
+    const outcome = result.status ?? result.error
+    answers.set(outcome, (answers.get(outcome) ?? 0) + 1)
+  })
+}
+const sendBurst = () => {
+  for (let index = 0; index < BURST; index += 1) sendOne('GET', 'lookups')
+}
+const orderClients = (async () => {
   while (!state.isEnding) {
-    count += 1
-    const isOrder = count % 5 === 0
-    send(host.callerAddress, { method: isOrder ? 'POST' : 'GET', path: `/${isOrder ? 'orders' : 'lookups'}/${count}`, deadlineMs: 2_000, headers: { 'Affinity-Key': String(count % 300) } }).then((result) => {
-      sentAt.set(result.id, result.sentAt)
-      const outcome = result.status ?? result.error
-      answers.set(outcome, (answers.get(outcome) ?? 0) + 1)
-    })
-    await sleep(8)
+    sendOne('POST', 'orders')
+    await sleep(40)
   }
 })()
+sendBurst()
 await sleep(4_000)
 
 const late = []
@@ -66,6 +76,7 @@
   await sleep(30)
   // The old one never reports "draining": its entry is removed, and it goes on serving for many seconds.
   const old = registry.shift()
+  old.isLeaving = true
   store.remove(`servers/${old.id}`)
   const removedAt = performance.now()
   note(`the store has removed ${old.id}, which goes on serving`)
@@ -78,6 +89,10 @@
     orders.push(await startTarget(restarting.id, 'orders', restarting.port))
     note(`${restarting.id} of the other service was started again under its id`)
   }
+  await sleep(removedAt + BURST_AFTER_MS - performance.now())
+  sendBurst()
+  await sleep(1_000)
+  sendBurst()
   await sleep(stepEndsAt - performance.now())
   const after = old.runs.filter(({ at }) => at > removedAt)
   const tooLate = after.filter(({ at, id }) => at > removedAt + DRAIN_MS && (sentAt.get(id) ?? 0) > removedAt + DRAIN_MS)
@@ -87,7 +102,7 @@
   old.stop()
 }
 state.isEnding = true
-await clients
+await orderClients
 await sleep(500)
 const summary = `${count} requests sent, answers ${JSON.stringify([...answers])}; ${late.length} requests reached upstreams later than ${DRAIN_MS} ms after the store had removed their entries`
 note(summary)
--- a/review/stand-ins-2/host.mjs
+++ b/review/stand-ins-2/host.mjs
@@ -11,6 +11,7 @@
 
 /** Hosts that run: whatever ends a script ends them too. */
 const running = new Set()
+for (const name of ['SIGINT', 'SIGTERM']) process.on(name, () => { process.exit(2) })
 process.on('exit', () => {
   for (const host of running) host.kill('SIGKILL')
 })
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -107,7 +107,7 @@
     const url = new URL(message.url, 'http://store')
     const [status, body] = await this.#answer(message.method, url, text === '' ? {} : JSON.parse(text))
     if (this.#isDown || response.destroyed) return
-    response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Store-Era': '1' }).end(JSON.stringify(body))
   }
 
   #answer (method, { pathname, searchParams }, body) {
