Hold a removal back only after an outage of the store

Cause: isLapseLikely looked at one batch of changes only. A single known target whose entry was created anew made all removals of the batch count as entries that had expired in an outage, and they were held back for two seconds. Neither the store's health nor the restart was looked at.

Ruled out: the length of the batch. Without the guess a removal is in force after 0.5 s.

Change: StoreHealth keeps the last silence of the store, in which it answered neither this host nor, by their reports, a peer. A removal is held back only if a silence was long enough for entries of live targets to expire, until two seconds after its end, and never longer than the bound on removals after the start of this host's last failed call. A restarted target is no sign of a lapse. Why it holds: without a silence of nearly two heartbeats no entry of a live target expires.

Test changed: "entries that expired while the store was unavailable count until two seconds after its recovery" told the host of one failed call, at the start of a four second outage. It now tells it of one at its end too, as a host renews its lease every 1.3 s; what it asserts is unchanged.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -19,7 +19,7 @@
   /** Number of full reads that left out some of the product's own keys. */
   omittingReads = 0
   readonly store = new FakeRevisionStore()
-  readonly health = new StoreHealth()
+  readonly health = new StoreHealth({ heartbeatMs: 1_500, removalInForceMs: 2_500 })
   /** Ids of targets that were removed, and of those that restarted. */
   readonly removed: string[] = []
   readonly restarted: string[] = []
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
@@ -31,6 +31,7 @@
 export class ModelHost {
   readonly fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
   private readonly view: PeerView
+  private readonly health = new StoreHealth({ heartbeatMs: 1_500, removalInForceMs: 2_500 })
   private readonly exchange: PeerExchange
   private readonly follower: FleetFollower
   private readonly access: ModelStoreView
@@ -55,6 +56,7 @@
       isLeaving: () => false,
       getDeclaredRevision: () => 0,
       receivePosition: (position, notablePosition, now) => { this.follower.receivePeerPosition(position, notablePosition, now) },
+      observeStoreContact: (at) => { this.health.observeContact(at) },
       acceptRelayedChanges: (changes) => { this.follower.applyRelayedChanges(changes) },
       receiveWatcherReport: (report, now) => { this.follower.receiveWatcherState(report.storePosition, report.notablePosition, report.storeAgeMs, now) }
     })
@@ -62,7 +64,7 @@
       store: this.access,
       codec: new PlainFleetCodec(),
       fleet: this.fleet,
-      health: new StoreHealth(),
+      health: this.health,
       log: new EventLog(bunyan.createLogger({ name: 'model', streams: [] }), getNow),
       getNow,
       random,
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -79,6 +79,7 @@
   await followed.waitFor(() => store.refusals > 0, 'the outage')
   store.remove('target/1')
   store.remove('target/2')
+  health.observeFailure(3_900)
   followed.now = 4_000
   store.isDown = false
   health.observeAnswer(followed.now)
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -140,9 +140,10 @@
    * The watchers read at once, because the other hosts of the region rely on them.
    */
   handleStoreReturn (): void {
-    const { fleet, isWatcher, getNow, random } = this.parts
+    const { fleet, health, isWatcher, getNow, random } = this.parts
     const spreadMs = isWatcher() ? 0 : Math.min(MAX_REREAD_SPREAD_MS, fleet.listHosts().length * REREAD_SPREAD_PER_HOST_MS)
     this.returnedAt = getNow()
+    health.observeReturn(this.returnedAt)
     this.rereadAt = this.returnedAt + spreadMs * random()
     if (spreadMs === 0) this.refresh(RETURN_REASON)
   }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -84,15 +84,15 @@
     this.era = era
     const hasReturned = fleet.isComplete && era !== fleet.storePosition.era
     let latestHostEra: number | undefined
-    const known = new Map(this.createdRevisions)
+    const changes = events.flatMap((event) => this.decodeEvent(event, era))
+    const isLapse = hasReturned || isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes, new Map()) })
     const present = new Set<string>()
-    for (const decoded of events.flatMap((event) => this.decodeEvent(event, era))) {
+    for (const decoded of changes) {
       if (!hasReturned || !this.returnMemory.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
       present.add(describeSubject(decoded.change))
       if (hasReturned) this.returnMemory.checkCopy(decoded.change)
       if (decoded.change.kind === 'host') latestHostEra = Math.max(latestHostEra ?? 0, decoded.change.entry.storeEra ?? 0)
     }
-    const isLapse = hasReturned || isLapseLikely({ known, present: new Map([...this.createdRevisions].filter(([id]) => present.has(`target ${id}`))) })
     this.removeAbsent(prefix, present, isLapse, hasReturned)
     this.returnMemory.removeAbsent(present)
     return { keys: present.size, isLapse, latestHostEra }
@@ -102,7 +102,7 @@
   applyEvents (events: readonly StoreEvent[], era: number): StoreEvent[] {
     this.era = era
     const changes = events.flatMap((event) => this.decodeEvent(event, era))
-    const isLapse = isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes) })
+    const isLapse = isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes, this.createdRevisions) })
     return changes.filter((change) => this.tryApplyChange(change, isLapse)).map(({ event }) => event)
   }
 
@@ -123,16 +123,24 @@
     return [{ change, event, position, createdRevision: event.kind === 'deleted' ? event.revision : event.item.createdRevision }]
   }
 
-  /** Lists the targets whose entries exist after these changes, with the revisions at which the entries were created. */
-  private listPresentAfter (changes: readonly DecodedChange[]): Map<string, number> {
-    const present = new Map(this.createdRevisions)
+  /**
+   * Lists the targets whose entries exist after these changes, with the revisions at which the entries were created. A target that was
+   * started again has written its entry anew for that reason, and counts with the revision that is known.
+   */
+  private listPresentAfter (changes: readonly DecodedChange[], before: ReadonlyMap<string, number>): Map<string, number> {
+    const present = new Map(before)
     for (const { change, createdRevision } of changes) {
       if (change.kind === 'target-gone' || change.kind === 'target-unreadable') present.delete(change.id)
-      if (change.kind === 'target') present.set(change.entry.id, createdRevision)
+      if (change.kind === 'target') present.set(change.entry.id, this.isStartedAgain(change.entry) ? this.createdRevisions.get(change.entry.id) ?? createdRevision : createdRevision)
     }
     return present
   }
 
+  private isStartedAgain ({ id, incarnation }: TargetEntry): boolean {
+    const known = this.parts.fleet.findTarget(id)
+    return known !== undefined && known.entry.incarnation !== incarnation
+  }
+
   private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean, hasReturned: boolean): void {
     const { codec, fleet } = this.parts
     const removals: FleetChange[] = [
@@ -248,13 +256,14 @@
     const { fleet, health, log } = this.parts
     const target = fleet.findTarget(id)
     if (target === undefined) return
-    if (isLapse && !target.isLeaving()) {
-      const end = Math.min(health.computeLapseEnd(now), this.lapsing.get(id) ?? Infinity)
-      this.lapsing.set(id, end)
-      log.record('target entry expired while the store was unavailable', { target: id, untilMs: Math.round(end - now) })
+    const lapseEnd = isLapse && !target.isLeaving() ? health.findLapseEnd(now) : undefined
+    if (lapseEnd === undefined) {
+      this.removeTarget(id, now)
       return
     }
-    this.removeTarget(id, now)
+    const end = Math.min(lapseEnd, this.lapsing.get(id) ?? Infinity)
+    this.lapsing.set(id, end)
+    log.record('target entry expired while the store was unavailable', { target: id, untilMs: Math.round(end - now) })
   }
 
   private removeTarget (id: string, now: number): void {
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -28,6 +28,8 @@
   readonly watched: PeerReport[] = []
   readonly accepted: RelayedChanges[] = []
   readonly positions: StorePosition[] = []
+  /** Times at which the store answered peers, as they report. */
+  readonly storeContacts: number[] = []
   readonly exchange: PeerExchange
 
   constructor () {
@@ -47,6 +49,7 @@
       isLeaving: () => false,
       getDeclaredRevision: () => 0,
       receivePosition: (position) => { this.positions.push(position) },
+      observeStoreContact: (at) => { this.storeContacts.push(at) },
       acceptRelayedChanges: (changes) => { this.accepted.push(changes) },
       receiveWatcherReport: (report) => { this.watched.push(report) }
     })
@@ -106,6 +109,7 @@
   rig.receive(makeReport('a', 1, { storePosition, notablePosition: storePosition }), '10.9.9.9')
   rig.receive(makeReport('stranger', 1, { storePosition, notablePosition: storePosition }))
   assert.equal(rig.positions, [])
+  assert.equal(rig.storeContacts, [])
   rig.receive(makeReport('b', 1, { storePosition: makePosition(7) }))
   assert.equal(rig.positions, [makePosition(7)])
   rig.receive(makeReport('c', 1, { incarnation: 'i2', storePosition: makePosition(8) }))
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -52,6 +52,8 @@
   getDeclaredRevision: () => number
   /** Called with the position of the store that a peer knows, and with that of the last change that affects its decisions. */
   receivePosition: (position: StorePosition, notablePosition: StorePosition, now: number) => void
+  /** Called with the time at which the store last answered a peer. */
+  observeStoreContact: (at: number) => void
   /** Called with changes that a watcher of this region relays. */
   acceptRelayedChanges: (changes: RelayedChanges) => void
   /** Called with a report of a watcher of this region that contains no changes. */
@@ -100,6 +102,7 @@
     if (view.isFromKnownAddress(report, ip)) {
       receivePosition(report.storePosition, report.notablePosition, now)
       fleet.receivePeerConfirmation(report.notablePosition, now - report.storeAgeMs)
+      this.parts.observeStoreContact(now - report.storeAgeMs)
     }
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -8,6 +8,9 @@
 /** Milliseconds; used when the settings name no window, as on platforms without allowances. */
 const DEFAULT_ALLOWANCE_WINDOW_MS = 5_000
 
+/** Milliseconds between a target's heartbeats; used when the settings state none. */
+const DEFAULT_HEARTBEAT_MS = 1_500
+
 /** Used when the settings state no limit. */
 const DEFAULT_MEMORY_MB = 256
 
@@ -32,7 +35,9 @@
     address,
     writesPerSecond: z.number().positive(),
     readsPerSecond: z.number().positive(),
-    shortestLease: duration
+    shortestLease: duration,
+    /** Time between the heartbeats by which a target keeps its entry in the store. */
+    targetHeartbeat: duration.default(DEFAULT_HEARTBEAT_MS)
   }),
   limits: z.object({
     /** Memory of the process in MB, above which the platform kills it. */
