Judge the silence of hosts by when anybody was last heard

Cause: a host that heard no other host of its region took itself for cut off and every entry in the store for a live host. Entries of lost hosts outlast an outage, as leases don't run in it. That other regions were heard, and that one host had been silent long before the others, was not looked at.

Ruled out: shorter leases. They would have to end within three seconds of the store's return, and cost more renewals.

Change: LiveHosts judges at a reference time: the present while another host of the region is heard, else the moment at which any host with an entry was last heard. Why it holds: a report that arrives proves that this host isn't cut off from all, and the regions' representatives report every two seconds, so that a host that is lost is dropped within five.

--- a/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
@@ -21,6 +21,8 @@
   /** Incremented by each report that changes which hosts are live. */
   private changes = 0
   private lists: LiveLists | undefined
+  /** When this host last received a report of a host that has an entry; -Infinity before the first. */
+  private lastReportAt = -Infinity
   private regionHosts: readonly HostEntry[] = []
   /** Revision of the fleet's hosts from which `regionHosts` was computed. */
   private regionHostsRevision = -1
@@ -35,6 +37,7 @@
    * @param known state from the sender's previous report; undefined before its first one
    */
   observeReport (known: PeerState | undefined, report: PeerReport, now: number): void {
+    if (this.fleet.findHost(report.host) !== undefined) this.lastReportAt = now
     if (known === undefined || now - known.receivedAt > REPORT_TIMEOUT_MS || known.incarnation !== report.incarnation || known.report.isLeaving !== report.isLeaving) this.changes += 1
   }
 
@@ -44,7 +47,7 @@
    */
   findLists (now: number): LiveLists {
     const { lists, changes, fleet: { hostsRevision } } = this
-    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && now <= lists.validUntil) return lists
+    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && this.findReferenceTime(lists.isIsolated, now) <= lists.validUntil) return lists
     const made = this.makeLists(now)
     this.lists = made
     return made
@@ -73,6 +76,7 @@
 
   private makeLists (now: number): LiveLists {
     const isIsolated = !this.hasRecentReportInRegion(now)
+    const referenceTime = this.findReferenceTime(isIsolated, now)
     const live: HostEntry[] = []
     const regionAddresses = new Set<string>()
     const representatives: HostEntry[] = []
@@ -81,31 +85,37 @@
     for (const entry of this.fleet.listHosts()) {
       this.observeEntry(entry, now)
       const isOwn = entry.name === this.own.name
-      if (!isOwn && entry.region === this.own.region) validUntil = Math.min(validUntil, this.computeSilenceEnd(entry, now))
-      if (!isOwn && !this.isLive(entry, now, isIsolated)) continue
+      if (!isOwn && entry.region === this.own.region) validUntil = Math.min(validUntil, this.computeSilenceEnd(entry, referenceTime))
+      if (!isOwn && !this.isLive(entry, referenceTime)) continue
       live.push(entry)
       putFirst(aggregators, entry)
       if (entry.region !== this.own.region) continue
       regionAddresses.add(entry.ip)
       addSorted(representatives, entry, REPRESENTATIVES_PER_REGION)
     }
-    return { validUntil, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, regionAddresses, representatives: representatives.map(({ name }) => name), aggregators, senders: new Map() }
+    return { isIsolated, validUntil, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, regionAddresses, representatives: representatives.map(({ name }) => name), aggregators, senders: new Map() }
   }
 
-  /** Returns the last moment at which a host counts as live by its last report or by its entry; Infinity if that moment has passed. */
-  private computeSilenceEnd (entry: HostEntry, now: number): number {
+  /**
+   * Returns the time up to which the silence of a host of this region says that it is lost: the present, or when this host last heard any
+   * other one if it hears none of its region. After that it may be cut off itself.
+   */
+  private findReferenceTime (isIsolated: boolean, now: number): number {
+    return isIsolated ? this.lastReportAt : now
+  }
+
+  /** Returns the last reference time at which a host of this region counts as live; Infinity if it has passed. */
+  private computeSilenceEnd (entry: HostEntry, referenceTime: number): number {
     const reportEnd = (this.peers.get(entry.name)?.receivedAt ?? -Infinity) + REPORT_TIMEOUT_MS
-    if (reportEnd >= now) return reportEnd
-    const entryEnd = (this.firstSeenAt.get(entry.name)?.at ?? now) + ENTRY_TRUST_MS
-    return entryEnd >= now ? entryEnd : Infinity
+    if (reportEnd >= referenceTime) return reportEnd
+    const entryEnd = (this.firstSeenAt.get(entry.name)?.at ?? Infinity) + ENTRY_TRUST_MS
+    return entryEnd >= referenceTime ? entryEnd : Infinity
   }
 
-  // A host that receives no reports is more likely cut off itself than the last live host; it then relies on the entries in the store.
-  private isLive (entry: HostEntry, now: number, isIsolated: boolean): boolean {
+  private isLive (entry: HostEntry, referenceTime: number): boolean {
     const peer = this.peers.get(entry.name)
     if (peer?.report.isLeaving === true && peer.incarnation === entry.incarnation) return false
-    if (isIsolated || entry.region !== this.own.region) return true
-    return this.hasRecentReport(entry, now) || now - (this.firstSeenAt.get(entry.name)?.at ?? now) <= ENTRY_TRUST_MS
+    return entry.region !== this.own.region || this.computeSilenceEnd(entry, referenceTime) !== Infinity
   }
 
   private observeEntry (entry: HostEntry, now: number): void {
--- a/packages/almondrelay-gateway/src/process/peers/liveLists.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveLists.ts
@@ -2,7 +2,9 @@
 
 /** Lists computed from the hosts that were live at one time. */
 export interface LiveLists {
-  /** Monotonic milliseconds until which no host is silent for too long, or its entry too old, if no report arrives. */
+  /** Whether this host heard no other host of its region when the lists were computed. */
+  isIsolated: boolean
+  /** Last reference time, see `LiveHosts`, at which no host of the region has been silent for too long. */
   validUntil: number
   /** Number of reports that had changed which hosts are live. */
   changes: number
