Name a region's silent hosts in its reports to other regions

Cause: hosts hear of other regions by their representatives only, and judged their hosts by entries in the store, which outlast an outage.

Change: representatives send the hashes of the incarnations of hosts that have an entry and aren't heard in their region. The list counts for six seconds, only from a known host of that region, and not for hosts that were heard directly. A restarted host has another hash and is named at once.

--- a/packages/almondrelay-gateway/src/process/announcements/__fixtures__/limitFleet.ts
+++ b/packages/almondrelay-gateway/src/process/announcements/__fixtures__/limitFleet.ts
@@ -141,7 +141,7 @@
     host.nextReportAt = this.now + REPORT_INTERVAL_MS
     const requestLimits: readonly RequestLimitReport[] = host.announcements.limits.takeReports(this.now)
     if (requestLimits.length === 0) return
-    const bytes = encodeLoadReport({ host: host.name, incarnation: 'i', region: 'akl', sequence: 1, isLeaving: false, configurationVersion: 1, storePosition: startPosition, notablePosition: startPosition, declaredRevision: 0, storeAgeMs: 0, isRegional: false, inFlight: new Map(), demands: [], requestLimits, leavingTargets: [], lostZones: [], changes: undefined })
+    const bytes = encodeLoadReport({ host: host.name, incarnation: 'i', region: 'akl', sequence: 1, isLeaving: false, configurationVersion: 1, storePosition: startPosition, notablePosition: startPosition, declaredRevision: 0, storeAgeMs: 0, isRegional: false, inFlight: new Map(), demands: [], requestLimits, leavingTargets: [], lostZones: [], silentHosts: [], changes: undefined })
     for (const [to, other] of this.hosts.entries()) {
       if (other === host || this.options.random() < (this.options.loss ?? 0)) continue
       this.datagrams.push({ at: this.now + LATENCY_MS, to, bytes })
--- a/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
+++ b/packages/almondrelay-gateway/src/process/loads/__fixtures__/loadFleet.ts
@@ -109,7 +109,7 @@
       // A host looks at the live hosts with each request; from its first look on, an entry alone counts for some seconds.
       view.listLive(this.now)
       if (isStopped) continue
-      const report = { host: entry.name, incarnation: entry.incarnation, region: entry.region, sequence: this.now, isLeaving: false, configurationVersion: 1, storePosition: { era: 0, revision: 1 }, declaredRevision: 0, notablePosition: { era: 0, revision: 1 }, storeAgeMs: 0, isRegional: false, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], lostZones: [], changes: undefined }
+      const report = { host: entry.name, incarnation: entry.incarnation, region: entry.region, sequence: this.now, isLeaving: false, configurationVersion: 1, storePosition: { era: 0, revision: 1 }, declaredRevision: 0, notablePosition: { era: 0, revision: 1 }, storeAgeMs: 0, isRegional: false, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], lostZones: [], silentHosts: [], changes: undefined }
       for (const receiver of this.hosts) {
         const { name } = receiver.entry
         if (name !== entry.name && !receiver.isStopped && !this.isLost(entry.name, name)) receiver.view.receiveReport(report, this.now)
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
@@ -123,6 +123,7 @@
   requestLimits: fc.array(fc.record({ incarnationHash: arbitraryHash, perSecond: fc.oneof(fc.constant(Infinity), fc.double({ min: 0.001, max: 1e9, noNaN: true })), ageMs: fc.nat(0xffffffff) }, PLAIN), { maxLength: 4 }),
   leavingTargets: fc.array(arbitraryHash),
   lostZones: fc.array(arbitraryHash),
+  silentHosts: fc.array(arbitraryHash),
   changes: fc.option(fc.record({ era: fc.nat(0xffffffff), after: fc.nat(1_000), events: fc.array(arbitraryEvent, { maxLength: 5 }), forwardTo: fc.array(arbitraryText, { maxLength: 8 }) }), { nil: undefined })
 }).map(({ notableRevision, changes, ...report }) => ({
   ...report,
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -8,6 +8,7 @@
 import { decodeLoad } from '../__fixtures__/decodeLoad.js'
 import { encodeLoadReport } from '../encodeLoadReport.js'
 import { PeerExchange } from '../peerExchange.js'
+import { computeHostHash } from '../computeHostHash.js'
 import type { PeerReport } from '../peerReport.js'
 import type { PeerSocket } from '../peerSocket.js'
 import { PeerView } from '../peerView.js'
@@ -19,7 +20,7 @@
 const CHANGES = { after: makePosition(4), upTo: makePosition(6), events: [{ kind: 'deleted' as const, key: 'k', revision: 5 }], forwardTo: [] }
 
 const makeEntry = (name: string, region = 'akl'): HostEntry => ({ name, incarnation: 'i1', availabilityZone: `${region}-a`, region, ip: ADDRESS, callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], lostZones: [], changes: undefined, ...content })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport> = {}): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), demands: [], requestLimits: [], leavingTargets: [], lostZones: [], silentHosts: [], changes: undefined, ...content })
 
 /** One host in a fleet. Records the reports that it sends, and the reports and changes that it accepts from watchers. */
 class ExchangeRig {
@@ -30,19 +31,21 @@
   readonly positions: StorePosition[] = []
   /** Times at which the store answered peers, as they report. */
   readonly storeContacts: number[] = []
+  readonly view: PeerView
   readonly exchange: PeerExchange
 
   constructor () {
     const own = makeEntry('own')
     for (const entry of [own, makeEntry('a'), makeEntry('b'), makeEntry('c'), makeEntry('far', 'wlg')]) this.fleet.putHost(entry)
     this.fleet.isComplete = true
+    this.view = new PeerView(own, this.fleet)
     const socket = { send: (bytes: Uint8Array) => { this.sent.push(decodeLoad(bytes) as PeerReport) } } as unknown as PeerSocket
     this.exchange = new PeerExchange({
       own,
       fleet: this.fleet,
       forward: { listRuntimes: () => [] } as unknown as ForwardState,
       listLostZones: () => [],
-      view: new PeerView(own, this.fleet),
+      view: this.view,
       socket,
       getNow: () => 0,
       sleep: () => Promise.resolve(),
@@ -102,6 +105,22 @@
   assert.equal(rig.watched.map(({ host }) => host), ['a'])
 })
 
+// Guards against forged reports by which look-ups would name no host of another region.
+test('silent hosts of another region are accepted only from a host of that region', () => {
+  const rig = new ExchangeRig()
+  const lost = makeEntry('lost', 'wlg')
+  rig.fleet.putHost(lost)
+  const isListed = (): boolean => rig.view.listLive(0).some(({ name }) => name === 'lost')
+  const report = { region: 'wlg', isRegional: true, silentHosts: [computeHostHash(lost)] }
+  rig.receive(makeReport('far', 1, report), '10.9.9.9')
+  rig.receive(makeReport('far', 2, { ...report, incarnation: 'i2' }))
+  rig.receive(makeReport('a', 1, report))
+  rig.receive(makeReport('stranger', 1, report))
+  assert.ok(isListed())
+  rig.receive(makeReport('far', 3, report))
+  assert.not(isListed())
+})
+
 // Guards against forged reports of an era that the store never reaches, for which every host would ask the store again and again.
 test('the position in a report is accepted only from the sender\'s address', () => {
   const rig = new ExchangeRig()
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerView.test.ts
@@ -10,7 +10,7 @@
 
 const test = suite('PeerView')
 const makeEntry = (name: string): HostEntry => ({ name, incarnation: 'i1', availabilityZone: 'akl-a', region: 'akl', ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], leavingTargets: [], lostZones: [], changes: undefined, demands: [] })
+const makeReport = (host: string, sequence: number, isLeaving = false): PeerReport => ({ host, incarnation: 'i1', region: 'akl', sequence, isLeaving, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map([[7, 3]]), requestLimits: [], leavingTargets: [], lostZones: [], silentHosts: [], changes: undefined, demands: [] })
 
 const build = (): PeerView => {
   const fleet = new FleetState({ targetAdded: () => undefined, targetRemoved: () => undefined, targetRestarted: () => undefined, hostRemoved: () => undefined })
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/silentHosts.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/silentHosts.test.ts
@@ -2,13 +2,14 @@
 import * as assert from 'uvu/assert'
 import { FleetState } from '../../fleet/fleetState.js'
 import type { HostEntry } from '../../fleet/hostEntry.js'
+import { computeHostHash } from '../computeHostHash.js'
 import type { PeerReport } from '../peerReport.js'
 import { PeerView } from '../peerView.js'
 import { makePosition } from '../../store/__fixtures__/makePosition.js'
 
 const test = suite('PeerView, hosts that are silent')
 const makeEntry = (name: string, region = 'wlg', incarnation = 'i1'): HostEntry => ({ name, incarnation, availabilityZone: `${region}-a`, region, ip: '10.0.0.1', callerPort: 1, peerPort: 2 })
-const makeReport = (host: string, sequence: number, content: Partial<PeerReport>): PeerReport => ({ host, incarnation: 'i1', region: 'wlg', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), requestLimits: [], leavingTargets: [], lostZones: [], changes: undefined, demands: [], ...content })
+const makeReport = (host: string, sequence: number, content: Partial<PeerReport>): PeerReport => ({ host, incarnation: 'i1', region: 'wlg', sequence, isLeaving: false, configurationVersion: 1, storePosition: makePosition(5), isRegional: false, declaredRevision: 0, notablePosition: makePosition(0), storeAgeMs: 0, inFlight: new Map(), requestLimits: [], leavingTargets: [], lostZones: [], silentHosts: [], changes: undefined, demands: [], ...content })
 
 /** What the host `own` of the region wlg knows of its peers `a` and `b` there, and of `far` in another region. */
 class Rig {
@@ -96,4 +97,30 @@
   assert.equal(rig.list(14_000), ['a', 'far', 'own'])
 })
 
+// Guards against look-ups in other regions that name lost hosts: those hear of a region by its representatives only.
+test('a host that its region reports as silent is not listed in other regions, until it starts again', () => {
+  const there = new Rig()
+  there.receive('a', 0, 5_000)
+  const silentHosts = there.view.listSilentHosts(5_000)
+  assert.is(silentHosts.length, 1, 'b')
+  const rig = new Rig(makeEntry('far', 'akl'))
+  rig.receiveOne('a', 5_000, { isRegional: true })
+  assert.equal(rig.list(5_000), ['a', 'b', 'far', 'own'])
+  rig.receiveOne('a', 7_000, { isRegional: true, silentHosts })
+  rig.view.receiveSilentHosts(makeReport('a', 0, { isRegional: true, silentHosts }), 7_000)
+  assert.equal(rig.list(7_000), ['a', 'far', 'own'])
+  rig.fleet.putHost(makeEntry('b', 'wlg', 'i2'))
+  assert.equal(rig.list(7_100), ['a', 'b', 'far', 'own'])
+})
+
+test('a report of silent hosts counts only while the region goes on reporting', () => {
+  const silentHosts = [computeHostHash(makeEntry('b'))]
+  const rig = new Rig(makeEntry('far', 'akl'))
+  rig.view.receiveSilentHosts(makeReport('a', 1, { isRegional: true, silentHosts }), 7_000)
+  assert.equal(rig.list(7_000), ['a', 'far', 'own'])
+  assert.equal(rig.list(13_001), ['a', 'b', 'far', 'own'])
+  rig.view.receiveSilentHosts(makeReport('a', 2, { isRegional: true, silentHosts: [] }), 14_000)
+  assert.equal(rig.list(14_000), ['a', 'b', 'far', 'own'])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -35,6 +35,7 @@
   const leavingTargets: number[] = []
   let storeEra = 0
   const lostZones: number[] = []
+  const silentHosts: number[] = []
   while (reader.hasMore(end)) {
     const tag = reader.readTag()
     switch (tag) {
@@ -61,6 +62,8 @@
       case 144: storeEra = reader.readUint32(); break
       case 154: reader.readPackedFixed32(lostZones); break
       case 157: lostZones.push(reader.readFixed32()); break
+      case 162: reader.readPackedFixed32(silentHosts); break
+      case 165: silentHosts.push(reader.readFixed32()); break
       default: reader.ignoreField(tag)
     }
   }
@@ -84,6 +87,7 @@
     requestLimits,
     leavingTargets,
     lostZones,
+    silentHosts,
     changes
   }
 }
--- a/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
@@ -34,6 +34,7 @@
       requestLimits: report.requestLimits.map(({ incarnationHash, perSecond, ageMs }) => ({ targetHash: incarnationHash, perSecond: perSecond === Infinity ? 0 : perSecond, ageMs: Math.round(ageMs) })),
       leavingTargets: [...report.leavingTargets],
       lostZones: [...report.lostZones],
+      silentHosts: [...report.silentHosts],
       ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
     })
   })
--- a/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveHosts.ts
@@ -1,5 +1,6 @@
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
+import { computeHostHash } from './computeHostHash.js'
 import type { LiveLists } from './liveLists.js'
 import type { PeerReport } from './peerReport.js'
 import type { PeerState } from './peerState.js'
@@ -16,6 +17,14 @@
 /** Number of hosts of an availability zone that aggregate its hosts' reports: two, so that there is no gap when one exits or hangs. */
 const AGGREGATORS_PER_ZONE = 2
 
+/** Milliseconds for which a region's report of its silent hosts counts. Representatives report every two seconds. */
+const REGION_REPORT_TIMEOUT_MS = 6_000
+
+interface SilentHosts {
+  hashes: ReadonlySet<number>
+  receivedAt: number
+}
+
 /** Determines which hosts are live, and which of them are representatives of this region or aggregators of their zones. */
 export class LiveHosts {
   /** Incremented by each report that changes which hosts are live. */
@@ -24,6 +33,8 @@
   /** When this host last received a report of a host that has an entry; -Infinity before the first. */
   private lastReportAt = -Infinity
   private regionHosts: readonly HostEntry[] = []
+  /** Silent hosts of other regions, by region, as these report them. */
+  private readonly silentElsewhere = new Map<string, SilentHosts>()
   /** Revision of the fleet's hosts from which `regionHosts` was computed. */
   private regionHostsRevision = -1
   private readonly firstSeenAt = new Map<string, { incarnation: string, at: number }>()
@@ -41,13 +52,23 @@
     if (known === undefined || now - known.receivedAt > REPORT_TIMEOUT_MS || known.incarnation !== report.incarnation || known.report.isLeaving !== report.isLeaving) this.changes += 1
   }
 
+  /** Registers which hosts of another region aren't heard there. */
+  receiveSilentHosts (region: string, silentHosts: readonly number[], now: number): void {
+    const known = this.silentElsewhere.get(region)
+    if (known === undefined && silentHosts.length === 0) return
+    if (silentHosts.length === 0) this.silentElsewhere.delete(region)
+    else this.silentElsewhere.set(region, { hashes: new Set(silentHosts), receivedAt: now })
+    this.changes += 1
+  }
+
   /**
    * Returns the lists for the present time. They are recomputed only when a report or an entry has changed them, or when a host may have
    * been silent for too long: each report, request and look-up needs them.
    */
   findLists (now: number): LiveLists {
     const { lists, changes, fleet: { hostsRevision } } = this
-    if (lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision && this.findReferenceTime(lists.isIsolated, now) <= lists.validUntil) return lists
+    const isUnchanged = lists !== undefined && lists.changes === changes && lists.hostsRevision === hostsRevision
+    if (isUnchanged && this.findReferenceTime(lists.isIsolated, now) <= lists.validUntil && now <= lists.regionReportsValidUntil) return lists
     const made = this.makeLists(now)
     this.lists = made
     return made
@@ -81,19 +102,23 @@
     const regionAddresses = new Set<string>()
     const representatives: HostEntry[] = []
     const aggregators = new Map<string, HostEntry[]>()
+    const silentHosts: number[] = []
     let validUntil = Infinity
     for (const entry of this.fleet.listHosts()) {
       this.observeEntry(entry, now)
       const isOwn = entry.name === this.own.name
       if (!isOwn && entry.region === this.own.region) validUntil = Math.min(validUntil, this.computeSilenceEnd(entry, referenceTime))
-      if (!isOwn && !this.isLive(entry, referenceTime)) continue
+      if (!isOwn && !this.isLive(entry, referenceTime, now)) {
+        if (entry.region === this.own.region) silentHosts.push(computeHostHash(entry))
+        continue
+      }
       live.push(entry)
       putFirst(aggregators, entry)
       if (entry.region !== this.own.region) continue
       regionAddresses.add(entry.ip)
       addSorted(representatives, entry, REPRESENTATIVES_PER_REGION)
     }
-    return { isIsolated, validUntil, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, regionAddresses, representatives: representatives.map(({ name }) => name), aggregators, senders: new Map() }
+    return { isIsolated, validUntil, regionReportsValidUntil: this.findRegionReportsEnd(now), silentHosts, changes: this.changes, hostsRevision: this.fleet.hostsRevision, live, regionAddresses, representatives: representatives.map(({ name }) => name), aggregators, senders: new Map() }
   }
 
   /**
@@ -112,10 +137,20 @@
     return entryEnd >= referenceTime ? entryEnd : Infinity
   }
 
-  private isLive (entry: HostEntry, referenceTime: number): boolean {
+  private findRegionReportsEnd (now: number): number {
+    const ends = [...this.silentElsewhere.values()].map(({ receivedAt }) => receivedAt + REGION_REPORT_TIMEOUT_MS)
+    return Math.min(Infinity, ...ends.filter((end) => end >= now))
+  }
+
+  private isSilentElsewhere (entry: HostEntry, now: number): boolean {
+    const reported = this.silentElsewhere.get(entry.region)
+    return reported !== undefined && now - reported.receivedAt <= REGION_REPORT_TIMEOUT_MS && reported.hashes.has(computeHostHash(entry)) && !this.hasRecentReport(entry, now)
+  }
+
+  private isLive (entry: HostEntry, referenceTime: number, now: number): boolean {
     const peer = this.peers.get(entry.name)
     if (peer?.report.isLeaving === true && peer.incarnation === entry.incarnation) return false
-    return entry.region !== this.own.region || this.computeSilenceEnd(entry, referenceTime) !== Infinity
+    return entry.region === this.own.region ? this.computeSilenceEnd(entry, referenceTime) !== Infinity : !this.isSilentElsewhere(entry, now)
   }
 
   private observeEntry (entry: HostEntry, now: number): void {
--- a/packages/almondrelay-gateway/src/process/peers/liveLists.ts
+++ b/packages/almondrelay-gateway/src/process/peers/liveLists.ts
@@ -6,6 +6,10 @@
   isIsolated: boolean
   /** Last reference time, see `LiveHosts`, at which no host of the region has been silent for too long. */
   validUntil: number
+  /** Monotonic milliseconds until which other regions' reports of silent hosts count. */
+  regionReportsValidUntil: number
+  /** Hashes of the incarnations of the hosts of this region that aren't live. */
+  silentHosts: readonly number[]
   /** Number of reports that had changed which hosts are live. */
   changes: number
   hostsRevision: number
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -60,10 +60,10 @@
   receiveWatcherReport: (report: PeerReport, now: number) => void
 }
 
-type ReportContent = Pick<PeerReport, 'isRegional' | 'demands' | 'declaredRevision' | 'requestLimits' | 'leavingTargets' | 'changes'>
+type ReportContent = Pick<PeerReport, 'isRegional' | 'demands' | 'silentHosts' | 'declaredRevision' | 'requestLimits' | 'leavingTargets' | 'changes'>
 
 /** Content of a report that only tells the state of its sender. */
-const PLAIN_CONTENT: Omit<ReportContent, 'declaredRevision'> = { isRegional: false, demands: [], requestLimits: [], leavingTargets: [], changes: undefined }
+const PLAIN_CONTENT: Omit<ReportContent, 'declaredRevision'> = { isRegional: false, demands: [], silentHosts: [], requestLimits: [], leavingTargets: [], changes: undefined }
 
 /** Sends load reports to the other hosts, applies the reports received from them, and relays changes of the store within the region. */
 export class PeerExchange {
@@ -104,6 +104,7 @@
       fleet.receivePeerConfirmation(report.notablePosition, now - report.storeAgeMs)
       this.parts.observeStoreContact(now - report.storeAgeMs)
     }
+    if (report.isRegional && view.findSender(report, ip)?.region === report.region) view.receiveSilentHosts(report, now)
     if (report.region !== own.region) return
     this.updateInFlightCounts(report, previousCounts, now)
     const hasAnnouncements = report.requestLimits.length > 0 || report.leavingTargets.length > 0
@@ -168,7 +169,7 @@
     const bytes = this.sendTo((entry) => entry.region === own.region, { ...PLAIN_CONTENT, demands: withDemands ? this.listOwnDemands(now) : [], declaredRevision, requestLimits: forward.announcements.limits.takeReports(now), leavingTargets: forward.announcements.departures.takeReports(now) })
     if (now - this.regionalReportSentAt < OTHER_REGIONS_INTERVAL_MS || !view.isRepresentative(now)) return bytes
     this.regionalReportSentAt = now
-    return bytes + this.sendTo((entry) => entry.region !== own.region, { ...PLAIN_CONTENT, isRegional: true, demands: this.sumDemands(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)) })
+    return bytes + this.sendTo((entry) => entry.region !== own.region, { ...PLAIN_CONTENT, isRegional: true, demands: this.sumDemands(now), silentHosts: view.listSilentHosts(now), declaredRevision: Math.min(declaredRevision, view.findLowestDeclaredRevision(now)) })
   }
 
   private listOwnDemands (now: number): ServiceDemand[] {
--- a/packages/almondrelay-gateway/src/process/peers/peerReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerReport.ts
@@ -32,6 +32,8 @@
   leavingTargets: readonly number[]
   /** Hashes of the names of availability zones to whose targets the sender has lost its links; empty in most reports. */
   lostZones: readonly number[]
+  /** Hashes of the incarnations of the hosts of the sender's region that have an entry and aren't heard there; empty if not regional. */
+  silentHosts: readonly number[]
   /** Changes of the store that the sender relays; undefined in most reports. */
   changes: RelayedChanges | undefined
 }
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -67,6 +67,16 @@
     return true
   }
 
+  /** Applies what a representative of another region reports of the hosts there. */
+  receiveSilentHosts ({ region, silentHosts }: Pick<PeerReport, 'region' | 'silentHosts'>, now: number): void {
+    this.live.receiveSilentHosts(region, silentHosts, now)
+  }
+
+  /** Returns the hashes of the incarnations of the hosts of this region that have an entry and aren't live. */
+  listSilentHosts (now: number): readonly number[] {
+    return this.live.findLists(now).silentHosts
+  }
+
   /** Returns the requests in progress at targets from a host's last report; empty if there is none. */
   findInFlightCounts (host: string): ReadonlyMap<number, number> {
     return this.peers.get(host)?.report.inFlight ?? NO_COUNTS
@@ -94,7 +104,8 @@
   }
 
   /**
-   * Returns the hosts that serve callers, including this one. Hosts of other regions send few reports and are judged by their entries.
+   * Returns the hosts that serve callers, including this one. Hosts of other regions send few reports and are judged by their entries and
+   * by what their regions report.
    */
   listLive (now: number): readonly HostEntry[] {
     return this.live.findLists(now).live
--- a/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
+++ b/packages/almondrelay-stand-ins/src/capacity/measureForwarding.ts
@@ -81,6 +81,7 @@
   requestLimits: [],
   leavingTargets: [],
   lostZones: [],
+  silentHosts: [],
   changes: undefined,
   demands: []
 })
