Tell a restarted target from a late write by its heartbeats

Cause: entries of a target are ordered by the start that it states, a reading of its clock. One that was started while its clock was ahead and again once it was right states an earlier start the second time, and all its entries counted as late writes.

Ruled out: ordering by the store's revisions. A late write of an earlier incarnation has the later revision too.

Evidence: targetIncarnations.test.ts before: 2 of 7 (the two are the guards against late writes).

Change: an incarnation that looks older is accepted once it has written heartbeats for two seconds while the known one wrote none. That a target is draining or cold is applied at once, whichever incarnation says it. Why it holds: a target that runs writes a heartbeat every 1.5 s, so that the known incarnation, if it runs, always writes in between.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -2,6 +2,7 @@
 import { isLapseLikely } from '../../request/isLapseLikely.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
+import type { TargetState } from '../../request/targetState.js'
 import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import { findLaterPosition } from '../store/findLaterPosition.js'
 import { getEventRevision } from '../store/getEventRevision.js'
@@ -233,11 +234,9 @@
   private applyTarget (entry: TargetEntry, now: number): void {
     const { fleet, log } = this.parts
     const known = fleet.findTarget(entry.id)
-    if (!this.latestEntries.accept(entry)) {
+    if (!this.latestEntries.accept(entry, now)) {
       log.record('outdated target entry ignored', { entry })
-      // If targets state no start time, a lower heartbeat count may also mean a restart. A target that states that it is cold is then
-      // marked as cold, as it would collapse at the request rate of a warm one.
-      if (known !== undefined && entry.incarnation === undefined) known.markCold(entry.coldForMs, now)
+      if (known !== undefined) this.applyWarnings(known, entry, now)
       return
     }
     this.lapsing.delete(entry.id)
@@ -248,6 +247,16 @@
     fleet.putTarget(entry, now)
   }
 
+  // An entry that looks older may be that of a restarted target. One that was started while its clock was ahead would go on getting
+  // requests after it has announced that it leaves, and one that is cold would collapse at the request rate of a warm one. The next entry
+  // of the known incarnation takes back that it leaves.
+  private applyWarnings (known: TargetState, { coldForMs, draining }: TargetEntry, now: number): void {
+    known.markCold(coldForMs, now)
+    if (!draining || known.entry.draining) return
+    this.parts.log.record('target announces that it leaves in an entry that looks older', { target: known.entry.id })
+    known.updateEntry({ ...known.entry, coldForMs: 0, draining }, now)
+  }
+
   private reportUnusable (key: string, reason: string): void {
     if (this.unusableValues.accept(key, reason)) this.parts.log.report('value in the store not usable', { key, reason })
   }
