Reset connections with a request that is given up

Cause: an attempt that was given up closed its connection in the ordinary way, and the kernel goes on sending what a link holds back. A reset, which drops it, was sent only over links that counted as lost, and none does while a whole zone is cut.

Ruled out: resetting only connections with unacknowledged bytes. The runtime doesn't show what the other side has acknowledged, and a connection with an unanswered request is never used again, so that a reset costs nothing more.

Evidence: two tests with a peer that doesn't read: all of 1 MB arrived after it was given up, at a target and at a carrier.

Change: a connection to a target with a request pending is closed by a reset, as is a call to a carrier that is given up. At the end of a planned stop connections with unanswered requests are reset, as the kernel outlives the process.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -4,6 +4,7 @@
 import { PlainTargetCodec } from '../__fixtures__/plainTargetCodec.js'
 import { resetSocket } from '../__fixtures__/resetSocket.js'
 import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
+import { startUnreadingServer } from '../__fixtures__/unreadingServer.js'
 import { MessageMemory } from '../messageMemory.js'
 import { ConnectFailure } from '../connectFailure.js'
 import { TargetConnection } from '../targetConnection.js'
@@ -91,6 +92,20 @@
   assert.is(memory.heldBytes, 0)
 })
 
+// Guards against requests that run after they were given up, at a target that has left meanwhile: bytes that a cut link held back, here
+// a target that doesn't read, were delivered once the link was back.
+test('a request that is given up does not arrive later', async () => {
+  const target = await startUnreadingServer(owner.signal)
+  const connection = await open(target.port)
+  const request = makeRequest({ body: Buffer.alloc(1_000_000) })
+  const result = connection.exchange(request, codec.encodeHead(request, 't', 100))
+  await target.waitUntilHeld()
+  connection.close('given up')
+  assert.is((await result).kind, 'broken')
+  const received = await target.readToEnd()
+  assert.ok(received < request.body.length, `${received} bytes arrived`)
+})
+
 test('a truncated answer counts as broken', async () => {
   const port = await startScriptedTarget((socket) => { socket.end(ANSWER_TO_FIRST.slice(0, -2)) }, owner.signal)
   const result = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -108,9 +108,14 @@
     })
   }
 
-  /** Closes the connection and abandons a pending request, which makes most targets abort it. */
+  /**
+   * Closes the connection and abandons a pending request, which makes most targets abort it. It is then closed by a TCP reset, because the
+   * kernel would otherwise go on sending a request that a link holds back, and it would run when its target may have left.
+   */
   close (reason: string): void {
-    this.closeWith(reason, this.pending === undefined && this.isOpen ? OpenCause.closed : OpenCause.failure, () => { this.socket.destroy() })
+    const cause = this.pending === undefined && this.isOpen ? OpenCause.closed : OpenCause.failure
+    if (this.pending === undefined) this.closeWith(reason, cause, () => { this.socket.destroy() })
+    else this.reset(reason)
   }
 
   /** Closes a connection that has been idle for too long. */
@@ -118,7 +123,7 @@
     this.closeWith('unused', OpenCause.idle, () => { this.socket.destroy() })
   }
 
-  /** Closes the connection as `close` does, by a TCP reset: bytes that a link holds back are then not delivered later. */
+  /** Closes the connection by a TCP reset: bytes that a link holds back are then not delivered later. */
   reset (reason: string): void {
     this.closeWith(reason, OpenCause.failure, () => { this.socket.resetAndDestroy() })
   }
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -21,7 +21,8 @@
 const OK_STATUS = 200
 
 /**
- * Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal closes its connection.
+ * Sends one unary call of the Connect protocol to another host and reads the whole answer. The signal resets its connection, so that a call
+ * that a link holds back doesn't arrive after it was given up.
  *
  * The message is written only once the other host's process has answered the head with "100 Continue": the kernel of a stopped process
  * accepts connections and bytes, so that without it nobody could tell whether the process will act on the call when it resumes.
@@ -37,14 +38,21 @@
 
 const sendUnaryCall = (agent: Agent, { ip, port, path, body, acknowledgeTimeoutMs, handleAcknowledgement, memory }: PeerCall, signal: AbortSignal): Promise<PeerReply> =>
   new Promise((resolve) => {
-    const outgoing = request({ host: ip, port, path, agent, method: 'POST', signal, headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength, Expect: '100-continue' } })
+    const outgoing = request({ host: ip, port, path, agent, method: 'POST', headers: { 'Content-Type': CARRIER_CONTENT_TYPE, 'Connect-Protocol-Version': '1', 'Content-Length': body.byteLength, Expect: '100-continue' } })
     let wasSent = false
     let isAcknowledged = false
     const resolveFailure = (reason: string, failure: PeerCallFailure = wasSent ? PeerCallFailure.answerLost : PeerCallFailure.notSent): void => {
-      clearTimeout(timer)
+      stopWaiting()
       resolve({ kind: 'failed', failure, reason })
+      if (outgoing.destroyed) return
+      outgoing.socket?.resetAndDestroy()
       outgoing.destroy()
     }
+    const handleAbort = (): void => { resolveFailure('given up') }
+    const stopWaiting = (): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', handleAbort)
+    }
     // Bytes that arrived while this process itself was delayed are read before the immediate runs.
     const timer = setTimeout(() => {
       setImmediate(() => { if (!isAcknowledged) resolveFailure('no acknowledgement in time', PeerCallFailure.unacknowledged) })
@@ -75,9 +83,13 @@
       response.on('close', () => {
         held.release()
         if (!response.complete) resolveFailure('answer cut short')
-        else if (wasSent && response.statusCode === OK_STATUS) resolve({ kind: 'answered', body: Buffer.concat(chunks) })
-        else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
+        else if (wasSent && response.statusCode === OK_STATUS) {
+          stopWaiting()
+          resolve({ kind: 'answered', body: Buffer.concat(chunks) })
+        } else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
       })
     })
-    outgoing.flushHeaders()
+    signal.addEventListener('abort', handleAbort, { once: true })
+    if (signal.aborted) handleAbort()
+    else outgoing.flushHeaders()
   })
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -64,8 +64,7 @@
     if (this.isEnded) return
     this.cancelled ??= reason
     this.abortController?.abort()
-    if (this.parts.links.isLost(this.choice.target)) this.connection?.reset(reason)
-    else this.connection?.close(reason)
+    this.connection?.close(reason)
   }
 
   /** Whether the request waits for an answer over a link that has been lost since, or by way of a host that has become silent. */
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -51,6 +51,12 @@
     this.pools.delete(targetId)
   }
 
+  /** Closes all connections: running requests end as broken. */
+  abortAll (reason: string): void {
+    for (const pool of this.pools.values()) pool.closeAll(reason)
+    this.pools.clear()
+  }
+
   closeIdle (now: number): void {
     for (const pool of this.pools.values()) pool.closeIdle(now)
   }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -197,6 +197,8 @@
     })
     const unfinished = await this.stop(leaving)
     abortController.abort()
+    // The kernel would go on sending requests that a link holds back after the end of the process.
+    this.forward.pools.abortAll('host stopped')
     await tasks
     return unfinished
   }
