Count a body until its last attempt has ended

Cause: an order whose caller has left goes on until its deadline. Its body was released from the count when the request ended for its caller, while the attempt and the queue of its connection held it on, and more bodies were let in than there was room for.

Ruled out: ending such orders with their callers. Their outcome would be unknown.

Change: the body counts until no attempt holds it, which covers also the 400 ms after a deadline and copies that lost. The copy of a body in a call to another host counts while the call lasts; a carried body is no longer copied.

Open: a body of more than half of the memory for bodies is refused by an idle host too (60 MB at 350 MB).

--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -35,6 +35,8 @@
   readonly announcements = new TargetAnnouncements({ log: this.log, metrics: this.metrics })
   readonly load = new HostLoad()
   readonly memory = new MessageMemory(1_000_000)
+  /** Memory for bodies at the host that the attempts come from. */
+  readonly originBodies = new MessageMemory(1_000_000)
   readonly bodies = new MessageMemory(1_000_000)
   readonly originMemory = new MessageMemory(100_000)
   /** What the carrier's state says of the target. */
@@ -63,7 +65,7 @@
     this.carrierTarget = this.carrierFleet.findTarget(this.originTarget.entry.id) as TargetState
     const roundTripTimes = new RoundTripTimes('akl')
     const getNow = (): number => performance.now()
-    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, roundTripTimes, metrics: this.metrics, log: this.log, handleSilence: () => { this.silences += 1 }, getNow, random: () => 0.5 })
+    this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, bodies: this.originBodies, roundTripTimes, metrics: this.metrics, log: this.log, handleSilence: () => { this.silences += 1 }, getNow, random: () => 0.5 })
     const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory, observeUnsound: () => undefined }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
     this.server = new CarrierServer({
       own: carrier,
@@ -103,9 +105,9 @@
     return this.server.countUnanswered()
   }
 
-  carry (options: { timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, handleSend?: () => void, findStopReason?: () => string | undefined } = {}): Promise<CarryOutcome> {
+  carry (options: { timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, body?: Buffer, handleSend?: () => void, findStopReason?: () => string | undefined } = {}): Promise<CarryOutcome> {
     return this.client.carry({
-      request: makeRequest(),
+      request: makeRequest({ body: options.body ?? Buffer.alloc(0) }),
       target: this.originTarget,
       allowedRegions: options.allowedRegions ?? [],
       deadline: performance.now() + (options.timeoutMs ?? 2_000),
--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -45,6 +45,19 @@
   assert.ok(Number(heads[0]) <= 900 && Number(heads[0]) > 500)
 })
 
+// Guards against memory that is used and not counted: a call to another host is a copy of the request.
+test('the copy of a body in a call counts while the call lasts, and there is no call without room for it', async () => {
+  let heldWhileSent = 0
+  const carrierRig = await start()
+  const { originBodies } = carrierRig
+  const { result } = await carrierRig.carry({ body: Buffer.alloc(20_000), handleSend: () => { heldWhileSent = originBodies.heldBytes } })
+  assert.is(result.kind, 'answered')
+  assert.equal([heldWhileSent, originBodies.heldBytes], [20_000, 0])
+  const refused = await carrierRig.carry({ body: Buffer.alloc(1_000_001) })
+  assert.is(refused.result.kind, 'not-sent')
+  assert.is(originBodies.heldBytes, 0)
+})
+
 // Guards against a refusal "not run" of a request that a carrier may have sent.
 test('an attempt whose answer is lost between the hosts may have run, and is not blamed on the target', async () => {
   const carrierRig = await start(() => { rig?.stop.abort() })
--- a/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -19,7 +19,7 @@
   constructor (private readonly message: CarryRequest, private readonly target: TargetState, private readonly parts: CarriedParts) {
     const { requestId, method, url, headers, body, remainingMs } = message
     this.deadline = parts.getNow() + remainingMs
-    this.targetRequest = { id: requestId, method, url, rawHeaders: headers, body: Buffer.from(body), identity: { kind: 'unchecked' } }
+    this.targetRequest = { id: requestId, method, url, rawHeaders: headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength), identity: { kind: 'unchecked' } }
   }
 
   /** Connects to the target, sends the request and waits for the answer. */
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -1,5 +1,6 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryResponse, type CheckTargetResponse } from 'almondrelay-protocol'
+import { HeldBytes } from '../../connection/heldBytes.js'
 import type { MessageMemory } from '../../connection/messageMemory.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
@@ -32,7 +33,10 @@
   own: HostEntry
   view: PeerView
   codec: TargetCodec
+  /** Memory for answers. */
   memory: MessageMemory
+  /** Memory for bodies of requests. */
+  bodies: MessageMemory
   roundTripTimes: RoundTripTimes
   metrics: GatewayMetrics
   log: EventLog
@@ -112,7 +116,12 @@
 
   /** Sends an attempt by way of one host. Returns the outcome, or the reason why the host can't send it. */
   private async carryThrough (host: HostEntry, attempt: IndirectAttempt, isLast: boolean, signal: AbortSignal): Promise<CarryOutcome | string> {
-    const { metrics, getNow } = this.parts
+    const { metrics, getNow, bodies } = this.parts
+    const held = new HeldBytes(bodies)
+    if (!held.hold(attempt.request.body.byteLength)) {
+      held.release()
+      return 'this host has no room for a copy of the request'
+    }
     const body = this.encodeAttempt(attempt, getNow())
     this.carried.set(host.name, this.countCarried(host) + 1)
     let stopReason: string | undefined
@@ -122,7 +131,10 @@
       if (stopReason === undefined) attempt.handleSend(now, host.name)
       return stopReason
     }
-    const reply = await this.caller.call(host, { method: CarrierService.method.carry, body, isLast, handleSend }, signal).finally(() => { this.carried.set(host.name, this.countCarried(host) - 1) })
+    const reply = await this.caller.call(host, { method: CarrierService.method.carry, body, isLast, handleSend }, signal).finally(() => {
+      held.release()
+      this.carried.set(host.name, this.countCarried(host) - 1)
+    })
     const distance = describeDistance(this.parts.own, host)
     metrics.countIndirectBytes('sent', distance, body.byteLength + (reply.kind === 'answered' ? reply.body.byteLength : 0))
     metrics.countIndirectAttempt('sent', reply.kind === 'answered' ? 'answered' : reply.failure)
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -29,7 +29,10 @@
   fleet: FleetState
   peers: PeerView
   codec: TargetCodec
+  /** Memory for answers. */
   memory: MessageMemory
+  /** Memory for bodies of requests. */
+  bodies: MessageMemory
   announcements: TargetAnnouncements
   getNow: () => number
   random: () => number
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -4,6 +4,7 @@
 import type { CallerCodec } from '../../connection/callerCodec.js'
 import type { CallerHead } from '../../connection/callerHead.js'
 import { hasBody } from '../../connection/hasBody.js'
+import type { HeldBytes } from '../../connection/heldBytes.js'
 import type { MessageMemory } from '../../connection/messageMemory.js'
 import { readBody } from '../../connection/readBody.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
@@ -221,17 +222,19 @@
     if (read.kind === 'too-long') return { answer: this.refuser.reject(message, draft.id, 413, 'body too long'), mayHaveRun: false }
     if (read.kind === 'no-room') return { answer: this.refuser.refuseMemoryFull(head, route, organisation, BODIES), mayHaveRun: false }
     if (read.kind === 'cut-short') return { answer: undefined, mayHaveRun: false }
+    let runner: RequestRunner | undefined
     try {
       if (callerLeft.aborted) return { answer: undefined, mayHaveRun: false }
       if (!this.allowBeforeStop(route, draft.deadline)) return { answer: this.refuser.refuseStopping(head, route, organisation), mayHaveRun: false }
-      return await this.forward({ ...draft, body: read.body }, callerLeft, metered)
+      const request = { ...draft, body: read.body }
+      runner = this.createRunner(request, metered?.name)
+      return await this.forward(request, runner, callerLeft, metered)
     } finally {
-      read.held.release()
+      releaseAfterAttempts(read.held, runner)
     }
   }
 
-  private async forward (request: CallerRequest, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
-    const runner = this.createRunner(request, metered?.name)
+  private async forward (request: CallerRequest, runner: RequestRunner, callerLeft: AbortSignal, metered: MeteredService | undefined): Promise<ServedRequest> {
     this.runners.add(runner)
     const answer = await runner.run(callerLeft).finally(() => { this.runners.delete(runner) })
     this.report(request, runner.record, answer)
@@ -278,6 +281,11 @@
   }
 }
 
+/** Releases a request's body once no attempt holds it any more, which may be after its final answer. */
+const releaseAfterAttempts = (held: HeldBytes, runner: RequestRunner | undefined): void => {
+  if (held.count > 0) void (runner?.waitForAttempts() ?? Promise.resolve()).finally(() => { held.release() })
+}
+
 const getHostName = (message: IncomingMessage): string => {
   const host = message.headers.host ?? ''
   const colon = host.indexOf(':')
--- a/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRunner.ts
@@ -52,6 +52,8 @@
   private readonly running = new Set<Attempt>()
   private readonly triedIds = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
+  /** Settled once the attempts have ended. */
+  private readonly attempts: Array<Promise<void>> = []
   private sends = 0
   /** Monotonic milliseconds from which on an attempt counts as overdue. */
   private readonly overdueAt = new Map<Attempt, number>()
@@ -94,6 +96,14 @@
     this.events.push({ kind: 'links-lost' })
   }
 
+  /**
+   * Resolves once no attempt holds the request any more. Those of a caller that has left, and those that are given up at the deadline, may
+   * run on after the final answer.
+   */
+  async waitForAttempts (): Promise<void> {
+    await Promise.all(this.attempts)
+  }
+
   private async handleEvents (): Promise<FinalAnswer> {
     if (!this.startAttempt()) return this.refuse()
     for (;;) {
@@ -294,12 +304,12 @@
       this.overdueAt.set(attempt, now + overdueMs)
       this.startTimer(overdueMs, { kind: 'overdue' })
     }
-    void attempt.run(this.placement.getPool(choice.target)).then((result) => {
+    this.attempts.push(attempt.run(this.placement.getPool(choice.target)).then((result) => {
       this.placement.observeFinish(choice)
       this.placement.observeResult(attempt, result, this.parts.getNow())
       if (attempt.sentAt !== undefined && !attempt.isCarrierFault) gate.observeResult(choice.target, result, this.parts.getNow())
       this.events.push({ kind: 'ended', attempt, result })
-    })
+    }))
     return attempt
   }
 
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -117,7 +117,7 @@
     })
     this.fleet.putHost(this.own)
     this.view = new PeerView(this.own, this.fleet)
-    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, announcements, getNow, random, countOpened: (region, cause) => { metrics.countConnection(region, cause) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: (target, now) => { this.quarantine.observeTargetExit(target, now) }, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
+    this.forward = new ForwardState({ own: this.own, settings, fleet: this.fleet, peers: this.view, codec: adapter.targets, memory: this.memory, bodies: this.bodies, announcements, getNow, random, countOpened: (region, cause) => { metrics.countConnection(region, cause) }, observeFailure: (target, failure, isUnconnected) => { this.observeFailure(target, failure, isUnconnected) }, handleExit: (target, now) => { this.quarantine.observeTargetExit(target, now) }, handleLinkLoss: () => { this.requestHandler.handleLinkLoss() }, log, metrics, startRuntime: (runtime) => { this.planner.start(runtime, getNow()) }, signal: this.abortController.signal })
     const regions = [...new Set(Object.values(settings.availabilityZones))]
     this.planner = new RegionPlanner({ ownRegion: this.own.region, regions, forward: this.forward, view: this.view, getNow })
     const logError = (error: Error): void => { log.logError('error on a port of this host', error) }
