--- a/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/callerServer.test.ts
@@ -147,4 +147,25 @@
   held.server.close()
 })
 
+// Guards against requests that the configuration allows and that are refused, as Node.js has a limit of its own.
+test('the head of a request may have as many bytes as the configuration allows', async () => {
+  const { held } = await start()
+  const send = async (bytes: number): Promise<string> => {
+    const socket = connect(held.port, '127.0.0.1')
+    const seen = read(socket)
+    const path = `/${bytes}`
+    socket.write(`GET ${path} HTTP/1.1\r\nHost: a.example\r\nLong: ${'x'.repeat(bytes)}\r\n\r\n`)
+    await waitFor(() => seen.isEnded || held.paths.includes(path), 'the end or the request')
+    if (held.paths.includes(path)) held.answer(path)
+    await waitFor(() => seen.text.includes('\r\n'), 'the answer')
+    socket.destroy()
+    return seen.text.slice(9, 12)
+  }
+  held.server.setLimits({ maxHeaderBytes: 65_536, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 })
+  assert.equal([await send(20_000), await send(60_000), await send(70_000)], ['200', '200', '431'])
+  held.server.setLimits({ maxHeaderBytes: 8_192, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 })
+  assert.equal([await send(8_000), await send(9_000)], ['200', '431'])
+  held.server.close()
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -31,9 +31,12 @@
   reportReadFailure: (report: ReadFailureReport) => void
 }
 
+/** Bytes of a head above the limit that are accepted, as callers may not count all that Node.js counts. */
+const HEAD_MARGIN_BYTES = 512
+
 /** HTTP server for callers' requests. */
 export class CallerServer {
-  private readonly server: Server
+  private readonly server: Server & { maxHeaderSize?: number }
   private isLeaving = false
   private readonly connections = new Map<Socket, CallerConnection>()
 
@@ -70,6 +73,8 @@
   setLimits (limits: RequestLimits): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
     this.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS
+    // Node.js reads it for each new connection.
+    this.server.maxHeaderSize = limits.maxHeaderBytes + HEAD_MARGIN_BYTES
   }
 
   /** Returns the number of requests that were read in full and whose answers have not been sent in full. */
