Notice sooner after a cut that the store answers

Cause, as far as it is known: a host learns that it reaches the store again by the first answer to a call. In a cut a call for the lease is made every 1 to 4.6 s (one second for its answer, then a pause of up to 3.6 s). A watch that was pending when the cut began waits for up to 16 s, and one that is begun in the cut opens its connection with packets that the kernel repeats after 1, 2 and 4 s.

The first failure of any call restarts a pending watch, which is then retried every 1.1 to 1.8 s. A host that relies on its region's watchers has no watch and calls no more often than before.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/lapsedEntries.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/lapsedEntries.test.ts
@@ -85,4 +85,17 @@
   assert.is(fleet.findTarget('1'), undefined)
 })
 
+// Guards against a host that notices seconds after a cut that it reaches the store again, because its watch was pending on a connection
+// from before the cut.
+test('a pending watch is restarted when another call to the store fails', async () => {
+  const { fleet, store, health } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isHung = true
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  const { watches } = store
+  health.observeFailure(1_000)
+  await followed.waitFor(() => store.watches > watches, 'the next watch')
+  store.isHung = false
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -131,7 +131,9 @@
   }
 
   async run (signal: AbortSignal): Promise<void> {
-    this.parts.health.handleRecovery = () => { this.refresh('the store answers again') }
+    const { health } = this.parts
+    health.handleRecovery = () => { this.refresh('the store answers again') }
+    health.handleFailure = () => { this.restartWatch('a call to the store failed') }
     await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.runChecks(signal)])
   }
 
@@ -205,7 +207,14 @@
   refresh (reason: string): void {
     if (this.pendingWatch === undefined && !this.isRelyingOnWatchers) return
     this.hasToCatchUp = true
+    this.restartWatch(reason)
+  }
+
+  // A watch that was pending when this host was cut off from the store gets no answer after the cut either, and one that is restarted in
+  // the cut is restarted until the store answers.
+  private restartWatch (reason: string): void {
     if (this.pendingWatch === undefined) return
+    this.hasToCatchUp = true
     this.parts.log.record('store watch restarted', { reason, position: this.parts.fleet.storePosition })
     this.pendingWatch.abort()
   }
--- a/packages/almondrelay-gateway/src/process/store/storeHealth.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeHealth.ts
@@ -29,6 +29,8 @@
 export class StoreHealth {
   /** Called at the first answer after a failure. */
   handleRecovery: () => void = () => undefined
+  /** Called at the first failure after an answer. */
+  handleFailure: () => void = () => undefined
   private isFailing = false
   /** When the store last answered this host or, by their reports, another one. */
   private lastContactAt: number | undefined
@@ -58,6 +60,7 @@
     if (startedAt >= this.lastContactAt) this.lastFailedCallAt = Math.max(this.lastFailedCallAt ?? -Infinity, startedAt)
     if (this.isFailing) return false
     this.isFailing = true
+    this.handleFailure()
     return true
   }
 
