--- a/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/latestEntries.ts
@@ -8,7 +8,7 @@
  * Milliseconds within which a running target has written a heartbeat. If another incarnation goes on writing for that long and the known
  * one doesn't, the known one has ended.
  */
-const HEARTBEAT_MS = 2_000
+const MAX_HEARTBEAT_GAP_MS = 2_000
 
 type EntryOrder = Pick<TargetEntry, 'incarnation' | 'sequence'>
 
@@ -48,5 +48,5 @@
     known.rival = { ...entry, since: now }
     return false
   }
-  return entry.sequence > rival.sequence && now - rival.since >= HEARTBEAT_MS
+  return entry.sequence > rival.sequence && now - rival.since >= MAX_HEARTBEAT_GAP_MS
 }
