--- a/packages/almondrelay-gateway/src/process/store/storeHealth.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeHealth.ts
@@ -2,7 +2,7 @@
 const LAPSE_GRACE_MS = 2_000
 /**
  * Heartbeat intervals for which the store must have answered nobody before entries of live targets can have expired: an entry expires
- * after three without a heartbeat, and the last heartbeat may be as old as one when the outage begins. A late heartbeat is older.
+ * after three without a heartbeat, and the last heartbeat may be one interval old when the outage begins, or a little more if it was late.
  */
 const MIN_SILENT_HEARTBEATS = 1.7
 /** Milliseconds of the time within which a removal must be in force that are left for the check that ends a lapse. */
