--- a/packages/almondrelay-gateway/src/request/isLapseLikely.ts
+++ b/packages/almondrelay-gateway/src/request/isLapseLikely.ts
@@ -14,7 +14,8 @@
 }
 
 /**
- * Whether missing entries may have lapsed while the store was unavailable, and are about to be written again.
+ * Whether missing entries may have lapsed while the store was unavailable, and are about to be written again. The caller knows by
+ * `StoreHealth` that it may have been, and counts a target that was started again as unchanged.
  *
  * To a host that alone was cut off from the store, this looks the same as an outage of the store, but such a host must not keep
  * targets that left meanwhile. The entries of the other targets tell the two apart: after a lapse they are new ones, or there are
