Log how much of an answer of the store arrived, and which version peers report

A call that was given up looked the same whether its answer was arriving or not, a pause after failures left no line, and a 404 did not say which version other hosts had in force.

Change: bytes and time in the error of a failed call, bytes in `store watch restarted`, `store is called again` with the pause, `request rejected` with the newest reported version and the age of the state; almondrelay_platform_answer_bytes_total and almondrelay_configuration_reported_version. No decision changes.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,6 +1,7 @@
 import { computeRetryDelay } from '../../request/computeRetryDelay.js'
 import type { EventLog } from '../observe/eventLog.js'
 import type { SuspectRecord } from '../quarantine/suspectRecord.js'
+import { AnswerTransfer } from '../store/answerTransfer.js'
 import { CATCH_UP_MS } from '../store/catchUpMs.js'
 import { comparePositions } from '../store/comparePositions.js'
 import { findLaterPosition } from '../store/findLaterPosition.js'
@@ -109,6 +110,7 @@
   private readonly updater: FleetUpdater
   /** Aborts the pending watch call; undefined while none is pending. */
   private pendingWatch: AbortController | undefined
+  private transfer = new AnswerTransfer()
   private isLongWatch = false
   private hasToCatchUp = false
   private reportedPosition = startPosition
@@ -215,7 +217,7 @@
   private restartWatch (reason: string): void {
     if (this.pendingWatch === undefined) return
     this.hasToCatchUp = true
-    this.parts.log.record('store watch restarted', { reason, position: this.parts.fleet.storePosition })
+    this.parts.log.record('store watch restarted', { reason, position: this.parts.fleet.storePosition, receivedBytes: this.transfer.receivedBytes })
     this.pendingWatch.abort()
   }
 
@@ -231,7 +233,9 @@
         if (signal.aborted) return
         this.parts.log.logError('read or watch of the store failed', error as Error)
         failures += 1
+        const failedAt = this.parts.getNow()
         await this.waitAfterFailure(failures, signal)
+        this.parts.log.record('store is called again', { failures, pauseMs: Math.round(this.parts.getNow() - failedAt), position: this.parts.fleet.storePosition })
       }
     }
   }
@@ -344,11 +348,12 @@
     const handleAbort = (): void => { watchController.abort() }
     signal.addEventListener('abort', handleAbort)
     this.pendingWatch = watchController
+    this.transfer = new AnswerTransfer()
     this.isLongWatch = !this.hasToCatchUp && !this.parts.isWatcher()
     const waitMs = this.chooseWatchTimeout()
     this.hasToCatchUp = false
     try {
-      return await this.parts.store.watch(prefix, after, waitMs, watchController.signal)
+      return await this.parts.store.watch(prefix, after, waitMs, watchController.signal, this.transfer)
     } catch (error) {
       if (watchController.signal.aborted && !signal.aborted) return undefined
       throw error
--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -46,6 +46,8 @@
   storePosition: StorePosition = startPosition
   /** Position of the last notable change: one after which hosts decide differently than before. */
   notablePosition: StorePosition = startPosition
+  /** Newest version of the configuration that another host has reported to be in force there. */
+  reportedVersion = 0
   /** The first full read of targets and hosts is done. */
   isComplete = false
 
@@ -82,6 +84,11 @@
     if (this.isCompleteUpTo(notablePosition)) this.peerConfirmedAt = Math.max(this.peerConfirmedAt, confirmedAt)
   }
 
+  /** Records the version of the configuration that a peer reports. */
+  receivePeerVersion (version: number): void {
+    this.reportedVersion = Math.max(this.reportedVersion, version)
+  }
+
   /** Returns whether this state has missed no notable change up to that of a peer, in the same era. */
   isCompleteUpTo (notablePosition: StorePosition): boolean {
     return notablePosition.era === this.storePosition.era && notablePosition.revision <= this.storePosition.revision
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -48,8 +48,8 @@
 
   /** @param id undefined if the caller sent none */
   reject (message: IncomingMessage, id: string | undefined, status: number, reason: string): CallerAnswer {
-    const { log, metrics, fleet, callerCodec } = this.parts
-    log.record('request rejected', { id, hostName: message.headers.host, url: message.url, status, reason, version: fleet.configuration?.version })
+    const { log, metrics, fleet, callerCodec, getNow } = this.parts
+    log.record('request rejected', { id, hostName: message.headers.host, url: message.url, status, reason, version: fleet.configuration?.version, reportedVersion: fleet.reportedVersion, storeAgeMs: Math.round(fleet.computeAge(getNow())) })
     metrics.observeAnswer('none', String(status), 0)
     return callerCodec.encodeRejection(status, reason, id)
   }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -236,6 +236,7 @@
   private renderMetrics (): Promise<string> {
     const { metrics } = this.parts
     const running = [...this.fleet.listAllTargets()].reduce((sum, { inFlight }) => sum + inFlight, 0)
+    metrics.setReportedVersion(this.fleet.reportedVersion)
     metrics.setInProgress({ heldBytes: this.memory.heldBytes, bodyBytes: this.bodies.heldBytes, unanswered: this.callers.countUnanswered(), running })
     return metrics.render()
   }
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -33,6 +33,7 @@
   private readonly statementChoices = new Counter({ name: 'almondrelay_target_statement_choices_total', help: 'One in eight choices while targets state their speeds, by whether statements changed it', labelNames: ['result'], registers: [this.registry] })
   private readonly copies = new Counter({ name: 'almondrelay_copies_total', help: 'Copies of requests for second targets: sent, answered first, answered too late to be used, withheld by reason', labelNames: ['event'], registers: [this.registry] })
   private readonly platformCalls = new Counter({ name: 'almondrelay_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers: [this.registry] })
+  private readonly platformBytes = new Counter({ name: 'almondrelay_platform_answer_bytes_total', help: 'Bytes of the bodies of answers of the platform; those of failed calls were of no use', labelNames: ['call', 'outcome'], registers: [this.registry] })
   private readonly storeReturns = new Counter({ name: 'almondrelay_store_returns_total', help: 'Returns of the store from a copy that lacks acknowledged changes', registers: [this.registry] })
   private readonly storeEra = new Gauge({ name: 'almondrelay_store_era', help: 'Era that the last answer of the store stated', registers: [this.registry] })
   private readonly relays = new Counter({ name: 'almondrelay_relayed_changes_total', help: 'Groups of changes of the store that watchers relayed to this host', labelNames: ['result'], registers: [this.registry] })
@@ -44,6 +45,7 @@
   private readonly bodyBytes = new Gauge({ name: 'almondrelay_held_body_bytes', help: 'Bytes of bodies of requests that have not been answered', registers: [this.registry] })
   private readonly unanswered = new Gauge({ name: 'almondrelay_unanswered_requests', help: 'Requests of callers that were read and whose answers have not been sent in full', registers: [this.registry] })
   private readonly running = new Gauge({ name: 'almondrelay_attempts_at_targets', help: 'Attempts of this host that targets have not answered', registers: [this.registry] })
+  private readonly reportedVersion = new Gauge({ name: 'almondrelay_configuration_reported_version', help: 'Newest version of the configuration that another host has reported', registers: [this.registry] })
   private readonly version = new Gauge({ name: 'almondrelay_configuration_version', help: 'Version of the configuration in force', registers: [this.registry] })
 
   observeAnswer (service: string, outcome: string, durationMs: number): void {
@@ -119,8 +121,10 @@
     this.copies.inc({ event })
   }
 
-  countPlatformCall (call: string, outcome: string): void {
+  /** @param bytes bytes of the answer's body that arrived */
+  countPlatformCall (call: string, outcome: string, bytes: number): void {
     this.platformCalls.inc({ call, outcome })
+    this.platformBytes.inc({ call, outcome }, bytes)
   }
 
   setStoreEra (era: number): void {
@@ -150,6 +154,10 @@
     this.indirectBytes.inc({ role, distance }, bytes)
   }
 
+  setReportedVersion (version: number): void {
+    this.reportedVersion.set(version)
+  }
+
   setVersion (version: number): void {
     this.version.set(version)
   }
--- a/packages/almondrelay-gateway/src/process/store/revisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/store/revisionStore.ts
@@ -1,3 +1,4 @@
+import type { AnswerTransfer } from './answerTransfer.js'
 import type { CommitResult } from './commitResult.js'
 import type { StoreItem } from './storeItem.js'
 import type { PageAge } from './pageAge.js'
@@ -20,8 +21,12 @@
   abstract get (key: string, signal: AbortSignal): Promise<StoreItem | undefined>
   /** Lists a page of the keys under a prefix, in order, starting after the key `after`; `age` says how old the page may be. */
   abstract list (prefix: string, after: string, age: PageAge, signal: AbortSignal): Promise<StorePage>
-  /** Waits up to `waitMs` milliseconds for changes under a prefix after a position. */
-  abstract watch (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal): Promise<WatchResult>
+  /**
+   * Waits up to `waitMs` milliseconds for changes under a prefix after a position.
+   *
+   * @param transfer kept up to date while the answer arrives
+   */
+  abstract watch (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal, transfer?: AnswerTransfer): Promise<WatchResult>
   abstract commit (transaction: StoreTransaction, signal: AbortSignal): Promise<CommitResult>
   abstract grantLease (ttlMs: number, signal: AbortSignal): Promise<StoreLease>
   /** Returns false if the lease has expired, was released or is of an earlier era. */
