Read an answer of the store to its end for as long as it arrives

What callers saw: one host refused a route with 404, or served by an old version, seconds after a configuration had been confirmed.

Cause: a call to the store had one timeout for the whole of its answer, and a host that had heard of a newer position restarted its watch after a second, whether the answer was arriving or not. So did the first failure of any other call, and the first answer after it. A large version over a small or busy link takes longer than that. Each new try began with the first byte again, and all of them together filled the link of the store, which made the answers later still.

A watch is not restarted while its answer is arriving, except after a suspension. Other causes keep their restart for watches without any byte.

Ruled out: a longer timeout for the whole answer. It would have to fit the largest version over the smallest link, and a dead connection would be noticed later by as much.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -1,3 +1,4 @@
+import type { AnswerTransfer } from '../../store/answerTransfer.js'
 import type { CommitResult } from '../../store/commitResult.js'
 import { RevisionStore } from '../../store/revisionStore.js'
 import { StoreError } from '../../store/storeError.js'
@@ -36,6 +37,8 @@
   hidesEvents = false
   /** Watches never answer, as on a connection that is silently dead. */
   isHung = false
+  /** The answers of hung watches have begun to arrive. */
+  sendsPart = false
   /** Commits take effect and their answers are lost. */
   losesAnswers = false
   /** Number of next calls to release a lease that are lost before they take effect. */
@@ -124,8 +127,9 @@
     return Promise.resolve({ items, position: this.position, isTruncated: keys.length > items.length })
   }
 
-  override async watch (prefix: string, after: StorePosition, _waitMs: number, signal: AbortSignal): Promise<WatchResult> {
+  override async watch (prefix: string, after: StorePosition, _waitMs: number, signal: AbortSignal, transfer?: AnswerTransfer): Promise<WatchResult> {
     this.watches += 1
+    if (this.isHung && this.sendsPart) transfer?.add(1)
     if (this.isHung) await waitForAbort(signal)
     await new Promise((resolve) => { setTimeout(resolve, 1) })
     if (this.isDown) return this.refuse('watch')
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/fleetFollower.test.ts
@@ -286,4 +286,24 @@
   assert.is(fleet.confirmedAt, confirmedAt)
 })
 
+// Guards against a host that never gets a large answer, as peers that have it already, or another call that fails, make it start over.
+test('a watch whose answer is arriving is not restarted, except after a suspension', async () => {
+  const { fleet, follower, health, store } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  store.isHung = true
+  store.sendsPart = true
+  followed.writeTarget('3')
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  const { watches } = store
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(store.latestRevision), 0)
+  follower.receivePeerPosition(makePosition(store.latestRevision), makePosition(store.latestRevision), 1_000)
+  health.observeFailure(0)
+  health.observeAnswer(1)
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  assert.is(store.watches, watches)
+  store.isHung = false
+  follower.refresh('this host was suspended')
+  await followed.waitFor(() => fleet.findTarget('3') !== undefined, 'target 3')
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -134,8 +134,8 @@
 
   async run (signal: AbortSignal): Promise<void> {
     const { health } = this.parts
-    health.handleRecovery = () => { this.refresh('the store answers again') }
-    health.handleFailure = () => { this.restartWatch('a call to the store failed') }
+    health.handleRecovery = () => { this.refreshUnlessArriving('the store answers again') }
+    health.handleFailure = () => { if (!this.isAnswerArriving()) this.restartWatch('a call to the store failed') }
     await Promise.all([...this.parts.codec.prefixes.map((prefix) => this.followPrefix(prefix, signal)), this.runChecks(signal)])
   }
 
@@ -169,7 +169,7 @@
     this.behindSince ??= now
     if (now - this.behindSince < STALLED_WATCH_TIMEOUT_MS) return
     this.behindSince = now
-    this.refresh('a peer reports newer changes')
+    this.refreshUnlessArriving('a peer reports newer changes')
   }
 
   /**
@@ -212,6 +212,15 @@
     this.restartWatch(reason)
   }
 
+  /** The same, unless the changes are arriving already: a large answer would be requested from its beginning again and again. */
+  private refreshUnlessArriving (reason: string): void {
+    if (!this.isAnswerArriving()) this.refresh(reason)
+  }
+
+  private isAnswerArriving (): boolean {
+    return this.pendingWatch !== undefined && this.transfer.hasBegun
+  }
+
   // A watch that was pending when this host was cut off from the store gets no answer after the cut either, and one that is restarted in
   // the cut is restarted until the store answers.
   private restartWatch (reason: string): void {
@@ -385,7 +394,7 @@
       await this.parts.sleep(CHECK_INTERVAL_MS, signal)
       this.updater.expireLapsed()
       if (this.isRereadDue()) this.refresh(RETURN_REASON)
-      if (this.isLongWatch && this.parts.isWatcher()) this.refresh('this host is now a watcher of its region')
+      if (this.isLongWatch && this.parts.isWatcher()) this.refreshUnlessArriving('this host is now a watcher of its region')
     }
   }
 }
--- a/packages/almondrelay-gateway/src/process/store/answerTransfer.ts
+++ b/packages/almondrelay-gateway/src/process/store/answerTransfer.ts
@@ -3,6 +3,11 @@
   /** Bytes of the body that have arrived. */
   receivedBytes = 0
 
+  /** Whether the body has begun to arrive. From then on the call fails only if it stalls. */
+  get hasBegun (): boolean {
+    return this.receivedBytes > 0
+  }
+
   add (bytes: number): void {
     this.receivedBytes += bytes
   }
