Catch up by the last values once the missed changes are longer

What callers saw: hosts served by a version several behind the last one confirmed, for as long as a series of large versions went on and seconds longer.

Cause: a host that is behind asked for all changes since the last position that it knew. Ten versions of a configuration of 1,400 routes are 5 MB; over a link of 7 Mbit/s they arrive more slowly than new ones are written, and each was decoded and put in force in turn.

Change: a watch says how long its answer may be, the length of the last full read and 512 KiB at least. If the answer is longer, by its Content-Length or by what has arrived, the host reads the last value of each key instead. A watcher relays what was notable in that read, deletions too, as it does with the changes of a watch. Of several large values of a key in one answer only the last is decoded.

Ruled out: a watch for the configuration alone, which doubles the calls that are priced, and still brings every version; polling the key.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -136,6 +136,7 @@
     this.era.observe(this.storeEra)
     if (after.revision < this.oldestRevision || after.revision > this.revision || after.era !== this.storeEra) return { kind: 'history-gone' }
     const events = this.hidesEvents ? [] : this.listEvents(prefix, after.revision)
+    if (transfer?.isTooLong(countBytes(events)) === true) return { kind: 'too-long' }
     return { kind: 'events', events, position: this.hidesEvents ? after : this.position }
   }
 
@@ -206,3 +207,5 @@
 })
 
 const getKey = (event: StoreEvent): string => event.kind === 'written' ? event.item.key : event.key
+
+const countBytes = (events: readonly StoreEvent[]): number => events.reduce((sum, event) => sum + (event.kind === 'written' ? event.item.value.byteLength : 0), 0)
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/plainFleetCodec.ts
@@ -33,6 +33,13 @@
     return true
   }
 
+  override findDeletedKey (change: FleetChange): string | undefined {
+    if (change.kind === 'target-gone') return `target/${change.id}`
+    if (change.kind === 'host-gone') return `host/${change.name}`
+    if (change.kind === 'suspect-gone') return `suspect/${change.fingerprint}`
+    return change.kind === 'evacuation' && !change.isEvacuated ? `evacuation/${change.availabilityZone}` : undefined
+  }
+
   override encodeHost (entry: HostEntry): { key: string, value: Buffer } {
     return { key: `host/${entry.name}`, value: Buffer.from(JSON.stringify(entry)) }
   }
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -1,5 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import type { StoreEvent } from '../../store/storeEvent.js'
 import { PageAge } from '../../store/pageAge.js'
 import { makePosition } from '../../store/__fixtures__/makePosition.js'
 import { FollowedFleet } from '../__fixtures__/followedFleet.js'
@@ -134,6 +135,32 @@
   await followed.waitFor(() => relayed.length === 2, 'the relayed entry of target 2, which is cold')
 })
 
+// Guards against a watcher that reads ten versions of a large configuration to learn the last one, and against hosts that rely on it and
+// query the store, all at once, for what it has read.
+test('a watcher that is far behind reads the last values and relays what is new in them', async () => {
+  const { fleet, store, relayed } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  followed.isReliedOn = true
+  await followed.waitFor(() => store.watches > 0, 'a watch')
+  const { notablePosition } = fleet
+  store.isHung = true
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  const filler = 'x'.repeat(200_000)
+  for (let version = 6; version <= 15; version += 1) store.write('configuration', { version, filler })
+  store.remove('target/1')
+  followed.writeTarget('3')
+  store.isHung = false
+  const { currentPages } = store
+  followed.follower.refresh('test')
+  await followed.waitFor(() => fleet.configuration?.version === 15, 'version 15')
+  assert.equal(fleet.listTargetIds().sort(), ['2', '3'])
+  assert.is(store.currentPages - currentPages, 1)
+  const [changes] = relayed
+  assert.equal(changes?.after, notablePosition)
+  assert.equal(changes?.upTo, store.position)
+  assert.equal(changes?.events.map(getKey), ['configuration', 'target/3', 'target/1'])
+})
+
 // The store drops its history, and with it the change by which a target left. The watcher notices by a full read; the revision
 // that it reports must make the other hosts query the store.
 test('after a full read because of a dropped history the notable revision makes other hosts query the store', async () => {
@@ -230,4 +257,6 @@
   await started.stop()
 })
 
+const getKey = (event: StoreEvent): string => event.kind === 'written' ? event.item.key : event.key
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetCodec.ts
@@ -17,6 +17,9 @@
   /** Whether the key that a change concerns lies under a prefix. */
   abstract isUnder (prefix: string, change: FleetChange): boolean
 
+  /** Returns the key whose deletion is the change; undefined for a change that isn't a deletion. */
+  abstract findDeletedKey (change: FleetChange): string | undefined
+
   abstract encodeHost (entry: HostEntry): { key: string, value: Buffer }
 
   abstract encodeSuspect (record: SuspectRecord): { key: string, value: Buffer }
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -13,7 +13,9 @@
 import type { StorePosition } from '../store/storePosition.js'
 import type { WatchResult } from '../store/watchResult.js'
 import type { FleetCodec } from './fleetCodec.js'
+import { computeMaxChangesBytes } from './computeMaxChangesBytes.js'
 import type { FleetState } from './fleetState.js'
+import { readPages } from './readPages.js'
 import { readPrefix } from './readPrefix.js'
 import type { RelayedChanges } from './relayedChanges.js'
 import { FleetUpdater } from './fleetUpdater.js'
@@ -111,6 +113,8 @@
   /** Aborts the pending watch call; undefined while none is pending. */
   private pendingWatch: AbortController | undefined
   private transfer = new AnswerTransfer()
+  /** Length of the last full read in bytes. */
+  private fullReadBytes = 0
   private isLongWatch = false
   private hasToCatchUp = false
   private reportedPosition = startPosition
@@ -270,14 +274,15 @@
     const age = this.parts.getNow() - this.returnedAt <= MAX_STALE_PAGE_AGE_MS ? PageAge.current : PageAge.stale
     const read = await readPrefix(this.parts.store, this.parts.codec, prefix, age, signal)
     this.rereadAt = Infinity
-    const { latestHostEra, ...result } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position.era)
+    this.fullReadBytes = read.bytes
+    const { latestHostEra, notable, ...result } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position)
     this.updater.applyEvents(read.events, read.position.era)
     fleet.isComplete = true
     fleet.confirmedAt = this.parts.getNow()
     fleet.storePosition = findLaterPosition(fleet.storePosition, read.position)
     // Deletions that the store's history no longer holds can't be relayed: the later position makes the other hosts query the store.
     fleet.notablePosition = findLaterPosition(fleet.notablePosition, read.position)
-    log.record('full read of the store applied', { prefix, position: read.position, known, ...result })
+    log.record('full read of the store applied', { prefix, position: read.position, known, notable: notable.length, ...result })
     // Account pages alone do not load the operator service: a restarting host has no time for it.
     if (read.hasOmittedKeys) this.parts.handleOmittedKeys()
     return age === PageAge.current || this.checkStalePages(read.position.era, latestHostEra) ? read.position : undefined
@@ -313,16 +318,45 @@
       log.report('history of the store no longer available, reading all keys again', { prefix, position: known, era: store.era.current })
       return undefined
     }
+    if (result.kind === 'too-long') return await this.readLatest(prefix, signal)
     const notableBefore = fleet.notablePosition
     fleet.confirmedAt = this.parts.getNow()
     const notable = this.updater.applyEvents(result.events, result.position.era)
     fleet.storePosition = findLaterPosition(fleet.storePosition, result.position)
-    if (notable.length > 0 && this.parts.isReliedOn() && this.parts.isWatcher()) this.parts.relay({ after: notableBefore, upTo: result.position, events: notable, forwardTo: [] })
+    this.relay({ after: notableBefore, upTo: result.position, events: notable, forwardTo: [] })
     // A host that relies on watchers always pauses: otherwise a false report of a future revision would make it query in a tight loop.
     if (result.events.length > 0 || reliesOnWatchers) await this.parts.sleep(BATCH_DELAY_MS, signal)
     return result.position
   }
 
+  /**
+   * Reads the last value of each key, because the changes since the last position are longer than that, and relays what is notable among
+   * them. Returns the position from which to watch.
+   */
+  private async readLatest (prefix: string, signal: AbortSignal): Promise<StorePosition> {
+    const { fleet, log, store, codec, getNow } = this.parts
+    const { fullReadBytes, transfer: { receivedBytes } } = this
+    const { items, position, bytes } = await readPages(store, codec, prefix, PageAge.current, signal)
+    const before = { known: fleet.storePosition, notable: fleet.notablePosition }
+    this.fullReadBytes = bytes
+    const { notable, keys } = this.updater.applyFullRead(prefix, items.map((item) => ({ kind: 'written', item })), position)
+    fleet.confirmedAt = getNow()
+    fleet.storePosition = findLaterPosition(fleet.storePosition, position)
+    fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
+    log.record('changes of the store are too long, last values applied', { prefix, position, known: before.known, keys, notable: notable.length, bytes: Math.round(bytes), fullReadBytes, receivedBytes })
+    // An item that was written between two pages is left out: the notable position makes the other hosts query the store for it.
+    const complete = notable.filter((event) => getEventRevision(event) <= position.revision)
+    if (before.notable.era === position.era) this.relay({ after: before.notable, upTo: position, events: complete, forwardTo: [] })
+    await this.parts.sleep(BATCH_DELAY_MS, signal)
+    return position
+  }
+
+  /** Relays notable changes to the hosts that rely on this one, if there are any. */
+  private relay (changes: RelayedChanges): void {
+    const { isReliedOn, isWatcher, relay } = this.parts
+    if (changes.events.length > 0 && isReliedOn() && isWatcher()) relay(changes)
+  }
+
   /**
    * Waits while the watchers of the region relay changes: until a change that they report is overdue, none of them is reliable
    * any more, or they have not confirmed the state for too long.
@@ -357,7 +391,7 @@
     const handleAbort = (): void => { watchController.abort() }
     signal.addEventListener('abort', handleAbort)
     this.pendingWatch = watchController
-    this.transfer = new AnswerTransfer()
+    this.transfer = new AnswerTransfer(computeMaxChangesBytes(this.fullReadBytes))
     this.isLongWatch = !this.hasToCatchUp && !this.parts.isWatcher()
     const waitMs = this.chooseWatchTimeout()
     this.hasToCatchUp = false
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -11,6 +11,7 @@
 import type { StorePosition } from '../store/storePosition.js'
 import type { FleetChange } from './fleetChange.js'
 import { describeSubject } from './describeSubject.js'
+import { dropSupersededValues } from './dropSupersededValues.js'
 import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 import { isNotableChange } from './isNotableChange.js'
@@ -52,6 +53,8 @@
   isLapse: boolean
   /** The latest era in which one of the hosts' entries was written; undefined if there are none. */
   latestHostEra: number | undefined
+  /** The notable changes that the read showed, in order; empty after a return of the store from a copy. */
+  notable: StoreEvent[]
 }
 
 /**
@@ -78,31 +81,34 @@
   /**
    * Applies a full read of a prefix: whatever is known under the prefix and is missing from the read is removed.
    *
-   * @param era era of the store in which the prefix was read
+   * @param position position of the store up to which the read is complete
    */
-  applyFullRead (prefix: string, events: readonly StoreEvent[], era: number): FullReadResult {
+  applyFullRead (prefix: string, events: readonly StoreEvent[], position: StorePosition): FullReadResult {
     const { fleet } = this.parts
+    const { era } = position
     this.era = era
+    const notable: StoreEvent[] = []
     const hasReturned = fleet.isComplete && era !== fleet.storePosition.era
     let latestHostEra: number | undefined
     const changes = events.flatMap((event) => this.decodeEvent(event, era))
     const isLapse = hasReturned || isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes, new Map()) })
     const present = new Set<string>()
     for (const decoded of changes) {
-      if (!hasReturned || !this.returnMemory.scheduleRestored(decoded.change)) this.tryApplyChange(decoded, false)
+      const isDeferred = hasReturned && this.returnMemory.scheduleRestored(decoded.change)
+      if (!isDeferred && this.tryApplyChange(decoded, false)) notable.push(decoded.event)
       present.add(describeSubject(decoded.change))
       if (hasReturned) this.returnMemory.checkCopy(decoded.change)
       if (decoded.change.kind === 'host') latestHostEra = Math.max(latestHostEra ?? 0, decoded.change.entry.storeEra ?? 0)
     }
-    this.removeAbsent(prefix, present, isLapse, hasReturned)
+    notable.push(...this.removeAbsent(prefix, present, isLapse, hasReturned).map((key): StoreEvent => ({ kind: 'deleted', key, revision: position.revision })))
     this.returnMemory.removeAbsent(present)
-    return { keys: present.size, isLapse, latestHostEra }
+    return { keys: present.size, isLapse, latestHostEra, notable: hasReturned ? [] : sortByRevision(notable) }
   }
 
   /** Applies changes in order. Returns the notable ones. */
   applyEvents (events: readonly StoreEvent[], era: number): StoreEvent[] {
     this.era = era
-    const changes = events.flatMap((event) => this.decodeEvent(event, era))
+    const changes = dropSupersededValues(events).flatMap((event) => this.decodeEvent(event, era))
     const isLapse = isLapseLikely({ known: this.createdRevisions, present: this.listPresentAfter(changes, this.createdRevisions) })
     return changes.filter((change) => this.tryApplyChange(change, isLapse)).map(({ event }) => event)
   }
@@ -142,8 +148,10 @@
     return known !== undefined && known.entry.incarnation !== incarnation
   }
 
-  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean, hasReturned: boolean): void {
+  /** Returns the keys of what was removed. */
+  private removeAbsent (prefix: string, present: ReadonlySet<string>, isLapse: boolean, hasReturned: boolean): string[] {
     const { codec, fleet } = this.parts
+    const keys: string[] = []
     const removals: FleetChange[] = [
       ...fleet.listTargetIds().map((id): FleetChange => ({ kind: 'target-gone', id })),
       ...fleet.listHosts().map(({ name }): FleetChange => ({ kind: 'host-gone', name })),
@@ -156,7 +164,10 @@
       if (hasReturned && change.kind === 'target-gone') this.createdRevisions.delete(change.id)
       if (hasReturned && this.returnMemory.scheduleRemoval(change)) continue
       this.apply(change, isLapse)
+      const key = codec.findDeletedKey(change)
+      if (key !== undefined) keys.push(key)
     }
+    return keys
   }
 
   private applyDeferred (change: FleetChange): void {
@@ -283,3 +294,5 @@
     this.parts.log.record('target removed', { target: id })
   }
 }
+
+const sortByRevision = (events: readonly StoreEvent[]): StoreEvent[] => events.toSorted((one, other) => getEventRevision(one) - getEventRevision(other))
--- a/packages/almondrelay-gateway/src/process/store/revisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/store/revisionStore.ts
@@ -24,7 +24,7 @@
   /**
    * Waits up to `waitMs` milliseconds for changes under a prefix after a position.
    *
-   * @param transfer kept up to date while the answer arrives
+   * @param transfer kept up to date while the answer arrives; it says how long the answer may be
    */
   abstract watch (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal, transfer?: AnswerTransfer): Promise<WatchResult>
   abstract commit (transaction: StoreTransaction, signal: AbortSignal): Promise<CommitResult>
--- a/packages/almondrelay-gateway/src/process/store/watchResult.ts
+++ b/packages/almondrelay-gateway/src/process/store/watchResult.ts
@@ -9,3 +9,5 @@
    * The store no longer holds the changes since the given position, or has returned from a copy since: all keys have to be read again.
    */
   | { kind: 'history-gone' }
+  /** The changes are longer than the caller wanted to read. */
+  | { kind: 'too-long' }
