Keep changes of one revision in one datagram

What callers saw: nothing that was observed; found while asking where a host counts a position as known without its changes.

Cause: splitChanges filled datagrams change by change. If a transaction with several writes ended one datagram and began the next, the first one named the revision as known, and the receiver ignored the rest of it as old. The same where a change of the revision was too large for a datagram.

Change: changes of one revision form a group that is sent whole or not at all.

--- a/packages/almondrelay-gateway/src/process/peers/__tests__/splitChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/splitChanges.test.ts
@@ -36,4 +36,13 @@
   assert.equal(splitChanges({ after: makePosition(3), upTo: makePosition(20), events: [write(6, 500)], forwardTo: [] }, MAX_CHUNK_BYTES), [])
 })
 
+// Guards against a host that counts a revision as known when it has only some of the changes that were made with it, in one transaction.
+test('changes of one revision are not split over chunks', () => {
+  const events = [write(5, 60), write(6, 60), write(6, 60), write(7, 60)]
+  const chunks = splitChanges({ after: makePosition(3), upTo: makePosition(7), events, forwardTo: [] }, MAX_CHUNK_BYTES)
+  assert.equal(chunks.map((chunk) => chunk.events.length), [1, 2, 1])
+  const tooLong = [write(5, 60), write(6, 90), write(6, 90), write(7, 10)]
+  assert.equal(splitChanges({ after: makePosition(3), upTo: makePosition(7), events: tooLong, forwardTo: [] }, MAX_CHUNK_BYTES).map(({ upTo }) => upTo), [makePosition(5)])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -9,21 +9,22 @@
 
 /**
  * Splits changes into chunks that each fit into a datagram. Every chunk names the position with which the one before it ends, so that a
- * receiver notices a lost chunk. The list ends before the first change that is too large for a chunk; the receiver asks the store for it.
+ * receiver notices a lost chunk. Changes of one revision stay together, as a receiver that has a revision counts all of its changes as known.
+ * The list ends before the first revision that is too large for a chunk; the receiver asks the store for it.
  *
  * @param maxBytes maximum bytes of one chunk
  */
 export function splitChanges ({ after, upTo, events }: RelayedChanges, maxBytes: number): RelayedChanges[] {
   const chunks: StoreEvent[][] = []
   let remainingBytes = 0
-  for (const event of events) {
-    const bytes = countBytes(event)
+  for (const group of splitByRevision(events)) {
+    const bytes = group.reduce((sum, event) => sum + countBytes(event), 0)
     if (bytes > maxBytes) return makeChunks(chunks, after, undefined)
     if (bytes > remainingBytes) {
       chunks.push([])
       remainingBytes = maxBytes
     }
-    chunks.at(-1)?.push(event)
+    chunks.at(-1)?.push(...group)
     remainingBytes -= bytes
   }
   return makeChunks(chunks, after, upTo)
@@ -40,5 +41,15 @@
   }))
 }
 
+const splitByRevision = (events: readonly StoreEvent[]): StoreEvent[][] => {
+  const groups: StoreEvent[][] = []
+  for (const event of events) {
+    const group = groups.at(-1)
+    if (group?.[0] !== undefined && getEventRevision(group[0]) === getEventRevision(event)) group.push(event)
+    else groups.push([event])
+  }
+  return groups
+}
+
 const countBytes = (event: StoreEvent): number => CHANGE_OVERHEAD_BYTES +
   (event.kind === 'written' ? Buffer.byteLength(event.item.key) + encodeValue(event.item.value).value.byteLength : Buffer.byteLength(event.key))
