Make hosts query the store for a change without a readable revision

Cause: an item of an answer whose fields can't all be read got revision 0. If such an entry took a target out of use, the watcher's notable position did not move, and the relayed change was rejected as out of order: the other hosts of the region counted the position as known and went on using the target.

Changes with a revision outside the range that is relayed are not sent; the watcher's notable position moves to the end of the answer, so that the other hosts query the store.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/fakeRevisionStore.ts
@@ -75,6 +75,12 @@
     this.events.push({ kind: 'written', item: { key, value: bytes, revision: this.revision, createdRevision } })
   }
 
+  /** Writes an entry that names no target, and whose revision can't be read in the answers of the store. */
+  writeUnreadable (key: string): void {
+    this.revision += 1
+    this.events.push({ kind: 'written', item: { key, value: Buffer.from('{}'), revision: 0, createdRevision: 0 } })
+  }
+
   remove (key: string): void {
     this.revision += 1
     this.items.delete(key)
@@ -93,7 +99,7 @@
 
   /** Returns the changes under a prefix after a revision synchronously. */
   listEvents (prefix: string, afterRevision: number): StoreEvent[] {
-    return this.events.filter((event) => getEventRevision(event) > afterRevision && getKey(event).startsWith(prefix))
+    return this.events.filter((event) => (getEventRevision(event) > afterRevision || getEventRevision(event) === 0) && getKey(event).startsWith(prefix))
   }
 
   /** Drops the history of all changes so far. */
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -135,6 +135,18 @@
   await followed.waitFor(() => relayed.length === 2, 'the relayed entry of target 2, which is cold')
 })
 
+// Guards against hosts that go on using a target whose entry another writer has spoilt: a change without a readable revision can't be relayed.
+test('a change without a readable revision makes the other hosts query the store', async () => {
+  const { fleet, store, relayed } = followed
+  await followed.waitFor(() => fleet.isComplete, 'first read')
+  followed.isReliedOn = true
+  store.writeUnreadable('target/1')
+  const { position } = store
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  assert.equal(fleet.notablePosition, position)
+  assert.equal(relayed, [])
+})
+
 // Guards against a watcher that reads ten versions of a large configuration to learn the last one, and against hosts that rely on it and
 // query the store, all at once, for what it has read.
 test('a watcher that is far behind reads the last values and relays what is new in them', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -353,8 +353,13 @@
 
   /** Relays notable changes to the hosts that rely on this one, if there are any. */
   private relay (changes: RelayedChanges): void {
-    const { isReliedOn, isWatcher, relay } = this.parts
-    if (changes.events.length > 0 && isReliedOn() && isWatcher()) relay(changes)
+    const { fleet, isReliedOn, isWatcher, relay } = this.parts
+    const { after, upTo, events } = changes
+    if (events.length === 0) return
+    const hasUnreadableRevision = events.some((event) => getEventRevision(event) <= after.revision || getEventRevision(event) > upTo.revision)
+    // The other hosts would ignore such changes. They query the store, as this host's notable position is then ahead of theirs.
+    if (hasUnreadableRevision) fleet.notablePosition = findLaterPosition(fleet.notablePosition, upTo)
+    else if (isReliedOn() && isWatcher()) relay(changes)
   }
 
   /**
