Relay a new version of a large value as its difference from the one before

What callers saw: hosts served by an old version while all hosts of the fleet read the new one from the store at once.

Cause: watchers relay only changes that fit into a datagram. A configuration of 1,400 routes does not, even compressed, so that each of 61 hosts read 484 KB for a version in which one route had changed.

A watcher sends a large value as the pieces that differ from the value before, with the revision of that value and a hash of the new one; a host that has the base makes the new value from it, and any other one, or one whose result has another hash, queries the store as before. The differences travel in a field of their own, which hosts of earlier builds ignore: they query the store. A value without a known base is relayed as before. A watch may bring 1 MiB before a host reads the last values instead, so that one version of any usual size comes with the watch. An entry of a host is logged only if it has changed.

Ruled out: deflate with the value before as its dictionary, whose window of 32 KB does not reach across the value; larger datagrams, of which one lost fragment loses all.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -1,8 +1,8 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { StoreEvent } from '../../store/storeEvent.js'
 import { PageAge } from '../../store/pageAge.js'
 import { makePosition } from '../../store/__fixtures__/makePosition.js'
+import type { RelayedEvent } from '../relayedEvent.js'
 import { FollowedFleet } from '../__fixtures__/followedFleet.js'
 
 const test = suite('relayed changes and first reads')
@@ -147,6 +147,39 @@
   assert.equal(relayed, [])
 })
 
+// Guards against sixty hosts that each read a configuration of hundreds of kilobytes from the store because one route of it has changed.
+test('a new version of a large configuration is relayed as its difference, and applied without a call to the store', async () => {
+  const watcher = new FollowedFleet()
+  const routes = Array.from({ length: 1_400 }, (_, index) => ({ name: `route-${index}`, prefix: `/${index * 7_919}/`, timeout: 2_000 }))
+  for (const { store } of [watcher, followed]) store.write('configuration', { version: 6, routes })
+  watcher.isReliedOn = true
+  watcher.start()
+  await watcher.waitFor(() => watcher.fleet.configuration?.version === 6, 'version 6 at the watcher')
+  await followed.waitFor(() => followed.fleet.configuration?.version === 6, 'version 6')
+  watcher.store.write('configuration', { version: 7, routes: routes.map((route, index) => index === 700 ? { ...route, timeout: 3_000 } : route) })
+  await watcher.waitFor(() => watcher.relayed.length === 1, 'the relayed version')
+  await watcher.stop()
+  const [event] = watcher.relayed[0]?.events ?? []
+  if (event?.kind !== 'patched') throw new Error('not a difference')
+  assert.ok(event.patch.steps.byteLength < 500, `${event.patch.steps.byteLength} bytes`)
+
+  await startRelying()
+  const { fleet, follower, store } = followed
+  const { watches } = store
+  const { storePosition } = fleet
+  const upTo = { ...storePosition, revision: storePosition.revision + 1 }
+  const baseRevision = store.listItems().find(({ key }) => key === 'configuration')?.revision ?? 0
+  const patched = { ...event, revision: upTo.revision, patch: { ...event.patch, baseRevision } }
+  const withOtherBase = { ...patched, patch: { ...patched.patch, baseRevision: baseRevision - 1 } }
+  const spoilt = { ...patched, patch: { ...patched.patch, hash: patched.patch.hash + 1 } }
+  for (const wrong of [withOtherBase, spoilt]) follower.applyRelayedChanges({ after: storePosition, upTo, events: [wrong], forwardTo: [] })
+  assert.is(fleet.configuration?.version, 6)
+  assert.equal(fleet.storePosition, storePosition, 'a position is known without its change')
+  follower.applyRelayedChanges({ after: storePosition, upTo, events: [patched], forwardTo: [] })
+  assert.is(fleet.configuration?.version, 7)
+  assert.is(store.watches, watches)
+})
+
 // Guards against a watcher that reads ten versions of a large configuration to learn the last one, and against hosts that rely on it and
 // query the store, all at once, for what it has read.
 test('a watcher that is far behind reads the last values and relays what is new in them', async () => {
@@ -269,6 +302,6 @@
   await started.stop()
 })
 
-const getKey = (event: StoreEvent): string => event.kind === 'written' ? event.item.key : event.key
+const getKey = (event: RelayedEvent): string => event.kind === 'written' ? event.item.key : event.key
 
 test.run()
--- a/packages/almondrelay-gateway/src/process/fleet/computeMaxChangesBytes.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/computeMaxChangesBytes.ts
@@ -1,5 +1,5 @@
-/** Length in bytes up to which changes are read in any case: a second call takes longer than they do. */
-const MIN_BYTES = 512 * 1024
+/** Length in bytes up to which changes are read in any case: that of a page of a listing. */
+const MIN_BYTES = 1024 * 1024
 
 /**
  * Computes the length in bytes up to which changes of the store are read. If a key was written often, its changes are longer than the last
--- /dev/null
+++ b/packages/almondrelay-gateway/src/process/fleet/computePatchSteps.ts
@@ -0,0 +1,27 @@
+import { deflateRawSync } from 'node:zlib'
+
+/** Character after which a value is split: values of the store are JSON texts, in which a change touches few objects. */
+const SEPARATOR = '{'
+
+/**
+ * Computes the steps that make a value from another one, compressed: either a piece of text, or the number of the first piece of the other
+ * value that is taken over and how many.
+ *
+ * @param base value that the receiver has
+ */
+export function computePatchSteps (base: Buffer, value: Buffer): Uint8Array {
+  const basePieces = base.toString('latin1').split(SEPARATOR)
+  const firstIndexes = new Map(basePieces.map((piece, index) => [piece, index]))
+  const steps: Array<string | [number, number]> = []
+  let run: [number, number] | undefined
+  for (const piece of value.toString('latin1').split(SEPARATOR)) {
+    if (run !== undefined && basePieces[run[0] + run[1]] === piece) {
+      run[1] += 1
+      continue
+    }
+    const index = firstIndexes.get(piece)
+    run = index === undefined ? undefined : [index, 1]
+    steps.push(run ?? piece)
+  }
+  return deflateRawSync(JSON.stringify(steps))
+}
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -12,8 +12,9 @@
 import type { StoreHealth } from '../store/storeHealth.js'
 import type { StorePosition } from '../store/storePosition.js'
 import type { WatchResult } from '../store/watchResult.js'
-import type { FleetCodec } from './fleetCodec.js'
+import { ChangeRelay } from './changeRelay.js'
 import { computeMaxChangesBytes } from './computeMaxChangesBytes.js'
+import type { FleetCodec } from './fleetCodec.js'
 import type { FleetState } from './fleetState.js'
 import { readPages } from './readPages.js'
 import { readPrefix } from './readPrefix.js'
@@ -110,6 +111,7 @@
  */
 export class FleetFollower {
   private readonly updater: FleetUpdater
+  private readonly relay: ChangeRelay
   /** Aborts the pending watch call; undefined while none is pending. */
   private pendingWatch: AbortController | undefined
   private transfer = new AnswerTransfer()
@@ -134,6 +136,7 @@
 
   constructor (private readonly parts: FollowerParts) {
     this.updater = new FleetUpdater(parts)
+    this.relay = new ChangeRelay(parts)
   }
 
   async run (signal: AbortSignal): Promise<void> {
@@ -151,6 +154,7 @@
     const { fleet, health, isWatcher, getNow, random } = this.parts
     const spreadMs = isWatcher() ? 0 : Math.min(MAX_REREAD_SPREAD_MS, fleet.listHosts().length * REREAD_SPREAD_PER_HOST_MS)
     this.returnedAt = getNow()
+    this.relay.clear()
     health.observeReturn(this.returnedAt)
     this.rereadAt = this.returnedAt + spreadMs * random()
     if (spreadMs === 0) this.refresh(RETURN_REASON)
@@ -193,18 +197,21 @@
   /**
    * Applies changes that a watcher of this region relays. They are ignored while a call of this host's own is pending, as its
    * answer may be older and would undo them. They are also ignored if `after` shows that earlier changes were lost:
-   * the reported position then stays ahead of the state, and the store is queried for all of them.
+   * the reported position then stays ahead of the state, and the store is queried for all of them. The same if a difference is from a value
+   * that this host does not have.
    */
   applyRelayedChanges ({ after, upTo, events }: RelayedChanges): void {
     const { fleet, log } = this.parts
     const known = fleet.storePosition
-    const isApplied = this.isRelyingOnWatchers && fleet.isCompleteUpTo(after) && comparePositions(upTo, known) > 0
-    this.parts.handleRelayedChanges(isApplied)
-    if (!isApplied) {
-      log.record('relayed changes ignored', { after, upTo, position: known, isRelyingOnWatchers: this.isRelyingOnWatchers })
+    const canApply = this.isRelyingOnWatchers && fleet.isCompleteUpTo(after) && comparePositions(upTo, known) > 0
+    const decoded = canApply ? this.relay.decode(events.filter((event) => getEventRevision(event) > known.revision)) : undefined
+    this.parts.handleRelayedChanges(decoded !== undefined)
+    if (decoded === undefined) {
+      log.record('relayed changes ignored', { after, upTo, position: known, isRelyingOnWatchers: this.isRelyingOnWatchers, lacksBase: canApply })
       return
     }
-    this.updater.applyEvents(events.filter((event) => getEventRevision(event) > known.revision), upTo.era)
+    this.updater.applyEvents(decoded, upTo.era)
+    this.relay.recordEvents(decoded)
     fleet.storePosition = upTo
     this.relayedPosition = upTo
   }
@@ -277,6 +284,8 @@
     this.fullReadBytes = read.bytes
     const { latestHostEra, notable, ...result } = this.updater.applyFullRead(prefix, read.items.map((item) => ({ kind: 'written', item })), read.position)
     this.updater.applyEvents(read.events, read.position.era)
+    this.relay.recordItems(read.items)
+    this.relay.recordEvents(read.events)
     fleet.isComplete = true
     fleet.confirmedAt = this.parts.getNow()
     fleet.storePosition = findLaterPosition(fleet.storePosition, read.position)
@@ -323,7 +332,8 @@
     fleet.confirmedAt = this.parts.getNow()
     const notable = this.updater.applyEvents(result.events, result.position.era)
     fleet.storePosition = findLaterPosition(fleet.storePosition, result.position)
-    this.relay({ after: notableBefore, upTo: result.position, events: notable, forwardTo: [] })
+    this.relay.relay(notableBefore, result.position, notable)
+    this.relay.recordEvents(result.events)
     // A host that relies on watchers always pauses: otherwise a false report of a future revision would make it query in a tight loop.
     if (result.events.length > 0 || reliesOnWatchers) await this.parts.sleep(BATCH_DELAY_MS, signal)
     return result.position
@@ -335,7 +345,6 @@
    */
   private async readLatest (prefix: string, signal: AbortSignal): Promise<StorePosition> {
     const { fleet, log, store, codec, getNow } = this.parts
-    const { fullReadBytes, transfer: { receivedBytes } } = this
     const { items, position, bytes } = await readPages(store, codec, prefix, PageAge.current, signal)
     const before = { known: fleet.storePosition, notable: fleet.notablePosition }
     this.fullReadBytes = bytes
@@ -343,25 +352,15 @@
     fleet.confirmedAt = getNow()
     fleet.storePosition = findLaterPosition(fleet.storePosition, position)
     fleet.notablePosition = findLaterPosition(fleet.notablePosition, position)
-    log.record('changes of the store are too long, last values applied', { prefix, position, known: before.known, keys, notable: notable.length, bytes: Math.round(bytes), fullReadBytes, receivedBytes })
+    log.record('changes of the store are too long, last values applied', { prefix, position, known: before.known, keys, notable: notable.length, bytes: Math.round(bytes) })
     // An item that was written between two pages is left out: the notable position makes the other hosts query the store for it.
     const complete = notable.filter((event) => getEventRevision(event) <= position.revision)
-    if (before.notable.era === position.era) this.relay({ after: before.notable, upTo: position, events: complete, forwardTo: [] })
+    if (before.notable.era === position.era) this.relay.relay(before.notable, position, complete)
+    this.relay.recordItems(items)
     await this.parts.sleep(BATCH_DELAY_MS, signal)
     return position
   }
 
-  /** Relays notable changes to the hosts that rely on this one, if there are any. */
-  private relay (changes: RelayedChanges): void {
-    const { fleet, isReliedOn, isWatcher, relay } = this.parts
-    const { after, upTo, events } = changes
-    if (events.length === 0) return
-    const hasUnreadableRevision = events.some((event) => getEventRevision(event) <= after.revision || getEventRevision(event) > upTo.revision)
-    // The other hosts would ignore such changes. They query the store, as this host's notable position is then ahead of theirs.
-    if (hasUnreadableRevision) fleet.notablePosition = findLaterPosition(fleet.notablePosition, upTo)
-    else if (isReliedOn() && isWatcher()) relay(changes)
-  }
-
   /**
    * Waits while the watchers of the region relay changes: until a change that they report is overdue, none of them is reliable
    * any more, or they have not confirmed the state for too long.
--- a/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetUpdater.ts
@@ -221,7 +221,7 @@
         fleet.setEvacuated(availabilityZone, isEvacuated)
       })
       .with({ kind: 'host' }, ({ entry }) => {
-        if (fleet.isComplete) log.record('peer', { entry })
+        if (fleet.isComplete && fleet.findHost(entry.name)?.incarnation !== entry.incarnation) log.record('peer', { entry })
         fleet.putHost(entry)
       })
       .with({ kind: 'host-gone' }, ({ name }) => {
--- a/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/decodeLoadReport.test.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import { deflateRawSync } from 'node:zlib'
-import { create } from '@bufbuild/protobuf'
-import { LoadReportSchema } from 'almondrelay-protocol'
+import { create, fromBinary } from '@bufbuild/protobuf'
+import { LoadReportSchema, PeerDatagramSchema } from 'almondrelay-protocol'
 import fc from 'fast-check'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -80,6 +80,17 @@
   assert.equal(decodeLoad(encodeLoadReport({ ...plain, changes }))?.changes, changes)
 })
 
+test('a change that is sent as a difference decodes to what was encoded, in a field that earlier builds ignore', () => {
+  const event = { kind: 'patched' as const, key: 'configuration', revision: 7, createdRevision: 2, patch: { baseRevision: 5, hash: 0xfedcba98, steps: Uint8Array.from([1, 2, 3]) } }
+  const changes = { after: makePosition(6), upTo: makePosition(9), events: [event], forwardTo: ['b'] }
+  const plain = decodeLoad(encode({}))
+  if (plain === undefined) throw new Error('no report')
+  const bytes = encodeLoadReport({ ...plain, changes })
+  assert.equal(decodeLoad(bytes)?.changes, changes)
+  const { content } = fromBinary(PeerDatagramSchema, bytes)
+  assert.is(content.case === 'load' && content.value.changes, undefined)
+})
+
 // Guards against decreasing revisions, with which a host would treat changes as known that it never received.
 test('a report is rejected if the revisions of its changes decrease or don\'t fit its range', () => {
   const isReport = (changes: object): boolean => decodeLoad(encodeDatagram({ case: 'load', value: create(LoadReportSchema, { host: 'a', region: 'akl', changes }) })) !== undefined
--- a/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeLoadReport.ts
@@ -56,6 +56,7 @@
       case 105: notableRevision = reader.readDouble(); break
       case 112: storeAgeMs = reader.readUint32(); break
       case 122: changes = decodeStoreChanges(reader, reader.readEnd()); break
+      case 170: changes = decodeStoreChanges(reader, reader.readEnd()); break
       case 130: requestLimits.push(decodeLimit(reader, reader.readEnd())); break
       case 138: reader.readPackedFixed32(leavingTargets); break
       case 141: leavingTargets.push(reader.readFixed32()); break
--- a/packages/almondrelay-gateway/src/process/peers/decodeStoreChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/decodeStoreChanges.ts
@@ -1,6 +1,6 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
+import type { RelayedEvent } from '../fleet/relayedEvent.js'
 import { getEventRevision } from '../store/getEventRevision.js'
-import type { StoreEvent } from '../store/storeEvent.js'
 import { decodeValue } from './decodeValue.js'
 import type { FieldReader } from './fieldReader.js'
 
@@ -16,7 +16,7 @@
 export function decodeStoreChanges (reader: FieldReader, end: number): RelayedChanges {
   let afterRevision = 0
   let upToRevision = 0
-  const events: StoreEvent[] = []
+  const events: RelayedEvent[] = []
   const forwardTo: string[] = []
   let era = 0
   while (reader.hasMore(end)) {
@@ -34,13 +34,16 @@
   return { after: { era, revision: afterRevision }, upTo: { era, revision: upToRevision }, events, forwardTo }
 }
 
-const decodeChange = (reader: FieldReader, end: number): StoreEvent => {
+const decodeChange = (reader: FieldReader, end: number): RelayedEvent => {
   let key = ''
   let revision = 0
   let isDeleted = false
   let value: Uint8Array = NO_BYTES
   let createdRevision = 0
   let isDeflated = false
+  let baseRevision = 0
+  let hash = 0
+  let steps: Uint8Array | undefined
   while (reader.hasMore(end)) {
     const tag = reader.readTag()
     switch (tag) {
@@ -50,10 +53,15 @@
       case 34: value = reader.readBytes(); break
       case 41: createdRevision = reader.readDouble(); break
       case 48: isDeflated = reader.readBoolean(); break
+      case 57: baseRevision = reader.readDouble(); break
+      case 69: hash = reader.readFixed32(); break
+      case 74: steps = reader.readBytes(); break
       default: reader.ignoreField(tag)
     }
   }
   checkRevision(createdRevision)
+  checkRevision(baseRevision)
+  if (steps !== undefined) return { kind: 'patched', key, revision, createdRevision, patch: { baseRevision, hash, steps } }
   return isDeleted ? { kind: 'deleted', key, revision } : { kind: 'written', item: { key, revision, createdRevision, value: decodeValue(value, isDeflated) } }
 }
 
--- a/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
+++ b/packages/almondrelay-gateway/src/process/peers/encodeLoadReport.ts
@@ -1,7 +1,7 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { LoadReportSchema, type StoreChangeSchema, type StoreChangesSchema } from 'almondrelay-protocol'
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
-import type { StoreEvent } from '../store/storeEvent.js'
+import type { RelayedEvent } from '../fleet/relayedEvent.js'
 import { encodeDatagram } from './encodeDatagram.js'
 import { encodeValue } from './encodeValue.js'
 import type { PeerReport } from './peerReport.js'
@@ -35,7 +35,7 @@
       leavingTargets: [...report.leavingTargets],
       lostZones: [...report.lostZones],
       silentHosts: [...report.silentHosts],
-      ...(report.changes === undefined ? {} : { changes: encodeChanges(report.changes) })
+      ...(report.changes === undefined ? {} : { [hasPatch(report.changes) ? 'patchedChanges' : 'changes']: encodeChanges(report.changes) })
     })
   })
 }
@@ -43,6 +43,11 @@
 const encodeChanges = ({ after, upTo, events, forwardTo }: RelayedChanges): MessageInitShape<typeof StoreChangesSchema> =>
   ({ era: upTo.era, afterRevision: after.revision, upToRevision: upTo.revision, changes: events.map(encodeEvent), forwardTo: [...forwardTo] })
 
-const encodeEvent = (event: StoreEvent): MessageInitShape<typeof StoreChangeSchema> => event.kind === 'deleted'
-  ? { key: event.key, revision: event.revision, deleted: true }
-  : { key: event.item.key, revision: event.item.revision, createdRevision: event.item.createdRevision, ...encodeValue(event.item.value) }
+const hasPatch = ({ events }: RelayedChanges): boolean => events.some(({ kind }) => kind === 'patched')
+
+const encodeEvent = (event: RelayedEvent): MessageInitShape<typeof StoreChangeSchema> => {
+  if (event.kind === 'deleted') return { key: event.key, revision: event.revision, deleted: true }
+  if (event.kind === 'written') return { key: event.item.key, revision: event.item.revision, createdRevision: event.item.createdRevision, ...encodeValue(event.item.value) }
+  const { key, revision, createdRevision, patch: { baseRevision, hash, steps } } = event
+  return { key, revision, createdRevision, baseRevision, valueHash: hash, patchSteps: steps }
+}
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -1,11 +1,13 @@
 import type { RelayedChanges } from '../fleet/relayedChanges.js'
+import type { RelayedEvent } from '../fleet/relayedEvent.js'
 import { getEventRevision } from '../store/getEventRevision.js'
-import type { StoreEvent } from '../store/storeEvent.js'
 import type { StorePosition } from '../store/storePosition.js'
 import { encodeValue } from './encodeValue.js'
 
 /** Bytes of an encoded change in addition to its key and value. */
 const CHANGE_OVERHEAD_BYTES = 24
+/** Bytes of a difference in addition to that and its steps. */
+const PATCH_OVERHEAD_BYTES = 16
 
 /**
  * Splits changes into chunks that each fit into a datagram. Every chunk names the position with which the one before it ends, so that a
@@ -15,7 +17,7 @@
  * @param maxBytes maximum bytes of one chunk
  */
 export function splitChanges ({ after, upTo, events }: RelayedChanges, maxBytes: number): RelayedChanges[] {
-  const chunks: StoreEvent[][] = []
+  const chunks: RelayedEvent[][] = []
   let remainingBytes = 0
   for (const group of splitByRevision(events)) {
     const bytes = group.reduce((sum, event) => sum + countBytes(event), 0)
@@ -31,8 +33,8 @@
 }
 
 /** @param upTo position that is known with the last chunk; undefined if changes after that chunk are left out */
-const makeChunks = (chunks: readonly StoreEvent[][], after: StorePosition, upTo: StorePosition | undefined): RelayedChanges[] => {
-  const ends = chunks.map((events) => ({ era: after.era, revision: getEventRevision(events.at(-1) as StoreEvent) }))
+const makeChunks = (chunks: readonly RelayedEvent[][], after: StorePosition, upTo: StorePosition | undefined): RelayedChanges[] => {
+  const ends = chunks.map((events) => ({ era: after.era, revision: getEventRevision(events.at(-1) as RelayedEvent) }))
   return chunks.map((events, index) => ({
     after: ends[index - 1] ?? after,
     upTo: index === chunks.length - 1 && upTo !== undefined ? upTo : ends[index] as StorePosition,
@@ -41,8 +43,8 @@
   }))
 }
 
-const splitByRevision = (events: readonly StoreEvent[]): StoreEvent[][] => {
-  const groups: StoreEvent[][] = []
+const splitByRevision = (events: readonly RelayedEvent[]): RelayedEvent[][] => {
+  const groups: RelayedEvent[][] = []
   for (const event of events) {
     const group = groups.at(-1)
     if (group?.[0] !== undefined && getEventRevision(group[0]) === getEventRevision(event)) group.push(event)
@@ -51,5 +53,8 @@
   return groups
 }
 
-const countBytes = (event: StoreEvent): number => CHANGE_OVERHEAD_BYTES +
-  (event.kind === 'written' ? Buffer.byteLength(event.item.key) + encodeValue(event.item.value).value.byteLength : Buffer.byteLength(event.key))
+const countBytes = (event: RelayedEvent): number => {
+  if (event.kind === 'deleted') return CHANGE_OVERHEAD_BYTES + Buffer.byteLength(event.key)
+  if (event.kind === 'patched') return CHANGE_OVERHEAD_BYTES + PATCH_OVERHEAD_BYTES + Buffer.byteLength(event.key) + event.patch.steps.byteLength
+  return CHANGE_OVERHEAD_BYTES + Buffer.byteLength(event.item.key) + encodeValue(event.item.value).value.byteLength
+}
