End a host's pause after failed calls when there is a reason to ask

What callers saw: not shown to be the users' case. A host of a large region could serve by an old configuration for up to 12 s after trouble with the store, of which it was bound again after four.

Cause: after failed calls a host of a region that relies on watchers pauses for 1 to 8 s, with jitter up to 12. Only reliable watchers ended the pause; an answer of the store to the renewal of the host's lease did not, nor a newer change that peers reported. And a host without a watcher's confirmation asked after 5 s, whatever the bound.

Change: the pause also ends with the first answer to another call of the host, and if a reported change is overdue. The time without confirmation is three quarters of the bound on changes that the settings name, as for the age of a watcher's state.

Measured: relayedChanges.test.ts: the two new cases fail without the change (15 of 17), 17 of 17 with it; process/fleet 89 passed.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/followedFleet.ts
@@ -30,6 +30,7 @@
   readonly removedSuspects: string[] = []
   /** Whether applying a suspect record throws. */
   failsOnSuspects = false
+  isWatcher = true
   /** Whether the hosts of the region rely on this host's watch. */
   isReliedOn = false
   readonly fleet = new FleetState({
@@ -50,7 +51,8 @@
     random: () => 0,
     sleep: sleepFor,
     ownName: 'own',
-    isWatcher: () => true,
+    boundMs: 4_000,
+    isWatcher: () => this.isWatcher,
     isReliedOn: () => this.isReliedOn,
     hasReliableWatchers: () => this.reliesOnWatchers,
     handleRelayedChanges: () => undefined,
--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/modelHost.ts
@@ -70,6 +70,7 @@
       random,
       sleep: clock.sleep,
       ownName: own.name,
+      boundMs,
       isWatcher: () => this.view.isRepresentative(clock.now),
       isReliedOn: () => this.view.isLargeRegion(),
       hasReliableWatchers: () => this.view.hasReliableWatchers(boundMs, clock.now),
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -180,6 +180,32 @@
   assert.is(store.watches, watches)
 })
 
+// Guards against a host of a large region that waits for seconds before it asks again, although the store answers its other calls or a peer
+// knows of a change that it lacks.
+for (const [reason, end] of [
+  ['the store answers another call', () => { followed.health.observeAnswer(1) }],
+  ['a peer reports a change for longer than a relay takes', () => {
+    followed.follower.receivePeerPosition(makePosition(900), makePosition(900), 0)
+    setTimeout(() => { followed.now += 300 }, 800)
+  }]
+] as const) {
+  test(`the pause after a failed call ends when ${reason}`, async () => {
+    const { fleet, health, store } = followed
+    await followed.waitFor(() => fleet.isComplete && store.watches > 0, 'a watch')
+    followed.isReliedOn = true
+    followed.isWatcher = false
+    store.isDown = true
+    health.observeFailure(0)
+    await followed.waitFor(() => store.refusals > 0, 'a failed call')
+    store.isDown = false
+    store.remove('target/1')
+    await new Promise((resolve) => { setTimeout(resolve, 800) })
+    assert.ok(fleet.findTarget('1') !== undefined, 'the pause has ended without a reason')
+    end()
+    await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  })
+}
+
 // Guards against a watcher that reads ten versions of a large configuration to learn the last one, and against hosts that rely on it and
 // query the store, all at once, for what it has read.
 test('a watcher that is far behind reads the last values and relays what is new in them', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -1,21 +1,16 @@
 import { computeRetryDelay } from '../../request/computeRetryDelay.js'
-import type { EventLog } from '../observe/eventLog.js'
-import type { SuspectRecord } from '../quarantine/suspectRecord.js'
 import { AnswerTransfer } from '../store/answerTransfer.js'
 import { CATCH_UP_MS } from '../store/catchUpMs.js'
 import { comparePositions } from '../store/comparePositions.js'
 import { findLaterPosition } from '../store/findLaterPosition.js'
 import { getEventRevision } from '../store/getEventRevision.js'
 import { PageAge } from '../store/pageAge.js'
-import type { RevisionStore } from '../store/revisionStore.js'
 import { startPosition } from '../store/startPosition.js'
-import type { StoreHealth } from '../store/storeHealth.js'
 import type { StorePosition } from '../store/storePosition.js'
 import type { WatchResult } from '../store/watchResult.js'
 import { ChangeRelay } from './changeRelay.js'
 import { computeMaxChangesBytes } from './computeMaxChangesBytes.js'
-import type { FleetCodec } from './fleetCodec.js'
-import type { FleetState } from './fleetState.js'
+import type { FollowerParts } from './followerParts.js'
 import { readPages } from './readPages.js'
 import { readPrefix } from './readPrefix.js'
 import type { RelayedChanges } from './relayedChanges.js'
@@ -28,8 +23,11 @@
 const WATCH_TIMEOUT_MS = 2_000
 /** The same for a watcher that other hosts rely on: their state is at least as old as its own. */
 const RELIED_WATCH_TIMEOUT_MS = 1_000
-/** Milliseconds after which a host that relies on watchers queries the store itself, if no watcher has confirmed its state. */
-const MAX_UNCONFIRMED_MS = 5_000
+/**
+ * Share of the time within which a change must be in force after which a host that relies on watchers queries the store itself, if no
+ * watcher has confirmed its state. The rest is left for the call.
+ */
+const MAX_UNCONFIRMED_SHARE = 0.75
 /**
  * Milliseconds within which a change must be relayed after a peer has reported its revision: reports of peers that have the change
  * already may overtake its datagram. After that the datagram counts as lost, and the store is queried.
@@ -59,7 +57,8 @@
 const RETRY_DELAY = { firstMs: 200, longestMs: 500 }
 /**
  * The same for hosts of large regions that rely on watchers: they query the store themselves only because the watchers do not reach
- * it either, and rely on them again with the watchers' first report after the store has recovered.
+ * it either. The pause ends with the watchers' first report after the store has recovered, with the first answer to any other call of this
+ * host, or if a peer reports a change that this host lacks.
  */
 const RELYING_RETRY_DELAY = { firstMs: 1_000, longestMs: 8_000 }
 
@@ -70,41 +69,6 @@
 const REREAD_SPREAD_PER_HOST_MS = 2
 const MAX_REREAD_SPREAD_MS = 1_000
 
-interface FollowerParts {
-  store: RevisionStore
-  codec: FleetCodec
-  fleet: FleetState
-  health: StoreHealth
-  log: EventLog
-  getNow: () => number
-  random: () => number
-  /** Resolves after `ms` milliseconds, or when the signal aborts. */
-  sleep: (ms: number, signal: AbortSignal) => Promise<void>
-  ownName: string
-  /** Called after a new configuration has come into force. */
-  handleConfiguration: () => void
-  /** Called when this host's own entry was removed from the store while the host is running. */
-  handleOwnEntryRemoved: () => void
-  /** Called with a change of the resources that operators declare. */
-  handleDeclaredChange: (revision: number, body: Buffer) => void
-  /** Called with the record of a request that was running when targets exited. */
-  handleSuspectRecord: (record: SuspectRecord, position: StorePosition) => void
-  /** Called when such a record was removed or has expired. */
-  handleSuspectRecordRemoved: (fingerprint: string) => void
-  /** Called after a full read that did not reach the end of the product's own keys: there may be changes among those left out. */
-  handleOmittedKeys: () => void
-  /** Whether this host is one of the watchers of its region, which watch the store with short timeouts. */
-  isWatcher: () => boolean
-  /** Whether the other hosts of the region rely on the watchers' watches. */
-  isReliedOn: () => boolean
-  /** Whether this host may rely on its region's watchers and query the store only for notable changes that they report. */
-  hasReliableWatchers: () => boolean
-  /** Called with changes that a watcher relayed to this host: whether they were applied. */
-  handleRelayedChanges: (isApplied: boolean) => void
-  /** Relays changes to the other hosts of the region. */
-  relay: (changes: RelayedChanges) => void
-}
-
 /**
  * Keeps the fleet's state up to date with the store. In a large region a few hosts, its watchers, watch the store and relay notable
  * changes, those after which hosts decide differently; the other hosts rely on them as long as they report a recent state.
@@ -261,14 +225,16 @@
   }
 
   private async waitAfterFailure (failures: number, signal: AbortSignal): Promise<void> {
-    const { fleet, getNow, random, isReliedOn, isWatcher, hasReliableWatchers } = this.parts
+    const { fleet, health, getNow, random, isReliedOn, isWatcher, hasReliableWatchers } = this.parts
+    const { isAnswering: wasAnswering } = health
     if (!fleet.isComplete || !isReliedOn() || isWatcher()) {
       await this.parts.sleep(computeRetryDelay(RETRY_DELAY, failures, random()), signal)
       return
     }
     const retryAt = getNow() + computeRetryDelay(RELYING_RETRY_DELAY, failures, random())
     await this.parts.sleep(RETRY_DELAY.longestMs, signal)
-    while (!signal.aborted && !hasReliableWatchers() && getNow() < retryAt) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
+    const hasReason = (): boolean => hasReliableWatchers() || (health.isAnswering && !wasAnswering) || this.isChangeOverdue(getNow())
+    while (!signal.aborted && !hasReason() && getNow() < retryAt) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
   }
 
   /**
@@ -368,10 +334,10 @@
    * If every host watched or queried the store, each change would be a call of every host, and the platform counts calls.
    */
   private async waitForRelayedChanges (signal: AbortSignal): Promise<void> {
-    const { fleet, log, getNow, hasReliableWatchers } = this.parts
+    const { fleet, log, boundMs, getNow, hasReliableWatchers } = this.parts
     const startedAt = getNow()
     log.record('changes of the store are taken from watchers', { position: fleet.storePosition })
-    const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < MAX_UNCONFIRMED_MS
+    const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < boundMs * MAX_UNCONFIRMED_SHARE
     this.isRelyingOnWatchers = true
     while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
     this.isRelyingOnWatchers = false
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -163,6 +163,7 @@
       random,
       sleep: sleepFor,
       ownName: this.own.name,
+      boundMs: Math.min(this.parts.settings.bounds.configurationInForce, this.parts.settings.bounds.leavingInForce),
       isWatcher: () => this.view.isRepresentative(getNow()),
       isReliedOn: () => this.view.isLargeRegion(),
       hasReliableWatchers: () => this.view.hasReliableWatchers(this.parts.settings.bounds.leavingInForce, getNow()),
--- a/packages/almondrelay-gateway/src/process/store/storeHealth.ts
+++ b/packages/almondrelay-gateway/src/process/store/storeHealth.ts
@@ -41,6 +41,11 @@
 
   constructor (private readonly bounds: HealthBounds) {}
 
+  /** Whether the last call of this host was answered. */
+  get isAnswering (): boolean {
+    return !this.isFailing
+  }
+
   /** Records an answer of the store; returns whether it is the first after a failure. */
   observeAnswer (now: number): boolean {
     this.observeContact(now)
