Answer 503 for an unknown route while a newer configuration may be binding

What callers saw: 404, after which no caller asks again, for a route that the other hosts served.

Cause: a request that no route matched was rejected whatever the host knew of its own state. Only an unknown key was refused with 503 while the state had not been confirmed for the bound on configurations, and neither looked at the version that other hosts report.

Change: one question for both, FleetState.isPossiblyOutdated: the state is older than the bound, or a peer at a known address has a newer version in force, for no longer than the bound after the first such report. A version that the store does not show by then was reported in error.

--- a/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetState.ts
@@ -48,6 +48,8 @@
   notablePosition: StorePosition = startPosition
   /** Newest version of the configuration that another host has reported to be in force there. */
   reportedVersion = 0
+  /** When a version newer than the one in force here was first reported. */
+  private reportedAt = -Infinity
   /** The first full read of targets and hosts is done. */
   isComplete = false
 
@@ -84,11 +86,24 @@
     if (this.isCompleteUpTo(notablePosition)) this.peerConfirmedAt = Math.max(this.peerConfirmedAt, confirmedAt)
   }
 
-  /** Records the version of the configuration that a peer reports. */
-  receivePeerVersion (version: number): void {
+  /** Records the version of the configuration that is in force at a peer. */
+  receivePeerVersion (version: number, now: number): void {
+    const known = this.configuration?.version ?? 0
+    if (version > known && this.reportedVersion <= known) this.reportedAt = now
     this.reportedVersion = Math.max(this.reportedVersion, version)
   }
 
+  /**
+   * Returns whether a newer configuration than the one in force here may already be binding: this state has not been confirmed for too
+   * long, or a peer has reported a newer version. A version that the store doesn't show within the same time was reported in error.
+   *
+   * @param boundMs milliseconds within which a configuration must be in force
+   */
+  isPossiblyOutdated (now: number, boundMs: number): boolean {
+    const isReportedNewer = this.reportedVersion > (this.configuration?.version ?? 0) && now - this.reportedAt <= boundMs
+    return isReportedNewer || this.computeAge(now) > boundMs
+  }
+
   /** Returns whether this state has missed no notable change up to that of a peer, in the same era. */
   isCompleteUpTo (notablePosition: StorePosition): boolean {
     return notablePosition.era === this.storePosition.era && notablePosition.revision <= this.storePosition.revision
--- a/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestHandler.ts
@@ -129,7 +129,7 @@
     if (configuration === undefined) return this.refuser.refuseUnconfigured(head)
     if (message.headers.host === undefined) return this.refuser.reject(message, head.id, 400, 'no Host header')
     const route = routes.findRoute(getHostName(message), getPath(message))
-    if (route === undefined) return this.refuser.reject(message, head.id, 404, 'no route')
+    if (route === undefined) return this.refuser.refuseUnknownRoute(message, head)
     const identity = identifyCaller(organisations, head.organisationKey, route)
     if (identity.kind === 'unknown') return this.refuser.refuseUnknownKey(message, head, route)
     if (head.id === undefined) return this.refuser.reject(message, undefined, 400, 'no request id')
--- a/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
+++ b/packages/almondrelay-gateway/src/process/forward/requestRefuser.ts
@@ -25,6 +25,8 @@
 const NO_COMMON_REGION_RETRY_AFTER_MS = 2_000
 /** Mean Retry-After, in milliseconds, of a host that is being stopped. */
 const STOPPING_RETRY_AFTER_MS = 100
+/** Status of the answer where no route matches. */
+const NO_ROUTE_STATUS = 404
 /** Status of the answer to a caller without an organisation's key. */
 const UNIDENTIFIED_STATUS = 401
 
@@ -36,7 +38,7 @@
   log: EventLog
   account: AccountRecorder
   metrics: GatewayMetrics
-  /** Age of this host's state, in milliseconds, above which a newer configuration may already be binding. */
+  /** Milliseconds within which a configuration must be in force. */
   staleAfterMs: number
   getNow: () => number
   random: () => number
@@ -54,6 +56,19 @@
     return callerCodec.encodeRejection(status, reason, id)
   }
 
+  /**
+   * Answers a request for which the configuration of this host has no route. Callers do not retry after 404, which is therefore given only
+   * if the configuration is up to date: a host that is behind refuses a route that the next host serves.
+   */
+  refuseUnknownRoute (message: IncomingMessage, head: CallerHead): CallerAnswer {
+    const { fleet, staleAfterMs, callerCodec, metrics, log, getNow } = this.parts
+    if (!fleet.isPossiblyOutdated(getNow(), staleAfterMs)) return this.reject(message, head.id, NO_ROUTE_STATUS, 'no route')
+    const answer = { kind: 'refused' as const, retryAfterMs: this.addJitter(STALE_RETRY_AFTER_MS), cause: RefusalReason.notReady, reason: 'this host doesn\'t know the newest configuration, and the one that it knows has no such route' }
+    metrics.observeAnswer('none', answer.cause, 0)
+    log.record('request refused', { id: head.id, hostName: message.headers.host, url: message.url, version: fleet.configuration?.version, reportedVersion: fleet.reportedVersion, storeAgeMs: Math.round(fleet.computeAge(getNow())), ...answer })
+    return callerCodec.encodeAnswer(answer, head.id)
+  }
+
   /**
    * Answers a request whose key this host does not know. The key is rejected with 401 only if the configuration of this host is
    * up to date. A host that is cut off from the store may lack the key of a new customer that the next host serves, and callers
@@ -61,7 +76,7 @@
    */
   refuseUnknownKey (message: IncomingMessage, head: CallerHead, route: Route): CallerAnswer {
     const { fleet, staleAfterMs, getNow } = this.parts
-    if (fleet.computeAge(getNow()) <= staleAfterMs) return this.reject(message, head.id, UNIDENTIFIED_STATUS, 'no key of an organisation')
+    if (!fleet.isPossiblyOutdated(getNow(), staleAfterMs)) return this.reject(message, head.id, UNIDENTIFIED_STATUS, 'no key of an organisation')
     return this.refuse(head, route, { retryAfterMs: this.addJitter(STALE_RETRY_AFTER_MS), cause: RefusalReason.notReady, reason: 'this host doesn\'t know the newest configuration, and the key isn\'t in the one that it knows' })
   }
 
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -101,7 +101,7 @@
     if (!view.receiveReport(report, now)) return
     if (view.isFromKnownAddress(report, ip)) {
       receivePosition(report.storePosition, report.notablePosition, now)
-      fleet.receivePeerVersion(report.configurationVersion)
+      fleet.receivePeerVersion(report.configurationVersion, now)
       fleet.receivePeerConfirmation(report.notablePosition, now - report.storeAgeMs)
       this.parts.observeStoreContact(now - report.storeAgeMs)
     }
