Apply relayed changes in the pause after a call, and announce those that are too large

What callers saw: a version of 1,400 routes was in force at the watchers at once and at the last host of their region 2.3 s later, of 3 s.

Change: relayed changes are applied in the pause, as no answer that may be older is pending then. A watcher that could not relay all of the changes sends its report to the hosts of the region at once; it names the notable position that they lack.

--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/relayedChanges.test.ts
@@ -206,6 +206,23 @@
   })
 }
 
+// Guards against hosts that query the store once a second while changes go on, as they ignore what is relayed in the pause after a call.
+test('changes that are relayed in the pause after a call are applied', async () => {
+  const { fleet, store, follower } = followed
+  await startRelying()
+  const before = fleet.storePosition
+  store.remove('target/1')
+  follower.refresh('test')
+  await followed.waitFor(() => fleet.findTarget('1') === undefined, 'the end of target 1')
+  const after = fleet.storePosition
+  assert.ok(after.revision > before.revision)
+  const upTo = { ...after, revision: after.revision + 1 }
+  follower.applyRelayedChanges({ after, upTo, events: [{ kind: 'deleted', key: 'target/2', revision: upTo.revision }], forwardTo: [] })
+  assert.is(fleet.findTarget('2'), undefined)
+  await new Promise((resolve) => { setTimeout(resolve, 700) })
+  assert.equal(fleet.storePosition, upTo)
+})
+
 // Guards against a watcher that reads ten versions of a large configuration to learn the last one, and against hosts that rely on it and
 // query the store, all at once, for what it has read.
 test('a watcher that is far behind reads the last values and relays what is new in them', async () => {
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -85,7 +85,7 @@
   private hasToCatchUp = false
   private reportedPosition = startPosition
   private reportedNotablePosition = startPosition
-  /** No watch is pending: this host waits for changes relayed by the watchers. */
+  /** No call for changes is pending, and changes relayed by the watchers are applied. */
   private isRelyingOnWatchers = false
   private behindSince: number | undefined
   /** Position up to which the state is complete by relayed changes and watchers' reports. */
@@ -301,7 +301,7 @@
     this.relay.relay(notableBefore, result.position, notable)
     this.relay.recordEvents(result.events)
     // A host that relies on watchers always pauses: otherwise a false report of a future revision would make it query in a tight loop.
-    if (result.events.length > 0 || reliesOnWatchers) await this.parts.sleep(BATCH_DELAY_MS, signal)
+    if (result.events.length > 0 || reliesOnWatchers) await this.waitAfterChanges(signal)
     return result.position
   }
 
@@ -323,10 +323,17 @@
     const complete = notable.filter((event) => getEventRevision(event) <= position.revision)
     if (before.notable.era === position.era) this.relay.relay(before.notable, position, complete)
     this.relay.recordItems(items)
-    await this.parts.sleep(BATCH_DELAY_MS, signal)
+    await this.waitAfterChanges(signal)
     return position
   }
 
+  /** Lets changes gather before the next call. What watchers relay meanwhile is applied, as no answer that may be older is pending. */
+  private async waitAfterChanges (signal: AbortSignal): Promise<void> {
+    this.isRelyingOnWatchers = this.parts.hasReliableWatchers()
+    await this.parts.sleep(BATCH_DELAY_MS, signal)
+    this.isRelyingOnWatchers = false
+  }
+
   /**
    * Waits while the watchers of the region relay changes: until a change that they report is overdue, none of them is reliable
    * any more, or they have not confirmed the state for too long.
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -118,12 +118,15 @@
     const groups = splitGroups(this.listPeers(({ region }) => region === this.parts.own.region), GROUP_SIZE)
     // Built only once: building it for each of dozens of datagrams would iterate over all targets each time.
     const report = this.buildReport({ ...PLAIN_CONTENT, declaredRevision: this.parts.getDeclaredRevision() })
-    for (const chunk of splitChanges(changes, MAX_CHANGE_BYTES)) {
+    const chunks = splitChanges(changes, MAX_CHANGE_BYTES)
+    for (const chunk of chunks) {
       for (const [first, ...others] of groups) {
         const forwardTo = others.map(({ name }) => name)
         if (first !== undefined) this.send([first], { ...report, changes: { ...chunk, forwardTo } })
       }
     }
+    // Otherwise hosts learn only with the next round of reports that there are changes which they have to request from the store.
+    if (chunks.at(-1)?.upTo !== changes.upTo) this.send(groups.flat(), report)
   }
 
   private forwardChanges (report: PeerReport, { forwardTo, ...changes }: RelayedChanges): void {
