--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerSocket.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerSocket.test.ts
@@ -32,4 +32,22 @@
   assert.is(errors[0]?.message, 'cannot be handled')
 })
 
+// Guards against one entry of a host with an impossible port that ends the process, or keeps reports from all hosts after it.
+test('a host to which nothing can be sent does not keep a datagram from the others', async () => {
+  const errors: Error[] = []
+  const receiver = createSocket('udp4')
+  await new Promise<void>((resolve) => { receiver.bind(0, '127.0.0.1', resolve) })
+  const received = new Promise<string>((resolve) => { receiver.on('message', (bytes) => { resolve(bytes.toString()) }) })
+  const socket = new PeerSocket((error) => { errors.push(error) })
+  const stop = new AbortController()
+  await socket.listen('127.0.0.1', 0, () => undefined, stop.signal)
+  const ports = [70_000, -1, 1.5, 0, Infinity, receiver.address().port]
+  const timer = setInterval(() => { for (const port of ports) socket.send(Buffer.from('report'), '127.0.0.1', port) }, 20)
+  assert.is(await received, 'report')
+  clearInterval(timer)
+  stop.abort()
+  receiver.close()
+  assert.ok(errors.length >= ports.length - 1)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/peers/peerSocket.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerSocket.ts
@@ -41,6 +41,11 @@
 
   /** Sends a datagram without waiting. A lost datagram isn't sent again, as the next report replaces it. */
   send (bytes: Uint8Array, ip: string, port: number): void {
-    this.socket.send(bytes, port, ip, this.handleSent)
+    // An address to which nothing can be sent must not keep the datagram from the other hosts.
+    try {
+      this.socket.send(bytes, port, ip, this.handleSent)
+    } catch (error) {
+      this.logError(error as Error)
+    }
   }
 }
