Test that an answer of a target that ends early is never passed on

Reported by another operator: a target stopped in the middle of an answer's head and closed, and callers got a 200 with an empty or short body. That does not happen here: an answer is passed on once its head has its empty line and its body the stated length, its last chunk, or, without either, the end of a connection that was not reset.

Change: tests only. Four answers (a length, chunks, an interim answer before, neither length nor chunks) are cut after every byte, in the head and where the body is framed in the body too.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -158,4 +158,30 @@
   assert.equal(result, { kind: 'broken', reason: 'answer that can\'t be dealt with: not to be dealt with' })
 })
 
+const HEAD = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\n'
+const ANSWERS = [
+  { name: 'a length', text: `${HEAD}content-length: 15\r\n\r\nfirst of fifteen`.slice(0, -1), isBodyFramed: true },
+  { name: 'chunks', text: `${HEAD}transfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n`, isBodyFramed: true },
+  { name: 'an interim answer before it', text: `HTTP/1.1 103 Early Hints\r\nid: r1\r\n\r\n${HEAD}content-length: 5\r\n\r\nfirst`, isBodyFramed: true },
+  { name: 'neither length nor chunks', text: `${HEAD}\r\nfirst`, isBodyFramed: false }
+]
+
+// Guards against a target that stops in the middle of an answer's head and closes: callers got a 200 with an empty or short body.
+for (const { name, text, isBodyFramed } of ANSWERS) {
+  test(`an answer with ${name} that ends early is not passed on, wherever it ends`, async () => {
+    const headEnd = text.lastIndexOf('\r\n\r\n', text.indexOf('first')) + 4
+    const lastCut = isBodyFramed ? text.length - 1 : headEnd - 1
+    let cut = 0
+    const port = await startScriptedTarget((socket) => { socket.end(text.slice(0, cut)) }, owner.signal)
+    for (cut = 0; cut <= lastCut; cut += 1) {
+      const result = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 1_000))
+      assert.is.not(result.kind, 'answered', JSON.stringify(text.slice(0, cut)))
+    }
+    cut = text.length
+    const whole = await (await open(port)).exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 1_000))
+    assert.is(whole.kind, 'answered')
+    assert.is(memory.heldBytes, 0)
+  })
+}
+
 test.run()
