Check in the model that hosts have applied what they count as known

Change: the model of a region with returns of the store checks each 100 ms that no host counts the revision of the configuration as known with an older version in force, and plays its seeds also with configurations that are relayed as differences.

--- a/packages/almondrelay-gateway/src/process/fleet/__fixtures__/returnFleet.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__fixtures__/returnFleet.ts
@@ -14,6 +14,8 @@
 /** Milliseconds after a return within which writers write again what the store has lost. */
 const REWRITE_MS = 1_500
 const DATAGRAM_MS = 20
+/** Milliseconds between checks that hosts have applied what they count as known. */
+const POSITION_CHECK_MS = 100
 
 interface Span {
   from: number
@@ -52,6 +54,8 @@
   private readonly wanted = new Map<string, object | undefined>()
   private readonly writtenAt = new Map<string, number>()
   private version = 1
+  /** Configurations are so large that watchers relay them as differences. */
+  padded = false
 
   constructor (private readonly random: () => number, private readonly loss: number) {
     this.put('configuration', { version: 1 })
@@ -61,6 +65,7 @@
 
   async run (untilMs: number): Promise<void> {
     this.writeHeartbeats()
+    this.checkPositions()
     await this.clock.runUntil(untilMs)
     for (const host of this.hosts) host.stop()
   }
@@ -97,7 +102,7 @@
     this.clock.schedule(at, () => {
       this.version += 1
       const { version } = this
-      this.put('configuration', { version })
+      this.put('configuration', this.padded ? { version, filler: this.makeFiller(version) } : { version })
       this.requireAtHosts({ what: `version ${version}`, isMet: ({ fleet }) => (fleet.configuration?.version ?? 0) >= version, isVoid: () => false })
     })
   }
@@ -130,6 +135,22 @@
     ])
   }
 
+  private makeFiller (version: number): string {
+    return Array.from({ length: 200 }, (_, index) => `{"route":${index === version % 200 ? version : index},"timeout":"2000ms"}`).join(',')
+  }
+
+  /** Checks that no host counts a position as known whose configuration it has not applied. */
+  private checkPositions (): void {
+    const { era } = this.store.position
+    const { version } = JSON.parse(this.store.readText('configuration') ?? '{"version":0}') as { version: number }
+    const revision = this.store.listItems().find(({ key }) => key === 'configuration')?.revision ?? 0
+    for (const [index, { fleet }] of this.hosts.entries()) {
+      const isKnown = fleet.storePosition.era === era && fleet.storePosition.revision >= revision
+      if (isKnown && (fleet.configuration?.version ?? 0) < version) this.violations.push(`${this.clock.now}: host ${index} counts revision ${revision} as known without version ${version}`)
+    }
+    this.clock.schedule(POSITION_CHECK_MS, () => { this.checkPositions() })
+  }
+
   private startHost (index: number): void {
     const own = { name: `h-${index}`, incarnation: `${index}-${this.clock.now}`, availabilityZone: ZONES[index % 2] as string, region: 'akl', ip: `10.0.0.${index}`, callerPort: 1, peerPort: 2 }
     const host = new ModelHost({
--- a/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopyModel.test.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/__tests__/returnFromCopyModel.test.ts
@@ -29,7 +29,8 @@
   return fleet
 }
 
-// Guards against hosts that miss a change, or know one that is not in the store, because its history went back.
+// Guards against hosts that miss a change, count one as known that they have not applied, or know one that is not in the store, because its
+// history went back.
 for (const seed of SEEDS) {
   test(`every host knows each change in time, and in the end what the store holds, seed ${seed}`, async () => {
     const fleet = build(seed)
@@ -40,4 +41,15 @@
   })
 }
 
+// The same where each version is so large that it is relayed as its difference from the one before.
+for (const seed of SEEDS.slice(0, 2 * COUNT)) {
+  test(`every host knows each large configuration in time, seed ${seed}`, async () => {
+    const fleet = build(seed)
+    fleet.padded = true
+    await fleet.run(RUN_MS)
+    assert.equal(fleet.violations, [])
+    assert.equal(fleet.listDifferences(), [])
+  })
+}
+
 test.run()
