Relay a large value for which no host has a base in one datagram of up to 60 KB

What callers saw: after a version with 1,400 new routes, half of the hosts served by the one before for 1.2 s and more, the last for 1.4 s.

Cause: a difference needs a value before it. The first large version was left out of the relay, and all hosts read it from the store at once: 484 KB each for what compresses to some tens of kilobytes.

Change: a change that is alone in its datagram may have 60 KB, after compression. As one lost fragment loses all of it, the watcher also sends its report to the hosts of the region, so that those that miss the value ask after 0.3 to 0.5 s.

Ruled out: parts of a value in datagrams of 8 KB, put together by the receiver: state that must be bounded and given up, for the share of hosts that ask the store now.

--- a/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
+++ b/packages/almondrelay-gateway/src/process/peers/__tests__/peerExchange.test.ts
@@ -163,12 +163,18 @@
 })
 
 // Guards against hosts that learn only with the next round of reports, after a second, that they have to request a large change themselves.
-test('a change that is too large to be relayed is announced to every host of the region at once', () => {
+test('a large change is announced to every host of the region at once, whether it can be relayed or not', () => {
   const rig = new ExchangeRig()
   Object.assign(rig.fleet, { storePosition: makePosition(6), notablePosition: makePosition(6) })
-  const value = Buffer.from(Array.from({ length: 9_000 }, (_, index) => index * 7_919 % 65_537).join(' '))
-  rig.exchange.relay({ ...CHANGES, events: [{ kind: 'written', item: { key: 'configuration', value, revision: 6, createdRevision: 1 } }] })
-  assert.equal(rig.sent.map(({ changes, notablePosition }) => [changes, notablePosition]), ['a', 'b', 'c'].map(() => [undefined, makePosition(6)]))
+  const relay = (numbers: number): Array<[boolean, StorePosition]> => {
+    rig.sent.length = 0
+    const value = Buffer.from(Array.from({ length: numbers }, (_, index) => index * 7_919 % 65_537).join(' '))
+    rig.exchange.relay({ ...CHANGES, events: [{ kind: 'written', item: { key: 'configuration', value, revision: 6, createdRevision: 1 } }] })
+    return rig.sent.map(({ changes, notablePosition }) => [changes !== undefined, notablePosition])
+  }
+  const announcements = ['a', 'b', 'c'].map(() => [false, makePosition(6)])
+  assert.equal(relay(9_000), [[true, makePosition(6)], ...announcements])
+  assert.equal(relay(40_000), announcements)
   rig.sent.length = 0
   rig.exchange.relay(CHANGES)
   assert.equal(rig.sent.map(({ changes }) => changes?.upTo), [makePosition(6)])
--- a/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerExchange.ts
@@ -30,6 +30,11 @@
  * datagram. Receivers then ask the store for the changes, as they do for a change that is too large for any datagram.
  */
 const MAX_CHANGE_BYTES = 8_000
+/**
+ * The same for a change that alone is longer than that, such as a configuration with many new routes. Most hosts get it, and need not all
+ * read it from the store at once. A datagram can't be longer than 64 KiB.
+ */
+const MAX_LARGE_CHANGE_BYTES = 60_000
 /**
  * Hosts in a group. A watcher sends changes only to the first host of each group, which forwards them, because the watcher's link is
  * small.
@@ -118,15 +123,15 @@
     const groups = splitGroups(this.listPeers(({ region }) => region === this.parts.own.region), GROUP_SIZE)
     // Built only once: building it for each of dozens of datagrams would iterate over all targets each time.
     const report = this.buildReport({ ...PLAIN_CONTENT, declaredRevision: this.parts.getDeclaredRevision() })
-    const chunks = splitChanges(changes, MAX_CHANGE_BYTES)
-    for (const chunk of chunks) {
+    for (const chunk of splitChanges(changes, MAX_CHANGE_BYTES, MAX_LARGE_CHANGE_BYTES)) {
       for (const [first, ...others] of groups) {
         const forwardTo = others.map(({ name }) => name)
         if (first !== undefined) this.send([first], { ...report, changes: { ...chunk, forwardTo } })
       }
     }
-    // Otherwise hosts learn only with the next round of reports that there are changes which they have to request from the store.
-    if (chunks.at(-1)?.upTo !== changes.upTo) this.send(groups.flat(), report)
+    // Large datagrams are lost often, and changes may be too large for any. Hosts would learn only with the next round of reports that
+    // they have to request them from the store.
+    if (splitChanges(changes, MAX_CHANGE_BYTES).at(-1)?.upTo !== changes.upTo) this.send(groups.flat(), report)
   }
 
   private forwardChanges (report: PeerReport, { forwardTo, ...changes }: RelayedChanges): void {
--- a/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
+++ b/packages/almondrelay-gateway/src/process/peers/splitChanges.ts
@@ -14,14 +14,15 @@
  * receiver notices a lost chunk. Changes of one revision stay together, as a receiver that has a revision counts all of its changes as known.
  * The list ends before the first revision that is too large for a chunk; the receiver asks the store for it.
  *
- * @param maxBytes maximum bytes of one chunk
+ * @param maxBytes maximum bytes of a chunk of several revisions
+ * @param maxSingleBytes maximum bytes of a chunk of one revision
  */
-export function splitChanges ({ after, upTo, events }: RelayedChanges, maxBytes: number): RelayedChanges[] {
+export function splitChanges ({ after, upTo, events }: RelayedChanges, maxBytes: number, maxSingleBytes = maxBytes): RelayedChanges[] {
   const chunks: RelayedEvent[][] = []
   let remainingBytes = 0
   for (const group of splitByRevision(events)) {
     const bytes = group.reduce((sum, event) => sum + countBytes(event), 0)
-    if (bytes > maxBytes) return makeChunks(chunks, after, undefined)
+    if (bytes > maxSingleBytes) return makeChunks(chunks, after, undefined)
     if (bytes > remainingBytes) {
       chunks.push([])
       remainingBytes = maxBytes
