--- a/packages/almondrelay-gateway/src/process/fleet/computePatchSteps.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/computePatchSteps.ts
@@ -1,7 +1,5 @@
 import { deflateRawSync } from 'node:zlib'
-
-/** Character after which a value is split: values of the store are JSON texts, in which a change touches few objects. */
-const SEPARATOR = '{'
+import { PIECE_SEPARATOR } from './pieceSeparator.js'
 
 /**
  * Computes the steps that make a value from another one, compressed: either a piece of text, or the number of the first piece of the other
@@ -10,11 +8,11 @@
  * @param base value that the receiver has
  */
 export function computePatchSteps (base: Buffer, value: Buffer): Uint8Array {
-  const basePieces = base.toString('latin1').split(SEPARATOR)
+  const basePieces = base.toString('latin1').split(PIECE_SEPARATOR)
   const firstIndexes = new Map(basePieces.map((piece, index) => [piece, index]))
   const steps: Array<string | [number, number]> = []
   let run: [number, number] | undefined
-  for (const piece of value.toString('latin1').split(SEPARATOR)) {
+  for (const piece of value.toString('latin1').split(PIECE_SEPARATOR)) {
     if (run !== undefined && basePieces[run[0] + run[1]] === piece) {
       run[1] += 1
       continue
--- a/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/fleetFollower.ts
@@ -10,6 +10,7 @@
 import type { WatchResult } from '../store/watchResult.js'
 import { ChangeRelay } from './changeRelay.js'
 import { computeMaxChangesBytes } from './computeMaxChangesBytes.js'
+import { MAX_STATE_AGE_SHARE } from './maxStateAgeShare.js'
 import type { FollowerParts } from './followerParts.js'
 import { readPages } from './readPages.js'
 import { readPrefix } from './readPrefix.js'
@@ -23,11 +24,6 @@
 const WATCH_TIMEOUT_MS = 2_000
 /** The same for a watcher that other hosts rely on: their state is at least as old as its own. */
 const RELIED_WATCH_TIMEOUT_MS = 1_000
-/**
- * Share of the time within which a change must be in force after which a host that relies on watchers queries the store itself, if no
- * watcher has confirmed its state. The rest is left for the call.
- */
-const MAX_UNCONFIRMED_SHARE = 0.75
 /**
  * Milliseconds within which a change must be relayed after a peer has reported its revision: reports of peers that have the change
  * already may overtake its datagram. After that the datagram counts as lost, and the store is queried.
@@ -344,7 +340,7 @@
     const { fleet, log, boundMs, getNow, hasReliableWatchers } = this.parts
     const startedAt = getNow()
     log.record('changes of the store are taken from watchers', { position: fleet.storePosition })
-    const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < boundMs * MAX_UNCONFIRMED_SHARE
+    const isConfirmed = (): boolean => getNow() - Math.max(startedAt, fleet.confirmedAt ?? -Infinity) < boundMs * MAX_STATE_AGE_SHARE
     this.isRelyingOnWatchers = true
     while (!signal.aborted && !this.hasToCatchUp && !this.isChangeOverdue(getNow()) && hasReliableWatchers() && isConfirmed()) await this.parts.sleep(CHECK_INTERVAL_MS, signal)
     this.isRelyingOnWatchers = false
--- a/packages/almondrelay-gateway/src/process/fleet/largeValues.ts
+++ b/packages/almondrelay-gateway/src/process/fleet/largeValues.ts
@@ -3,10 +3,9 @@
 import type { StoreItem } from '../store/storeItem.js'
 import { applyPatchSteps } from './applyPatchSteps.js'
 import { computePatchSteps } from './computePatchSteps.js'
+import { MIN_LARGE_VALUE_BYTES } from './minLargeValueBytes.js'
 import type { RelayedEvent } from './relayedEvent.js'
 
-/** Length in bytes from which a value is sent as its difference from the one before. Smaller ones fit into a datagram. */
-const MIN_BYTES = 4_096
 /** Maximum number of values kept: several of the configuration, which a watcher and another host may know in different versions. */
 const MAX_VALUES = 3
 
@@ -16,7 +15,7 @@
 
   /** Records a value that the store has stated, if it is large. */
   record (item: StoreItem): void {
-    if (item.value.byteLength < MIN_BYTES || this.find(item.key, item.revision) !== undefined) return
+    if (item.value.byteLength < MIN_LARGE_VALUE_BYTES || this.find(item.key, item.revision) !== undefined) return
     this.values = [...this.values, item].slice(-MAX_VALUES)
   }
 
@@ -27,7 +26,7 @@
 
   /** Returns a change as it is to be relayed, given what was recorded before it. */
   encode (event: StoreEvent): RelayedEvent {
-    if (event.kind === 'deleted' || event.item.value.byteLength < MIN_BYTES) return event
+    if (event.kind === 'deleted' || event.item.value.byteLength < MIN_LARGE_VALUE_BYTES) return event
     const { key, value, revision, createdRevision } = event.item
     const base = this.values.findLast((item) => item.key === key && item.revision < revision)
     if (base === undefined) return event
--- a/packages/almondrelay-gateway/src/process/peers/peerView.ts
+++ b/packages/almondrelay-gateway/src/process/peers/peerView.ts
@@ -1,6 +1,7 @@
 import { putBounded } from '../../request/putBounded.js'
 import type { FleetState } from '../fleet/fleetState.js'
 import type { HostEntry } from '../fleet/hostEntry.js'
+import { MAX_STATE_AGE_SHARE } from '../fleet/maxStateAgeShare.js'
 import { LiveHosts } from './liveHosts.js'
 import { LostHosts } from './lostHosts.js'
 import type { PeerReport } from './peerReport.js'
@@ -16,13 +17,6 @@
  * host watches the store itself: the calls are few, and its own watch reports changes sooner.
  */
 const MIN_HOSTS_TO_RELY_ON_WATCHERS = 8
-/**
- * Maximum age of a watcher's state, as a share of the time within which a change must be known; the rest is left for a call to the
- * store. If this age were shorter than the wait of a watch and the report interval together, all hosts of a region would call the store
- * constantly.
- */
-const MAX_WATCHER_AGE_SHARE = 0.75
-
 /** Age of the first watcher's state, in milliseconds, above which the second watcher relays changes. */
 const RELAY_TIMEOUT_MS = 2_500
 
@@ -253,7 +247,7 @@
     if (representatives.includes(this.own.name)) return false
     return representatives.some((name) => {
       const peer = this.peers.get(name)
-      return peer !== undefined && peer.incarnation === this.fleet.findHost(name)?.incarnation && !this.isOfEarlierEra(peer.report) && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_WATCHER_AGE_SHARE
+      return peer !== undefined && peer.incarnation === this.fleet.findHost(name)?.incarnation && !this.isOfEarlierEra(peer.report) && now - peer.receivedAt + peer.report.storeAgeMs <= boundMs * MAX_STATE_AGE_SHARE
     })
   }
 
