Count and log answers of targets that are passed over

Cause: an answer that names another request than the awaited one, or none, was dropped without a trace. Change: a counter by target and a log line with the id that the answer names, the id that was awaited, the status and what was done. No other behaviour. Measured: targetConnection and targetPool tests pass.

--- a/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetConnection.test.ts
@@ -17,7 +17,7 @@
 let memory = new MessageMemory(Infinity)
 
 const open = async (port: number): Promise<TargetConnection> => {
-  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined)
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined, observeStray: () => undefined }, () => undefined)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   return opened.connection
 }
@@ -144,7 +144,7 @@
   const port = await startScriptedTarget(() => undefined, owner.signal)
   owner.abort()
   await new Promise((resolve) => { setImmediate(resolve) })
-  assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
+  assert.equal(await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined, observeStray: () => undefined }, () => undefined), { kind: 'failed', failure: ConnectFailure.refused })
 })
 
 // Guards against an answer that ends the process, and with it all requests of the host.
@@ -152,7 +152,7 @@
   const port = await startScriptedTarget((socket) => { socket.write(ANSWER_TO_FIRST) }, owner.signal)
   const failing = new PlainTargetCodec()
   failing.decodeAnswerHead = () => { throw new Error('not to be dealt with') }
-  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec: failing, getNow: () => 0, memory, observeUnsound: () => undefined }, () => undefined)
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec: failing, getNow: () => 0, memory, observeUnsound: () => undefined, observeStray: () => undefined }, () => undefined)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   const result = await opened.connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
   assert.equal(result, { kind: 'broken', reason: 'answer that can\'t be dealt with: not to be dealt with' })
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -17,7 +17,7 @@
 let owner = new AbortController()
 
 const open = async (port: number): Promise<{ pool: TargetPool, connection: TargetConnection }> => {
-  const pool = new TargetPool({ codec, getNow: () => 0, memory: new MessageMemory(Infinity), observeUnsound: () => undefined }, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
+  const pool = new TargetPool({ codec, getNow: () => 0, memory: new MessageMemory(Infinity), observeUnsound: () => undefined, observeStray: () => undefined }, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
   const opened = await pool.acquire(makeTarget({ port }).entry, 1_000)
   if (opened.kind === 'failed') throw new Error(opened.failure)
   return { pool, connection: opened.connection }
@@ -66,7 +66,7 @@
   }, owner.signal)
   const causes: OpenCause[] = []
   let now = 0
-  const pool = new TargetPool({ codec, getNow: () => now, memory: new MessageMemory(Infinity), observeUnsound: () => undefined }, { countOpened: (cause) => { causes.push(cause) }, observeConnect: () => undefined, observeFailure: () => undefined })
+  const pool = new TargetPool({ codec, getNow: () => now, memory: new MessageMemory(Infinity), observeUnsound: () => undefined, observeStray: () => undefined }, { countOpened: (cause) => { causes.push(cause) }, observeConnect: () => undefined, observeFailure: () => undefined })
   const { entry } = makeTarget({ port })
   const exchange = async (): Promise<TargetConnection> => {
     const opened = await pool.acquire(entry, 1_000)
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/strayAnswerHandling.ts
@@ -0,0 +1,11 @@
+/** What a connection does with an answer that is not known to be the awaited one; a label of the metrics. */
+const StrayAnswerHandling = {
+  /** The answer is ignored, and the request goes on waiting. */
+  passedOver: 'passed-over',
+  /** No request waits for an answer. */
+  unrequested: 'unrequested'
+} as const
+
+type StrayAnswerHandling = (typeof StrayAnswerHandling)[keyof typeof StrayAnswerHandling]
+
+export { StrayAnswerHandling }
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -7,6 +7,7 @@
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
 import { OpenCause } from './openCause.js'
+import { StrayAnswerHandling } from './strayAnswerHandling.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
 
@@ -170,7 +171,10 @@
   private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
     // A target may send an answer twice, the second time late. Taken for the answer to the next request, it would give one caller
     // another caller's data, so the request id that the target echoes is checked.
-    if (this.pending === undefined || answer.head.requestId !== this.pending.requestId) return
+    if (this.pending === undefined || answer.head.requestId !== this.pending.requestId) {
+      this.reportStray(answer.head)
+      return
+    }
     const idleMs = answer.head.keepAliveMs === undefined ? DEFAULT_IDLE_TIMEOUT_MS : answer.head.keepAliveMs - IDLE_MARGIN_MS
     this.unusableAt = this.parts.getNow() + idleMs
     this.finish({ kind: 'answered', ...answer })
@@ -178,6 +182,11 @@
     else if (this.closeReason !== undefined) this.close(this.closeReason)
   }
 
+  private reportStray ({ status, requestId }: TargetAnswerHead): void {
+    const handling = this.pending === undefined ? StrayAnswerHandling.unrequested : StrayAnswerHandling.passedOver
+    this.parts.observeStray({ handling, status, requestId, awaitedId: this.pending?.requestId })
+  }
+
   private finish (result: AttemptResult): void {
     const { pending } = this
     this.pending = undefined
--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -66,7 +66,7 @@
     const roundTripTimes = new RoundTripTimes('akl')
     const getNow = (): number => performance.now()
     this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, bodies: this.originBodies, roundTripTimes, metrics: this.metrics, log: this.log, handleSilence: () => { this.silences += 1 }, getNow, random: () => 0.5 })
-    const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory, observeUnsound: () => undefined }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
+    const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory, observeUnsound: () => undefined }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined, observeStray: () => undefined })
     this.server = new CarrierServer({
       own: carrier,
       fleet: this.carrierFleet,
--- a/packages/almondrelay-gateway/src/process/forward/forwardState.ts
+++ b/packages/almondrelay-gateway/src/process/forward/forwardState.ts
@@ -76,6 +76,10 @@
     this.roundTripTimes = new RoundTripTimes(settings.host.region)
     this.pools = new TargetPools({ codec, getNow, memory, observeUnsound: (reason) => { parts.metrics.countUnsoundAnswer(reason) } }, this.roundTripTimes, {
       countOpened: parts.countOpened,
+      observeStray: (target, stray) => {
+        parts.metrics.countStrayAnswer(target.entry.id, stray.handling)
+        parts.log.record('answer of a target that is not the awaited one', { target: target.entry.id, ...stray })
+      },
       observeConnect: (target) => { this.links.observeConnect(target, getNow()) },
       observeFailure: (target, failure, isUnconnected) => {
         parts.observeFailure(target, failure, isUnconnected)
--- a/packages/almondrelay-gateway/src/process/forward/targetPools.ts
+++ b/packages/almondrelay-gateway/src/process/forward/targetPools.ts
@@ -1,6 +1,7 @@
 import type { ConnectFailure } from '../../connection/connectFailure.js'
 import type { ConnectionParts } from '../../connection/connectionParts.js'
 import type { OpenCause } from '../../connection/openCause.js'
+import type { StrayAnswer } from '../../connection/strayAnswer.js'
 import { TargetPool } from '../../connection/targetPool.js'
 import type { TargetState } from '../../request/targetState.js'
 import type { RoundTripTimes } from './roundTripTimes.js'
@@ -10,19 +11,21 @@
   observeConnect: (target: TargetState) => void
   /** @param isUnconnected whether this host has no other open connection to the target */
   observeFailure: (target: TargetState, failure: ConnectFailure, isUnconnected: boolean) => void
+  /** Called with each answer of a target that is not known to be the awaited one. */
+  observeStray: (target: TargetState, stray: StrayAnswer) => void
 }
 
 /** Connection pools of all targets. */
 export class TargetPools {
   private readonly pools = new Map<string, TargetPool>()
 
-  constructor (private readonly parts: ConnectionParts, private readonly roundTripTimes: RoundTripTimes, private readonly observer: PoolsObserver) {}
+  constructor (private readonly parts: Omit<ConnectionParts, 'observeStray'>, private readonly roundTripTimes: RoundTripTimes, private readonly observer: PoolsObserver) {}
 
   get (target: TargetState): TargetPool {
     const { id, region } = target.entry
     const known = this.pools.get(id)
     if (known !== undefined) return known
-    const pool = new TargetPool(this.parts, {
+    const pool = new TargetPool({ ...this.parts, observeStray: (stray) => { this.observer.observeStray(target, stray) } }, {
       countOpened: (cause) => { this.observer.countOpened(region, cause) },
       observeFailure: (failure, isUnconnected) => { this.observer.observeFailure(target, failure, isUnconnected) },
       observeConnect: (durationMs) => {
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -14,6 +14,10 @@
 const MAX_ORGANISATION_LABELS = 200
 /** Label value under which all further organisations are counted together. */
 const OTHER_ORGANISATIONS = 'others'
+/** Maximum number of targets with a label value of their own among those with stray answers. */
+const MAX_STRAY_TARGET_LABELS = 100
+/** Label value under which all further targets are counted together. */
+const OTHER_TARGETS = 'others'
 
 /** Metrics of one host, rendered in the Prometheus text format. */
 export class GatewayMetrics {
@@ -25,6 +29,8 @@
   private readonly labelledOrganisations = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets, by cause', labelNames: ['region', 'cause'], registers: [this.registry] })
   private readonly unsoundAnswers = new Counter({ name: 'almondrelay_target_unsound_answers_total', help: 'Answers of targets that are not sound, or that there is no room for', labelNames: ['reason'], registers: [this.registry] })
+  private readonly strayAnswers = new Counter({ name: 'almondrelay_target_stray_answers_total', help: 'Answers of targets that are not known to be the awaited ones', labelNames: ['target', 'handling'], registers: [this.registry] })
+  private readonly labelledStrayTargets = new Set<string>()
   private readonly connectFailures = new Counter({ name: 'almondrelay_target_connect_failures_total', help: 'Connections to targets that could not be had', labelNames: ['region', 'reason'], registers: [this.registry] })
   private readonly quarantine = new Counter({ name: 'almondrelay_quarantine_events_total', help: 'Requests quarantined, tried and released', labelNames: ['event'], registers: [this.registry] })
   private readonly requestLimits = new Counter({ name: 'almondrelay_target_request_limits_total', help: 'Changes of the request limits that targets state, and stated limits that can not be read', labelNames: ['change'], registers: [this.registry] })
@@ -95,6 +101,12 @@
     this.unsoundAnswers.inc({ reason })
   }
 
+  /** @param handling a `StrayAnswerHandling` */
+  countStrayAnswer (target: string, handling: string): void {
+    if (this.labelledStrayTargets.size < MAX_STRAY_TARGET_LABELS) this.labelledStrayTargets.add(target)
+    this.strayAnswers.inc({ target: this.labelledStrayTargets.has(target) ? target : OTHER_TARGETS, handling })
+  }
+
   countQuarantineEvent (event: string): void {
     this.quarantine.inc({ event })
   }
