Fail a request at an answer that can't be told to be its own

What callers saw: a success where the target's record of the request is a failure, also for orders; or 504 at the deadline where no second answer came. Cause: an answer that named no request, another one or several was passed over in silence, and the request waited on. If the target answered a second time, that answer named the request and was passed on, whatever the first one had said. An answer that names the awaited request is the first one to it only if each answer before it is known to be another request's. Ruled out: the same request sent twice to one target (the record says that it was sent once); whether the users' targets leave the id out isn't known. Change: the head of each answer decides whose it is. One that names the awaited request is its answer; one that names a request that was answered on the connection before is passed over; any other ends the request as broken, at once, and closes the connection: an idempotent request goes to another target, any other is answered 502. Several ids in one answer count as none. A refusal 400 that says "not run" and names no request counts on a connection on which no other request was answered; before, it was dropped.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/makeAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/makeAnswerHead.ts
@@ -6,6 +6,7 @@
   rawHeaders: [],
   requestId: 'r1',
   isNotRun: false,
+  refusesUnread: false,
   isMisdirected: false,
   isGenuine: true,
   keepAliveMs: undefined,
--- a/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/plainTargetCodec.ts
@@ -18,8 +18,9 @@
     return {
       status,
       rawHeaders,
-      requestId: has('id') ? find('id') : undefined,
+      requestId: rawHeaders.filter((name, index) => index % 2 === 0 && name === 'id').length === 1 ? find('id') : undefined,
       isNotRun: has('not-run'),
+      refusesUnread: status === 400 && has('not-run') && !has('id'),
       isMisdirected: status === 421,
       isGenuine: has('signed'),
       keepAliveMs: has('keep') ? Number(find('keep')) : undefined,
--- /dev/null
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -0,0 +1,114 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { AttemptResult } from '../../request/attemptResult.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
+import { makeRequest } from '../__fixtures__/makeRequest.js'
+import { PlainTargetCodec } from '../__fixtures__/plainTargetCodec.js'
+import { startScriptedTarget } from '../__fixtures__/scriptedTarget.js'
+import { MessageMemory } from '../messageMemory.js'
+import type { StrayAnswer } from '../strayAnswer.js'
+import { TargetConnection } from '../targetConnection.js'
+
+const test = suite('stray answers')
+const codec = new PlainTargetCodec()
+let owner = new AbortController()
+let strays: StrayAnswer[] = []
+
+const makeAnswer = (headers: string, body: string, status = 200): string =>
+  `HTTP/1.1 ${status} \r\n${headers}signed: yes\r\nkeep: 10000\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+const FIRST = makeAnswer('id: r1\r\n', 'first')
+const SECOND = makeAnswer('id: r2\r\n', 'second')
+const FAILURE = makeAnswer('id: r2\r\n', 'failure', 500)
+
+const open = async (port: number): Promise<TargetConnection> => {
+  const memory = new MessageMemory(Infinity)
+  const opened = await TargetConnection.open('127.0.0.1', port, 1_000, { codec, getNow: () => 0, memory, observeUnsound: () => undefined, observeStray: (stray) => { strays.push(stray) } }, () => undefined)
+  if (opened.kind === 'failed') throw new Error(opened.failure)
+  return opened.connection
+}
+
+const send = (connection: TargetConnection, request: Partial<TargetRequest>): Promise<AttemptResult> => {
+  connection.take()
+  const made = makeRequest(request)
+  return connection.exchange(made, codec.encodeHead(made, 't', 100))
+}
+
+/** Sends two requests on one connection to a target that answers the first one with `FIRST` and the second one with `written`. */
+const sendTwo = async (written: string, second: Partial<TargetRequest> = {}): Promise<{ connection: TargetConnection, result: AttemptResult }> => {
+  const port = await startScriptedTarget((socket, request) => { socket.write(request === 1 ? FIRST : written) }, owner.signal)
+  const connection = await open(port)
+  await send(connection, {})
+  return { connection, result: await send(connection, { id: 'r2', ...second }) }
+}
+
+test.before.each(() => {
+  owner = new AbortController()
+  strays = []
+})
+test.after.each(() => { owner.abort() })
+
+const UNNAMED = [
+  { name: 'no id', headers: '' },
+  { name: 'an id that was not sent', headers: 'id: r9\r\n' },
+  { name: 'the id in other letters', headers: 'id: R2\r\n' },
+  { name: 'two ids', headers: 'id: r2\r\nid: r1\r\n' }
+]
+
+// Guards against a success where the target had failed: the failure named no id, was passed over, and the second answer was passed on.
+for (const { name, headers } of UNNAMED) {
+  for (const status of [200, 500, 503, 504]) {
+    test(`a request ends as broken at an answer ${status} with ${name}, whatever follows`, async () => {
+      const { connection, result } = await sendTwo(makeAnswer(headers, 'failure', status) + SECOND)
+      assert.is(result.kind, 'broken')
+      assert.ok(connection.isClosed)
+      assert.is(strays.length, 1)
+      assert.equal([strays[0]?.status, strays[0]?.awaitedId], [status, 'r2'])
+    })
+  }
+}
+
+// Guards against an order that waits until its deadline for an answer that can't come.
+test('a request ends as broken at an answer with no id if nothing follows', async () => {
+  assert.is((await sendTwo(makeAnswer('', 'failure', 504))).result.kind, 'broken')
+})
+
+test('a repeated answer with another status is passed over, and the first answer to the next request is passed on', async () => {
+  const { result } = await sendTwo(makeAnswer('id: r1\r\n', 'late failure', 500) + FAILURE + SECOND)
+  assert.is(result.kind === 'answered' && result.body.toString(), 'failure')
+  assert.is(strays[0]?.handling, 'passed-over')
+})
+
+test('a repeated answer in chunks is passed over', async () => {
+  const { result } = await sendTwo(`HTTP/1.1 200 \r\nid: r1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n${SECOND}`)
+  assert.is(result.kind === 'answered' && result.body.toString(), 'second')
+})
+
+test('a repeated answer to a HEAD request is passed over without a body', async () => {
+  const head = 'HTTP/1.1 200 \r\nid: r1\r\nkeep: 10000\r\ncontent-length: 5\r\n\r\n'
+  const port = await startScriptedTarget((socket, request) => { socket.write(request === 1 ? head : head + SECOND) }, owner.signal)
+  const connection = await open(port)
+  await send(connection, { method: 'HEAD' })
+  const result = await send(connection, { id: 'r2' })
+  assert.is(result.kind === 'answered' && result.body.toString(), 'second')
+})
+
+test('line ends between answers leave a connection open', async () => {
+  const port = await startScriptedTarget((socket, request) => { socket.write(request === 1 ? `${FIRST}\r` : `\n${SECOND}`) }, owner.signal)
+  const connection = await open(port)
+  await send(connection, {})
+  const result = await send(connection, { id: 'r2' })
+  assert.is(result.kind === 'answered' && result.body.toString(), 'second')
+  assert.not(connection.isClosed)
+  assert.equal(strays, [])
+})
+
+// Guards against an order that is called lost although its target has refused it without reading its id.
+test('a refusal that names no request counts on a connection without an earlier request, and on no other', async () => {
+  const refusal = 'HTTP/1.1 400 \r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'
+  const port = await startScriptedTarget((socket) => { socket.write(refusal) }, owner.signal)
+  const first = await send(await open(port), {})
+  assert.is(first.kind === 'answered' && first.head.isNotRun, true)
+  assert.is((await sendTwo(refusal)).result.kind, 'broken')
+})
+
+test.run()
--- a/packages/almondrelay-gateway/src/connection/strayAnswerHandling.ts
+++ b/packages/almondrelay-gateway/src/connection/strayAnswerHandling.ts
@@ -2,8 +2,8 @@
 const StrayAnswerHandling = {
   /** The answer is ignored, and the request goes on waiting. */
   passedOver: 'passed-over',
-  /** No request waits for an answer. */
-  unrequested: 'unrequested'
+  /** The request fails, and the connection is closed. */
+  requestFailed: 'request-failed'
 } as const
 
 type StrayAnswerHandling = (typeof StrayAnswerHandling)[keyof typeof StrayAnswerHandling]
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -2,11 +2,16 @@
 import type { AttemptResult } from '../request/attemptResult.js'
 import type { TargetAnswerHead } from '../request/targetAnswerHead.js'
 import type { TargetRequest } from '../request/targetRequest.js'
+import { AnswerOrigin } from './answerOrigin.js'
 import { AnswerReader } from './answerReader.js'
+import type { AnswerUse } from './answerUse.js'
 import { ConnectFailure } from './connectFailure.js'
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
+import { findAnswerOrigin } from './findAnswerOrigin.js'
 import { OpenCause } from './openCause.js'
+import { PassedOverBody } from './passedOverBody.js'
+import type { SentRequest } from './sentRequest.js'
 import { StrayAnswerHandling } from './strayAnswerHandling.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
@@ -18,9 +23,10 @@
 
 /** Bytes that may arrive while no request is pending: more than a small answer that is sent twice. */
 const MAX_UNREQUESTED_BYTES = 64 * 1024
+/** Requests whose further answers are recognised: a target that answers twice does so before it has answered many others. */
+const MAX_ANSWERED = 8
 
-interface PendingRequest {
-  requestId: string
+interface PendingRequest extends SentRequest {
   finish: (result: AttemptResult) => void
 }
 
@@ -33,12 +39,17 @@
   private isReserved = false
   /** Bytes received since the last answer while no request is pending. */
   private unrequestedBytes = 0
+  /** The last requests that were answered, oldest first. */
+  private readonly answered: SentRequest[] = []
   /** Why the connection closes after its next answer; undefined while it may be reused. */
   private closeReason: string | undefined
   private unusableAt = Infinity
 
   private constructor (private readonly socket: Socket, address: string, private readonly parts: ConnectionParts, private readonly handleClose: (cause: OpenCause) => void) {
-    this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) }, { sender: address, abort: () => { this.closeUnsound(new UnsoundAnswer(UnsoundReason.noRoom, 'its target holds most of the memory for answers')) } })
+    this.reader = new AnswerReader(parts.codec, parts.memory, (answer) => { this.handleAnswer(answer) }, {
+      receiving: { sender: address, abort: () => { this.closeUnsound(new UnsoundAnswer(UnsoundReason.noRoom, 'its target holds most of the memory for answers')) } },
+      sortAnswer: (head) => this.sortAnswer(head)
+    })
     socket.setNoDelay(true)
     socket.on('data', (bytes: Buffer) => { this.readSafely(() => { this.acceptBytes(bytes) }) })
     socket.on('end', () => { this.readSafely(() => { this.handleEnd() }) })
@@ -92,12 +103,11 @@
     return this.isReserved
   }
 
-  /** Sends a request and waits for its answer. An answer to another request is discarded. */
+  /** Sends a request and waits for the first answer to it. */
   exchange (request: Pick<TargetRequest, 'id' | 'method' | 'body'>, head: string): Promise<AttemptResult> {
     if (this.isDestroyed) return Promise.resolve({ kind: 'not-sent', reason: 'connection lost before the request' })
     return new Promise((resolve) => {
-      this.pending = { requestId: request.id, finish: resolve }
-      this.reader.isBodiless = request.method === 'HEAD'
+      this.pending = { id: request.id, isHead: request.method === 'HEAD', finish: resolve }
       if (request.body.length === 0) {
         this.socket.write(head, 'latin1')
         return
@@ -168,23 +178,45 @@
     this.close(wasReset ? 'reset by the target' : 'ended by the target')
   }
 
-  private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
-    // A target may send an answer twice, the second time late. Taken for the answer to the next request, it would give one caller
-    // another caller's data, so the request id that the target echoes is checked.
-    if (this.pending === undefined || answer.head.requestId !== this.pending.requestId) {
-      this.reportStray(answer.head)
-      return
+  // A target may answer a request twice, the second time late and with another status. Passed on, a second answer would give a caller
+  // another caller's data, or a success where the target had failed.
+  private sortAnswer (head: TargetAnswerHead): AnswerUse {
+    const { pending, answered } = this
+    switch (findAnswerOrigin(head, pending, answered)) {
+      case AnswerOrigin.awaited: return { isBodiless: pending?.isHead === true, passedOver: undefined }
+      case AnswerOrigin.repeated: return this.passOver(head)
+      case AnswerOrigin.unknown: return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.unknownRequest, 'it names another request, or none'))
+      case AnswerOrigin.unrequested: return this.passOver(head)
     }
+  }
+
+  private passOver (head: TargetAnswerHead): AnswerUse {
+    this.reportStray(StrayAnswerHandling.passedOver, head)
+    return { isBodiless: this.answered.some(({ id, isHead }) => id === head.requestId && isHead), passedOver: new PassedOverBody() }
+  }
+
+  private rejectAnswer (head: TargetAnswerHead, error: UnsoundAnswer): never {
+    if (!this.isDestroyed) this.reportStray(StrayAnswerHandling.requestFailed, head)
+    throw error
+  }
+
+  private reportStray (handling: StrayAnswerHandling, { status, requestId }: TargetAnswerHead): void {
+    this.parts.observeStray({ handling, status, requestId, awaitedId: this.pending?.id })
+  }
+
+  private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
     const idleMs = answer.head.keepAliveMs === undefined ? DEFAULT_IDLE_TIMEOUT_MS : answer.head.keepAliveMs - IDLE_MARGIN_MS
     this.unusableAt = this.parts.getNow() + idleMs
+    this.keepAnswered()
     this.finish({ kind: 'answered', ...answer })
     if (answer.head.closesConnection) this.close('last answer')
     else if (this.closeReason !== undefined) this.close(this.closeReason)
   }
 
-  private reportStray ({ status, requestId }: TargetAnswerHead): void {
-    const handling = this.pending === undefined ? StrayAnswerHandling.unrequested : StrayAnswerHandling.passedOver
-    this.parts.observeStray({ handling, status, requestId, awaitedId: this.pending?.requestId })
+  private keepAnswered (): void {
+    if (this.pending === undefined) return
+    this.answered.push({ id: this.pending.id, isHead: this.pending.isHead })
+    if (this.answered.length > MAX_ANSWERED) this.answered.shift()
   }
 
   private finish (result: AttemptResult): void {
--- a/packages/almondrelay-gateway/src/connection/unsoundReason.ts
+++ b/packages/almondrelay-gateway/src/connection/unsoundReason.ts
@@ -12,6 +12,8 @@
   tooLong: 'too-long',
   /** Bytes without end on a connection without a request. */
   unrequested: 'unrequested',
+  /** It can't be told whose answer it is. */
+  unknownRequest: 'unknown-request',
   /** All answers together fill the memory of this host. */
   noRoom: 'no-room'
 } as const
--- a/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
+++ b/packages/almondrelay-gateway/src/process/quarantine/__fixtures__/quarantineFleet.ts
@@ -31,7 +31,7 @@
 const POISON_WORK_MS = 80
 const RESTART_MS = 3_000
 const POISON = '/poison'
-const ANSWER: TargetAnswerHead = { status: 200, rawHeaders: [], requestId: 'r', isNotRun: false, isMisdirected: false, isGenuine: true, keepAliveMs: undefined, closesConnection: false, load: undefined, coldForMs: undefined, requestLimit: Infinity, isLeaving: false, pauseMs: 0 }
+const ANSWER: TargetAnswerHead = { status: 200, rawHeaders: [], requestId: 'r', isNotRun: false, refusesUnread: false, isMisdirected: false, isGenuine: true, keepAliveMs: undefined, closesConnection: false, load: undefined, coldForMs: undefined, requestLimit: Infinity, isLeaving: false, pauseMs: 0 }
 
 interface ModelTarget {
   incarnation: TargetState
--- a/packages/almondrelay-gateway/src/request/__tests__/decideNextStep.test.ts
+++ b/packages/almondrelay-gateway/src/request/__tests__/decideNextStep.test.ts
@@ -10,7 +10,7 @@
 const makeAnswer = (head: Partial<TargetAnswerHead>): AttemptResult => ({
   kind: 'answered',
   body: Buffer.alloc(0),
-  head: { status: 200, rawHeaders: [], requestId: 'a', isNotRun: false, isMisdirected: false, isGenuine: true, keepAliveMs: undefined, closesConnection: false, load: undefined, coldForMs: undefined, requestLimit: Infinity, isLeaving: false, pauseMs: 0, ...head }
+  head: { status: 200, rawHeaders: [], requestId: 'a', isNotRun: false, refusesUnread: false, isMisdirected: false, isGenuine: true, keepAliveMs: undefined, closesConnection: false, load: undefined, coldForMs: undefined, requestLimit: Infinity, isLeaving: false, pauseMs: 0, ...head }
 })
 
 // A payroll officer approves leave once; the target books it, and its answer is lost. If the request were sent again to a second
--- a/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
+++ b/packages/almondrelay-gateway/src/request/targetAnswerHead.ts
@@ -5,10 +5,12 @@
   status: number
   /** Header names and values, alternating, as received. */
   rawHeaders: readonly string[]
-  /** Id of the request that the answer belongs to; undefined where the answer names none. */
+  /** Id of the request that the answer belongs to; undefined where the answer names none, or several. */
   requestId: string | undefined
   /** The target states that it didn't run the request. */
   isNotRun: boolean
+  /** The target refuses a request whose head it could not read, so the answer names no request. */
+  refusesUnread: boolean
   /** A target other than the intended one answered: the intended one isn't at this address. */
   isMisdirected: boolean
   /** The answer has the target's signature, and no encoding that the caller didn't ask for. */
