Find an answer that lies within a repeated one that was cut

Cause: a repeated answer is read past to find the next one. Where it is shorter than the length it states, or states none, the awaited answer counts as its body. Change: the body of a repeated answer is searched for the id of the awaited request; if it is found, or the repeated answer ends with the connection, the request ends as broken at once. After a repeated answer the connection is closed once the awaited answer has come.

--- a/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -73,8 +73,9 @@
 })
 
 test('a repeated answer with another status is passed over, and the first answer to the next request is passed on', async () => {
-  const { result } = await sendTwo(makeAnswer('id: r1\r\n', 'late failure', 500) + FAILURE + SECOND)
+  const { connection, result } = await sendTwo(makeAnswer('id: r1\r\n', 'late failure', 500) + FAILURE + SECOND)
   assert.is(result.kind === 'answered' && result.body.toString(), 'failure')
+  assert.ok(connection.isClosed)
   assert.is(strays[0]?.handling, 'passed-over')
 })
 
@@ -83,6 +84,41 @@
   assert.is(result.kind === 'answered' && result.body.toString(), 'second')
 })
 
+// Guards against an answer that counts as the body of a repeated one that was cut, so that its request waits until its deadline, or
+// takes what follows for its answer.
+for (const length of [20, 60, 1_000]) {
+  test(`a request ends as broken if its answer lies within a repeated one that was cut ${length} bytes before its end`, async () => {
+    const cut = makeAnswer('id: r1\r\n', 'x'.repeat(length + 5)).slice(0, -length)
+    const { result } = await sendTwo(cut + FAILURE + SECOND)
+    assert.is(result.kind, 'broken')
+  })
+}
+
+test('the id of the awaited request is found in a cut answer when it arrives byte by byte', async () => {
+  const port = await startScriptedTarget((socket, request) => {
+    if (request === 1) {
+      socket.write(FIRST)
+      return
+    }
+    const bytes = makeAnswer('id: r1\r\n', 'x'.repeat(500)).slice(0, -400) + SECOND
+    let sent = 0
+    const timer = setInterval(() => {
+      socket.write(bytes.charAt(sent))
+      sent += 1
+      if (sent >= bytes.length || socket.destroyed) clearInterval(timer)
+    }, 1)
+  }, owner.signal)
+  const connection = await open(port)
+  await send(connection, {})
+  assert.is((await send(connection, { id: 'r2' })).kind, 'broken')
+})
+
+// Guards against a request that waits until its deadline behind a repeated answer that ends with the connection.
+test('a request ends as broken at a repeated answer without a length', async () => {
+  const { result } = await sendTwo(`HTTP/1.1 200 \r\nid: r1\r\n\r\nfirst${SECOND}`)
+  assert.is(result.kind, 'broken')
+})
+
 test('a repeated answer to a HEAD request is passed over without a body', async () => {
   const head = 'HTTP/1.1 200 \r\nid: r1\r\nkeep: 10000\r\ncontent-length: 5\r\n\r\n'
   const port = await startScriptedTarget((socket, request) => { socket.write(request === 1 ? head : head + SECOND) }, owner.signal)
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -9,6 +9,7 @@
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
 import { findAnswerOrigin } from './findAnswerOrigin.js'
+import { isDelimited } from './isDelimited.js'
 import { OpenCause } from './openCause.js'
 import { PassedOverBody } from './passedOverBody.js'
 import type { SentRequest } from './sentRequest.js'
@@ -191,8 +192,10 @@
   }
 
   private passOver (head: TargetAnswerHead): AnswerUse {
+    if (this.pending !== undefined && !isDelimited(head.rawHeaders)) return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.repeated, 'it can\'t follow a repeated answer without an end'))
     this.reportStray(StrayAnswerHandling.passedOver, head)
-    return { isBodiless: this.answered.some(({ id, isHead }) => id === head.requestId && isHead), passedOver: new PassedOverBody() }
+    this.closeReason ??= 'the target repeats answers'
+    return { isBodiless: this.answered.some(({ id, isHead }) => id === head.requestId && isHead), passedOver: new PassedOverBody(this.pending?.id) }
   }
 
   private rejectAnswer (head: TargetAnswerHead, error: UnsoundAnswer): never {
