Close a connection to a target on which bytes arrive that no request asked for

What callers saw: 502 or 504 for a request on a connection on which a part of another answer had arrived before the request was sent. Cause: up to 64 KB that arrived on a connection without a request were passed over, and the connection was used again, though its next answer could not be told from what had begun to arrive. Change: anything but line ends on a connection without a request closes it (RFC 9112, section 9.2). No request is lost by that: the next one goes by another connection.

--- a/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -11,6 +11,7 @@
 
 const test = suite('stray answers')
 const codec = new PlainTargetCodec()
+const LATE_MS = 20
 let owner = new AbortController()
 let strays: StrayAnswer[] = []
 
@@ -41,6 +42,10 @@
   return { connection, result: await send(connection, { id: 'r2', ...second }) }
 }
 
+const waitUntil = async (isTrue: () => boolean): Promise<void> => {
+  for (let look = 0; look < 500 && !isTrue(); look += 1) await new Promise((resolve) => { setTimeout(resolve, 5) })
+}
+
 test.before.each(() => {
   owner = new AbortController()
   strays = []
@@ -76,7 +81,7 @@
   const { connection, result } = await sendTwo(makeAnswer('id: r1\r\n', 'late failure', 500) + FAILURE + SECOND)
   assert.is(result.kind === 'answered' && result.body.toString(), 'failure')
   assert.ok(connection.isClosed)
-  assert.is(strays[0]?.handling, 'passed-over')
+  assert.equal(strays.map(({ handling }) => handling), ['passed-over'])
 })
 
 test('a repeated answer in chunks is passed over', async () => {
@@ -128,6 +133,28 @@
   assert.is(result.kind === 'answered' && result.body.toString(), 'second')
 })
 
+const UNREQUESTED = [
+  { name: 'a repeated answer', bytes: FIRST },
+  { name: 'the beginning of an answer', bytes: 'HTTP/1.1 2' },
+  { name: 'an interim answer', bytes: 'HTTP/1.1 103 Early Hints\r\n\r\n' }
+]
+
+// Guards against the next request losing its answer to bytes that arrived before it was sent.
+for (const { name, bytes } of UNREQUESTED) {
+  for (const isTogether of [true, false]) {
+    test(`a connection closes at ${name} that arrives ${isTogether ? 'with' : 'after'} an answer, while no request waits`, async () => {
+      const port = await startScriptedTarget((socket) => {
+        socket.write(isTogether ? FIRST + bytes : FIRST)
+        if (!isTogether) setTimeout(() => { socket.write(bytes) }, LATE_MS)
+      }, owner.signal)
+      const connection = await open(port)
+      assert.is((await send(connection, {})).kind, 'answered')
+      await waitUntil(() => connection.isClosed)
+      assert.ok(connection.isClosed)
+    })
+  }
+}
+
 test('line ends between answers leave a connection open', async () => {
   const port = await startScriptedTarget((socket, request) => { socket.write(request === 1 ? `${FIRST}\r` : `\n${SECOND}`) }, owner.signal)
   const connection = await open(port)
--- a/packages/almondrelay-gateway/src/connection/passedOverBody.ts
+++ b/packages/almondrelay-gateway/src/connection/passedOverBody.ts
@@ -7,14 +7,13 @@
  * counts as a part of this body, which the id in its head shows.
  */
 export class PassedOverBody {
-  private readonly awaitedId: Buffer | undefined
+  private readonly awaitedId: Buffer
   /** Last bytes of the body, in which the id may begin. */
   private tail: Buffer = Buffer.alloc(0)
   private length = 0
 
-  /** @param awaitedId id of the request that waits; undefined where none does */
-  constructor (awaitedId: string | undefined) {
-    this.awaitedId = awaitedId === undefined ? undefined : Buffer.from(awaitedId, 'latin1')
+  constructor (awaitedId: string) {
+    this.awaitedId = Buffer.from(awaitedId, 'latin1')
   }
 
   /**
@@ -25,7 +24,6 @@
   add (bytes: Buffer): void {
     this.length += bytes.length
     if (this.length > MAX_ANSWER_BYTES) throw new UnsoundAnswer(UnsoundReason.tooLong, `a repeated answer has more than ${MAX_ANSWER_BYTES} bytes`)
-    if (this.awaitedId === undefined) return
     const searched = Buffer.concat([this.tail, bytes])
     if (searched.includes(this.awaitedId)) throw new UnsoundAnswer(UnsoundReason.repeated, 'it lies within a repeated answer that was cut')
     this.tail = searched.subarray(Math.max(0, searched.length - this.awaitedId.length + 1))
--- a/packages/almondrelay-gateway/src/connection/strayAnswerHandling.ts
+++ b/packages/almondrelay-gateway/src/connection/strayAnswerHandling.ts
@@ -3,7 +3,9 @@
   /** The answer is ignored, and the request goes on waiting. */
   passedOver: 'passed-over',
   /** The request fails, and the connection is closed. */
-  requestFailed: 'request-failed'
+  requestFailed: 'request-failed',
+  /** No request waits, and the connection is closed. */
+  connectionClosed: 'connection-closed'
 } as const
 
 type StrayAnswerHandling = (typeof StrayAnswerHandling)[keyof typeof StrayAnswerHandling]
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -22,8 +22,6 @@
 /** Milliseconds subtracted from a target's keep-alive timeout: the target's close and the next request may cross on the network. */
 const IDLE_MARGIN_MS = 750
 
-/** Bytes that may arrive while no request is pending: more than a small answer that is sent twice. */
-const MAX_UNREQUESTED_BYTES = 64 * 1024
 /** Requests whose further answers are recognised: a target that answers twice does so before it has answered many others. */
 const MAX_ANSWERED = 8
 
@@ -38,8 +36,6 @@
   private isOpen = false
   private isDestroyed = false
   private isReserved = false
-  /** Bytes received since the last answer while no request is pending. */
-  private unrequestedBytes = 0
   /** The last requests that were answered, oldest first. */
   private readonly answered: SentRequest[] = []
   /** Why the connection closes after its next answer; undefined while it may be reused. */
@@ -164,11 +160,10 @@
     this.close(message)
   }
 
-  // A late answer to an earlier request is passed over, but not bytes without end: no deadline closes a connection without a request.
+  // Nothing can be expected behind bytes that no request asked for, so the connection closes (RFC 9112, section 9.2).
   private acceptBytes (bytes: Buffer): void {
-    this.unrequestedBytes = this.pending === undefined ? this.unrequestedBytes + bytes.length : 0
-    if (this.unrequestedBytes > MAX_UNREQUESTED_BYTES) throw new UnsoundAnswer(UnsoundReason.unrequested, 'bytes that no request asked for')
     this.reader.acceptBytes(bytes)
+    if (this.pending === undefined && !this.isDestroyed && !this.reader.isBetweenAnswers) throw new UnsoundAnswer(UnsoundReason.unrequested, 'bytes that no request asked for')
   }
 
   // If the last bytes and a reset arrive together, Node reports an ordinary end of the stream, and a truncated answer without a
@@ -187,19 +182,19 @@
       case AnswerOrigin.awaited: return { isBodiless: pending?.isHead === true, passedOver: undefined }
       case AnswerOrigin.repeated: return this.passOver(head)
       case AnswerOrigin.unknown: return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.unknownRequest, 'it names another request, or none'))
-      case AnswerOrigin.unrequested: return this.passOver(head)
+      case AnswerOrigin.unrequested: return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.unrequested, 'an answer that no request asked for'))
     }
   }
 
   private passOver (head: TargetAnswerHead): AnswerUse {
-    if (this.pending !== undefined && !isDelimited(head.rawHeaders)) return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.repeated, 'it can\'t follow a repeated answer without an end'))
+    if (!isDelimited(head.rawHeaders)) return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.repeated, 'it can\'t follow a repeated answer without an end'))
     this.reportStray(StrayAnswerHandling.passedOver, head)
     this.closeReason ??= 'the target repeats answers'
-    return { isBodiless: this.answered.some(({ id, isHead }) => id === head.requestId && isHead), passedOver: new PassedOverBody(this.pending?.id) }
+    return { isBodiless: this.answered.some(({ id, isHead }) => id === head.requestId && isHead), passedOver: new PassedOverBody(this.pending?.id ?? '') }
   }
 
   private rejectAnswer (head: TargetAnswerHead, error: UnsoundAnswer): never {
-    if (!this.isDestroyed) this.reportStray(StrayAnswerHandling.requestFailed, head)
+    if (!this.isDestroyed) this.reportStray(this.pending === undefined ? StrayAnswerHandling.connectionClosed : StrayAnswerHandling.requestFailed, head)
     throw error
   }
 
--- a/packages/almondrelay-gateway/src/connection/unsoundReason.ts
+++ b/packages/almondrelay-gateway/src/connection/unsoundReason.ts
@@ -10,7 +10,7 @@
   /** A length that is no whole number, several different ones, or one beside a transfer encoding. */
   length: 'length',
   tooLong: 'too-long',
-  /** Bytes without end on a connection without a request. */
+  /** Bytes on a connection without a request. */
   unrequested: 'unrequested',
   /** It can't be told whose answer it is. */
   unknownRequest: 'unknown-request',
