Send a request at most once on each connection to a target

Cause: a request that comes to a target again (its caller repeats the id, or a host sends it again after a refusal) could go by the connection on which it had been answered. A late second answer to the first sending bears its id and would be taken for the answer to the second. Measured: the new test of TargetPool failed before (the same connection was given out); now passed. 'new connections are counted by cause' sent one id again and again, so its requests have ids of their own now; its checks are unchanged.

--- a/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -174,4 +174,9 @@
   assert.is((await sendTwo(refusal)).result.kind, 'broken')
 })
 
+test('a connection tells that a request id was answered on it', async () => {
+  const { connection } = await sendTwo(SECOND)
+  assert.equal(['r1', 'r2', 'r3'].map((id) => connection.hasAnswered(id)), [true, true, false])
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -18,7 +18,7 @@
 
 const open = async (port: number): Promise<{ pool: TargetPool, connection: TargetConnection }> => {
   const pool = new TargetPool({ codec, getNow: () => 0, memory: new MessageMemory(Infinity), observeUnsound: () => undefined, observeStray: () => undefined }, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
-  const opened = await pool.acquire(makeTarget({ port }).entry, 1_000)
+  const opened = await pool.acquire(makeTarget({ port }).entry, 1_000, 'r1')
   if (opened.kind === 'failed') throw new Error(opened.failure)
   return { pool, connection: opened.connection }
 }
@@ -38,7 +38,7 @@
   const waiting = connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
   pool.closeAll('target was started again')
   assert.equal(await waiting, { kind: 'broken', reason: 'target was started again' })
-  assert.equal(await pool.acquire(makeTarget({ port }).entry, 1_000), { kind: 'failed', failure: ConnectFailure.targetLeft })
+  assert.equal(await pool.acquire(makeTarget({ port }).entry, 1_000, 'r1'), { kind: 'failed', failure: ConnectFailure.targetLeft })
 })
 
 // A target leaves while it is running a request. Its answer is passed on, but its connection stayed open for as long as the target
@@ -57,21 +57,40 @@
 })
 
 // Guards against a metric that can't tell a target that closes connections from a host that gives them up too soon.
+// Guards against a late second answer to the first sending of a request that is taken for the answer to the next sending.
+test('a request that was answered on a connection goes by another one when it is sent again', async () => {
+  const port = await startScriptedTarget((socket) => { socket.write(ANSWER) }, owner.signal)
+  const pool = new TargetPool({ codec, getNow: () => 0, memory: new MessageMemory(Infinity), observeUnsound: () => undefined, observeStray: () => undefined }, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
+  const acquire = async (requestId: string): Promise<TargetConnection> => {
+    const opened = await pool.acquire(makeTarget({ port }).entry, 1_000, requestId)
+    if (opened.kind === 'failed') throw new Error(opened.failure)
+    return opened.connection
+  }
+  const first = await acquire('r1')
+  await first.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+  assert.is.not(await acquire('r1'), first)
+  assert.is(await acquire('r2'), first)
+  pool.closeAll('test')
+})
+
 test('new connections are counted by cause', async () => {
   let isSilent = false
+  let requests = 0
   const sockets: Socket[] = []
   const port = await startScriptedTarget((socket) => {
     sockets.push(socket)
-    if (!isSilent) socket.write(ANSWER)
+    if (!isSilent) socket.write(ANSWER.replace('r1', `r${requests}`))
   }, owner.signal)
   const causes: OpenCause[] = []
   let now = 0
   const pool = new TargetPool({ codec, getNow: () => now, memory: new MessageMemory(Infinity), observeUnsound: () => undefined, observeStray: () => undefined }, { countOpened: (cause) => { causes.push(cause) }, observeConnect: () => undefined, observeFailure: () => undefined })
   const { entry } = makeTarget({ port })
   const exchange = async (): Promise<TargetConnection> => {
-    const opened = await pool.acquire(entry, 1_000)
+    requests += 1
+    const request = makeRequest({ id: `r${requests}` })
+    const opened = await pool.acquire(entry, 1_000, request.id)
     if (opened.kind === 'failed') throw new Error(opened.failure)
-    await opened.connection.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
+    await opened.connection.exchange(request, codec.encodeHead(request, 't', 100))
     return opened.connection
   }
   const takeCauses = (): OpenCause[] => causes.splice(0)
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -75,6 +75,11 @@
     return this.isOpen && !this.isDestroyed && !this.isReserved && now < this.unusableAt && this.socket.writableLength === 0
   }
 
+  /** Whether a request with this id was answered on the connection, so that a further answer to it could be taken for that of the next sending. */
+  hasAnswered (requestId: string): boolean {
+    return this.answered.some(({ id }) => id === requestId)
+  }
+
   /** Reserves the connection for one request: otherwise two requests in the same turn of the event loop would share it. */
   take (): void {
     this.isReserved = true
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -27,10 +27,10 @@
     return this.connections.every(({ isClosed }) => isClosed)
   }
 
-  /** Reserves a free or new connection for one request; resolves with a failure if none can be opened within `timeoutMs`. */
-  async acquire (entry: TargetEntry, timeoutMs: number): Promise<ConnectResult> {
+  /** Reserves a free or new connection for one sending of a request; resolves with a failure if none can be opened within `timeoutMs`. */
+  async acquire (entry: TargetEntry, timeoutMs: number, requestId: string): Promise<ConnectResult> {
     if (this.isClosed) return { kind: 'failed', failure: ConnectFailure.targetLeft }
-    const free = this.findFree(this.parts.getNow())
+    const free = this.findFree(this.parts.getNow(), requestId)
     if (free === undefined) return this.open(entry, timeoutMs, this.findOpenCause())
     free.take()
     return { kind: 'connected', connection: free }
@@ -95,10 +95,10 @@
     for (const connection of [...this.connections]) connection.close(reason)
   }
 
-  private findFree (now: number): TargetConnection | undefined {
+  private findFree (now: number, requestId: string): TargetConnection | undefined {
     for (let index = this.connections.length - 1; index >= 0; index -= 1) {
       const connection = this.connections[index]
-      if (connection?.isUsable(now) === true) return connection
+      if (connection?.isUsable(now) === true && !connection.hasAnswered(requestId)) return connection
     }
     return undefined
   }
--- a/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -39,7 +39,7 @@
     if (links.isLost(target)) return refuseLost('the link to the target is lost here too')
     const refusal = this.findRefusal(getNow())
     if (refusal !== undefined) return refuse(refusal)
-    const opened = await pools.get(target).acquire(target.entry, computeConnectTimeout(roundTripTimes.find(target.entry.region)))
+    const opened = await pools.get(target).acquire(target.entry, computeConnectTimeout(roundTripTimes.find(target.entry.region)), this.targetRequest.id)
     if (opened.kind === 'failed') return await links.verifyLoss(target) ? refuseLost(opened.failure) : refuse(opened.failure)
     const { connection } = opened
     const sentAt = getNow()
--- a/packages/almondrelay-gateway/src/process/forward/attempt.ts
+++ b/packages/almondrelay-gateway/src/process/forward/attempt.ts
@@ -78,7 +78,7 @@
     const { target, roundTripMs } = this.choice
     const { links } = this.parts
     if (links.isLost(target)) return this.exchangeIndirectly()
-    const opened = await pool.acquire(target.entry, computeConnectTimeout(roundTripMs))
+    const opened = await pool.acquire(target.entry, computeConnectTimeout(roundTripMs), this.request.id)
     if (opened.kind === 'failed') {
       if (this.cancelled === undefined && await links.verifyLoss(target)) return this.exchangeIndirectly()
       if (this.cancelled === undefined) target.suspend(this.parts.getNow())
