Refuse an answer that continues the head of another one

What callers saw: a success with the id of their own request, where the target had answered that request with a failure. Cause: a second answer that was cut in its status line or in a header is continued by the next answer on the connection. The line in which it was cut takes in the other's status line; the headers that follow, with the id of the awaited request, its length and its signature, counted as those of the first status. A cut interim head or trailer hid the awaited answer altogether. Change: a line of a head or of trailers that holds a status line is refused. Names of protocols without a status, as in Via, stay lawful. The plain reader that the fuzz test compares with has the same rule, so that it refuses more than before.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/readAnswersPlainly.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/readAnswersPlainly.ts
@@ -7,10 +7,12 @@
 const STATUS_LINE = /^HTTP\/1\.\d ([1-5]\d\d)( [\t\x20-\x7e\x80-\xff]*)?$/
 const HEADER = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)$/
 const CHUNK = /^([0-9A-Fa-f]{1,16})[ \t]*(;[\t\x20-\x7e\x80-\xff]*)?$/
+/** A line that holds a status line joins the part of one answer to another one, which the RFC's grammar allows. */
+const JOINED = /.HTTP\/1\.\d [1-5]\d\d(?: |$)/
 const MAX_BYTES = 16 * 1024 * 1024
 
 /**
- * Reads the answers in a text at once, straight from RFC 9112, to compare another reader with. What is cut short is neither passed on nor
+ * Reads the answers in a text at once, straight from RFC 9112 but for joined lines, to compare another reader with. What is cut short is neither passed on nor
  * unsound, but for the body of an answer without a length, which ends with the text.
  */
 export function readAnswersPlainly (text: string): PlainReading {
@@ -34,10 +36,11 @@
     }
     if (line === undefined) return finish()
     const status = Number(STATUS_LINE.exec(line)?.[1])
-    if (Number.isNaN(status)) return reject()
+    if (Number.isNaN(status) || JOINED.test(line)) return reject()
     const headers: Array<[string, string]> = []
     for (line = takeLine(); line !== ''; line = takeLine()) {
       if (line === undefined) return finish()
+      if (JOINED.test(line)) return reject()
       const isFolded = /^[ \t]/.test(line) && headers.length > 0
       const [, name, value] = HEADER.exec(line) ?? []
       const last = headers.at(-1)
@@ -78,7 +81,7 @@
       }
       for (let trailer = takeLine(); trailer !== ''; trailer = takeLine()) {
         if (trailer === undefined) return finish()
-        if (!HEADER.test(trailer)) return reject()
+        if (!HEADER.test(trailer) || JOINED.test(trailer)) return reject()
       }
       bodies.push(body)
     } else if (lengths.length > 0) {
--- a/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerReader.test.ts
@@ -91,6 +91,14 @@
   assert.equal(read('HTTP/1.1 200 OK\r\nX-Note: a\r\n\tb\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
 })
 
+// Guards against two answers that count as one, with the status of a head that was cut and the headers of the next.
+test('a line that holds a status line is unsound, and one that names a protocol is not', () => {
+  for (const text of ['HTTP/1.1 200 OHTTP/1.1 500 Error\r\n', 'HTTP/1.1 200 OK\r\nServer: aHTTP/1.1 500\r\n', 'HTTP/1.1 103 EHTTP/1.1 500 Error\r\n', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: HTTP/1.1 500 Error\r\n']) {
+    for (const pieceBytes of [Infinity, 1]) assert.equal(read(`${text}Content-Length: 0\r\n\r\n`, pieceBytes), { bodies: [], reason: 'continued' })
+  }
+  assert.equal(read('HTTP/1.1 200 HTTP/1.1 OK\r\nVia: HTTP/1.1 host, HTTP/1.1 200.example\r\nUpgrade: HTTP/2.0\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
+})
+
 test('statuses outside 100 to 599, and first lines that are none, are unsound', () => {
   for (const line of ['HTTP/1.1 099 OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 20 OK', 'HTTP/2.0 200 OK', 'HTTP/1.1 200OK', 'http/1.1 200 OK']) assert.is(read(`${line}\r\nContent-Length: 0\r\n\r\n`).reason, 'syntax')
   assert.equal(read('HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nfirst').bodies, ['first'])
--- a/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -12,6 +12,7 @@
 const test = suite('stray answers')
 const codec = new PlainTargetCodec()
 const LATE_MS = 20
+const GIVE_UP_MS = 2_000
 let owner = new AbortController()
 let strays: StrayAnswer[] = []
 
@@ -28,10 +29,14 @@
   return opened.connection
 }
 
+/** Stands in for the deadline of a request that is never answered. */
+const waitForDeadline = (): Promise<AttemptResult> =>
+  new Promise((resolve) => { setTimeout(() => { resolve({ kind: 'not-sent', reason: 'still waiting' }) }, GIVE_UP_MS).unref() })
+
 const send = (connection: TargetConnection, request: Partial<TargetRequest>): Promise<AttemptResult> => {
   connection.take()
   const made = makeRequest(request)
-  return connection.exchange(made, codec.encodeHead(made, 't', 100))
+  return Promise.race([connection.exchange(made, codec.encodeHead(made, 't', 100)), waitForDeadline()])
 }
 
 /** Sends two requests on one connection to a target that answers the first one with `FIRST` and the second one with `written`. */
@@ -118,6 +123,24 @@
   assert.is((await send(connection, { id: 'r2' })).kind, 'broken')
 })
 
+// Guards against a success where the target had failed: a second answer that was cut in its head was continued by the next answer, and the
+// two made one answer with the status of the first and the id of the other.
+test('a request ends as broken if its answer continues a repeated one that was cut in its head, wherever that ends', async () => {
+  const head = 'HTTP/1.1 200 OK\r\nserver: some\r\nid: r1\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n'
+  for (let cut = 1; cut < head.length; cut += 1) {
+    const { result } = await sendTwo(head.slice(0, cut) + FAILURE)
+    assert.is(result.kind, 'broken', JSON.stringify(head.slice(0, cut)))
+  }
+})
+
+test('a request ends as broken if its answer continues a repeated one that was cut in an interim head or in its trailers', async () => {
+  const cuts = ['HTTP/1.1 103 Early', 'HTTP/1.1 103 Early Hints\r\nlink: a', 'HTTP/1.1 200 OK\r\nid: r1\r\ntransfer-encoding: chunked\r\n\r\n0\r\ntrailer: a']
+  for (const cut of cuts) {
+    const { result } = await sendTwo(cut + FAILURE.replace('content-length: 7', 'content-length: 0').replace('failure', ''))
+    assert.is(result.kind, 'broken', cut)
+  }
+})
+
 // Guards against a request that waits until its deadline behind a repeated answer that ends with the connection.
 test('a request ends as broken at a repeated answer without a length', async () => {
   const { result } = await sendTwo(`HTTP/1.1 200 \r\nid: r1\r\n\r\nfirst${SECOND}`)
--- a/packages/almondrelay-gateway/src/connection/answerLineChecker.ts
+++ b/packages/almondrelay-gateway/src/connection/answerLineChecker.ts
@@ -15,6 +15,10 @@
 /** A token as the name, then visible characters, blanks and obs-text (RFC 9110, sections 5.5 and 5.6.2). */
 const HEADER_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/
 const FOLDED_LINE = /^[ \t][\t\x20-\x7e\x80-\xff]*$/
+/** Beginning of a status line within another line: names of protocols in headers such as Via have no status behind them. */
+const CONTAINED_STATUS_LINE = /.HTTP\/1\.\d [1-5]\d\d(?: |$)/
+/** Quicker than the expression, which few lines have to be tested for. */
+const PROTOCOL_NAME = 'HTTP/1.'
 const CHUNK_LINE = /^([0-9A-Fa-f]{1,16})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/
 
 /** States of the parser in which it reads a line. */
@@ -64,6 +68,13 @@
     }
     this.emptyLines = 0
     if (!STATUS_LINE.test(line)) throw new UnsoundAnswer(UnsoundReason.syntax, 'its first line is no status line')
+    this.checkContinuation(line)
+  }
+
+  // The rest of a head that was cut in the middle of a line is not missed: the next answer on the connection continues that line, and its
+  // headers count as those of the first status.
+  private checkContinuation (line: string): void {
+    if (line.includes(PROTOCOL_NAME, 1) && CONTAINED_STATUS_LINE.test(line)) throw new UnsoundAnswer(UnsoundReason.continued, 'it was cut, and another one continues it')
   }
 
   private checkHeaderLine (line: string): void {
@@ -71,6 +82,7 @@
     // not be sent on to the caller.
     const isSound = line === '' || HEADER_LINE.test(line) || (this.hasHeader && FOLDED_LINE.test(line))
     if (!isSound) throw new UnsoundAnswer(UnsoundReason.header, 'a line of its head is no header')
+    this.checkContinuation(line)
     this.hasHeader = true
   }
 
@@ -86,6 +98,7 @@
     this.trailers += line.length
     this.checkUnfinished('BODY_CHUNKTRAILERS', 0)
     if (line !== '' && !HEADER_LINE.test(line)) throw new UnsoundAnswer(UnsoundReason.header, 'a trailer is no header')
+    this.checkContinuation(line)
   }
 
   private rejectChunk (detail: string): never {
--- a/packages/almondrelay-gateway/src/connection/unsoundReason.ts
+++ b/packages/almondrelay-gateway/src/connection/unsoundReason.ts
@@ -14,6 +14,8 @@
   unrequested: 'unrequested',
   /** It can't be told whose answer it is. */
   unknownRequest: 'unknown-request',
+  /** It was cut in its head or trailers, and another answer continues it. */
+  continued: 'continued',
   /** The awaited answer can't be told from a further answer to an earlier request. */
   repeated: 'repeated',
   /** All answers together fill the memory of this host. */
