Check that an answer by way of another host names the request that was carried

Cause: on the way back from a host that carries an attempt, only the order on the connection ties an answer to its call, and node:http hands an answer that arrives after the next call was sent to that call. Our own hosts answer a call once; against a stand-in that answers one call twice, the next request got the answer of the one before. Change: a carried answer that doesn't name the request is no answer: the attempt is broken (it may have run), not blamed on the target, and the connection to the other host closes, as after an answer that can't be read. A refusal "not run" with status 400 needs no id, as on the direct way.

--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -105,9 +105,9 @@
     return this.server.countUnanswered()
   }
 
-  carry (options: { timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, body?: Buffer, handleSend?: () => void, findStopReason?: () => string | undefined } = {}): Promise<CarryOutcome> {
+  carry (options: { id?: string, timeoutMs?: number, signal?: AbortSignal, allowedRegions?: string[], isTrial?: boolean, body?: Buffer, handleSend?: () => void, findStopReason?: () => string | undefined } = {}): Promise<CarryOutcome> {
     return this.client.carry({
-      request: makeRequest({ body: options.body ?? Buffer.alloc(0) }),
+      request: makeRequest({ id: options.id ?? 'r1', body: options.body ?? Buffer.alloc(0) }),
       target: this.originTarget,
       allowedRegions: options.allowedRegions ?? [],
       deadline: performance.now() + (options.timeoutMs ?? 2_000),
--- a/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierClient.ts
@@ -3,6 +3,7 @@
 import { HeldBytes } from '../../connection/heldBytes.js'
 import type { MessageMemory } from '../../connection/messageMemory.js'
 import type { TargetCodec } from '../../connection/targetCodec.js'
+import { isAnswerTo } from '../../request/isAnswerTo.js'
 import type { TargetEntry } from '../../request/targetEntry.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
 import type { TargetState } from '../../request/targetState.js'
@@ -23,6 +24,7 @@
 import { describeDistance } from './describeDistance.js'
 import { PeerCaller } from './peerCaller.js'
 import { PeerCallFailure } from './peerCallFailure.js'
+import type { PeerReply } from './peerReply.js'
 
 /** Milliseconds within which a host must say whether it reaches a target, on top of its round trips: it may have to connect first. */
 const CHECK_TIMEOUT_MS = 400
@@ -144,13 +146,15 @@
       return reply.reason
     }
     const response = decodeMessage(CarryResponseSchema, reply.body)
-    if (response === undefined) return { result: { kind: 'broken', reason: `${host.name} gave an answer that can't be read` }, carrier: host.name, isCarrierFault: true }
+    if (response === undefined) return rejectReply(reply, host, 'can\'t be read')
     if (response.result.case === 'notSent' && response.result.value.tryElsewhere) {
       if (response.result.value.linkLost) this.memory.observeNotReached(host.name, attempt.target.entry.id, getNow())
       else this.memory.observeNoRoom(host.name, getNow())
       return response.result.value.reason
     }
-    return { result: this.decodeResult(response.result), carrier: host.name, isCarrierFault: false }
+    const result = this.decodeResult(response.result)
+    if (result.kind === 'answered' && !isAnswerTo(result.head, attempt.request.id)) return rejectReply(reply, host, 'doesn\'t name the request')
+    return { result, carrier: host.name, isCarrierFault: false }
   }
 
   private decodeResult (result: CarryResponse['result']): CarryOutcome['result'] {
@@ -231,6 +235,12 @@
   }
 }
 
+/** Makes the outcome of an attempt whose answer is not known to be its own: it may have run. */
+const rejectReply = (reply: Extract<PeerReply, { kind: 'answered' }>, { name }: HostEntry, fault: string): CarryOutcome => {
+  reply.closeConnection()
+  return { result: { kind: 'broken', reason: `${name} gave an answer that ${fault}` }, carrier: name, isCarrierFault: true }
+}
+
 const describeAnswer = (answer: CheckTargetResponse | undefined): PeerReach => {
   if (answer === undefined || answer.unknown) return PeerReach.none
   return answer.reached ? PeerReach.reached : PeerReach.unreached
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -73,6 +73,7 @@
     outgoing.on('response', (response) => {
       clearTimeout(timer)
       isAcknowledged = true
+      const { socket } = response
       const chunks: Buffer[] = []
       const held = new HeldBytes(memory)
       response.on('data', (chunk: Buffer) => {
@@ -85,7 +86,7 @@
         if (!response.complete) resolveFailure('answer cut short')
         else if (wasSent && response.statusCode === OK_STATUS) {
           stopWaiting()
-          resolve({ kind: 'answered', body: Buffer.concat(chunks) })
+          resolve({ kind: 'answered', body: Buffer.concat(chunks), closeConnection: () => { socket.destroy() } })
         } else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
       })
     })
