Test that a call that was given up leaves no late answer on its connection

Cause: between hosts and towards the store only the order on a node:http connection ties an answer to its call, so that the late answer to a call that was given up would be taken for that of the next one. No test covered it. Change: tests only. A call that a host refuses with 400 in the middle of a message of 3 MB leaves the next one on its connection its own answer.

--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriedAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriedAnswers.test.ts
@@ -1,15 +1,23 @@
-import { create, toBinary } from '@bufbuild/protobuf'
-import { CarryResponseSchema } from 'almondrelay-protocol'
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { CarrierService, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema } from 'almondrelay-protocol'
+import { Agent } from 'node:http'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { MessageMemory } from '../../../connection/messageMemory.js'
 import { CarrierRig } from '../__fixtures__/carrierRig.js'
+import { describeMethod } from '../describeMethod.js'
+import { PeerCallFailure } from '../peerCallFailure.js'
+import type { PeerReply } from '../peerReply.js'
+import { sendPeerCall } from '../sendPeerCall.js'
 
 const test = suite('answers that another host carries')
 const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n'
 const HEAD_END = '\r\n\r\n'
 const NO_PORT = 1
 let rig: CarrierRig
+/** Port of the rig's own carrier, in whose place the stand-in is called. */
+let ownPort: number
 let server: Server
 const sockets: Socket[] = []
 /** Writes the stand-in's bytes for a call; calls are numbered from 1 over all connections. */
@@ -22,6 +30,12 @@
   return Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nContent-Length: ${body.byteLength}\r\n\r\n`), body])
 }
 
+/** Makes a check that stops an attempt when it is about to be written to the other host. */
+const makeSecondStop = (): (() => string | undefined) => {
+  let checks = 0
+  return () => (checks++ === 0 ? undefined : 'target left')
+}
+
 const answerRequest = (id: string): Buffer => encodeCarried(['id', id, 'signed', 'yes'])
 
 // Stands in for a host that carries attempts: acknowledges each call and answers it by the test's script.
@@ -49,6 +63,7 @@
     })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  ownPort = rig.carrierPort
   rig.carrier.peerPort = (server.address() as AddressInfo).port
 })
 test.after.each(() => {
@@ -92,4 +107,47 @@
   assert.is(result.kind === 'answered' && result.head.status, 400)
 })
 
+// Guards against the late answer to a call that was given up, taken for that of the next call on its connection.
+test('a call that is given up ends its connection, whatever was written of it', async () => {
+  answerCall = (socket, callNumber) => { socket.write(answerRequest(`r${callNumber}`)) }
+  assert.is((await rig.carry({ id: 'r1' })).result.kind, 'answered')
+  const stopped = await rig.carry({ findStopReason: makeSecondStop() })
+  assert.is(stopped.result.kind, 'not-sent')
+  assert.is(sockets.length, 1)
+  assert.is((await rig.carry({ id: 'r2' })).result.kind, 'answered')
+  assert.is(sockets.length, 2)
+  const giveUp = new AbortController()
+  answerCall = (socket) => {
+    giveUp.abort()
+    setTimeout(() => { socket.write(answerRequest('r3')) }, 10)
+  }
+  assert.is((await rig.carry({ id: 'r3', signal: giveUp.signal })).result.kind, 'broken')
+  answerCall = (socket) => { setTimeout(() => { socket.write(answerRequest('r4')) }, 20) }
+  const { result } = await rig.carry({ id: 'r4' })
+  assert.is(result.kind === 'answered' && result.head.requestId, 'r4')
+  assert.is(sockets.length, 3)
+})
+
+// Guards against a connection that goes on after an answer of which only a part was read.
+test('an answer without room ends its connection', async () => {
+  answerCall = (socket, callNumber) => { socket.write(callNumber === 1 ? encodeCarried(['id', 'r1', 'filler', 'x'.repeat(200_000)]) : answerRequest('r2')) }
+  assert.is((await rig.carry({ id: 'r1' })).result.kind, 'broken')
+  assert.is((await rig.carry({ id: 'r2' })).result.kind, 'answered')
+  assert.is(sockets.length, 2)
+})
+
+// Guards against an answer out of turn: a host answers 400 before it has read the whole of a call that is too long.
+test('a call that is refused in the middle of its message leaves the next one on its connection its own answer', async () => {
+  const agent = new Agent({ keepAlive: true })
+  const call = (body: Uint8Array): Promise<PeerReply> => sendPeerCall(agent, { ip: '127.0.0.1', port: ownPort, path: describeMethod(CarrierService.method.checkTarget), body, acknowledgeTimeoutMs: 10_000, handleAcknowledgement: () => undefined, memory: new MessageMemory(Infinity) }, new AbortController().signal)
+  const message = toBinary(CheckTargetRequestSchema, create(CheckTargetRequestSchema, { host: 'origin', target: rig.originTarget.entry.id, targetHash: rig.originTarget.incarnationHash }))
+  for (let round = 0; round < 5; round += 1) {
+    const refused = await call(new Uint8Array(3_000_000))
+    assert.is(refused.kind === 'failed' && refused.failure, PeerCallFailure.refused)
+    const reply = await call(message)
+    assert.is(reply.kind === 'answered' && fromBinary(CheckTargetResponseSchema, reply.body).reached, true)
+  }
+  agent.destroy()
+})
+
 test.run()
