Leave the connection to a target alone once a carried attempt is answered

Cause: a host that carries an attempt takes the end of the call's answer, which comes after each call, for the sign that the other host gave the attempt up, and closes the connection on which the attempt was sent, although the attempt is answered. So each carried attempt costs a new connection to the target; and where the answer takes long to pass to the other host, the connection serves another request by then, which is reset: an order at which its target is at work ends 502. Change: a carried attempt lets go of its connection when it has its result, as an attempt of the host's own does.

--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/carriers.test.ts
@@ -1,3 +1,5 @@
+import { create, toBinary } from '@bufbuild/protobuf'
+import { CarryRequestSchema } from 'almondrelay-protocol'
 import { request } from 'node:http'
 import { connect } from 'node:net'
 import { suite } from 'uvu'
@@ -88,6 +90,51 @@
   await waitUntil(() => isClosed)
 })
 
+// Guards against a new connection to the target for each attempt: the end of a call's answer counted as giving up its attempt.
+test('attempts that follow one another share a connection to the target', async () => {
+  const sockets = new Set<unknown>()
+  let requests = 0
+  const port = await startScriptedTarget((socket) => {
+    sockets.add(socket)
+    requests += 1
+    socket.write(ANSWER.replace('r1', `r${requests}`))
+  }, owner.signal)
+  rig = await CarrierRig.start(port)
+  for (let count = 1; count <= 5; count += 1) {
+    assert.is((await rig.carry({ id: `r${count}` })).result.kind, 'answered')
+    await new Promise((resolve) => { setTimeout(resolve, 5) })
+  }
+  assert.is(sockets.size, 1)
+})
+
+// Guards against a request that is reset because another host gave up reading the answer to an attempt that had the connection before.
+test('an answer that its host gives up to read does not end the next request on the connection to the target', async () => {
+  const body = 'x'.repeat(12_000_000)
+  let requests = 0
+  let answerSecond: () => void = () => undefined
+  const sockets = new Set<unknown>()
+  const port = await startScriptedTarget((socket) => {
+    sockets.add(socket)
+    requests += 1
+    if (requests === 1) socket.write(ANSWER.replace('length: 2', `length: ${body.length}`).slice(0, -2) + body)
+    else answerSecond = () => { socket.write(ANSWER.replace('r1', 'r2')) }
+  }, owner.signal)
+  rig = await CarrierRig.start(port)
+  rig.memory.hold = () => true
+  const reader = connect(rig.carrierPort, '127.0.0.1')
+  const message = toBinary(CarryRequestSchema, create(CarryRequestSchema, { host: 'origin', target: rig.originTarget.entry.id, targetHash: rig.originTarget.incarnationHash, requestId: 'r1', method: 'GET', url: '/', remainingMs: 5_000, fingerprint: '0123456789abcdef0123456789abcdef' }))
+  reader.write(`POST ${ALL_PATHS[0]} HTTP/1.1\r\nHost: a\r\nContent-Type: application/proto\r\nContent-Length: ${message.byteLength}\r\n\r\n`)
+  reader.write(message)
+  await new Promise((resolve) => { reader.once('readable', resolve) })
+  const second = rig.carry({ id: 'r2' })
+  await waitUntil(() => requests === 2)
+  assert.is(sockets.size, 1)
+  reader.destroy()
+  await new Promise((resolve) => { setTimeout(resolve, 30) })
+  answerSecond()
+  assert.equal((await second).result.kind, 'answered')
+})
+
 // Guards against promises that hold on the direct way only: departures, evacuations, pauses, quarantine, time that is up.
 test('the carrier refuses what it knows better, and says that it sent nothing', async () => {
   const carrierRig = await start()
--- a/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carriedAttempt.ts
@@ -51,6 +51,8 @@
     this.connection = connection
     const finishWaiting = links.addSend(target, sentAt)
     const result = await connection.exchange(this.targetRequest, codec.encodeHead(this.targetRequest, target.entry.id, Math.floor(this.deadline - sentAt)))
+    // Another request may have taken the connection by the time at which the call's answer is read, or given up.
+    this.connection = undefined
     finishWaiting()
     this.observeResult(result, sentAt)
     return encodeResult(result)
