Close a connection that is left out for the id of a request

Cause (shown by a review): each sending of one id opened a connection more, and the ones before stayed open: a caller that gives all its requests one id would take all connections that a target accepts. And a connection forgot an id after eight other requests. Change: a connection that is left out is closed as the new one is opened. 32 ids are kept. Measured: 30 requests with one id left 30 connections open before, now 2 at most; an id with nine others behind it is known. The test of TargetPool expected the connection that was left out to serve another id later; it now expects it to be closed.

--- a/packages/almondrelay-gateway/src/connection/__tests__/answerBoundaries.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/answerBoundaries.test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { makeTarget } from '../../request/__fixtures__/makeTarget.js'
 import type { AttemptResult } from '../../request/attemptResult.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
 import { makeRequest } from '../__fixtures__/makeRequest.js'
@@ -9,6 +10,7 @@
 import type { ConnectionParts } from '../connectionParts.js'
 import { MessageMemory } from '../messageMemory.js'
 import { TargetConnection } from '../targetConnection.js'
+import { TargetPool } from '../targetPool.js'
 
 const test = suite('answer boundaries')
 const codec = new PlainTargetCodec()
@@ -107,4 +109,44 @@
   assert.is(await describeSecond(makeAnswer('id: r1\r\nconnection: close\r\n', 'first'), undefined, true), 'broken')
 })
 
+const acquire = async (pool: TargetPool, port: number, requestId: string): Promise<TargetConnection> => {
+  const opened = await pool.acquire(makeTarget({ port }).entry, 1_000, requestId)
+  if (opened.kind === 'failed') throw new Error(opened.failure)
+  return opened.connection
+}
+
+const makePool = (): TargetPool => new TargetPool(makeParts(), { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined })
+
+// Guards against a late answer to the first sending of a request that is taken for the answer to the next sending: the connection had
+// forgotten the first sending.
+test('a request that was answered on a connection goes by another one when others were answered in between', async () => {
+  const port = await startScriptedTarget((socket, request) => { socket.write(makeAnswer(`id: r${request}\r\n`, 'answer')) }, owner.signal)
+  const pool = makePool()
+  const first = await acquire(pool, port, 'r1')
+  await describeExchange(first, {})
+  for (let other = 2; other <= 10; other += 1) {
+    const id = `r${other}`
+    await describeExchange(await acquire(pool, port, id), { id })
+  }
+  assert.is.not(await acquire(pool, port, 'r1'), first)
+  pool.closeAll('end of the test')
+})
+
+// Guards against a caller that gives all of its requests one id: each of them opened a connection that stayed open, up to the number of
+// connections that the target takes from all hosts together.
+test('requests with one id, one after the other, leave few connections open', async () => {
+  const sockets = new Set<Socket>()
+  const port = await startScriptedTarget((socket) => {
+    sockets.add(socket)
+    socket.on('close', () => { sockets.delete(socket) })
+    socket.write(FIRST)
+  }, owner.signal)
+  const pool = makePool()
+  for (let sending = 0; sending < 30; sending += 1) await describeExchange(await acquire(pool, port, 'r1'), {})
+  await new Promise((resolve) => { setTimeout(resolve, 50) })
+  const { size } = sockets
+  pool.closeAll('end of the test')
+  assert.ok(size <= 2, `${size} connections are open`)
+})
+
 test.run()
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -68,8 +68,10 @@
   }
   const first = await acquire('r1')
   await first.exchange(makeRequest(), codec.encodeHead(makeRequest(), 't', 100))
-  assert.is.not(await acquire('r1'), first)
   assert.is(await acquire('r2'), first)
+  first.release()
+  assert.is.not(await acquire('r1'), first)
+  assert.ok(first.isClosed)
   pool.closeAll('test')
 })
 
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -25,7 +25,7 @@
 const IDLE_MARGIN_MS = 750
 
 /** Requests whose further answers are recognised: a target that answers twice does so before it has answered many others. */
-const MAX_ANSWERED = 8
+const MAX_ANSWERED = 32
 
 interface PendingRequest extends SentRequest {
   finish: (result: AttemptResult) => void
--- a/packages/almondrelay-gateway/src/connection/targetPool.ts
+++ b/packages/almondrelay-gateway/src/connection/targetPool.ts
@@ -95,11 +95,17 @@
     for (const connection of [...this.connections]) connection.close(reason)
   }
 
+  // A connection that is left out for the id is closed: a caller that gives all its requests one id would otherwise fill the target's
+  // connections, one a request.
   private findFree (now: number, requestId: string): TargetConnection | undefined {
+    let leftOut: TargetConnection | undefined
     for (let index = this.connections.length - 1; index >= 0; index -= 1) {
       const connection = this.connections[index]
-      if (connection?.isUsable(now) === true && !connection.hasAnswered(requestId)) return connection
+      if (connection?.isUsable(now) !== true) continue
+      if (!connection.hasAnswered(requestId)) return connection
+      leftOut ??= connection
     }
+    leftOut?.closeUnused()
     return undefined
   }
 
