--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -9,7 +9,6 @@
 import { ConnectFailure } from './connectFailure.js'
 import type { ConnectResult } from './connectResult.js'
 import type { ConnectionParts } from './connectionParts.js'
-import { hasAnswerTo } from './hasAnswerTo.js'
 import { findAnswerOrigin } from './findAnswerOrigin.js'
 import { isDelimited } from './isDelimited.js'
 import { OpenCause } from './openCause.js'
@@ -211,7 +210,6 @@
   }
 
   private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
-    if (this.pending !== undefined && hasAnswerTo(answer.body, this.pending.id)) throw new UnsoundAnswer(UnsoundReason.continued, 'its body was cut, and a further answer continues it')
     const idleMs = answer.head.keepAliveMs === undefined ? DEFAULT_IDLE_TIMEOUT_MS : answer.head.keepAliveMs - IDLE_MARGIN_MS
     this.unusableAt = this.parts.getNow() + idleMs
     this.keepAnswered()
