Bound repeated answers and kept ids on a connection to a target

Change: at most 16 repeated answers are passed over for a request; the connection isn't used again after an id of more than 256 characters, and as many are logged. A comment in targetPool.test.ts is back at its test.

--- a/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/strayAnswers.test.ts
@@ -89,6 +89,20 @@
   assert.equal(strays.map(({ handling }) => handling), ['passed-over'])
 })
 
+// Guards against a target that takes a host's processor time with repeated answers without end.
+test('a request ends as broken behind more than sixteen repeated answers', async () => {
+  assert.is((await sendTwo(FIRST.repeat(17) + SECOND)).result.kind, 'broken')
+  assert.is((await sendTwo(FIRST.repeat(16) + SECOND)).result.kind, 'answered')
+})
+
+test('a connection isn\'t used again after a request with a very long id', async () => {
+  const id = 'r'.repeat(300)
+  const port = await startScriptedTarget((socket) => { socket.write(makeAnswer(`id: ${id}\r\n`, 'long')) }, owner.signal)
+  const connection = await open(port)
+  assert.is((await send(connection, { id })).kind, 'answered')
+  assert.ok(connection.isClosed)
+})
+
 test('a repeated answer in chunks is passed over', async () => {
   const { result } = await sendTwo(`HTTP/1.1 200 \r\nid: r1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n${SECOND}`)
   assert.is(result.kind === 'answered' && result.body.toString(), 'second')
--- a/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/targetPool.test.ts
@@ -56,7 +56,6 @@
   assert.ok(connection.isClosed)
 })
 
-// Guards against a metric that can't tell a target that closes connections from a host that gives them up too soon.
 // Guards against a late second answer to the first sending of a request that is taken for the answer to the next sending.
 test('a request that was answered on a connection goes by another one when it is sent again', async () => {
   const port = await startScriptedTarget((socket) => { socket.write(ANSWER) }, owner.signal)
@@ -75,6 +74,7 @@
   pool.closeAll('test')
 })
 
+// Guards against a metric that can't tell a target that closes connections from a host that gives them up too soon.
 test('new connections are counted by cause', async () => {
   let isSilent = false
   let requests = 0
--- a/packages/almondrelay-gateway/src/connection/strayAnswer.ts
+++ b/packages/almondrelay-gateway/src/connection/strayAnswer.ts
@@ -4,7 +4,7 @@
 export interface StrayAnswer {
   handling: StrayAnswerHandling
   status: number
-  /** Id of the request that the answer names; undefined where it names none. */
+  /** Beginning of the id of the request that the answer names; undefined where it names none. */
   requestId: string | undefined
   /** Id of the request that waits for its answer; undefined where none does. */
   awaitedId: string | undefined
--- a/packages/almondrelay-gateway/src/connection/targetConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/targetConnection.ts
@@ -25,6 +25,10 @@
 
 /** Requests whose further answers are recognised: a target that answers twice does so before it has answered many others. */
 const MAX_ANSWERED = 32
+/** Characters of an id above which its connection isn't used again, so that the ids that are kept stay small. */
+const MAX_KEPT_ID = 256
+/** Repeated answers that are passed over while one request waits. */
+const MAX_PASSED_OVER = 16
 
 interface PendingRequest extends SentRequest {
   finish: (result: AttemptResult) => void
@@ -37,6 +41,8 @@
   private isOpen = false
   private isDestroyed = false
   private isReserved = false
+  /** Repeated answers passed over while the pending request waits; the connection closes with its answer. */
+  private passedOver = 0
   /** The last requests that were answered, oldest first. */
   private readonly answered: SentRequest[] = []
   /** Why the connection closes after its next answer; undefined while it may be reused. */
@@ -195,6 +201,8 @@
   private passOver (head: TargetAnswerHead): AnswerUse {
     const isBodiless = BODILESS_STATUSES.includes(head.status) || this.answered.some(({ id, isHead }) => id === head.requestId && isHead)
     if (!isBodiless && !isDelimited(head.rawHeaders)) return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.repeated, 'it can\'t follow a repeated answer without an end'))
+    this.passedOver += 1
+    if (this.passedOver > MAX_PASSED_OVER) return this.rejectAnswer(head, new UnsoundAnswer(UnsoundReason.repeated, 'it has not come behind many repeated answers'))
     this.reportStray(StrayAnswerHandling.passedOver, head)
     this.closeReason ??= 'the target repeats answers'
     return { isBodiless, passedOver: new PassedOverBody() }
@@ -206,7 +214,7 @@
   }
 
   private reportStray (handling: StrayAnswerHandling, { status, requestId }: TargetAnswerHead): void {
-    this.parts.observeStray({ handling, status, requestId, awaitedId: this.pending?.id })
+    this.parts.observeStray({ handling, status, requestId: requestId?.slice(0, MAX_KEPT_ID), awaitedId: this.pending?.id })
   }
 
   private handleAnswer (answer: { head: TargetAnswerHead, body: Buffer }): void {
@@ -220,6 +228,7 @@
 
   private keepAnswered (): void {
     if (this.pending === undefined) return
+    if (this.pending.id.length > MAX_KEPT_ID) this.closeReason ??= 'the id is too long to be kept'
     this.answered.push({ id: this.pending.id, isHead: this.pending.isHead })
     if (this.answered.length > MAX_ANSWERED) this.answered.shift()
   }
