Answer the request after a second answer on an idle target connection

Cause: a target answers a request a second time while the connection is idle. undici closes the connection, and TargetConnections remembered the client as one with excess bytes. The client stayed in the list of idle connections; the next request on it went by a new connection, was run and answered, and its answer was reported as lost (an order was told `unknown`, answer-broken).

Ruled out: clearing the mark when the next request is sent. The bytes of an idle connection may arrive between that and the request's writing, and undici then opens a new connection by itself; the mark has to follow the connection.

Change: a TargetConnection knows whether its connection is open and whether it ended on excess bytes, and forgets both with a new connection. A connection that the target ended is not used again.

--- /dev/null
+++ b/packages/almondrelay/src/connection/target/targetConnection.ts
@@ -0,0 +1,108 @@
+import { Client, errors } from 'undici'
+import { HeaderName } from '../../request/contract/headerName.js'
+import type { AnswerHeader } from '../../request/answerHeader.js'
+import type { TargetReply } from '../../request/targetReply.js'
+import type { TargetRequest } from '../../request/targetRequest.js'
+
+/** Several times the round-trip time between the most distant regions (110 ms). */
+const CONNECT_TIMEOUT_MS = 1_000
+const KEEP_ALIVE_TIMEOUT_MS = 20_000
+const NOT_RUN_STATUS = 503
+
+const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Message of the error with which undici closes a connection that received bytes for which no request is pending. */
+const EXCESS_BYTES_ERROR = 'bad response'
+/** Turns of the event loop within which undici reports bytes that arrived together with the end of a response. */
+const EXCESS_CHECK_TURNS = 2
+const HOP_BY_HOP: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'content-length'])
+
+/** A connection to a target, which carries one request at a time. */
+export class TargetConnection {
+  private readonly client: Client
+  private isConnected = false
+  /** Whether the connection ended on bytes that belong to no response. */
+  private hadExcessBytes = false
+
+  constructor (address: string) {
+    this.client = new Client(`http://${address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      pipelining: 1
+    })
+    // undici opens a new connection for a request that it has not written when the connection ends.
+    this.client.on('connect', () => {
+      this.isConnected = true
+      this.hadExcessBytes = false
+    })
+    this.client.on('disconnect', (_origin, _targets, error) => {
+      this.isConnected = false
+      this.hadExcessBytes = error.message === EXCESS_BYTES_ERROR
+    })
+  }
+
+  /** Whether another request may be sent on this connection. */
+  isReusable (): boolean {
+    return this.isConnected
+  }
+
+  async send (request: TargetRequest, signal: AbortSignal): Promise<TargetReply> {
+    let hasResponseStarted = false
+    try {
+      const response = await this.client.request({
+        method: request.method as 'GET',
+        path: request.path,
+        headers: request.headers.flatMap((header) => HOP_BY_HOP.has(header.name.toLowerCase()) ? [] : [header.name, header.value]),
+        body: request.body.byteLength === 0 ? null : request.body,
+        signal
+      })
+      hasResponseStarted = true
+      const headers = toHeaders(response.headers)
+      const chunks: Buffer[] = []
+      let bytes = 0
+      for await (const chunk of response.body as AsyncIterable<Buffer>) {
+        bytes += chunk.byteLength
+        if (bytes > request.maxAnswerBytes) return { kind: 'too-large', bytes }
+        chunks.push(chunk)
+      }
+      if (await this.hasExcessBytes()) return { kind: 'lost', message: 'the target sent more than the length that it stated', broken: true }
+      const isShed = response.statusCode === NOT_RUN_STATUS && headers.some((header) => header.name === HeaderName.notRun && header.value === '1')
+      if (isShed) return { kind: 'shed', retryAfterMs: readRetryAfterMs(headers) }
+      return { kind: 'answered', status: response.statusCode, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) }
+    } catch (error) {
+      const isConnectError = error instanceof errors.ConnectTimeoutError || CONNECT_ERROR_CODES.has((error as NodeJS.ErrnoException).code ?? '')
+      const message = error instanceof Error ? error.message : String(error)
+      if (isConnectError && !hasResponseStarted) return { kind: 'not-sent', message }
+      return { kind: 'lost', message, broken: hasResponseStarted && !signal.aborted }
+    }
+  }
+
+  /** Closes the connection at once, whatever runs on it. */
+  async close (): Promise<void> {
+    await this.client.destroy()
+  }
+
+  /**
+   * Failure: a target states a Content-Length shorter than the body that it sends, and the caller gets a truncated
+   * answer as if it were complete. undici closes the connection on the excess bytes, within EXCESS_CHECK_TURNS
+   * turns of the event loop if they arrived together with the stated ones. Excess bytes that arrive later are not
+   * detected as part of this answer: by RFC 9112, section 6.3, its length is the stated one.
+   */
+  private async hasExcessBytes (): Promise<boolean> {
+    for (let turn = 0; turn < EXCESS_CHECK_TURNS; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
+    return this.hadExcessBytes
+  }
+}
+
+function toHeaders (raw: Record<string, string | string[] | undefined>): AnswerHeader[] {
+  return Object.entries(raw).flatMap(([name, value]) => {
+    if (value === undefined || HOP_BY_HOP.has(name)) return []
+    return [value].flat().map((each) => ({ name, value: each }))
+  })
+}
+
+function readRetryAfterMs (headers: AnswerHeader[]): number | undefined {
+  const seconds = Number(headers.find((header) => header.name === HeaderName.retryAfter)?.value)
+  return Number.isFinite(seconds) ? seconds * 1_000 : undefined
+}
