Pass a target's answer on only if it is proved to be its request's

Cause: on the own interface nothing but the order on the connection tied an answer to its request. A target answers a request a second time, alone, once the next request has been sent; undici takes that for the next one's answer, and every later request on the connection gets the answer to the one before it, with status and body. A second refusal told an order that ran `not-run`. A second answer that is cut within its head takes in the next one's status line: the second one's status went out with the next one's body. Health checks share the connections and the fault.

Ruled out: a connection of its own for each request to every target; checking without giving connections up, which leaves targets that don't echo as they were; the idempotency key as the id, which a repeat on the same connection shares; see docs/design/own-target-answers.md.

Change: each sending carries Almondrelay-Send-Id. An answer that echoes another id or several, or none on a connection that carried a request before, is not passed on; the sending is lost and the connection closed. A connection is kept only after an answer that echoed the id. The host logs such an answer and counts it (target.answers.unproved), and counts new connections (target.connections). The stand-in target echoes; it can withhold the id and repeat its answers.

--- a/packages/almondrelay-stand-ins/src/target/__tests__/target.test.ts
+++ b/packages/almondrelay-stand-ins/src/target/__tests__/target.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { Agent, request } from 'undici'
+import { Agent, Client, request } from 'undici'
 import { buildTargetAnswer } from '../buildTargetAnswer.js'
 import { Target } from '../target.js'
 import { TargetFaults } from '../targetFaults.js'
@@ -112,4 +112,37 @@
   })
 })
 
+// A host keeps a connection only to a target that echoes in every answer, health and refusals too; one answer without the
+// id would cost a connection or fail a request.
+test('every answer echoes the id of its sending, until the target withholds it', async () => {
+  await withTarget({}, async ({ target }) => {
+    const readEcho = async (path: string): Promise<[number, unknown]> => {
+      const answer = await request(`http://${target.getAddress()}${path}`, { headers: { 'almondrelay-send-id': `of${path}` }, reset: true })
+      await answer.body.text()
+      return [answer.statusCode, answer.headers['almondrelay-send-id']]
+    }
+    assert.equal(await readEcho('/work'), [200, 'of/work'])
+    assert.equal(await readEcho('/health'), [200, 'of/health'])
+    await target.setFaults(TargetFaults.parse({ shed: true }))
+    assert.equal(await readEcho('/work'), [503, 'of/work'])
+    await target.setFaults(TargetFaults.parse({ withholdSendId: true }))
+    assert.equal(await readEcho('/work'), [200, undefined])
+  })
+})
+
+// The fault of a target that answers twice: the client takes the second answer for that to the next request.
+test('a target that repeats its answers sends the last one again when the next request arrives', async () => {
+  await withTarget({ serviceTimeMs: 30 }, async ({ target }) => {
+    await target.setFaults(TargetFaults.parse({ repeatAnswer: true }))
+    const client = new Client(`http://${target.getAddress()}`)
+    const askAndReadId = async (id: string): Promise<unknown> => {
+      const answer = await client.request({ method: 'POST', path: '/work', headers: { 'idempotency-key': id } })
+      return (await answer.body.json() as { requestId: unknown }).requestId
+    }
+    assert.equal([await askAndReadId('a'), await askAndReadId('b')], ['a', 'a'])
+    await client.destroy()
+    assert.equal(target.state.readRuns().runs, { a: 1, b: 1 })
+  })
+})
+
 test.run()
--- a/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
+++ b/packages/almondrelay-stand-ins/src/target/createTargetApp.ts
@@ -1,11 +1,13 @@
 import type { HttpBindings } from '@hono/node-server'
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import { HeaderName } from 'almondrelay'
 import { Hono } from 'hono'
 import type { Context } from 'hono'
 import { once } from 'node:events'
 import { setTimeout as sleepFor } from 'node:timers/promises'
 import { resetOrDestroy } from '../network/resetOrDestroy.js'
 import { buildTargetAnswer } from './buildTargetAnswer.js'
+import { LastAnswers } from './lastAnswers.js'
 import { sendTargetAnswer } from './sendTargetAnswer.js'
 import { TargetFaults } from './targetFaults.js'
 import type { TargetState } from './targetState.js'
@@ -26,7 +28,13 @@
 /** The HTTP surface of one target stand-in. */
 export function createTargetApp ({ state, onFaults, readNow }: TargetAppOptions): Hono<Env> {
   const app = new Hono<Env>()
+  const lastAnswers = new LastAnswers()
 
+  app.use('*', async (context, next) => {
+    const sendId = context.req.header(HeaderName.sendId)
+    if (sendId !== undefined && !state.getFaults().withholdSendId) context.env.outgoing.setHeader(HeaderName.sendId, sendId)
+    await next()
+  })
   app.get('/control/runs', (context) => context.json(state.readRuns()))
   app.put('/control/faults', async (context) => {
     const faults = TargetFaults.safeParse(await context.req.json())
@@ -43,6 +51,7 @@
   app.all('*', async (context) => {
     const faults = state.takeFaults()
     if (faults.silent) return await keepUnanswered(context)
+    if (faults.repeatAnswer) lastAnswers.send(context.env.incoming.socket)
     const body = new Uint8Array(await context.req.arrayBuffer())
     const deadlineMs = Number(context.req.header('almondrelay-deadline') ?? NO_DEADLINE_MS)
     const requestId = context.req.header('idempotency-key')
@@ -63,11 +72,17 @@
     const answerBytes = faults.oversizedAnswer ?? Number(context.req.query('answerBytes') ?? 0)
     const answer = buildTargetAnswer({ requestId: requestId ?? '', target: state.settings.name, requestBody: body, answerBytes })
     if (faults.silentAfterRun) return await keepUnanswered(context)
+    if (faults.repeatAnswer) lastAnswers.record(context.env.incoming.socket, { status: faults.status, body: Buffer.from(answer), sendId: readEcho(context) })
     return sendTargetAnswer(context.env.outgoing, answer, faults)
   })
   return app
 }
 
+/** The id that the answer echoes. */
+function readEcho (context: Context<Env>): string | undefined {
+  return context.env.outgoing.getHeader(HeaderName.sendId)?.toString()
+}
+
 function refuse (context: Context<Env>): Response {
   return context.json({ error: 'shed' }, 503, { 'Almondrelay-Not-Run': '1', 'Retry-After': '1' })
 }
--- a/packages/almondrelay-stand-ins/src/target/targetFaults.ts
+++ b/packages/almondrelay-stand-ins/src/target/targetFaults.ts
@@ -15,6 +15,10 @@
   closeBeforeAnswer: z.boolean().default(false),
   /** Runs the request and states a length shorter than the body that it sends. */
   wrongLength: z.boolean().default(false),
+  /** Sends the last answer on a connection again when the next request arrives there. */
+  repeatAnswer: z.boolean().default(false),
+  /** Leaves the id of the sending out of its answers. */
+  withholdSendId: z.boolean().default(false),
   /** Bytes of the answer's body, whatever was asked. */
   oversizedAnswer: z.number().int().min(1).optional(),
   /** Resets the connection so long after a request began to run. */
--- a/packages/almondrelay/src/connection/target/targetConnection.ts
+++ b/packages/almondrelay/src/connection/target/targetConnection.ts
@@ -1,8 +1,11 @@
-import { Client, errors } from 'undici'
-import { HeaderName } from '../../request/contract/headerName.js'
+import { Client, errors, type Dispatcher } from 'undici'
 import type { AnswerHeader } from '../../request/answerHeader.js'
+import { AnswerIdentity } from '../../request/answerIdentity.js'
+import { HeaderName } from '../../request/contract/headerName.js'
+import { identifyAnswer } from '../../request/identifyAnswer.js'
 import type { TargetReply } from '../../request/targetReply.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
+import type { TargetObserver } from './targetObserver.js'
 
 /** Several times the round-trip time between the most distant regions (110 ms). */
 const CONNECT_TIMEOUT_MS = 1_000
@@ -16,14 +19,23 @@
 const EXCESS_CHECK_TURNS = 2
 const HOP_BY_HOP: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'proxy-connection', 'content-length'])
 
-/** A connection to a target, which carries one request at a time. */
+/**
+ * A connection to a target, which carries one request at a time.
+ *
+ * The order of answers proves nothing once a second request has been sent: the target may have answered the first one
+ * twice. An answer is passed on only if it echoes the request's send id, or if the request is the only one that was sent
+ * on the connection.
+ */
 export class TargetConnection {
   private readonly client: Client
   private isConnected = false
+  /** Final answers read from the connection. */
+  private answers = 0
+  private isLastAnswerEchoed = false
   /** Whether the connection ended on bytes that belong to no response. */
   private hadExcessBytes = false
 
-  constructor (address: string) {
+  constructor (private readonly address: string, private readonly observer: TargetObserver) {
     this.client = new Client(`http://${address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS },
       headersTimeout: 0,
@@ -35,6 +47,8 @@
     this.client.on('connect', () => {
       this.isConnected = true
       this.hadExcessBytes = false
+      this.answers = 0
+      this.observer.observeConnection(address)
     })
     this.client.on('disconnect', (_origin, _targets, error) => {
       this.isConnected = false
@@ -42,22 +56,28 @@
     })
   }
 
-  /** Whether another request may be sent on this connection. */
+  /** Whether another request may be sent on this connection: it is open, and its target echoes ids. */
   isReusable (): boolean {
-    return this.isConnected
+    return this.isConnected && this.isLastAnswerEchoed
   }
 
-  async send (request: TargetRequest, signal: AbortSignal): Promise<TargetReply> {
+  /** Sends a request with a send id that no other request of this process has. */
+  async send (request: TargetRequest, sendId: string, signal: AbortSignal): Promise<TargetReply> {
     let hasResponseStarted = false
     try {
       const response = await this.client.request({
         method: request.method as 'GET',
         path: request.path,
-        headers: request.headers.flatMap((header) => HOP_BY_HOP.has(header.name.toLowerCase()) ? [] : [header.name, header.value]),
+        headers: [...request.headers.flatMap((header) => isOwnHeader(header.name.toLowerCase()) ? [] : [header.name, header.value]), HeaderName.sendId, sendId],
         body: request.body.byteLength === 0 ? null : request.body,
         signal
       })
       hasResponseStarted = true
+      const identity = this.identify(response, sendId)
+      if (identity !== AnswerIdentity.echoed && identity !== AnswerIdentity.onlyRequest) {
+        response.body.on('error', () => {}).destroy()
+        return { kind: 'lost', message: `an answer arrived that may belong to another request: ${identity}`, broken: true }
+      }
       const headers = toHeaders(response.headers)
       const chunks: Buffer[] = []
       let bytes = 0
@@ -78,6 +98,18 @@
     }
   }
 
+  private identify ({ statusCode, statusText, headers }: Dispatcher.ResponseData, sendId: string): AnswerIdentity {
+    const echoedIds = [headers[HeaderName.sendId] ?? []].flat()
+    const texts = [statusText, ...Object.values(headers).flatMap((value) => value ?? [])]
+    const identity = identifyAnswer({ sendId, echoedIds, isFirstOnConnection: this.answers === 0, texts })
+    this.answers += 1
+    this.isLastAnswerEchoed = identity === AnswerIdentity.echoed
+    if (identity !== AnswerIdentity.echoed && identity !== AnswerIdentity.onlyRequest) {
+      this.observer.observeUnprovedAnswer({ address: this.address, identity, status: statusCode, sendId, echoedIds })
+    }
+    return identity
+  }
+
   /** Closes the connection at once, whatever runs on it. */
   async close (): Promise<void> {
     await this.client.destroy()
@@ -95,9 +127,14 @@
   }
 }
 
+/** Whether a header, in lower case, belongs to the connection or to this sending and isn't passed on. */
+function isOwnHeader (name: string): boolean {
+  return HOP_BY_HOP.has(name) || name === HeaderName.sendId
+}
+
 function toHeaders (raw: Record<string, string | string[] | undefined>): AnswerHeader[] {
   return Object.entries(raw).flatMap(([name, value]) => {
-    if (value === undefined || HOP_BY_HOP.has(name)) return []
+    if (value === undefined || isOwnHeader(name)) return []
     return [value].flat().map((each) => ({ name, value: each }))
   })
 }
--- a/packages/almondrelay/src/process/daemon/buildHost.ts
+++ b/packages/almondrelay/src/process/daemon/buildHost.ts
@@ -26,6 +26,7 @@
 import { buildStatusHooks } from './buildStatusHooks.js'
 import { DecisionLogRecorder } from './decisionLogRecorder.js'
 import type { Host } from './host.js'
+import { LoggedTargetObserver } from './loggedTargetObserver.js'
 import { MemberDirectory } from './memberDirectory.js'
 import { Metrics } from './metrics.js'
 import { PlainModules } from './plainModules.js'
@@ -73,7 +74,7 @@
     ledger,
     metrics,
     peers: new PeerConnections(signal),
-    targets: new TargetConnections(clock)
+    targets: new TargetConnections(clock, new LoggedTargetObserver(log, metrics))
   }
   const recorder = new DecisionLogRecorder(new DecisionLog(log))
   const modules = settings.log.replay ? new RecordedModules({ identity, random, recorder }) : new PlainModules(random, recorder)
--- a/packages/almondrelay/src/process/daemon/metrics.ts
+++ b/packages/almondrelay/src/process/daemon/metrics.ts
@@ -30,6 +30,14 @@
     this.client?.gauge('requests.running', running, { service })
   }
 
+  observeTargetConnection (target: string): void {
+    this.client?.increment('target.connections', 1, { target })
+  }
+
+  observeUnprovedAnswer (target: string, identity: string): void {
+    this.client?.increment('target.answers.unproved', 1, { target, identity })
+  }
+
   close (): Promise<void> {
     const { client } = this
     if (client === undefined) return Promise.resolve()
--- a/packages/almondrelay/src/request/contract/headerName.ts
+++ b/packages/almondrelay/src/request/contract/headerName.ts
@@ -13,5 +13,7 @@
   retryAfter: 'retry-after',
   retryAfterMs: 'almondrelay-retry-after-ms',
   /** States that the target did not run the request. */
-  notRun: 'almondrelay-not-run'
+  notRun: 'almondrelay-not-run',
+  /** Names one sending of a request to a target, which echoes it in the answer. */
+  sendId: 'almondrelay-send-id'
 } as const
