Run targets that repeat their answers against real processes

Cause: the tests of a connection don't show what callers of hosts, peers and the retries make of a target that answers twice.

Change: a process scenario in which every target sends its last answer on a connection again when the next request arrives there.

--- a/packages/almondrelay-faults/src/processes/__tests__/targetFaults.test.ts
+++ b/packages/almondrelay-faults/src/processes/__tests__/targetFaults.test.ts
@@ -18,6 +18,18 @@
   assert.equal(problems, [])
 })
 
+// Targets send the answer to a request once more when the next one has arrived.
+// No caller gets the answer to another request, and no order that ran is told that it did not.
+test('repeated answers: no caller gets another\'s answer, and nothing is falsely told not-run', async () => {
+  const { problems } = await runScenario({
+    during: async (cluster) => {
+      for (const target of cluster.targets) await target.setFaults({ repeatAnswer: true })
+      await sleepFor(2_500)
+    }
+  })
+  assert.equal(problems, [])
+})
+
 // A target says of itself that it is leaving. After three seconds no host may send it anything.
 test('leaving: a target that says so gets no new work after three seconds', async () => {
   let runsAfterThreeSeconds = -1
