Keep it known that an idempotent call may have run

Cause: a call that ends unknown at one home is sent again to another. If that one refuses it, its "not-run" replaced the answer before. Change: an idempotent call that may have run ends with its last unknown answer. Any other call keeps its home, whose last word is final, as before.

--- a/packages/almondrelay/src/caller/caller.ts
+++ b/packages/almondrelay/src/caller/caller.ts
@@ -23,6 +23,8 @@
   /** Hosts that could not be reached in this attempt. */
   failed: Set<string>
   last: Answer
+  /** Last answer after which the call may have run. */
+  lastUnknown: Answer | undefined
   signal: AbortSignal
 }
 
@@ -56,13 +58,14 @@
       home: undefined,
       failed: new Set(),
       last: buildRefusal({ outcome: Outcome.notRun, reason: RefusalReason.notReady, message: 'no entry host could be reached: check their addresses' }),
+      lastUnknown: undefined,
       signal: deadline.signal
     }
     try {
       while (!deadline.signal.aborted && clock.getNow() < deadlineAt) {
         if (await this.advance(state)) break
       }
-      return { ...state.last, id: state.id }
+      return { ...findFinalAnswer(state), id: state.id }
     } finally {
       deadline.clear()
     }
@@ -89,10 +92,15 @@
     }
     state.home = home
     if (result.kind === 'lost') return await this.handleLostConnection(state, host)
-    state.last = result.answer
+    this.setLast(state, result.answer)
     return await this.handleAnswer(state, result.answer)
   }
 
+  private setLast (state: CallState, answer: Answer): void {
+    state.last = answer
+    if (answer.outcome === Outcome.unknown) state.lastUnknown = answer
+  }
+
   private async handleAnswer (state: CallState, answer: Answer): Promise<boolean> {
     if (answer.outcome === Outcome.run || answer.retryAfterMs === undefined) return true
     const waitMs = answer.retryAfterMs + this.options.random() * MAX_RETRY_JITTER_MS
@@ -119,7 +127,7 @@
    * idempotent, until the deadline.
    */
   private async handleLostConnection (state: CallState, host: CallerHost): Promise<boolean> {
-    state.last = buildRefusal({ outcome: Outcome.unknown, reason: RefusalReason.answerLost, message: `the connection to host ${host.name} was lost: ask the service whether it ran` })
+    this.setLast(state, buildRefusal({ outcome: Outcome.unknown, reason: RefusalReason.answerLost, message: `the connection to host ${host.name} was lost: ask the service whether it ran` }))
     state.failed.add(host.name)
     if (state.call.idempotent) state.home = undefined
     await this.options.clock.sleep(RETRY_DELAY_MS, state.signal)
@@ -141,3 +149,11 @@
     }
   }
 }
+
+/**
+ * An idempotent call goes to several homes, and one that says `not-run` doesn't speak for those before it. The home of any other call
+ * knows of each attempt.
+ */
+function findFinalAnswer ({ call, last, lastUnknown }: CallState): Answer {
+  return call.idempotent && last.outcome === Outcome.notRun ? lastUnknown ?? last : last
+}
