Draw cut answers and repeated ids more often in the model of a connection

Change: plans draw a cut answer right before an awaited one, long bodies, cuts near the end, and ids that were sent one or two requests before. The checks are unchanged.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/exchangePlanArbitrary.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/exchangePlanArbitrary.ts
@@ -2,7 +2,7 @@
 import type { PlannedAnswer } from './plannedAnswer.js'
 import type { PlannedExchange } from './plannedExchange.js'
 
-const BODY_PARTS = ['', 'first', 'a longer part of a body, ', '\r\n', '\r\n\r\n', '\u0000\u00ff', '{own}', '{other}', '{next}', 'id: {next}\r\n', 'HTTP/1.1 200 OK\r\n']
+const BODY_PARTS = ['', 'first', 'a longer part of a body, ', 'x'.repeat(400), 'x'.repeat(900), '\r\n', '\r\n\r\n', '\u0000\u00ff', '{own}', '{other}', '{next}', 'id: {next}\r\n', 'HTTP/1.1 200 OK\r\n']
 const KEEP_ALIVE_MS = 10_000
 
 const body = fc.array(fc.constantFrom(...BODY_PARTS), { maxLength: 5 })
@@ -32,17 +32,20 @@
   closes: fc.constantFrom(false, false, false, false, true)
 }))
 
-/** Most cuts lie in the head, which is short. */
-const share = fc.oneof(fc.double({ min: 0, max: 1, noNaN: true }), fc.double({ min: 0.1, max: 0.5, noNaN: true }))
+/** Cuts lie in the head, which is short, or near the end, where the next answer fills what is missing. */
+const share = fc.oneof(fc.double({ min: 0.1, max: 0.5, noNaN: true }), fc.double({ min: 0.6, max: 1, noNaN: true }))
 
 /** An answer that a faulty target writes: a further one, a cut one, one with a wrong id or with none. */
 const faultyAnswer: fc.Arbitrary<PlannedAnswer> = fc.record({
   sound: soundAnswer,
-  back: fc.constantFrom(0, 1, 1, 1, 2),
+  back: fc.constantFrom(0, 1, 1, 1, 1, 2),
   label: fc.constantFrom<PlannedAnswer['label']>('own', 'own', 'own', 'own', 'none', 'unknown', 'letters', 'own-and-other', 'other-and-own'),
   share: fc.oneof(fc.constant(1), share)
 }).map(({ sound, ...faults }) => ({ ...sound, ...faults }))
 
+/** A repeated answer that was cut, and the first answer to the next request behind it. */
+const cutAndSound = fc.tuple(faultyAnswer.map((answer) => ({ ...answer, back: 1, label: 'own' as const })), soundAnswer)
+
 /** Plans for a target that answers each request once, in a lawful form. */
 const soundPlan: fc.Arbitrary<PlannedExchange[]> = fc.array(fc.record({
   method,
@@ -58,11 +61,15 @@
 /** Plans for a target that writes what it likes. */
 const faultyPlan: fc.Arbitrary<PlannedExchange[]> = fc.array(fc.record({
   method,
-  repeatedBack: fc.oneof({ weight: 6, arbitrary: fc.constant(undefined) }, { weight: 1, arbitrary: fc.integer({ min: 1, max: 12 }) }),
+  repeatedBack: fc.oneof({ weight: 6, arbitrary: fc.constant(undefined) }, { weight: 2, arbitrary: fc.constantFrom(1, 2) }),
   gapMs: fc.constantFrom(0, 0, 0, 5_000),
   idleAnswers: fc.oneof({ weight: 4, arbitrary: fc.constant<PlannedAnswer[]>([]) }, { weight: 1, arbitrary: fc.array(faultyAnswer, { maxLength: 2 }) }),
   idleEmptyLines: fc.constantFrom(0, 0, 1),
-  answers: fc.array(fc.oneof({ weight: 3, arbitrary: soundAnswer }, { weight: 2, arbitrary: faultyAnswer }), { maxLength: 4 }),
+  answers: fc.oneof(
+    { weight: 2, arbitrary: fc.array(fc.oneof({ weight: 3, arbitrary: soundAnswer }, { weight: 2, arbitrary: faultyAnswer }), { maxLength: 4 }) },
+    { weight: 1, arbitrary: cutAndSound },
+    { weight: 1, arbitrary: fc.tuple(soundAnswer) }
+  ),
   pieces,
   end: fc.constantFrom<PlannedExchange['end']>('open', 'open', 'open', 'open', 'closed', 'reset')
 }), { minLength: 1, maxLength: 5 })
