--- a/packages/almondrelay-gateway/src/connection/passedOverBody.ts
+++ b/packages/almondrelay-gateway/src/connection/passedOverBody.ts
@@ -1,4 +1,4 @@
-import { findStatusLine } from './findStatusLine.js'
+import { hasStatusLine } from './hasStatusLine.js'
 import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
@@ -23,7 +23,7 @@
     this.length += bytes.length
     if (this.length > MAX_ANSWER_BYTES) throw new UnsoundAnswer(UnsoundReason.tooLong, `a repeated answer has more than ${MAX_ANSWER_BYTES} bytes`)
     const searched = Buffer.concat([this.tail, bytes])
-    if (findStatusLine(searched) !== undefined) throw new UnsoundAnswer(UnsoundReason.repeated, 'it lies within a repeated answer that was cut')
+    if (hasStatusLine(searched)) throw new UnsoundAnswer(UnsoundReason.repeated, 'it lies within a repeated answer that was cut')
     this.tail = searched.subarray(Math.max(0, searched.length - TAIL_BYTES))
   }
 }
