Bound what callers that send ahead and don't read take from a host

Callers saw: a host that ended, with all their requests, or that took their connections and answered nothing. 400 connections that send 100 KB of requests each and read no answer were enough, at any path: without a route, without a Host header, at a route, in chunks, with long or many header lines.

Cause: a connection was paused at 64 waiting requests, but Node's parser can't be paused within a read of up to 64 KB, which holds 3,600 of the shortest requests of some 10 KB each; the bound held for a connection and not for all of them; unfinished heads were counted by nobody; nothing bounded connections but the process's descriptors; and one caller's requests all went before the next caller's.

Change: ClientGuard gets the bytes of each connection before Node's parser and passes them on in pieces of 2 KB, in turn with the other connections and 4 ms at a time. It counts an estimate of what each request takes until its answer has been sent, and of unfinished heads. From half of the port's memory on, a connection is read only while none of its requests wait; beyond all of it the client that holds most is closed. Beyond the limit of connections those that were never answered go first. TurnQueue runs one request of each connection in turn, and drops those of closed connections.

--- a/packages/almondrelay-gateway/src/connection/__fixtures__/heldServer.ts
+++ b/packages/almondrelay-gateway/src/connection/__fixtures__/heldServer.ts
@@ -1,3 +1,4 @@
+import { makeTestGuard } from 'almondrelay/testing'
 import { connect, type Socket } from 'node:net'
 import { MessageMemory } from '../messageMemory.js'
 import type { CallerAnswer } from '../callerAnswer.js'
@@ -28,7 +29,7 @@
       this.paths.push(message.url ?? '')
       left.addEventListener('abort', () => { this.abortedPaths.push(message.url ?? '') })
       this.finishers.set(message.url ?? '', resolve)
-    }), { turns: new TurnQueue(() => performance.now()), memory: this.memory, logError: (error) => { this.errors.push(error) }, reportReadFailure: (report) => { this.readFailures.push(report) } })
+    }), { guard: makeTestGuard(), turns: new TurnQueue(() => performance.now()), memory: this.memory, logError: (error) => { this.errors.push(error) }, reportReadFailure: (report) => { this.readFailures.push(report) } })
   }
 
   /** Starts a server and connects a caller; both end when the signal aborts. */
--- a/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
@@ -16,7 +16,7 @@
       this.queue.push((queuedAt) => {
         this.now += 1
         this.done.push(queuedAt)
-      }, false)
+      }, {}, false)
     }
   }
 
@@ -79,7 +79,7 @@
 // be read, the disconnection one turn after the request.
 test('the first request of a connection waits one additional turn', async () => {
   const counted = new CountedQueue(0)
-  counted.queue.push(() => { counted.done.push(1) }, true)
+  counted.queue.push(() => { counted.done.push(1) }, {}, true)
   await waitTurn()
   assert.equal(counted.done, [])
   await waitTurn()
--- a/packages/almondrelay-gateway/src/connection/callerConnection.ts
+++ b/packages/almondrelay-gateway/src/connection/callerConnection.ts
@@ -9,8 +9,6 @@
 import type { ReadFailureReport } from './readFailureReport.js'
 import { READ_TIMEOUT_MS } from './readTimeoutMs.js'
 
-/** Requests of one connection that are handled at the same time; further ones are read once earlier ones have been answered. */
-const MAX_WAITING = 64
 /** Size of an answer body, in bytes, from which the caller must read it within a limited time: smaller ones fit into the kernel's buffer. */
 const MIN_TIMED_BYTES = 16 * 1024
 /**
@@ -103,7 +101,6 @@
     const exchange = { message, response, callerLeft: new AbortController(), held: new HeldBytes(this.parts.memory), answer: undefined, isWritten: false }
     this.exchanges.push(exchange)
     this.last = exchange
-    if (this.exchanges.length >= MAX_WAITING) this.socket.pause()
     response.once('finish', () => { this.finish(exchange) })
     return exchange
   }
@@ -206,7 +203,6 @@
     this.exchanges.splice(index, 1)
     exchange.held.release()
     this.bytesReadAtLastAnswer = this.socket.bytesRead
-    if (this.exchanges.length === MAX_WAITING - 1) this.socket.resume()
     this.startLateTimer()
     this.closeUnreadable()
     this.closeUnused()
--- a/packages/almondrelay-gateway/src/connection/callerServer.ts
+++ b/packages/almondrelay-gateway/src/connection/callerServer.ts
@@ -1,5 +1,6 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as NetServer, type Socket } from 'node:net'
+import { createClientServer, type ClientGuardParts } from 'almondrelay'
 import type { RequestLimits } from '../version/requestLimits.js'
 import type { CallerAnswer } from './callerAnswer.js'
 import { CallerConnection } from './callerConnection.js'
@@ -25,6 +26,7 @@
 type HandleRequest = (message: IncomingMessage, callerLeft: AbortSignal, arrivedAt: number) => Promise<CallerAnswer | undefined>
 
 interface ServerParts {
+  guard: ClientGuardParts
   turns: TurnQueue
   memory: MessageMemory
   logError: (error: Error) => void
@@ -41,8 +43,7 @@
   private readonly connections = new Map<Socket, CallerConnection>()
 
   constructor (private readonly handleRequest: HandleRequest, private readonly parts: ServerParts) {
-    // A missing Host header is answered by the handler of requests, in the turn of its request.
-    this.server = createServer({ connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true, requireHostHeader: false })
+    this.server = createClientServer(parts.guard, { connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true })
     this.server.on('connection', (socket: Socket) => {
       parts.turns.observeAccept()
       this.addConnection(socket)
@@ -122,11 +123,17 @@
         this.parts.logError(error)
         return INTERNAL_ERROR
       }).then((answer) => { connection.answer(exchange, answer) }, this.parts.logError)
-    }, isFirst)
+    }, connection, isFirst)
   }
 
   private addConnection (socket: Socket): void {
-    const connection = new CallerConnection(socket, { ...this.parts, handleClose: () => { this.connections.delete(socket) } })
+    const connection: CallerConnection = new CallerConnection(socket, {
+      ...this.parts,
+      handleClose: () => {
+        this.connections.delete(socket)
+        this.parts.turns.drop(connection)
+      }
+    })
     this.connections.set(socket, connection)
     if (this.isLeaving) connection.leave()
   }
--- a/packages/almondrelay-gateway/src/connection/turnQueue.ts
+++ b/packages/almondrelay-gateway/src/connection/turnQueue.ts
@@ -11,8 +11,11 @@
 const ACCEPTING_SLICE_MS = 1
 
 interface QueuedRequest {
+  /** Monotonic milliseconds at which the request was read. */
+  readAt: number
+  /** Monotonic milliseconds since which the request is the next one of its owner. */
   queuedAt: number
-  run: (queuedAt: number) => void
+  run: (readAt: number) => void
 }
 
 /**
@@ -20,9 +23,14 @@
  *
  * When many requests are ready at once, as after a restart of all hosts, the other work of the loop (accepting connections, noticing
  * that callers disconnected, timers) runs between the slices instead of after all requests.
+ *
+ * Owners take turns: a caller that sends many requests ahead delays its own requests, and not those of others.
  */
 export class TurnQueue {
+  /** The next request of each owner. */
   private readonly waiting: QueuedRequest[] = []
+  /** Further requests of the owners that have one in `waiting`. */
+  private readonly backlogs = new Map<object, QueuedRequest[]>()
   private turn = 0
   private turnStartedAt = 0
   private hasAcceptedInTurn = false
@@ -40,13 +48,26 @@
    * request is read; without the delay the request would be sent to a target although nobody waits for the answer.
    *
    * @param run called with the time at which the request was queued, in monotonic milliseconds
+   * @param owner whose requests are run in their order, one in each turn of all owners
    */
-  push (run: (queuedAt: number) => void, isFirst: boolean): void {
-    this.waiting.push({ queuedAt: this.getNow(), run })
+  push (run: (readAt: number) => void, owner: object, isFirst: boolean): void {
+    const now = this.getNow()
+    const request = { readAt: now, queuedAt: now, run }
+    const backlog = this.backlogs.get(owner)
+    if (backlog !== undefined) {
+      backlog.push(request)
+      return
+    }
+    this.addNext(request, owner)
     if (isFirst) setImmediate(() => { this.schedule() })
     else this.schedule()
   }
 
+  /** Drops the requests of an owner, except for one that may be the next to run. */
+  drop (owner: object): void {
+    this.backlogs.delete(owner)
+  }
+
   /** Records that a connection was accepted: more may be waiting. */
   observeAccept (): void {
     this.hasAcceptedInTurn = true
@@ -86,6 +107,29 @@
     setImmediate(() => { this.checkAccepting() })
   }
 
+  private addNext (request: QueuedRequest, owner: object): void {
+    const { run } = request
+    this.backlogs.set(owner, this.backlogs.get(owner) ?? [])
+    this.waiting.push({
+      ...request,
+      run: (readAt) => {
+        this.addNextOf(owner)
+        run(readAt)
+      }
+    })
+  }
+
+  /** Queues the next request of an owner whose turn it was. */
+  private addNextOf (owner: object): void {
+    const next = this.backlogs.get(owner)?.shift()
+    if (next === undefined) {
+      this.backlogs.delete(owner)
+      return
+    }
+    this.addNext({ ...next, queuedAt: this.getNow() }, owner)
+    this.schedule()
+  }
+
   // One immediate per request, so that Node runs the pending microtasks of a request before the next one.
   private schedule (): void {
     const { turn } = this
@@ -105,6 +149,6 @@
       return
     }
     const next = this.waiting.shift()
-    next?.run(next.queuedAt)
+    next?.run(next.readAt)
   }
 }
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events'
 import { createServer } from 'node:http'
-import { openServer, sleepFor, splitAddress, SystemClock } from 'almondrelay'
+import { openServer, sleepFor, splitAddress, SystemClock, type ClientGuardParts } from 'almondrelay'
 import type Logger from 'bunyan'
 import { CallerServer } from '../connection/callerServer.js'
 import type { ConnectFailure } from '../connection/connectFailure.js'
@@ -39,7 +39,9 @@
 import { createQuarantine } from './quarantine/createQuarantine.js'
 import type { Quarantine } from './quarantine/quarantine.js'
 import type { SuspectExchange } from './quarantine/suspectExchange.js'
+import { computeClientLimits } from './settings/computeClientLimits.js'
 import type { GatewaySettings } from './settings/gatewaySettings.js'
+import { PortName } from './settings/portName.js'
 import { StoreKeyValues } from './store/storeKeyValues.js'
 import type { StoreHealth } from './store/storeHealth.js'
 
@@ -135,7 +137,7 @@
     const values = new StoreKeyValues(adapter.store, adapter.fleet.productPrefix)
     this.account = new AccountRecorder({ own: this.own, values, clock, log, random })
     this.operatorService = new LazyOperatorService({ own: this.own, availabilityZones: settings.availabilityZones, fleet: this.fleet, view: this.view, forward: this.forward, quarantine: this.quarantine, values, clock, logger: parts.logger, random, isLeaving }, this.abortController.signal)
-    this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), { turns: this.turns, memory: this.memory, logError, reportReadFailure: (report) => { this.reportReadFailure(report) } })
+    this.callers = new CallerServer((message, left, arrivedAt) => this.requestHandler.handle(message, left, arrivedAt), { guard: this.makeGuard(PortName.callers), turns: this.turns, memory: this.memory, logError, reportReadFailure: (report) => { this.reportReadFailure(report) } })
     this.plannedStop = new PlannedStop({ callers: this.callers, countCarried: () => this.carrierServer.countUnanswered(), graceMs: settings.bounds.stopGrace, getNow })
     this.requestHandler = new RequestHandler({ plannedStop: this.plannedStop, startedAt: getNow(), staleAfterMs: settings.bounds.configurationInForce, account: this.account, allowances: this.allowances, quarantine: this.quarantine, shares, shareMetrics, load: this.load, memory: this.memory, bodies: this.bodies, callerCodec: adapter.callers, targetCodec: adapter.targets, forward: this.forward, log, metrics, getNow, random })
     this.carrierServer = new CarrierServer({ own: this.own, fleet: this.fleet, view: this.view, load: this.load, memory: this.memory, bodies: this.bodies, log, metrics, quarantine, announcements, codec: adapter.targets, pools: this.forward.pools, prober: this.forward.prober, roundTripTimes: this.forward.roundTripTimes, links: this.forward.links, isClosed: (target) => this.forward.isClosed(target), getNow, isLeaving, logError })
@@ -234,6 +236,19 @@
       : { status: 404, type: 'text/plain', body: '' }, logError)
   }
 
+  private makeGuard (port: PortName): ClientGuardParts {
+    const { settings, log, metrics, getNow } = this.parts
+    return {
+      port,
+      limits: computeClientLimits(port, settings.limits),
+      reportClosure: (closure) => {
+        metrics.countClosedClient(port, closure.reason)
+        log.record('connection of a client closed', closure)
+      },
+      getNow
+    }
+  }
+
   private renderMetrics (): Promise<string> {
     const { metrics } = this.parts
     const running = [...this.fleet.listAllTargets()].reduce((sum, { inFlight }) => sum + inFlight, 0)
--- a/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
+++ b/packages/almondrelay-gateway/src/process/observe/gatewayMetrics.ts
@@ -25,6 +25,7 @@
   private readonly answers = new Counter({ name: 'almondrelay_answers_total', help: 'Answers to callers', labelNames: ['service', 'outcome'], registers: [this.registry] })
   private readonly latency = new Histogram({ name: 'almondrelay_answer_seconds', help: 'Time from a request to its answer', labelNames: ['service'], buckets: LATENCY_BUCKETS, registers: [this.registry] })
   private readonly readFailures = new Counter({ name: 'almondrelay_unreadable_requests_total', help: 'Requests on connections of callers that could not be read', labelNames: ['failure'], registers: [this.registry] })
+  private readonly closedClients = new Counter({ name: 'almondrelay_closed_clients_total', help: 'Connections of clients that exceeded a limit of their port, by port and limit', labelNames: ['port', 'reason'], registers: [this.registry] })
   private readonly organisations = new Counter({ name: 'almondrelay_organisation_answers_total', help: 'Answers to the callers of each organisation', labelNames: ['organisation', 'outcome'], registers: [this.registry] })
   private readonly labelledOrganisations = new Set<string>()
   private readonly connections = new Counter({ name: 'almondrelay_target_connections_total', help: 'Connections opened to targets, by cause', labelNames: ['region', 'cause'], registers: [this.registry] })
@@ -78,6 +79,14 @@
     this.readFailures.inc({ failure })
   }
 
+  /**
+   * @param port a `PortName`
+   * @param reason a `ClientCloseReason`
+   */
+  countClosedClient (port: string, reason: string): void {
+    this.closedClients.inc({ port, reason })
+  }
+
   /** Adds the metrics of fair shares, which exist only where they are held. */
   createShareMetrics (): ShareMetrics {
     return new ShareMetrics(this.registry)
--- a/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
+++ b/packages/almondrelay-gateway/src/process/settings/gatewaySettings.ts
@@ -13,6 +13,7 @@
 
 /** Used when the settings state no limit. */
 const DEFAULT_MEMORY_MB = 256
+const DEFAULT_MAX_DESCRIPTORS = 4_096
 
 /** Settings of a host. Unknown names are ignored, because the platform may add some. Durations are parsed into milliseconds. */
 const GatewaySettings = z.object({
@@ -41,8 +42,10 @@
   }),
   limits: z.object({
     /** Memory of the process in MB, above which the platform kills it. */
-    memoryMb: z.number().positive()
-  }).default({ memoryMb: DEFAULT_MEMORY_MB }),
+    memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB),
+    /** Descriptors that the process may open. */
+    maxDescriptors: z.int().positive().default(DEFAULT_MAX_DESCRIPTORS)
+  }).default({ memoryMb: DEFAULT_MEMORY_MB, maxDescriptors: DEFAULT_MAX_DESCRIPTORS }),
   bounds: z.object({
     /** Time from the stop signal until the process is killed. */
     stopGrace: duration,
--- /dev/null
+++ b/packages/almondrelay/src/connection/clients/clientLimits.ts
@@ -0,0 +1,7 @@
+/** What the clients of one port may hold together. */
+export interface ClientLimits {
+  /** Connections that are open at the same time. */
+  maxConnections: number
+  /** Bytes of memory for requests that have been read and not answered, and for requests that have been read in part. */
+  maxHeldBytes: number
+}
--- a/packages/almondrelay/src/connection/index.ts
+++ b/packages/almondrelay/src/connection/index.ts
@@ -1,4 +1,5 @@
 export * from './caller/createCallerApp.js'
+export * from './clients/index.js'
 export * from './exchange/index.js'
 export * from './limits/index.js'
 export * from './listenForHttp.js'
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -1,5 +1,5 @@
 // Runs every compiled test file in a process of its own, several in parallel, and prints "N passed, N failed"
-// as the last line. A file that KNOWN-RED.txt lists may fail without failing the run; its output is printed.
+// as the last line. Files named *.alone.test.ts run one at a time, after all others. A file that KNOWN-RED.txt lists may fail without failing the run; its output is printed.
 import { spawn } from 'node:child_process'
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { cpus } from 'node:os'
@@ -8,6 +8,7 @@
 const CONCURRENCY = Math.max(1, Math.min(6, Math.floor(cpus().length / 2)))
 const FILE_TIMEOUT_MS = 300_000
 const TEST_FILE = /__tests__[/\\].*\.test\.js$/
+const ALONE_FILE = /\.alone\.test\.js$/
 const COUNTS = /Total:\s+(\d+)[\s\S]*?Passed:\s+(\d+)/
 
 function listTestFiles (folder) {
@@ -40,6 +41,12 @@
 }
 
 async function runAll (files) {
+  const alone = files.filter((file) => ALONE_FILE.test(file))
+  const results = await runFiles(files.filter((file) => !ALONE_FILE.test(file)), CONCURRENCY)
+  return [...results, ...await runFiles(alone, 1)]
+}
+
+async function runFiles (files, concurrency) {
   const waiting = [...files]
   const results = []
   const runNext = async () => {
@@ -49,7 +56,7 @@
       console.log(`${result.failed === 0 ? 'ok  ' : 'FAIL'} ${path.relative('.', file)} (${result.passed} passed)`)
     }
   }
-  await Promise.all(Array.from({ length: CONCURRENCY }, runNext))
+  await Promise.all(Array.from({ length: concurrency }, runNext))
   return results
 }
 
