Bound the clients of the ports for readiness, look-ups and metrics

Callers saw: a host that didn't answer them for seconds, or ended, while clients sent ahead at ports that callers don't use.

Cause: these ports were opened with Node's defaults, which bound neither connections nor requests sent ahead. All requests of a read were answered at once, at the metrics with a page of some 100 KB each.

Change: they are created by createClientServer, with shares of memory and descriptors of their own, and answer the requests of a connection one after the other.

--- a/packages/almondrelay-gateway/src/connection/__tests__/listenForGet.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/listenForGet.test.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { makeTestGuard } from 'almondrelay/testing'
 import { listenForGet } from '../listenForGet.js'
 import type { PlainAnswer } from '../plainAnswer.js'
 
@@ -26,7 +27,7 @@
 test.before.each(async () => {
   seen = []
   errors = []
-  server = await listenForGet('127.0.0.1', 0, answerGet, (error) => { errors.push(error) })
+  server = await listenForGet('127.0.0.1', 0, makeTestGuard(), answerGet, (error) => { errors.push(error) })
 })
 test.after.each(() => { server.close() })
 
--- a/packages/almondrelay-gateway/src/connection/listenForGet.ts
+++ b/packages/almondrelay-gateway/src/connection/listenForGet.ts
@@ -1,4 +1,5 @@
-import { createServer, type IncomingMessage, type Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
+import { createClientServer, type ClientGuardParts } from 'almondrelay'
 import { parseRequestTarget } from './parseRequestTarget.js'
 import type { PlainAnswer } from './plainAnswer.js'
 
@@ -8,8 +9,8 @@
 const FAILED: PlainAnswer = { status: 500, type: 'text/plain', body: '' }
 
 /** Starts an HTTP server for GET requests: readiness, look-ups and metrics. */
-export function listenForGet (ip: string, port: number, answerGet: AnswerGet, logError: (error: Error) => void): Promise<Server> {
-  const server = createServer((message, response) => {
+export function listenForGet (ip: string, port: number, guard: ClientGuardParts, answerGet: AnswerGet, logError: (error: Error) => void): Promise<Server> {
+  const server = createClientServer(guard, {}, (message, response) => {
     message.resume()
     answerMessage(message, answerGet).catch((error: Error) => {
       logError(error)
--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -227,11 +227,11 @@
     await this.callers.listen(callers.host, callers.port)
     await this.carrierServer.listen(this.own.ip, this.own.peerPort, signal)
     await this.socket.listen(this.own.ip, this.own.peerPort, (bytes, ip) => { this.handleDatagram(bytes, ip) }, signal)
-    await listenForGet(readiness.host, readiness.port, (path) => this.lookups.answerReadiness(path), logError)
-    await listenForGet(lookups.host, lookups.port, (path, query) => this.lookups.answerLookup(path, query), logError)
+    await listenForGet(readiness.host, readiness.port, this.makeGuard(PortName.readiness), (path) => this.lookups.answerReadiness(path), logError)
+    await listenForGet(lookups.host, lookups.port, this.makeGuard(PortName.lookups), (path, query) => this.lookups.answerLookup(path, query), logError)
     const operators = createServer((request, response) => { this.operatorService.answer(request, response) })
     await openServer(operators, `${this.own.ip}:${settings.peerPorts[1]}`)
-    await listenForGet(settings.host.ip, settings.metrics.port, async (path) => path === settings.metrics.path
+    await listenForGet(settings.host.ip, settings.metrics.port, this.makeGuard(PortName.metrics), async (path) => path === settings.metrics.path
       ? { status: 200, type: 'text/plain', body: await this.renderMetrics() }
       : { status: 404, type: 'text/plain', body: '' }, logError)
   }
