Bound the clients of the operators' port

Callers saw: a host that ended while clients sent ahead at the port for operators.

Cause: the port was opened with Node's defaults; each request became objects of the API's library at once, and bodies that nobody read to their end took up to 261 MB.

Change: it is created by createClientServer, like the other ports.

--- a/packages/almondrelay-gateway/src/process/gateway.ts
+++ b/packages/almondrelay-gateway/src/process/gateway.ts
@@ -1,6 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { createServer } from 'node:http'
-import { openServer, sleepFor, splitAddress, SystemClock, type ClientGuardParts } from 'almondrelay'
+import { createClientServer, openServer, sleepFor, splitAddress, SystemClock, type ClientGuardParts } from 'almondrelay'
 import type Logger from 'bunyan'
 import { CallerServer } from '../connection/callerServer.js'
 import type { ConnectFailure } from '../connection/connectFailure.js'
@@ -229,7 +228,7 @@
     await this.socket.listen(this.own.ip, this.own.peerPort, (bytes, ip) => { this.handleDatagram(bytes, ip) }, signal)
     await listenForGet(readiness.host, readiness.port, this.makeGuard(PortName.readiness), (path) => this.lookups.answerReadiness(path), logError)
     await listenForGet(lookups.host, lookups.port, this.makeGuard(PortName.lookups), (path, query) => this.lookups.answerLookup(path, query), logError)
-    const operators = createServer((request, response) => { this.operatorService.answer(request, response) })
+    const operators = createClientServer(this.makeGuard(PortName.operators), {}, (request, response) => { this.operatorService.answer(request, response) })
     await openServer(operators, `${this.own.ip}:${settings.peerPorts[1]}`)
     await listenForGet(settings.host.ip, settings.metrics.port, this.makeGuard(PortName.metrics), async (path) => path === settings.metrics.path
       ? { status: 200, type: 'text/plain', body: await this.renderMetrics() }
