Bound the clients of the port for other hosts' calls

Callers saw: a host that didn't answer them while clients sent ahead at the port for other hosts.

Cause: the port bounded connections at 512, whatever the process's descriptors, and neither requests sent ahead nor their sum.

--- a/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__fixtures__/carrierRig.ts
@@ -1,6 +1,7 @@
 import bunyan from 'bunyan'
 import type { AddressInfo } from 'node:net'
 import { createServer } from 'node:net'
+import { makeTestGuard } from 'almondrelay/testing'
 import { makeRequest } from '../../../connection/__fixtures__/makeRequest.js'
 import { PlainTargetCodec } from '../../../connection/__fixtures__/plainTargetCodec.js'
 import { MessageMemory } from '../../../connection/messageMemory.js'
@@ -68,6 +69,7 @@
     this.client = new CarrierClient({ own: this.origin, view: new PeerView(this.origin, originFleet), codec: this.codec, memory: this.originMemory, bodies: this.originBodies, roundTripTimes, metrics: this.metrics, log: this.log, handleSilence: () => { this.silences += 1 }, getNow, random: () => 0.5 })
     const pools = new TargetPools({ codec: this.codec, getNow, memory: this.memory, observeUnsound: () => undefined }, roundTripTimes, { countOpened: () => undefined, observeConnect: () => undefined, observeFailure: () => undefined, observeStray: () => undefined })
     this.server = new CarrierServer({
+      guard: makeTestGuard(),
       own: carrier,
       fleet: this.carrierFleet,
       view: new PeerView(carrier, this.carrierFleet),
--- a/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/carrierServer.ts
@@ -1,7 +1,7 @@
 import { create, toBinary, type MessageShape } from '@bufbuild/protobuf'
 import { CarrierService, CarryRequestSchema, CarryResponseSchema, CheckTargetRequestSchema, CheckTargetResponseSchema, type CarryRequest, type CarryResponse, type CheckTargetRequest, type CheckTargetResponse } from 'almondrelay-protocol'
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import { openServer } from 'almondrelay'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createClientServer, openServer, type ClientGuardParts } from 'almondrelay'
 import type { BodyReadResult } from '../../connection/bodyReadResult.js'
 import { holdUntilRead } from '../../connection/holdUntilRead.js'
 import type { MessageMemory } from '../../connection/messageMemory.js'
@@ -24,8 +24,6 @@
 
 /** Maximum attempts that this host carries at the same time. */
 const MAX_CARRIED = 256
-/** Maximum connections of other hosts; each carries one attempt at a time. */
-const MAX_CONNECTIONS = 512
 /** Milliseconds for which an idle connection of another host is kept; it closes its end a second before. */
 const IDLE_TIMEOUT_MS = 3_000
 /** Milliseconds within which a whole call must arrive. */
@@ -36,6 +34,7 @@
 const DEFAULT_MAX_BYTES = 1_048_576
 
 interface ServerParts extends CarriedParts {
+  guard: ClientGuardParts
   own: HostEntry
   fleet: FleetState
   view: PeerView
@@ -59,16 +58,16 @@
 /** Serves the calls of hosts that have lost their links to targets: sends attempts of theirs over this host's connections. */
 export class CarrierServer {
   private carried = 0
-  private readonly server = createServer({ requestTimeout: CALL_TIMEOUT_MS, noDelay: true }, (message, response) => {
-    this.serve(message, response).catch((error: Error) => {
-      this.parts.logError(error)
-      response.destroy()
-    })
-  })
+  private readonly server: Server
 
   constructor (private readonly parts: ServerParts) {
+    this.server = createClientServer(parts.guard, { requestTimeout: CALL_TIMEOUT_MS, noDelay: true }, (message, response) => {
+      this.serve(message, response).catch((error: Error) => {
+        this.parts.logError(error)
+        response.destroy()
+      })
+    })
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MS
-    this.server.maxConnections = MAX_CONNECTIONS
     // The other host takes any status for a refusal, and one that Node writes by itself says nothing of calls that are running.
     this.server.on('clientError', (_, socket) => { socket.destroy() })
   }
