Pass on all header lines of a request

Callers saw: a request within the limits whose target got it without some of its header lines, or that was refused with 400 as one without an id.

Cause: Node's server leaves out all header lines beyond a thousand, in silence; heads are bounded in bytes, and 16 KB hold four thousand.

Change: the limit on lines is off for all ports; heads count what their lines take (ClientGuard).

--- a/packages/almondrelay/src/connection/clients/clientGuard.ts
+++ b/packages/almondrelay/src/connection/clients/clientGuard.ts
@@ -30,6 +30,8 @@
   private readonly queue = new FeedQueue()
 
   constructor (server: Server, private readonly parts: ClientGuardParts) {
+    // Without it Node leaves out all header lines beyond a thousand; heads are bounded in bytes.
+    server.maxHeadersCount = 0
     server.on('connection', (socket: Socket) => { this.addConnection(socket) })
     server.prependListener('request', (message: IncomingMessage, response: ServerResponse) => { this.observeRequest(message, response) })
     server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
