Bound the clients of the own interface's HTTP ports

Callers saw: a daemon that ended, or answered nobody, while clients sent ahead, sent heads of many lines, or sent bodies in chunks without an end.

Cause: the ports of callers and operators were opened with Node's defaults, which bound neither connections, requests sent ahead nor unread answers; a body in chunks was read whole before its length was compared with the limit.

Bodies count toward the port's memory there, as nothing else bounds their sum. New settings limits.memoryMb and limits.maxDescriptors, metric clients.closed.

--- a/packages/almondrelay/src/connection/clients/clientConnection.ts
+++ b/packages/almondrelay/src/connection/clients/clientConnection.ts
@@ -14,6 +14,8 @@
 type ReadSocket = (bytes: Buffer) => void
 
 interface ClientConnectionParts {
+  /** Whether bodies of requests count. */
+  includesBodies: boolean
   queue: FeedQueue
   /** Adds to the bytes that all clients of the port hold. */
   charge: (bytes: number) => void
@@ -35,6 +37,7 @@
   private readonly requests = new Map<ServerResponse, number>()
   private readCount = 0
   private last: IncomingMessage | undefined
+  private lastResponse: ServerResponse | undefined
   /** Received bytes that the parser has not got. */
   private rest: Buffer | undefined
   /** Whether this object has paused the socket; Node and readers of bodies pause and resume it too. */
@@ -70,6 +73,7 @@
   observeRequest (message: IncomingMessage, response: ServerResponse): void {
     this.readCount += 1
     this.last = message
+    this.lastResponse = response
     this.setHeadBytes(0)
     if (this.isClosed) return
     const bytes = estimateRequestBytes(message.url ?? '', message.rawHeaders)
@@ -101,12 +105,12 @@
   private passOn (bytes: Buffer): void {
     const { socket, parts } = this
     for (let offset = 0; offset < bytes.length; offset += PIECE_BYTES) {
-      const { readCount } = this
+      const { readCount, isReadingBody } = this
       const piece = bytes.length <= PIECE_BYTES ? bytes : bytes.subarray(offset, offset + PIECE_BYTES)
       this.passToParser(piece)
       if (socket.destroyed || this.isClosed) return
       const hasReadRequest = this.readCount > readCount
-      if (!hasReadRequest && this.last?.complete !== false) this.setHeadBytes(this.headBytes + piece.length * HEAD_FACTOR)
+      if (!hasReadRequest) this.count(piece.length, isReadingBody)
       const rest = bytes.subarray(offset + PIECE_BYTES)
       const mustYield = hasReadRequest && rest.length > 0
       if (socket.isPaused()) {
@@ -120,6 +124,24 @@
     }
   }
 
+  private get isReadingBody (): boolean {
+    return this.last?.complete === false
+  }
+
+  /** Counts bytes with which no head ended. */
+  private count (bytes: number, isBody: boolean): void {
+    if (!isBody) this.setHeadBytes(this.headBytes + bytes * HEAD_FACTOR)
+    else if (this.parts.includesBodies) this.countBody(bytes)
+  }
+
+  private countBody (bytes: number): void {
+    const { lastResponse } = this
+    const before = lastResponse === undefined ? undefined : this.requests.get(lastResponse)
+    if (lastResponse === undefined || before === undefined) return
+    this.requests.set(lastResponse, before + bytes)
+    this.charge(bytes)
+  }
+
   /** Stops reading until it is this connection's turn and its requests may be read. */
   private holdBack (rest: Buffer): void {
     this.setRest(rest)
--- a/packages/almondrelay/src/connection/clients/clientGuard.ts
+++ b/packages/almondrelay/src/connection/clients/clientGuard.ts
@@ -56,6 +56,7 @@
 
   private addConnection (socket: Socket): void {
     const connection = new ClientConnection(socket, {
+      includesBodies: this.parts.limits.includesBodies,
       queue: this.queue,
       charge: (bytes) => { this.charge(bytes) },
       allowRead: (waiting) => waiting === 0 || (waiting < MAX_WAITING && this.held < this.parts.limits.maxHeldBytes * FILLING_SHARE),
--- a/packages/almondrelay/src/connection/clients/clientLimits.ts
+++ b/packages/almondrelay/src/connection/clients/clientLimits.ts
@@ -4,4 +4,6 @@
   maxConnections: number
   /** Bytes of memory for requests that have been read and not answered, and for requests that have been read in part. */
   maxHeldBytes: number
+  /** Whether bodies of requests count too. Otherwise the code that reads them counts them. */
+  includesBodies: boolean
 }
--- a/packages/almondrelay/src/process/daemon/metrics.ts
+++ b/packages/almondrelay/src/process/daemon/metrics.ts
@@ -38,6 +38,10 @@
     this.client?.increment('target.answers.unproved', 1, { target, identity })
   }
 
+  observeClosedClient (port: string, reason: string): void {
+    this.client?.increment('clients.closed', 1, { port, reason })
+  }
+
   close (): Promise<void> {
     const { client } = this
     if (client === undefined) return Promise.resolve()
--- a/packages/almondrelay/src/process/runDaemon.ts
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -12,6 +12,8 @@
 import { buildHost } from './daemon/buildHost.js'
 import type { Host } from './daemon/host.js'
 import { closeHost } from './daemon/closeHost.js'
+import { ListenPort } from './daemon/listenPort.js'
+import { makeGuard } from './daemon/makeGuard.js'
 import { releaseZone } from './daemon/releaseZone.js'
 import { runTasks } from './daemon/runTasks.js'
 import { stopHost } from './daemon/stopHost.js'
@@ -53,7 +55,7 @@
     exchange: (request) => handleExchange(request, host.hub),
     fetchChanges: (request) => handleFetchChanges(request, host.hub)
   }, signal)
-  const operator = await listenForHttp(settings.listen.operator, createOperatorApp(host.operatorOptions, signal))
+  const operator = await listenForHttp(settings.listen.operator, createOperatorApp(host.operatorOptions, signal), makeGuard(ListenPort.operator, host))
   const caller = await listenForHttp(settings.listen.caller, createCallerApp({
     host: settings.host.name,
     services: host.services,
@@ -61,7 +63,7 @@
     lookups: host.lookups,
     recorder: host.answers,
     maxDeadlineMs: settings.requests.maxDeadlineMs
-  }))
+  }), makeGuard(ListenPort.caller, host))
   return [caller, operator]
 }
 
--- a/packages/almondrelay/src/process/settings/hostSettings.ts
+++ b/packages/almondrelay/src/process/settings/hostSettings.ts
@@ -45,6 +45,12 @@
      */
     maxDeadlineMs: Milliseconds.default(10_000)
   }).prefault({}),
+  limits: z.strictObject({
+    /** Memory that the process may take, in MB: clients of its ports may hold shares of it. */
+    memoryMb: z.number().int().min(1).default(1_024),
+    /** Descriptors that the process may open. */
+    maxDescriptors: z.number().int().min(1).default(4_096)
+  }).prefault({}),
   lookups: z.strictObject({ ttlMs: Milliseconds.default(2_000) }).prefault({}),
   shutdown: z.strictObject({
     /** Time after which a planned stop ends even with requests in flight; the log names these requests. */
