Bound the clients of the own interface's port for other hosts

Callers saw: a daemon that ended while HTTP/2 clients began calls without ending them.

Cause: neither sessions nor calls nor the messages that arrive for them were bounded in sum; a message alone may have 20 MB.

Change: SessionGuard counts the calls of each session and the bytes of their messages until they end, and closes the session that holds most beyond the port's memory, or one that never began a call beyond its connections. A session runs 256 calls at the same time.

--- a/packages/almondrelay-faults/src/processes/__tests__/clientCrowds.alone.test.ts
+++ b/packages/almondrelay-faults/src/processes/__tests__/clientCrowds.alone.test.ts
@@ -1,3 +1,4 @@
+import { connect as connectHttp2, constants, type ClientHttp2Session } from 'node:http2'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { Crowd, readProcessUsage } from 'almondrelay/testing'
@@ -39,7 +40,8 @@
   'requests at the operators\' port': { getAddress: ({ operator }) => operator, form: { text: makeHead('/v1/status') } },
   'requests at another path of the operators\' port': { getAddress: ({ operator }) => operator, form: { text: makeHead('/none') } },
   'bodies in chunks without an end at the operators\' port': { getAddress: ({ operator }) => operator, form: { connections: 10, bytesEach: 40_000_000, start: makeHead('/v1/resources/Region/akl', 'Transfer-Encoding: chunked\r\n', 'PUT'), text: CHUNK } },
-  'silent connections at the operators\' port': { getAddress: ({ operator }) => operator, form: MANY }
+  'silent connections at the operators\' port': { getAddress: ({ operator }) => operator, form: MANY },
+  'silent connections at the hosts\' port': { getAddress: ({ peer }) => peer, form: MANY }
 }
 
 const withHost = async (use: (host: HostHandle) => Promise<void>): Promise<void> => {
@@ -90,4 +92,42 @@
   })
 }
 
+/** Opens HTTP/2 sessions whose flow control lets nothing through to the client, each with many streams. */
+const openSessions = async (address: string, count: number, streams: number, path: string, body: Buffer): Promise<ClientHttp2Session[]> => {
+  const sessions = Array.from({ length: count }, () => {
+    const session = connectHttp2(`http://${address}`, { settings: { initialWindowSize: 0 }, peerMaxConcurrentStreams: streams })
+    session.on('error', () => undefined)
+    for (let stream = 0; stream < streams; stream += 1) {
+      const request = session.request({ [constants.HTTP2_HEADER_METHOD]: 'POST', [constants.HTTP2_HEADER_PATH]: path, 'content-type': 'application/proto', 'connect-protocol-version': '1' }, { endStream: false })
+      request.on('error', () => undefined)
+      request.write(body)
+    }
+    return session
+  })
+  await new Promise((resolve) => { setTimeout(resolve, 3_000) })
+  return sessions
+}
+
+const SESSIONS: Record<string, { sessions: number, streams: number, path: string, bytes: number }> = {
+  'many streams at no method of the hosts\' port': { sessions: 50, streams: 1_000, path: '/none', bytes: 0 },
+  'many unfinished calls at the hosts\' port': { sessions: 50, streams: 1_000, path: '/almondrelay.peer.v1.PeerService/Exchange', bytes: 100 },
+  'large unfinished calls at the hosts\' port': { sessions: 20, streams: 10, path: '/almondrelay.peer.v1.PeerService/Exchange', bytes: 2_000_000 }
+}
+for (const [name, { sessions: count, streams, path, bytes }] of Object.entries(SESSIONS)) {
+  // Guards against a daemon that ends because of HTTP/2 clients at the port for other hosts.
+  test(`the daemon keeps its limits and serves other callers beside ${name}`, async () => {
+    await withHost(async (host) => {
+      const sessions = await openSessions(host.plan.peer, count, streams, path, Buffer.alloc(bytes))
+      try {
+        checkUsage(host)
+        await checkOrdinaryCaller(host, 'while the crowd stays')
+      } finally {
+        for (const session of sessions) session.destroy()
+      }
+      await checkOrdinaryCaller(host, 'afterwards')
+      checkUsage(host)
+    })
+  })
+}
+
 test.run()
--- a/packages/almondrelay/src/connection/exchange/__tests__/realPeers.test.ts
+++ b/packages/almondrelay/src/connection/exchange/__tests__/realPeers.test.ts
@@ -2,6 +2,7 @@
 import Logger from 'bunyan'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { makeTestGuard } from '../../__fixtures__/makeTestGuard.js'
 import { ConfigurationStore } from '../../../process/configuration/configurationStore.js'
 import { LeavingTargets } from '../../../process/membership/leavingTargets.js'
 import { Membership } from '../../../process/membership/membership.js'
@@ -23,7 +24,7 @@
   const server = await listenForPeers('127.0.0.1:0', {
     exchange: async (request) => paused.signal.aborted ? await waitForever() : handleExchange(request, hub),
     fetchChanges: (request) => handleFetchChanges(request, hub)
-  }, owner.signal)
+  }, makeTestGuard(), owner.signal)
   const peerAddress = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const location = { availabilityZone: 'akl-a', region: 'akl', callerAddress: '' }
   const settings = { self: { host, incarnation: 1_790_000_000_000, peerAddress, ...location }, heartbeatMs: 50, suspectAfterMs: 300 }
--- a/packages/almondrelay/src/connection/peer/listenForPeers.ts
+++ b/packages/almondrelay/src/connection/peer/listenForPeers.ts
@@ -2,17 +2,22 @@
 import type { ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from 'almondrelay-protocol'
+import type { ClientGuardParts } from '../clients/clientGuardParts.js'
 import { openServer } from '../openServer.js'
+import { SessionGuard } from './sessionGuard.js'
 
 const MAX_MESSAGE_BYTES = 20_000_000
+/** Calls of one host that run at the same time; it keeps further ones back. */
+const MAX_STREAMS = 256
 
 /** Serves the peer port until the signal aborts. */
-export async function listenForPeers (address: string, handlers: Partial<ServiceImpl<typeof PeerService>>, signal: AbortSignal): Promise<Http2Server> {
+export async function listenForPeers (address: string, handlers: Partial<ServiceImpl<typeof PeerService>>, guard: ClientGuardParts, signal: AbortSignal): Promise<Http2Server> {
   const sessions = new Set<ServerHttp2Session>()
-  const server = createServer(connectNodeAdapter({
+  const server = createServer({ settings: { maxConcurrentStreams: MAX_STREAMS } }, connectNodeAdapter({
     readMaxBytes: MAX_MESSAGE_BYTES,
     routes: (router) => { router.service(PeerService, handlers) }
   }))
+  void new SessionGuard(server, guard)
   server.on('session', (session) => {
     sessions.add(session)
     session.on('close', () => sessions.delete(session))
--- a/packages/almondrelay/src/process/runDaemon.ts
+++ b/packages/almondrelay/src/process/runDaemon.ts
@@ -54,7 +54,7 @@
     ...createPeerHandlers(host),
     exchange: (request) => handleExchange(request, host.hub),
     fetchChanges: (request) => handleFetchChanges(request, host.hub)
-  }, signal)
+  }, makeGuard(ListenPort.peer, host), signal)
   const operator = await listenForHttp(settings.listen.operator, createOperatorApp(host.operatorOptions, signal), makeGuard(ListenPort.operator, host))
   const caller = await listenForHttp(settings.listen.caller, createCallerApp({
     host: settings.host.name,
