Refuse answers with damaged heads on the own interface's connections to targets

Callers saw: an answer whose status HTTP doesn't know (600, 999), or that came with another protocol version or a control byte in its reason phrase, taken for their target's answer; with such a status the code that writes it to the caller throws.

Cause: undici's parser takes any three digits from 100 on as a status, the versions 0.9 and 2.0, and control bytes in the reason phrase. A head with one damaged byte may have another: its status or length can't be believed.

Such an answer is lost, and its connection isn't used again.

--- a/packages/almondrelay-gateway/src/connection/answerLineChecker.ts
+++ b/packages/almondrelay-gateway/src/connection/answerLineChecker.ts
@@ -1,3 +1,4 @@
+import { isHeaderLine, isStatusLine } from 'almondrelay'
 import { MAX_ANSWER_BYTES } from './maxAnswerBytes.js'
 import { UnsoundAnswer } from './unsoundAnswer.js'
 import { UnsoundReason } from './unsoundReason.js'
@@ -11,9 +12,6 @@
 /** Empty lines before an answer: some targets send one behind a body. */
 const MAX_EMPTY_LINES = 2
 
-const STATUS_LINE = /^HTTP\/1\.\d [1-5]\d\d(?: [\t\x20-\x7e\x80-\xff]*)?$/
-/** A token as the name, then visible characters, blanks and obs-text (RFC 9110, sections 5.5 and 5.6.2). */
-const HEADER_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/
 const FOLDED_LINE = /^[ \t][\t\x20-\x7e\x80-\xff]*$/
 /** Beginning of a status line within another line: names of protocols in headers such as Via have no status behind them. */
 const CONTAINED_STATUS_LINE = /.HTTP\/1\.\d [1-5]\d\d(?: |$)/
@@ -67,7 +65,7 @@
       return
     }
     this.emptyLines = 0
-    if (!STATUS_LINE.test(line)) throw new UnsoundAnswer(UnsoundReason.syntax, 'its first line is no status line')
+    if (!isStatusLine(line)) throw new UnsoundAnswer(UnsoundReason.syntax, 'its first line is no status line')
     this.checkContinuation(line)
   }
 
@@ -80,7 +78,7 @@
   private checkHeaderLine (line: string): void {
     // The parser leaves out a line without a colon, which with a spoiled byte may be the length of the body. A control character could
     // not be sent on to the caller.
-    const isSound = line === '' || HEADER_LINE.test(line) || (this.hasHeader && FOLDED_LINE.test(line))
+    const isSound = line === '' || isHeaderLine(line) || (this.hasHeader && FOLDED_LINE.test(line))
     if (!isSound) throw new UnsoundAnswer(UnsoundReason.header, 'a line of its head is no header')
     this.checkContinuation(line)
     this.hasHeader = true
@@ -97,7 +95,7 @@
   private checkTrailer (line: string): void {
     this.trailers += line.length
     this.checkUnfinished('BODY_CHUNKTRAILERS', 0)
-    if (line !== '' && !HEADER_LINE.test(line)) throw new UnsoundAnswer(UnsoundReason.header, 'a trailer is no header')
+    if (line !== '' && !isHeaderLine(line)) throw new UnsoundAnswer(UnsoundReason.header, 'a trailer is no header')
     this.checkContinuation(line)
   }
 
--- a/packages/almondrelay/src/connection/target/targetConnection.ts
+++ b/packages/almondrelay/src/connection/target/targetConnection.ts
@@ -1,10 +1,12 @@
-import { Client, errors, type Dispatcher } from 'undici'
+import type { Socket } from 'node:net'
+import { buildConnector, Client, errors, type Dispatcher } from 'undici'
 import type { AnswerHeader } from '../../request/answerHeader.js'
 import { AnswerIdentity } from '../../request/answerIdentity.js'
 import { HeaderName } from '../../request/contract/headerName.js'
 import { identifyAnswer } from '../../request/identifyAnswer.js'
 import type { TargetReply } from '../../request/targetReply.js'
 import type { TargetRequest } from '../../request/targetRequest.js'
+import { AnswerHeadChecker } from './answerHeadChecker.js'
 import type { TargetObserver } from './targetObserver.js'
 
 /** Several times the round-trip time between the most distant regions (110 ms). */
@@ -28,6 +30,7 @@
  */
 export class TargetConnection {
   private readonly client: Client
+  private readonly head = new AnswerHeadChecker()
   private isConnected = false
   /** Final answers read from the connection. */
   private answers = 0
@@ -37,7 +40,7 @@
 
   constructor (private readonly address: string, private readonly observer: TargetObserver) {
     this.client = new Client(`http://${address}`, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: this.buildCheckedConnector(),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -64,6 +67,7 @@
   /** Sends a request with a send id that no other request of this process has. */
   async send (request: TargetRequest, sendId: string, signal: AbortSignal): Promise<TargetReply> {
     let hasResponseStarted = false
+    this.head.begin()
     try {
       const response = await this.client.request({
         method: request.method as 'GET',
@@ -73,6 +77,11 @@
         signal
       })
       hasResponseStarted = true
+      const { fault } = this.head
+      if (fault !== undefined) {
+        response.body.on('error', () => {}).destroy()
+        return { kind: 'lost', message: `an answer arrived whose head is not sound: ${fault}`, broken: true }
+      }
       const identity = this.identify(response, sendId)
       if (identity !== AnswerIdentity.echoed && identity !== AnswerIdentity.onlyRequest) {
         response.body.on('error', () => {}).destroy()
@@ -98,6 +107,26 @@
     }
   }
 
+  private buildCheckedConnector (): buildConnector.connector {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+    return (options, callback) => {
+      connect(options, (...result: Parameters<typeof callback>) => {
+        const [, socket] = result
+        if (socket !== null) this.checkReceived(socket)
+        callback(...result)
+      })
+    }
+  }
+
+  /** Shows what a socket receives to the checker of heads. A listener for data would take it from undici. */
+  private checkReceived (socket: Socket): void {
+    const push = socket.push.bind(socket)
+    socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+      if (Buffer.isBuffer(chunk)) this.head.receive(chunk)
+      return push(chunk, encoding)
+    }
+  }
+
   private identify ({ statusCode, statusText, headers }: Dispatcher.ResponseData, sendId: string): AnswerIdentity {
     const echoedIds = [headers[HeaderName.sendId] ?? []].flat()
     const texts = [statusText, ...Object.values(headers).flatMap((value) => value ?? [])]
