Take no status that HTTP doesn't know for an answer, in the library's caller, the command line and the tools

Callers saw: the library's Caller handed an answer with the status 600 or 999 to its program; an operator's write counted as answered.

Cause: undici's parser takes any three digits from 100 on as a status.

Change: such an answer is lost: a call may have run, a write is looked up by its id.

--- a/packages/almondrelay-cli/src/client/operatorClient.ts
+++ b/packages/almondrelay-cli/src/client/operatorClient.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici'
-import { AlmondrelayError, ErrorKind } from 'almondrelay'
+import { AlmondrelayError, ErrorKind, isFinalStatus } from 'almondrelay'
 import type { HttpAnswer } from './httpAnswer.js'
 import type { HttpCall } from './httpCall.js'
 
@@ -59,6 +59,7 @@
       signal: AbortSignal.any([this.signal, AbortSignal.timeout(timeoutMs)])
     })
     const text = await response.body.text()
+    if (!isFinalStatus(response.statusCode)) throw new Error(`the answer has the status ${response.statusCode}, which HTTP does not know`)
     return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text), address }
   }
 }
--- a/packages/almondrelay-stand-ins/src/network/sendJson.ts
+++ b/packages/almondrelay-stand-ins/src/network/sendJson.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici'
 import type { Dispatcher } from 'undici'
+import { isFinalStatus } from 'almondrelay'
 
 interface JsonCall {
   method: 'GET' | 'PUT' | 'POST' | 'DELETE'
@@ -29,5 +30,6 @@
     ...(dispatcher === undefined ? { reset: true } : { dispatcher })
   })
   const text = await answer.body.text()
+  if (!isFinalStatus(answer.statusCode)) throw new Error(`the answer has the status ${answer.statusCode}, which HTTP does not know`)
   return { status: answer.statusCode, headers: answer.headers, body: text === '' ? undefined : JSON.parse(text) }
 }
--- a/packages/almondrelay/src/caller/__tests__/caller.test.ts
+++ b/packages/almondrelay/src/caller/__tests__/caller.test.ts
@@ -2,6 +2,8 @@
 import type { AddressInfo } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { spoiltHeads } from '../../connection/__fixtures__/spoiltHeads.js'
+import { SpoiltServer } from '../../connection/__fixtures__/spoiltServer.js'
 import { SystemClock } from '../../process/platform/systemClock.js'
 import { HeaderName } from '../../request/contract/headerName.js'
 import { Outcome } from '../../request/outcome.js'
@@ -12,13 +14,15 @@
 /** Longer than any call's deadline, so that a call ends with the answer that states it. */
 const FINAL_RETRY_AFTER_MS = 60_000
 let host: Server
+/** Port that look-ups name; the stand-in host's own if undefined. */
+let namedPort: number | undefined
 let caller: Caller
 /** Outcomes that the stand-in host states, in turn; the last one is final. */
 let outcomes: Outcome[] = []
 
 test.before.each(async () => {
   host = createServer((message, response) => {
-    const { port } = host.address() as AddressInfo
+    const port = namedPort ?? (host.address() as AddressInfo).port
     if (message.url?.startsWith('/v1/lookup') === true) {
       response.end(JSON.stringify({ revision: 1, ttlMs: 1_000, hosts: [{ name: 'a-1', incarnation: 1, address: `127.0.0.1:${port}`, weight: 1 }] }))
       return
@@ -32,6 +36,7 @@
   caller = new Caller({ caller: 'c', hosts: [`127.0.0.1:${port}`], clock: new SystemClock(), random: () => 0 })
 })
 test.after.each(async () => {
+  namedPort = undefined
   await caller.close()
   host.closeAllConnections()
   host.close()
@@ -56,4 +61,16 @@
   assert.is(await callWith(true, Outcome.notRun, Outcome.notRun), Outcome.notRun)
 })
 
+// Guards against a damaged answer of a host that a program takes for the answer to its call.
+for (const [name, answer] of Object.entries(spoiltHeads).filter(([each]) => /^status \d{3}$/.test(each))) {
+  test(`an answer with a damaged status is lost: ${name}`, async () => {
+    const server = await SpoiltServer.start(answer)
+    namedPort = server.port
+    const reply = await caller.call({ service: 's', method: 'POST', path: '/', idempotent: false, deadlineMs: 300 }, new AbortController().signal)
+    assert.is(reply.outcome, Outcome.unknown)
+    assert.is(reply.reason, RefusalReason.answerLost)
+    server.close()
+  })
+}
+
 test.run()
--- a/packages/almondrelay/src/caller/sendToHost.ts
+++ b/packages/almondrelay/src/caller/sendToHost.ts
@@ -1,6 +1,7 @@
 import { errors, request, type Dispatcher } from 'undici'
 import type { Answer } from '../request/answer.js'
 import { HeaderName } from '../request/contract/headerName.js'
+import { isFinalStatus } from '../request/isFinalStatus.js'
 import { Outcome } from '../request/outcome.js'
 import type { RefusalReason } from '../request/refusalReason.js'
 import type { CallerCall } from './callerCall.js'
@@ -39,6 +40,7 @@
       signal
     })
     const body = new Uint8Array(await response.body.arrayBuffer())
+    if (!isFinalStatus(response.statusCode)) return { kind: 'lost' }
     return { kind: 'answered', answer: readAnswer(response.statusCode, response.headers, body) }
   } catch (error) {
     const isConnectError = error instanceof errors.ConnectTimeoutError || NOT_SENT_CODES.has((error as NodeJS.ErrnoException).code ?? '')
--- a/packages/almondrelay/src/process/platform/__tests__/httpPlatform.test.ts
+++ b/packages/almondrelay/src/process/platform/__tests__/httpPlatform.test.ts
@@ -3,6 +3,8 @@
 import type { AddressInfo } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { spoiltHeads } from '../../../connection/__fixtures__/spoiltHeads.js'
+import { SpoiltServer } from '../../../connection/__fixtures__/spoiltServer.js'
 import { AlmondrelayError } from '../../errors/almondrelayError.js'
 import { HttpPlatform } from '../httpPlatform.js'
 
@@ -39,6 +41,17 @@
   return (error as AlmondrelayError).kind
 }
 
+// Guards against a write that counts as rejected because of an answer that the platform never gave.
+for (const [name, answer] of Object.entries(spoiltHeads).filter(([each]) => /^status \d{3}$/.test(each))) {
+  test(`a write whose answer has a damaged status may have taken effect: ${name}`, async () => {
+    const server = await SpoiltServer.start(answer)
+    const platform = new HttpPlatform({ url: `http://127.0.0.1:${server.port}`, timeoutMs: 5_000 })
+    assert.is(await collectKind(platform.put('key', 'value', 0, never)), 'platform-unavailable')
+    await platform.close()
+    server.close()
+  })
+}
+
 test('each call has the documented method, path and body', async () => {
   const seen: string[] = []
   const entry = { key: 'changes/000000000001', value: 'v', version: 1 }
