Treat a damaged status of another host as a lost answer

Callers saw: nothing yet; an attempt that another host had sent to a target could have been sent once more.

Cause: any status but 200 counted as a refusal, after which the attempt has not been carried out.

Change: a status that HTTP doesn't know counts as a lost answer.

--- a/packages/almondrelay-gateway/src/process/carriers/__tests__/sendPeerCall.test.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/__tests__/sendPeerCall.test.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http'
+import { spoiltHeads, SpoiltServer } from 'almondrelay/testing'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { startUnreadingServer } from '../../../connection/__fixtures__/unreadingServer.js'
@@ -27,4 +28,16 @@
   owner.abort()
 })
 
+// Guards against an attempt that is sent once more, though it may run, because of an answer that the other host never gave.
+for (const [name, answer] of Object.entries(spoiltHeads).filter(([each]) => /^status \d{3}$/.test(each))) {
+  test(`a call that was answered with a damaged status may have been carried out: ${name}`, async () => {
+    const host = await SpoiltServer.start(CONTINUE + answer)
+    const agent = new Agent()
+    const result = await sendPeerCall(agent, { ip: '127.0.0.1', port: host.port, path: '/', body: Buffer.from('call'), acknowledgeTimeoutMs: 10_000, handleAcknowledgement: () => undefined, memory: new MessageMemory(Infinity) }, new AbortController().signal)
+    assert.is(result.kind === 'failed' && result.failure, PeerCallFailure.answerLost)
+    agent.destroy()
+    host.close()
+  })
+}
+
 test.run()
--- a/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
+++ b/packages/almondrelay-gateway/src/process/carriers/sendPeerCall.ts
@@ -1,4 +1,5 @@
 import { request, type Agent } from 'node:http'
+import { isFinalStatus } from 'almondrelay'
 import { HeldBytes } from '../../connection/heldBytes.js'
 import type { MessageMemory } from '../../connection/messageMemory.js'
 import { CARRIER_CONTENT_TYPE } from './carrierContentType.js'
@@ -87,7 +88,8 @@
         else if (wasSent && response.statusCode === OK_STATUS) {
           stopWaiting()
           resolve({ kind: 'answered', body: Buffer.concat(chunks), closeConnection: () => { socket.destroy() } })
-        } else resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
+        } else if (isFinalStatus(response.statusCode ?? 0)) resolveFailure(`status ${response.statusCode}`, PeerCallFailure.refused)
+        else resolveFailure(`status ${response.statusCode}, which HTTP does not know`)
       })
     })
     signal.addEventListener('abort', handleAbort, { once: true })
