--- a/packages/almondrelay-faults/src/processes/__tests__/badInput.test.ts
+++ b/packages/almondrelay-faults/src/processes/__tests__/badInput.test.ts
@@ -43,6 +43,7 @@
   assert.is(getSummary(await send('/s/approvals/x', { 'idempotency-key': ID, 'almondrelay-home': 'akl-a-1;1' })), '502 unknown home-gone')
   assert.match(await sendRaw(host.plan.caller, 'POST /s/approvals/x HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nhalf'), /408|^$/)
   assert.match(await sendRaw(host.plan.caller, 'nonsense\r\n\r\n'), /400/)
+  assert.match(await sendRaw(host.plan.caller, `POST /s/approvals/x HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n200000\r\n${'x'.repeat(0x200000)}`), /413.*body-too-large/s)
   await sendRaw(host.plan.peer, 'nonsense\r\n\r\n')
   const written = await sendJson({ method: 'PUT', address: host.plan.operator, path: '/v1/resources/Region/akl', body: { availabilityZones: 7 }, headers: {} })
   assert.is(written.status, 400)
