Pace callers' connections only once a port is crowded

Cause: reading each connection through Node's streams costs 20 us a request and more on new connections; the guard's own counting 35 us.

Change: Node parses below the stream until clients of the port hold a quarter of its memory together, one has 16 requests waiting, or an eighth of the connections have sent no request; then all connections are read in pieces and in turn, from the read after the one that showed it, until it is calm. Ports that count bodies are paced from the start. TurnQueue makes no closures.

Unfinished heads are counted once many connections have sent no request.

--- a/packages/almondrelay-gateway/src/connection/turnQueue.ts
+++ b/packages/almondrelay-gateway/src/connection/turnQueue.ts
@@ -11,6 +11,7 @@
 const ACCEPTING_SLICE_MS = 1
 
 interface QueuedRequest {
+  owner: object
   /** Monotonic milliseconds at which the request was read. */
   readAt: number
   /** Monotonic milliseconds since which the request is the next one of its owner. */
@@ -29,8 +30,8 @@
 export class TurnQueue {
   /** The next request of each owner. */
   private readonly waiting: QueuedRequest[] = []
-  /** Further requests of the owners that have one in `waiting`. */
-  private readonly backlogs = new Map<object, QueuedRequest[]>()
+  /** Owners that have a request in `waiting`, with their further ones; undefined for none. */
+  private readonly backlogs = new Map<object, QueuedRequest[] | undefined>()
   private turn = 0
   private turnStartedAt = 0
   private hasAcceptedInTurn = false
@@ -52,20 +53,22 @@
    */
   push (run: (readAt: number) => void, owner: object, isFirst: boolean): void {
     const now = this.getNow()
-    const request = { readAt: now, queuedAt: now, run }
-    const backlog = this.backlogs.get(owner)
-    if (backlog !== undefined) {
-      backlog.push(request)
+    const request = { owner, readAt: now, queuedAt: now, run }
+    if (this.backlogs.has(owner)) {
+      const backlog = this.backlogs.get(owner)
+      if (backlog === undefined) this.backlogs.set(owner, [request])
+      else backlog.push(request)
       return
     }
-    this.addNext(request, owner)
+    this.backlogs.set(owner, undefined)
+    this.waiting.push(request)
     if (isFirst) setImmediate(() => { this.schedule() })
     else this.schedule()
   }
 
   /** Drops the requests of an owner, except for one that may be the next to run. */
   drop (owner: object): void {
-    this.backlogs.delete(owner)
+    if (this.backlogs.get(owner) !== undefined) this.backlogs.set(owner, undefined)
   }
 
   /** Records that a connection was accepted: more may be waiting. */
@@ -107,18 +110,6 @@
     setImmediate(() => { this.checkAccepting() })
   }
 
-  private addNext (request: QueuedRequest, owner: object): void {
-    const { run } = request
-    this.backlogs.set(owner, this.backlogs.get(owner) ?? [])
-    this.waiting.push({
-      ...request,
-      run: (readAt) => {
-        this.addNextOf(owner)
-        run(readAt)
-      }
-    })
-  }
-
   /** Queues the next request of an owner whose turn it was. */
   private addNextOf (owner: object): void {
     const next = this.backlogs.get(owner)?.shift()
@@ -126,7 +117,8 @@
       this.backlogs.delete(owner)
       return
     }
-    this.addNext({ ...next, queuedAt: this.getNow() }, owner)
+    next.queuedAt = this.getNow()
+    this.waiting.push(next)
     this.schedule()
   }
 
@@ -149,6 +141,8 @@
       return
     }
     const next = this.waiting.shift()
-    next?.run(next.readAt)
+    if (next === undefined) return
+    this.addNextOf(next.owner)
+    next.run(next.readAt)
   }
 }
--- a/packages/almondrelay-gateway/src/process/settings/computeClientLimits.ts
+++ b/packages/almondrelay-gateway/src/process/settings/computeClientLimits.ts
@@ -19,8 +19,8 @@
 }
 const MB = 1024 * 1024
 
-/** Computes what the clients of a port may hold together, from the limits of the process. Bodies of callers and other hosts have a bound of their own. */
+/** Computes what the clients of a port may hold together, from the limits of the process. Bodies of callers and other hosts have a bound of their own, and other ports keep none. */
 export function computeClientLimits (port: PortName, { memoryMb, maxDescriptors }: GatewaySettings['limits']): ClientLimits {
   const shares = SHARES[port]
-  return { maxConnections: Math.floor(maxDescriptors * shares.descriptors), maxHeldBytes: memoryMb * MB * shares.memory, includesBodies: port !== PortName.callers && port !== PortName.hosts }
+  return { maxConnections: Math.floor(maxDescriptors * shares.descriptors), maxHeldBytes: memoryMb * MB * shares.memory, includesBodies: port === PortName.operators }
 }
--- a/packages/almondrelay/src/connection/clients/clientConnection.ts
+++ b/packages/almondrelay/src/connection/clients/clientConnection.ts
@@ -11,23 +11,26 @@
 /** Bytes that an unfinished head takes for each byte of it: the shortest header lines have four bytes. */
 const HEAD_FACTOR = 16
 
+/** Bytes of a head beyond which Node refuses it. */
+const MAX_HEAD_BYTES = 16 * 1024
+const NO_BYTES = Buffer.alloc(0)
+
 type ReadSocket = (bytes: Buffer) => void
 
-interface ClientConnectionParts {
+/** What a connection needs to know of its port, and tells it. */
+interface ClientPort {
+  readonly queue: FeedQueue
   /** Whether bodies of requests count. */
-  includesBodies: boolean
-  queue: FeedQueue
+  readonly includesBodies: boolean
   /** Adds to the bytes that all clients of the port hold. */
   charge: (bytes: number) => void
   /** Whether further requests are read on a connection on which so many wait for their answers. */
   allowRead: (waiting: number) => boolean
-  /** Called with each answer that has been sent in full. */
-  handleAnswered: () => void
 }
 
 /**
- * One client's connection. Passes received bytes to Node's parser in pieces, in turn with the other connections of the port, and counts
- * what the client holds: requests until their answers have been sent, and what has been received of the next one.
+ * One client's connection. Counts what the client holds, and passes received bytes to Node's parser in pieces, in turn with the other
+ * connections of the port, once that is asked for. What counts: requests until their answers have been sent, and what has been received of the next one.
  */
 export class ClientConnection {
   private held = 0
@@ -36,6 +39,8 @@
   /** Bytes counted for each request that has not been answered in full. */
   private readonly requests = new Map<ServerResponse, number>()
   private readCount = 0
+  /** Bytes that the socket had received when the last request was read. */
+  private bytesReadAtRequest = 0
   private last: IncomingMessage | undefined
   private lastResponse: ServerResponse | undefined
   /** Received bytes that the parser has not got. */
@@ -43,20 +48,33 @@
   /** Whether this object has paused the socket; Node and readers of bodies pause and resume it too. */
   private isHeldBack = false
   private isClosed = false
+  private isWatchingResume = false
+  /** Order of the last answer among those of the port; 0 before the first. */
+  lastAnswer = 0
   /** Unsent answers at the last check, and since when they have been the same. */
   private unsent = { waiting: 0, bytes: 0, since: 0 }
-  private readonly passToParser: ReadSocket
+  /** Node's reader; undefined until the connection is paced. */
+  private passToParser: ReadSocket | undefined
   private readonly readOn = (): void => { this.readRest() }
 
-  constructor (readonly socket: Socket, private readonly parts: ClientConnectionParts) {
-    // Node's listener gets its bytes from here. Adding a listener also stops Node from parsing below the stream, where nothing is seen.
-    const [passToParser] = socket.listeners('data') as ReadSocket[]
-    if (passToParser === undefined) throw new TypeError('the socket has no reader: guard it after the HTTP server has taken it over')
+  constructor (readonly socket: Socket, private readonly port: ClientPort) {}
+
+  /** Whether a request has been read. */
+  get hasRequested (): boolean {
+    return this.last !== undefined
+  }
+
+  /** Passes received bytes on in pieces and in turn from now on. Until then Node parses them below the stream, which takes less processor time. */
+  beginPacing (): void {
+    if (this.passToParser !== undefined || this.isClosed || this.socket.destroyed) return
+    const [passToParser] = this.socket.listeners('data') as ReadSocket[]
+    if (passToParser === undefined) return
     this.passToParser = passToParser
-    socket.removeListener('data', passToParser)
-    socket.on('data', (bytes: Buffer) => { this.receive(bytes) })
-    socket.on('resume', () => { this.handleResume() })
-    socket.once('close', () => { this.release() })
+    this.socket.removeListener('data', passToParser)
+    // Adding a listener also makes Node read through the stream.
+    this.socket.on('data', (bytes: Buffer) => { this.receive(bytes) })
+    if (!this.isReadingBody) this.count(Math.min(this.countUnreadBytes(), MAX_HEAD_BYTES), false)
+    if (!this.port.allowRead(this.waiting) && !this.socket.isPaused()) this.holdBack(NO_BYTES)
   }
 
   /** Estimated bytes that the client holds. */
@@ -74,12 +92,22 @@
     this.readCount += 1
     this.last = message
     this.lastResponse = response
-    this.setHeadBytes(0)
     if (this.isClosed) return
-    const bytes = estimateRequestBytes(message.url ?? '', message.rawHeaders)
+    const bytes = estimateRequestBytes(Math.min(this.countUnreadBytes(), MAX_HEAD_BYTES), message.rawHeaders.length / 2)
+    this.bytesReadAtRequest = this.socket.bytesRead
     this.requests.set(response, bytes)
-    this.charge(bytes)
-    response.once('close', () => { this.observeAnswer(response) })
+    this.charge(bytes - this.headBytes)
+    this.headBytes = 0
+  }
+
+  /** Returns whether the answer belongs to a request of this connection that was still counted. */
+  observeAnswer (response: ServerResponse): boolean {
+    const bytes = this.requests.get(response)
+    if (bytes === undefined) return false
+    this.requests.delete(response)
+    this.charge(-bytes)
+    if (this.isHeldBack) this.scheduleRead()
+    return true
   }
 
   /** Whether the client has not taken any of its answers for so many milliseconds. */
@@ -98,40 +126,45 @@
   private receive (bytes: Buffer): void {
     // Another reader may have resumed the socket.
     if (this.isHeldBack) this.holdBack(this.rest === undefined ? bytes : Buffer.concat([this.rest, bytes]))
-    else if (this.parts.queue.isBusy && bytes.length > PIECE_BYTES) this.holdBack(bytes)
+    else if (bytes.length > PIECE_BYTES && this.port.queue.isBusy) this.holdBack(bytes)
     else this.passOn(bytes)
   }
 
   private passOn (bytes: Buffer): void {
-    const { socket, parts } = this
+    const { socket, port } = this
     for (let offset = 0; offset < bytes.length; offset += PIECE_BYTES) {
       const { readCount, isReadingBody } = this
       const piece = bytes.length <= PIECE_BYTES ? bytes : bytes.subarray(offset, offset + PIECE_BYTES)
-      this.passToParser(piece)
+      this.passToParser?.(piece)
       if (socket.destroyed || this.isClosed) return
       const hasReadRequest = this.readCount > readCount
       if (!hasReadRequest) this.count(piece.length, isReadingBody)
-      const rest = bytes.subarray(offset + PIECE_BYTES)
-      const mustYield = hasReadRequest && rest.length > 0
+      const hasMore = offset + PIECE_BYTES < bytes.length
       if (socket.isPaused()) {
-        this.setRest(rest)
+        if (hasMore) this.setRest(bytes.subarray(offset + PIECE_BYTES))
         return
       }
-      if (mustYield || !parts.allowRead(this.waiting)) {
-        this.holdBack(rest)
+      if ((hasReadRequest && hasMore) || !port.allowRead(this.requests.size)) {
+        this.holdBack(bytes.subarray(offset + PIECE_BYTES))
         return
       }
     }
   }
 
+  private countUnreadBytes (): number {
+    return this.socket.bytesRead - this.bytesReadAtRequest
+  }
+
   private get isReadingBody (): boolean {
     return this.last?.complete === false
   }
 
   /** Counts bytes with which no head ended. */
   private count (bytes: number, isBody: boolean): void {
-    if (!isBody) this.setHeadBytes(this.headBytes + bytes * HEAD_FACTOR)
-    else if (this.parts.includesBodies) this.countBody(bytes)
+    if (!isBody) {
+      this.headBytes += bytes * HEAD_FACTOR
+      this.charge(bytes * HEAD_FACTOR)
+    } else if (this.port.includesBodies) this.countBody(bytes)
   }
 
   private countBody (bytes: number): void {
@@ -146,17 +179,18 @@
   private holdBack (rest: Buffer): void {
     this.setRest(rest)
     this.isHeldBack = true
+    this.watchResume()
     this.socket.pause()
     this.scheduleRead()
   }
 
   private scheduleRead (): void {
-    if (this.parts.allowRead(this.waiting)) this.parts.queue.push(this.readOn)
+    if (this.port.allowRead(this.waiting)) this.port.queue.push(this.readOn)
   }
 
   private readRest (): void {
-    const { rest, socket, parts } = this
-    if (!this.isHeldBack || this.isClosed || !parts.allowRead(this.waiting)) return
+    const { rest, socket, port } = this
+    if (!this.isHeldBack || this.isClosed || !port.allowRead(this.waiting)) return
     this.isHeldBack = false
     this.setRest(undefined)
     // Before the bytes are passed on, so that a pause by another reader is seen.
@@ -164,46 +198,38 @@
     if (rest !== undefined) this.passOn(rest)
   }
 
+  private watchResume (): void {
+    if (this.isWatchingResume) return
+    this.isWatchingResume = true
+    this.socket.on('resume', () => { this.handleResume() })
+  }
+
   /** Handles that the socket was resumed, by this object or by another reader. */
   private handleResume (): void {
     if (this.isHeldBack) this.socket.pause()
     else if (this.rest !== undefined) this.holdBack(this.rest)
   }
 
-  private observeAnswer (response: ServerResponse): void {
-    const bytes = this.requests.get(response)
-    if (bytes === undefined) return
-    this.requests.delete(response)
-    this.charge(-bytes)
-    this.parts.handleAnswered()
-    if (this.isHeldBack) this.scheduleRead()
-  }
-
   private setRest (rest: Buffer | undefined): void {
     const before = this.rest?.length ?? 0
     this.rest = rest?.length === 0 ? undefined : rest
+    this.watchResume()
     this.charge((this.rest?.length ?? 0) - before)
   }
 
-  private setHeadBytes (bytes: number): void {
-    if (bytes === this.headBytes) return
-    const before = this.headBytes
-    this.headBytes = bytes
-    this.charge(bytes - before)
-  }
-
   private charge (bytes: number): void {
     if (bytes === 0 || this.isClosed) return
     this.held += bytes
-    this.parts.charge(bytes)
+    this.port.charge(bytes)
   }
 
-  private release (): void {
+  /** Gives back what the client held; nothing is counted or read from now on. */
+  release (): void {
     if (this.isClosed) return
     this.charge(-this.held)
     this.isClosed = true
     this.rest = undefined
     this.requests.clear()
-    this.parts.queue.drop(this.readOn)
+    this.port.queue.drop(this.readOn)
   }
 }
--- a/packages/almondrelay/src/connection/clients/clientGuard.ts
+++ b/packages/almondrelay/src/connection/clients/clientGuard.ts
@@ -9,6 +9,11 @@
 const MAX_WAITING = 64
 /** Share of the memory from which a connection is read only while none of its requests wait. */
 const FILLING_SHARE = 0.5
+/** Share of the memory, and requests of one connection, from which all connections of the port are paced. */
+const PACING_SHARE = 0.25
+const PACING_WAITING = 16
+/** Share of the connections that may be without a request before all are paced: each may be sending a head without an end. */
+const PACING_SILENT_SHARE = 0.125
 /** Bytes from which a client is closed rather than connections that are idle. */
 const LARGE_BYTES = 64 * 1024
 /** Milliseconds within which a client must have taken a part of the answers that wait for it. */
@@ -22,14 +27,20 @@
  * first, so that clients who do read their answers are all served; then the client that holds most is closed.
  */
 export class ClientGuard {
+  readonly includesBodies: boolean
+  private readonly maxHeldBytes: number
   private held = 0
   private readonly connections = new Map<Socket, ClientConnection>()
-  /** Connections without an answer yet, and the others; those that were used last come last. */
-  private readonly unanswered = new Set<ClientConnection>()
-  private readonly answered = new Set<ClientConnection>()
-  private readonly queue = new FeedQueue()
+  private answers = 0
+  /** Connections without a request. */
+  private silent = 0
+  private isPacing: boolean
+  readonly queue = new FeedQueue()
 
   constructor (server: Server, private readonly parts: ClientGuardParts) {
+    this.includesBodies = parts.limits.includesBodies
+    this.isPacing = this.includesBodies
+    this.maxHeldBytes = parts.limits.maxHeldBytes
     // Without it Node leaves out all header lines beyond a thousand; heads are bounded in bytes.
     server.maxHeadersCount = 0
     server.on('connection', (socket: Socket) => { this.addConnection(socket) })
@@ -38,7 +49,11 @@
       this.observeRequest(message, response)
       response.writeHead(417).end()
     })
-    const timer = setInterval(() => { this.closeStalled(parts.getNow()) }, CHECK_INTERVAL_MS).unref()
+    const timer = setInterval(() => {
+      this.closeStalled(parts.getNow())
+      // Connections that are open stay as they are.
+      this.isPacing &&= this.isCrowded(0)
+    }, CHECK_INTERVAL_MS).unref()
     server.once('close', () => { clearInterval(timer) })
   }
 
@@ -54,39 +69,59 @@
     }
   }
 
-  private addConnection (socket: Socket): void {
-    const connection = new ClientConnection(socket, {
-      includesBodies: this.parts.limits.includesBodies,
-      queue: this.queue,
-      charge: (bytes) => { this.charge(bytes) },
-      allowRead: (waiting) => waiting === 0 || (waiting < MAX_WAITING && this.held < this.parts.limits.maxHeldBytes * FILLING_SHARE),
-      handleAnswered: () => { this.moveToAnswered(connection) }
-    })
-    this.connections.set(socket, connection)
-    this.unanswered.add(connection)
-    socket.once('close', () => { this.remove(connection) })
-    if (this.connections.size > this.parts.limits.maxConnections) this.close(this.findDispensable(connection), ClientCloseReason.connections)
+  /** Adds to the bytes that all clients hold, and closes those that hold most if they are too many. */
+  charge (bytes: number): void {
+    this.held += bytes
+    if (bytes > 0 && this.held > this.maxHeldBytes) this.closeLargest()
   }
 
-  private observeRequest (message: IncomingMessage, response: ServerResponse): void {
-    this.connections.get(message.socket)?.observeRequest(message, response)
+  /** Whether further requests are read on a connection on which so many wait for their answers. */
+  allowRead (waiting: number): boolean {
+    return waiting === 0 || (waiting < MAX_WAITING && this.held < this.maxHeldBytes * FILLING_SHARE)
   }
 
-  private moveToAnswered (connection: ClientConnection): void {
-    if (!this.connections.has(connection.socket)) return
-    this.unanswered.delete(connection)
-    this.answered.delete(connection)
-    this.answered.add(connection)
+  /** Paces all connections if the clients hold much together, or one of them sends far ahead. */
+  private checkPacing (connection: ClientConnection): void {
+    if (!this.isCrowded(connection.waiting)) return
+    this.isPacing = true
+    // After the read that is being parsed, and before the next one.
+    process.nextTick(() => { for (const each of this.connections.values()) each.beginPacing() })
   }
 
-  private charge (bytes: number): void {
-    this.held += bytes
-    if (bytes > 0) this.closeLargest()
+  private isCrowded (waiting: number): boolean {
+    return this.includesBodies || waiting >= PACING_WAITING || this.held > this.maxHeldBytes * PACING_SHARE || this.silent > this.parts.limits.maxConnections * PACING_SILENT_SHARE
+  }
+
+  private addConnection (socket: Socket): void {
+    const connection = new ClientConnection(socket, this)
+    this.connections.set(socket, connection)
+    this.silent += 1
+    socket.once('close', () => {
+      if (!connection.hasRequested) this.silent -= 1
+      this.connections.delete(socket)
+      connection.release()
+    })
+    if (this.isPacing) connection.beginPacing()
+    else this.checkPacing(connection)
+    if (this.connections.size > this.parts.limits.maxConnections) this.close(this.findDispensable(connection), ClientCloseReason.connections)
+  }
+
+  private observeRequest (message: IncomingMessage, response: ServerResponse): void {
+    const connection = this.connections.get(message.socket)
+    if (connection === undefined) return
+    if (!connection.hasRequested) this.silent -= 1
+    connection.observeRequest(message, response)
+    if (!this.isPacing) this.checkPacing(connection)
+    response.once('close', () => {
+      if (!connection.observeAnswer(response)) return
+      this.answers += 1
+      connection.lastAnswer = this.answers
+    })
   }
 
   /** Closes the clients that hold most until the others fit. */
   private closeLargest (): void {
-    while (this.held > this.parts.limits.maxHeldBytes) {
+    while (this.held > this.maxHeldBytes) {
       const largest = this.findLargest()
       if (largest === undefined) return
       this.close(largest, ClientCloseReason.memory)
@@ -101,30 +136,23 @@
     return largest
   }
 
-  /** Finds the connection whose loss costs least: clients that were never answered first, those that are in use last. */
+  /**
+   * Finds the connection whose loss costs least: one that was never answered and isn't waiting, then one that holds much, then the one that
+   * has been idle for longest.
+   */
   private findDispensable (newest: ClientConnection): ClientConnection {
-    const isIdle = (connection: ClientConnection): boolean => connection.waiting === 0 && connection !== newest
+    const others = [...this.connections.values()].filter((connection) => connection !== newest)
+    const idle = others.filter(({ waiting }) => waiting === 0)
     const largest = this.findLargest()
-    return findFirst(this.unanswered, isIdle) ?? (largest !== undefined && largest.heldBytes >= LARGE_BYTES ? largest : undefined) ?? findFirst(this.answered, isIdle) ?? newest
+    return idle.find(({ lastAnswer }) => lastAnswer === 0) ??
+      (largest !== undefined && largest.heldBytes >= LARGE_BYTES ? largest : undefined) ??
+      idle.reduce((oldest, each) => oldest === newest || each.lastAnswer < oldest.lastAnswer ? each : oldest, newest)
   }
 
   private close (connection: ClientConnection, reason: ClientCloseReason): void {
     const { heldBytes, waiting, socket } = connection
     this.parts.reportClosure({ port: this.parts.port, reason, ip: socket.remoteAddress, heldBytes, waiting, connections: this.connections.size })
-    this.remove(connection)
+    this.connections.delete(socket)
     connection.close()
   }
-
-  private remove (connection: ClientConnection): void {
-    this.connections.delete(connection.socket)
-    this.unanswered.delete(connection)
-    this.answered.delete(connection)
-  }
-}
-
-const findFirst = <Item>(items: Iterable<Item>, isWanted: (item: Item) => boolean): Item | undefined => {
-  for (const item of items) {
-    if (isWanted(item)) return item
-  }
-  return undefined
 }
--- a/packages/almondrelay/src/connection/clients/estimateRequestBytes.ts
+++ b/packages/almondrelay/src/connection/clients/estimateRequestBytes.ts
@@ -5,12 +5,7 @@
 /** Copies of the text that exist while a request is handled: as received, decoded, and encoded for a target or the log. */
 const TEXT_COPIES = 3
 
-/**
- * Estimates the bytes that a request takes until it has been answered, without its body.
- *
- * @param rawHeaders names and values, alternating
- */
-export function estimateRequestBytes (url: string, rawHeaders: readonly string[]): number {
-  const textBytes = rawHeaders.reduce((sum, { length }) => sum + length, url.length)
-  return REQUEST_BYTES + rawHeaders.length / 2 * LINE_BYTES + textBytes * TEXT_COPIES
+/** Estimates the bytes that a request takes until it has been answered, without its body. */
+export function estimateRequestBytes (headBytes: number, headerLines: number): number {
+  return REQUEST_BYTES + headerLines * LINE_BYTES + headBytes * TEXT_COPIES
 }
