--- a/packages/almondrelay/src/connection/clients/clientConnection.ts
+++ b/packages/almondrelay/src/connection/clients/clientConnection.ts
@@ -10,7 +10,6 @@
 const PIECE_BYTES = 2 * 1024
 /** Bytes that an unfinished head takes for each byte of it: the shortest header lines have four bytes. */
 const HEAD_FACTOR = 16
-
 /** Bytes of a head beyond which Node refuses it. */
 const MAX_HEAD_BYTES = 16 * 1024
 const NO_BYTES = Buffer.alloc(0)
@@ -29,8 +28,8 @@
 }
 
 /**
- * One client's connection. Counts what the client holds, and passes received bytes to Node's parser in pieces, in turn with the other
- * connections of the port, once that is asked for. What counts: requests until their answers have been sent, and what has been received of the next one.
+ * One client's connection. Counts what the client holds: requests until their answers have been sent, and what has been received of the
+ * next one. Once it is paced, it passes received bytes to Node's parser in pieces, in turn with the other connections of the port.
  */
 export class ClientConnection {
   private held = 0
@@ -45,7 +44,7 @@
   private lastResponse: ServerResponse | undefined
   /** Received bytes that the parser has not got. */
   private rest: Buffer | undefined
-  /** Whether this object has paused the socket; Node and readers of bodies pause and resume it too. */
+  /** Whether this object has paused the socket. Node and readers of bodies pause and resume it too, and don't know of it. */
   private isHeldBack = false
   private isClosed = false
   private isWatchingResume = false
--- a/packages/almondrelay/src/connection/clients/clientGuard.ts
+++ b/packages/almondrelay/src/connection/clients/clientGuard.ts
@@ -51,7 +51,7 @@
     })
     const timer = setInterval(() => {
       this.closeStalled(parts.getNow())
-      // Connections that are open stay as they are.
+      // Connections that are paced stay so: Node can't be made to read them below the stream again.
       this.isPacing &&= this.isCrowded(0)
     }, CHECK_INTERVAL_MS).unref()
     server.once('close', () => { clearInterval(timer) })
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -1,5 +1,6 @@
 // Runs every compiled test file in a process of its own, several in parallel, and prints "N passed, N failed"
-// as the last line. Files named *.alone.test.ts run one at a time, after all others. A file that KNOWN-RED.txt lists may fail without failing the run; its output is printed.
+// as the last line. Files named *.alone.test.ts run one at a time, after all others. A file that KNOWN-RED.txt lists
+// may fail without failing the run; its output is printed.
 import { spawn } from 'node:child_process'
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { cpus } from 'node:os'
