Read the body of a request that counts, however crowded the port is

Callers saw: orders whose bodies were held back, or whose connections were closed, on a machine of 10 MB; on any machine beside a crowd that fills half of the port's memory.

Cause: from half of the port's memory on a connection was read only while none of its requests waits, and a request whose body arrives does. On a small machine a tenth of the memory is less than ten ordinary callers take.

Change: bytes of a body are read; callers may hold 8 MB together at least.

--- a/packages/almondrelay-gateway/src/process/settings/computeClientLimits.ts
+++ b/packages/almondrelay-gateway/src/process/settings/computeClientLimits.ts
@@ -18,9 +18,11 @@
   [PortName.metrics]: { memory: 0.01, descriptors: 0.02 }
 }
 const MB = 1024 * 1024
+/** Bytes that callers may hold on a machine of any size: a hundred of them with a request each. */
+const MIN_CALLER_BYTES = 8 * MB
 
 /** Computes what the clients of a port may hold together, from the limits of the process. Bodies of callers and other hosts have a bound of their own, and other ports keep none. */
 export function computeClientLimits (port: PortName, { memoryMb, maxDescriptors }: GatewaySettings['limits']): ClientLimits {
   const shares = SHARES[port]
-  return { maxConnections: Math.floor(maxDescriptors * shares.descriptors), maxHeldBytes: memoryMb * MB * shares.memory, includesBodies: port === PortName.operators }
+  return { maxConnections: Math.floor(maxDescriptors * shares.descriptors), maxHeldBytes: Math.max(memoryMb * MB * shares.memory, port === PortName.callers ? MIN_CALLER_BYTES : 0), includesBodies: port === PortName.operators }
 }
--- a/packages/almondrelay/src/connection/clients/clientConnection.ts
+++ b/packages/almondrelay/src/connection/clients/clientConnection.ts
@@ -73,7 +73,7 @@
     // Adding a listener also makes Node read through the stream.
     this.socket.on('data', (bytes: Buffer) => { this.receive(bytes) })
     if (!this.isReadingBody) this.count(Math.min(this.countUnreadBytes(), MAX_HEAD_BYTES), false)
-    if (!this.port.allowRead(this.waiting) && !this.socket.isPaused()) this.holdBack(NO_BYTES)
+    if (!this.isReadable && !this.socket.isPaused()) this.holdBack(NO_BYTES)
   }
 
   /** Estimated bytes that the client holds. */
@@ -130,7 +130,7 @@
   }
 
   private passOn (bytes: Buffer): void {
-    const { socket, port } = this
+    const { socket } = this
     for (let offset = 0; offset < bytes.length; offset += PIECE_BYTES) {
       const { readCount, isReadingBody } = this
       const piece = bytes.length <= PIECE_BYTES ? bytes : bytes.subarray(offset, offset + PIECE_BYTES)
@@ -143,7 +143,7 @@
         if (hasMore) this.setRest(bytes.subarray(offset + PIECE_BYTES))
         return
       }
-      if ((hasReadRequest && hasMore) || !port.allowRead(this.requests.size)) {
+      if ((hasReadRequest && hasMore) || !this.isReadable) {
         this.holdBack(bytes.subarray(offset + PIECE_BYTES))
         return
       }
@@ -158,6 +158,11 @@
     return this.last?.complete === false
   }
 
+  /** Whether further bytes may be read. Those of a request that counts already are: it could not be answered otherwise. */
+  private get isReadable (): boolean {
+    return this.isReadingBody || this.port.allowRead(this.waiting)
+  }
+
   /** Counts bytes with which no head ended. */
   private count (bytes: number, isBody: boolean): void {
     if (!isBody) {
@@ -184,12 +189,12 @@
   }
 
   private scheduleRead (): void {
-    if (this.port.allowRead(this.waiting)) this.port.queue.push(this.readOn)
+    if (this.isReadable) this.port.queue.push(this.readOn)
   }
 
   private readRest (): void {
-    const { rest, socket, port } = this
-    if (!this.isHeldBack || this.isClosed || !port.allowRead(this.waiting)) return
+    const { rest, socket } = this
+    if (!this.isHeldBack || this.isClosed || !this.isReadable) return
     this.isHeldBack = false
     this.setRest(undefined)
     // Before the bytes are passed on, so that a pause by another reader is seen.
