Test that a caller that sends ahead doesn't delay others in the queue of turns

Cause: the turns of callers, added with the client limits, had no test of the load they answer but those with real hosts.

Change: a test of one caller with fifty requests beside one with a single request, and of a connection that closes. No code changed.

--- a/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
+++ b/packages/almondrelay-gateway/src/connection/__tests__/turnQueue.test.ts
@@ -95,4 +95,18 @@
   assert.is(counted.queue.computeDelay(counted.now), 0)
 })
 
+// Guards against a caller whose request waits for all that another one has sent ahead.
+test('a caller that sends many requests ahead delays its own, and those of a closed connection are dropped', async () => {
+  const counted = new CountedQueue(0)
+  const [crowd, ordinary] = [{}, {}]
+  const done: string[] = []
+  for (let index = 0; index < 50; index += 1) counted.queue.push(() => { done.push('crowd') }, crowd, false)
+  counted.queue.push(() => { done.push('ordinary') }, ordinary, false)
+  while (!done.includes('ordinary')) await waitTurn()
+  assert.ok(done.indexOf('ordinary') <= 2, `it ran after ${done.indexOf('ordinary')} requests of the other caller`)
+  counted.queue.drop(crowd)
+  for (let turn = 0; turn < 100; turn += 1) await waitTurn()
+  assert.ok(done.length < 10, `${done.length} requests ran`)
+})
+
 test.run()
